--- /dev/null
+++ b/config/document.go
@@ -0,0 +1,107 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/briarcross/briarcross/pb"
+)
+
+// SchemaVersion is the version of the document format.
+const SchemaVersion = 1
+
+const (
+	profilePrefix = "profile/"
+	servicePrefix = "service/"
+)
+
+// ProfileKey returns the key of a profile.
+func ProfileKey(name string) string {
+	return profilePrefix + name
+}
+
+// ServiceKey returns the key of a service.
+func ServiceKey(name string) string {
+	return servicePrefix + name
+}
+
+// Key returns "profile/NAME" or "service/NAME", or an empty string for a
+// document without a body.
+func Key(doc *pb.Document) string {
+	switch body := doc.GetBody().(type) {
+	case *pb.Document_Profile:
+		return ProfileKey(body.Profile.GetName())
+	case *pb.Document_Service:
+		return ServiceKey(body.Service.GetName())
+	}
+	return ""
+}
+
+// FieldError tells which field of a document is invalid.
+type FieldError struct {
+	// Document is the key of the document.
+	Document string
+	// Field is the name of the field in YAML.
+	Field string
+	// Reason tells what is wrong.
+	Reason string
+}
+
+// Error implements error.
+func (e *FieldError) Error() string {
+	return fmt.Sprintf("%s: field %s: %s", e.Document, e.Field, e.Reason)
+}
+
+const (
+	maxNameLength    = 63
+	maxSubjectLength = 128
+)
+
+// checkName returns the reason why a document name is invalid, or "".
+func checkName(name string) string {
+	if name == "" {
+		return "a name is required"
+	}
+	if len(name) > maxNameLength {
+		return fmt.Sprintf("a name has at most %d characters", maxNameLength)
+	}
+	for _, c := range []byte(name) {
+		if !nameCharacter(c) {
+			return "a name consists of a-z, 0-9, '-', '_' and '.'"
+		}
+	}
+	return ""
+}
+
+func nameCharacter(c byte) bool {
+	if c >= 'a' && c <= 'z' || c >= '0' && c <= '9' {
+		return true
+	}
+	return c == '-' || c == '_' || c == '.'
+}
+
+// checkSubject returns the reason why the name of a model, version or adapter
+// is invalid, or "".
+func checkSubject(subject string) string {
+	if len(subject) > maxSubjectLength {
+		return fmt.Sprintf("at most %d characters are allowed", maxSubjectLength)
+	}
+	if strings.IndexFunc(subject, notPrintable) >= 0 {
+		return "only printable ASCII characters without spaces are allowed"
+	}
+	return ""
+}
+
+func notPrintable(r rune) bool {
+	return r <= ' ' || r > '~'
+}
+
+// splitKey splits a key into its kind prefix and name.
+func splitKey(key string) (kind, name string) {
+	for _, prefix := range []string{profilePrefix, servicePrefix} {
+		if rest, ok := strings.CutPrefix(key, prefix); ok {
+			return prefix, rest
+		}
+	}
+	return "", key
+}
--- /dev/null
+++ b/config/draft.go
@@ -0,0 +1,161 @@
+package config
+
+import (
+	"fmt"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/briarcross/briarcross/kv"
+	"github.com/briarcross/briarcross/pb"
+)
+
+// draft is a change before it is accepted.
+type draft struct {
+	reader kv.Reader
+	edits  []*edit
+	byKey  map[string]*edit
+}
+
+// edit is one operation with the document before and after it; nil means
+// absent.
+type edit struct {
+	key      string
+	expected uint64
+	before   *pb.Document
+	after    *pb.Document
+}
+
+func newDraft(r kv.Reader) *draft {
+	return &draft{reader: r, byKey: make(map[string]*edit)}
+}
+
+// load reads the operations. It returns a reason when one is malformed.
+func (d *draft) load(c *pb.ConfigChange) string {
+	for _, op := range c.GetOps() {
+		e, reason := d.edit(op)
+		if reason != "" {
+			return reason
+		}
+		if d.byKey[e.key] != nil {
+			return e.key + " stands twice in the change"
+		}
+		d.byKey[e.key] = e
+		d.edits = append(d.edits, e)
+	}
+	return ""
+}
+
+func (d *draft) edit(op *pb.ConfigOp) (*edit, string) {
+	e := &edit{expected: op.GetExpectedRevision()}
+	switch body := op.GetOp().(type) {
+	case *pb.ConfigOp_Put:
+		e.after = proto.CloneOf(body.Put)
+		e.after.Revision = 0
+		e.key = Key(e.after)
+	case *pb.ConfigOp_Delete:
+		e.key = body.Delete
+	}
+	if kind, name := splitKey(e.key); kind == "" || checkName(name) != "" {
+		return nil, "an operation needs the key or the body of a profile or service with a valid name"
+	}
+	e.before = readDocument(d.reader, e.key)
+	return e, ""
+}
+
+// conflicts returns the edits of another revision than the accepted one.
+func (d *draft) conflicts() []*edit {
+	var conflicts []*edit
+	for _, e := range d.edits {
+		if e.before.GetRevision() != e.expected {
+			conflicts = append(conflicts, e)
+		}
+	}
+	return conflicts
+}
+
+// validate returns the reason why the configuration after the change would be
+// invalid, or "".
+func (d *draft) validate() string {
+	for _, e := range d.edits {
+		if reason := d.validateEdit(e); reason != "" {
+			return reason
+		}
+	}
+	return ""
+}
+
+func (d *draft) validateEdit(e *edit) string {
+	if e.after == nil && e.before == nil {
+		return e.key + " does not exist"
+	}
+	if e.after != nil {
+		if fault := validate(e.after); fault != nil {
+			return fault.Error()
+		}
+	}
+	if kind, name := splitKey(e.key); kind == profilePrefix {
+		return d.validateUsers(name)
+	}
+	if e.after == nil {
+		return ""
+	}
+	return d.validateReferences(e.after.GetService())
+}
+
+// validateReferences checks the profiles that a service names.
+func (d *draft) validateReferences(s *pb.Service) string {
+	if reason := d.validateReference(s, s.GetProfile(), pb.ServiceClass_CLASS_ONLINE); reason != "" {
+		return reason
+	}
+	if s.GetBatchProfile() == "" {
+		return ""
+	}
+	return d.validateReference(s, s.GetBatchProfile(), pb.ServiceClass_CLASS_BATCH)
+}
+
+func (d *draft) validateReference(s *pb.Service, name string, class pb.ServiceClass) string {
+	profile := d.document(ProfileKey(name)).GetProfile()
+	if profile == nil {
+		return fmt.Sprintf("%s uses profile %s, which does not exist", ServiceKey(s.GetName()), name)
+	}
+	if profile.GetServiceClass() != class {
+		return fmt.Sprintf("%s uses profile %s as %s, which is of class %s",
+			ServiceKey(s.GetName()), name, className(class), className(profile.GetServiceClass()))
+	}
+	return ""
+}
+
+// validateUsers checks the services that name a profile before the change.
+// Services that the change writes are checked by their own edits.
+func (d *draft) validateUsers(profile string) string {
+	for _, key := range d.users(profile) {
+		service := d.document(key).GetService()
+		if service == nil || !slices.Contains(profilesOf(d.document(key)), profile) {
+			continue
+		}
+		if reason := d.validateReferences(service); reason != "" {
+			return reason
+		}
+	}
+	return ""
+}
+
+// users returns the keys of the services that name a profile.
+func (d *draft) users(profile string) []string {
+	prefix := []byte(usePrefix + profile + "/")
+	var keys []string
+	d.reader.Scan(prefix, kv.PrefixEnd(prefix), func(key, _ []byte) bool {
+		keys = append(keys, string(key[len(prefix):]))
+		return true
+	})
+	return keys
+}
+
+// document returns the document under a key after the change.
+func (d *draft) document(key string) *pb.Document {
+	if e, ok := d.byKey[key]; ok {
+		return e.after
+	}
+	return readDocument(d.reader, key)
+}
--- /dev/null
+++ b/config/query.go
@@ -0,0 +1,107 @@
+package config
+
+import (
+	"slices"
+
+	"github.com/briarcross/briarcross/internal/record"
+	"github.com/briarcross/briarcross/kv"
+	"github.com/briarcross/briarcross/pb"
+)
+
+const (
+	defaultHistory = 20
+	maxHistory     = HistoryLimit
+)
+
+// Query returns one document by key, or every document in the order of their
+// keys.
+func (State) Query(r kv.Reader, q *pb.ConfigQuery) *pb.ConfigAnswer {
+	answer := &pb.ConfigAnswer{Revision: revisionNumber.Get(r)}
+	if q.GetName() == "" {
+		answer.Documents = readAll(r)
+		return answer
+	}
+	if doc := readDocument(r, q.GetName()); doc != nil {
+		answer.Documents = []*pb.Document{doc}
+	}
+	return answer
+}
+
+func readAll(r kv.Reader) []*pb.Document {
+	var docs []*pb.Document
+	prefix := []byte(documentPrefix)
+	r.Scan(prefix, kv.PrefixEnd(prefix), func(_, value []byte) bool {
+		doc := &pb.Document{}
+		record.Decode(value, doc)
+		docs = append(docs, doc)
+		return true
+	})
+	return docs
+}
+
+// History returns accepted changes, latest first.
+func (State) History(r kv.Reader, q *pb.ConfigHistoryQuery) *pb.ConfigHistoryAnswer {
+	revision := revisionNumber.Get(r)
+	if q.GetBefore() > 0 && q.GetBefore() <= revision {
+		revision = q.GetBefore() - 1
+	}
+	limit := int(q.GetLimit())
+	if limit == 0 {
+		limit = defaultHistory
+	}
+	limit = min(limit, maxHistory)
+	answer := &pb.ConfigHistoryAnswer{}
+	for ; revision > 0 && len(answer.Records) < limit; revision-- {
+		entry := &pb.ConfigRecord{}
+		if !record.Get(r, historyKey(revision), entry) {
+			break
+		}
+		answer.Records = append(answer.Records, entry)
+	}
+	return answer
+}
+
+// UpdateSince returns the documents written after a revision, or a snapshot
+// when the history does not reach back to it. A revision later than the
+// state's gives an empty update at the revision of the state. The cost grows
+// with the changes missed, not with the configuration.
+func (State) UpdateSince(r kv.Reader, from uint64) *pb.ConfigUpdate {
+	revision := revisionNumber.Get(r)
+	if from >= revision {
+		return &pb.ConfigUpdate{Base: revision, Revision: revision}
+	}
+	update := &pb.ConfigUpdate{Base: from, Revision: revision}
+	if revision-from > HistoryLimit {
+		update.Base = 0
+		update.Snapshot = true
+		update.Documents = readAll(r)
+		return update
+	}
+	collect(r, update)
+	return update
+}
+
+// collect fills an update with the last write to each key in (base, revision].
+func collect(r kv.Reader, update *pb.ConfigUpdate) {
+	seen := make(map[string]bool)
+	for revision := update.GetRevision(); revision > update.GetBase(); revision-- {
+		entry := &pb.ConfigRecord{}
+		if !record.Get(r, historyKey(revision), entry) {
+			panic("the history of the configuration has a gap")
+		}
+		for _, doc := range entry.GetDocuments() {
+			if key := Key(doc); !seen[key] {
+				seen[key] = true
+				update.Documents = append(update.Documents, doc)
+			}
+		}
+		for _, key := range entry.GetDeleted() {
+			if !seen[key] {
+				seen[key] = true
+				update.Deleted = append(update.Deleted, key)
+			}
+		}
+	}
+	slices.Reverse(update.Documents)
+	slices.Reverse(update.Deleted)
+}
--- /dev/null
+++ b/config/state.go
@@ -0,0 +1,209 @@
+package config
+
+import (
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/briarcross/briarcross/internal/outcome"
+	"github.com/briarcross/briarcross/internal/record"
+	"github.com/briarcross/briarcross/kv"
+	"github.com/briarcross/briarcross/pb"
+)
+
+const (
+	// OutcomeRetention is the log time for which the answer to a change ID
+	// is kept.
+	OutcomeRetention = 7 * 24 * time.Hour
+	// OutcomeLimit is the number of change IDs whose answer is kept.
+	OutcomeLimit = 65_536
+	// HistoryLimit is the number of revisions that the history holds. A
+	// daemon that is further behind gets a snapshot.
+	HistoryLimit = 1024
+	// MaxOps is the number of operations in one change.
+	MaxOps = 1024
+
+	maxChangeIDLength = 128
+)
+
+const (
+	documentPrefix = "config/document/"
+	usePrefix      = "config/use/"
+	historyPrefix  = "config/history/"
+)
+
+var (
+	revisionNumber = record.Number{Key: []byte("config/revision")}
+	outcomeLog     = outcome.Log{
+		Prefix:    "config/outcome/",
+		Retention: OutcomeRetention,
+		Limit:     OutcomeLimit,
+	}
+)
+
+// State is the replicated configuration. It keeps nothing in memory, hence
+// its reads are safe on any goroutine that has a reader of its own.
+type State struct{}
+
+// Change applies a change at a log time in milliseconds of Unix time.
+func (State) Change(b kv.Batch, c *pb.ConfigChange, unixMs uint64) *pb.ChangeResult {
+	if reason := checkChange(c); reason != "" {
+		return invalid(b, reason)
+	}
+	digest := outcome.DigestOf(c)
+	first := &pb.ChangeResult{}
+	switch outcomeLog.Get(b, c.GetChangeId(), digest, first) {
+	case outcome.Found:
+		return first
+	case outcome.Reused:
+		return invalid(b, "the change ID belongs to another change")
+	case outcome.Absent:
+	}
+	result := decide(b, c, unixMs)
+	outcomeLog.Put(b, c.GetChangeId(), digest, result, unixMs)
+	return result
+}
+
+// checkChange refuses changes that cannot be recorded under their ID.
+func checkChange(c *pb.ConfigChange) string {
+	if c.GetChangeId() == "" || len(c.GetChangeId()) > maxChangeIDLength {
+		return fmt.Sprintf("a change ID of 1 to %d bytes is required", maxChangeIDLength)
+	}
+	if len(c.GetOps()) == 0 || len(c.GetOps()) > MaxOps {
+		return fmt.Sprintf("a change has 1 to %d operations", MaxOps)
+	}
+	return ""
+}
+
+func invalid(r kv.Reader, reason string) *pb.ChangeResult {
+	return &pb.ChangeResult{
+		Outcome:  pb.ChangeOutcome_CHANGE_INVALID,
+		Revision: revisionNumber.Get(r),
+		Reason:   reason,
+	}
+}
+
+// decide validates the change as a whole and then writes it.
+func decide(b kv.Batch, c *pb.ConfigChange, unixMs uint64) *pb.ChangeResult {
+	d := newDraft(b)
+	if reason := d.load(c); reason != "" {
+		return invalid(b, reason)
+	}
+	if conflicts := d.conflicts(); len(conflicts) > 0 {
+		return conflict(b, conflicts)
+	}
+	if reason := d.validate(); reason != "" {
+		return invalid(b, reason)
+	}
+	return d.commit(b, c, unixMs)
+}
+
+func conflict(r kv.Reader, edits []*edit) *pb.ChangeResult {
+	result := &pb.ChangeResult{
+		Outcome:  pb.ChangeOutcome_CHANGE_CONFLICT,
+		Revision: revisionNumber.Get(r),
+	}
+	for _, e := range edits {
+		if e.before != nil {
+			result.Current = append(result.Current, e.before)
+		}
+	}
+	first := edits[0]
+	result.Reason = fmt.Sprintf("%s is at revision %d, the change edits revision %d",
+		first.key, first.before.GetRevision(), first.expected)
+	return result
+}
+
+// commit writes the documents that differ, their index and the history.
+func (d *draft) commit(b kv.Batch, c *pb.ConfigChange, unixMs uint64) *pb.ChangeResult {
+	revision := revisionNumber.Get(b)
+	entry := &pb.ConfigRecord{
+		Revision:  revision + 1,
+		ChangeId:  c.GetChangeId(),
+		Operator:  c.GetOperator(),
+		UnixMs:    unixMs,
+		Documents: nil,
+	}
+	for _, e := range d.edits {
+		if e.unchanged() {
+			continue
+		}
+		e.write(b, entry)
+	}
+	if len(entry.Documents)+len(entry.Deleted) == 0 {
+		return &pb.ChangeResult{Outcome: pb.ChangeOutcome_CHANGE_ACCEPTED, Revision: revision}
+	}
+	record.Set(b, historyKey(entry.Revision), entry)
+	if entry.Revision > HistoryLimit {
+		b.Delete(historyKey(entry.Revision - HistoryLimit))
+	}
+	revisionNumber.Set(b, entry.Revision)
+	return &pb.ChangeResult{Outcome: pb.ChangeOutcome_CHANGE_ACCEPTED, Revision: entry.Revision}
+}
+
+// write stores the document after the edit and adds it to the history entry.
+func (e *edit) write(b kv.Batch, entry *pb.ConfigRecord) {
+	for _, profile := range profilesOf(e.before) {
+		b.Delete(useKey(profile, e.key))
+	}
+	if e.after == nil {
+		b.Delete(documentKey(e.key))
+		entry.Deleted = append(entry.Deleted, e.key)
+		return
+	}
+	for _, profile := range profilesOf(e.after) {
+		b.Set(useKey(profile, e.key), nil)
+	}
+	e.after.Revision = entry.Revision
+	record.Set(b, documentKey(e.key), e.after)
+	entry.Documents = append(entry.Documents, e.after)
+}
+
+// unchanged reports whether the document stays as it is.
+func (e *edit) unchanged() bool {
+	if e.before == nil || e.after == nil {
+		return e.before == e.after
+	}
+	e.after.Revision = e.before.GetRevision()
+	return proto.Equal(e.before, e.after)
+}
+
+// Revision returns the revision of the accepted configuration.
+func (State) Revision(r kv.Reader) uint64 {
+	return revisionNumber.Get(r)
+}
+
+// readDocument returns the document under a key, or nil.
+func readDocument(r kv.Reader, key string) *pb.Document {
+	doc := &pb.Document{}
+	if !record.Get(r, documentKey(key), doc) {
+		return nil
+	}
+	return doc
+}
+
+// profilesOf returns the profiles that a service names.
+func profilesOf(doc *pb.Document) []string {
+	s := doc.GetService()
+	if s == nil {
+		return nil
+	}
+	if s.GetBatchProfile() == "" || s.GetBatchProfile() == s.GetProfile() {
+		return []string{s.GetProfile()}
+	}
+	return []string{s.GetProfile(), s.GetBatchProfile()}
+}
+
+func documentKey(key string) []byte {
+	return []byte(documentPrefix + key)
+}
+
+// useKey indexes the services that name a profile.
+func useKey(profile, serviceKey string) []byte {
+	return []byte(usePrefix + profile + "/" + serviceKey)
+}
+
+func historyKey(revision uint64) []byte {
+	return record.Ordered(historyPrefix, revision)
+}
--- /dev/null
+++ b/internal/outcome/outcome.go
@@ -0,0 +1,121 @@
+// Package outcome remembers the answer to each change ID in the replicated
+// state, so that a resent change gets its first answer.
+//
+// Answers expire by log time and by count. Both are part of the replicated
+// state, hence all replicas forget the same answers at the same log entry.
+package outcome
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/briarcross/briarcross/internal/record"
+	"github.com/briarcross/briarcross/kv"
+	"github.com/briarcross/briarcross/pb"
+)
+
+// expirePerChange bounds the expired answers that one change removes.
+const expirePerChange = 8
+
+// Log is a table of answers under a key prefix.
+type Log struct {
+	// Prefix starts every key of the table.
+	Prefix string
+	// Retention is the log time for which an answer is kept.
+	Retention time.Duration
+	// Limit is the number of answers kept.
+	Limit uint64
+}
+
+// Digest identifies the content of a change.
+type Digest [sha256.Size]byte
+
+// DigestOf returns the digest of a change.
+func DigestOf(change proto.Message) Digest {
+	return sha256.Sum256(record.Encode(change))
+}
+
+// Lookup is the result of looking up a change ID.
+type Lookup int
+
+// Lookups.
+const (
+	// Absent means that the change ID is new or forgotten.
+	Absent Lookup = iota
+	// Found means that the answer was read.
+	Found
+	// Reused means that the ID belongs to a change with other content.
+	Reused
+)
+
+// Get looks up a change ID and reads its answer into result.
+func (l Log) Get(r kv.Reader, id string, digest Digest, result proto.Message) Lookup {
+	var stored pb.OutcomeRecord
+	if !record.Get(r, l.idKey(id), &stored) {
+		return Absent
+	}
+	if !bytes.Equal(stored.GetDigest(), digest[:]) {
+		return Reused
+	}
+	record.Decode(stored.GetResult(), result)
+	return Found
+}
+
+// Put stores the answer to a change ID at a log time, and removes answers
+// that have expired.
+func (l Log) Put(b kv.Batch, id string, digest Digest, result proto.Message, unixMs uint64) {
+	var trail pb.OutcomeTrail
+	record.Get(b, l.trailKey(), &trail)
+	record.Set(b, l.idKey(id), &pb.OutcomeRecord{
+		Sequence: trail.GetNext(),
+		UnixMs:   unixMs,
+		Digest:   digest[:],
+		Result:   record.Encode(result),
+	})
+	b.Set(l.sequenceKey(trail.GetNext()), []byte(id))
+	trail.Next++
+	l.expire(b, &trail, unixMs)
+	record.Set(b, l.trailKey(), &trail)
+}
+
+func (l Log) expire(b kv.Batch, trail *pb.OutcomeTrail, unixMs uint64) {
+	for range expirePerChange {
+		if !l.expireFirst(b, trail, unixMs) {
+			return
+		}
+	}
+}
+
+// expireFirst removes the oldest answer if it has expired.
+func (l Log) expireFirst(b kv.Batch, trail *pb.OutcomeTrail, unixMs uint64) bool {
+	key := l.sequenceKey(trail.GetFirst())
+	id, ok := b.Get(key)
+	if !ok {
+		return false
+	}
+	var stored pb.OutcomeRecord
+	record.Get(b, l.idKey(string(id)), &stored)
+	fresh := stored.GetUnixMs()+uint64(l.Retention.Milliseconds()) > unixMs
+	if fresh && trail.GetNext()-trail.GetFirst() <= l.Limit {
+		return false
+	}
+	b.Delete(key)
+	b.Delete(l.idKey(string(id)))
+	trail.First++
+	return true
+}
+
+func (l Log) idKey(id string) []byte {
+	return []byte(l.Prefix + "id/" + id)
+}
+
+func (l Log) sequenceKey(sequence uint64) []byte {
+	return record.Ordered(l.Prefix+"sequence/", sequence)
+}
+
+func (l Log) trailKey() []byte {
+	return []byte(l.Prefix + "trail")
+}
