Add the cores of entry and sidecar with routing and limits

Cause: entries and sidecars need their decisions before the daemons can run. Change: gate (admission, claims, retries, hedging), route (affinity with bounded load, two choices, ejection), admit (caller limits, fair shares, retry budget) and sidecar (queue, window, yielding, draining, outcomes).

--- /dev/null
+++ b/admit/admit_test.go
@@ -0,0 +1,109 @@
+package admit
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/briarcross/briarcross/pb"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func TestInFlightLimit(t *testing.T) {
+	g := NewWithT(t)
+	c := NewCallers()
+	key := Key{"check", "a"}
+	limits := Limits{InFlight: 1}
+	_, ok := c.Admit(start, key, limits)
+	g.Expect(ok).To(BeTrue())
+	refusal, ok := c.Admit(start, key, limits)
+	g.Expect(ok).To(BeFalse())
+	g.Expect(refusal.Reason).To(Equal(pb.Reason_REASON_CALLER_LIMIT))
+	c.Release(start, key)
+	_, ok = c.Admit(start, key, limits)
+	g.Expect(ok).To(BeTrue())
+}
+
+func TestRateLimitTellsWhenToComeBack(t *testing.T) {
+	g := NewWithT(t)
+	c := NewCallers()
+	key := Key{"check", "a"}
+	limits := Limits{PerSecond: 2}
+	for range 2 {
+		_, ok := c.Admit(start, key, limits)
+		g.Expect(ok).To(BeTrue())
+	}
+	refusal, ok := c.Admit(start, key, limits)
+	g.Expect(ok).To(BeFalse())
+	g.Expect(refusal).To(Equal(Refusal{pb.Reason_REASON_RATE_LIMIT, 500 * time.Millisecond}))
+	_, ok = c.Admit(start.Add(refusal.RetryAfter), key, limits)
+	g.Expect(ok).To(BeTrue())
+}
+
+func TestOverloadIsSharedEqually(t *testing.T) {
+	g := NewWithT(t)
+	c := NewCallers()
+	limits := Limits{Capacity: 10}
+	greedy, modest := Key{"check", "greedy"}, Key{"check", "modest"}
+	for range 10 {
+		_, ok := c.Admit(start, greedy, limits)
+		g.Expect(ok).To(BeTrue())
+	}
+	refusal, ok := c.Admit(start, greedy, limits)
+	g.Expect(ok).To(BeFalse())
+	g.Expect(refusal.Reason).To(Equal(pb.Reason_REASON_OVERLOADED))
+	for range 5 {
+		_, ok = c.Admit(start, modest, limits)
+		g.Expect(ok).To(BeTrue())
+	}
+	_, ok = c.Admit(start, modest, limits)
+	g.Expect(ok).To(BeFalse())
+}
+
+func TestCountsReturnToZero(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := NewCallers()
+		now := start
+		held := []Key{}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			c.Expire(now)
+			if len(held) > 0 && rapid.Bool().Draw(t, "release") {
+				c.Release(now, held[0])
+				held = held[1:]
+				continue
+			}
+			key := Key{"check", rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "caller")}
+			if _, ok := c.Admit(now, key, Limits{InFlight: 4, PerSecond: 9, Capacity: 6}); ok {
+				held = append(held, key)
+			}
+		}
+		for _, key := range held {
+			c.Release(now, key)
+		}
+		c.Expire(now.Add(idleMemory))
+		if len(c.callers) != 0 || c.service("check").inFlight != 0 || c.service("check").callers != 0 {
+			t.Fatalf("left behind: %d callers, usage %+v", len(c.callers), *c.service("check"))
+		}
+	})
+}
+
+func TestBudgetLimitsRetriesToAShareOfRequests(t *testing.T) {
+	g := NewWithT(t)
+	var b Budget
+	const requests, permille = 1000, 100
+	retries := 0
+	for range requests {
+		b.Deposit(start, permille)
+		if b.Take(start) {
+			retries++
+		}
+	}
+	g.Expect(retries).To(BeNumerically("<=", requests*permille/1000+budgetBurst))
+	g.Expect(retries).To(BeNumerically(">=", requests*permille/1000))
+	g.Expect(b.Take(start)).To(BeFalse())
+	g.Expect(b.Take(start.Add(2 * time.Second))).To(BeTrue())
+}
--- /dev/null
+++ b/gate/messages.go
@@ -0,0 +1,162 @@
+package gate
+
+import (
+	"time"
+
+	"github.com/briarcross/briarcross/pb"
+)
+
+// Request is what a caller asks for.
+type Request struct {
+	ID         string
+	Caller     string
+	Service    string
+	Idempotent bool
+	// Key is the caller's idempotency key; empty when there is none.
+	Key    string
+	Digest []byte
+	// Prefix holds the hashes of the prompt's leading blocks.
+	Prefix       []uint64
+	PromptTokens int
+	MaxTokens    int
+	// Deadline ends the request; zero takes the due time of the profile.
+	Deadline time.Time
+	// Plain requests go to plain services, which stream no tokens.
+	Plain bool
+	// Resumable tells that a cut answer can go on at its position.
+	Resumable bool
+}
+
+// Profiles gives the profiles in force.
+type Profiles interface {
+	// ProfileOf returns a service with its profiles; batch may be nil.
+	ProfileOf(service string) (svc *pb.Service, online, batch *pb.Profile, ok bool)
+}
+
+// Input is what a shell reports to the core.
+type Input interface{ gateInput() }
+
+// Arrive brings a request.
+type Arrive struct{ Request Request }
+
+// ClaimAnswer is the answer to a Claim; one of Result and Err is set.
+type ClaimAnswer struct {
+	ID     string
+	Result *pb.ClaimResult
+	Err    *pb.ControlError
+}
+
+// FirstByte reports that an attempt has its first byte for the caller. The
+// shell relays it when the Drain after it holds no Dropped for the attempt.
+type FirstByte struct {
+	ID      string
+	Attempt uint32
+}
+
+// Ended reports the end of an attempt.
+type Ended struct {
+	ID      string
+	Attempt uint32
+	Outcome pb.Outcome
+	Reason  pb.Reason
+	Load    *pb.Load
+	// Relayed tells that the caller got a part of the answer.
+	Relayed bool
+	// Tokens that the caller got from all attempts so far.
+	Tokens uint32
+	// RetryAfter is what the sidecar asks for; zero when it asks for nothing.
+	RetryAfter time.Duration
+}
+
+// CallerGone reports that the caller's connection is closed.
+type CallerGone struct{ ID string }
+
+// MemberChanged announces an upstream.
+type MemberChanged struct{ Member *pb.Member }
+
+// MemberGone tells that an upstream is no longer heard of.
+type MemberGone struct{ ID string }
+
+// Config puts profiles in force.
+type Config struct{ Table Profiles }
+
+// Ready tells whether the profiles in force are confirmed.
+type Ready struct{ Ready bool }
+
+func (Arrive) gateInput()        {}
+func (ClaimAnswer) gateInput()   {}
+func (FirstByte) gateInput()     {}
+func (Ended) gateInput()         {}
+func (CallerGone) gateInput()    {}
+func (MemberChanged) gateInput() {}
+func (MemberGone) gateInput()    {}
+func (Config) gateInput()        {}
+func (Ready) gateInput()         {}
+
+// Output is what the core wants done.
+type Output interface{ gateOutput() }
+
+// Claim asks the control replicas for the key of a request.
+type Claim struct {
+	ID   string
+	Open *pb.ClaimOpen
+}
+
+// CloseClaim records the answer of a request under its key. With NotRun set the
+// key is released instead.
+type CloseClaim struct {
+	ID      string
+	Caller  string
+	Key     string
+	NotRun  bool
+	Attempt uint32
+}
+
+// Send opens an attempt.
+type Send struct {
+	ID      string
+	Attempt uint32
+	Member  *pb.Member
+	// Remaining is the time until the deadline; zero means none.
+	Remaining time.Duration
+	Profile   *pb.Profile
+	// ResumeFrom is the number of tokens that the caller has already.
+	ResumeFrom uint32
+	// Cause is why the attempt before failed; none for a first attempt.
+	Cause pb.Reason
+	// Hedge tells that the attempt before still runs.
+	Hedge bool
+}
+
+// Abort ends an attempt whose answer is not wanted.
+type Abort struct {
+	ID      string
+	Attempt uint32
+}
+
+// Finish is the final answer to a request.
+type Finish struct {
+	ID      string
+	Outcome pb.Outcome
+	Reason  pb.Reason
+	// RetryAfter is the earliest sensible time to try again; zero means none is
+	// known.
+	RetryAfter time.Duration
+	// Attempt is the one that was relayed, zero when none was.
+	Attempt uint32
+	// Replay is a recorded answer to relay.
+	Replay *pb.ClaimResult
+}
+
+// Dropped tells that a late or crossed report was ignored.
+type Dropped struct {
+	ID      string
+	Attempt uint32
+}
+
+func (Claim) gateOutput()      {}
+func (CloseClaim) gateOutput() {}
+func (Send) gateOutput()       {}
+func (Abort) gateOutput()      {}
+func (Finish) gateOutput()     {}
+func (Dropped) gateOutput()    {}
--- /dev/null
+++ b/route/route_test.go
@@ -0,0 +1,172 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/briarcross/briarcross/pb"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func member(n int, dataCentre string) *pb.Member {
+	return &pb.Member{
+		Id: fmt.Sprintf("u%02d", n), Incarnation: 1, Version: 1, DataCentre: dataCentre,
+		Services: []string{"check"}, State: pb.MemberState_MEMBER_SERVING,
+		Load: &pb.Load{Window: 8},
+	}
+}
+
+func newTest(count int) *Table {
+	t := NewTable(Options{DataCentre: "a", Seed: 1})
+	for n := range count {
+		t.Put(member(n, "a"))
+	}
+	return t
+}
+
+func TestPrefixStaysWithItsUpstreamWithinTheBound(t *testing.T) {
+	g := NewWithT(t)
+	table := newTest(9)
+	query := Query{Service: "check", Prefix: []uint64{1, 2, 3, 4, 99}}
+	first, ok := table.Pick(start, query)
+	g.Expect(ok).To(BeTrue())
+	query.Prefix = []uint64{1, 2, 3, 4, 77}
+	sent := 0
+	for {
+		u, _ := table.Pick(start, query)
+		if u != first {
+			break
+		}
+		table.Sent(u)
+		sent++
+	}
+	g.Expect(sent).To(Equal(6), "affinity holds until three quarters of the window are in use")
+}
+
+func TestFewPrefixesMoveWhenAnUpstreamJoins(t *testing.T) {
+	g := NewWithT(t)
+	table := newTest(9)
+	const prefixes = 1000
+	before := make([]*Upstream, prefixes)
+	for i := range before {
+		before[i], _ = table.Pick(start, Query{Service: "check", Prefix: []uint64{uint64(i)}})
+	}
+	table.Put(member(9, "a"))
+	moved := 0
+	for i := range before {
+		if u, _ := table.Pick(start, Query{Service: "check", Prefix: []uint64{uint64(i)}}); u != before[i] {
+			moved++
+		}
+	}
+	g.Expect(moved).To(BeNumerically("~", prefixes/10, prefixes/20))
+}
+
+func TestOwnDataCentreComesFirstWhileItHasRoom(t *testing.T) {
+	g := NewWithT(t)
+	table := newTest(2)
+	table.Put(member(2, "b"))
+	for range 16 {
+		u, _ := table.Pick(start, Query{Service: "check"})
+		g.Expect(u.Member().GetDataCentre()).To(Equal("a"))
+		table.Sent(u)
+	}
+	seen := map[string]bool{}
+	for range 20 {
+		u, _ := table.Pick(start, Query{Service: "check"})
+		seen[u.Member().GetDataCentre()] = true
+	}
+	g.Expect(seen).To(HaveKey("b"))
+}
+
+func TestFailingUpstreamIsEjectedAndReturnsGradually(t *testing.T) {
+	g := NewWithT(t)
+	table := newTest(4)
+	bad := table.byID["u00"]
+	for range failuresToEject {
+		table.Failed(start, bad)
+	}
+	picks := func(now time.Time) int {
+		count := 0
+		for range 400 {
+			if u, _ := table.Pick(now, Query{Service: "check"}); u == bad {
+				count++
+			}
+		}
+		return count
+	}
+	g.Expect(picks(start)).To(BeZero())
+	returned := start.Add(ejectFirst)
+	table.Sent(bad)
+	g.Expect(picks(returned)).To(BeZero(), "the first share is one request")
+	g.Expect(picks(returned.Add(returnTime))).To(BeNumerically("<", 100))
+	table.Done(returned, bad, nil)
+	table.Succeeded(returned.Add(returnTime+time.Second), bad)
+	g.Expect(picks(returned.Add(returnTime + time.Second))).To(BeNumerically("~", 100, 50))
+}
+
+func TestNeverMoreThanHalfAreEjected(t *testing.T) {
+	g := NewWithT(t)
+	table := newTest(5)
+	for range 10 {
+		for n := range 5 {
+			table.Failed(start, table.byID[fmt.Sprintf("u%02d", n)])
+		}
+	}
+	ejected := 0
+	for _, u := range table.byID {
+		if u.isEjected(start) {
+			ejected++
+		}
+	}
+	g.Expect(ejected).To(Equal(2))
+}
+
+func TestSlowUpstreamGetsLess(t *testing.T) {
+	g := NewWithT(t)
+	table := newTest(4)
+	for n := range 4 {
+		load := &pb.Load{Window: 8, BetweenTokensUs: 10_000}
+		if n == 0 {
+			load.BetweenTokensUs = 100_000
+		}
+		table.byID[fmt.Sprintf("u%02d", n)].report(start, load)
+	}
+	for range 16 {
+		u, _ := table.Pick(start, Query{Service: "check"})
+		table.Sent(u)
+	}
+	g.Expect(table.byID["u00"].inFlight).To(BeNumerically("<=", 2))
+}
+
+func TestStaleReportFadesAndOwnSendsCountAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	table := newTest(2)
+	u := table.byID["u00"]
+	u.report(start, &pb.Load{Window: 8, RunningOnline: 8})
+	g.Expect(u.pending(start)).To(BeEquivalentTo(8))
+	g.Expect(u.pending(start.Add(staleHalfLife))).To(BeEquivalentTo(4))
+	table.Sent(u)
+	g.Expect(u.pending(start)).To(BeEquivalentTo(9))
+}
+
+func TestOlderAnnouncementIsIgnored(t *testing.T) {
+	g := NewWithT(t)
+	table := newTest(0)
+	draining := member(0, "a")
+	draining.Version = 2
+	draining.State = pb.MemberState_MEMBER_DRAINING
+	table.Put(draining)
+	table.Put(member(0, "a"))
+	_, ok := table.Pick(start, Query{Service: "check"})
+	g.Expect(ok).To(BeFalse())
+	restarted := member(0, "a")
+	restarted.Incarnation = 2
+	table.Put(restarted)
+	u, ok := table.Pick(start, Query{Service: "check"})
+	g.Expect(ok).To(BeTrue())
+	g.Expect(u.Member().GetIncarnation()).To(BeEquivalentTo(2))
+}
--- /dev/null
+++ b/route/table.go
@@ -0,0 +1,194 @@
+package route
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/briarcross/briarcross/core"
+	"github.com/briarcross/briarcross/pb"
+)
+
+const (
+	// affinityBlocks is the number of leading prompt blocks that choose the
+	// upstream of a prefix.
+	affinityBlocks = 4
+	// boundFactor is the multiple of the mean cost up to which affinity holds.
+	boundFactor = 1.25
+	// boundFloor is the cost up to which affinity always holds.
+	boundFloor = 0.75
+	// roomFill is the fill at which a data centre counts as full.
+	roomFill = 1.0
+	// capacityFactor is the number of requests that a service holds for each
+	// place in its windows; the rest waits in queues.
+	capacityFactor = 2
+)
+
+// Options configures a Table.
+type Options struct {
+	// DataCentre of the entry, whose upstreams are preferred.
+	DataCentre string
+	Seed       uint64
+	// Random turns affinity and load off, for comparisons.
+	Random bool
+}
+
+// Query describes the attempt that looks for an upstream.
+type Query struct {
+	Service string
+	// Prefix holds the hashes of the prompt's leading blocks.
+	Prefix []uint64
+	// Exclude holds the upstreams that were tried before.
+	Exclude []*Upstream
+	// RoomOnly asks for an upstream whose window has room.
+	RoomOnly bool
+}
+
+// Table holds the upstreams that an entry knows.
+type Table struct {
+	options  Options
+	random   *rand.Rand
+	byID     map[string]*Upstream
+	services map[string][]*Upstream
+	scratch  []*Upstream
+}
+
+// NewTable returns an empty table.
+func NewTable(o Options) *Table {
+	return &Table{
+		options:  o,
+		random:   core.NewRand(o.Seed),
+		byID:     make(map[string]*Upstream),
+		services: make(map[string][]*Upstream),
+	}
+}
+
+// Put takes over an announcement. Older ones than the last are ignored.
+func (t *Table) Put(member *pb.Member) {
+	u, ok := t.byID[member.GetId()]
+	if ok && !newer(member, u.member) {
+		return
+	}
+	if member.GetState() == pb.MemberState_MEMBER_LEFT {
+		t.Remove(member.GetId())
+		return
+	}
+	if !ok || member.GetIncarnation() != u.member.GetIncarnation() {
+		t.Remove(member.GetId())
+		u = newUpstream(member)
+		t.byID[member.GetId()] = u
+		t.list(u)
+		return
+	}
+	t.unlist(u)
+	u.announce(member)
+	t.list(u)
+}
+
+func newer(a, b *pb.Member) bool {
+	if a.GetIncarnation() != b.GetIncarnation() {
+		return a.GetIncarnation() > b.GetIncarnation()
+	}
+	return a.GetVersion() > b.GetVersion()
+}
+
+// Remove forgets an upstream.
+func (t *Table) Remove(id string) {
+	u, ok := t.byID[id]
+	if !ok {
+		return
+	}
+	t.unlist(u)
+	delete(t.byID, id)
+}
+
+func (t *Table) list(u *Upstream) {
+	for _, service := range u.member.GetServices() {
+		list := t.services[service]
+		at, _ := slices.BinarySearchFunc(list, u, byID)
+		t.services[service] = slices.Insert(list, at, u)
+	}
+}
+
+func (t *Table) unlist(u *Upstream) {
+	for _, service := range u.member.GetServices() {
+		list := t.services[service]
+		at := slices.Index(list, u)
+		t.services[service] = slices.Delete(list, at, at+1)
+	}
+}
+
+func byID(a, b *Upstream) int {
+	switch {
+	case a.member.GetId() < b.member.GetId():
+		return -1
+	case a.member.GetId() > b.member.GetId():
+		return 1
+	}
+	return 0
+}
+
+// Drain takes an upstream out of the choice until its next announcement.
+func (t *Table) Drain(u *Upstream) {
+	draining := &pb.Member{
+		Id:          u.member.GetId(),
+		Incarnation: u.member.GetIncarnation(),
+		Version:     u.member.GetVersion(),
+		Address:     u.member.GetAddress(),
+		DataCentre:  u.member.GetDataCentre(),
+		Services:    u.member.GetServices(),
+		State:       pb.MemberState_MEMBER_DRAINING,
+	}
+	u.member = draining
+}
+
+// Capacity returns the number of requests that a service can hold.
+func (t *Table) Capacity(service string) int {
+	places := 0
+	for _, u := range t.services[service] {
+		if u.serves() {
+			places += u.window()
+		}
+	}
+	return places * capacityFactor
+}
+
+// Sent counts an attempt that goes to an upstream.
+func (t *Table) Sent(u *Upstream) { u.inFlight++ }
+
+// Done counts an attempt out and takes over the load that came with its answer,
+// which may be nil.
+func (t *Table) Done(now time.Time, u *Upstream, load *pb.Load) {
+	u.inFlight--
+	u.report(now, load)
+}
+
+// Succeeded notes that an upstream works.
+func (t *Table) Succeeded(now time.Time, u *Upstream) { u.succeeded(now) }
+
+// Failed notes a failure of an upstream and ejects it after several, unless too
+// many others are ejected.
+func (t *Table) Failed(now time.Time, u *Upstream) {
+	if !u.failed(now) || !t.mayEject(now, u) {
+		return
+	}
+	u.eject(now)
+}
+
+// mayEject tells that less than half of the upstreams of each service of u
+// would be ejected with it.
+func (t *Table) mayEject(now time.Time, u *Upstream) bool {
+	for _, service := range u.member.GetServices() {
+		ejected := 1
+		list := t.services[service]
+		for _, other := range list {
+			if other != u && other.isEjected(now) {
+				ejected++
+			}
+		}
+		if ejected*2 > len(list) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/sidecar/window.go
@@ -0,0 +1,117 @@
+package sidecar
+
+import "time"
+
+// ewma is an exponentially weighted mean of durations.
+type ewma struct {
+	value time.Duration
+	known bool
+}
+
+// ewmaWeight is the reciprocal weight of a new sample.
+const ewmaWeight = 16
+
+func (m *ewma) add(sample time.Duration) {
+	if !m.known {
+		m.value, m.known = sample, true
+		return
+	}
+	m.value += (sample - m.value) / ewmaWeight
+}
+
+// latencies are the means of online streams.
+type latencies struct {
+	// firstToken is counted from the start at the engine.
+	firstToken ewma
+	between    ewma
+	// hold is the time for which an online stream keeps its place.
+	hold ewma
+}
+
+// The control of the window.
+const (
+	// windowPeriod is the least time between two changes.
+	windowPeriod = 250 * time.Millisecond
+	// windowSamples is the least number of samples for a change.
+	windowSamples = 32
+	// windowLate and windowGood are the shares of samples beyond their targets
+	// above which the window shrinks and below which it may grow.
+	windowLate = 0.05
+	windowGood = 0.01
+	// windowGrowth is the reciprocal share by which the window grows.
+	windowGrowth = 8
+	// windowShrink is the reciprocal share by which it shrinks.
+	windowShrink = 10
+	// firstTokenShare is the share of the first-token target that the engine
+	// may use, in percent; the rest is for the queue.
+	firstTokenShare = 70
+	// kvLow is the free share of the KV cache below which nothing more is added.
+	kvLow = 0.05
+)
+
+// window is the number of streams that the engine runs while its answers meet
+// their targets.
+type window struct {
+	size    int
+	minimum int
+	maximum int
+	samples int
+	late    int
+	full    bool
+	kvFull  bool
+	changed time.Time
+}
+
+func newWindow(o Options) window {
+	size := min(max(o.InitialWindow, o.MinWindow), o.MaxWindow)
+	return window{size: size, minimum: o.MinWindow, maximum: o.MaxWindow}
+}
+
+func (w *window) firstToken(took, target time.Duration) {
+	w.sample(took, target*firstTokenShare/100)
+}
+
+func (w *window) interval(took, target time.Duration) {
+	w.sample(took, target)
+}
+
+func (w *window) sample(took, target time.Duration) {
+	if target <= 0 {
+		return
+	}
+	w.samples++
+	if took > target {
+		w.late++
+	}
+}
+
+// adapt changes the window by the samples of the last period.
+func (w *window) adapt(now time.Time, running int, waiting bool) {
+	w.full = w.full || running >= w.size || waiting
+	if now.Sub(w.changed) < windowPeriod {
+		return
+	}
+	if w.samples > 0 && w.samples < windowSamples {
+		return
+	}
+	late := float64(w.late) / float64(max(w.samples, 1))
+	switch {
+	case late > windowLate:
+		w.size -= max(1, w.size/windowShrink)
+	case late < windowGood && w.full && !w.kvFull:
+		w.size += max(1, w.size/windowGrowth)
+	}
+	w.size = min(max(w.size, w.minimum), w.maximum)
+	w.samples, w.late, w.full = 0, 0, false
+	w.changed = now
+}
+
+// correct takes a report of the engine into account. A queue inside the engine
+// means that the window is above what the engine runs. The report may be late;
+// applying an old one again changes nothing.
+func (w *window) correct(load EngineLoad) {
+	w.kvFull = load.KVFree < kvLow
+	if load.Queued > 0 && load.Running > 0 {
+		w.size = max(min(w.size, load.Running), w.minimum)
+	}
+}
