Add announcements of upstreams and their spreading to entries

Cause: entries need the upstreams in force, and a drain must reach all of them within 2 s also when its messages are lost.

--- /dev/null
+++ b/member/announcer.go
@@ -0,0 +1,319 @@
+package member
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/briarcross/briarcross/core"
+	"github.com/briarcross/briarcross/pb"
+)
+
+const (
+	// silentAnnounces is the number of heartbeats without reply after which
+	// a registrar is replaced.
+	silentAnnounces = 3
+	// avoidFor is the time for which a silent registrar is not used.
+	avoidFor = 10 * time.Second
+	// loadStep is the least difference of a load figure that is announced.
+	loadStep = 8
+	// permilleStep is the least relative difference, in thousandths.
+	permilleStep = 500
+)
+
+// AnnouncerOptions are the settings of an Announcer. Zero values take the
+// defaults.
+type AnnouncerOptions struct {
+	// Registrars are the addresses of the registrars.
+	Registrars []string
+	// Copies is the number of registrars that get the announcements.
+	Copies int
+	// Heartbeat is the time between two announcements of an idle member.
+	Heartbeat time.Duration
+	// Repeat is the time after which an unacknowledged change is sent again.
+	Repeat time.Duration
+}
+
+// Announcer is the core that announces an upstream from its sidecar.
+type Announcer struct {
+	options    AnnouncerOptions
+	member     *pb.Member
+	registrars []*registrar
+	active     []*registrar
+	sequence   uint64
+	due        core.Deadlines[*registrar]
+	rechoose   bool
+	rechooseAt time.Time
+	outbox     core.Outbox[Output]
+}
+
+// registrar is one registrar as the sidecar sees it.
+type registrar struct {
+	address string
+	cookie  uint32
+	rank    uint64
+	// incarnation and version are what it holds of the member.
+	incarnation uint64
+	version     uint64
+	// unanswered counts the announcements since its last reply.
+	unanswered int
+	// silentFor is the time of the first of them.
+	silentFor  time.Time
+	avoidUntil time.Time
+}
+
+// NewAnnouncer returns an Announcer that is silent until SetMember.
+func NewAnnouncer(options AnnouncerOptions) *Announcer {
+	if options.Copies == 0 {
+		options.Copies = DefaultCopies
+	}
+	if options.Heartbeat == 0 {
+		options.Heartbeat = DefaultHeartbeat
+	}
+	if options.Repeat == 0 {
+		options.Repeat = DefaultRepeat
+	}
+	a := &Announcer{options: options}
+	a.setRegistrars(options.Registrars)
+	return a
+}
+
+// Member returns the member with the version that is announced, or nil.
+func (a *Announcer) Member() *pb.Member {
+	return a.member
+}
+
+// Registrars returns the addresses that get the announcements.
+func (a *Announcer) Registrars() []string {
+	var addresses []string
+	for _, r := range a.active {
+		addresses = append(addresses, r.address)
+	}
+	return addresses
+}
+
+// Step handles one input.
+func (a *Announcer) Step(now time.Time, in Input) {
+	switch in := in.(type) {
+	case SetMember:
+		a.setMember(now, in.Member)
+	case SetRegistrars:
+		a.setRegistrars(in.Registrars)
+	case Datagram:
+		if body, ok := in.Message.GetBody().(*pb.MemberMessage_AnnounceReply); ok {
+			a.reply(now, body.AnnounceReply)
+		}
+	}
+}
+
+// Tick sends due announcements and replaces silent registrars.
+func (a *Announcer) Tick(now time.Time) {
+	if a.member == nil {
+		return
+	}
+	a.choose(now)
+	for {
+		r, due := a.due.Expire(now)
+		if !due {
+			return
+		}
+		a.announce(now, r)
+	}
+}
+
+// Drain returns the outputs since the last call.
+func (a *Announcer) Drain() []Output {
+	return a.outbox.Drain()
+}
+
+// setMember announces a change at once. Within an incarnation a member that
+// drains keeps draining, and one that left stays away.
+func (a *Announcer) setMember(now time.Time, in *pb.Member) {
+	next := proto.CloneOf(in)
+	if a.member == nil || next.GetIncarnation() > a.member.GetIncarnation() {
+		next.Version = 1
+		renamed := a.member.GetId() != next.GetId()
+		a.member = next
+		if renamed {
+			a.rank()
+		}
+		a.announceAll(now)
+		return
+	}
+	if next.GetIncarnation() < a.member.GetIncarnation() {
+		return
+	}
+	next.State = max(next.GetState(), a.member.GetState())
+	next.Version = a.member.GetVersion()
+	if !differs(a.member, next) {
+		return
+	}
+	next.Version++
+	a.member = next
+	a.announceAll(now)
+}
+
+// differs reports whether a member has changed enough to announce it.
+func differs(old, next *pb.Member) bool {
+	before, after := old.GetLoad(), next.GetLoad()
+	if loadDiffers(before.GetRunningOnline()+before.GetQueuedOnline(), after.GetRunningOnline()+after.GetQueuedOnline()) {
+		return true
+	}
+	if loadDiffers(before.GetWindow(), after.GetWindow()) {
+		return true
+	}
+	same := proto.CloneOf(next)
+	same.Load = before
+	return !proto.Equal(old, same)
+}
+
+func loadDiffers(before, after uint32) bool {
+	difference := max(before, after) - min(before, after)
+	return difference >= loadStep && uint64(difference)*1000 >= uint64(before)*permilleStep
+}
+
+func (a *Announcer) setRegistrars(addresses []string) {
+	var registrars []*registrar
+	for i, address := range addresses {
+		known := slices.IndexFunc(a.registrars, func(r *registrar) bool { return r.address == address })
+		if known >= 0 {
+			registrars = append(registrars, a.registrars[known])
+			continue
+		}
+		registrars = append(registrars, &registrar{address: address, cookie: uint32(i)})
+	}
+	for i, r := range registrars {
+		r.cookie = uint32(i)
+	}
+	a.registrars = registrars
+	a.rank()
+}
+
+// rank orders the registrars by rendezvous hashing.
+func (a *Announcer) rank() {
+	for _, r := range a.registrars {
+		r.rank = xxhash.Sum64String(a.member.GetId() + "\x00" + r.address)
+	}
+	a.rechoose = true
+}
+
+// choose picks the registrars that get the announcements: the first in rank
+// that are not silent, then silent ones.
+func (a *Announcer) choose(now time.Time) {
+	if !a.rechoose && (a.rechooseAt.IsZero() || now.Before(a.rechooseAt)) {
+		return
+	}
+	a.rechoose = false
+	a.rechooseAt = time.Time{}
+	ordered := slices.Clone(a.registrars)
+	sort.SliceStable(ordered, func(i, j int) bool {
+		avoidI, avoidJ := now.Before(ordered[i].avoidUntil), now.Before(ordered[j].avoidUntil)
+		if avoidI != avoidJ {
+			return avoidJ
+		}
+		return ordered[i].rank > ordered[j].rank
+	})
+	chosen := ordered[:min(a.options.Copies, len(ordered))]
+	a.activate(now, chosen)
+	a.planChoice(now)
+}
+
+// activate announces to the registrars that are new among the chosen ones.
+func (a *Announcer) activate(now time.Time, chosen []*registrar) {
+	for _, r := range a.active {
+		if !slices.Contains(chosen, r) {
+			a.due.Remove(r)
+			r.unanswered = 0
+		}
+	}
+	for _, r := range chosen {
+		if !slices.Contains(a.active, r) {
+			a.due.Set(r, now)
+		}
+	}
+	a.active = slices.Clone(chosen)
+}
+
+// planChoice schedules a new choice for when a silent registrar may be tried
+// again.
+func (a *Announcer) planChoice(now time.Time) {
+	for _, r := range a.registrars {
+		if !now.Before(r.avoidUntil) {
+			continue
+		}
+		if a.rechooseAt.IsZero() || r.avoidUntil.Before(a.rechooseAt) {
+			a.rechooseAt = r.avoidUntil
+		}
+	}
+}
+
+func (a *Announcer) announceAll(now time.Time) {
+	for _, r := range a.active {
+		a.announce(now, r)
+	}
+}
+
+// holds reports whether a registrar holds the present version.
+func (a *Announcer) holds(r *registrar) bool {
+	return r.incarnation == a.member.GetIncarnation() && r.version == a.member.GetVersion()
+}
+
+func (a *Announcer) announce(now time.Time, r *registrar) {
+	a.sequence++
+	message := &pb.Announce{Member: a.member, Sequence: a.sequence, Cookie: r.cookie}
+	wait := a.options.Repeat
+	if a.holds(r) {
+		wait = a.options.Heartbeat
+		message.Brief = true
+		message.Member = brief(a.member)
+	}
+	a.due.Set(r, now.Add(wait))
+	a.outbox.Put(SendTo{Address: r.address, Message: announceMessage(message)})
+	a.countSilence(now, r)
+}
+
+func brief(m *pb.Member) *pb.Member {
+	return &pb.Member{
+		Id:          m.GetId(),
+		Incarnation: m.GetIncarnation(),
+		Version:     m.GetVersion(),
+		State:       m.GetState(),
+	}
+}
+
+// countSilence replaces a registrar that does not reply.
+func (a *Announcer) countSilence(now time.Time, r *registrar) {
+	if r.unanswered == 0 {
+		r.silentFor = now
+	}
+	r.unanswered++
+	silence := now.Sub(r.silentFor)
+	if r.unanswered <= silentAnnounces || silence < (silentAnnounces-1)*a.options.Heartbeat {
+		return
+	}
+	r.unanswered = 0
+	r.avoidUntil = now.Add(avoidFor)
+	a.rechoose = true
+}
+
+func (a *Announcer) reply(now time.Time, in *pb.AnnounceReply) {
+	if in.GetId() != a.member.GetId() || int(in.GetCookie()) >= len(a.registrars) {
+		return
+	}
+	r := a.registrars[in.GetCookie()]
+	r.unanswered = 0
+	r.incarnation = in.GetIncarnation()
+	r.version = in.GetVersion()
+	if !slices.Contains(a.active, r) {
+		return
+	}
+	superseded := r.incarnation > a.member.GetIncarnation()
+	if superseded || a.holds(r) {
+		a.due.Set(r, now.Add(a.options.Heartbeat))
+		return
+	}
+	a.due.Set(r, now)
+}
--- /dev/null
+++ b/member/registrar.go
@@ -0,0 +1,303 @@
+package member
+
+import (
+	"time"
+
+	"github.com/tidwall/btree"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/briarcross/briarcross/core"
+	"github.com/briarcross/briarcross/pb"
+)
+
+const (
+	// subscriptionExpiry is the silence after which a subscriber is dropped.
+	subscriptionExpiry = 5 * time.Second
+	// maxDeltaBytes bounds the members of one datagram.
+	maxDeltaBytes = 1100
+)
+
+// RegistrarOptions are the settings of a Registrar. Zero values take the
+// defaults.
+type RegistrarOptions struct {
+	// Expiry is the silence after which a member expires.
+	Expiry time.Duration
+	// Repeat is the time after which an unacknowledged delta is sent again.
+	Repeat time.Duration
+}
+
+// Registrar is the core that keeps announced members at an entry.
+type Registrar struct {
+	options RegistrarOptions
+	epoch   uint64
+	version uint64
+	// floor is the highest version whose change was forgotten.
+	floor       uint64
+	rows        map[string]*row
+	changes     btree.Map[uint64, *row]
+	expiry      core.Deadlines[string]
+	tombstones  core.Deadlines[string]
+	subscribers btree.Map[string, *subscription]
+	lapses      core.Deadlines[string]
+	repeats     core.Deadlines[string]
+	published   uint64
+	outbox      core.Outbox[Output]
+}
+
+// row is one member; a member that expired or left stays for a while.
+type row struct {
+	member  *pb.Member
+	version uint64
+	expired bool
+}
+
+func (r *row) left() bool {
+	return r.member.GetState() == pb.MemberState_MEMBER_LEFT
+}
+
+// subscription is one entry that follows the registrar.
+type subscription struct {
+	entry    string
+	address  string
+	services []string
+	cookie   uint32
+	// acked is the version that the entry holds.
+	acked uint64
+	// fresh is set while the entry needs a new list.
+	fresh bool
+}
+
+// NewRegistrar returns a Registrar. The epoch differs between starts.
+func NewRegistrar(options RegistrarOptions, epoch uint64) *Registrar {
+	if options.Expiry == 0 {
+		options.Expiry = DefaultExpiry
+	}
+	if options.Repeat == 0 {
+		options.Repeat = DefaultRepeat
+	}
+	return &Registrar{options: options, epoch: epoch, rows: make(map[string]*row)}
+}
+
+// Step handles one input.
+func (r *Registrar) Step(now time.Time, in Input) {
+	datagram, ok := in.(Datagram)
+	if !ok {
+		return
+	}
+	switch body := datagram.Message.GetBody().(type) {
+	case *pb.MemberMessage_Announce:
+		r.announce(now, datagram.From, body.Announce)
+	case *pb.MemberMessage_Subscribe:
+		r.subscribe(now, body.Subscribe)
+	}
+}
+
+// Tick expires members and subscribers and sends deltas.
+func (r *Registrar) Tick(now time.Time) {
+	r.expireMembers(now)
+	r.dropTombstones(now)
+	r.expireSubscribers(now)
+	r.publish(now)
+	r.repeat(now)
+}
+
+// Drain returns the outputs since the last call.
+func (r *Registrar) Drain() []Output {
+	return r.outbox.Drain()
+}
+
+// Len returns the number of members that have not expired or left.
+func (r *Registrar) Len() int {
+	return r.expiry.Len()
+}
+
+func (r *Registrar) announce(now time.Time, from string, a *pb.Announce) {
+	in := a.GetMember()
+	if in.GetId() == "" || in.GetIncarnation() == 0 {
+		return
+	}
+	held := r.rows[in.GetId()]
+	if !a.GetBrief() || held.holds(in) {
+		held = r.keep(now, held, in)
+	}
+	reply := &pb.AnnounceReply{Id: in.GetId(), Sequence: a.GetSequence(), Cookie: a.GetCookie()}
+	if held != nil {
+		reply.Incarnation = held.member.GetIncarnation()
+		reply.Version = held.member.GetVersion()
+	}
+	r.outbox.Put(SendTo{Address: from, Message: replyMessage(reply)})
+}
+
+// holds reports whether the row has the announced version in full.
+func (r *row) holds(in *pb.Member) bool {
+	if r == nil {
+		return false
+	}
+	return r.member.GetIncarnation() == in.GetIncarnation() && r.member.GetVersion() >= in.GetVersion()
+}
+
+// keep merges an announcement and extends the member's expiry.
+func (r *Registrar) keep(now time.Time, held *row, in *pb.Member) *row {
+	if held == nil {
+		held = &row{}
+		r.rows[in.GetId()] = held
+	}
+	if in.GetIncarnation() < held.member.GetIncarnation() {
+		return held
+	}
+	merged, changed := merge(held.member, in)
+	held.member = merged
+	if held.left() {
+		r.expiry.Remove(in.GetId())
+		r.tombstones.Set(in.GetId(), now.Add(tombstoneRetention))
+	} else {
+		changed = changed || held.expired
+		held.expired = false
+		r.expiry.Set(in.GetId(), now.Add(r.options.Expiry))
+		r.tombstones.Remove(in.GetId())
+	}
+	if changed {
+		r.bump(held)
+	}
+	return held
+}
+
+// bump gives a changed row the next version.
+func (r *Registrar) bump(changed *row) {
+	r.changes.Delete(changed.version)
+	r.version++
+	changed.version = r.version
+	r.changes.Set(r.version, changed)
+}
+
+func (r *Registrar) expireMembers(now time.Time) {
+	for {
+		id, due := r.expiry.Expire(now)
+		if !due {
+			return
+		}
+		r.rows[id].expired = true
+		r.tombstones.Set(id, now.Add(tombstoneRetention))
+		r.bump(r.rows[id])
+	}
+}
+
+func (r *Registrar) dropTombstones(now time.Time) {
+	for {
+		id, due := r.tombstones.Expire(now)
+		if !due {
+			return
+		}
+		version := r.rows[id].version
+		r.floor = max(r.floor, version)
+		r.changes.Delete(version)
+		delete(r.rows, id)
+	}
+}
+
+func (r *Registrar) subscribe(now time.Time, in *pb.Subscribe) {
+	s, known := r.subscribers.Get(in.GetEntry())
+	if !known {
+		s = &subscription{entry: in.GetEntry()}
+		r.subscribers.Set(in.GetEntry(), s)
+	}
+	s.address = in.GetAddress()
+	s.services = in.GetServices()
+	s.cookie = in.GetCookie()
+	s.acked = in.GetAfter()
+	s.fresh = r.needsList(in)
+	if s.fresh {
+		s.acked = 0
+	}
+	r.lapses.Set(s.entry, now.Add(subscriptionExpiry))
+	r.send(now, s)
+}
+
+// needsList reports whether an entry needs a new list: it follows another
+// epoch, or may have missed a removal that is forgotten. A list in progress
+// goes on.
+func (r *Registrar) needsList(in *pb.Subscribe) bool {
+	if in.GetRegistrarEpoch() != r.epoch || in.GetAfter() > r.version {
+		return true
+	}
+	return in.GetAfter() < r.floor && !in.GetListing()
+}
+
+func (r *Registrar) expireSubscribers(now time.Time) {
+	for {
+		entry, due := r.lapses.Expire(now)
+		if !due {
+			return
+		}
+		r.subscribers.Delete(entry)
+		r.repeats.Remove(entry)
+	}
+}
+
+// publish sends new changes to every subscriber.
+func (r *Registrar) publish(now time.Time) {
+	if r.published == r.version {
+		return
+	}
+	r.published = r.version
+	r.subscribers.Scan(func(_ string, s *subscription) bool {
+		r.send(now, s)
+		return true
+	})
+}
+
+// repeat sends unacknowledged deltas again.
+func (r *Registrar) repeat(now time.Time) {
+	for {
+		entry, due := r.repeats.Expire(now)
+		if !due {
+			return
+		}
+		if s, ok := r.subscribers.Get(entry); ok {
+			r.send(now, s)
+		}
+	}
+}
+
+// send sends the changes after the acknowledged version, as many as fit into
+// one datagram. An empty delta shows that the registrar is alive.
+func (r *Registrar) send(now time.Time, s *subscription) {
+	delta := r.delta(s)
+	if delta.GetVersion() > s.acked || delta.GetFull() {
+		r.repeats.Set(s.entry, now.Add(r.options.Repeat))
+	} else {
+		r.repeats.Remove(s.entry)
+	}
+	r.outbox.Put(SendTo{Address: s.address, Message: deltaMessage(delta)})
+}
+
+func (r *Registrar) delta(s *subscription) *pb.MemberDelta {
+	delta := &pb.MemberDelta{
+		RegistrarEpoch: r.epoch,
+		Base:           s.acked,
+		Version:        r.version,
+		Full:           s.fresh,
+		Cookie:         s.cookie,
+	}
+	size := 0
+	r.changes.Ascend(s.acked+1, func(version uint64, changed *row) bool {
+		size += r.add(delta, s, changed)
+		if size < maxDeltaBytes {
+			return true
+		}
+		delta.Version = version
+		delta.More = version < r.version
+		return false
+	})
+	return delta
+}
+
+// add puts a changed row into a delta and returns the bytes that it takes.
+func (r *Registrar) add(delta *pb.MemberDelta, s *subscription, changed *row) int {
+	if !changed.expired && (changed.left() || serves(changed.member, s.services)) {
+		delta.Members = append(delta.Members, changed.member)
+		return proto.Size(changed.member)
+	}
+	delta.Gone = append(delta.Gone, changed.member.GetId())
+	return len(changed.member.GetId())
+}
--- a/spread/cluster_test.go
+++ b/spread/cluster_test.go
@@ -1,7 +1,6 @@
 package spread
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -23,7 +22,7 @@
 	changes  []*pb.ConfigChange
 	replicas []*testReplica
 	daemons  []*testDaemon
-	events   eventQueue
+	events   core.Deadlines[*event]
 	streams  uint64
 	bytes    int
 	messages int
@@ -53,28 +52,9 @@
 	fault string
 }
 
+// event is something that happens at a simulated time.
 type event struct {
-	at       time.Time
-	sequence uint64
-	run      func()
-}
-
-type eventQueue []*event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	if q[i].at.Equal(q[j].at) {
-		return q[i].sequence < q[j].sequence
-	}
-	return q[i].at.Before(q[j].at)
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(*event)) }
-func (q *eventQueue) Pop() any {
-	old := *q
-	last := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return last
+	run func()
 }
 
 func newCluster(seed uint64, replicas, daemons int) *cluster {
@@ -116,9 +96,8 @@
 
 // after runs a function within a few milliseconds of simulated time.
 func (c *cluster) after(run func()) {
-	c.streams++
 	delay := time.Duration(1+c.random.IntN(3)) * time.Millisecond
-	heap.Push(&c.events, &event{at: c.now.Add(delay), sequence: c.streams, run: run})
+	c.events.Set(&event{run: run}, c.now.Add(delay))
 }
 
 // accept commits a change; replicas that are not cut off apply it.
@@ -162,12 +141,7 @@
 func (c *cluster) run(d time.Duration) {
 	for end := c.now.Add(d); c.now.Before(end); {
 		next := c.now.Add(tick)
-		for len(c.events) > 0 && !c.events[0].at.After(next) {
-			e := heap.Pop(&c.events).(*event)
-			c.now = e.at
-			e.run()
-		}
-		c.now = next
+		c.deliverUntil(next)
 		for _, r := range c.replicas {
 			r.publisher.Tick(c.now)
 			c.drainReplica(r)
@@ -179,6 +153,20 @@
 	}
 }
 
+// deliverUntil runs the events up to a time.
+func (c *cluster) deliverUntil(end time.Time) {
+	for {
+		at, ok := c.events.Next()
+		if !ok || at.After(end) {
+			c.now = end
+			return
+		}
+		c.now = at
+		e, _ := c.events.Expire(at)
+		e.run()
+	}
+}
+
 func (c *cluster) drainReplica(r *testReplica) {
 	for _, out := range r.publisher.Drain() {
 		switch out := out.(type) {
