--- /dev/null
+++ b/quorum/input.go
@@ -0,0 +1,50 @@
+package quorum
+
+import "github.com/briarcross/briarcross/pb"
+
+// Input is a value that a shell feeds to Core.Step.
+type Input interface{ isInput() }
+
+// Received is a message from another replica.
+type Received struct{ Message *pb.QuorumMessage }
+
+// Proposal is one command to append. The ID links it with its answer.
+type Proposal struct {
+	ID   uint64
+	Data []byte
+}
+
+// Propose appends commands on the leader. Each is answered by a Proposed or
+// a Refused output.
+type Propose struct{ Proposals []Proposal }
+
+// Confirm asks for a linearizable read point. It is answered by a ReadReady
+// or a ReadFailed output with the same ID.
+type Confirm struct{ ID uint64 }
+
+// Saved reports that all Save outputs up to a ticket are on stable storage.
+type Saved struct{ Ticket uint64 }
+
+// Applied reports that the state machine covers an index.
+type Applied struct{ Index uint64 }
+
+// Installed reports that an Install output was carried out and synced.
+type Installed struct{ Meta *pb.SnapshotMeta }
+
+// ChunkRead answers a ReadChunk output.
+type ChunkRead struct {
+	Peer  string
+	Chunk *pb.SnapshotChunk
+}
+
+// Transfer asks a leader to hand over to another voter.
+type Transfer struct{}
+
+func (Received) isInput()  {}
+func (Propose) isInput()   {}
+func (Confirm) isInput()   {}
+func (Saved) isInput()     {}
+func (Applied) isInput()   {}
+func (Installed) isInput() {}
+func (ChunkRead) isInput() {}
+func (Transfer) isInput()  {}
--- /dev/null
+++ b/quorum/log.go
@@ -0,0 +1,137 @@
+package quorum
+
+import (
+	"slices"
+
+	"github.com/briarcross/briarcross/pb"
+	"github.com/rotisserie/eris"
+)
+
+// entryOverheadBytes is counted for each entry beside its data.
+const entryOverheadBytes = 32
+
+// entryLog holds the entries after a base position.
+type entryLog struct {
+	base    *pb.SnapshotMeta
+	entries []*pb.LogEntry
+	// ends holds the running total of bytes after each entry; origin is the
+	// total at the base.
+	ends   []uint64
+	origin uint64
+}
+
+func newEntryLog(base *pb.SnapshotMeta, entries []*pb.LogEntry) entryLog {
+	if base == nil {
+		base = &pb.SnapshotMeta{}
+	}
+	l := entryLog{base: base}
+	for _, e := range entries {
+		l.append(e)
+	}
+	return l
+}
+
+func (l *entryLog) first() uint64 { return l.base.Index + 1 }
+
+func (l *entryLog) last() uint64 { return l.base.Index + uint64(len(l.entries)) }
+
+func (l *entryLog) lastTerm() uint64 {
+	term, _ := l.term(l.last())
+	return term
+}
+
+func (l *entryLog) lastUnixMs() uint64 {
+	if len(l.entries) == 0 {
+		return l.base.UnixMs
+	}
+	return l.entries[len(l.entries)-1].UnixMs
+}
+
+// term returns the term of an index, if the log knows it.
+func (l *entryLog) term(index uint64) (uint64, bool) {
+	if index == l.base.Index {
+		return l.base.Term, true
+	}
+	if index < l.base.Index || index > l.last() {
+		return 0, false
+	}
+	return l.get(index).Term, true
+}
+
+func (l *entryLog) get(index uint64) *pb.LogEntry {
+	return l.entries[index-l.first()]
+}
+
+// end returns the running total of bytes up to and including an index.
+func (l *entryLog) end(index uint64) uint64 {
+	if index <= l.base.Index || len(l.ends) == 0 {
+		return l.origin
+	}
+	return l.ends[min(index, l.last())-l.first()]
+}
+
+// bytes returns the size of the entries in (after, upTo].
+func (l *entryLog) bytes(after, upTo uint64) uint64 {
+	if upTo <= after {
+		return 0
+	}
+	return l.end(upTo) - l.end(after)
+}
+
+func (l *entryLog) append(e *pb.LogEntry) {
+	if e.Index != l.last()+1 {
+		panic(eris.Errorf("entry %d appended after index %d", e.Index, l.last()))
+	}
+	total := l.end(l.last()) + uint64(len(e.Data)) + entryOverheadBytes
+	l.entries = append(l.entries, e)
+	l.ends = append(l.ends, total)
+}
+
+// between returns the entries in [from, to].
+func (l *entryLog) between(from, to uint64) []*pb.LogEntry {
+	if to < from {
+		return nil
+	}
+	return slices.Clone(l.entries[from-l.first() : to-l.first()+1])
+}
+
+// page returns entries from an index on, at least one if there is one and
+// otherwise no more than a number of bytes.
+func (l *entryLog) page(from, limit uint64) []*pb.LogEntry {
+	to := from
+	for to < l.last() && l.bytes(from-1, to+1) <= limit {
+		to++
+	}
+	return l.between(from, min(to, l.last()))
+}
+
+// cut removes the entries from an index on.
+func (l *entryLog) cut(from uint64) {
+	n := from - l.first()
+	clear(l.entries[n:])
+	l.entries = l.entries[:n]
+	l.ends = l.ends[:n]
+}
+
+// truncate removes the entries up to an index, which becomes the base.
+func (l *entryLog) truncate(upTo uint64) {
+	e := l.get(upTo)
+	origin := l.end(upTo)
+	n := upTo - l.base.Index
+	l.base = &pb.SnapshotMeta{Term: e.Term, Index: e.Index, UnixMs: e.UnixMs}
+	l.entries = slices.Clone(l.entries[n:])
+	l.ends = slices.Clone(l.ends[n:])
+	l.origin = origin
+}
+
+// hint returns the last index not after one whose term is not above another.
+func (l *entryLog) hint(index, term uint64) uint64 {
+	index = min(index, l.last())
+	for index > l.base.Index {
+		if l.get(index).Term <= term {
+			break
+		}
+		index--
+	}
+	return index
+}
--- /dev/null
+++ b/quorum/output.go
@@ -0,0 +1,102 @@
+package quorum
+
+import "github.com/briarcross/briarcross/pb"
+
+// Output is a value that a shell takes from Core.Drain.
+type Output interface{ isOutput() }
+
+// Send passes a message to the replica that it names.
+type Send struct{ Message *pb.QuorumMessage }
+
+// Save writes to stable storage. Absent parts are left unchanged.
+type Save struct {
+	Ticket uint64
+	Hard   *pb.HardState
+	// Entries replace all stored entries from the first one's index.
+	Entries   []*pb.LogEntry
+	Bootstrap *pb.Bootstrap
+	// Chunk is staged beside the state; sequence zero discards earlier chunks.
+	Chunk *pb.SnapshotChunk
+}
+
+// Apply carries committed entries to the state machine.
+type Apply struct{ Entries []*pb.LogEntry }
+
+// Install replaces the state and the log by the staged chunks, atomically.
+type Install struct{ Meta *pb.SnapshotMeta }
+
+// Truncate deletes the stored entries up to a position, which becomes the
+// stored base.
+type Truncate struct{ Base *pb.SnapshotMeta }
+
+// ReadChunk asks for a chunk of the state for a peer. Sequence zero takes a
+// new snapshot; later numbers continue it. The chunk carries the stream.
+type ReadChunk struct {
+	Peer     string
+	Stream   uint64
+	Sequence uint64
+}
+
+// ReleaseSnapshot ends the reading of a stream.
+type ReleaseSnapshot struct{ Stream uint64 }
+
+// Proposed tells where a proposal stands in the log.
+type Proposed struct {
+	ID    uint64
+	Index uint64
+	Term  uint64
+}
+
+// RefuseReason tells why a proposal was not appended.
+type RefuseReason uint8
+
+// Reasons of a refusal.
+const (
+	RefusedNotLeader RefuseReason = iota
+	RefusedOverloaded
+)
+
+// Refused tells that a proposal was certainly not appended.
+type Refused struct {
+	ID     uint64
+	Reason RefuseReason
+}
+
+// ReadReady tells that everything acknowledged before the Confirm input is
+// applied here.
+type ReadReady struct{ ID uint64 }
+
+// ReadFailed tells that no leader confirmed a read in time.
+type ReadFailed struct{ ID uint64 }
+
+// Led tells that this replica has applied the first entry of its own term.
+type Led struct{ Term uint64 }
+
+// Deposed tells that this replica no longer leads. Proposals beyond Commit
+// have an unknown outcome.
+type Deposed struct {
+	Term   uint64
+	Commit uint64
+}
+
+// Displaced tells that a peer binds another identity to this replica's ID,
+// so that this one must be added again.
+type Displaced struct {
+	Peer     string
+	Identity uint64
+}
+
+func (Send) isOutput()            {}
+func (Save) isOutput()            {}
+func (Apply) isOutput()           {}
+func (Install) isOutput()         {}
+func (Truncate) isOutput()        {}
+func (ReadChunk) isOutput()       {}
+func (ReleaseSnapshot) isOutput() {}
+func (Proposed) isOutput()        {}
+func (Refused) isOutput()         {}
+func (ReadReady) isOutput()       {}
+func (ReadFailed) isOutput()      {}
+func (Led) isOutput()             {}
+func (Deposed) isOutput()         {}
+func (Displaced) isOutput()       {}
--- /dev/null
+++ b/quorum/status.go
@@ -0,0 +1,48 @@
+package quorum
+
+import "github.com/briarcross/briarcross/pb"
+
+// Status is a view of a replica for operators and shells.
+type Status struct {
+	Term    uint64
+	Commit  uint64
+	Applied uint64
+	// Stable is the last entry on this replica's stable storage.
+	Stable uint64
+	// First and Last bound the entries of the log.
+	First  uint64
+	Last   uint64
+	Leader string
+	// Leading is set on the leader.
+	Leading bool
+	// Membership is the latest committed one; nil before there is one.
+	Membership *pb.Membership
+	// Peers is filled on the leader only.
+	Peers []PeerStatus
+}
+
+// PeerStatus is the leader's knowledge of another replica.
+type PeerStatus struct {
+	ID     string
+	Match  uint64
+	Active bool
+}
+
+// Status returns a view of the replica.
+func (c *Core) Status() Status {
+	s := Status{
+		Term:       c.term,
+		Commit:     c.commit,
+		Applied:    c.applied,
+		Stable:     c.stable,
+		First:      c.log.first(),
+		Last:       c.log.last(),
+		Leader:     c.leader,
+		Leading:    c.role == leader,
+		Membership: c.committedMembership(),
+	}
+	for _, p := range c.peers {
+		s.Peers = append(s.Peers, PeerStatus{p.replica.Id, p.match, c.active(p)})
+	}
+	return s
+}
--- /dev/null
+++ b/quorum/transfer.go
@@ -0,0 +1,66 @@
+package quorum
+
+import "github.com/briarcross/briarcross/pb"
+
+// transferState is a hand-over of the leadership under way.
+type transferState struct {
+	target   string
+	deadline uint64
+}
+
+func (t transferState) active() bool {
+	return t.target != ""
+}
+
+// startTransfer hands over to the voter with the longest synced log.
+func (c *Core) startTransfer() {
+	if c.role != leader || c.transfer.active() {
+		return
+	}
+	var best *progress
+	for _, p := range c.peers {
+		if p.replica.Learner || !c.active(p) {
+			continue
+		}
+		if best == nil || p.match > best.match {
+			best = p
+		}
+	}
+	if best == nil {
+		return
+	}
+	c.transfer = transferState{best.replica.Id, c.tick + c.options.ElectionTicks}
+	c.continueTransfer()
+}
+
+// continueTransfer tells the target to campaign once its log is complete and
+// every proposal so far is committed.
+func (c *Core) continueTransfer() {
+	if !c.transfer.active() {
+		return
+	}
+	p := c.peer(c.transfer.target)
+	if p == nil || p.match < c.log.last() || c.commit < c.log.last() {
+		return
+	}
+	c.send(&pb.QuorumMessage{
+		Kind:       pb.QuorumKind_QUORUM_TIMEOUT_NOW,
+		To:         p.replica.Id,
+		ToIdentity: p.replica.Identity,
+		Term:       c.term,
+	})
+}
+
+func (c *Core) tickTransfer() {
+	if c.transfer.active() && c.tick >= c.transfer.deadline {
+		c.transfer = transferState{}
+	}
+	c.continueTransfer()
+}
+
+func (c *Core) onTimeoutNow(m *pb.QuorumMessage) {
+	if c.role != follower || !c.isVoter() || c.install.meta != nil || m.From != c.leader {
+		return
+	}
+	c.startElection(true)
+}
--- /dev/null
+++ b/replica/group_test.go
@@ -0,0 +1,203 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/briarcross/briarcross/kv"
+	"github.com/briarcross/briarcross/pb"
+	. "github.com/onsi/gomega"
+)
+
+const (
+	testTick    = 5 * time.Millisecond
+	testTimeout = 20 * time.Second
+)
+
+// claimMachine stores the answer of each claim under its key.
+type claimMachine struct{}
+
+func (claimMachine) Apply(batch kv.Batch, index uint64, command *pb.Command) *pb.CommandResult {
+	open := command.GetClaimOpen()
+	previous, _ := batch.Get([]byte(open.Key))
+	batch.Set([]byte(open.Key), []byte(open.RequestId))
+	return &pb.CommandResult{Result: &pb.CommandResult_Claim{Claim: &pb.ClaimResult{
+		State:     pb.ClaimState_CLAIM_GRANTED,
+		RequestId: string(previous),
+	}}}
+}
+
+func (claimMachine) Restore(kv.Reader) {}
+
+func claim(key, value string) *pb.Command {
+	return &pb.Command{Op: &pb.Command_ClaimOpen{ClaimOpen: &pb.ClaimOpen{Key: key, RequestId: value}}}
+}
+
+// group is a set of replicas in one process.
+type group struct {
+	t        testing.TB
+	lock     sync.Mutex
+	replicas map[string]*Replica
+	cut      map[string]bool
+}
+
+func newGroup(t testing.TB) *group {
+	return &group{t: t, replicas: make(map[string]*Replica), cut: make(map[string]bool)}
+}
+
+func (g *group) send(m *pb.QuorumMessage) {
+	g.lock.Lock()
+	target := g.replicas[m.To]
+	cut := g.cut[m.To] || g.cut[m.From]
+	g.lock.Unlock()
+	if target != nil && !cut {
+		target.Receive(m)
+	}
+}
+
+func (g *group) open(options Options) *Replica {
+	g.t.Helper()
+	options.Send = g.send
+	options.Tick = testTick
+	options.Machine = claimMachine{}
+	options.OnFault = func(err error) { g.t.Errorf("replica %s failed: %v", options.ID, err) }
+	r, err := Open(options)
+	if err != nil {
+		g.t.Fatalf("open replica %s: %v", options.ID, err)
+	}
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	g.replicas[options.ID] = r
+	return r
+}
+
+func (g *group) close(id string) {
+	g.t.Helper()
+	g.lock.Lock()
+	r := g.replicas[id]
+	g.lock.Unlock()
+	if err := r.Close(); err != nil {
+		g.t.Errorf("close replica %s: %v", id, err)
+	}
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	delete(g.replicas, id)
+}
+
+func (g *group) closeAll() {
+	for _, id := range g.ids() {
+		g.close(id)
+	}
+}
+
+func (g *group) ids() []string {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	var ids []string
+	for id := range g.replicas {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+func (g *group) partition(id string, cut bool) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	g.cut[id] = cut
+}
+
+func (g *group) leader() *Replica {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	for id, r := range g.replicas {
+		if _, _, self := r.Leader(); self && !g.cut[id] {
+			return r
+		}
+	}
+	return nil
+}
+
+// propose retries a command until a leader carries it out.
+func (g *group) propose(command *pb.Command) *pb.CommandResult {
+	g.t.Helper()
+	var result *pb.CommandResult
+	NewWithT(g.t).Eventually(func() string {
+		ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+		defer cancel()
+		r := g.leader()
+		if r == nil {
+			return "no leader"
+		}
+		var err *pb.ControlError
+		result, err = r.Propose(ctx, command)
+		return err.GetReason()
+	}, testTimeout, testTick).Should(BeEmpty())
+	return result
+}
+
+// confirm retries a read point until it is confirmed.
+func (g *group) confirm(r *Replica) {
+	g.t.Helper()
+	NewWithT(g.t).Eventually(func() string {
+		ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+		defer cancel()
+		return r.Confirm(ctx).GetReason()
+	}, testTimeout, testTick).Should(BeEmpty())
+}
+
+func get(r *Replica, key string) string {
+	var value []byte
+	r.View(func(reader kv.Reader) { value, _ = reader.Get([]byte(key)) })
+	return string(value)
+}
+
+func bootstrap(ids ...string) []*pb.Replica {
+	var members []*pb.Replica
+	for _, id := range ids {
+		members = append(members, &pb.Replica{Id: id, Address: id + ":1", DataCentre: "dc-" + id})
+	}
+	return members
+}
+
+func openThree(g *group, folder func(id string) string) {
+	for _, id := range []string{"a", "b", "c"} {
+		g.open(Options{ID: id, Folder: folder(id), Bootstrap: bootstrap("a", "b", "c")})
+	}
+}
+
+func inMemory(string) string { return "" }
+
+func TestGroupAgreesOnCommandsAndReads(t *testing.T) {
+	g := newGroup(t)
+	openThree(g, inMemory)
+	defer g.closeAll()
+	for i := range 50 {
+		g.propose(claim(fmt.Sprint(i), fmt.Sprint("v", i)))
+	}
+	for _, r := range g.replicas {
+		g.confirm(r)
+		for i := range 50 {
+			NewWithT(t).Expect(get(r, fmt.Sprint(i))).To(Equal(fmt.Sprint("v", i)))
+		}
+	}
+}
+
+func TestGroupRestartsFromItsFolders(t *testing.T) {
+	g := newGroup(t)
+	root := t.TempDir()
+	folder := func(id string) string { return root + "/" + id }
+	openThree(g, folder)
+	for i := range 500 {
+		g.propose(claim("key", fmt.Sprint(i)))
+	}
+	g.closeAll()
+	openThree(g, folder)
+	defer g.closeAll()
+	for _, r := range g.replicas {
+		g.confirm(r)
+		NewWithT(t).Expect(get(r, "key")).To(Equal("499"))
+	}
+}
--- /dev/null
+++ b/replica/options.go
@@ -0,0 +1,107 @@
+package replica
+
+import (
+	"io"
+	"time"
+
+	"github.com/briarcross/briarcross/kv"
+	"github.com/briarcross/briarcross/pb"
+	"github.com/charmbracelet/log"
+	"github.com/rotisserie/eris"
+)
+
+// DefaultTick is the length of a tick when the options leave it out.
+const DefaultTick = 50 * time.Millisecond
+
+// StateMachine is what the replicated commands act on.
+type StateMachine interface {
+	// Apply runs one command; it must be deterministic. The keys of the batch
+	// are private to the machine.
+	Apply(batch kv.Batch, index uint64, command *pb.Command) *pb.CommandResult
+	// Restore rebuilds the tables in memory from the storage after a start or
+	// an installed snapshot.
+	Restore(reader kv.Reader)
+}
+
+// Options configures a Replica.
+type Options struct {
+	ID         string
+	Address    string
+	DataCentre string
+	Group      uint32
+	// Folder is the data folder; empty keeps everything in memory.
+	Folder string
+	// Bootstrap lists the first members, the same on each of them; used only
+	// when the folder is new.
+	Bootstrap []*pb.Replica
+	// Spares may replace a lost replica.
+	Spares []*pb.Replica
+	// Join starts without a membership and waits to be added as a learner.
+	Join    bool
+	Machine StateMachine
+	// Send passes a message on. It must not block and may lose messages.
+	Send func(*pb.QuorumMessage)
+	// Tick is the length of one tick; zero means DefaultTick.
+	Tick time.Duration
+	// ElectionTicks is the shortest election timeout, HeartbeatTicks the
+	// interval of heartbeats; zero means the defaults of package quorum.
+	ElectionTicks  uint64
+	HeartbeatTicks uint64
+	// RepairAfter is the silence after which a voter is replaced; zero turns
+	// repair off.
+	RepairAfter time.Duration
+	// RetainBytes is the size of the applied log kept for slow replicas; zero
+	// means the default of package quorum.
+	RetainBytes uint64
+	// Seed sets the randomness, together with the identity of the folder and
+	// the number of its starts.
+	Seed uint64
+	// Logger may be nil.
+	Logger *log.Logger
+	// OnApply is called on the apply goroutine after the effects are visible.
+	// It must not block.
+	OnApply func(index uint64, command *pb.Command, result *pb.CommandResult)
+	// OnLead is called when the replica has applied the first entry of its own
+	// term, and when it leads no more. It must not block.
+	OnLead func(term uint64, leading bool)
+	// OnFault is called once after a failed read or sync; the process must
+	// stop.
+	OnFault func(error)
+}
+
+func (o *Options) complete() error {
+	if o.ID == "" {
+		return eris.New("replica has no ID")
+	}
+	if o.Machine == nil || o.Send == nil {
+		return eris.Errorf("replica %s has no state machine or no way to send", o.ID)
+	}
+	if o.Join {
+		o.Bootstrap = nil
+	}
+	if o.Tick <= 0 {
+		o.Tick = DefaultTick
+	}
+	if o.Logger == nil {
+		o.Logger = log.New(io.Discard)
+	}
+	o.Logger = o.Logger.WithPrefix("quorum")
+	o.setCallbacks()
+	return nil
+}
+
+func (o *Options) setCallbacks() {
+	if o.OnApply == nil {
+		o.OnApply = func(uint64, *pb.Command, *pb.CommandResult) {}
+	}
+	if o.OnLead == nil {
+		o.OnLead = func(uint64, bool) {}
+	}
+	if o.OnFault == nil {
+		o.OnFault = func(err error) { panic(err) }
+	}
+}
+
+func (o *Options) repairTicks() uint64 {
+	return uint64(o.RepairAfter / o.Tick)
+}
--- /dev/null
+++ b/replica/prefix.go
@@ -0,0 +1,63 @@
+package replica
+
+import (
+	"bytes"
+	"slices"
+
+	"github.com/briarcross/briarcross/kv"
+)
+
+// prefixReader shows the keys under a prefix without it.
+type prefixReader struct {
+	reader kv.Reader
+	prefix []byte
+}
+
+func (r prefixReader) key(key []byte) []byte {
+	return slices.Concat(r.prefix, key)
+}
+
+// Get implements kv.Reader.
+func (r prefixReader) Get(key []byte) ([]byte, bool) {
+	return r.reader.Get(r.key(key))
+}
+
+// Scan implements kv.Reader.
+func (r prefixReader) Scan(from, to []byte, visit func(key, value []byte) bool) {
+	r.reader.Scan(r.key(from), r.end(to), func(key, value []byte) bool {
+		return visit(bytes.TrimPrefix(key, r.prefix), value)
+	})
+}
+
+// end returns the upper bound for a bound without the prefix.
+func (r prefixReader) end(to []byte) []byte {
+	if len(to) == 0 {
+		return kv.PrefixEnd(r.prefix)
+	}
+	return r.key(to)
+}
+
+// prefixBatch writes the keys under a prefix.
+type prefixBatch struct {
+	prefixReader
+	batch kv.Batch
+}
+
+func newPrefixBatch(batch kv.Batch, prefix []byte) prefixBatch {
+	return prefixBatch{prefixReader{batch, prefix}, batch}
+}
+
+// Set implements kv.Batch.
+func (b prefixBatch) Set(key, value []byte) {
+	b.batch.Set(b.key(key), value)
+}
+
+// Delete implements kv.Batch.
+func (b prefixBatch) Delete(key []byte) {
+	b.batch.Delete(b.key(key))
+}
+
+// DeleteRange implements kv.Batch.
+func (b prefixBatch) DeleteRange(from, to []byte) {
+	b.batch.DeleteRange(b.key(from), b.end(to))
+}
--- /dev/null
+++ b/replica/record.go
@@ -0,0 +1,112 @@
+package replica
+
+import (
+	"encoding/binary"
+
+	"github.com/briarcross/briarcross/kv"
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+)
+
+// Keys of the storage. Log entries and machine state follow their prefix.
+const (
+	keyApplied    = "applied"
+	keyBase       = "base"
+	keyBootstrap  = "bootstrap"
+	keyGeneration = "generation"
+	keyHardState  = "hardstate"
+	keyIdentity   = "identity"
+	keyStarts     = "starts"
+	prefixLog     = "log/"
+	prefixMachine = "machine/"
+)
+
+const checksumBytes = 8
+
+func logKey(index uint64) []byte {
+	return binary.BigEndian.AppendUint64([]byte(prefixLog), index)
+}
+
+func machinePrefix(generation uint64) []byte {
+	return binary.BigEndian.AppendUint64([]byte(prefixMachine), generation)
+}
+
+func recordSum(key, payload []byte) uint64 {
+	digest := xxhash.New()
+	_, _ = digest.Write(key)
+	_, _ = digest.Write(payload)
+	return digest.Sum64()
+}
+
+// seal puts a checksum over key and payload before the payload.
+func seal(key, payload []byte) []byte {
+	value := make([]byte, 0, checksumBytes+len(payload))
+	value = binary.BigEndian.AppendUint64(value, recordSum(key, payload))
+	return append(value, payload...)
+}
+
+// unseal checks and removes the checksum.
+func unseal(key, value []byte) ([]byte, error) {
+	if len(value) < checksumBytes {
+		return nil, eris.Errorf("record %q is damaged: %d bytes long", key, len(value))
+	}
+	payload := value[checksumBytes:]
+	if binary.BigEndian.Uint64(value) != recordSum(key, payload) {
+		return nil, eris.Errorf("record %q is damaged: its checksum does not match", key)
+	}
+	return payload, nil
+}
+
+func setMessage(batch kv.Batch, key []byte, m proto.Message) {
+	payload, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
+	if err != nil {
+		panic(eris.Wrapf(err, "encode record %q", key))
+	}
+	batch.Set(key, seal(key, payload))
+}
+
+// getMessage reads a record. It reports whether the record exists.
+func getMessage(reader kv.Reader, key string, m proto.Message) (bool, error) {
+	value, ok := reader.Get([]byte(key))
+	if !ok {
+		return false, nil
+	}
+	return true, decodeMessage([]byte(key), value, m)
+}
+
+func decodeMessage(key, value []byte, m proto.Message) error {
+	payload, err := unseal(key, value)
+	if err != nil {
+		return err
+	}
+	return eris.Wrapf(proto.Unmarshal(payload, m), "record %q is damaged", key)
+}
+
+func setNumber(batch kv.Batch, key string, n uint64) {
+	batch.Set([]byte(key), seal([]byte(key), binary.BigEndian.AppendUint64(nil, n)))
+}
+
+// getNumber reads a number; an absent one is zero.
+func getNumber(reader kv.Reader, key string) (uint64, error) {
+	value, ok := reader.Get([]byte(key))
+	if !ok {
+		return 0, nil
+	}
+	payload, err := unseal([]byte(key), value)
+	if err != nil {
+		return 0, err
+	}
+	if len(payload) != 8 {
+		return 0, eris.Errorf("record %q is damaged: %d bytes long", key, len(payload))
+	}
+	return binary.BigEndian.Uint64(payload), nil
+}
+
+func numberBytes(numbers ...uint64) []byte {
+	var raw []byte
+	for _, n := range numbers {
+		raw = binary.BigEndian.AppendUint64(raw, n)
+	}
+	return raw
+}
--- /dev/null
+++ b/replica/replica.go
@@ -0,0 +1,243 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/briarcross/briarcross/kv"
+	"github.com/briarcross/briarcross/pb"
+	"github.com/briarcross/briarcross/quorum"
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	maxCommandBytes = 16 << 20
+	// maxQueuedMessages bounds the messages that wait for the core; further
+	// ones are lost.
+	maxQueuedMessages = 4096
+)
+
+// Replica is one running member of a group. It is safe for concurrent use.
+type Replica struct {
+	options Options
+	core    *quorum.Core
+	store   kv.Store
+	storage *storage
+	waiters *waiters
+
+	inbox    *queue[quorum.Input]
+	writes   *queue[writeItem]
+	applies  *queue[quorum.Output]
+	streamed *queue[quorum.Output]
+	tasks    errgroup.Group
+	stop     chan struct{}
+	stopOnce sync.Once
+	fault    sync.Once
+
+	statusLock sync.Mutex
+	status     quorum.Status
+}
+
+// Open starts a replica from its data folder. It fails with a one-line error
+// when the folder cannot be read, belongs to another replica or is damaged.
+func Open(options Options) (*Replica, error) {
+	if err := options.complete(); err != nil {
+		return nil, err
+	}
+	if options.Folder == "" {
+		return openMemory(options)
+	}
+	store, identity, err := openFolder(&options)
+	if err != nil {
+		return nil, err
+	}
+	r, err := start(options, store, identity)
+	if err != nil {
+		err = eris.Wrapf(err, "open data folder %s", options.Folder)
+		return nil, errors.Join(err, store.Close())
+	}
+	return r, nil
+}
+
+func openMemory(options Options) (*Replica, error) {
+	identity, err := drawIdentity()
+	if err != nil {
+		return nil, err
+	}
+	return start(options, kv.NewMemory(), identity)
+}
+
+// start runs a replica on an open store.
+func start(options Options, store kv.Store, identity uint64) (r *Replica, err error) {
+	defer recoverFault(func(fault error) { err = fault })
+	starts, err := countStart(store)
+	if err != nil {
+		return nil, err
+	}
+	storage, stored, err := loadStorage(store)
+	if err != nil {
+		return nil, err
+	}
+	r = &Replica{
+		options:  options,
+		store:    store,
+		storage:  storage,
+		waiters:  newWaiters(),
+		inbox:    newQueue[quorum.Input](),
+		writes:   newQueue[writeItem](),
+		applies:  newQueue[quorum.Output](),
+		streamed: newQueue[quorum.Output](),
+		stop:     make(chan struct{}),
+	}
+	r.core = quorum.New(quorum.Options{
+		ID:             options.ID,
+		Identity:       identity,
+		Group:          options.Group,
+		Bootstrap:      options.Bootstrap,
+		Spares:         options.Spares,
+		ElectionTicks:  options.ElectionTicks,
+		HeartbeatTicks: options.HeartbeatTicks,
+		RepairTicks:    options.repairTicks(),
+		RetainBytes:    options.RetainBytes,
+		Seed:           startSeed(options.Seed, identity, starts),
+		Stored:         stored,
+	})
+	r.restoreMachine()
+	r.publishStatus()
+	r.run()
+	return r, nil
+}
+
+// countStart counts the starts of a folder; the number goes into the seed.
+func countStart(store kv.Store) (uint64, error) {
+	starts, err := getNumber(store, keyStarts)
+	if err != nil {
+		return 0, err
+	}
+	batch := store.NewBatch()
+	setNumber(batch, keyStarts, starts+1)
+	return starts + 1, store.Commit(batch, true)
+}
+
+func startSeed(seed, identity, starts uint64) uint64 {
+	return xxhash.Sum64(numberBytes(seed, identity, starts))
+}
+
+func (r *Replica) restoreMachine() {
+	reader, snapshot := r.storage.view()
+	defer snapshot.Close()
+	r.options.Machine.Restore(reader)
+}
+
+// Propose replicates a command and returns its result once it is applied on
+// this replica. NOT_LEADER and OVERLOADED mean that it was certainly not
+// carried out, UNKNOWN that it may have been.
+func (r *Replica) Propose(ctx context.Context, command *pb.Command) (*pb.CommandResult, *pb.ControlError) {
+	data, err := proto.Marshal(command)
+	if err != nil {
+		return nil, &pb.ControlError{Code: pb.ControlError_INVALID, Reason: err.Error()}
+	}
+	if len(data) > maxCommandBytes {
+		return nil, &pb.ControlError{Code: pb.ControlError_INVALID, Reason: "command too large"}
+	}
+	id, answer, open := r.waiters.addProposal()
+	if !open {
+		return nil, notLeader("replica stopped")
+	}
+	r.inbox.put(quorum.Propose{Proposals: []quorum.Proposal{{ID: id, Data: data}}})
+	select {
+	case a := <-answer:
+		return a.result, r.withLeader(a.err)
+	case <-ctx.Done():
+		return nil, r.withLeader(unknown("no answer in time"))
+	}
+}
+
+// Confirm returns nil once everything that was acknowledged anywhere before
+// the call is applied on this replica.
+func (r *Replica) Confirm(ctx context.Context) *pb.ControlError {
+	id, answer, open := r.waiters.addRead()
+	if !open {
+		return notLeader("replica stopped")
+	}
+	r.inbox.put(quorum.Confirm{ID: id})
+	select {
+	case err := <-answer:
+		return r.withLeader(err)
+	case <-ctx.Done():
+		return r.withLeader(notLeader("no confirmation in time"))
+	}
+}
+
+// Receive hands a message from another replica to the core. It never blocks.
+func (r *Replica) Receive(m *pb.QuorumMessage) {
+	if r.inbox.len() < maxQueuedMessages {
+		r.inbox.put(quorum.Received{Message: m})
+	}
+}
+
+// View shows the applied state. The reader is valid only during the call.
+func (r *Replica) View(visit func(kv.Reader)) {
+	reader, snapshot := r.storage.view()
+	defer snapshot.Close()
+	visit(reader)
+}
+
+// Close hands the leadership over if this replica has it, then stops.
+func (r *Replica) Close() error {
+	r.handOver()
+	r.halt()
+	_ = r.tasks.Wait()
+	r.waiters.close()
+	return r.store.Close()
+}
+
+// handOverElections bounds the time of a hand-over in election timeouts.
+const handOverElections = 3
+
+// handOver waits until another replica leads and all answers have left.
+func (r *Replica) handOver() {
+	if !r.canHandOver() {
+		return
+	}
+	r.inbox.put(quorum.Transfer{})
+	limit := time.NewTimer(time.Duration(handOverElections*r.electionTicks()) * r.options.Tick)
+	defer limit.Stop()
+	poll := time.NewTicker(r.options.Tick)
+	defer poll.Stop()
+	for r.currentStatus().Leading || r.waiters.pending() > 0 {
+		select {
+		case <-poll.C:
+		case <-limit.C:
+			return
+		case <-r.stop:
+			return
+		}
+	}
+}
+
+func (r *Replica) electionTicks() uint64 {
+	if r.options.ElectionTicks > 0 {
+		return r.options.ElectionTicks
+	}
+	return quorum.DefaultElectionTicks
+}
+
+func (r *Replica) canHandOver() bool {
+	status := r.currentStatus()
+	for _, p := range status.Peers {
+		if status.Leading && p.Active {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Replica) halt() {
+	r.stopOnce.Do(func() { close(r.stop) })
+}
