Drive the quorum core on a simulated network and disk by seed

Cause: the log's promises have to hold under any mix of faults. Change: a simulator in the replica tests runs the core and the storage with delay, loss, duplication, one-way cuts, crashes with lost unsynced writes, emptied disks, slow disks and clock jumps, and checks one leader a term, log matching, equal applied entries, one vote per identity and term, and linearizability with porcupine. The leader now probes silent members too, and a joining replica knows the first members.

--- a/quorum/bootstrap.go
+++ b/quorum/bootstrap.go
@@ -35,7 +35,7 @@
 	case stored != nil:
 		c.boot.list = proto.CloneOf(stored.Membership)
 		c.boot.decided = stored.Decided
-	case len(c.options.Bootstrap) > 0 && len(c.members) == 0 && c.log.last() == 0:
+	case !c.options.Join && len(c.options.Bootstrap) > 0 && len(c.members) == 0 && c.log.last() == 0:
 		c.beginBootstrap()
 	}
 }
--- a/quorum/options.go
+++ b/quorum/options.go
@@ -24,9 +24,11 @@
 	ID       string
 	Identity uint64
 	Group    uint32
-	// Bootstrap lists the first members, the same on each of them; used only
-	// when the storage holds no log.
+	// Bootstrap lists the first members, the same on each of them. They found
+	// the group when the storage is empty, and may return as spares later.
 	Bootstrap []*pb.Replica
+	// Join keeps an empty replica from founding a group; it waits to be added.
+	Join bool
 	// Spares may replace a lost replica.
 	Spares []*pb.Replica
 	// ElectionTicks is the shortest election timeout; zero means the default.
--- a/quorum/repair.go
+++ b/quorum/repair.go
@@ -1,6 +1,8 @@
 package quorum
 
 import (
+	"slices"
+
 	"github.com/briarcross/briarcross/pb"
 	"google.golang.org/protobuf/proto"
 )
@@ -40,32 +42,34 @@
 
 // knownReplica finds the address of a replica that may join.
 func (c *Core) knownReplica(id string) *pb.Replica {
-	if r := findReplica(c.membership(), id); r != nil {
-		return r
-	}
-	for _, list := range [][]*pb.Replica{c.options.Spares, c.options.Bootstrap} {
-		for _, r := range list {
-			if r.Id == id {
-				return r
-			}
+	for _, r := range c.knownReplicas() {
+		if r.Id == id {
+			return r
 		}
 	}
 	return nil
 }
 
+// knownReplicas lists the members, then the replicas that the options name; a
+// replica may come twice.
+func (c *Core) knownReplicas() []*pb.Replica {
+	return slices.Concat(c.membership().GetReplicas(), c.options.Spares, c.options.Bootstrap)
+}
+
 // probeSpares asks the replicas outside the membership, and silent ones that
 // may have lost their folder, for their identity.
 func (c *Core) probeSpares() {
 	if c.options.RepairTicks == 0 {
 		return
 	}
-	for _, list := range [][]*pb.Replica{c.options.Spares, c.options.Bootstrap} {
-		for _, r := range list {
-			p := c.peer(r.Id)
-			if r.Id != c.options.ID && (p == nil || !c.active(p)) {
-				c.sendHello(pb.QuorumKind_QUORUM_HELLO, r.Id, 0)
-			}
+	var probed []string
+	for _, r := range c.knownReplicas() {
+		p := c.peer(r.Id)
+		if r.Id == c.options.ID || p != nil && c.active(p) || slices.Contains(probed, r.Id) {
+			continue
 		}
+		probed = append(probed, r.Id)
+		c.sendHello(pb.QuorumKind_QUORUM_HELLO, r.Id, 0)
 	}
 }
 
--- a/replica/options.go
+++ b/replica/options.go
@@ -31,8 +31,8 @@
 	Group      uint32
 	// Folder is the data folder; empty keeps everything in memory.
 	Folder string
-	// Bootstrap lists the first members, the same on each of them; used only
-	// when the folder is new.
+	// Bootstrap lists the first members, the same on each replica. They found
+	// the group when the folder is new, and may return as spares later.
 	Bootstrap []*pb.Replica
 	// Spares may replace a lost replica.
 	Spares []*pb.Replica
@@ -76,9 +76,6 @@
 	if o.Machine == nil || o.Send == nil {
 		return eris.Errorf("replica %s has no state machine or no way to send", o.ID)
 	}
-	if o.Join {
-		o.Bootstrap = nil
-	}
 	if o.Tick <= 0 {
 		o.Tick = DefaultTick
 	}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -100,6 +100,7 @@
 		Group:          options.Group,
 		Bootstrap:      options.Bootstrap,
 		Spares:         options.Spares,
+		Join:           options.Join,
 		ElectionTicks:  options.ElectionTicks,
 		HeartbeatTicks: options.HeartbeatTicks,
 		RepairTicks:    options.repairTicks(),
--- /dev/null
+++ b/replica/sim_store_test.go
@@ -0,0 +1,92 @@
+package replica
+
+import (
+	"bytes"
+	"math/rand/v2"
+
+	"github.com/briarcross/briarcross/kv"
+)
+
+// storeWrite is one write of a batch; a nil value deletes [key, to).
+type storeWrite struct {
+	key, value, to []byte
+}
+
+// crashStore is a kv.Store in memory that keeps unsynced batches apart, so
+// that a crash can lose them.
+type crashStore struct {
+	*kv.Memory
+	durable  *kv.Memory
+	unsynced [][]storeWrite
+}
+
+func newCrashStore() *crashStore {
+	return &crashStore{Memory: kv.NewMemory(), durable: kv.NewMemory()}
+}
+
+type crashBatch struct {
+	kv.Batch
+	writes []storeWrite
+}
+
+func (s *crashStore) NewBatch() kv.Batch {
+	return &crashBatch{Batch: s.Memory.NewBatch()}
+}
+
+func (b *crashBatch) Set(key, value []byte) {
+	b.Batch.Set(key, value)
+	b.writes = append(b.writes, storeWrite{key: bytes.Clone(key), value: append([]byte{}, value...)})
+}
+
+func (b *crashBatch) Delete(key []byte) {
+	b.DeleteRange(key, append(bytes.Clone(key), 0))
+}
+
+func (b *crashBatch) DeleteRange(from, to []byte) {
+	b.Batch.DeleteRange(from, to)
+	b.writes = append(b.writes, storeWrite{key: bytes.Clone(from), to: bytes.Clone(to)})
+}
+
+func (s *crashStore) Commit(batch kv.Batch, sync bool) error {
+	writes := batch.(*crashBatch)
+	if err := s.Memory.Commit(writes.Batch, sync); err != nil {
+		return err
+	}
+	s.unsynced = append(s.unsynced, writes.writes)
+	if sync {
+		return s.persist(len(s.unsynced))
+	}
+	return nil
+}
+
+// persist makes the first batches durable.
+func (s *crashStore) persist(n int) error {
+	batch := s.durable.NewBatch()
+	for _, writes := range s.unsynced[:n] {
+		for _, w := range writes {
+			if w.value == nil {
+				batch.DeleteRange(w.key, w.to)
+				continue
+			}
+			batch.Set(w.key, w.value)
+		}
+	}
+	s.unsynced = s.unsynced[n:]
+	return s.durable.Commit(batch, true)
+}
+
+// crash returns the store as a restart finds it: the synced batches and a
+// prefix of the others.
+func (s *crashStore) crash(rand *rand.Rand) (*crashStore, error) {
+	if err := s.persist(rand.IntN(len(s.unsynced) + 1)); err != nil {
+		return nil, err
+	}
+	next := newCrashStore()
+	next.durable = s.durable
+	copied := next.Memory.NewBatch()
+	s.durable.Scan(nil, nil, func(key, value []byte) bool {
+		copied.Set(key, value)
+		return true
+	})
+	return next, next.Memory.Commit(copied, true)
+}
--- /dev/null
+++ b/replica/soak_test.go
@@ -0,0 +1,86 @@
+package replica
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	defaultSoakSeeds = 12
+	soakWorkers      = 3
+	soakRounds       = 18
+)
+
+// soakSeeds returns the seeds to run: one that is replayed, or as many as
+// asked.
+func soakSeeds(t *testing.T) (first, count uint64) {
+	t.Helper()
+	if text := os.Getenv("BRIARCROSS_SOAK_SEED"); text != "" {
+		return parseSeed(t, text), 1
+	}
+	if text := os.Getenv("BRIARCROSS_SOAK_SEEDS"); text != "" {
+		return 1, parseSeed(t, text)
+	}
+	return 1, defaultSoakSeeds
+}
+
+func parseSeed(t *testing.T, text string) uint64 {
+	t.Helper()
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+// soak runs one seed and returns its checker.
+func soak(seed uint64) (c *checker, err error) {
+	w := newWorld(seed)
+	defer func() {
+		if fault := recover(); fault != nil {
+			err = fmt.Errorf("panic: %v", fault)
+		}
+	}()
+	if seed%4 != 0 {
+		w.runFor(1000)
+	}
+	w.runFaults(soakRounds)
+	if w.check.err == nil {
+		w.settle()
+	}
+	return w.check, w.check.err
+}
+
+func TestSoakReplica(t *testing.T) {
+	first, count := soakSeeds(t)
+	var group errgroup.Group
+	group.SetLimit(soakWorkers)
+	var total [3]uint64
+	totals := make(chan [3]uint64, count)
+	for seed := first; seed < first+count; seed++ {
+		group.Go(func() error {
+			c, err := soak(seed)
+			if err != nil {
+				t.Errorf("seed %d: %v\nreplay: BRIARCROSS_SOAK_SEED=%d go test -run 'TestSoakReplica$' ./replica", seed, err, seed)
+				return nil
+			}
+			totals <- [3]uint64{uint64(c.acknowledged), uint64(c.elections), uint64(c.installs)}
+			return nil
+		})
+	}
+	_ = group.Wait()
+	close(totals)
+	clean := 0
+	for one := range totals {
+		clean++
+		for i := range total {
+			total[i] += one[i]
+		}
+	}
+	t.Logf("%d of %d seeds clean: %d writes acknowledged, %d elections, %d snapshots installed",
+		clean, count, total[0], total[1], total[2])
+}
--- a/replica/storage.go
+++ b/replica/storage.go
@@ -18,6 +18,8 @@
 	lastEntry uint64
 	// applied is the position of the state. The apply goroutine owns it.
 	applied *pb.SnapshotMeta
+	// chunkBytes bounds the chunks of a snapshot.
+	chunkBytes int
 
 	// lock guards the generation, and makes a commit atomic to readers.
 	lock       sync.RWMutex
@@ -26,7 +28,7 @@
 
 // loadStorage reads the durable state and checks it.
 func loadStorage(store kv.Store) (*storage, quorum.Stored, error) {
-	s := &storage{store: store, applied: &pb.SnapshotMeta{}}
+	s := &storage{store: store, applied: &pb.SnapshotMeta{}, chunkBytes: snapshotChunkBytes}
 	var err error
 	if s.generation, err = getNumber(store, keyGeneration); err != nil {
 		return nil, quorum.Stored{}, err
--- a/replica/stream.go
+++ b/replica/stream.go
@@ -8,7 +8,8 @@
 	"github.com/briarcross/briarcross/quorum"
 )
 
-// snapshotChunkBytes bounds the keys and values of one chunk.
+// snapshotChunkBytes is the usual bound of the keys and values of one
+// chunk.
 const snapshotChunkBytes = 256 << 10
 
 // snapshotStream reads one state in chunks.
@@ -16,6 +17,8 @@
 	reader   prefixReader
 	snapshot kv.Snapshot
 	meta     *pb.SnapshotMeta
+	// limit bounds the bytes of one chunk.
+	limit    int
 	number   uint64
 	from     []byte
 	sequence uint64
@@ -28,7 +31,7 @@
 		snapshot.Close()
 		return nil, err
 	}
-	return &snapshotStream{reader: reader, snapshot: snapshot, meta: meta}, nil
+	return &snapshotStream{reader: reader, snapshot: snapshot, meta: meta, limit: s.chunkBytes}, nil
 }
 
 // next returns the following chunk.
@@ -36,7 +39,7 @@
 	chunk := &pb.SnapshotChunk{Meta: s.meta, Stream: s.number, Sequence: s.sequence, Last: true}
 	size := 0
 	s.reader.Scan(s.from, nil, func(key, value []byte) bool {
-		if size >= snapshotChunkBytes {
+		if size >= s.limit {
 			s.from = bytes.Clone(key)
 			chunk.Last = false
 			return false
