batch: jobs, leases, results and intake

Change: State keeps jobs, items and results in the replicated store; Scheduler leases items from the leader's memory; Worker pulls, renews and resends; Intake reads the OpenAI batch format in bounded memory.

--- /dev/null
+++ b/batch/intake_lines.go
@@ -0,0 +1,114 @@
+package batch
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/briarcross/briarcross/pb"
+)
+
+// inputLine is one line of the OpenAI batch format.
+type inputLine struct {
+	CustomID string          `json:"custom_id"`
+	Method   string          `json:"method"`
+	URL      string          `json:"url"`
+	Body     json.RawMessage `json:"body"`
+}
+
+type inputBody struct {
+	Model string `json:"model"`
+}
+
+// next returns the item on the next line that is not blank.
+func (in *Intake) next(lines *bufio.Reader) (*pb.Item, error) {
+	for {
+		line, err := in.readLine(lines)
+		if err != nil {
+			return nil, err
+		}
+		if len(bytes.TrimSpace(line)) == 0 {
+			continue
+		}
+		return in.parse(line)
+	}
+}
+
+// readLine returns a line without its end, or io.EOF after the last one.
+func (in *Intake) readLine(lines *bufio.Reader) ([]byte, error) {
+	var line []byte
+	in.line++
+	for {
+		part, err := lines.ReadSlice('\n')
+		line = append(line, part...)
+		if len(line) > in.options.MaxLineBytes {
+			return nil, in.lineError(fmt.Sprintf("longer than %d bytes", in.options.MaxLineBytes))
+		}
+		switch {
+		case err == nil:
+			return line, nil
+		case errors.Is(err, bufio.ErrBufferFull):
+		case errors.Is(err, io.EOF) && len(line) > 0:
+			return line, nil
+		case errors.Is(err, io.EOF):
+			return nil, io.EOF
+		default:
+			return nil, &SubmitError{Reason: eris.Wrap(err, "read the job").Error(), NotRun: true, Retry: true}
+		}
+	}
+}
+
+func (in *Intake) parse(line []byte) (*pb.Item, error) {
+	var parsed inputLine
+	decoder := json.NewDecoder(bytes.NewReader(line))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&parsed); err != nil {
+		return nil, in.lineError("not a batch request: " + err.Error())
+	}
+	if decoder.More() {
+		return nil, in.lineError("more than one value on the line")
+	}
+	if reason := in.check(&parsed); reason != "" {
+		return nil, in.lineError(reason)
+	}
+	item := &pb.Item{Index: in.items, CustomId: parsed.CustomID, Body: parsed.Body}
+	in.items++
+	return item, nil
+}
+
+// check returns why a line is not acceptable, or nothing.
+func (in *Intake) check(line *inputLine) string {
+	if line.CustomID == "" || len(line.CustomID) > maxCustomIDBytes {
+		return fmt.Sprintf("custom_id must have 1 to %d bytes", maxCustomIDBytes)
+	}
+	if line.Method != http.MethodPost {
+		return fmt.Sprintf("method %q is not POST", line.Method)
+	}
+	if line.URL != in.options.Endpoint {
+		return fmt.Sprintf("url %q is not the job's endpoint %q", line.URL, in.options.Endpoint)
+	}
+	if len(line.Body) == 0 || line.Body[0] != '{' {
+		return "body is not an object"
+	}
+	if in.options.Model == "" {
+		return ""
+	}
+	var body inputBody
+	if err := json.Unmarshal(line.Body, &body); err != nil {
+		return "body is not a request: " + err.Error()
+	}
+	if body.Model != in.options.Model {
+		return fmt.Sprintf("model %q is not %q", body.Model, in.options.Model)
+	}
+	return ""
+}
+
+func (in *Intake) lineError(reason string) *LineError {
+	return &LineError{Line: in.line, Reason: reason}
+}
--- /dev/null
+++ b/batch/query.go
@@ -0,0 +1,115 @@
+package batch
+
+import (
+	"github.com/briarcross/briarcross/kv"
+	"github.com/briarcross/briarcross/pb"
+)
+
+const (
+	defaultListLimit    = 100
+	maxListLimit        = 1000
+	defaultResultsLimit = 1000
+	maxResultsLimit     = 10000
+	maxResultsBytes     = 1 << 20
+)
+
+// Query answers from a state of the store. The second value is false when the
+// query is not one of this package. It may be called from any goroutine.
+func (s *State) Query(r kv.Reader, q *pb.Query) (*pb.QueryResult, bool) {
+	switch query := q.GetQuery().(type) {
+	case *pb.Query_Job:
+		return &pb.QueryResult{Result: &pb.QueryResult_Job{Job: s.queryJob(r, query.Job)}}, true
+	case *pb.Query_JobList:
+		return &pb.QueryResult{Result: &pb.QueryResult_JobList{JobList: s.queryList(r, query.JobList)}}, true
+	case *pb.Query_Results:
+		return &pb.QueryResult{Result: &pb.QueryResult_Results{Results: queryResults(r, query.Results)}}, true
+	}
+	return nil, false
+}
+
+func (s *State) queryJob(r kv.Reader, q *pb.JobQuery) *pb.JobAnswer {
+	job, ok := readJob(r, q.GetJobId())
+	if !ok || !visible(job, q.GetCaller()) {
+		return &pb.JobAnswer{Error: pb.JobError_JOB_NOT_FOUND}
+	}
+	return &pb.JobAnswer{Job: s.withEstimate(job)}
+}
+
+func (s *State) withEstimate(job *pb.Job) *pb.Job {
+	if job.GetState() == pb.JobState_JOB_RUNNING {
+		estimate := s.estimate(job.GetJobId())
+		job.AtRisk = estimate.AtRisk
+		job.EstimateUnixMs = estimate.FinishUnixMs
+	}
+	return job
+}
+
+// queryList lists jobs in the order of their IDs. The empty caller is an
+// operator, who sees all.
+func (s *State) queryList(r kv.Reader, q *pb.JobListQuery) *pb.JobListAnswer {
+	limit := clampLimit(q.GetLimit(), defaultListLimit, maxListLimit)
+	prefix := []byte{keyPrefix, kindJob}
+	if q.GetCaller() != "" {
+		prefix = callerPrefix(q.GetCaller())
+	}
+	from := prefix
+	if q.GetAfter() != "" {
+		from = append(append([]byte(nil), prefix...), q.GetAfter()...)
+		from = append(from, 0)
+	}
+	var ids []string
+	r.Scan(from, kv.PrefixEnd(prefix), func(key, _ []byte) bool {
+		ids = append(ids, string(key[len(prefix):]))
+		return len(ids) < limit
+	})
+	answer := &pb.JobListAnswer{}
+	for _, id := range ids {
+		if job, ok := readJob(r, id); ok {
+			answer.Jobs = append(answer.Jobs, s.withEstimate(job))
+		}
+	}
+	return answer
+}
+
+// queryResults returns results in the order of their indexes. End is set when
+// the job is finished and no further result exists.
+func queryResults(r kv.Reader, q *pb.ResultsQuery) *pb.ResultsAnswer {
+	job, ok := readJob(r, q.GetJobId())
+	if !ok || !visible(job, q.GetCaller()) {
+		return &pb.ResultsAnswer{Error: pb.JobError_JOB_NOT_FOUND}
+	}
+	answer := &pb.ResultsAnswer{Next: q.GetFrom()}
+	limit := clampLimit(q.GetLimit(), defaultResultsLimit, maxResultsLimit)
+	maxBytes := clampLimit(q.GetMaxBytes(), maxResultsBytes, maxResultsBytes)
+	size := 0
+	full := false
+	end := kv.PrefixEnd(partPrefix(kindResult, q.GetJobId()))
+	r.Scan(partKey(kindResult, q.GetJobId(), q.GetFrom()), end, func(key, value []byte) bool {
+		full = len(answer.Results) == limit || (size > 0 && size+len(value) > maxBytes)
+		if full {
+			return false
+		}
+		size += len(value)
+		result := decodeResult(q.GetJobId(), key, value)
+		answer.Results = append(answer.Results, result)
+		answer.Next = result.GetIndex() + 1
+		return true
+	})
+	answer.End = !full && finished(job.GetState())
+	return answer
+}
+
+func decodeResult(jobID string, key, value []byte) *pb.ItemResult {
+	result := &pb.ItemResult{}
+	decode(value, result)
+	result.JobId = jobID
+	result.Index = partIndex(key)
+	return result
+}
+
+func clampLimit(asked uint32, byDefault, highest int) int {
+	if asked == 0 {
+		return byDefault
+	}
+	return min(int(asked), highest)
+}
--- /dev/null
+++ b/batch/requests.go
@@ -0,0 +1,295 @@
+package batch
+
+import (
+	"time"
+
+	"github.com/briarcross/briarcross/pb"
+)
+
+// stepRequest handles a worker's request: it renews, reports and pulls.
+func (s *Scheduler) stepRequest(now time.Time, in Request) {
+	m := in.Message
+	if !s.leading || m.GetTerm() > s.term {
+		s.stats.RequestsNotLeader++
+		s.replyNotLeader(in.Token, m.GetSequence())
+		return
+	}
+	w, ok := s.admitWorker(now, m)
+	if !ok {
+		s.out.Put(Reply{in.Token, s.response(m.GetSequence())})
+		return
+	}
+	s.answerParked(w)
+	w.sequence = m.GetSequence()
+	w.draining = m.GetDraining()
+	s.refreshServices(w, m)
+	s.workerDeadlines.Set(w.id, now.Add(s.options.LeaseTime))
+	s.reconcile(now, w, m)
+	w.parked = &parkedRequest{token: in.Token, sequence: m.GetSequence(), room: int(m.GetRoom())}
+	s.grant(now, w)
+	s.flushWhenIdle(now)
+	if s.mustAnswer(w) {
+		s.answerParked(w)
+		return
+	}
+	s.parkDeadlines.Set(w.id, now.Add(s.options.ParkTime))
+}
+
+func (s *Scheduler) replyNotLeader(token, sequence uint64) {
+	s.out.Put(Reply{token, &pb.LeaseResponse{
+		Sequence: sequence,
+		Error:    pb.ControlErrorCode_CONTROL_NOT_LEADER,
+	}})
+}
+
+func (s *Scheduler) response(sequence uint64) *pb.LeaseResponse {
+	return &pb.LeaseResponse{
+		Sequence: sequence,
+		Term:     s.term,
+		LeaseMs:  uint32(s.options.LeaseTime.Milliseconds()),
+		PollMs:   uint32(s.options.PollTime.Milliseconds()),
+	}
+}
+
+// admitWorker finds the entry of a request's sender. It refuses requests that
+// are older than one already handled.
+func (s *Scheduler) admitWorker(now time.Time, m *pb.LeaseRequest) (*workerEntry, bool) {
+	w, ok := s.workers.byID[m.GetWorker()]
+	if ok && m.GetIncarnation() > w.incarnation {
+		s.loseWorker(now, w)
+		ok = false
+	}
+	if !ok {
+		return s.workers.add(m.GetWorker(), m.GetIncarnation()), true
+	}
+	if m.GetIncarnation() < w.incarnation || m.GetSequence() <= w.sequence {
+		return nil, false
+	}
+	return w, true
+}
+
+func (s *Scheduler) refreshServices(w *workerEntry, m *pb.LeaseRequest) {
+	services := m.GetServices()
+	if m.GetDraining() {
+		services = nil
+	}
+	s.workers.setServices(w, services)
+}
+
+// reconcile compares what a worker reports with what it was given.
+func (s *Scheduler) reconcile(now time.Time, w *workerEntry, m *pb.LeaseRequest) {
+	for _, result := range m.GetResults() {
+		s.takeResult(now, w, result)
+	}
+	for _, held := range m.GetHeld() {
+		s.renew(now, w, refOf(held))
+	}
+	for _, l := range append([]*lease(nil), w.leases...) {
+		if l.gone || l.seen == w.sequence || l.starting || l.reported {
+			continue
+		}
+		s.reclaim(now, l)
+	}
+}
+
+// renew keeps a held lease, adopts one from an earlier leader, or ends it.
+func (s *Scheduler) renew(now time.Time, w *workerEntry, ref ItemRef) {
+	run, ok := s.jobs.byID[ref.JobID]
+	if !ok || ref.Index >= run.job.GetItems() || run.settled(ref.Index) {
+		w.revoke(ref)
+		s.stats.ItemsRevoked++
+		return
+	}
+	if l, ok := run.findLease(ref); ok && l.worker == w {
+		l.seen = w.sequence
+		l.acked = true
+		return
+	}
+	if !s.adopt(now, w, run, ref) {
+		w.revoke(ref)
+		s.stats.ItemsRevoked++
+	}
+}
+
+// adopt takes over a lease of an earlier leader when the item is still free.
+func (s *Scheduler) adopt(now time.Time, w *workerEntry, run *jobRun, ref ItemRef) bool {
+	if len(run.leased[ref.Index]) > 0 || s.commits.holds(ref.key()) {
+		return false
+	}
+	if !run.job.GetIdempotent() && !s.claimedBy(ref) {
+		return false
+	}
+	l := s.addLease(now, w, run, ref)
+	l.acked = true
+	s.stats.ItemsAdopted++
+	return true
+}
+
+func (s *Scheduler) addLease(now time.Time, w *workerEntry, run *jobRun, ref ItemRef) *lease {
+	l := &lease{
+		run:       run,
+		ref:       ref,
+		worker:    w,
+		grantedAt: now,
+		sequence:  w.sequence,
+		seen:      w.sequence,
+	}
+	run.leased[ref.Index] = append(run.leased[ref.Index], l)
+	w.leases = append(w.leases, l)
+	s.runDeadlines.Set(ref, now.Add(s.options.RunTime))
+	s.open++
+	return l
+}
+
+// dropLease ends a lease without saying what becomes of its item.
+func (s *Scheduler) dropLease(l *lease) {
+	if l.gone {
+		return
+	}
+	l.gone = true
+	if !l.reported {
+		s.open--
+	}
+	l.worker.removeLease(l)
+	s.runDeadlines.Remove(l.ref)
+	leases := l.run.leased[l.ref.Index]
+	for i, other := range leases {
+		if other == l {
+			leases = append(leases[:i], leases[i+1:]...)
+			break
+		}
+	}
+	if len(leases) == 0 {
+		delete(l.run.leased, l.ref.Index)
+		return
+	}
+	l.run.leased[l.ref.Index] = leases
+}
+
+// reclaim handles a lease that its worker does not list. A worker drops the
+// answer to a request once it has sent the next, so an item that it never
+// listed was never received; an item that it listed before is lost.
+func (s *Scheduler) reclaim(now time.Time, l *lease) {
+	if l.acked {
+		s.lose(now, l)
+		return
+	}
+	s.dropLease(l)
+	s.stats.ItemsRequeued++
+	if l.run.job.GetIdempotent() {
+		s.makeAvailable(l.run, l.ref.Index)
+		return
+	}
+	s.queueResult(now, releaseOf(l.ref), nil)
+}
+
+// releaseOf gives up the claim on an item that certainly did not run.
+func releaseOf(ref ItemRef) *pb.ItemResult {
+	return &pb.ItemResult{
+		JobId:         ref.JobID,
+		Index:         ref.Index,
+		FencingNumber: ref.FencingNumber,
+		Outcome:       pb.ItemOutcome_ITEM_NOT_RUN,
+	}
+}
+
+// lose handles an item that may have run and whose holder is gone.
+func (s *Scheduler) lose(now time.Time, l *lease) {
+	s.dropLease(l)
+	run := l.run
+	if run.settled(l.ref.Index) || l.reported || l.starting {
+		return
+	}
+	if !run.job.GetIdempotent() {
+		s.stats.ItemsUnknown++
+		s.queueResult(now, unknownOf(l.ref), nil)
+		return
+	}
+	if len(run.leased[l.ref.Index]) > 0 {
+		return
+	}
+	entry := run.retry(l.ref.Index)
+	entry.losses++
+	if entry.losses >= run.job.GetMaxAttempts()+extraLosses {
+		s.exhaust(now, run, l.ref, entry)
+		return
+	}
+	s.stats.ItemsRequeued++
+	s.makeAvailable(run, l.ref.Index)
+}
+
+// extraLosses is how many more times than it may fail an item may be lost
+// with its worker before it counts as failed.
+const extraLosses = 2
+
+// unknownOf is the recorded failure of an item that may have run.
+func unknownOf(ref ItemRef) *pb.ItemResult {
+	return &pb.ItemResult{
+		JobId:         ref.JobID,
+		Index:         ref.Index,
+		FencingNumber: ref.FencingNumber,
+		Outcome:       pb.ItemOutcome_ITEM_FAILED,
+		Error:         ErrorUnknown,
+		Attempts:      1,
+	}
+}
+
+// ErrorUnknown is the recorded error of a non-idempotent item whose worker was
+// lost after the item had been claimed.
+const ErrorUnknown = "unknown: the item may have run and is not repeated"
+
+func (s *Scheduler) makeAvailable(run *jobRun, index uint32) {
+	run.giveBack(index)
+	s.workAdded = true
+}
+
+// loseWorker takes back everything that a worker holds.
+func (s *Scheduler) loseWorker(now time.Time, w *workerEntry) {
+	s.answerParked(w)
+	for _, l := range append([]*lease(nil), w.leases...) {
+		s.lose(now, l)
+	}
+	s.workers.remove(w)
+	s.workerDeadlines.Remove(w.id)
+	s.parkDeadlines.Remove(w.id)
+	s.pauseDeadlines.Remove(w.id)
+}
+
+// idlePollTime is when a worker without items asks again. Its request waits
+// at the leader.
+const idlePollTime = 50 * time.Millisecond
+
+// mustAnswer reports whether a request is answered now. Only the request of a
+// worker that holds nothing waits for work.
+func (s *Scheduler) mustAnswer(w *workerEntry) bool {
+	p := w.parked
+	if p.starts > 0 {
+		return false
+	}
+	return len(p.items) > 0 || len(w.revoked) > 0 || len(w.settled) > 0 ||
+		len(w.leases) > 0 || w.draining || p.room == 0
+}
+
+// answerParked answers the outstanding request of a worker, if any.
+func (s *Scheduler) answerParked(w *workerEntry) {
+	p := w.parked
+	if p == nil {
+		return
+	}
+	w.parked = nil
+	s.parkDeadlines.Remove(w.id)
+	response := s.response(p.sequence)
+	if len(w.leases) == 0 {
+		response.PollMs = uint32(idlePollTime.Milliseconds())
+	}
+	response.Items = p.items
+	for _, ref := range w.revoked {
+		response.Revoked = append(response.Revoked, ref.message())
+	}
+	for _, ref := range w.settled {
+		response.Settled = append(response.Settled, ref.message())
+	}
+	w.revoked = nil
+	w.settled = nil
+	s.out.Put(Reply{p.token, response})
+}
--- /dev/null
+++ b/batch/scheduler.go
@@ -0,0 +1,267 @@
+package batch
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/briarcross/briarcross/core"
+	"github.com/briarcross/briarcross/kv"
+	"github.com/briarcross/briarcross/pb"
+)
+
+// SchedulerOptions sets up a Scheduler. Zero values take the defaults.
+type SchedulerOptions struct {
+	State *State
+	// Reader gives a committed state of the store to read items from.
+	Reader func(func(kv.Reader))
+	Seed   uint64
+
+	// LeaseTime is how long a worker may be silent before its items are
+	// taken back.
+	LeaseTime time.Duration
+	// PollTime is when a worker without a full answer asks again.
+	PollTime time.Duration
+	// ParkTime is how long the request of a worker without items waits for
+	// work.
+	ParkTime time.Duration
+	// CommitDelay is how long results wait for others to share a command.
+	CommitDelay time.Duration
+	// ChunkItems bounds the items of one job in one answer.
+	ChunkItems int
+	// RunTime is the longest run of an item before it counts as failed.
+	RunTime time.Duration
+	// SpeculateBefore is the time before a job's due time in which an item
+	// that runs long may be given to a second worker.
+	SpeculateBefore time.Duration
+}
+
+const (
+	defaultLeaseTime       = 15 * time.Second
+	defaultPollTime        = time.Second
+	defaultParkTime        = 5 * time.Second
+	defaultCommitDelay     = 200 * time.Millisecond
+	defaultChunkItems      = 64
+	defaultRunTime         = 10 * time.Minute
+	defaultSpeculateBefore = time.Minute
+)
+
+func (o SchedulerOptions) withDefaults() SchedulerOptions {
+	setDefault(&o.LeaseTime, defaultLeaseTime)
+	setDefault(&o.PollTime, defaultPollTime)
+	setDefault(&o.ParkTime, defaultParkTime)
+	setDefault(&o.CommitDelay, defaultCommitDelay)
+	setDefault(&o.ChunkItems, defaultChunkItems)
+	setDefault(&o.RunTime, defaultRunTime)
+	setDefault(&o.SpeculateBefore, defaultSpeculateBefore)
+	return o
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// SchedulerInput is an input of a Scheduler.
+type SchedulerInput interface{ schedulerInput() }
+
+// Lead tells whether this replica leads. On is true only while the replica
+// holds the leader lease of its group and has applied all entries of earlier
+// terms.
+type Lead struct {
+	Term uint64
+	On   bool
+}
+
+// Request is a worker's request. The scheduler answers each token once.
+type Request struct {
+	Token   uint64
+	Message *pb.LeaseRequest
+}
+
+// Applied is a batch command that State.Apply has carried out on this
+// replica. Every one is given, in the order of the log, after its writes are
+// visible to the Reader.
+type Applied struct {
+	Command *pb.Command
+	Result  *pb.CommandResult
+}
+
+// ProposeDone is the outcome of a Propose. Exactly one field besides the
+// token is set. It follows the Applied of the same command.
+type ProposeDone struct {
+	Token  uint64
+	Result *pb.CommandResult
+	Err    *pb.ControlError
+}
+
+func (Lead) schedulerInput()        {}
+func (Request) schedulerInput()     {}
+func (Applied) schedulerInput()     {}
+func (ProposeDone) schedulerInput() {}
+
+// SchedulerOutput is an output of a Scheduler.
+type SchedulerOutput interface{ schedulerOutput() }
+
+// Reply answers a Request.
+type Reply struct {
+	Token   uint64
+	Message *pb.LeaseResponse
+}
+
+// Propose asks for a command to be committed. Its time is set by the shell.
+type Propose struct {
+	Token   uint64
+	Command *pb.Command
+}
+
+func (Reply) schedulerOutput()   {}
+func (Propose) schedulerOutput() {}
+
+// SchedulerStats counts what a scheduler did as leader.
+type SchedulerStats struct {
+	ItemsLeased       uint64
+	ItemsSpeculated   uint64
+	ItemsRequeued     uint64
+	ItemsUnknown      uint64
+	ItemsRetried      uint64
+	ItemsExhausted    uint64
+	ItemsAdopted      uint64
+	ItemsRevoked      uint64
+	ResultsCommitted  uint64
+	ResultsDuplicate  uint64
+	ResultsRefused    uint64
+	WorkersExpired    uint64
+	WorkersPaused     uint64
+	ReceivingAborted  uint64
+	RequestsNotLeader uint64
+}
+
+// Scheduler is the leader's core of batch work. On other replicas it only
+// follows the jobs.
+type Scheduler struct {
+	options SchedulerOptions
+	state   *State
+	out     core.Outbox[SchedulerOutput]
+	rand    *rand.Rand
+	stats   SchedulerStats
+
+	leading   bool
+	term      uint64
+	nextFence uint64
+	nextToken uint64
+
+	jobs    jobTable
+	workers workerTable
+
+	workerDeadlines  core.Deadlines[string]
+	parkDeadlines    core.Deadlines[string]
+	pauseDeadlines   core.Deadlines[string]
+	itemDeadlines    core.Deadlines[itemKey]
+	runDeadlines     core.Deadlines[ItemRef]
+	receiveDeadlines core.Deadlines[string]
+
+	commits commitQueue
+	starts  map[uint64]*pendingStart
+
+	// inGrace is set until graceEnd, while workers report what they hold from
+	// an earlier leader.
+	inGrace  bool
+	graceEnd time.Time
+	// sweepAt is when claimed items that nobody holds are taken as lost.
+	sweeping bool
+	sweepAt  time.Time
+
+	nextRetention time.Time
+	nextEstimate  time.Time
+	lastEstimate  time.Time
+	// workAdded and answersDue make the next step look at parked requests.
+	workAdded  bool
+	answersDue bool
+	// open counts the leases whose outcome is not known yet.
+	open int
+	// visit numbers the answers, so that a job gives one chunk to each.
+	visit uint64
+}
+
+// NewScheduler returns a scheduler that does not lead.
+func NewScheduler(o SchedulerOptions) *Scheduler {
+	o = o.withDefaults()
+	s := &Scheduler{options: o, state: o.State, rand: core.NewRand(o.Seed)}
+	s.reset()
+	return s
+}
+
+// reset forgets everything that only a leader knows.
+func (s *Scheduler) reset() {
+	s.jobs = newJobTable(s.jobs.rates)
+	s.workers = newWorkerTable()
+	s.workerDeadlines = core.Deadlines[string]{}
+	s.parkDeadlines = core.Deadlines[string]{}
+	s.pauseDeadlines = core.Deadlines[string]{}
+	s.itemDeadlines = core.Deadlines[itemKey]{}
+	s.runDeadlines = core.Deadlines[ItemRef]{}
+	s.receiveDeadlines = core.Deadlines[string]{}
+	s.commits = newCommitQueue()
+	s.starts = make(map[uint64]*pendingStart)
+	s.inGrace = false
+	s.sweeping = false
+	s.open = 0
+}
+
+// Stats returns the counters since the start of the process.
+func (s *Scheduler) Stats() SchedulerStats {
+	return s.stats
+}
+
+// Step implements core.Core.
+func (s *Scheduler) Step(now time.Time, in SchedulerInput) {
+	switch in := in.(type) {
+	case Lead:
+		s.stepLead(now, in)
+	case Request:
+		s.stepRequest(now, in)
+	case Applied:
+		s.stepApplied(now, in)
+	case ProposeDone:
+		s.stepProposeDone(now, in)
+	}
+	s.serveParked(now)
+}
+
+// Tick implements core.Core.
+func (s *Scheduler) Tick(now time.Time) {
+	s.estimateJobs(now)
+	if !s.leading {
+		return
+	}
+	s.expireWorkers(now)
+	s.expireRuns(now)
+	s.releaseDelayed(now)
+	s.resumeWorkers(now)
+	s.sweepLost(now)
+	s.expireReceiving(now)
+	s.expireRetention(now)
+	s.flushCommits(now)
+	s.serveParked(now)
+	s.expireParked(now)
+}
+
+// Drain implements core.Core.
+func (s *Scheduler) Drain() []SchedulerOutput {
+	return s.out.Drain()
+}
+
+func (s *Scheduler) propose(c *pb.Command) uint64 {
+	s.nextToken++
+	s.out.Put(Propose{s.nextToken, c})
+	return s.nextToken
+}
+
+const termShift = 32
+
+func (s *Scheduler) fence() uint64 {
+	s.nextFence++
+	return s.term<<termShift | s.nextFence
+}
--- /dev/null
+++ b/batch/state_jobs.go
@@ -0,0 +1,282 @@
+package batch
+
+import (
+	"bytes"
+	"encoding/binary"
+
+	"github.com/briarcross/briarcross/kv"
+	"github.com/briarcross/briarcross/pb"
+)
+
+// begin opens a job. A key that names an accepted job finds that job; a job
+// of the same key that has not been received within the timeout gives way.
+func (s *State) begin(b kv.Batch, now uint64, c *pb.JobBegin) (pb.JobError, *pb.Job) {
+	if !validBegin(c) {
+		return pb.JobError_JOB_WRONG_STATE, nil
+	}
+	if job, ok := readJob(b, c.GetJobId()); ok {
+		return beginAgain(job, c)
+	}
+	if code, job := s.claimKey(b, now, c); code != pb.JobError_JOB_OK {
+		return code, job
+	}
+	job := newJob(now, c)
+	s.live[job.GetJobId()] = &liveJob{job: job}
+	writeJob(b, job)
+	b.Set(callerKey(job.GetCaller(), job.GetJobId()), nil)
+	return pb.JobError_JOB_OK, job
+}
+
+func validBegin(c *pb.JobBegin) bool {
+	return c.GetJobId() != "" && len(c.GetJobId()) <= maxNameBytes &&
+		len(c.GetCaller()) <= maxNameBytes && len(c.GetKey()) <= maxNameBytes
+}
+
+// beginAgain answers a begin command that was sent twice.
+func beginAgain(job *pb.Job, c *pb.JobBegin) (pb.JobError, *pb.Job) {
+	if job.GetCaller() != c.GetCaller() || job.GetKey() != c.GetKey() {
+		return pb.JobError_JOB_WRONG_STATE, nil
+	}
+	if job.GetState() != pb.JobState_JOB_RECEIVING {
+		return pb.JobError_JOB_EXISTS, job
+	}
+	return pb.JobError_JOB_OK, job
+}
+
+func (s *State) claimKey(b kv.Batch, now uint64, c *pb.JobBegin) (pb.JobError, *pb.Job) {
+	if c.GetKey() == "" {
+		return pb.JobError_JOB_OK, nil
+	}
+	key := idempotencyKey(c.GetCaller(), c.GetKey())
+	if stored, ok := b.Get(key); ok {
+		if earlier, ok := readJob(b, string(stored)); ok {
+			if earlier.GetState() != pb.JobState_JOB_RECEIVING {
+				return pb.JobError_JOB_EXISTS, earlier
+			}
+			if !receiveExpired(earlier, now) {
+				return pb.JobError_JOB_WRONG_STATE, earlier
+			}
+			s.remove(b, earlier)
+		}
+	}
+	b.Set(key, []byte(c.GetJobId()))
+	return pb.JobError_JOB_OK, nil
+}
+
+func receiveExpired(job *pb.Job, now uint64) bool {
+	return now >= job.GetUpdatedUnixMs()+uint64(ReceiveTimeout.Milliseconds())
+}
+
+func newJob(now uint64, c *pb.JobBegin) *pb.Job {
+	job := &pb.Job{
+		JobId:         c.GetJobId(),
+		Caller:        c.GetCaller(),
+		Key:           c.GetKey(),
+		Service:       c.GetService(),
+		State:         pb.JobState_JOB_RECEIVING,
+		CreatedUnixMs: now,
+		UpdatedUnixMs: now,
+		DueUnixMs:     c.GetDueUnixMs(),
+		RetentionMs:   c.GetRetentionMs(),
+		Idempotent:    c.GetIdempotent(),
+		MaxAttempts:   c.GetMaxAttempts(),
+		Endpoint:      c.GetEndpoint(),
+	}
+	if job.GetRetentionMs() == 0 {
+		job.RetentionMs = uint64(DefaultRetention.Milliseconds())
+	}
+	if job.GetMaxAttempts() == 0 {
+		job.MaxAttempts = DefaultMaxAttempts
+	}
+	return job
+}
+
+// chunk stores the next items of a job that is being received.
+func (s *State) chunk(b kv.Batch, now uint64, c *pb.JobChunk) (pb.JobError, *pb.Job) {
+	l, ok := s.live[c.GetJobId()]
+	if !ok {
+		return pb.JobError_JOB_NOT_FOUND, nil
+	}
+	job := l.job
+	if job.GetState() != pb.JobState_JOB_RECEIVING {
+		return pb.JobError_JOB_WRONG_STATE, job
+	}
+	if c.GetSequence() < job.GetChunks() {
+		return pb.JobError_JOB_OK, job
+	}
+	if c.GetSequence() > job.GetChunks() || !consecutive(c.GetItems(), job.GetReceived()) {
+		return pb.JobError_JOB_WRONG_SEQUENCE, job
+	}
+	for _, item := range c.GetItems() {
+		b.Set(partKey(kindItem, job.GetJobId(), item.GetIndex()), encode(item))
+	}
+	job.Chunks++
+	job.Received += uint32(len(c.GetItems()))
+	job.UpdatedUnixMs = now
+	writeJob(b, job)
+	return pb.JobError_JOB_OK, job
+}
+
+func consecutive(items []*pb.Item, from uint32) bool {
+	for i, item := range items {
+		if item.GetIndex() != from+uint32(i) {
+			return false
+		}
+	}
+	return true
+}
+
+// accept makes a wholly received job run.
+func (s *State) accept(b kv.Batch, now uint64, c *pb.JobAccept) (pb.JobError, *pb.Job) {
+	job, ok := readJob(b, c.GetJobId())
+	if !ok {
+		// An accept command that was sent twice may have found an earlier job.
+		if earlier, ok := findDigest(b, now, c.GetCaller(), c.GetDigest()); ok {
+			return pb.JobError_JOB_EXISTS, earlier
+		}
+		return pb.JobError_JOB_NOT_FOUND, nil
+	}
+	if job.GetState() != pb.JobState_JOB_RECEIVING {
+		return acceptAgain(job, c)
+	}
+	l := s.live[c.GetJobId()]
+	job = l.job
+	if c.GetItems() != job.GetReceived() || c.GetItems() == 0 {
+		return pb.JobError_JOB_WRONG_SEQUENCE, job
+	}
+	if job.GetKey() == "" {
+		if earlier, ok := findDigest(b, now, job.GetCaller(), c.GetDigest()); ok {
+			s.remove(b, job)
+			return pb.JobError_JOB_EXISTS, earlier
+		}
+		writeDigest(b, now, job, c.GetDigest())
+	}
+	job.State = pb.JobState_JOB_RUNNING
+	job.Items = c.GetItems()
+	job.Digest = c.GetDigest()
+	job.UpdatedUnixMs = now
+	l.allocate()
+	writeJob(b, job)
+	return pb.JobError_JOB_OK, job
+}
+
+func acceptAgain(job *pb.Job, c *pb.JobAccept) (pb.JobError, *pb.Job) {
+	if !bytes.Equal(job.GetDigest(), c.GetDigest()) {
+		return pb.JobError_JOB_WRONG_DIGEST, job
+	}
+	return pb.JobError_JOB_OK, job
+}
+
+const digestTimeBytes = 8
+
+func writeDigest(b kv.Batch, now uint64, job *pb.Job, digest []byte) {
+	value := binary.BigEndian.AppendUint64(nil, now)
+	b.Set(digestKey(job.GetCaller(), digest), append(value, job.GetJobId()...))
+}
+
+func findDigest(b kv.Batch, now uint64, caller string, digest []byte) (*pb.Job, bool) {
+	value, ok := b.Get(digestKey(caller, digest))
+	if !ok || len(value) < digestTimeBytes {
+		return nil, false
+	}
+	if now >= binary.BigEndian.Uint64(value)+uint64(DigestWindow.Milliseconds()) {
+		return nil, false
+	}
+	return readJob(b, string(value[digestTimeBytes:]))
+}
+
+// abort removes a job that was not accepted.
+func (s *State) abort(b kv.Batch, c *pb.JobAbort) (pb.JobError, *pb.Job) {
+	job, ok := readJob(b, c.GetJobId())
+	if !ok {
+		return pb.JobError_JOB_NOT_FOUND, nil
+	}
+	if job.GetState() != pb.JobState_JOB_RECEIVING {
+		return pb.JobError_JOB_WRONG_STATE, job
+	}
+	s.remove(b, job)
+	return pb.JobError_JOB_OK, job
+}
+
+// cancel ends a running job. A job that completed first stays completed.
+func (s *State) cancel(b kv.Batch, now uint64, c *pb.JobCancel) (pb.JobError, *pb.Job) {
+	job, ok := readJob(b, c.GetJobId())
+	if !ok || !visible(job, c.GetCaller()) {
+		return pb.JobError_JOB_NOT_FOUND, nil
+	}
+	switch job.GetState() {
+	case pb.JobState_JOB_CANCELLED:
+		return pb.JobError_JOB_OK, job
+	case pb.JobState_JOB_RUNNING:
+		job = s.live[c.GetJobId()].job
+		s.finish(b, now, job, pb.JobState_JOB_CANCELLED)
+		return pb.JobError_JOB_OK, job
+	case pb.JobState_JOB_RECEIVING:
+		s.remove(b, job)
+		job.State = pb.JobState_JOB_CANCELLED
+		return pb.JobError_JOB_OK, job
+	}
+	return pb.JobError_JOB_WRONG_STATE, job
+}
+
+// visible reports whether a caller may see a job. The empty caller is an
+// operator, who sees all.
+func visible(job *pb.Job, caller string) bool {
+	return caller == "" || caller == job.GetCaller()
+}
+
+// finish ends a running job, keeps its results, and drops what only running
+// jobs need.
+func (s *State) finish(b kv.Batch, now uint64, job *pb.Job, state pb.JobState) {
+	job.State = state
+	job.FinishedUnixMs = now
+	writeJob(b, job)
+	b.Set(retentionKey(now+job.GetRetentionMs(), job.GetJobId()), nil)
+	s.dropRunning(b, job.GetJobId())
+}
+
+func (s *State) dropRunning(b kv.Batch, jobID string) {
+	delete(s.live, jobID)
+	s.removeEstimate(jobID)
+	deletePart(b, kindItem, jobID)
+	deletePart(b, kindStart, jobID)
+	deletePart(b, kindPage, jobID)
+}
+
+// remove forgets a job altogether.
+func (s *State) remove(b kv.Batch, job *pb.Job) {
+	jobID := job.GetJobId()
+	s.dropRunning(b, jobID)
+	deletePart(b, kindResult, jobID)
+	b.Delete(jobKey(jobID))
+	b.Delete(callerKey(job.GetCaller(), jobID))
+	if job.GetKey() != "" {
+		key := idempotencyKey(job.GetCaller(), job.GetKey())
+		if stored, ok := b.Get(key); ok && string(stored) == jobID {
+			b.Delete(key)
+		}
+	}
+	if len(job.GetDigest()) > 0 {
+		key := digestKey(job.GetCaller(), job.GetDigest())
+		if stored, ok := b.Get(key); ok && len(stored) >= digestTimeBytes && string(stored[digestTimeBytes:]) == jobID {
+			b.Delete(key)
+		}
+	}
+}
+
+// expire removes finished jobs whose retention has ended.
+func (s *State) expire(b kv.Batch, now uint64, c *pb.RetentionExpire) (pb.JobError, *pb.Job) {
+	for _, jobID := range c.GetJobIds() {
+		job, ok := readJob(b, jobID)
+		if !ok || !finished(job.GetState()) {
+			continue
+		}
+		end := job.GetFinishedUnixMs() + job.GetRetentionMs()
+		if end > now {
+			continue
+		}
+		s.remove(b, job)
+		b.Delete(retentionKey(end, jobID))
+	}
+	return pb.JobError_JOB_OK, nil
+}
