--- /dev/null
+++ b/config/bench_test.go
@@ -0,0 +1,96 @@
+package config
+
+import (
+	"fmt"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/briarcross/briarcross/kv"
+	"github.com/briarcross/briarcross/pb"
+)
+
+// countingBatch counts the bytes that a change writes and reads.
+type countingBatch struct {
+	kv.Batch
+	written, read int
+}
+
+func (b *countingBatch) Set(key, value []byte) {
+	b.written += len(key) + len(value)
+	b.Batch.Set(key, value)
+}
+
+func (b *countingBatch) Get(key []byte) ([]byte, bool) {
+	value, ok := b.Batch.Get(key)
+	b.read += len(value)
+	return value, ok
+}
+
+// fill accepts a number of profiles.
+func (s *bench) fill(documents int) {
+	for first := 0; first < documents; first += MaxOps {
+		c := change(fmt.Sprint("fill-", first))
+		for i := first; i < min(first+MaxOps, documents); i++ {
+			c.Ops = append(c.Ops, put(0, profile(fmt.Sprint("p", i), "online", 1)))
+		}
+		if s.change(c).GetOutcome() != accepted {
+			panic("the configuration was not accepted")
+		}
+	}
+}
+
+// BenchmarkChange measures one change against the size of the configuration:
+// the bytes that it reads and writes, and the bytes of its update.
+func BenchmarkChange(b *testing.B) {
+	for _, documents := range []int{10, 100, 1000, 10_000} {
+		b.Run(fmt.Sprintf("documents=%d", documents), func(b *testing.B) {
+			s := newBench()
+			s.fill(documents)
+			revision := s.state.Revision(s.store)
+			expected := s.state.Query(s.store, &pb.ConfigQuery{Name: "profile/p5"}).GetDocuments()[0].GetRevision()
+			written, read, update := 0, 0, 0
+			doc := profile("p5", "online", 0)
+			for b.Loop() {
+				doc.GetProfile().Priority = uint32((revision + 2) % 1000)
+				batch := &countingBatch{Batch: s.store.NewBatch()}
+				c := change(fmt.Sprint(revision), put(expected, doc))
+				if s.state.Change(batch, c, s.now).GetOutcome() != accepted {
+					b.Fatal("the change was not accepted")
+				}
+				if err := s.store.Commit(batch.Batch, true); err != nil {
+					b.Fatal(err)
+				}
+				update += proto.Size(s.state.UpdateSince(s.store, revision))
+				revision++
+				expected = revision
+				written += batch.written
+				read += batch.read
+			}
+			b.ReportMetric(float64(written)/float64(b.N), "written-bytes/change")
+			b.ReportMetric(float64(read)/float64(b.N), "read-bytes/change")
+			b.ReportMetric(float64(update)/float64(b.N), "update-bytes/change")
+		})
+	}
+}
+
+// BenchmarkTableApply measures an update at a daemon against the size of its
+// table.
+func BenchmarkTableApply(b *testing.B) {
+	for _, documents := range []int{10, 100, 1000, 10_000} {
+		b.Run(fmt.Sprintf("documents=%d", documents), func(b *testing.B) {
+			s := newBench()
+			s.fill(documents)
+			table := NewTable()
+			table.Apply(s.state.UpdateSince(s.store, 0))
+			doc := profile("p5", "online", 3)
+			for b.Loop() {
+				next := table.Revision() + 1
+				u := &pb.ConfigUpdate{Base: next - 1, Revision: next, Documents: []*pb.Document{doc}}
+				if table.Apply(u) != Applied {
+					b.Fatal("the update was not applied")
+				}
+			}
+		})
+	}
+}
