--- /dev/null
+++ b/gate/bench_test.go
@@ -0,0 +1,180 @@
+package gate_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/briarcross/briarcross/core"
+	"github.com/briarcross/briarcross/gate"
+	"github.com/briarcross/briarcross/sidecar"
+)
+
+// onlineAsk makes requests that share some system prompts.
+func onlineAsk(random *rand.Rand) func(n int) gate.Request {
+	return func(n int) gate.Request {
+		r := gate.Request{
+			ID: fmt.Sprint("r", n), Caller: fmt.Sprint("c", n%20), Service: "check", Idempotent: true,
+			PromptTokens: 100 + random.IntN(500), MaxTokens: 20 + random.IntN(100),
+		}
+		return r
+	}
+}
+
+func batchItems(random *rand.Rand) func(n int) sidecar.Work {
+	return func(int) sidecar.Work {
+		return sidecar.Work{
+			Class: sidecar.Batch, Service: "check", Idempotent: true,
+			PromptTokens: 200 + random.IntN(400), MaxTokens: 100 + random.IntN(100),
+		}
+	}
+}
+
+func quantile(samples []time.Duration, q float64) time.Duration {
+	if len(samples) == 0 {
+		return 0
+	}
+	slices.Sort(samples)
+	return samples[int(q*float64(len(samples)-1))]
+}
+
+type figures struct {
+	first, gaps []time.Duration
+	done        int
+	good        int
+	refused     int
+	batch       batchTotals
+	tokens      int
+}
+
+const (
+	warmUp       = 10 * time.Second
+	measure      = 120 * time.Second
+	measureSeeds = 6
+)
+
+// measureFleet runs a load with several seeds and returns what callers saw
+// after the warm-up.
+func measureFleet(m mode, perSecond float64, withBatch bool, change func(*fleet)) figures {
+	results := make([]figures, measureSeeds)
+	var group errgroup.Group
+	group.SetLimit(3)
+	for i := range results {
+		group.Go(func() error {
+			results[i] = measureSeed(m, uint64(i+1), perSecond, withBatch, change)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	var all figures
+	for _, r := range results {
+		all.add(r)
+	}
+	return all
+}
+
+func (r *figures) add(o figures) {
+	r.first = append(r.first, o.first...)
+	r.gaps = append(r.gaps, o.gaps...)
+	r.done += o.done
+	r.good += o.good
+	r.refused += o.refused
+	r.tokens += o.tokens
+	r.batch.done += o.batch.done
+	r.batch.tokens += o.batch.tokens
+	r.batch.stopped += o.batch.stopped
+}
+
+func measureSeed(m mode, seed uint64, perSecond float64, withBatch bool, change func(*fleet)) figures {
+	f := newFleet(seed, 3, 9, m)
+	if change != nil {
+		change(f)
+	}
+	random := core.NewRand(seed + 1000)
+	if withBatch {
+		f.items = batchItems(core.NewRand(seed + 2000))
+		for _, h := range f.hosts {
+			h.pull()
+		}
+	}
+	if perSecond > 0 {
+		f.after(10*time.Millisecond, func() { f.poisson(perSecond, warmUp+measure, onlineAsk(random)) })
+	}
+	f.runFor(warmUp)
+	before := f.batch
+	f.runFor(measure)
+	result := f.figures(epoch.Add(warmUp), epoch.Add(warmUp+measure))
+	result.batch.tokens = f.batch.tokens - before.tokens
+	result.batch.done = f.batch.done - before.done
+	result.batch.stopped = f.batch.stopped - before.stopped
+	return result
+}
+
+func (f *fleet) figures(from, to time.Time) figures {
+	var all figures
+	for _, c := range f.calls {
+		if c.arrived.Before(from) {
+			continue
+		}
+		if c.tokens > 0 {
+			all.first = append(all.first, c.first.Sub(c.arrived))
+			all.gaps = append(all.gaps, c.gaps...)
+		}
+		all.tokens += c.tokens
+		if c.finishes == 0 || c.finished.After(to) {
+			continue
+		}
+		if c.tokens == c.request.MaxTokens {
+			all.done++
+			if c.first.Sub(c.arrived) <= time.Duration(f.profile.FirstTokenMs)*time.Millisecond {
+				all.good++
+			}
+		} else {
+			all.refused++
+		}
+	}
+	return all
+}
+
+func (r figures) String() string {
+	ms := func(s []time.Duration, q float64) string {
+		return fmt.Sprintf("%6.1f", float64(quantile(s, q))/float64(time.Millisecond))
+	}
+	return fmt.Sprintf("first p50 %s p95 %s p99 %s  gap p50 %s p95 %s p99 %s  done %5d good %5d refused %5d  batch tokens %7d items %5d stops %d",
+		ms(r.first, 0.5), ms(r.first, 0.95), ms(r.first, 0.99), ms(r.gaps, 0.5), ms(r.gaps, 0.95), ms(r.gaps, 0.99),
+		r.done, r.good, r.refused, r.batch.tokens, r.batch.done, r.batch.stopped)
+}
+
+// BenchmarkBatchBesideOnline measures the harm of batch work to online latency
+// and the batch throughput against two baselines.
+func BenchmarkBatchBesideOnline(b *testing.B) {
+	for b.Loop() {
+		b.Log("batch only       ", measureFleet(briarcross, 0, true, nil))
+		b.Log("batch only direct", measureFleet(direct, 0, true, nil))
+		for _, rate := range []float64{20, 100} {
+			b.Log("rate", rate)
+			b.Log("alone            ", measureFleet(briarcross, rate, false, nil))
+			b.Log("direct           ", measureFleet(direct, rate, true, nil))
+			b.Log("entry priorities ", measureFleet(entryPriority, rate, true, nil))
+			for _, harm := range []uint32{50, 200, 1000} {
+				b.Log("spread harm", harm, measureFleet(spread, rate, true, func(f *fleet) { f.profile.HarmPermille = harm }))
+				b.Log("briarcross harm", harm, measureFleet(briarcross, rate, true, func(f *fleet) { f.profile.HarmPermille = harm }))
+			}
+		}
+	}
+}
+
+// BenchmarkOverload measures the goodput at multiples of the capacity.
+func BenchmarkOverload(b *testing.B) {
+	const capacity = 225
+	for b.Loop() {
+		for _, times := range []float64{0.5, 0.9, 1, 2, 10} {
+			b.Log(times, measureFleet(briarcross, capacity*times, false, nil))
+		}
+		b.Log("direct 2", measureFleet(direct, capacity*2, false, nil))
+	}
+}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -17,6 +17,8 @@
 	Seed       uint64
 	// RandomRoute turns affinity and load off, for comparisons.
 	RandomRoute bool
+	// SpreadRoute never packs online work, for comparisons.
+	SpreadRoute bool
 }
 
 // Gate is the core of an entry. It implements core.Core.
@@ -45,6 +47,7 @@
 			DataCentre: o.DataCentre,
 			Seed:       o.Seed + 1,
 			Random:     o.RandomRoute,
+			Spread:     o.SpreadRoute,
 		}),
 		callers:  admit.NewCallers(),
 		budgets:  make(map[string]*admit.Budget),
@@ -67,7 +70,7 @@
 	case CallerGone:
 		g.callerGone(now, in.ID)
 	case MemberChanged:
-		g.routes.Put(in.Member)
+		g.routes.Put(now, in.Member)
 	case MemberGone:
 		g.routes.Remove(in.ID)
 	case Config:
--- a/route/pick.go
+++ b/route/pick.go
@@ -20,6 +20,9 @@
 	if hasRoom(now, near) {
 		tier = near
 	}
+	if !t.options.Spread {
+		tier = t.services[q.Service].pack(now, tier)
+	}
 	u := t.choose(now, tier, q.Prefix)
 	if q.RoomOnly && u.fill(now) >= roomFill {
 		return nil, false
@@ -29,7 +32,7 @@
 
 // Serves reports whether a service has an upstream that may be tried.
 func (t *Table) Serves(now time.Time, service string) bool {
-	for _, u := range t.services[service] {
+	for _, u := range t.upstreams(service) {
 		if t.usable(now, u, Query{}) {
 			return true
 		}
@@ -41,13 +44,13 @@
 // centre first. The slices are valid until the next call.
 func (t *Table) candidates(now time.Time, q Query) (near, all []*Upstream) {
 	t.scratch = t.scratch[:0]
-	for _, u := range t.services[q.Service] {
+	for _, u := range t.upstreams(q.Service) {
 		if t.usable(now, u, q) && t.isNear(u) {
 			t.scratch = append(t.scratch, u)
 		}
 	}
 	count := len(t.scratch)
-	for _, u := range t.services[q.Service] {
+	for _, u := range t.upstreams(q.Service) {
 		if t.usable(now, u, q) && !t.isNear(u) {
 			t.scratch = append(t.scratch, u)
 		}
--- a/route/table.go
+++ b/route/table.go
@@ -31,6 +31,8 @@
 	Seed       uint64
 	// Random turns affinity and load off, for comparisons.
 	Random bool
+	// Spread never packs online work, for comparisons.
+	Spread bool
 }
 
 // Query describes the attempt that looks for an upstream.
@@ -49,7 +51,7 @@
 	options  Options
 	random   *rand.Rand
 	byID     map[string]*Upstream
-	services map[string][]*Upstream
+	services map[string]*service
 	scratch  []*Upstream
 }
 
@@ -59,14 +61,18 @@
 		options:  o,
 		random:   core.NewRand(o.Seed),
 		byID:     make(map[string]*Upstream),
-		services: make(map[string][]*Upstream),
+		services: make(map[string]*service),
 	}
 }
 
-// Put takes over an announcement. Older ones than the last are ignored.
-func (t *Table) Put(member *pb.Member) {
+// Put takes over an announcement. Of one that is repeated only the load is
+// taken, of an older one nothing.
+func (t *Table) Put(now time.Time, member *pb.Member) {
 	u, ok := t.byID[member.GetId()]
 	if ok && !newer(member, u.member) {
+		if !newer(u.member, member) {
+			u.announceLoad(now, member.GetLoad())
+		}
 		return
 	}
 	if member.GetState() == pb.MemberState_MEMBER_LEFT {
@@ -75,13 +81,13 @@
 	}
 	if !ok || member.GetIncarnation() != u.member.GetIncarnation() {
 		t.Remove(member.GetId())
-		u = newUpstream(member)
+		u = newUpstream(now, member)
 		t.byID[member.GetId()] = u
 		t.list(u)
 		return
 	}
 	t.unlist(u)
-	u.announce(member)
+	u.announce(now, member)
 	t.list(u)
 }
 
@@ -103,29 +109,32 @@
 }
 
 func (t *Table) list(u *Upstream) {
-	for _, service := range u.member.GetServices() {
-		list := t.services[service]
-		at, _ := slices.BinarySearchFunc(list, u, byID)
-		t.services[service] = slices.Insert(list, at, u)
+	for _, name := range u.member.GetServices() {
+		s, ok := t.services[name]
+		if !ok {
+			s = newService(name)
+			t.services[name] = s
+		}
+		at, _ := slices.BinarySearchFunc(s.upstreams, u, s.order)
+		s.upstreams = slices.Insert(s.upstreams, at, u)
 	}
 }
 
 func (t *Table) unlist(u *Upstream) {
-	for _, service := range u.member.GetServices() {
-		list := t.services[service]
-		at := slices.Index(list, u)
-		t.services[service] = slices.Delete(list, at, at+1)
+	for _, name := range u.member.GetServices() {
+		s := t.services[name]
+		at := slices.Index(s.upstreams, u)
+		s.upstreams = slices.Delete(s.upstreams, at, at+1)
 	}
 }
 
-func byID(a, b *Upstream) int {
-	switch {
-	case a.member.GetId() < b.member.GetId():
-		return -1
-	case a.member.GetId() > b.member.GetId():
-		return 1
+// upstreams returns the upstreams of a service in its order.
+func (t *Table) upstreams(name string) []*Upstream {
+	s, ok := t.services[name]
+	if !ok {
+		return nil
 	}
-	return 0
+	return s.upstreams
 }
 
 // Drain takes an upstream out of the choice until its next announcement.
@@ -145,7 +154,7 @@
 // Capacity returns the number of requests that a service can hold.
 func (t *Table) Capacity(service string) int {
 	places := 0
-	for _, u := range t.services[service] {
+	for _, u := range t.upstreams(service) {
 		if u.serves() {
 			places += u.window()
 		}
@@ -180,7 +189,7 @@
 func (t *Table) mayEject(now time.Time, u *Upstream) bool {
 	for _, service := range u.member.GetServices() {
 		ejected := 1
-		list := t.services[service]
+		list := t.upstreams(service)
 		for _, other := range list {
 			if other != u && other.isEjected(now) {
 				ejected++
--- a/route/upstream.go
+++ b/route/upstream.go
@@ -14,6 +14,9 @@
 	unknownWindow = 8
 	// staleHalfLife is the time after which a reported load counts half.
 	staleHalfLife = time.Second
+	// loadFresh is the age below which a load from an answer is kept when
+	// another is announced.
+	loadFresh = 200 * time.Millisecond
 	// slowLimit bounds the factor by which a slow upstream's load is raised.
 	slowLimit = 16.0
 	// failuresToEject is the number of failures in a row that ejects an upstream.
@@ -44,19 +47,25 @@
 	lastFault time.Time
 }
 
-func newUpstream(member *pb.Member) *Upstream {
+func newUpstream(now time.Time, member *pb.Member) *Upstream {
 	u := &Upstream{hash: xxhash.Sum64String(member.GetId())}
-	u.announce(member)
+	u.announce(now, member)
 	return u
 }
 
 // Member returns the member as last announced.
 func (u *Upstream) Member() *pb.Member { return u.member }
 
-func (u *Upstream) announce(member *pb.Member) {
+func (u *Upstream) announce(now time.Time, member *pb.Member) {
 	u.member = member
-	if u.load == nil {
-		u.load = member.GetLoad()
+	u.announceLoad(now, member.GetLoad())
+}
+
+// announceLoad takes over an announced load unless an answer has brought one
+// lately.
+func (u *Upstream) announceLoad(now time.Time, load *pb.Load) {
+	if now.Sub(u.loadAt) >= loadFresh {
+		u.report(now, load)
 	}
 }
 
--- a/sidecar/admit.go
+++ b/sidecar/admit.go
@@ -16,6 +16,9 @@
 	// rampPeriod is the time between two steps by which batch work returns
 	// after a yield.
 	rampPeriod = 20 * time.Millisecond
+	// harmNoiseDivisor is the share of the limit of harm that batch streams may
+	// exceed before some are stopped, as a reciprocal.
+	harmNoiseDivisor = 4
 	// batchAhead is the number of batch items that are held in the queue.
 	batchAhead = 2
 )
@@ -32,7 +35,7 @@
 	if !w.QueueBy.IsZero() && now.Add(wait).After(w.QueueBy) {
 		return pb.Reason_REASON_OVERLOADED, wait
 	}
-	if w.FirstToken > 0 && wait > s.slack(w.FirstToken) {
+	if w.FirstToken > 0 && wait > s.slack(now, w.FirstToken) {
 		return pb.Reason_REASON_OVERLOADED, wait
 	}
 	return pb.Reason_REASON_NONE, 0
@@ -50,7 +53,12 @@
 }
 
 // slack returns the part of a first-token target that may be spent in the queue.
-func (s *Sidecar) slack(target time.Duration) time.Duration {
+// A queue that has stood for longer than the target serves nobody, so it is kept
+// short.
+func (s *Sidecar) slack(now time.Time, target time.Duration) time.Duration {
+	if s.online.len() > 0 && now.Sub(s.queueSince) > target {
+		return target / slackDivisor
+	}
 	return max(target-s.latency.firstToken.value, target/slackDivisor)
 }
 
@@ -74,7 +82,7 @@
 
 // tooLate tells that a request has waited so long that it would miss its target.
 func (s *Sidecar) tooLate(now time.Time, e *entry) bool {
-	return e.work.FirstToken > 0 && now.Sub(e.submitted) > s.slack(e.work.FirstToken)
+	return e.work.FirstToken > 0 && now.Sub(e.submitted) > s.slack(now, e.work.FirstToken)
 }
 
 // makePlace reports whether an online stream may start now, and stops a batch
@@ -129,32 +137,42 @@
 	s.out.Put(Start{ID: e.work.ID, Resume: resume})
 }
 
+// reserve returns the places that batch work leaves free for online work.
+func (s *Sidecar) reserve() int {
+	return max(1, s.window.size/reserveDivisor)
+}
+
 // batchLimit returns the number of batch streams that may run now.
 func (s *Sidecar) batchLimit(now time.Time) int {
-	reserve := max(1, s.window.size/reserveDivisor)
-	limit := s.window.size - s.streams.online - s.online.len() - reserve
-	if s.harm.active(now) {
+	limit := s.window.size - s.streams.online - s.online.len() - s.reserve()
+	if !s.options.NoYield && s.harm.active(now) {
 		limit = min(limit, s.harm.limit(s.streams.online, s.window.size))
 	}
 	return max(limit, 0)
 }
 
-// yield stops batch streams that exceed the limit of harm.
+// yield stops batch streams that exceed the limit of harm by more than its
+// noise. A stream that has less to do than it would lose goes on.
 func (s *Sidecar) yield(now time.Time) {
 	if s.options.NoYield || !s.harm.active(now) {
 		return
 	}
 	limit := s.harm.limit(s.streams.online, s.window.size)
-	for s.streams.batch()-s.streams.stopping > limit {
+	excess := s.streams.batch() - s.streams.stopping - limit
+	if excess <= limit/harmNoiseDivisor {
+		return
+	}
+	for range excess {
 		e := s.streams.cheapest(s.stopLoss)
-		if e == nil {
+		if e == nil || s.stopLoss(e) > (e.work.MaxTokens-e.tokens)*decodeCost {
 			return
 		}
 		s.stopForRoom(now, e)
 	}
 }
 
-// admitBatch fills the places that online work leaves.
+// admitBatch fills the places that online work leaves. Beside online work the
+// starts are spaced out, because each puts a prompt into a step of the engine.
 func (s *Sidecar) admitBatch(now time.Time) {
 	if s.draining || s.window.kvFull {
 		return
@@ -162,13 +180,26 @@
 	limit := min(s.batchLimit(now), s.ramp.limit(now))
 	for s.streams.batch() < limit {
 		e := s.batch.first()
-		if e == nil {
+		if e == nil || !s.mayAddPrompt(now, e) {
 			return
 		}
 		s.start(now, e)
 	}
 }
 
+// mayAddPrompt tells that the prompt of a batch item harms no online work beyond
+// the bound.
+func (s *Sidecar) mayAddPrompt(now time.Time, e *entry) bool {
+	if !s.harm.active(now) || e.paused || s.options.NoYield {
+		return true
+	}
+	if s.streams.onlineWaiting > 0 || now.Before(s.harm.nextPrompt) {
+		return false
+	}
+	s.harm.addPrompt(now)
+	return true
+}
+
 // batchRoom returns the number of batch items that can be taken.
 func (s *Sidecar) batchRoom() int {
 	if s.draining {
--- a/sidecar/harm.go
+++ b/sidecar/harm.go
@@ -9,15 +9,20 @@
 const (
 	// harmDecay weighs earlier samples against a new one.
 	harmDecay = 0.999
-	// harmOutlier is the multiple of the predicted step beyond which an
-	// interval is taken for one that a long prompt has stretched.
-	harmOutlier = 1.5
+	// harmSlowWeight is the weight of an interval above the prediction. Prompts
+	// stretch steps, so the fit follows the fast ones.
+	harmSlowWeight = 0.05
 	// harmMinimum is the least spread of the stream count, as a variance, from
 	// which a slope is derived.
 	harmMinimum = 0.5
 	// onlineMemory is the time for which the engine counts as in use by online
 	// work after the last stream.
 	onlineMemory = time.Second
+	// boundExponent makes small bounds smaller for each way of doing harm.
+	boundExponent = 1.25
+	// promptShare is the share of the engine's steps that may carry a batch
+	// prompt beside online work, for a bound of one.
+	promptShare = 0.25
 )
 
 // harm learns the step time of the engine as a linear function of its running
@@ -28,9 +33,12 @@
 	permille uint32
 	// The weighted sums of a least-squares fit: n streams, t seconds.
 	weight, sumN, sumT, sumNN, sumNT float64
-	first                            ewma
+	step                             ewma
 	lastOnline                       time.Time
 	seenOnline                       bool
+	// nextPrompt is the earliest time for another batch prompt beside online
+	// work.
+	nextPrompt time.Time
 }
 
 func newHarm(permille uint32) harm {
@@ -45,18 +53,18 @@
 	}
 }
 
-func (h *harm) firstToken(took time.Duration) { h.first.add(took) }
-
 func (h *harm) interval(took time.Duration, streams int) {
+	h.step.add(took)
 	t, n := took.Seconds(), float64(streams)
-	if base, slope, ok := h.fit(); ok && t > harmOutlier*(base+slope*n) {
-		t = harmOutlier * (base + slope*n)
+	weight := 1.0
+	if base, slope, ok := h.fit(); ok && t > base+slope*n {
+		weight = harmSlowWeight
 	}
-	h.weight = h.weight*harmDecay + 1
-	h.sumN = h.sumN*harmDecay + n
-	h.sumT = h.sumT*harmDecay + t
-	h.sumNN = h.sumNN*harmDecay + n*n
-	h.sumNT = h.sumNT*harmDecay + n*t
+	h.weight = h.weight*harmDecay + weight
+	h.sumN = h.sumN*harmDecay + weight*n
+	h.sumT = h.sumT*harmDecay + weight*t
+	h.sumNN = h.sumNN*harmDecay + weight*n*n
+	h.sumNT = h.sumNT*harmDecay + weight*n*t
 }
 
 // fit returns the step time without streams and its growth for each stream, in
@@ -87,13 +95,33 @@
 }
 
 // limit returns the greatest number of batch streams that keep the harm within
-// its bound, beside a number of online streams.
+// its bound, beside a number of online streams. A first token takes some steps
+// of the engine, so what holds for one step holds for it.
 func (h *harm) limit(online, window int) int {
 	base, slope, ok := h.fit()
 	if !ok || slope == 0 {
 		return window
 	}
-	alone := max(base+slope*float64(online), h.first.value.Seconds())
-	streams := float64(h.permille) / 1000 * alone / slope
+	alone := base + slope*float64(online)
+	streams := h.bound() * alone / slope
 	return int(math.Min(streams, float64(window)))
 }
+
+// addPrompt spaces the batch prompts so that they are in a bounded share of the
+// steps.
+func (h *harm) addPrompt(now time.Time) {
+	bound := h.bound()
+	if bound == 0 {
+		return
+	}
+	gap := float64(h.step.value) / (bound * promptShare)
+	h.nextPrompt = now.Add(time.Duration(gap))
+}
+
+// bound returns the part of the harm that each way of doing harm may use. The
+// ways add up in the tail, where a small harm weighs most: batch tokens in each
+// step, batch prompts in some, and packed online work.
+func (h *harm) bound() float64 {
+	share := float64(h.permille) / 1000
+	return math.Pow(share, boundExponent)
+}
--- a/sidecar/requests.go
+++ b/sidecar/requests.go
@@ -232,14 +232,13 @@
 }
 
 func (s *Sidecar) firstToken(now time.Time, e *entry) {
-	s.streams.waiting--
 	if e.work.Class != Online {
 		return
 	}
+	s.streams.onlineWaiting--
 	took := now.Sub(e.started)
 	s.latency.firstToken.add(took)
 	s.window.firstToken(took, e.work.FirstToken)
-	s.harm.firstToken(took)
 }
 
 func (s *Sidecar) nextTokens(now time.Time, e *entry, count int) {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -82,10 +82,12 @@
 	ramp     ramp
 	prefixes prefixIndex
 	sequence uint64
-	services []string
-	draining bool
-	drained  bool
-	room     int
+	// queueSince is the time at which the online queue was last empty.
+	queueSince time.Time
+	services   []string
+	draining   bool
+	drained    bool
+	room       int
 }
 
 // New returns a sidecar core with nothing queued or running.
@@ -135,7 +137,7 @@
 	s.expire(now)
 	s.returnHeld(now)
 	s.recent.expire(now)
-	s.window.adapt(now, s.streams.count(), s.online.len() > 0)
+	s.window.adapt(now, s.streams.count()+s.reserve(), s.online.len() > 0)
 	s.harm.adapt(now, s.streams.online)
 	s.run(now)
 }
@@ -160,6 +162,9 @@
 // run admits what can start and reports changes.
 func (s *Sidecar) run(now time.Time) {
 	s.admitOnline(now)
+	if s.online.len() == 0 {
+		s.queueSince = now
+	}
 	s.yield(now)
 	s.admitBatch(now)
 	s.reportRoom()
--- a/sidecar/streams.go
+++ b/sidecar/streams.go
@@ -7,8 +7,8 @@
 	online int
 	// stopping streams were told to stop and still hold their places.
 	stopping int
-	// waiting streams have produced no token since their start.
-	waiting int
+	// onlineWaiting streams have produced no token since their start.
+	onlineWaiting int
 	// items are the running batch streams in the order of their starts.
 	items []*entry
 }
@@ -18,20 +18,20 @@
 func (s *streams) count() int { return s.online + len(s.items) }
 
 func (s *streams) add(e *entry) {
-	s.waiting++
 	if e.work.Class == Online {
 		s.online++
+		s.onlineWaiting++
 		return
 	}
 	s.items = append(s.items, e)
 }
 
 func (s *streams) remove(e *entry) {
-	if e.lastToken.IsZero() {
-		s.waiting--
-	}
 	if e.work.Class == Online {
 		s.online--
+		if e.lastToken.IsZero() {
+			s.onlineWaiting--
+		}
 		return
 	}
 	at := slices.Index(s.items, e)
