--- a/sidecar/admit.go
+++ b/sidecar/admit.go
@@ -101,7 +101,7 @@
 		e := s.streams.cheapest(s.stopLoss)
 		if e == nil {
 			// Online work does not wait for batch streams that cannot stop.
-			return s.streams.stopping == 0
+			return !s.options.WaitForStop || s.streams.stopping == 0
 		}
 		s.stopForRoom(now, e)
 		if !s.options.WaitForStop {
