Add the engine clients, OpenAI formats, fake engine and fake service

Cause: sidecars need a client whose outcome can be trusted, and tests need engines that fail on demand. Change: package engine (HTTP clients of model engines and plain services on fasthttp's codec, own connections, exact Sent and Complete), package openai (requests, chunks, aggregation, prefix hashes, errors), lab/engine (a deterministic fake engine with continuous batching, prefix cache, lagging reports, faults and a ledger) and lab/service (a recording plain service). Conclusion: shells can be built on this interface.

--- /dev/null
+++ b/engine/alive.go
@@ -0,0 +1,27 @@
+package engine
+
+import (
+	"net"
+	"syscall"
+)
+
+// alive reports whether an idle connection can carry a request: the peer has
+// neither closed it nor sent anything.
+func alive(c net.Conn) bool {
+	source, ok := c.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := source.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var probe [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), probe[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
+		return true
+	})
+	return err == nil && quiet
+}
--- /dev/null
+++ b/engine/calls.go
@@ -0,0 +1,130 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"strconv"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/briarcross/briarcross/pb"
+)
+
+// statusError is an answer with a status of 400 or above.
+type statusError struct {
+	status int
+	body   []byte
+}
+
+func (e *statusError) Error() string {
+	return "engine: status " + strconv.Itoa(e.status) + ": " + string(e.body)
+}
+
+// notSentError wraps a failure of a request that did not leave the process.
+type notSentError struct{ err error }
+
+func (e *notSentError) Error() string { return e.err.Error() }
+func (e *notSentError) Unwrap() error { return e.err }
+
+// call sends a JSON request and reads a JSON reply. A nil reply is not read.
+func (h *httpClient) call(ctx context.Context, method, path string, body, reply any) error {
+	ctx, stop := context.WithTimeout(ctx, h.options.CallTimeout)
+	defer stop()
+	x := newExchange(h.pool)
+	x.request.Header.SetMethod(method)
+	x.request.SetRequestURI("http://" + h.pool.address + path)
+	if body != nil {
+		encoded, err := json.Marshal(body)
+		if err != nil {
+			x.finish(false)
+			return eris.Wrap(err, "engine: encode request")
+		}
+		x.request.Header.SetContentType("application/json")
+		x.request.SetBodyRaw(encoded)
+	}
+	if err := x.send(ctx); err != nil {
+		sent := x.sent
+		x.finish(false)
+		err = firstError(ctx, err)
+		if !sent {
+			return &notSentError{err}
+		}
+		return err
+	}
+	answer, err := io.ReadAll(io.LimitReader(x.body(), int64(h.options.MaxBody)+1))
+	if err == nil && len(answer) > h.options.MaxBody {
+		err = eris.New("engine: answer is too large")
+	}
+	status := x.status()
+	x.finish(err == nil)
+	if err != nil {
+		return firstError(ctx, err)
+	}
+	if status >= 400 {
+		return &statusError{status: status, body: answer}
+	}
+	if reply == nil {
+		return nil
+	}
+	return eris.Wrap(json.Unmarshal(answer, reply), "engine: decode answer")
+}
+
+// Load implements Client.
+func (h *httpClient) Load(ctx context.Context) (Load, error) {
+	var load Load
+	err := h.call(ctx, "GET", PathLoad, nil, &load)
+	return load, err
+}
+
+// Order implements Client.
+func (h *httpClient) Order(ctx context.Context, order *pb.Order) OrderResult {
+	request := OrderRequest{
+		FencingNumber: order.GetFencingNumber(),
+		Kind:          order.GetKind().String(),
+		Subject:       order.GetSubject(),
+		Version:       order.GetVersion(),
+	}
+	var reply OrderReply
+	err := h.call(ctx, "POST", PathOrders, request, &reply)
+	var status *statusError
+	var notSent *notSentError
+	switch {
+	case eris.As(err, &notSent):
+		return OrderResult{Outcome: OrderNotSent, Err: err}
+	case eris.As(err, &status) && status.status < 500:
+		return OrderResult{Outcome: OrderRefused, Reason: string(status.body), Err: err}
+	case err != nil:
+		return OrderResult{Outcome: OrderUnknown, Err: err}
+	case !reply.Done:
+		return OrderResult{Outcome: OrderRefused, Reason: reply.Reason}
+	}
+	return OrderResult{Outcome: OrderDone}
+}
+
+// Export implements Client.
+func (h *httpClient) Export(ctx context.Context, id string) ([]byte, error) {
+	var reply struct {
+		Handle []byte `json:"handle"`
+	}
+	err := h.call(ctx, "POST", PathExport, ExportRequest{ID: id}, &reply)
+	return reply.Handle, err
+}
+
+// Serves implements Client.
+func (h *httpClient) Serves(ctx context.Context) (Identity, error) {
+	var identity Identity
+	err := h.call(ctx, "GET", PathIdentity, nil, &identity)
+	return identity, err
+}
+
+// CacheEvents implements Client.
+func (h *httpClient) CacheEvents(ctx context.Context, after uint64) ([]CacheEvent, uint64, error) {
+	var reply CacheEventsReply
+	path := PathCacheEvents + "?after=" + strconv.FormatUint(after, 10)
+	err := h.call(ctx, "GET", path, nil, &reply)
+	if err != nil {
+		return nil, after, err
+	}
+	return reply.Events, reply.Next, nil
+}
--- /dev/null
+++ b/engine/exchange.go
@@ -0,0 +1,153 @@
+package engine
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"github.com/briarcross/briarcross/pb"
+)
+
+// ErrIncomplete means that an answer ended before its announced end.
+var ErrIncomplete = eris.New("engine: answer ended early")
+
+// exchange is one HTTP request and its answer on one connection.
+type exchange struct {
+	pool     *pool
+	conn     *conn
+	request  *fasthttp.Request
+	response *fasthttp.Response
+	// unwatch stops the closing of the connection on cancel; it reports
+	// whether the connection is still open.
+	unwatch func() bool
+	sent    bool
+}
+
+func newExchange(p *pool) *exchange {
+	x := &exchange{pool: p}
+	x.request = fasthttp.AcquireRequest()
+	x.response = fasthttp.AcquireResponse()
+	x.response.StreamBody = true
+	x.request.SetRequestURI("http://" + p.address + "/")
+	return x
+}
+
+// send writes the request and reads the head of the answer.
+func (x *exchange) send(ctx context.Context) error {
+	c, err := x.pool.get(ctx)
+	if err != nil {
+		return err
+	}
+	x.conn = c
+	x.unwatch = context.AfterFunc(ctx, func() { _ = c.Conn.Close() })
+	err = x.request.Write(c.writer)
+	if err == nil {
+		err = c.writer.Flush()
+	}
+	x.sent = c.written > 0
+	if err != nil {
+		return eris.Wrap(err, "engine: send request")
+	}
+	if x.request.Header.IsHead() {
+		x.response.SkipBody = true
+	}
+	if err := x.response.ReadLimitBody(c.reader, 0); err != nil {
+		return eris.Wrap(err, "engine: read answer")
+	}
+	return nil
+}
+
+// body returns the stream of the answer's body.
+func (x *exchange) body() io.Reader {
+	stream := x.response.BodyStream()
+	if stream == nil {
+		return eofReader{}
+	}
+	return &lengthReader{source: stream, left: x.response.Header.ContentLength()}
+}
+
+// status returns the HTTP status, or zero when no answer came.
+func (x *exchange) status() int {
+	if x.conn == nil {
+		return 0
+	}
+	return x.response.StatusCode()
+}
+
+// finish releases the exchange. With reuse set, the body was read to its end
+// and the connection may carry the next request.
+func (x *exchange) finish(reuse bool) {
+	if x.conn != nil {
+		reuse = x.unwatch() && reuse
+		reuse = reuse && !x.response.ConnectionClose() && x.response.Header.ContentLength() >= -1
+		if !reuse {
+			_ = x.conn.Conn.Close()
+		}
+		_ = x.response.CloseBodyStream()
+		if reuse {
+			x.pool.put(x.conn)
+		}
+	}
+	fasthttp.ReleaseRequest(x.request)
+	fasthttp.ReleaseResponse(x.response)
+}
+
+// drainTimeout bounds the wait for the end of a chunked body whose content is
+// complete.
+const drainTimeout = 100 * time.Millisecond
+
+// drain reads the end of a stream after its end mark. It reports whether the
+// connection can be reused.
+func (x *exchange) drain() bool {
+	if x.conn.SetReadDeadline(time.Now().Add(drainTimeout)) != nil {
+		return false
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(x.body(), readBufferBytes))
+	return err == nil && n < readBufferBytes && x.conn.SetReadDeadline(time.Time{}) == nil
+}
+
+type eofReader struct{}
+
+func (eofReader) Read([]byte) (int, error) { return 0, io.EOF }
+
+// lengthReader turns an end before Content-Length into ErrIncomplete.
+type lengthReader struct {
+	source io.Reader
+	// left is negative when no length was announced.
+	left int
+}
+
+func (r *lengthReader) Read(p []byte) (int, error) {
+	n, err := r.source.Read(p)
+	if r.left >= 0 {
+		r.left -= n
+	}
+	if err == io.EOF && r.left > 0 {
+		err = ErrIncomplete
+	}
+	return n, err
+}
+
+// setHeaders copies request headers that are meant for the upstream.
+func setHeaders(request *fasthttp.Request, headers []*pb.HeaderField) {
+	for _, field := range headers {
+		if !hopByHop(field.GetName()) {
+			request.Header.Add(field.GetName(), field.GetValue())
+		}
+	}
+}
+
+// answerHeaders returns the headers of an answer that are meant for the caller.
+func answerHeaders(response *fasthttp.Response) []*pb.HeaderField {
+	var headers []*pb.HeaderField
+	for name, value := range response.Header.All() {
+		if hopByHop(string(name)) {
+			continue
+		}
+		headers = append(headers, &pb.HeaderField{Name: string(name), Value: string(value)})
+	}
+	return headers
+}
--- /dev/null
+++ b/engine/headers.go
@@ -0,0 +1,14 @@
+package engine
+
+import "strings"
+
+// hopByHop reports whether a header concerns one connection only, or is set
+// anew for each.
+func hopByHop(name string) bool {
+	switch strings.ToLower(name) {
+	case "connection", "keep-alive", "proxy-connection", "te", "trailer",
+		"transfer-encoding", "upgrade", "content-length", "host", "expect":
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/engine/model.go
@@ -0,0 +1,197 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/base64"
+	"io"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/briarcross/briarcross/openai"
+)
+
+// Options are the settings of a client.
+type Options struct {
+	// DialTimeout bounds connecting. Zero means DefaultDialTimeout.
+	DialTimeout time.Duration
+	// CallTimeout bounds each call but Run. Zero means DefaultCallTimeout.
+	CallTimeout time.Duration
+	// MaxBody bounds the body of each answer but those of Run, in bytes. Zero
+	// means DefaultMaxBody.
+	MaxBody int
+}
+
+// Defaults of Options.
+const (
+	DefaultDialTimeout = time.Second
+	DefaultCallTimeout = 5 * time.Second
+	DefaultMaxBody     = 16 << 20
+)
+
+func (o Options) withDefaults() Options {
+	if o.DialTimeout == 0 {
+		o.DialTimeout = DefaultDialTimeout
+	}
+	if o.CallTimeout == 0 {
+		o.CallTimeout = DefaultCallTimeout
+	}
+	if o.MaxBody == 0 {
+		o.MaxBody = DefaultMaxBody
+	}
+	return o
+}
+
+// newPool returns a pool for a base URL such as http://127.0.0.1:8000, or for
+// HOST:PORT. A base with another scheme or without a port fails on dialling.
+func newPool(base string, o Options) *pool {
+	address := base
+	if parsed, err := url.Parse(base); err == nil && parsed.Scheme == "http" {
+		address = parsed.Host
+	}
+	p := &pool{address: address}
+	p.dialer.Timeout = o.DialTimeout
+	return p
+}
+
+type httpClient struct {
+	pool    *pool
+	options Options
+	dropped atomic.Uint64
+}
+
+// NewHTTP returns a client of a model engine. It asks the engine for a stream
+// whatever the caller asked for.
+func NewHTTP(base string, o Options) Client {
+	o = o.withDefaults()
+	return &httpClient{pool: newPool(base, o), options: o}
+}
+
+// ErrNoDone means that an event stream ended without its end mark.
+var ErrNoDone = eris.New("engine: stream ended without " + openai.Done)
+
+// Run implements Client.
+func (h *httpClient) Run(ctx context.Context, request Request, sink func(Part) error) Result {
+	body := request.Body
+	if openai.IsCompletionPath(request.Path) {
+		streamed, err := openai.ForceStream(request.Body)
+		if err != nil {
+			return Result{Err: err}
+		}
+		body = streamed
+	}
+	x := newExchange(h.pool)
+	fillRequest(x, request, body)
+	x.request.Header.Del("Accept-Encoding") // A compressed stream would arrive late.
+	x.request.Header.Set(HeaderRequestID, request.ID)
+	if request.ResumeFrom > 0 {
+		x.request.Header.Set(HeaderResumeFrom, strconv.Itoa(request.ResumeFrom))
+	}
+	if len(request.KV) > 0 {
+		x.request.Header.Set(HeaderImport, base64.StdEncoding.EncodeToString(request.KV))
+	}
+	result := h.exchangeRun(ctx, x, request, sink)
+	if result.Sent && !result.Complete {
+		h.cancel(request.ID)
+	}
+	return result
+}
+
+func fillRequest(x *exchange, request Request, body []byte) {
+	x.request.Header.SetMethod(request.Method)
+	x.request.SetRequestURI("http://" + x.pool.address + request.Path)
+	x.request.URI().DisablePathNormalizing = true
+	setHeaders(x.request, request.Headers)
+	if len(body) > 0 {
+		x.request.SetBodyRaw(body)
+	}
+}
+
+func (h *httpClient) exchangeRun(ctx context.Context, x *exchange, request Request, sink func(Part) error) Result {
+	if err := x.send(ctx); err != nil {
+		result := Result{Sent: x.sent, Err: firstError(ctx, err)}
+		x.finish(false)
+		return result
+	}
+	result := Result{Sent: true, Status: x.status()}
+	contentType := string(x.response.Header.ContentType())
+	events := strings.HasPrefix(contentType, "text/event-stream")
+	err := sink(Head{Status: result.Status, Headers: answerHeaders(x.response)})
+	switch {
+	case err != nil:
+	case events:
+		result.Tokens, err = h.relayEvents(x, request, sink)
+	default:
+		err = relayBody(x, sink)
+	}
+	result.Complete = err == nil
+	if err != nil {
+		result.Err = firstError(ctx, err)
+	}
+	x.finish(result.Complete && (!events || x.drain()))
+	return result
+}
+
+// firstError prefers the cause of a cancelled context to the read error that
+// follows from it.
+func firstError(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return context.Cause(ctx)
+	}
+	return err
+}
+
+// relayEvents passes the payloads of the request's own chunks to the sink. The
+// end mark is not passed on: Result.Complete stands for it.
+func (h *httpClient) relayEvents(x *exchange, request Request, sink func(Part) error) (int, error) {
+	events := newEventReader(x.body())
+	chat := request.Path == openai.PathChatCompletions
+	own := openai.AnswerID(chat, request.ID)
+	mark := []byte(`"id":` + strconv.Quote(own))
+	tokens := 0
+	for {
+		payload, err := events.next()
+		if err == io.EOF {
+			return tokens, ErrNoDone
+		}
+		if err != nil {
+			return tokens, eris.Wrap(err, "engine: read stream")
+		}
+		if string(payload) == openai.Done {
+			return tokens, nil
+		}
+		if !bytes.Contains(payload, mark) && openai.PayloadID(payload) != own {
+			if detail, failed := openai.ParseError(payload); failed {
+				return tokens, eris.Errorf("engine: %s: %s", detail.Code, detail.Message)
+			}
+			h.dropped.Add(1)
+			continue
+		}
+		data := Data{Payload: bytes.Clone(payload), Tokens: openai.PayloadTokens(payload)}
+		if err := sink(data); err != nil {
+			return tokens, err
+		}
+		tokens += data.Tokens
+	}
+}
+
+// cancel tells the engine to stop a request. It does not wait for the answer.
+func (h *httpClient) cancel(id string) {
+	go func() {
+		ctx, stop := context.WithTimeout(context.Background(), h.options.CallTimeout)
+		defer stop()
+		// The connection is closed already; a lost cancel only costs time.
+		_ = h.call(ctx, "POST", PathCancel, CancelRequest{ID: id}, nil)
+	}()
+}
+
+// Dropped implements Client.
+func (h *httpClient) Dropped() uint64 { return h.dropped.Load() }
+
+// Close implements Client.
+func (h *httpClient) Close() { h.pool.close() }
--- /dev/null
+++ b/engine/plain.go
@@ -0,0 +1,95 @@
+package engine
+
+import (
+	"context"
+	"io"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/briarcross/briarcross/pb"
+)
+
+// ErrNotSupported is returned by calls that a plain service has no answer to.
+var ErrNotSupported = eris.New("engine: a plain service does not support this call")
+
+type plainClient struct {
+	pool *pool
+}
+
+// NewPlain returns a client of a plain HTTP service. Method, headers and body
+// are relayed whole both ways.
+func NewPlain(base string, o Options) Client {
+	return &plainClient{pool: newPool(base, o.withDefaults())}
+}
+
+// Run implements Client.
+func (p *plainClient) Run(ctx context.Context, request Request, sink func(Part) error) Result {
+	x := newExchange(p.pool)
+	fillRequest(x, request, request.Body)
+	x.request.Header.Set(HeaderRequestID, request.ID)
+	if err := x.send(ctx); err != nil {
+		result := Result{Sent: x.sent, Err: firstError(ctx, err)}
+		x.finish(false)
+		return result
+	}
+	result := Result{Sent: true, Status: x.status()}
+	err := sink(Head{Status: result.Status, Headers: answerHeaders(x.response)})
+	if err == nil {
+		err = relayBody(x, sink)
+	}
+	result.Complete = err == nil
+	if err != nil {
+		result.Err = firstError(ctx, err)
+	}
+	x.finish(result.Complete)
+	return result
+}
+
+// relayPieceBytes is the largest piece of a plain body.
+const relayPieceBytes = 32 << 10
+
+// relayBody passes the body to the sink in pieces.
+func relayBody(x *exchange, sink func(Part) error) error {
+	body := x.body()
+	buffer := make([]byte, relayPieceBytes)
+	for {
+		n, err := body.Read(buffer)
+		if n > 0 {
+			piece := append([]byte(nil), buffer[:n]...)
+			if sinkErr := sink(Data{Payload: piece}); sinkErr != nil {
+				return sinkErr
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return eris.Wrap(err, "engine: read body")
+		}
+	}
+}
+
+// Load implements Client.
+func (p *plainClient) Load(context.Context) (Load, error) { return Load{}, ErrNotSupported }
+
+// Order implements Client.
+func (p *plainClient) Order(context.Context, *pb.Order) OrderResult {
+	return OrderResult{Outcome: OrderNotSent, Reason: "not supported", Err: ErrNotSupported}
+}
+
+// Export implements Client.
+func (p *plainClient) Export(context.Context, string) ([]byte, error) { return nil, ErrNotSupported }
+
+// Serves implements Client. A plain service does not describe itself.
+func (p *plainClient) Serves(context.Context) (Identity, error) { return Identity{}, ErrNotSupported }
+
+// CacheEvents implements Client.
+func (p *plainClient) CacheEvents(context.Context, uint64) ([]CacheEvent, uint64, error) {
+	return nil, 0, ErrNotSupported
+}
+
+// Dropped implements Client.
+func (p *plainClient) Dropped() uint64 { return 0 }
+
+// Close implements Client.
+func (p *plainClient) Close() { p.pool.close() }
--- /dev/null
+++ b/engine/wire.go
@@ -0,0 +1,53 @@
+package engine
+
+// Paths of a model engine's interface beside the completion endpoints.
+const (
+	PathLoad        = "/load"
+	PathCacheEvents = "/cache_events"
+	PathCancel      = "/cancel"
+	PathExport      = "/kv/export"
+	PathOrders      = "/orders"
+	PathIdentity    = "/identity"
+	PathHealth      = "/healthz"
+)
+
+// Headers of a model engine's interface.
+const (
+	// HeaderRequestID names the request; the answer's ID is made from it.
+	HeaderRequestID = "X-Request-Id"
+	// HeaderResumeFrom is the number of tokens to leave out of the answer.
+	HeaderResumeFrom = "X-Resume-From"
+	// HeaderImport is a base64 handle of an exported KV state.
+	HeaderImport = "X-Kv-Import"
+)
+
+// CancelRequest is the body of a cancel.
+type CancelRequest struct {
+	ID string `json:"id"`
+}
+
+// ExportRequest is the body of a KV export.
+type ExportRequest struct {
+	ID string `json:"id"`
+}
+
+// OrderRequest is the body of an order.
+type OrderRequest struct {
+	FencingNumber uint64 `json:"fencing_number"`
+	Kind          string `json:"kind"`
+	Subject       string `json:"subject"`
+	Version       string `json:"version"`
+}
+
+// OrderReply is the answer to an order.
+type OrderReply struct {
+	Done   bool   `json:"done"`
+	Reason string `json:"reason"`
+}
+
+// CacheEventsReply is the answer to a query for cache events.
+type CacheEventsReply struct {
+	Events []CacheEvent `json:"events"`
+	// Next is the sequence number to ask after next time.
+	Next uint64 `json:"next"`
+}
--- /dev/null
+++ b/lab/engine/answer.go
@@ -0,0 +1,34 @@
+package labengine
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// answerSeed identifies the answer to a prompt.
+func answerSeed(prompt string) uint64 {
+	return xxhash.Sum64String(prompt)
+}
+
+// tokenText returns one token of an answer.
+func tokenText(seed uint64, index int) string {
+	const multiplier = 0x9e3779b97f4a7c15
+	const visibleBits = 20
+	mixed := (seed + uint64(index)) * multiplier
+	mixed ^= mixed >> 29
+	mixed *= multiplier
+	return " " + strconv.FormatUint(mixed>>(64-visibleBits), 36)
+}
+
+// Answer returns the text that each engine gives for a prompt with a limit of
+// maxTokens.
+func Answer(prompt string, maxTokens int) string {
+	seed := answerSeed(prompt)
+	var text strings.Builder
+	for i := range maxTokens {
+		text.WriteString(tokenText(seed, i))
+	}
+	return text.String()
+}
--- /dev/null
+++ b/lab/engine/engine_test.go
@@ -0,0 +1,237 @@
+package labengine_test
+
+import (
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/briarcross/briarcross/engine"
+	labengine "github.com/briarcross/briarcross/lab/engine"
+	"github.com/briarcross/briarcross/openai"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// run drives an engine until it is idle or the limit is reached, and returns
+// all outputs and the time.
+func run(e *labengine.Engine, now time.Time, limit time.Duration) ([]labengine.Output, time.Time) {
+	var outputs []labengine.Output
+	end := now.Add(limit)
+	outputs = append(outputs, e.Drain()...)
+	for {
+		next, ok := e.NextTick()
+		if !ok || next.After(end) {
+			return outputs, now
+		}
+		now = next
+		e.Tick(now)
+		outputs = append(outputs, e.Drain()...)
+	}
+}
+
+func start(serial uint64, prompt string, tokens int) labengine.Start {
+	completion := openai.Completion{Service: "m", Prompt: prompt, MaxTokens: tokens}
+	return labengine.Start{Serial: serial, ID: "r" + strconv.FormatUint(serial, 10), Completion: completion}
+}
+
+func text(outputs []labengine.Output, serial uint64) string {
+	var joined strings.Builder
+	for _, out := range outputs {
+		if token, ok := out.(labengine.Token); ok && token.Serial == serial {
+			joined.WriteString(token.Text)
+		}
+	}
+	return joined.String()
+}
+
+func TestAnswersAreWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		e := labengine.New(labengine.Options{MaxKVTokens: 600, MaxSequences: 4})
+		count := rapid.IntRange(1, 12).Draw(t, "requests")
+		now := epoch
+		var outputs []labengine.Output
+		for i := range count {
+			prompt := strings.Repeat(strconv.Itoa(i), rapid.IntRange(1, 600).Draw(t, "prompt"))
+			tokens := rapid.IntRange(0, 60).Draw(t, "tokens")
+			e.Step(now, start(uint64(i), prompt, tokens))
+			outputs = append(outputs, e.Drain()...)
+			more, at := run(e, now, time.Duration(rapid.IntRange(0, 100).Draw(t, "gap"))*time.Millisecond)
+			outputs = append(outputs, more...)
+			now = at
+		}
+		more, _ := run(e, now, time.Hour)
+		outputs = append(outputs, more...)
+		for _, entry := range e.Ledger() {
+			g.Expect(entry.Started).To(Equal(1))
+			g.Expect(entry.Finished).To(Equal(1))
+		}
+		finished := 0
+		for _, out := range outputs {
+			if _, ok := out.(labengine.Finished); ok {
+				finished++
+			}
+		}
+		g.Expect(finished).To(Equal(count))
+	})
+}
+
+func TestEqualSeedsGiveEqualOutputs(t *testing.T) {
+	g := NewWithT(t)
+	options := labengine.Options{Seed: 7, Faults: labengine.Faults{Crossed: 0.3, Late: 0.2, Truncate: 0.3, Fail: 0.2}}
+	outcome := func() []labengine.Output {
+		e := labengine.New(options)
+		for i := range uint64(20) {
+			e.Step(epoch, start(i, "prompt "+strconv.FormatUint(i, 10), 10))
+		}
+		outputs, _ := run(e, epoch, time.Hour)
+		return outputs
+	}
+	g.Expect(outcome()).To(Equal(outcome()))
+}
+
+func TestCachedPrefixSkipsPrefill(t *testing.T) {
+	g := NewWithT(t)
+	e := labengine.New(labengine.Options{})
+	prompt := strings.Repeat("p", 64*32)
+	e.Step(epoch, start(1, prompt, 1))
+	_, first := run(e, epoch, time.Hour)
+	e.Step(first, start(2, prompt, 1))
+	_, second := run(e, first, time.Hour)
+	g.Expect(e.Counters().CachedTokens).To(BeNumerically("==", 512))
+	g.Expect(second.Sub(first)).To(BeNumerically("<", first.Sub(epoch)/2))
+}
+
+func TestCacheEvictsUnderMemoryAndReportsLateWithGaps(t *testing.T) {
+	g := NewWithT(t)
+	options := labengine.Options{Seed: 3, MaxKVTokens: 1100, CacheEventLag: time.Second, CacheEventLoss: 0.5}
+	e := labengine.New(options)
+	now := epoch
+	for i := range uint64(40) {
+		e.Step(now, start(i, strings.Repeat(string(rune('a'+i%26)), 2048), 4))
+		_, now = run(e, now, time.Hour)
+	}
+	g.Expect(e.CacheEvents(epoch.Add(time.Millisecond), 0).Events).To(BeEmpty())
+	reply := e.CacheEvents(now.Add(time.Second), 0)
+	kinds := map[engine.CacheEventKind]int{}
+	gaps := 0
+	last := uint64(0)
+	for _, event := range reply.Events {
+		kinds[event.Kind]++
+		if event.Sequence != last+1 {
+			gaps++
+		}
+		last = event.Sequence
+	}
+	g.Expect(kinds[engine.CacheStored]).To(BeNumerically(">", 0))
+	g.Expect(kinds[engine.CacheEvicted]).To(BeNumerically(">", 0))
+	g.Expect(gaps).To(BeNumerically(">", 0))
+	g.Expect(reply.Next).To(Equal(last))
+}
+
+func TestLoadReportsLag(t *testing.T) {
+	g := NewWithT(t)
+	e := labengine.New(labengine.Options{LoadLag: time.Second})
+	e.Step(epoch, start(1, "p", 1000))
+	g.Expect(e.Load(epoch.Add(999 * time.Millisecond)).Running).To(Equal(0))
+	run(e, epoch, time.Second)
+	g.Expect(e.Load(epoch.Add(time.Second)).Running).To(Equal(1))
+}
+
+func TestResumeContinuesTheAnswer(t *testing.T) {
+	g := NewWithT(t)
+	e := labengine.New(labengine.Options{})
+	resumed := start(1, "crest", 10)
+	resumed.ResumeFrom = 4
+	e.Step(epoch, resumed)
+	outputs, _ := run(e, epoch, time.Hour)
+	whole := labengine.Answer("crest", 10)
+	g.Expect(labengine.Answer("crest", 4) + text(outputs, 1)).To(Equal(whole))
+}
+
+func TestImportSkipsPrefill(t *testing.T) {
+	g := NewWithT(t)
+	prompt := strings.Repeat("x", 40_000)
+	source := labengine.New(labengine.Options{})
+	source.Step(epoch, start(1, prompt, 100))
+	_, now := run(source, epoch, 700*time.Millisecond)
+	_, err := source.Export("unknown")
+	g.Expect(err).To(MatchError(labengine.ErrNotRunning))
+	handle, err := source.Export("r1")
+	g.Expect(err).NotTo(HaveOccurred())
+	target := labengine.New(labengine.Options{})
+	moved := start(2, prompt, 100)
+	moved.KV = handle
+	moved.ResumeFrom = 1
+	target.Step(now, moved)
+	run(target, now, time.Hour)
+	g.Expect(target.Counters().PrefillTokens).To(BeNumerically("==", 1))
+}
+
+func TestCancelEndsARequest(t *testing.T) {
+	g := NewWithT(t)
+	e := labengine.New(labengine.Options{})
+	e.Step(epoch, start(1, "p", 1000))
+	_, now := run(e, epoch, time.Second)
+	e.Step(now, labengine.CancelID{ID: "r1"})
+	_, end := run(e, now, time.Hour)
+	g.Expect(end.Sub(now)).To(BeNumerically("<", time.Second))
+	entry := e.Ledger()[0]
+	g.Expect(entry.Cancelled).To(Equal(1))
+	g.Expect(entry.Finished).To(Equal(0))
+}
+
+func TestOrdersAndFencing(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		g := NewWithT(t)
+		e := labengine.New(labengine.Options{ChecksFencing: checks, OrderTime: time.Second})
+		order := func(serial, number uint64, subject string) labengine.Order {
+			request := engine.OrderRequest{FencingNumber: number, Kind: "ORDER_LOAD_MODEL", Subject: subject}
+			return labengine.Order{Serial: serial, Order: request}
+		}
+		e.Step(epoch, order(1, 9, "new"))
+		g.Expect(e.Identity().Models).To(BeEmpty())
+		outputs, now := run(e, epoch, time.Hour)
+		g.Expect(outputs).To(HaveLen(1))
+		e.Step(now, order(2, 8, "old"))
+		outputs, _ = run(e, now, time.Hour)
+		reply := outputs[0].(labengine.OrderReplied).Reply
+		g.Expect(reply.Done).To(Equal(!checks))
+		if checks {
+			g.Expect(e.Identity().Models).To(Equal([]string{"new"}))
+		}
+	}
+}
+
+func TestStallStopsProgressAndEnds(t *testing.T) {
+	g := NewWithT(t)
+	e := labengine.New(labengine.Options{})
+	e.Step(epoch, labengine.SetFaults{Faults: labengine.Faults{Stall: true}})
+	e.Step(epoch, start(1, "p", 5))
+	outputs, _ := run(e, epoch, time.Hour)
+	g.Expect(outputs).To(Equal([]labengine.Output{labengine.Accepted{Serial: 1}}))
+	e.Step(epoch, labengine.SetFaults{})
+	outputs, _ = run(e, epoch, time.Hour)
+	g.Expect(text(outputs, 1)).To(Equal(labengine.Answer("p", 5)))
+}
+
+func TestRefusals(t *testing.T) {
+	g := NewWithT(t)
+	e := labengine.New(labengine.Options{Models: []string{"served"}})
+	e.Step(epoch, start(1, "p", 5))
+	negative := start(2, "p", -1)
+	negative.Completion.Service = "served"
+	e.Step(epoch, negative)
+	large := start(3, "p", labengine.DefaultMaxKVTokens)
+	large.Completion.Service = "served"
+	e.Step(epoch, large)
+	var statuses []int
+	for _, out := range e.Drain() {
+		statuses = append(statuses, out.(labengine.Refused).Status)
+	}
+	g.Expect(statuses).To(Equal([]int{404, 400, 400}))
+}
--- /dev/null
+++ b/lab/engine/export.go
@@ -0,0 +1,41 @@
+package labengine
+
+import (
+	"encoding/json"
+
+	"github.com/rotisserie/eris"
+)
+
+// exported is the content of a handle: what a real engine would transfer.
+type exported struct {
+	// Answer identifies the prompt.
+	Answer uint64 `json:"answer"`
+	// Tokens is the number of tokens generated so far.
+	Tokens int `json:"tokens"`
+}
+
+// ErrNotRunning means that no request with the ID runs.
+var ErrNotRunning = eris.New("labengine: no such request runs")
+
+// Export returns a handle of the KV state of a running request. It returns
+// ErrNotRunning when the request is unknown or has not been prefilled.
+func (e *Engine) Export(id string) ([]byte, error) {
+	for _, s := range e.running {
+		if s.start.ID == id && s.prefillLeft == 0 {
+			return json.Marshal(exported{Answer: s.seed, Tokens: s.position})
+		}
+	}
+	return nil, ErrNotRunning
+}
+
+// imported reports whether a handle covers the state of a sequence.
+func imported(handle []byte, s *sequence) bool {
+	if len(handle) == 0 {
+		return false
+	}
+	var state exported
+	if json.Unmarshal(handle, &state) != nil {
+		return false
+	}
+	return state.Answer == s.seed && state.Tokens >= s.start.ResumeFrom
+}
--- /dev/null
+++ b/lab/engine/options.go
@@ -0,0 +1,103 @@
+package labengine
+
+import "time"
+
+// Cost is the model of step times. A step decodes one token of each running
+// sequence and prefills up to PrefillChunk prompt tokens.
+type Cost struct {
+	// Base is the time of an empty step.
+	Base time.Duration
+	// PerSequence is added for each sequence that decodes.
+	PerSequence time.Duration
+	// PerThousandKV is added for each thousand tokens of running KV state.
+	PerThousandKV time.Duration
+	// PerPrefillToken is added for each prompt token that is not cached.
+	PerPrefillToken time.Duration
+	// PrefillChunk is the largest number of prompt tokens in one step.
+	PrefillChunk int
+}
+
+// DefaultCost resembles a mid-sized model on one accelerator.
+func DefaultCost() Cost {
+	return Cost{
+		Base:            8 * time.Millisecond,
+		PerSequence:     100 * time.Microsecond,
+		PerThousandKV:   10 * time.Microsecond,
+		PerPrefillToken: 40 * time.Microsecond,
+		PrefillChunk:    512,
+	}
+}
+
+// Faults are the failures that an engine shows on demand. Probabilities are
+// between 0 and 1.
+type Faults struct {
+	// Die closes every connection and refuses new ones until it is cleared.
+	Die bool `json:"die"`
+	// Stall keeps requests open without progress.
+	Stall bool `json:"stall"`
+	// Truncate is the probability that an answer ends without its end mark.
+	Truncate float64 `json:"truncate"`
+	// Crossed is the probability that a token of another request is added to
+	// a stream.
+	Crossed float64 `json:"crossed"`
+	// Late is the probability that a token of an ended request is added to a
+	// stream.
+	Late float64 `json:"late"`
+	// Fail is the probability that a request is answered with status 500.
+	Fail float64 `json:"fail"`
+	// SlowFactor multiplies step times. Zero means one.
+	SlowFactor float64 `json:"slow_factor"`
+}
+
+// Options are the settings of an engine.
+type Options struct {
+	ID   string
+	Seed uint64
+	// Models that the engine serves; none means that it serves every model.
+	Models   []string
+	Adapters []string
+	Version  string
+	Role     string
+	Cost     Cost
+	// MaxKVTokens is the memory for KV state of running sequences and the
+	// prefix cache together, in tokens.
+	MaxKVTokens int
+	// MaxSequences bounds the sequences that run in one step.
+	MaxSequences int
+	// LoadLag is the age of load reports.
+	LoadLag time.Duration
+	// CacheEventLag is the age at which cache events are published.
+	CacheEventLag time.Duration
+	// CacheEventLoss is the probability that an event is never published.
+	CacheEventLoss float64
+	// ChecksFencing refuses orders with old fencing numbers.
+	ChecksFencing bool
+	// OrderTime is the time that an order takes.
+	OrderTime time.Duration
+	Faults    Faults
+}
+
+// Defaults of Options.
+const (
+	DefaultMaxKVTokens  = 200_000
+	DefaultMaxSequences = 64
+)
+
+func (o Options) withDefaults() Options {
+	if o.ID == "" {
+		o.ID = "engine-0"
+	}
+	if o.Cost == (Cost{}) {
+		o.Cost = DefaultCost()
+	}
+	if o.Cost.PrefillChunk <= 0 {
+		o.Cost.PrefillChunk = DefaultCost().PrefillChunk
+	}
+	if o.MaxKVTokens <= 0 {
+		o.MaxKVTokens = DefaultMaxKVTokens
+	}
+	if o.MaxSequences <= 0 {
+		o.MaxSequences = DefaultMaxSequences
+	}
+	return o
+}
--- /dev/null
+++ b/lab/service/service.go
@@ -0,0 +1,137 @@
+// Package labservice is a fake plain HTTP service that records each call, so
+// that tests can check that a call was relayed whole and how often it ran.
+package labservice
+
+import (
+	"encoding/json"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"github.com/briarcross/briarcross/pb"
+)
+
+// PathCalls lists the recorded calls; it is not recorded itself.
+const PathCalls = "/calls"
+
+// HeaderIdempotencyKey is the header whose value the service records.
+const HeaderIdempotencyKey = "Idempotency-Key"
+
+// Call is one recorded call.
+type Call struct {
+	Method         string            `json:"method"`
+	Path           string            `json:"path"`
+	Query          string            `json:"query"`
+	Headers        []*pb.HeaderField `json:"headers"`
+	Body           []byte            `json:"body"`
+	IdempotencyKey string            `json:"idempotency_key"`
+}
+
+// Options are the settings of a service.
+type Options struct {
+	// Delay is the time that each answer takes.
+	Delay time.Duration
+}
+
+// Server is the service. It answers each call with the call's own body, its
+// content type, and headers X-Call-Number and X-Call-Method. A query parameter
+// status sets the status, missing announces that many bytes more than
+// are sent.
+type Server struct {
+	options Options
+	http    *fasthttp.Server
+	mu      sync.Mutex
+	calls   []Call
+}
+
+// New returns a service without calls.
+func New(o Options) *Server {
+	s := &Server{options: o}
+	s.http = &fasthttp.Server{Handler: s.handle, Logger: silent{}}
+	return s
+}
+
+type silent struct{}
+
+func (silent) Printf(string, ...any) {}
+
+// Serve answers calls on a listener until Close.
+func (s *Server) Serve(ln net.Listener) error {
+	return eris.Wrap(s.http.Serve(ln), "labservice: serve")
+}
+
+// Close stops the service.
+func (s *Server) Close() error {
+	return eris.Wrap(s.http.Shutdown(), "labservice: close")
+}
+
+// Calls returns the recorded calls in the order of arrival.
+func (s *Server) Calls() []Call {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Call{}, s.calls...)
+}
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	if string(ctx.Path()) == PathCalls {
+		s.writeCalls(ctx)
+		return
+	}
+	number := s.record(ctx)
+	if s.options.Delay > 0 {
+		time.Sleep(s.options.Delay)
+	}
+	ctx.Response.Header.Set("X-Call-Number", strconv.Itoa(number))
+	ctx.Response.Header.Set("X-Call-Method", string(ctx.Method()))
+	ctx.SetContentTypeBytes(ctx.Request.Header.ContentType())
+	if status := ctx.QueryArgs().GetUintOrZero("status"); status > 0 {
+		ctx.SetStatusCode(status)
+	}
+	ctx.SetBody(ctx.PostBody())
+	if extra := ctx.QueryArgs().GetUintOrZero("missing"); extra > 0 {
+		s.writeShort(ctx, extra)
+	}
+}
+
+// writeShort answers with a Content-Length that exceeds the body and closes
+// the connection.
+func (s *Server) writeShort(ctx *fasthttp.RequestCtx, missing int) {
+	body := append([]byte(nil), ctx.PostBody()...)
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(c net.Conn) {
+		head := "HTTP/1.1 200 OK\r\nContent-Length: " + strconv.Itoa(len(body)+missing) + "\r\n\r\n"
+		_, _ = c.Write(append([]byte(head), body...))
+	})
+}
+
+func (s *Server) record(ctx *fasthttp.RequestCtx) int {
+	call := Call{
+		Method:         string(ctx.Method()),
+		Path:           string(ctx.URI().PathOriginal()),
+		Query:          string(ctx.QueryArgs().QueryString()),
+		Body:           append([]byte{}, ctx.PostBody()...),
+		IdempotencyKey: string(ctx.Request.Header.Peek(HeaderIdempotencyKey)),
+	}
+	for name, value := range ctx.Request.Header.All() {
+		field := &pb.HeaderField{Name: string(name), Value: string(value)}
+		call.Headers = append(call.Headers, field)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls = append(s.calls, call)
+	return len(s.calls)
+}
+
+func (s *Server) writeCalls(ctx *fasthttp.RequestCtx) {
+	body, err := json.Marshal(s.Calls())
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
--- /dev/null
+++ b/openai/chunk.go
@@ -0,0 +1,198 @@
+package openai
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
+
+// Done is the payload of the event that ends a stream.
+const Done = "[DONE]"
+
+// Usage counts the tokens of a request.
+type Usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+// Message is the content of a chat answer or of a part of it.
+type Message struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+// Choice is one alternative of an answer; a chunk carries a part of it.
+type Choice struct {
+	Index        int      `json:"index"`
+	Text         *string  `json:"text,omitempty"`
+	Delta        *Message `json:"delta,omitempty"`
+	Message      *Message `json:"message,omitempty"`
+	FinishReason *string  `json:"finish_reason"`
+}
+
+// Chunk is one event of a stream, or a whole answer.
+type Chunk struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []Choice `json:"choices"`
+	Usage   *Usage   `json:"usage,omitempty"`
+}
+
+// AnswerID returns the ID that an engine gives to the answer of a request.
+func AnswerID(chat bool, requestID string) string {
+	if chat {
+		return "chatcmpl-" + requestID
+	}
+	return "cmpl-" + requestID
+}
+
+// PayloadID returns the id field of an event's payload. It is empty when the
+// payload has none.
+func PayloadID(payload []byte) string {
+	var fields struct {
+		ID string `json:"id"`
+	}
+	if json.Unmarshal(payload, &fields) != nil {
+		return ""
+	}
+	return fields.ID
+}
+
+var (
+	textKey    = []byte(`"text":"`)
+	contentKey = []byte(`"content":"`)
+)
+
+// PayloadTokens returns the number of tokens that an event's payload carries:
+// one for each text that is not empty. It does not parse the whole payload.
+func PayloadTokens(payload []byte) int {
+	if hasText(payload, textKey) || hasText(payload, contentKey) {
+		return 1
+	}
+	return 0
+}
+
+func hasText(payload, key []byte) bool {
+	at := bytes.Index(payload, key)
+	if at < 0 {
+		return false
+	}
+	rest := payload[at+len(key):]
+	return len(rest) > 0 && rest[0] != '"'
+}
+
+// Aggregator joins the chunks of one stream into the answer that a caller
+// without streaming expects. The zero value is ready to use.
+type Aggregator struct {
+	first   Chunk
+	seen    bool
+	choices []choiceText
+	usage   *Usage
+	tokens  int
+}
+
+type choiceText struct {
+	text   strings.Builder
+	role   string
+	finish *string
+}
+
+// maxChoices bounds the alternatives of one answer.
+const maxChoices = 128
+
+// Add takes the payload of the next event. It returns an error for a payload
+// that is no chunk, or that belongs to another answer.
+func (a *Aggregator) Add(payload []byte) error {
+	if string(payload) == Done {
+		return nil
+	}
+	var chunk Chunk
+	if err := json.Unmarshal(payload, &chunk); err != nil {
+		return eris.Wrap(err, "openai: chunk")
+	}
+	if !a.seen {
+		a.first = chunk
+		a.seen = true
+	}
+	if chunk.ID != a.first.ID {
+		return eris.Errorf("openai: chunk of answer %q in answer %q", chunk.ID, a.first.ID)
+	}
+	if chunk.Usage != nil {
+		a.usage = chunk.Usage
+	}
+	for _, choice := range chunk.Choices {
+		if err := a.addChoice(choice); err != nil {
+			return err
+		}
+	}
+	a.tokens += PayloadTokens(payload)
+	return nil
+}
+
+func (a *Aggregator) addChoice(choice Choice) error {
+	if choice.Index < 0 || choice.Index >= maxChoices {
+		return eris.Errorf("openai: choice index %d is out of range", choice.Index)
+	}
+	for len(a.choices) <= choice.Index {
+		a.choices = append(a.choices, choiceText{})
+	}
+	target := &a.choices[choice.Index]
+	if choice.Text != nil {
+		target.text.WriteString(*choice.Text)
+	}
+	if choice.Delta != nil {
+		target.text.WriteString(choice.Delta.Content)
+		if choice.Delta.Role != "" {
+			target.role = choice.Delta.Role
+		}
+	}
+	if choice.FinishReason != nil {
+		target.finish = choice.FinishReason
+	}
+	return nil
+}
+
+// Tokens returns the number of tokens added so far.
+func (a *Aggregator) Tokens() int {
+	return a.tokens
+}
+
+// Body returns the whole answer as JSON. It returns an error when no chunk
+// was added.
+func (a *Aggregator) Body() ([]byte, error) {
+	if !a.seen {
+		return nil, eris.New("openai: the stream carried no chunk")
+	}
+	answer := a.first
+	answer.Object = strings.TrimSuffix(answer.Object, ".chunk")
+	chat := answer.Object == "chat.completion"
+	answer.Usage = a.usage
+	if answer.Usage == nil {
+		answer.Usage = &Usage{CompletionTokens: a.tokens, TotalTokens: a.tokens}
+	}
+	answer.Choices = make([]Choice, len(a.choices))
+	for i := range a.choices {
+		answer.Choices[i] = a.choices[i].whole(i, chat)
+	}
+	return json.Marshal(answer)
+}
+
+func (c *choiceText) whole(index int, chat bool) Choice {
+	text := c.text.String()
+	choice := Choice{Index: index, FinishReason: c.finish}
+	if !chat {
+		choice.Text = &text
+		return choice
+	}
+	role := c.role
+	if role == "" {
+		role = "assistant"
+	}
+	choice.Message = &Message{Role: role, Content: text}
+	return choice
+}
--- /dev/null
+++ b/openai/errors.go
@@ -0,0 +1,39 @@
+package openai
+
+import "encoding/json"
+
+// ErrorDetail is the body of an error answer.
+type ErrorDetail struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+	// Code is stable: callers may decide on it.
+	Code string `json:"code"`
+}
+
+type errorBody struct {
+	Error ErrorDetail `json:"error"`
+}
+
+// ErrorType is the type field of each error that this package writes.
+const ErrorType = "briarcross_error"
+
+// ErrorBody returns a JSON error with a stable code.
+func ErrorBody(code, message string) []byte {
+	detail := ErrorDetail{Message: message, Type: ErrorType, Code: code}
+	body, err := json.Marshal(errorBody{Error: detail})
+	if err != nil {
+		panic(err) // A struct of strings always marshals.
+	}
+	return body
+}
+
+// ParseError reads an error answer. It reports whether the body is one.
+func ParseError(body []byte) (ErrorDetail, bool) {
+	var fields struct {
+		Error *ErrorDetail `json:"error"`
+	}
+	if json.Unmarshal(body, &fields) != nil || fields.Error == nil {
+		return ErrorDetail{}, false
+	}
+	return *fields.Error, true
+}
--- /dev/null
+++ b/openai/prefix.go
@@ -0,0 +1,61 @@
+package openai
+
+import (
+	"encoding/binary"
+	"unicode/utf8"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// BlockBytes is the length of a prompt block that PrefixHashes hashes, in
+// bytes: about 16 tokens.
+const BlockBytes = 64
+
+// MaxPrefixBlocks is the largest number of hashes that PrefixHashes returns.
+const MaxPrefixBlocks = 64
+
+const bytesPerToken = 4
+
+// PrefixHashes returns one hash for each whole leading block of the prompt, at
+// most MaxPrefixBlocks. Each hash covers all blocks up to its own, so that two
+// prompts share a leading run of hashes exactly when they share that prefix.
+func PrefixHashes(prompt string) []uint64 {
+	count := min(len(prompt)/BlockBytes, MaxPrefixBlocks)
+	hashes := make([]uint64, count)
+	var previous uint64
+	for i := range hashes {
+		previous = ChainHash(previous, prompt[i*BlockBytes:(i+1)*BlockBytes])
+		hashes[i] = previous
+	}
+	return hashes
+}
+
+// ChainHash returns the hash of a block that follows a prefix.
+func ChainHash(previous uint64, block string) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	var seed [8]byte
+	binary.LittleEndian.PutUint64(seed[:], previous)
+	_, _ = digest.Write(seed[:])
+	_, _ = digest.WriteString(block)
+	return digest.Sum64()
+}
+
+// EstimateTokens returns the approximate number of tokens of a prompt. It is
+// at least one.
+func EstimateTokens(prompt string) int {
+	if isASCII(prompt) {
+		return max(1, (len(prompt)+bytesPerToken-1)/bytesPerToken)
+	}
+	runes := utf8.RuneCountInString(prompt)
+	return max(1, (len(prompt)+runes)/(2*bytesPerToken))
+}
+
+func isASCII(text string) bool {
+	for i := range len(text) {
+		if text[i] >= utf8.RuneSelf {
+			return false
+		}
+	}
+	return true
+}
