--- a/engine/model.go
+++ b/engine/model.go
@@ -25,6 +25,10 @@
 	// MaxBody bounds the body of each answer but those of Run, in bytes. Zero
 	// means DefaultMaxBody.
 	MaxBody int
+	// Entry is set when the base is an entry of briarcross in place of an
+	// engine: the entry chooses the IDs of its answers, and a request ends
+	// with its connection.
+	Entry bool
 }
 
 // Defaults of Options.
@@ -96,7 +100,7 @@
 		x.request.Header.Set(HeaderImport, base64.StdEncoding.EncodeToString(request.KV))
 	}
 	result := h.exchangeRun(ctx, x, request, sink)
-	if result.Sent && !result.Complete {
+	if result.Sent && !result.Complete && !h.options.Entry {
 		h.cancel(request.ID)
 	}
 	return result
@@ -152,7 +156,10 @@
 	events := newEventReader(x.body())
 	chat := request.Path == openai.PathChatCompletions
 	own := openai.AnswerID(chat, request.ID)
-	mark := []byte(`"id":` + strconv.Quote(own))
+	if h.options.Entry {
+		own = ""
+	}
+	mark := idMark(own)
 	tokens := 0
 	for {
 		payload, err := events.next()
@@ -165,7 +172,11 @@
 		if string(payload) == openai.Done {
 			return tokens, nil
 		}
-		if !bytes.Contains(payload, mark) && openai.PayloadID(payload) != own {
+		if own == "" {
+			own = openai.PayloadID(payload)
+			mark = idMark(own)
+		}
+		if own == "" || !bytes.Contains(payload, mark) && openai.PayloadID(payload) != own {
 			if detail, failed := openai.ParseError(payload); failed {
 				return tokens, eris.Errorf("engine: %s: %s", detail.Code, detail.Message)
 			}
@@ -180,6 +191,11 @@
 	}
 }
 
+// idMark returns how an answer ID stands in a payload without white space.
+func idMark(id string) []byte {
+	return []byte(`"id":` + strconv.Quote(id))
+}
+
 // cancel tells the engine to stop a request. It does not wait for the answer.
 func (h *httpClient) cancel(id string) {
 	go func() {
--- /dev/null
+++ b/lab/experiment/store.go
@@ -0,0 +1,103 @@
+package experiment
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
+
+// Record is the content of one results file.
+type Record struct {
+	// Commit names the revision that was measured.
+	Commit string `json:"commit"`
+	// UnixSeconds is the time of the run.
+	UnixSeconds int64     `json:"unix_seconds"`
+	Seed        uint64    `json:"seed"`
+	Machine     string    `json:"machine"`
+	Measures    []Measure `json:"measures"`
+}
+
+const (
+	folderMode = 0o755
+	fileMode   = 0o644
+)
+
+// Save writes a record to FOLDER/COMMIT.json. Measures that the file already
+// holds under other names are kept, so that a run of one experiment replaces
+// only its own.
+func Save(folder string, record Record) error {
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return eris.Wrap(err, "experiment: results folder")
+	}
+	file := filepath.Join(folder, record.Commit+".json")
+	earlier, err := load(file)
+	if err != nil && !os.IsNotExist(eris.Cause(err)) {
+		return err
+	}
+	record.Measures = merge(earlier.Measures, record.Measures)
+	text, err := json.MarshalIndent(record, "", "  ")
+	if err != nil {
+		return eris.Wrap(err, "experiment: encode results")
+	}
+	return eris.Wrap(os.WriteFile(file, append(text, '\n'), fileMode), "experiment: write results")
+}
+
+func merge(earlier, later []Measure) []Measure {
+	merged := slices.DeleteFunc(slices.Clone(earlier), func(m Measure) bool {
+		return slices.ContainsFunc(later, func(l Measure) bool { return l.Name == m.Name })
+	})
+	return append(merged, later...)
+}
+
+func load(file string) (Record, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return Record{}, eris.Wrap(err, "experiment: read results")
+	}
+	var record Record
+	err = json.Unmarshal(text, &record)
+	return record, eris.Wrapf(err, "experiment: decode %s", file)
+}
+
+// History returns all records of a folder, oldest first.
+func History(folder string) ([]Record, error) {
+	files, err := filepath.Glob(filepath.Join(folder, "*.json"))
+	if err != nil {
+		return nil, eris.Wrap(err, "experiment: list results")
+	}
+	var records []Record
+	for _, file := range files {
+		record, err := load(file)
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, record)
+	}
+	slices.SortFunc(records, func(a, b Record) int {
+		if a.UnixSeconds != b.UnixSeconds {
+			return int(a.UnixSeconds - b.UnixSeconds)
+		}
+		return strings.Compare(a.Commit, b.Commit)
+	})
+	return records, nil
+}
+
+// Previous returns the value of a measure in the latest record that has it and
+// is not of the given commit.
+func Previous(history []Record, commit, name string) (float64, string, bool) {
+	for _, record := range slices.Backward(history) {
+		if record.Commit == commit {
+			continue
+		}
+		for _, m := range record.Measures {
+			if m.Name == name {
+				return m.Value, record.Commit, true
+			}
+		}
+	}
+	return 0, "", false
+}
--- /dev/null
+++ b/lab/load/arrivals.go
@@ -0,0 +1,88 @@
+package load
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/briarcross/briarcross/core"
+)
+
+// Arrival is one planned request or job.
+type Arrival struct {
+	// At counts from the start of the run.
+	At    time.Duration
+	Class int
+	// Number is unique within the run.
+	Number int
+	Prompt string
+}
+
+// Arrivals returns all arrivals of a plan in the order of their times. Equal
+// plans give equal arrivals.
+func (p *Plan) Arrivals() []Arrival {
+	var arrivals []Arrival
+	for i := range p.Classes {
+		arrivals = append(arrivals, p.classArrivals(i)...)
+	}
+	slices.SortStableFunc(arrivals, func(a, b Arrival) int {
+		return int(a.At - b.At)
+	})
+	for i := range arrivals {
+		arrivals[i].Number = i
+	}
+	return arrivals
+}
+
+func (p *Plan) classArrivals(index int) []Arrival {
+	class := &p.Classes[index]
+	random := core.NewRand(p.Seed + uint64(index)<<32)
+	var arrivals []Arrival
+	add := func(at time.Duration) {
+		prompt := class.Prompt.text(random, class.Name, len(arrivals))
+		arrivals = append(arrivals, Arrival{At: at, Class: index, Prompt: prompt})
+	}
+	if class.Rate > 0 {
+		for at := gap(random, class.Rate); at < p.Duration; at += gap(random, class.Rate) {
+			add(at)
+		}
+	}
+	if class.Burst.Size > 0 {
+		for at := class.Burst.Every; at < p.Duration; at += class.Burst.Every {
+			for range class.Burst.Size {
+				add(at)
+			}
+		}
+	}
+	return arrivals
+}
+
+// gap draws the time between two arrivals of a Poisson process.
+func gap(random *rand.Rand, rate float64) time.Duration {
+	return time.Duration(random.ExpFloat64() / rate * float64(time.Second))
+}
+
+const letters = "abcdefghijklmnopqrstuvwxyz     "
+
+// text returns a prompt: a shared prefix, the arrival's own name, and filling.
+func (p *Prompt) text(random *rand.Rand, class string, number int) string {
+	var text strings.Builder
+	if p.Prefixes > 0 {
+		shared := core.NewRand(uint64(random.IntN(p.Prefixes)) + 1)
+		fill(&text, shared, p.PrefixBytes)
+	}
+	text.WriteString(class)
+	text.WriteByte(' ')
+	text.WriteString(strconv.Itoa(number))
+	text.WriteByte(' ')
+	fill(&text, random, p.Bytes)
+	return text.String()
+}
+
+func fill(text *strings.Builder, random *rand.Rand, length int) {
+	for text.Len() < length {
+		text.WriteByte(letters[random.IntN(len(letters))])
+	}
+}
