--- a/config/draft.go
+++ b/config/draft.go
@@ -50,15 +50,17 @@
 	e := &edit{expected: op.GetExpectedRevision()}
 	switch body := op.GetOp().(type) {
 	case *pb.ConfigOp_Put:
+		e.key = Key(body.Put)
 		e.after = proto.CloneOf(body.Put)
-		e.after.Revision = 0
-		e.key = Key(e.after)
 	case *pb.ConfigOp_Delete:
 		e.key = body.Delete
 	}
 	if kind, name := splitKey(e.key); kind == "" || checkName(name) != "" {
 		return nil, "an operation needs the key or the body of a profile or service with a valid name"
 	}
+	if e.after != nil {
+		e.after.Revision = 0
+	}
 	e.before = readDocument(d.reader, e.key)
 	return e, ""
 }
--- a/member/fleet_test.go
+++ b/member/fleet_test.go
@@ -218,7 +218,7 @@
 // agrees reports whether the outputs of the table add up to its content.
 func (e *testEntry) agrees() bool {
 	members := e.table.Members()
-	if len(members) != len(e.view) {
+	if len(members) != len(e.view) || len(members) != e.table.Len() {
 		return false
 	}
 	for _, m := range members {
--- a/member/table.go
+++ b/member/table.go
@@ -34,6 +34,7 @@
 	sources    btree.Map[uint32, *source]
 	nextCookie uint32
 	members    btree.Map[string, *listing]
+	present    int
 	tombstones core.Deadlines[string]
 	subscribes core.Deadlines[uint32]
 	lapses     core.Deadlines[uint32]
@@ -98,6 +99,11 @@
 	return members
 }
 
+// Len returns the number of members.
+func (t *Table) Len() int {
+	return t.present
+}
+
 // Step handles one input.
 func (t *Table) Step(now time.Time, in Input) {
 	switch in := in.(type) {
@@ -217,6 +223,9 @@
 		return
 	}
 	returned := l.removed()
+	if returned {
+		t.present++
+	}
 	l.holders[cookie] = s.list
 	t.tombstones.Remove(in.GetId())
 	if changed || returned {
@@ -235,6 +244,7 @@
 	}
 	delete(l.holders, cookie)
 	if l.removed() {
+		t.present--
 		t.tombstones.Set(id, now.Add(tombstoneRetention))
 		t.outbox.Put(Gone{ID: id})
 	}
@@ -243,6 +253,7 @@
 // bury removes a member that left.
 func (t *Table) bury(now time.Time, id string, l *listing) {
 	if !l.removed() {
+		t.present--
 		t.outbox.Put(Gone{ID: id})
 	}
 	clear(l.holders)
--- a/orders/orders.go
+++ b/orders/orders.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"math/bits"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -19,10 +21,15 @@
 	// OutcomeLimit is the number of change IDs whose answer is kept.
 	OutcomeLimit = 65_536
 
+	// MaxTransfer bounds the time that one load takes from the weight store.
+	MaxTransfer = 24 * time.Hour
+
 	maxIDLength = 256
-	millisecond = 1000 // per second
+	millisecond = 1000 // in a second
 )
 
+var maxTransferMs = uint64(MaxTransfer.Milliseconds())
+
 const upstreamPrefix = "orders/upstream/"
 
 var (
@@ -83,6 +90,9 @@
 	if _, known := pb.OrderKind_name[int32(o.GetKind())]; !known || o.GetKind() == pb.OrderKind_ORDER_UNSPECIFIED {
 		return "the kind of the order is unknown"
 	}
+	if transferMs(o.GetWeightBytes(), c.GetWeightBytesPerSecond()) > maxTransferMs {
+		return fmt.Sprintf("the load takes longer than %s", MaxTransfer)
+	}
 	return ""
 }
 
@@ -117,7 +127,7 @@
 	}
 	bucket := &pb.WeightBucket{}
 	record.Get(b, bucketKey, bucket)
-	burstMs := transferMs(c.GetWeightBurstBytes(), rate)
+	burstMs := min(transferMs(c.GetWeightBurstBytes(), rate), maxTransferMs)
 	if bucket.GetFreeUnixMs() > unixMs+burstMs {
 		return bucket.GetFreeUnixMs() - unixMs - burstMs
 	}
@@ -126,9 +136,18 @@
 	return 0
 }
 
-// transferMs returns the time that bytes take at a rate in bytes a second.
+// transferMs returns the time that bytes take at a rate in bytes a second, as
+// far as it can be represented. A rate of zero has no limit.
 func transferMs(bytes, rate uint64) uint64 {
-	return bytes/rate*millisecond + (bytes%rate)*millisecond/rate
+	high, low := bits.Mul64(bytes, millisecond)
+	if rate == 0 {
+		return 0
+	}
+	if high >= rate {
+		return math.MaxUint64
+	}
+	ms, _ := bits.Div64(high, low, rate)
+	return ms
 }
 
 // Finish ends the outstanding order of an upstream. A repeated finish of the
--- a/orders/orders_test.go
+++ b/orders/orders_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -83,6 +84,7 @@
 	s := newTable()
 	g.Expect(s.issue("", "u", 0).GetReason()).To(ContainSubstring("change ID"))
 	g.Expect(s.issue("a", "", 0).GetReason()).To(ContainSubstring("upstream"))
+	g.Expect(s.issue("a", "u", math.MaxUint64).GetReason()).To(ContainSubstring("longer than"))
 	g.Expect(s.issue("a", "u", 0).GetAccepted()).To(BeTrue())
 	g.Expect(s.issue("a", "v", 0).GetReason()).To(ContainSubstring("another order"))
 	g.Expect(s.finish("unknown", 0).GetAccepted()).To(BeFalse())
