Choose soak seeds by environment in spread and member

Change: internal/soak reads BRIARCROSS_SOAK_SEEDS and BRIARCROSS_SOAK_SEED and prints how to replay a seed.

--- /dev/null
+++ b/internal/soak/soak.go
@@ -0,0 +1,48 @@
+// Package soak chooses the seeds of tests that run many of them.
+package soak
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+)
+
+const (
+	// SeedsVariable is the environment variable with the number of seeds.
+	SeedsVariable = "BRIARCROSS_SOAK_SEEDS"
+	// SeedVariable is the environment variable with the one seed to replay.
+	SeedVariable = "BRIARCROSS_SOAK_SEED"
+)
+
+// Seeds returns the seeds that a test runs: the one to replay, or as many as
+// the environment asks for, or the fallback.
+func Seeds(t testing.TB, fallback uint64) []uint64 {
+	t.Helper()
+	if text := os.Getenv(SeedVariable); text != "" {
+		return []uint64{parse(t, SeedVariable, text)}
+	}
+	count := fallback
+	if text := os.Getenv(SeedsVariable); text != "" {
+		count = parse(t, SeedsVariable, text)
+	}
+	seeds := make([]uint64, count)
+	for i := range seeds {
+		seeds[i] = uint64(i)
+	}
+	return seeds
+}
+
+func parse(t testing.TB, variable, text string) uint64 {
+	t.Helper()
+	value, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		t.Fatalf("%s: %v", variable, err)
+	}
+	return value
+}
+
+// Replay tells how to replay a seed of a test in a package.
+func Replay(t testing.TB, folder string, seed uint64) string {
+	return fmt.Sprintf("seed %d; replay: %s=%d go test ./%s -run '^%s$'", seed, SeedVariable, seed, folder, t.Name())
+}
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/briarcross/briarcross/internal/soak"
 	"github.com/briarcross/briarcross/pb"
 )
 
@@ -30,8 +31,9 @@
 }
 
 func TestDrainReachesEveryEntryAlthoughItsMessagesAreLost(t *testing.T) {
-	for seed := range uint64(40) {
+	for _, seed := range soak.Seeds(t, 40) {
 		g := NewWithT(t)
+		replay := soak.Replay(t, "member", seed)
 		f := newFleet(seed, 5, 9)
 		f.run(3 * time.Second)
 		f.lossPercent = 100
@@ -39,14 +41,15 @@
 		f.lossPercent = 25
 		f.run(leaveBound)
 		for _, e := range f.entries {
-			g.Expect(e.count(draining)).To(Equal(1), "seed %d, %s", seed, e.address)
+			g.Expect(e.count(draining)).To(Equal(1), "%s, %s", replay, e.address)
 		}
 	}
 }
 
 func TestLeaveReachesEveryEntryAlthoughItsMessagesAreLost(t *testing.T) {
-	for seed := range uint64(40) {
+	for _, seed := range soak.Seeds(t, 40) {
 		g := NewWithT(t)
+		replay := soak.Replay(t, "member", seed)
 		f := newFleet(seed, 5, 9)
 		f.run(3 * time.Second)
 		f.lossPercent = 100
@@ -54,7 +57,7 @@
 		f.lossPercent = 25
 		f.run(leaveBound)
 		for _, e := range f.entries {
-			g.Expect(e.view).To(HaveLen(8), "seed %d, %s", seed, e.address)
+			g.Expect(e.view).To(HaveLen(8), "%s, %s", replay, e.address)
 		}
 	}
 }
@@ -132,11 +135,11 @@
 }
 
 // TestEntriesConvergeUnderRandomFaults loses, doubles and delays datagrams
-// while members and entries come and go. To replay a seed, set it as the only
-// one of the loop.
+// while members and entries come and go.
 func TestEntriesConvergeUnderRandomFaults(t *testing.T) {
-	for seed := range uint64(60) {
+	for _, seed := range soak.Seeds(t, 60) {
 		g := NewWithT(t)
+		replay := soak.Replay(t, "member", seed)
 		f := newFleet(seed, 4, 8)
 		f.lossPercent = 20
 		incarnations := make([]uint64, len(f.sidecars))
@@ -152,14 +155,14 @@
 		}
 		f.run(15 * time.Second)
 		for _, e := range f.entries {
-			g.Expect(e.fault).To(BeEmpty(), "seed %d", seed)
-			g.Expect(e.agrees()).To(BeTrue(), "seed %d, %s", seed, e.address)
-			g.Expect(e.view).To(HaveLen(f.expected()), "seed %d, %s", seed, e.address)
+			g.Expect(e.fault).To(BeEmpty(), replay)
+			g.Expect(e.agrees()).To(BeTrue(), "%s, %s", replay, e.address)
+			g.Expect(e.view).To(HaveLen(f.expected()), "%s, %s", replay, e.address)
 		}
 		for i, s := range f.sidecars {
 			m, listed := f.entries[0].table.Member(s.announcer.Member().GetId())
 			if listed {
-				g.Expect(m.GetState()).To(Equal(s.announcer.Member().GetState()), "seed %d, sidecar %d", seed, i)
+				g.Expect(m.GetState()).To(Equal(s.announcer.Member().GetState()), "%s, sidecar %d", replay, i)
 			}
 		}
 	}
--- a/spread/spread_test.go
+++ b/spread/spread_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/briarcross/briarcross/config"
+	"github.com/briarcross/briarcross/internal/soak"
 	"github.com/briarcross/briarcross/pb"
 )
 
@@ -86,11 +87,11 @@
 	g.Expect(c.faults()).To(BeEmpty())
 }
 
-// TestConfigurationNeverRevertsUnderRandomFaults runs random faults. To
-// replay a seed, set it as the only one of the loop.
+// TestConfigurationNeverRevertsUnderRandomFaults runs random faults.
 func TestConfigurationNeverRevertsUnderRandomFaults(t *testing.T) {
-	for seed := range uint64(60) {
+	for _, seed := range soak.Seeds(t, 60) {
 		g := NewWithT(t)
+		replay := soak.Replay(t, "spread", seed)
 		c := newCluster(seed, 3, 8)
 		c.lossy = seed%2 == 1
 		for range 60 {
@@ -100,10 +101,10 @@
 		c.lossy = false
 		c.heal()
 		c.run(15 * time.Second)
-		g.Expect(c.faults()).To(BeEmpty(), "seed %d", seed)
-		g.Expect(c.inForce()).To(Equal(8), "seed %d", seed)
+		g.Expect(c.faults()).To(BeEmpty(), replay)
+		g.Expect(c.inForce()).To(Equal(8), replay)
 		for _, d := range c.daemons {
-			g.Expect(d.sameAs(c.replicas[0])).To(BeTrue(), "seed %d, %s", seed, d.name)
+			g.Expect(d.sameAs(c.replicas[0])).To(BeTrue(), "%s, %s", replay, d.name)
 		}
 	}
 }
