--- /dev/null
+++ b/client/control.go
@@ -0,0 +1,170 @@
+// Package client calls the control replicas from other daemons: it finds the
+// leader, retries what certainly did not run, and repeats what may have run,
+// since every command carries an ID that makes it idempotent.
+package client
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/briarcross/briarcross/pb"
+	"github.com/briarcross/briarcross/transport"
+)
+
+const (
+	firstBackoff   = 20 * time.Millisecond
+	maxBackoff     = 500 * time.Millisecond
+	attemptTimeout = 3 * time.Second
+)
+
+// Control calls a group of control replicas. It is safe for concurrent use.
+type Control struct {
+	transport *transport.Client
+	addresses []string
+
+	mu     sync.Mutex
+	leader string
+	next   int
+}
+
+// NewControl returns a client of the replicas at the given addresses.
+func NewControl(t *transport.Client, addresses []string) *Control {
+	return &Control{transport: t, addresses: addresses}
+}
+
+// Propose has a command carried out by the leader. It repeats the command
+// until an answer arrives or the context ends. An error with code UNKNOWN
+// means that the command may have been carried out; every other code means
+// that it was not.
+func (c *Control) Propose(ctx context.Context, class transport.Class, command *pb.Command) (*pb.CommandResult, *pb.ControlError) {
+	request := &pb.ControlRequest{Request: &pb.ControlRequest_Propose{Propose: command}}
+	response, controlErr := c.call(ctx, class, request)
+	if controlErr != nil {
+		return nil, controlErr
+	}
+	return response.GetResult(), nil
+}
+
+// Query reads the agreed state. Unless the query is stale, the answer reflects
+// every change that was acknowledged before the call.
+func (c *Control) Query(ctx context.Context, query *pb.Query) (*pb.QueryResult, *pb.ControlError) {
+	request := &pb.ControlRequest{Request: &pb.ControlRequest_Query{Query: query}}
+	response, controlErr := c.call(ctx, transport.Control, request)
+	if controlErr != nil {
+		return nil, controlErr
+	}
+	return response.GetQuery(), nil
+}
+
+// QueryAt reads from one replica, in a single attempt.
+func (c *Control) QueryAt(ctx context.Context, address string, query *pb.Query) (*pb.QueryResult, *pb.ControlError) {
+	request := &pb.ControlRequest{Request: &pb.ControlRequest_Query{Query: query}}
+	response, _, err := c.attempt(ctx, transport.Control, address, request)
+	if err != nil {
+		return nil, &pb.ControlError{Code: pb.ControlError_OVERLOADED, Reason: err.Error()}
+	}
+	if response.GetError() != nil {
+		return nil, response.GetError()
+	}
+	return response.GetQuery(), nil
+}
+
+// Leader returns the address that most likely leads.
+func (c *Control) Leader() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leader != "" {
+		return c.leader
+	}
+	return c.addresses[c.next%len(c.addresses)]
+}
+
+// SetLeader stores the address that answers named as the leader's. An empty
+// address moves on to the next replica.
+func (c *Control) SetLeader(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leader = address
+	if address == "" {
+		c.next++
+	}
+}
+
+func (c *Control) call(ctx context.Context, class transport.Class, request *pb.ControlRequest) (*pb.ControlResponse, *pb.ControlError) {
+	last := &pb.ControlError{Code: pb.ControlError_OVERLOADED, Reason: "no control replica answered"}
+	uncertain := false
+	backoff := firstBackoff
+	for {
+		response, sent, err := c.attempt(ctx, class, c.Leader(), request)
+		switch {
+		case err != nil:
+			uncertain = uncertain || sent
+			last.Reason = err.Error()
+			c.SetLeader("")
+		case response.GetError() == nil:
+			return response, nil
+		default:
+			last = response.GetError()
+			if !retryable(last.GetCode()) {
+				return nil, last
+			}
+			uncertain = uncertain || last.GetCode() == pb.ControlError_UNKNOWN
+			c.SetLeader(last.GetLeaderAddress())
+		}
+		if !pause(ctx, backoff) {
+			return nil, finalError(last, uncertain)
+		}
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+func retryable(code pb.ControlError_Code) bool {
+	return code != pb.ControlError_INVALID
+}
+
+func finalError(last *pb.ControlError, uncertain bool) *pb.ControlError {
+	if uncertain {
+		return &pb.ControlError{Code: pb.ControlError_UNKNOWN, Reason: last.GetReason()}
+	}
+	return last
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// attempt makes one call. Sent tells whether the request may have arrived.
+func (c *Control) attempt(ctx context.Context, class transport.Class, address string, request *pb.ControlRequest) (response *pb.ControlResponse, sent bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	stream, err := c.transport.Open(ctx, class, address)
+	if err != nil {
+		return nil, false, err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
+	defer stop()
+	defer func() { _ = stream.Close() }()
+	envelope := &pb.Envelope{Body: &pb.Envelope_ControlRequest{ControlRequest: request}}
+	if err := stream.Send(envelope); err != nil {
+		return nil, true, err
+	}
+	answer, err := stream.Receive()
+	if err != nil {
+		return nil, true, err
+	}
+	response = answer.GetControlResponse()
+	if response == nil {
+		return nil, true, eris.New("control replica sent an unexpected message")
+	}
+	return response, true, nil
+}
--- /dev/null
+++ b/controld/controld.go
@@ -0,0 +1,259 @@
+package controld
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/briarcross/briarcross/batch"
+	"github.com/briarcross/briarcross/client"
+	"github.com/briarcross/briarcross/control"
+	"github.com/briarcross/briarcross/daemon"
+	"github.com/briarcross/briarcross/kv"
+	"github.com/briarcross/briarcross/loop"
+	"github.com/briarcross/briarcross/pb"
+	"github.com/briarcross/briarcross/replica"
+	"github.com/briarcross/briarcross/spread"
+	"github.com/briarcross/briarcross/transport"
+)
+
+const (
+	publisherTick  = 50 * time.Millisecond
+	schedulerTick  = 20 * time.Millisecond
+	confirmTimeout = 2 * time.Second
+)
+
+// Daemon is a running control replica.
+type Daemon struct {
+	settings  *Settings
+	logger    *log.Logger
+	identity  *transport.Identity
+	transport *transport.Client
+	server    *transport.Server
+	control   *client.Control
+	state     *control.State
+	replica   *replica.Replica
+	peers     *peers
+	watchers  *watchers
+	publisher *loop.Loop[spread.PublisherInput, spread.PublisherOutput]
+	spread    *spread.Publisher
+	leases    *leases
+	http      *operatorServer
+	metrics   *metrics
+	addresses map[string]string
+
+	ctx        context.Context
+	cancel     context.CancelFunc
+	background sync.WaitGroup
+	confirming atomic.Bool
+	faults     chan error
+}
+
+// Start starts a control replica. The settings must have passed Check.
+func Start(settings *Settings) (*Daemon, error) {
+	listener, err := daemon.ListenTCP("listen", settings.Listen)
+	if err != nil {
+		return nil, err
+	}
+	operators, err := daemon.ListenTCP("http", settings.HTTP)
+	if err != nil {
+		_ = listener.Close()
+		return nil, err
+	}
+	d, err := newDaemon(settings)
+	if err != nil {
+		_ = listener.Close()
+		_ = operators.Close()
+		return nil, err
+	}
+	d.serve(listener, operators)
+	d.logger.Info("control replica started", "id", settings.ID, "listen", settings.Listen, "http", settings.HTTP)
+	return d, nil
+}
+
+func newDaemon(settings *Settings) (*Daemon, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	d := &Daemon{
+		settings:  settings,
+		logger:    settings.NewLogger("control"),
+		identity:  settings.NewIdentity(),
+		addresses: make(map[string]string),
+		ctx:       ctx,
+		cancel:    cancel,
+		faults:    make(chan error, 1),
+	}
+	d.transport = transport.NewClient(d.identity, settings.TLS.ClientConfig())
+	d.metrics = newMetrics(d.identity)
+	if err := d.startReplica(); err != nil {
+		cancel()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Daemon) startReplica() error {
+	bootstrap, err := parseReplicas("replicas", d.settings.Replicas)
+	if err != nil {
+		return err
+	}
+	spares, err := parseReplicas("spares", d.settings.Spares)
+	if err != nil {
+		return err
+	}
+	var known []string
+	for _, r := range append(append([]*pb.Replica{}, bootstrap...), spares...) {
+		d.addresses[r.GetId()] = r.GetAddress()
+		known = append(known, r.GetAddress())
+	}
+	d.control = client.NewControl(d.transport, known)
+	d.peers = newPeers(d.ctx, d.transport, d.address, d.metrics.peerLost.Inc)
+
+	batchState := batch.NewState()
+	d.state = control.NewState(batchState)
+	d.watchers = newWatchers(d.updateSince)
+	d.spread = spread.NewPublisher(spread.PublisherOptions{})
+	d.publisher = loop.Start[spread.PublisherInput, spread.PublisherOutput](d.spread, publisherTick, d.carryPublisher)
+	d.watchers.post = d.publisher.Post
+	d.leases = newLeases(d, batchState)
+
+	d.replica, err = replica.Open(replica.Options{
+		ID:          d.settings.ID,
+		Address:     d.settings.Listen,
+		DataCentre:  d.settings.DataCentre,
+		Folder:      d.settings.Folder,
+		Bootstrap:   bootstrap,
+		Spares:      spares,
+		Join:        d.settings.Join,
+		Machine:     d.state,
+		Send:        d.peers.send,
+		Tick:        d.settings.Tick,
+		RepairAfter: d.settings.RepairAfter,
+		Seed:        d.identity.Incarnation,
+		Logger:      d.settings.NewLogger("quorum"),
+		OnApply:     d.applied,
+		OnLead:      d.leases.lead,
+		OnFault:     d.fault,
+	})
+	if err != nil {
+		d.publisher.Close()
+		d.leases.close()
+		return err
+	}
+	d.leases.open()
+	return nil
+}
+
+// address returns the address of a replica, as the membership or else the
+// settings have it.
+func (d *Daemon) address(id string) (string, bool) {
+	if d.replica != nil {
+		for _, status := range d.replica.Status().GetReplicas() {
+			if status.GetReplica().GetId() == id {
+				return status.GetReplica().GetAddress(), true
+			}
+		}
+	}
+	address, ok := d.addresses[id]
+	return address, ok
+}
+
+func (d *Daemon) fault(err error) {
+	select {
+	case d.faults <- err:
+	default:
+	}
+}
+
+// Faults delivers an error after which the process must stop.
+func (d *Daemon) Faults() <-chan error {
+	return d.faults
+}
+
+func (d *Daemon) applied(_ uint64, command *pb.Command, result *pb.CommandResult) {
+	if change := result.GetChange(); change.GetOutcome() == pb.ChangeOutcome_CHANGE_ACCEPTED {
+		d.identity.SetRevision(change.GetRevision())
+		d.publisher.Post(spread.Applied{Revision: change.GetRevision()})
+	}
+	d.leases.applied(command, result)
+}
+
+func (d *Daemon) carryPublisher(out spread.PublisherOutput) {
+	switch out := out.(type) {
+	case spread.Send:
+		d.watchers.queue(out)
+	case spread.ConfirmWanted:
+		d.confirm()
+	}
+}
+
+// confirm has a quorum confirm the revision that this replica has applied.
+func (d *Daemon) confirm() {
+	if !d.confirming.CompareAndSwap(false, true) {
+		return
+	}
+	d.background.Add(1)
+	go func() {
+		defer d.background.Done()
+		defer d.confirming.Store(false)
+		ctx, cancel := context.WithTimeout(d.ctx, confirmTimeout)
+		defer cancel()
+		if controlErr := d.replica.Confirm(ctx); controlErr == nil {
+			d.publisher.Post(spread.Confirmed{Revision: d.revision()})
+		}
+	}()
+}
+
+func (d *Daemon) revision() uint64 {
+	query := &pb.Query{Query: &pb.Query_Config{Config: &pb.ConfigQuery{Name: "-"}}}
+	return d.query(query).GetConfig().GetRevision()
+}
+
+func (d *Daemon) query(query *pb.Query) *pb.QueryResult {
+	var result *pb.QueryResult
+	d.replica.View(func(reader kv.Reader) {
+		result = d.state.Query(reader, query)
+	})
+	return result
+}
+
+func (d *Daemon) updateSince(from uint64) *pb.ConfigUpdate {
+	var update *pb.ConfigUpdate
+	d.replica.View(func(reader kv.Reader) {
+		update = d.state.UpdateSince(reader, from)
+	})
+	return update
+}
+
+func (d *Daemon) serve(listener, operators net.Listener) {
+	d.server = transport.NewServer(d.identity, d.serveStream)
+	d.background.Add(1)
+	go func() {
+		defer d.background.Done()
+		if err := d.server.Serve(d.settings.TLS.Listener(listener)); err != nil {
+			d.fault(err)
+		}
+	}()
+	d.http = newOperatorServer(d)
+	d.http.start(d.settings.TLS.Listener(operators))
+	context.AfterFunc(d.ctx, func() { _ = listener.Close() })
+}
+
+// Stop ends the replica. A leader hands its leadership over first.
+func (d *Daemon) Stop() error {
+	d.logger.Info("control replica stops")
+	d.http.unready()
+	err := d.replica.Close()
+	d.cancel()
+	d.server.Close()
+	d.http.stop()
+	d.publisher.Close()
+	d.leases.close()
+	d.transport.Close()
+	d.peers.wait.Wait()
+	d.background.Wait()
+	return err
+}
--- /dev/null
+++ b/controld/http.go
@@ -0,0 +1,196 @@
+package controld
+
+import (
+	"context"
+	"net"
+	"strings"
+	"sync/atomic"
+
+	"github.com/valyala/fasthttp"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/briarcross/briarcross/daemon"
+	"github.com/briarcross/briarcross/pb"
+	"github.com/briarcross/briarcross/transport"
+)
+
+const maxOperatorBodyBytes = 4 << 20
+
+// operatorServer is the operators' HTTP interface. Any replica serves it and
+// passes changes on to the leader.
+type operatorServer struct {
+	daemon *Daemon
+	server *fasthttp.Server
+	ready  atomic.Bool
+	done   chan struct{}
+}
+
+func newOperatorServer(d *Daemon) *operatorServer {
+	s := &operatorServer{daemon: d, done: make(chan struct{})}
+	s.ready.Store(true)
+	s.server = &fasthttp.Server{
+		Handler:               s.handle,
+		Name:                  "briarcross",
+		MaxRequestBodySize:    maxOperatorBodyBytes,
+		NoDefaultServerHeader: true,
+		CloseOnShutdown:       true,
+	}
+	return s
+}
+
+func (s *operatorServer) start(listener net.Listener) {
+	go func() {
+		defer close(s.done)
+		if err := s.server.Serve(listener); err != nil {
+			s.daemon.fault(err)
+		}
+	}()
+}
+
+func (s *operatorServer) unready() {
+	s.ready.Store(false)
+}
+
+func (s *operatorServer) stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
+	defer cancel()
+	_ = s.server.ShutdownWithContext(ctx)
+	<-s.done
+}
+
+// The paths of the operators' interface.
+const (
+	pathDocuments = "/api/v1/documents"
+	pathChanges   = "/api/v1/changes"
+	pathStatus    = "/api/v1/status"
+	pathOrders    = "/api/v1/orders"
+	pathJobs      = "/api/v1/jobs"
+)
+
+func (s *operatorServer) handle(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	switch {
+	case path == "/healthz":
+		ctx.SetBodyString("ok\n")
+	case path == "/readyz":
+		s.readyz(ctx)
+	case path == "/metrics":
+		daemon.MetricsHandler(s.daemon.metrics.registry)(ctx)
+	case path == pathDocuments:
+		s.documents(ctx)
+	case path == pathChanges && ctx.IsPost():
+		s.change(ctx)
+	case path == pathStatus:
+		s.query(ctx, &pb.Query{Query: &pb.Query_Status{Status: &pb.StatusQuery{}}})
+	case path == pathOrders && ctx.IsPost():
+		s.order(ctx)
+	case strings.HasPrefix(path, pathOrders+"/"):
+		upstream := strings.TrimPrefix(path, pathOrders+"/")
+		s.query(ctx, &pb.Query{Query: &pb.Query_Order{Order: &pb.OrderQuery{Upstream: upstream}}})
+	case path == pathJobs:
+		s.jobs(ctx)
+	default:
+		ctx.Error("no such path\n", fasthttp.StatusNotFound)
+	}
+}
+
+func (s *operatorServer) readyz(ctx *fasthttp.RequestCtx) {
+	leader, _, _ := s.daemon.replica.Leader()
+	if !s.ready.Load() || leader == "" {
+		ctx.Error("not ready\n", fasthttp.StatusServiceUnavailable)
+		return
+	}
+	ctx.SetBodyString("ready\n")
+}
+
+func (s *operatorServer) documents(ctx *fasthttp.RequestCtx) {
+	name := string(ctx.QueryArgs().Peek("name"))
+	s.query(ctx, &pb.Query{Query: &pb.Query_Config{Config: &pb.ConfigQuery{Name: name}}})
+}
+
+func (s *operatorServer) jobs(ctx *fasthttp.RequestCtx) {
+	list := &pb.JobListQuery{
+		Caller: string(ctx.QueryArgs().Peek("caller")),
+		After:  string(ctx.QueryArgs().Peek("after")),
+		Limit:  uint32(max(0, ctx.QueryArgs().GetUintOrZero("limit"))),
+	}
+	s.query(ctx, &pb.Query{Query: &pb.Query_JobList{JobList: list}})
+}
+
+func (s *operatorServer) query(ctx *fasthttp.RequestCtx, query *pb.Query) {
+	timeout, cancel := context.WithTimeout(s.daemon.ctx, requestTimeout)
+	defer cancel()
+	response := s.daemon.answerQuery(timeout, query)
+	if response.GetError() != nil {
+		writeControlError(ctx, response.GetError())
+		return
+	}
+	writeJSON(ctx, fasthttp.StatusOK, response.GetQuery())
+}
+
+func (s *operatorServer) change(ctx *fasthttp.RequestCtx) {
+	change := &pb.ConfigChange{}
+	if err := protojson.Unmarshal(ctx.PostBody(), change); err != nil {
+		writeControlError(ctx, &pb.ControlError{Code: pb.ControlError_INVALID, Reason: err.Error()})
+		return
+	}
+	command := &pb.Command{Op: &pb.Command_ConfigChange{ConfigChange: change}}
+	result, controlErr := s.propose(command)
+	if controlErr != nil {
+		writeControlError(ctx, controlErr)
+		return
+	}
+	writeJSON(ctx, changeStatus(result.GetChange()), result.GetChange())
+}
+
+func changeStatus(result *pb.ChangeResult) int {
+	switch result.GetOutcome() {
+	case pb.ChangeOutcome_CHANGE_ACCEPTED:
+		return fasthttp.StatusOK
+	case pb.ChangeOutcome_CHANGE_CONFLICT:
+		return fasthttp.StatusConflict
+	default:
+		return fasthttp.StatusBadRequest
+	}
+}
+
+func (s *operatorServer) order(ctx *fasthttp.RequestCtx) {
+	issue := &pb.OrderIssue{}
+	if err := protojson.Unmarshal(ctx.PostBody(), issue); err != nil {
+		writeControlError(ctx, &pb.ControlError{Code: pb.ControlError_INVALID, Reason: err.Error()})
+		return
+	}
+	command := &pb.Command{Op: &pb.Command_OrderIssue{OrderIssue: issue}}
+	result, controlErr := s.propose(command)
+	if controlErr != nil {
+		writeControlError(ctx, controlErr)
+		return
+	}
+	writeJSON(ctx, fasthttp.StatusOK, result.GetOrder())
+}
+
+func (s *operatorServer) propose(command *pb.Command) (*pb.CommandResult, *pb.ControlError) {
+	ctx, cancel := context.WithTimeout(s.daemon.ctx, requestTimeout)
+	defer cancel()
+	return s.daemon.control.Propose(ctx, transport.Control, command)
+}
+
+func writeControlError(ctx *fasthttp.RequestCtx, controlErr *pb.ControlError) {
+	status := fasthttp.StatusServiceUnavailable
+	if controlErr.GetCode() == pb.ControlError_INVALID {
+		status = fasthttp.StatusBadRequest
+	}
+	writeJSON(ctx, status, controlErr)
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, status int, message proto.Message) {
+	body, err := protojson.MarshalOptions{EmitUnpopulated: true}.Marshal(message)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetStatusCode(status)
+	ctx.SetBody(body)
+}
--- /dev/null
+++ b/controld/peers.go
@@ -0,0 +1,120 @@
+package controld
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/briarcross/briarcross/pb"
+	"github.com/briarcross/briarcross/transport"
+)
+
+const (
+	peerQueue    = 4096
+	peerBackoff  = 200 * time.Millisecond
+	peerDialTime = time.Second
+)
+
+// peers sends messages of the replicated log to the other replicas, each over
+// a stream of its own. A full queue or a lost connection loses messages, which
+// the log repeats.
+type peers struct {
+	ctx     context.Context
+	client  *transport.Client
+	address func(id string) (string, bool)
+	lost    func()
+
+	mu     sync.Mutex
+	queues map[string]chan *pb.QuorumMessage
+	wait   sync.WaitGroup
+}
+
+func newPeers(ctx context.Context, client *transport.Client, address func(string) (string, bool), lost func()) *peers {
+	return &peers{
+		ctx:     ctx,
+		client:  client,
+		address: address,
+		lost:    lost,
+		queues:  make(map[string]chan *pb.QuorumMessage),
+	}
+}
+
+// send queues a message for its receiver. It never blocks.
+func (p *peers) send(m *pb.QuorumMessage) {
+	select {
+	case p.queue(m.GetTo()) <- m:
+	default:
+		p.lost()
+	}
+}
+
+func (p *peers) queue(id string) chan *pb.QuorumMessage {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	queue, ok := p.queues[id]
+	if !ok {
+		queue = make(chan *pb.QuorumMessage, peerQueue)
+		p.queues[id] = queue
+		p.wait.Add(1)
+		go p.run(id, queue)
+	}
+	return queue
+}
+
+func (p *peers) run(id string, queue chan *pb.QuorumMessage) {
+	defer p.wait.Done()
+	for p.ctx.Err() == nil {
+		stream := p.connect(id)
+		if stream != nil {
+			p.forward(stream, queue)
+			_ = stream.Close()
+		}
+		p.discardDuring(queue, peerBackoff)
+	}
+}
+
+func (p *peers) connect(id string) *transport.Stream {
+	address, ok := p.address(id)
+	if !ok {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(p.ctx, peerDialTime)
+	defer cancel()
+	stream, err := p.client.Open(ctx, transport.Control, address)
+	if err != nil {
+		return nil
+	}
+	return stream
+}
+
+func (p *peers) forward(stream *transport.Stream, queue chan *pb.QuorumMessage) {
+	for {
+		select {
+		case <-p.ctx.Done():
+			return
+		case m := <-queue:
+			envelope := &pb.Envelope{Body: &pb.Envelope_Quorum{Quorum: m}}
+			if stream.Send(envelope) != nil {
+				p.lost()
+				return
+			}
+		}
+	}
+}
+
+// discardDuring drops messages while no connection exists, so that a receiver
+// that comes back is not sent old ones.
+func (p *peers) discardDuring(queue chan *pb.QuorumMessage, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	for {
+		select {
+		case <-p.ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case <-queue:
+			p.lost()
+		}
+	}
+}
--- /dev/null
+++ b/controld/rpc.go
@@ -0,0 +1,121 @@
+package controld
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/briarcross/briarcross/pb"
+	"github.com/briarcross/briarcross/transport"
+)
+
+const requestTimeout = 3 * time.Second
+
+// serveStream handles one stream of another daemon.
+func (d *Daemon) serveStream(_ transport.Class, stream *transport.Stream) {
+	for {
+		envelope, err := stream.Receive()
+		if err != nil {
+			return
+		}
+		switch body := envelope.GetBody().(type) {
+		case *pb.Envelope_Quorum:
+			d.replica.Receive(body.Quorum)
+		case *pb.Envelope_ControlRequest:
+			if d.answer(stream, body.ControlRequest) != nil {
+				return
+			}
+		case *pb.Envelope_ConfigWatch:
+			d.watchers.serve(stream, body.ConfigWatch)
+			return
+		case *pb.Envelope_LeaseRequest:
+			if d.leases.answer(stream, body.LeaseRequest) != nil {
+				return
+			}
+		default:
+			return
+		}
+	}
+}
+
+func (d *Daemon) answer(stream *transport.Stream, request *pb.ControlRequest) error {
+	ctx, cancel := context.WithTimeout(d.ctx, requestTimeout)
+	defer cancel()
+	response := d.handle(ctx, request)
+	return stream.Send(&pb.Envelope{Body: &pb.Envelope_ControlResponse{ControlResponse: response}})
+}
+
+func (d *Daemon) handle(ctx context.Context, request *pb.ControlRequest) *pb.ControlResponse {
+	switch body := request.GetRequest().(type) {
+	case *pb.ControlRequest_Propose:
+		return d.propose(ctx, body.Propose)
+	case *pb.ControlRequest_Query:
+		return d.answerQuery(ctx, body.Query)
+	default:
+		return errorResponse(&pb.ControlError{Code: pb.ControlError_INVALID, Reason: "request without a body"})
+	}
+}
+
+func (d *Daemon) propose(ctx context.Context, command *pb.Command) *pb.ControlResponse {
+	result, controlErr := d.replica.Propose(ctx, command)
+	if controlErr != nil {
+		d.metrics.refused.WithLabelValues(controlErr.GetCode().String()).Inc()
+		return errorResponse(controlErr)
+	}
+	return &pb.ControlResponse{Response: &pb.ControlResponse_Result{Result: result}}
+}
+
+func (d *Daemon) answerQuery(ctx context.Context, query *pb.Query) *pb.ControlResponse {
+	if !query.GetStale() {
+		if controlErr := d.replica.Confirm(ctx); controlErr != nil {
+			d.metrics.refused.WithLabelValues(controlErr.GetCode().String()).Inc()
+			return errorResponse(controlErr)
+		}
+	}
+	if query.GetStatus() != nil {
+		status := d.status(ctx, query.GetStale())
+		return queryResponse(&pb.QueryResult{Result: &pb.QueryResult_Status{Status: status}})
+	}
+	return queryResponse(d.query(query))
+}
+
+// status returns the state of the group. Unless it is a stale query, it also
+// collects the daemons that are attached to the other replicas.
+func (d *Daemon) status(ctx context.Context, stale bool) *pb.StatusAnswer {
+	status := proto.Clone(d.replica.Status()).(*pb.StatusAnswer)
+	status.ConfigRevision = d.revision()
+	d.publisher.Do(func() { status.Daemons = d.spread.Daemons() })
+	if stale {
+		return status
+	}
+	for _, replica := range status.GetReplicas() {
+		if replica.GetReplica().GetId() == d.settings.ID {
+			continue
+		}
+		other := d.peerStatus(ctx, replica.GetReplica().GetAddress())
+		status.Daemons = append(status.Daemons, other.GetDaemons()...)
+	}
+	return status
+}
+
+const peerStatusTimeout = 500 * time.Millisecond
+
+func (d *Daemon) peerStatus(ctx context.Context, address string) *pb.StatusAnswer {
+	ctx, cancel := context.WithTimeout(ctx, peerStatusTimeout)
+	defer cancel()
+	query := &pb.Query{Stale: true, Query: &pb.Query_Status{Status: &pb.StatusQuery{}}}
+	result, controlErr := d.control.QueryAt(ctx, address, query)
+	if controlErr != nil {
+		return nil
+	}
+	return result.GetStatus()
+}
+
+func errorResponse(controlErr *pb.ControlError) *pb.ControlResponse {
+	return &pb.ControlResponse{Response: &pb.ControlResponse_Error{Error: controlErr}}
+}
+
+func queryResponse(result *pb.QueryResult) *pb.ControlResponse {
+	return &pb.ControlResponse{Response: &pb.ControlResponse_Query{Query: result}}
+}
--- /dev/null
+++ b/controld/settings.go
@@ -0,0 +1,93 @@
+package controld
+
+import (
+	"flag"
+	"strings"
+	"time"
+
+	"github.com/briarcross/briarcross/daemon"
+	"github.com/briarcross/briarcross/pb"
+)
+
+const (
+	minTick = time.Millisecond
+	maxTick = time.Second
+)
+
+// Settings configure a control replica.
+type Settings struct {
+	daemon.Settings
+	Folder      string
+	Replicas    daemon.List
+	Spares      daemon.List
+	Join        bool
+	Tick        time.Duration
+	RepairAfter time.Duration
+	LeaseTime   time.Duration
+	PollTime    time.Duration
+}
+
+// Register adds the flags of the settings to a set.
+func (s *Settings) Register(fs *flag.FlagSet) {
+	s.Settings.Register(fs)
+	fs.StringVar(&s.Folder, "data", "", "data folder; empty keeps the state in memory only")
+	fs.Var(&s.Replicas, "replicas", "first replicas as id@address@data-centre, separated by commas")
+	fs.Var(&s.Spares, "spares", "replicas that may replace a lost one, written like -replicas")
+	fs.BoolVar(&s.Join, "join", false, "start as a spare that waits to be added")
+	fs.DurationVar(&s.Tick, "tick", 50*time.Millisecond, "time of one tick of the replicated log")
+	fs.DurationVar(&s.RepairAfter, "repair-after", 30*time.Second, "silence after which a replica is replaced by a spare")
+	fs.DurationVar(&s.LeaseTime, "lease-time", 10*time.Second, "time of a batch item lease without renewal")
+	fs.DurationVar(&s.PollTime, "poll-time", 500*time.Millisecond, "longest time between two lease requests of a sidecar")
+}
+
+// Check reports the first wrong setting.
+func (s *Settings) Check() error {
+	if err := s.Settings.Check(); err != nil {
+		return err
+	}
+	if _, err := parseReplicas("spares", s.Spares); err != nil {
+		return err
+	}
+	replicas, err := parseReplicas("replicas", s.Replicas)
+	if err != nil {
+		return err
+	}
+	if !s.Join && !containsReplica(replicas, s.ID) {
+		return daemon.Wrong("replicas", "must contain this replica's id "+s.ID+" unless -join is set")
+	}
+	if s.Tick < minTick || s.Tick > maxTick {
+		return daemon.Wrong("tick", "must be between 1ms and 1s")
+	}
+	if s.RepairAfter <= 0 {
+		return daemon.Wrong("repair-after", "must be positive")
+	}
+	if s.LeaseTime <= s.PollTime || s.PollTime <= 0 {
+		return daemon.Wrong("lease-time", "must be longer than -poll-time")
+	}
+	return nil
+}
+
+func containsReplica(replicas []*pb.Replica, id string) bool {
+	for _, replica := range replicas {
+		if replica.GetId() == id {
+			return true
+		}
+	}
+	return false
+}
+
+func parseReplicas(name string, items []string) ([]*pb.Replica, error) {
+	replicas := make([]*pb.Replica, 0, len(items))
+	for _, item := range items {
+		parts := strings.Split(item, "@")
+		const fields = 3
+		if len(parts) != fields {
+			return nil, daemon.Wrong(name, "must be written as id@address@data-centre, not "+item)
+		}
+		if err := daemon.CheckAddress(name, parts[1]); err != nil {
+			return nil, err
+		}
+		replicas = append(replicas, &pb.Replica{Id: parts[0], Address: parts[1], DataCentre: parts[2]})
+	}
+	return replicas, nil
+}
--- /dev/null
+++ b/daemon/settings.go
@@ -0,0 +1,164 @@
+package daemon
+
+import (
+	"flag"
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/rotisserie/eris"
+
+	"github.com/briarcross/briarcross/transport"
+)
+
+// Settings are common to all daemons. Each flag has an environment variable
+// of the same name: BRIARCROSS_ and the flag in capitals with underscores.
+type Settings struct {
+	ID         string
+	DataCentre string
+	Listen     string
+	HTTP       string
+	LogLevel   string
+	LogFormat  string
+	TLS        TLSFiles
+	StopWait   time.Duration
+}
+
+// Register adds the flags of the settings to a set.
+func (s *Settings) Register(fs *flag.FlagSet) {
+	fs.StringVar(&s.ID, "id", "", "unique name of this daemon")
+	fs.StringVar(&s.DataCentre, "data-centre", "", "data centre of this daemon")
+	fs.StringVar(&s.Listen, "listen", "", "IP address and port for other daemons")
+	fs.StringVar(&s.HTTP, "http", "", "IP address and port of the HTTP interface")
+	fs.StringVar(&s.LogLevel, "log-level", "info", "debug, info, warn or error")
+	fs.StringVar(&s.LogFormat, "log-format", "logfmt", "logfmt, json or text")
+	fs.DurationVar(&s.StopWait, "stop-wait", 30*time.Second, "longest time that a planned stop waits for running requests")
+	s.TLS.Register(fs)
+}
+
+// SettingError names the setting that is wrong.
+type SettingError struct {
+	Name   string
+	Reason string
+}
+
+// Error implements error.
+func (e *SettingError) Error() string {
+	return "setting -" + e.Name + ": " + e.Reason
+}
+
+// Wrong returns a SettingError.
+func Wrong(name, reason string) error {
+	return &SettingError{Name: name, Reason: reason}
+}
+
+// Check reports the first wrong setting.
+func (s *Settings) Check() error {
+	if s.ID == "" {
+		return Wrong("id", "is missing")
+	}
+	if s.DataCentre == "" {
+		return Wrong("data-centre", "is missing")
+	}
+	if err := CheckAddress("listen", s.Listen); err != nil {
+		return err
+	}
+	if err := CheckAddress("http", s.HTTP); err != nil {
+		return err
+	}
+	if _, err := log.ParseLevel(s.LogLevel); err != nil {
+		return Wrong("log-level", "must be debug, info, warn or error")
+	}
+	if _, ok := formatters[s.LogFormat]; !ok {
+		return Wrong("log-format", "must be logfmt, json or text")
+	}
+	if s.StopWait <= 0 {
+		return Wrong("stop-wait", "must be positive")
+	}
+	return s.TLS.Check(s.Listen)
+}
+
+// CheckAddress reports an address that is not an IP address and a port.
+func CheckAddress(name, address string) error {
+	if address == "" {
+		return Wrong(name, "is missing")
+	}
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return Wrong(name, "must be an IP address and a port, not "+address)
+	}
+	if net.ParseIP(host) == nil {
+		return Wrong(name, "must begin with an IP address, not "+host)
+	}
+	return nil
+}
+
+// CheckAddresses reports the first wrong address of a list, or an empty list.
+func CheckAddresses(name string, addresses []string) error {
+	if len(addresses) == 0 {
+		return Wrong(name, "is missing")
+	}
+	for _, address := range addresses {
+		if err := CheckAddress(name, address); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// List is a flag value of comma-separated items.
+type List []string
+
+// String implements flag.Value.
+func (l *List) String() string {
+	return strings.Join(*l, ",")
+}
+
+// Set implements flag.Value.
+func (l *List) Set(text string) error {
+	*l = nil
+	for item := range strings.SplitSeq(text, ",") {
+		if item = strings.TrimSpace(item); item != "" {
+			*l = append(*l, item)
+		}
+	}
+	return nil
+}
+
+var formatters = map[string]log.Formatter{
+	"logfmt": log.LogfmtFormatter,
+	"json":   log.JSONFormatter,
+	"text":   log.TextFormatter,
+}
+
+// NewLogger returns a logger with the prefix of one part.
+func (s *Settings) NewLogger(part string) *log.Logger {
+	level, err := log.ParseLevel(s.LogLevel)
+	if err != nil {
+		level = log.InfoLevel
+	}
+	return log.NewWithOptions(os.Stderr, log.Options{
+		Level:           level,
+		Prefix:          part,
+		Formatter:       formatters[s.LogFormat],
+		ReportTimestamp: true,
+		TimeFormat:      time.RFC3339Nano,
+	})
+}
+
+// NewIdentity returns this start's identity. The incarnation comes from the
+// wall clock, so that a later start has a higher one.
+func (s *Settings) NewIdentity() *transport.Identity {
+	return &transport.Identity{ID: s.ID, Incarnation: uint64(time.Now().UnixNano())}
+}
+
+// ListenTCP listens on an address and names the setting when it cannot.
+func ListenTCP(name, address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "setting -%s", name)
+	}
+	return listener, nil
+}
--- /dev/null
+++ b/daemon/tls.go
@@ -0,0 +1,125 @@
+package daemon
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"flag"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// TLSFiles name the certificate files of a daemon. All empty means plain TCP,
+// which is accepted on loopback only.
+type TLSFiles struct {
+	Certificate string
+	Key         string
+	Authority   string
+
+	mu       sync.Mutex
+	loaded   *tls.Config
+	modified time.Time
+}
+
+// Register adds the flags to a set.
+func (f *TLSFiles) Register(fs *flag.FlagSet) {
+	fs.StringVar(&f.Certificate, "tls-cert", "", "file of this daemon's certificate")
+	fs.StringVar(&f.Key, "tls-key", "", "file of this daemon's private key")
+	fs.StringVar(&f.Authority, "tls-ca", "", "file of the authority that signs all daemons' certificates")
+}
+
+// Enabled reports whether certificate files are set.
+func (f *TLSFiles) Enabled() bool {
+	return f.Certificate != ""
+}
+
+// Check reports incomplete or unreadable files, and plain TCP off loopback.
+func (f *TLSFiles) Check(listen string) error {
+	if !f.Enabled() {
+		return checkLoopback(listen)
+	}
+	if f.Key == "" {
+		return Wrong("tls-key", "is missing although -tls-cert is set")
+	}
+	if f.Authority == "" {
+		return Wrong("tls-ca", "is missing although -tls-cert is set")
+	}
+	if _, err := f.load(); err != nil {
+		return Wrong("tls-cert", err.Error())
+	}
+	return nil
+}
+
+func checkLoopback(listen string) error {
+	host, _, err := net.SplitHostPort(listen)
+	if err != nil {
+		return Wrong("listen", err.Error())
+	}
+	if ip := net.ParseIP(host); ip == nil || !ip.IsLoopback() {
+		return Wrong("tls-cert", "is missing; without certificates only loopback addresses are accepted, not "+listen)
+	}
+	return nil
+}
+
+// Config returns the current mutual TLS configuration. It reads the files
+// again when the certificate file has changed, and keeps the last good
+// configuration when the new files are damaged.
+func (f *TLSFiles) Config() *tls.Config {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	info, err := os.Stat(f.Certificate)
+	if err == nil && (f.loaded == nil || !info.ModTime().Equal(f.modified)) {
+		if config, loadErr := f.load(); loadErr == nil {
+			f.loaded = config
+			f.modified = info.ModTime()
+		}
+	}
+	return f.loaded
+}
+
+func (f *TLSFiles) load() (*tls.Config, error) {
+	pair, err := tls.LoadX509KeyPair(f.Certificate, f.Key)
+	if err != nil {
+		return nil, eris.Wrap(err, "load certificate")
+	}
+	pem, err := os.ReadFile(f.Authority)
+	if err != nil {
+		return nil, eris.Wrap(err, "read authority")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, eris.Errorf("no certificate in %s", f.Authority)
+	}
+	return &tls.Config{
+		Certificates: []tls.Certificate{pair},
+		RootCAs:      pool,
+		ClientCAs:    pool,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		MinVersion:   tls.VersionTLS13,
+	}, nil
+}
+
+// Listener wraps a listener with mutual TLS when certificate files are set.
+func (f *TLSFiles) Listener(inner net.Listener) net.Listener {
+	if !f.Enabled() {
+		return inner
+	}
+	return tls.NewListener(inner, &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			return f.Config(), nil
+		},
+	})
+}
+
+// ClientConfig returns the source of configurations for outgoing connections,
+// or nil for plain TCP.
+func (f *TLSFiles) ClientConfig() func() *tls.Config {
+	if !f.Enabled() {
+		return nil
+	}
+	return f.Config
+}
--- /dev/null
+++ b/loop/loop.go
@@ -0,0 +1,139 @@
+// Package loop drives one core on one goroutine: it feeds inputs and ticks to
+// the core and carries out its outputs in order.
+package loop
+
+import (
+	"sync"
+	"time"
+
+	"github.com/briarcross/briarcross/core"
+)
+
+// Loop owns a core. Its methods are safe for concurrent use.
+type Loop[In, Out any] struct {
+	core  core.Core[In, Out]
+	carry func(Out)
+	tick  time.Duration
+
+	mu     sync.Mutex
+	inputs []In
+	calls  []func()
+	closed bool
+	wake   chan struct{}
+	done   chan struct{}
+}
+
+// Start runs a core. Carry is called on the loop's goroutine for each output
+// and must not block; completions go back through Post.
+func Start[In, Out any](c core.Core[In, Out], tick time.Duration, carry func(Out)) *Loop[In, Out] {
+	l := &Loop[In, Out]{
+		core:  c,
+		carry: carry,
+		tick:  tick,
+		wake:  make(chan struct{}, 1),
+		done:  make(chan struct{}),
+	}
+	go l.run()
+	return l
+}
+
+// Post queues an input. It never blocks; admission in front of the core bounds
+// the queue. Inputs after Close are dropped.
+func (l *Loop[In, Out]) Post(in In) {
+	l.mu.Lock()
+	if !l.closed {
+		l.inputs = append(l.inputs, in)
+	}
+	l.mu.Unlock()
+	l.signal()
+}
+
+// Do runs a function on the loop's goroutine and waits for it. It reports
+// false when the loop is closed.
+func (l *Loop[In, Out]) Do(call func()) bool {
+	finished := make(chan struct{})
+	l.mu.Lock()
+	if l.closed {
+		l.mu.Unlock()
+		return false
+	}
+	l.calls = append(l.calls, func() {
+		call()
+		close(finished)
+	})
+	l.mu.Unlock()
+	l.signal()
+	select {
+	case <-finished:
+		return true
+	case <-l.done:
+		return false
+	}
+}
+
+// Close stops the loop and waits for its goroutine. It must not be called
+// from carry.
+func (l *Loop[In, Out]) Close() {
+	l.mu.Lock()
+	l.closed = true
+	l.mu.Unlock()
+	l.signal()
+	<-l.done
+}
+
+func (l *Loop[In, Out]) signal() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (l *Loop[In, Out]) run() {
+	defer close(l.done)
+	ticker := time.NewTicker(l.tick)
+	defer ticker.Stop()
+	var spare []In
+	for {
+		select {
+		case <-ticker.C:
+			// The ticker's own time may lie before that of the last Step.
+			l.core.Tick(time.Now())
+			l.deliver()
+		case <-l.wake:
+			inputs, calls, closed := l.take(spare)
+			l.handle(inputs, calls)
+			if closed {
+				return
+			}
+			clear(inputs)
+			spare = inputs[:0]
+		}
+	}
+}
+
+func (l *Loop[In, Out]) take(spare []In) ([]In, []func(), bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	inputs, calls := l.inputs, l.calls
+	l.inputs, l.calls = spare, nil
+	return inputs, calls, l.closed
+}
+
+func (l *Loop[In, Out]) handle(inputs []In, calls []func()) {
+	for _, in := range inputs {
+		l.core.Step(time.Now(), in)
+		l.deliver()
+	}
+	for _, call := range calls {
+		call()
+	}
+	if len(calls) > 0 {
+		l.deliver()
+	}
+}
+
+func (l *Loop[In, Out]) deliver() {
+	for _, out := range l.core.Drain() {
+		l.carry(out)
+	}
+}
--- /dev/null
+++ b/transport/client.go
@@ -0,0 +1,131 @@
+package transport
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/rotisserie/eris"
+)
+
+const dialTimeout = 2 * time.Second
+
+// Client opens streams to other processes. It keeps one connection for each
+// address and class and dials again after a loss. It is safe for concurrent use.
+type Client struct {
+	identity *Identity
+	tls      func() *tls.Config
+
+	mu       sync.Mutex
+	sessions map[sessionKey]*sessionSlot
+	closed   bool
+}
+
+type sessionKey struct {
+	address string
+	class   Class
+}
+
+// sessionSlot serializes dialling of one session.
+type sessionSlot struct {
+	mu      sync.Mutex
+	session *yamux.Session
+}
+
+// NewClient returns a client. A nil tlsConfig means plain TCP.
+func NewClient(identity *Identity, tlsConfig func() *tls.Config) *Client {
+	return &Client{
+		identity: identity,
+		tls:      tlsConfig,
+		sessions: make(map[sessionKey]*sessionSlot),
+	}
+}
+
+// Open opens a stream. An error means that nothing was sent.
+func (c *Client) Open(ctx context.Context, class Class, address string) (*Stream, error) {
+	slot, err := c.slot(sessionKey{address, class})
+	if err != nil {
+		return nil, err
+	}
+	const attempts = 2
+	for range attempts {
+		session, dialErr := c.dialSlot(ctx, slot, class, address)
+		if dialErr != nil {
+			return nil, dialErr
+		}
+		conn, openErr := session.Open()
+		if openErr == nil {
+			return newStream(c.identity, conn, address), nil
+		}
+		err = openErr
+		_ = session.Close()
+	}
+	return nil, eris.Wrapf(err, "open %s stream to %s", class, address)
+}
+
+func (c *Client) slot(key sessionKey) (*sessionSlot, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return nil, eris.New("transport client is closed")
+	}
+	slot, ok := c.sessions[key]
+	if !ok {
+		slot = &sessionSlot{}
+		c.sessions[key] = slot
+	}
+	return slot, nil
+}
+
+func (c *Client) dialSlot(ctx context.Context, slot *sessionSlot, class Class, address string) (*yamux.Session, error) {
+	slot.mu.Lock()
+	defer slot.mu.Unlock()
+	if slot.session != nil && !slot.session.IsClosed() {
+		return slot.session, nil
+	}
+	conn, err := c.dial(ctx, address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "connect to %s", address)
+	}
+	if err := writePreface(conn, class); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	session, err := yamux.Client(conn, sessionConfig())
+	if err != nil {
+		_ = conn.Close()
+		return nil, eris.Wrap(err, "start session")
+	}
+	slot.session = session
+	return session, nil
+}
+
+func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	if c.tls == nil {
+		var dialer net.Dialer
+		return dialer.DialContext(ctx, "tcp", address)
+	}
+	dialer := tls.Dialer{Config: c.tls()}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
+// Close ends all connections and their streams.
+func (c *Client) Close() {
+	c.mu.Lock()
+	c.closed = true
+	slots := c.sessions
+	c.sessions = make(map[sessionKey]*sessionSlot)
+	c.mu.Unlock()
+	for _, slot := range slots {
+		slot.mu.Lock()
+		if slot.session != nil {
+			_ = slot.session.Close()
+		}
+		slot.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/transport/datagram.go
@@ -0,0 +1,138 @@
+package transport
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"github.com/panjf2000/gnet/v2/pkg/logging"
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/briarcross/briarcross/pb"
+)
+
+// MaxDatagramBytes bounds a sent datagram, below the smallest usual path limit.
+const MaxDatagramBytes = 1400
+
+const datagramStartTimeout = 5 * time.Second
+
+// Datagrams sends and receives envelopes over UDP. Losses are not reported.
+type Datagrams struct {
+	gnet.BuiltinEventEngine
+	identity *Identity
+	handler  func(*pb.Envelope)
+	engine   gnet.Engine
+	started  chan struct{}
+	finished chan error
+	sender   *net.UDPConn
+
+	mu        sync.Mutex
+	addresses map[string]*net.UDPAddr
+}
+
+// ListenDatagrams receives envelopes at an address and calls the handler for
+// each on the event loop; the handler must not block.
+func ListenDatagrams(identity *Identity, address string, handler func(*pb.Envelope)) (*Datagrams, error) {
+	if err := probeUDP(address); err != nil {
+		return nil, err
+	}
+	sender, err := net.ListenUDP("udp", nil)
+	if err != nil {
+		return nil, eris.Wrap(err, "open datagram socket")
+	}
+	d := &Datagrams{
+		identity:  identity,
+		handler:   handler,
+		started:   make(chan struct{}),
+		finished:  make(chan error, 1),
+		sender:    sender,
+		addresses: make(map[string]*net.UDPAddr),
+	}
+	go func() {
+		d.finished <- gnet.Run(d, "udp://"+address, gnet.WithLogLevel(logging.FatalLevel))
+	}()
+	select {
+	case <-d.started:
+		return d, nil
+	case err := <-d.finished:
+		_ = sender.Close()
+		return nil, eris.Wrapf(err, "listen for datagrams on %s", address)
+	}
+}
+
+// probeUDP reports a busy address before the event loop starts, whose own
+// error does not name it.
+func probeUDP(address string) error {
+	conn, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return eris.Wrapf(err, "listen for datagrams on %s", address)
+	}
+	return conn.Close()
+}
+
+// OnBoot implements gnet.EventHandler.
+func (d *Datagrams) OnBoot(engine gnet.Engine) gnet.Action {
+	d.engine = engine
+	close(d.started)
+	return gnet.None
+}
+
+// OnTraffic implements gnet.EventHandler.
+func (d *Datagrams) OnTraffic(conn gnet.Conn) gnet.Action {
+	data, err := conn.Next(-1)
+	if err != nil {
+		return gnet.None
+	}
+	e := &pb.Envelope{}
+	if proto.Unmarshal(data, e) != nil {
+		return gnet.None
+	}
+	if d.identity.accepts(e.GetHeader()) {
+		d.handler(e)
+	}
+	return gnet.None
+}
+
+// Send sends one envelope. An error means that nothing was sent.
+func (d *Datagrams) Send(address string, e *pb.Envelope) error {
+	if e.Header == nil {
+		e.Header = d.identity.Header("", 0)
+	}
+	data, err := proto.Marshal(e)
+	if err != nil {
+		return eris.Wrap(err, "encode datagram")
+	}
+	to, err := d.resolve(address)
+	if err != nil {
+		return err
+	}
+	_, err = d.sender.WriteToUDP(data, to)
+	return eris.Wrapf(err, "send datagram to %s", address)
+}
+
+func (d *Datagrams) resolve(address string) (*net.UDPAddr, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if to, ok := d.addresses[address]; ok {
+		return to, nil
+	}
+	to, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "resolve %s", address)
+	}
+	d.addresses[address] = to
+	return to, nil
+}
+
+// Close stops receiving and sending.
+func (d *Datagrams) Close() error {
+	ctx, cancel := context.WithTimeout(context.Background(), datagramStartTimeout)
+	defer cancel()
+	err := d.engine.Stop(ctx)
+	_ = d.sender.Close()
+	<-d.finished
+	return eris.Wrap(err, "stop datagrams")
+}
--- /dev/null
+++ b/transport/identity.go
@@ -0,0 +1,61 @@
+package transport
+
+import (
+	"sync/atomic"
+
+	"github.com/briarcross/briarcross/pb"
+)
+
+// Identity names this process to others.
+type Identity struct {
+	ID          string
+	Incarnation uint64
+	Group       uint32
+
+	revision atomic.Uint64
+	observe  atomic.Pointer[func(*pb.Header)]
+	dropped  atomic.Uint64
+}
+
+// SetRevision stores the configuration revision that outgoing headers carry.
+func (i *Identity) SetRevision(revision uint64) {
+	i.revision.Store(revision)
+}
+
+// Observe registers a function that sees the header of each received envelope.
+// It must not block.
+func (i *Identity) Observe(see func(*pb.Header)) {
+	i.observe.Store(&see)
+}
+
+// Dropped returns the number of envelopes that were meant for another
+// incarnation of this process or another group.
+func (i *Identity) Dropped() uint64 {
+	return i.dropped.Load()
+}
+
+// Header returns a header for an envelope to a receiver. A zero incarnation
+// accepts any incarnation of the receiver.
+func (i *Identity) Header(receiver string, incarnation uint64) *pb.Header {
+	return &pb.Header{
+		Sender:              i.ID,
+		Incarnation:         i.Incarnation,
+		Receiver:            receiver,
+		ReceiverIncarnation: incarnation,
+		Group:               i.Group,
+		ConfigRevision:      i.revision.Load(),
+	}
+}
+
+// accepts reports whether a received header is meant for this incarnation.
+func (i *Identity) accepts(h *pb.Header) bool {
+	wrongIncarnation := h.GetReceiverIncarnation() != 0 && h.GetReceiverIncarnation() != i.Incarnation
+	if wrongIncarnation || h.GetGroup() != i.Group {
+		i.dropped.Add(1)
+		return false
+	}
+	if see := i.observe.Load(); see != nil {
+		(*see)(h)
+	}
+	return true
+}
--- /dev/null
+++ b/transport/server.go
@@ -0,0 +1,125 @@
+package transport
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+)
+
+const prefaceTimeout = 5 * time.Second
+
+// Handler serves one stream and closes it before it returns.
+type Handler func(class Class, stream *Stream)
+
+// Server accepts streams of other processes.
+type Server struct {
+	identity *Identity
+	handler  Handler
+
+	mu     sync.Mutex
+	conns  map[net.Conn]struct{}
+	closed bool
+	wait   sync.WaitGroup
+}
+
+// NewServer returns a server that calls the handler for each stream, each in
+// a goroutine of its own.
+func NewServer(identity *Identity, handler Handler) *Server {
+	return &Server{
+		identity: identity,
+		handler:  handler,
+		conns:    make(map[net.Conn]struct{}),
+	}
+}
+
+// Serve accepts connections until the listener or the server is closed.
+func (s *Server) Serve(listener net.Listener) error {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			if s.isClosed() {
+				return nil
+			}
+			return err
+		}
+		if !s.track(conn) {
+			_ = conn.Close()
+			return nil
+		}
+		go s.serveConn(conn)
+	}
+}
+
+func (s *Server) isClosed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
+func (s *Server) track(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.conns[conn] = struct{}{}
+	s.wait.Add(1)
+	return true
+}
+
+func (s *Server) untrack(conn net.Conn) {
+	s.mu.Lock()
+	delete(s.conns, conn)
+	s.mu.Unlock()
+	s.wait.Done()
+}
+
+func (s *Server) serveConn(conn net.Conn) {
+	defer s.untrack(conn)
+	defer func() { _ = conn.Close() }()
+	if err := conn.SetReadDeadline(time.Now().Add(prefaceTimeout)); err != nil {
+		return
+	}
+	class, err := readPreface(conn)
+	if err != nil {
+		return
+	}
+	if err := conn.SetReadDeadline(time.Time{}); err != nil {
+		return
+	}
+	session, err := yamux.Server(conn, sessionConfig())
+	if err != nil {
+		return
+	}
+	s.serveSession(class, session, conn.RemoteAddr().String())
+}
+
+func (s *Server) serveSession(class Class, session *yamux.Session, peer string) {
+	defer func() { _ = session.Close() }()
+	for {
+		conn, err := session.Accept()
+		if err != nil {
+			return
+		}
+		stream := newStream(s.identity, conn, peer)
+		s.wait.Add(1)
+		go func() {
+			defer s.wait.Done()
+			defer func() { _ = stream.Close() }()
+			s.handler(class, stream)
+		}()
+	}
+}
+
+// Close ends all connections and waits for the handlers.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.closed = true
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+	s.mu.Unlock()
+	s.wait.Wait()
+}
--- /dev/null
+++ b/transport/stream.go
@@ -0,0 +1,111 @@
+package transport
+
+import (
+	"bufio"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"github.com/briarcross/briarcross/pb"
+)
+
+// MaxFrameBytes bounds one received envelope.
+const MaxFrameBytes = 16 << 20
+
+const readBufferBytes = 4 << 10
+
+// ErrOtherIncarnation reports an envelope for another incarnation of this
+// process.
+var ErrOtherIncarnation = eris.New("envelope for another incarnation")
+
+// Stream is an ordered, flow-controlled sequence of envelopes in both
+// directions. Send is safe for concurrent use, Receive for one goroutine.
+type Stream struct {
+	identity *Identity
+	conn     net.Conn
+	reader   *bufio.Reader
+	peer     string
+
+	mu     sync.Mutex
+	writer *bufio.Writer
+}
+
+func newStream(identity *Identity, conn net.Conn, peer string) *Stream {
+	return &Stream{
+		identity: identity,
+		conn:     conn,
+		reader:   bufio.NewReaderSize(conn, readBufferBytes),
+		writer:   bufio.NewWriterSize(conn, readBufferBytes),
+		peer:     peer,
+	}
+}
+
+// Peer returns the address of the other end.
+func (s *Stream) Peer() string {
+	return s.peer
+}
+
+// Send writes one envelope. A missing header is filled in for any incarnation
+// of the receiver. It blocks while the receiver's window is full.
+func (s *Stream) Send(e *pb.Envelope) error {
+	if e.Header == nil {
+		e.Header = s.identity.Header("", 0)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, err := protodelim.MarshalTo(s.writer, e); err != nil {
+		return eris.Wrap(err, "send envelope")
+	}
+	return eris.Wrap(s.writer.Flush(), "send envelope")
+}
+
+// Receive reads the next envelope. An envelope for another incarnation of this
+// process ends the stream with ErrOtherIncarnation.
+func (s *Stream) Receive() (*pb.Envelope, error) {
+	e := &pb.Envelope{}
+	options := protodelim.UnmarshalOptions{MaxSize: MaxFrameBytes}
+	if err := options.UnmarshalFrom(s.reader, e); err != nil {
+		return nil, eris.Wrap(err, "receive envelope")
+	}
+	if !s.identity.accepts(e.GetHeader()) {
+		return nil, ErrOtherIncarnation
+	}
+	return e, nil
+}
+
+// SetReceiveDeadline bounds the following calls of Receive. The zero time
+// means no bound.
+func (s *Stream) SetReceiveDeadline(at time.Time) error {
+	return s.conn.SetReadDeadline(at)
+}
+
+// Close ends the stream in both directions.
+func (s *Stream) Close() error {
+	return s.conn.Close()
+}
+
+const (
+	keepAliveInterval = 5 * time.Second
+	writeTimeout      = 10 * time.Second
+	windowBytes       = 256 << 10
+	acceptBacklog     = 1024
+)
+
+func sessionConfig() *yamux.Config {
+	config := yamux.DefaultConfig()
+	config.AcceptBacklog = acceptBacklog
+	config.EnableKeepAlive = true
+	config.KeepAliveInterval = keepAliveInterval
+	config.ConnectionWriteTimeout = writeTimeout
+	config.MaxStreamWindowSize = windowBytes
+	config.LogOutput = discard{}
+	return config
+}
+
+type discard struct{}
+
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
