Add the sidecar shell and the subscription to the configuration

Cause: the sidecar core needs its engine, entries, leader and registrars. Change: sidecard (runs, online streams, batch items, drain), daemon subscription and HTTP base.

--- a/controld/controld.go
+++ b/controld/controld.go
@@ -238,18 +238,18 @@
 		}
 	}()
 	d.http = newOperatorServer(d)
-	d.http.start(d.settings.TLS.Listener(operators))
+	d.http.http.Start(d.settings.TLS.Listener(operators), d.fault)
 	context.AfterFunc(d.ctx, func() { _ = listener.Close() })
 }
 
 // Stop ends the replica. A leader hands its leadership over first.
 func (d *Daemon) Stop() error {
 	d.logger.Info("control replica stops")
-	d.http.unready()
+	d.http.readiness.Stop()
 	err := d.replica.Close()
 	d.cancel()
 	d.server.Close()
-	d.http.stop()
+	d.http.http.Stop()
 	d.publisher.Close()
 	d.leases.close()
 	d.transport.Close()
--- a/controld/http.go
+++ b/controld/http.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"net"
 	"strings"
-	"sync/atomic"
 
 	"github.com/valyala/fasthttp"
 	"google.golang.org/protobuf/encoding/protojson"
@@ -20,45 +18,20 @@
 // operatorServer is the operators' HTTP interface. Any replica serves it and
 // passes changes on to the leader.
 type operatorServer struct {
-	daemon *Daemon
-	server *fasthttp.Server
-	ready  atomic.Bool
-	done   chan struct{}
+	daemon    *Daemon
+	readiness daemon.Readiness
+	http      *daemon.HTTP
 }
 
 func newOperatorServer(d *Daemon) *operatorServer {
-	s := &operatorServer{daemon: d, done: make(chan struct{})}
-	s.ready.Store(true)
-	s.server = &fasthttp.Server{
-		Handler:               s.handle,
-		Name:                  "briarcross",
-		MaxRequestBodySize:    maxOperatorBodyBytes,
-		NoDefaultServerHeader: true,
-		CloseOnShutdown:       true,
-	}
+	s := &operatorServer{daemon: d}
+	s.readiness.SetConfigured(true)
+	s.http = daemon.NewHTTP(&s.readiness, d.metrics.registry, s.handle, func(server *fasthttp.Server) {
+		server.MaxRequestBodySize = maxOperatorBodyBytes
+	})
 	return s
 }
 
-func (s *operatorServer) start(listener net.Listener) {
-	go func() {
-		defer close(s.done)
-		if err := s.server.Serve(listener); err != nil {
-			s.daemon.fault(err)
-		}
-	}()
-}
-
-func (s *operatorServer) unready() {
-	s.ready.Store(false)
-}
-
-func (s *operatorServer) stop() {
-	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
-	defer cancel()
-	_ = s.server.ShutdownWithContext(ctx)
-	<-s.done
-}
-
 // The paths of the operators' interface.
 const (
 	pathDocuments = "/api/v1/documents"
@@ -71,12 +44,6 @@
 func (s *operatorServer) handle(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
 	switch {
-	case path == "/healthz":
-		ctx.SetBodyString("ok\n")
-	case path == "/readyz":
-		s.readyz(ctx)
-	case path == "/metrics":
-		daemon.MetricsHandler(s.daemon.metrics.registry)(ctx)
 	case path == pathDocuments:
 		s.documents(ctx)
 	case path == pathChanges && ctx.IsPost():
@@ -95,15 +62,6 @@
 	}
 }
 
-func (s *operatorServer) readyz(ctx *fasthttp.RequestCtx) {
-	leader, _, _ := s.daemon.replica.Leader()
-	if !s.ready.Load() || leader == "" {
-		ctx.Error("not ready\n", fasthttp.StatusServiceUnavailable)
-		return
-	}
-	ctx.SetBodyString("ready\n")
-}
-
 func (s *operatorServer) documents(ctx *fasthttp.RequestCtx) {
 	name := string(ctx.QueryArgs().Peek("name"))
 	s.query(ctx, &pb.Query{Query: &pb.Query_Config{Config: &pb.ConfigQuery{Name: name}}})
--- /dev/null
+++ b/sidecard/batch.go
@@ -0,0 +1,235 @@
+package sidecard
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/briarcross/briarcross/batch"
+	"github.com/briarcross/briarcross/engine"
+	"github.com/briarcross/briarcross/openai"
+	"github.com/briarcross/briarcross/pb"
+	"github.com/briarcross/briarcross/sidecar"
+	"github.com/briarcross/briarcross/transport"
+)
+
+const leaseCallTimeout = 5 * time.Second
+
+// batchAnswer collects the answer of one batch item.
+type batchAnswer struct {
+	finish func(*pb.AnswerEnd, int, []byte)
+
+	mu     sync.Mutex
+	status int
+	chunks openai.Aggregator
+	plain  []byte
+}
+
+func (a *batchAnswer) part(part engine.Part) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch part := part.(type) {
+	case engine.Head:
+		a.status = part.Status
+	case engine.Data:
+		if part.Tokens > 0 || a.succeeded() {
+			return a.chunks.Add(part.Payload)
+		}
+		a.plain = append(a.plain, part.Payload...)
+	}
+	return nil
+}
+
+func (a *batchAnswer) succeeded() bool {
+	const firstFailure = 300
+	return a.status < firstFailure
+}
+
+func (a *batchAnswer) restart() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.chunks = openai.Aggregator{}
+	a.plain = nil
+}
+
+func (a *batchAnswer) end(end *pb.AnswerEnd) {
+	a.mu.Lock()
+	status, body := a.status, a.plain
+	if a.succeeded() && end.GetOutcome() == pb.Outcome_OUTCOME_DONE {
+		whole, err := a.chunks.Body()
+		if err != nil {
+			end = &pb.AnswerEnd{Outcome: pb.Outcome_OUTCOME_UNKNOWN, Reason: pb.Reason_REASON_TRUNCATED, Detail: err.Error()}
+		}
+		body = whole
+	}
+	a.mu.Unlock()
+	a.finish(end, status, body)
+}
+
+func itemID(job string, index uint32, fencing uint64, attempt uint32) sidecar.ID {
+	request := job + "/" + strconv.FormatUint(uint64(index), 10) + "/" + strconv.FormatUint(fencing, 10)
+	return sidecar.ID{Request: request, Attempt: attempt}
+}
+
+// submitItem passes a leased item to the sidecar's core.
+func (d *Daemon) submitItem(item *pb.LeasedItem) {
+	id := itemID(item.GetJobId(), item.GetIndex(), item.GetFencingNumber(), item.GetAttempt())
+	a := &batchAnswer{finish: func(end *pb.AnswerEnd, status int, body []byte) {
+		d.finishItem(item, end, status, body)
+	}}
+	r := d.newRun(id, a, engine.Request{ID: id.Request, Method: "POST", Path: item.GetEndpoint(), Body: item.GetBody()})
+	if !d.runs.add(r) {
+		return
+	}
+	d.items.add(item, id)
+	work := sidecar.Work{
+		ID:         id,
+		Class:      sidecar.Batch,
+		Service:    item.GetService(),
+		Idempotent: item.GetIdempotent(),
+	}
+	if completion, err := openai.Parse(item.GetEndpoint(), item.GetBody()); err == nil {
+		work.PromptTokens = openai.EstimateTokens(completion.Prompt)
+		work.MaxTokens = completion.MaxTokens
+		work.Prefix = openai.PrefixHashes(completion.Prompt)
+	}
+	if _, _, profile, ok := d.subscription.Documents().ProfileOf(item.GetService()); ok {
+		work.HarmPermille = profile.GetHarmPermille()
+		work.Priority = profile.GetPriority()
+	}
+	d.core.Post(sidecar.Submit{Work: work})
+}
+
+// finishItem reports the outcome of an item to the worker.
+func (d *Daemon) finishItem(item *pb.LeasedItem, end *pb.AnswerEnd, status int, body []byte) {
+	d.items.remove(item)
+	result := &pb.ItemResult{
+		JobId:         item.GetJobId(),
+		Index:         item.GetIndex(),
+		CustomId:      item.GetCustomId(),
+		Status:        uint32(status),
+		Body:          body,
+		Attempts:      item.GetAttempt(),
+		FencingNumber: item.GetFencingNumber(),
+		Outcome:       itemOutcome(end, status),
+	}
+	if result.Outcome != pb.ItemOutcome_ITEM_DONE {
+		result.Error = itemError(end, status)
+	}
+	d.worker.Post(batch.Finished{Ref: refOf(item), Result: result})
+}
+
+func itemError(end *pb.AnswerEnd, status int) string {
+	if end.GetOutcome() == pb.Outcome_OUTCOME_DONE {
+		return "upstream answered status " + strconv.Itoa(status)
+	}
+	return end.GetReason().String() + " " + end.GetDetail()
+}
+
+// itemOutcome tells whether an item is done, can never be done, may run again,
+// or has not run.
+func itemOutcome(end *pb.AnswerEnd, status int) pb.ItemOutcome {
+	const (
+		firstFailure     = 300
+		firstClientError = 400
+		firstServerError = 500
+		tooManyRequests  = 429
+		requestTimeout   = 408
+	)
+	switch {
+	case end.GetOutcome() == pb.Outcome_OUTCOME_NOT_RUN:
+		return pb.ItemOutcome_ITEM_NOT_RUN
+	case end.GetOutcome() != pb.Outcome_OUTCOME_DONE:
+		return pb.ItemOutcome_ITEM_RETRY
+	case status < firstFailure:
+		return pb.ItemOutcome_ITEM_DONE
+	case status == tooManyRequests || status == requestTimeout:
+		return pb.ItemOutcome_ITEM_RETRY
+	case status >= firstClientError && status < firstServerError:
+		return pb.ItemOutcome_ITEM_FAILED
+	default:
+		return pb.ItemOutcome_ITEM_RETRY
+	}
+}
+
+func refOf(item *pb.LeasedItem) batch.ItemRef {
+	return batch.ItemRef{JobID: item.GetJobId(), Index: item.GetIndex(), FencingNumber: item.GetFencingNumber()}
+}
+
+// items maps leased items to the IDs that the sidecar's core knows them by.
+type items struct {
+	mu   sync.Mutex
+	byID map[batch.ItemRef]sidecar.ID
+}
+
+func (t *items) add(item *pb.LeasedItem, id sidecar.ID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.byID[refOf(item)] = id
+}
+
+func (t *items) remove(item *pb.LeasedItem) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.byID, refOf(item))
+}
+
+func (t *items) get(ref batch.ItemRef) (sidecar.ID, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	id, ok := t.byID[ref]
+	return id, ok
+}
+
+// carryWorker carries out the outputs of the batch worker.
+func (d *Daemon) carryWorker(out batch.WorkerOutput) {
+	switch out := out.(type) {
+	case batch.Ask:
+		go d.askForLeases(out.Message)
+	case batch.Run:
+		d.submitItem(out.Item)
+	case batch.Stop:
+		if id, ok := d.items.get(out.Ref); ok {
+			d.core.Post(sidecar.Cancel{ID: id})
+		}
+	case batch.Drained:
+		d.workerDrained.Do(func() { close(d.workerIdle) })
+	}
+}
+
+// askForLeases sends one lease request to the leader of the control group.
+func (d *Daemon) askForLeases(request *pb.LeaseRequest) {
+	ctx, cancel := context.WithTimeout(d.ctx, leaseCallTimeout)
+	defer cancel()
+	response, err := d.leaseCall(ctx, request)
+	switch {
+	case err != nil:
+		d.control.SetLeader("")
+		d.worker.Post(batch.RequestFailed{})
+	case response.GetError() == pb.ControlErrorCode_CONTROL_NOT_LEADER:
+		d.control.SetLeader(response.GetLeaderAddress())
+		d.worker.Post(batch.RequestFailed{})
+	default:
+		d.worker.Post(batch.Response{Message: response})
+	}
+}
+
+func (d *Daemon) leaseCall(ctx context.Context, request *pb.LeaseRequest) (*pb.LeaseResponse, error) {
+	stream, err := d.transport.Open(ctx, transport.Batch, d.control.Leader())
+	if err != nil {
+		return nil, err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
+	defer stop()
+	defer func() { _ = stream.Close() }()
+	envelope := &pb.Envelope{Body: &pb.Envelope_LeaseRequest{LeaseRequest: request}}
+	if err := stream.Send(envelope); err != nil {
+		return nil, err
+	}
+	reply, err := stream.Receive()
+	if err != nil {
+		return nil, err
+	}
+	return reply.GetLeaseResponse(), nil
+}
--- /dev/null
+++ b/sidecard/metrics.go
@@ -0,0 +1,54 @@
+package sidecard
+
+import (
+	"sync/atomic"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/briarcross/briarcross/daemon"
+	"github.com/briarcross/briarcross/pb"
+	"github.com/briarcross/briarcross/transport"
+)
+
+// metrics are the series of a sidecar.
+type metrics struct {
+	registry *prometheus.Registry
+	refusals *prometheus.CounterVec
+	current  atomic.Pointer[pb.Load]
+}
+
+func newMetrics(identity *transport.Identity) *metrics {
+	m := &metrics{
+		registry: daemon.NewRegistry(identity),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "briarcross_sidecar_refusals_total",
+			Help: "Requests that the sidecar refused, by reason.",
+		}, []string{"reason"}),
+	}
+	m.registry.MustRegister(
+		m.refusals,
+		m.gauge("briarcross_sidecar_running_online", "Online requests at the engine.", (*pb.Load).GetRunningOnline),
+		m.gauge("briarcross_sidecar_running_batch", "Batch items at the engine.", (*pb.Load).GetRunningBatch),
+		m.gauge("briarcross_sidecar_queued_online", "Online requests that wait for the engine.", (*pb.Load).GetQueuedOnline),
+		m.gauge("briarcross_sidecar_window_requests", "Requests that may be at the engine at a time.", (*pb.Load).GetWindow),
+	)
+	return m
+}
+
+func (m *metrics) gauge(name, help string, read func(*pb.Load) uint32) prometheus.Collector {
+	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, func() float64 {
+		return float64(read(m.load()))
+	})
+}
+
+func (m *metrics) refused(reason pb.Reason) {
+	m.refusals.WithLabelValues(reason.String()).Inc()
+}
+
+func (m *metrics) setLoad(load *pb.Load) {
+	m.current.Store(load)
+}
+
+func (m *metrics) load() *pb.Load {
+	return m.current.Load()
+}
--- /dev/null
+++ b/sidecard/online.go
@@ -0,0 +1,117 @@
+package sidecard
+
+import (
+	"sync"
+	"time"
+
+	"github.com/briarcross/briarcross/engine"
+	"github.com/briarcross/briarcross/pb"
+	"github.com/briarcross/briarcross/sidecar"
+	"github.com/briarcross/briarcross/transport"
+)
+
+// onlineAnswer sends the parts of an answer to the entry. A slow entry blocks
+// part, and with it only this request's engine stream.
+type onlineAnswer struct {
+	stream *transport.Stream
+	id     sidecar.ID
+	done   chan struct{}
+	once   sync.Once
+
+	mu       sync.Mutex
+	sequence uint32
+}
+
+func (a *onlineAnswer) part(part engine.Part) error {
+	switch part := part.(type) {
+	case engine.Head:
+		head := &pb.AnswerHead{Status: uint32(part.Status), Headers: part.Headers}
+		return a.send(&pb.OnlineFrame{Part: &pb.OnlineFrame_Head{Head: head}})
+	case engine.Data:
+		return a.send(&pb.OnlineFrame{Part: &pb.OnlineFrame_Data{Data: part.Payload}})
+	default:
+		return nil
+	}
+}
+
+// restart implements answer. Online requests are never restarted in place.
+func (a *onlineAnswer) restart() {}
+
+func (a *onlineAnswer) end(end *pb.AnswerEnd) {
+	a.once.Do(func() {
+		_ = a.send(&pb.OnlineFrame{Part: &pb.OnlineFrame_End{End: end}})
+		close(a.done)
+	})
+}
+
+func (a *onlineAnswer) send(frame *pb.OnlineFrame) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	frame.RequestId = a.id.Request
+	frame.Attempt = a.id.Attempt
+	frame.Sequence = a.sequence
+	a.sequence++
+	return a.stream.Send(&pb.Envelope{Body: &pb.Envelope_OnlineFrame{OnlineFrame: frame}})
+}
+
+// serveOnline handles the stream of one online request until its answer has
+// ended or the entry is gone.
+func (d *Daemon) serveOnline(stream *transport.Stream, header *pb.Header, request *pb.OnlineRequest) {
+	id := sidecar.ID{Request: request.GetRequestId(), Attempt: request.GetAttempt()}
+	a := &onlineAnswer{stream: stream, id: id, done: make(chan struct{})}
+	r := d.newRun(id, a, engine.Request{
+		ID:         request.GetRequestId(),
+		Method:     request.GetMethod(),
+		Path:       request.GetPath(),
+		Headers:    request.GetHeaders(),
+		Body:       request.GetBody(),
+		ResumeFrom: int(request.GetResumeFrom()),
+	})
+	if !d.runs.add(r) {
+		d.metrics.refused(pb.Reason_REASON_DUPLICATE)
+		a.end(&pb.AnswerEnd{Outcome: pb.Outcome_OUTCOME_UNKNOWN, Reason: pb.Reason_REASON_DUPLICATE})
+		return
+	}
+	d.core.Post(sidecar.Submit{Work: onlineWork(id, header, request, time.Now())})
+	go d.watchEntry(stream, id)
+	<-a.done
+}
+
+// watchEntry cancels a request when its entry closes the stream.
+func (d *Daemon) watchEntry(stream *transport.Stream, id sidecar.ID) {
+	for {
+		envelope, err := stream.Receive()
+		if err != nil || envelope.GetOnlineCancel() != nil {
+			d.core.Post(sidecar.Cancel{ID: id})
+			return
+		}
+	}
+}
+
+func onlineWork(id sidecar.ID, header *pb.Header, request *pb.OnlineRequest, now time.Time) sidecar.Work {
+	work := sidecar.Work{
+		ID:            id,
+		Class:         sidecar.Online,
+		Service:       request.GetService(),
+		Caller:        request.GetCaller(),
+		Priority:      request.GetPriority(),
+		FirstToken:    milliseconds(request.GetFirstTokenMs()),
+		BetweenTokens: milliseconds(request.GetBetweenTokensMs()),
+		PromptTokens:  int(request.GetPromptTokens()),
+		MaxTokens:     int(request.GetMaxTokens()),
+		Prefix:        request.GetPrefix(),
+		Idempotent:    request.GetIdempotent(),
+		Incarnation:   header.GetReceiverIncarnation(),
+	}
+	if request.GetRemainingMs() > 0 {
+		work.Deadline = now.Add(milliseconds(request.GetRemainingMs()))
+	}
+	if request.GetQueueMs() > 0 {
+		work.QueueBy = now.Add(milliseconds(request.GetQueueMs()))
+	}
+	return work
+}
+
+func milliseconds(ms uint32) time.Duration {
+	return time.Duration(ms) * time.Millisecond
+}
--- /dev/null
+++ b/sidecard/run.go
@@ -0,0 +1,152 @@
+package sidecard
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/briarcross/briarcross/engine"
+	"github.com/briarcross/briarcross/pb"
+	"github.com/briarcross/briarcross/sidecar"
+)
+
+const exportTimeout = 500 * time.Millisecond
+
+// answer receives the parts of one request's answer.
+type answer interface {
+	// part passes one part on; an error ends the run.
+	part(engine.Part) error
+	// restart forgets the parts of an attempt that will not be resumed.
+	restart()
+	// end gives the final outcome.
+	end(*pb.AnswerEnd)
+}
+
+// run is one request that this sidecar holds, from its submission to its end.
+type run struct {
+	id     sidecar.ID
+	client engine.Client
+	answer answer
+	ended  func(*run, engine.Result, bool)
+	tokens func(sidecar.ID, int)
+
+	mu      sync.Mutex
+	request engine.Request
+	cancel  context.CancelFunc
+	stopped bool
+	emitted int
+}
+
+// start sends the request to the engine. A resumed run continues after the
+// tokens that were already passed on.
+func (r *run) start(ctx context.Context, resume bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	r.mu.Lock()
+	r.stopped = false
+	r.cancel = cancel
+	if resume {
+		r.request.ResumeFrom = r.emitted
+	} else if r.emitted > 0 {
+		r.emitted = 0
+		r.request.ResumeFrom = 0
+		r.request.KV = nil
+		r.answer.restart()
+	}
+	request := r.request
+	r.mu.Unlock()
+	go r.execute(ctx, cancel, request)
+}
+
+func (r *run) execute(ctx context.Context, cancel context.CancelFunc, request engine.Request) {
+	defer cancel()
+	result := r.client.Run(ctx, request, r.sink)
+	r.mu.Lock()
+	stopped := r.stopped
+	r.mu.Unlock()
+	r.ended(r, result, stopped)
+}
+
+func (r *run) sink(part engine.Part) error {
+	if data, ok := part.(engine.Data); ok && data.Tokens > 0 {
+		r.mu.Lock()
+		r.emitted += data.Tokens
+		r.mu.Unlock()
+		r.tokens(r.id, data.Tokens)
+	}
+	return r.answer.part(part)
+}
+
+// stop cancels the request at the engine. With pause set, the engine's state
+// is exported first so that a later start can resume it.
+func (r *run) stop(pause bool) {
+	if pause {
+		r.export()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stopped = true
+	if r.cancel != nil {
+		r.cancel()
+	}
+}
+
+func (r *run) export() {
+	ctx, cancel := context.WithTimeout(context.Background(), exportTimeout)
+	defer cancel()
+	handle, err := r.client.Export(ctx, r.request.ID)
+	if err != nil {
+		return
+	}
+	r.mu.Lock()
+	r.request.KV = handle
+	r.mu.Unlock()
+}
+
+// endOf converts the result of an engine call into an outcome. The answer is
+// done only when all of it was seen; it was not run only when the engine
+// certainly did not see the request.
+func endOf(result engine.Result, stopped bool) (pb.Outcome, pb.Reason) {
+	switch {
+	case result.Complete:
+		return pb.Outcome_OUTCOME_DONE, pb.Reason_REASON_NONE
+	case !result.Sent:
+		return pb.Outcome_OUTCOME_NOT_RUN, pb.Reason_REASON_CONNECT_FAILED
+	case stopped:
+		return pb.Outcome_OUTCOME_UNKNOWN, pb.Reason_REASON_CANCELLED
+	case result.Tokens > 0:
+		return pb.Outcome_OUTCOME_UNKNOWN, pb.Reason_REASON_TRUNCATED
+	default:
+		return pb.Outcome_OUTCOME_UNKNOWN, pb.Reason_REASON_ENGINE_FAILED
+	}
+}
+
+// runs is the table of requests that this sidecar holds.
+type runs struct {
+	mu   sync.Mutex
+	byID map[sidecar.ID]*run
+}
+
+// add stores a run and reports false when its ID is already held.
+func (t *runs) add(r *run) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, held := t.byID[r.id]; held {
+		return false
+	}
+	t.byID[r.id] = r
+	return true
+}
+
+func (t *runs) get(id sidecar.ID) *run {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.byID[id]
+}
+
+func (t *runs) remove(id sidecar.ID) *run {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.byID[id]
+	delete(t.byID, id)
+	return r
+}
--- /dev/null
+++ b/sidecard/settings.go
@@ -0,0 +1,70 @@
+package sidecard
+
+import (
+	"flag"
+	"net/url"
+
+	"github.com/briarcross/briarcross/daemon"
+)
+
+// The kinds of upstream.
+const (
+	KindModel = "model"
+	KindPlain = "plain"
+)
+
+const maxWindowLimit = 4096
+
+// Settings configure a sidecar.
+type Settings struct {
+	daemon.Settings
+	Engine     string
+	Kind       string
+	Services   daemon.List
+	Control    daemon.List
+	Registrars daemon.List
+	MaxWindow  int
+	MaxQueue   int
+}
+
+// Register adds the flags of the settings to a set.
+func (s *Settings) Register(fs *flag.FlagSet) {
+	s.Settings.Register(fs)
+	fs.StringVar(&s.Engine, "engine", "", "base URL of the upstream")
+	fs.StringVar(&s.Kind, "kind", KindModel, "model engine or plain service: model or plain")
+	fs.Var(&s.Services, "services", "names of the services that the upstream serves, separated by commas")
+	fs.Var(&s.Control, "control", "addresses of the control replicas, separated by commas")
+	fs.Var(&s.Registrars, "registrars", "datagram addresses of entries that register members, separated by commas")
+	fs.IntVar(&s.MaxWindow, "max-window", 64, "largest number of requests at the upstream at a time")
+	fs.IntVar(&s.MaxQueue, "max-queue", 256, "largest number of waiting online requests")
+}
+
+// Check reports the first wrong setting.
+func (s *Settings) Check() error {
+	if err := s.Settings.Check(); err != nil {
+		return err
+	}
+	parsed, err := url.Parse(s.Engine)
+	if err != nil || parsed.Scheme != "http" || parsed.Host == "" {
+		return daemon.Wrong("engine", "must be an http URL, not "+s.Engine)
+	}
+	if s.Kind != KindModel && s.Kind != KindPlain {
+		return daemon.Wrong("kind", "must be model or plain, not "+s.Kind)
+	}
+	if len(s.Services) == 0 {
+		return daemon.Wrong("services", "is missing")
+	}
+	if err := daemon.CheckAddresses("control", s.Control); err != nil {
+		return err
+	}
+	if err := daemon.CheckAddresses("registrars", s.Registrars); err != nil {
+		return err
+	}
+	if s.MaxWindow < 1 || s.MaxWindow > maxWindowLimit {
+		return daemon.Wrong("max-window", "must be between 1 and 4096")
+	}
+	if s.MaxQueue < 1 {
+		return daemon.Wrong("max-queue", "must be positive")
+	}
+	return nil
+}
--- /dev/null
+++ b/sidecard/sidecard.go
@@ -0,0 +1,382 @@
+package sidecard
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/valyala/fasthttp"
+
+	"github.com/briarcross/briarcross/batch"
+	"github.com/briarcross/briarcross/client"
+	"github.com/briarcross/briarcross/daemon"
+	"github.com/briarcross/briarcross/engine"
+	"github.com/briarcross/briarcross/loop"
+	"github.com/briarcross/briarcross/member"
+	"github.com/briarcross/briarcross/pb"
+	"github.com/briarcross/briarcross/sidecar"
+	"github.com/briarcross/briarcross/transport"
+)
+
+const (
+	coreTick      = 10 * time.Millisecond
+	workerTick    = 20 * time.Millisecond
+	announcerTick = 100 * time.Millisecond
+	loadInterval  = 500 * time.Millisecond
+	loadTimeout   = time.Second
+)
+
+// Daemon is a running sidecar.
+type Daemon struct {
+	settings     *Settings
+	logger       *log.Logger
+	identity     *transport.Identity
+	transport    *transport.Client
+	server       *transport.Server
+	control      *client.Control
+	engine       engine.Client
+	subscription *daemon.Subscription
+	core         *loop.Loop[sidecar.Input, sidecar.Output]
+	sidecar      *sidecar.Sidecar
+	worker       *loop.Loop[batch.WorkerInput, batch.WorkerOutput]
+	announcer    *loop.Loop[member.AnnouncerInput, member.AnnouncerOutput]
+	datagrams    *transport.Datagrams
+	http         *daemon.HTTP
+	readiness    daemon.Readiness
+	metrics      *metrics
+	runs         runs
+	items        items
+
+	ctx           context.Context
+	cancel        context.CancelFunc
+	background    sync.WaitGroup
+	faults        chan error
+	draining      atomic.Bool
+	coreDrained   sync.Once
+	coreIdle      chan struct{}
+	workerDrained sync.Once
+	workerIdle    chan struct{}
+}
+
+// Start starts a sidecar. The settings must have passed Check.
+func Start(settings *Settings) (*Daemon, error) {
+	listener, err := daemon.ListenTCP("listen", settings.Listen)
+	if err != nil {
+		return nil, err
+	}
+	web, err := daemon.ListenTCP("http", settings.HTTP)
+	if err != nil {
+		_ = listener.Close()
+		return nil, err
+	}
+	d, err := newDaemon(settings)
+	if err != nil {
+		_ = listener.Close()
+		_ = web.Close()
+		return nil, err
+	}
+	d.serve(listener, web)
+	d.logger.Info("sidecar started", "id", settings.ID, "listen", settings.Listen, "engine", settings.Engine)
+	return d, nil
+}
+
+func newDaemon(settings *Settings) (*Daemon, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	d := &Daemon{
+		settings:   settings,
+		logger:     settings.NewLogger("sidecar"),
+		identity:   settings.NewIdentity(),
+		runs:       runs{byID: make(map[sidecar.ID]*run)},
+		items:      items{byID: make(map[batch.ItemRef]sidecar.ID)},
+		ctx:        ctx,
+		cancel:     cancel,
+		faults:     make(chan error, 1),
+		coreIdle:   make(chan struct{}),
+		workerIdle: make(chan struct{}),
+	}
+	datagrams, err := transport.ListenDatagrams(d.identity, settings.Listen, func(*pb.Envelope) {})
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	d.datagrams = datagrams
+	d.metrics = newMetrics(d.identity)
+	d.transport = transport.NewClient(d.identity, settings.TLS.ClientConfig())
+	d.control = client.NewControl(d.transport, settings.Control)
+	d.engine = newEngine(settings)
+	d.startCores()
+	return d, nil
+}
+
+func newEngine(settings *Settings) engine.Client {
+	if settings.Kind == KindPlain {
+		return engine.NewPlain(settings.Engine, engine.Options{})
+	}
+	return engine.NewHTTP(settings.Engine, engine.Options{})
+}
+
+func (d *Daemon) startCores() {
+	d.sidecar = sidecar.New(sidecar.Options{
+		Incarnation: d.identity.Incarnation,
+		Services:    d.settings.Services,
+		MaxQueue:    d.settings.MaxQueue,
+		MaxWindow:   d.settings.MaxWindow,
+		CanPause:    d.settings.Kind == KindModel,
+		Seed:        d.identity.Incarnation,
+	})
+	worker := batch.NewWorker(batch.WorkerOptions{
+		ID:          d.settings.ID,
+		Incarnation: d.identity.Incarnation,
+		Services:    d.settings.Services,
+		DataCentre:  d.settings.DataCentre,
+		Seed:        d.identity.Incarnation,
+	})
+	d.worker = loop.Start[batch.WorkerInput, batch.WorkerOutput](worker, workerTick, d.carryWorker)
+	d.core = loop.Start[sidecar.Input, sidecar.Output](d.sidecar, coreTick, d.carryCore)
+	announcer := member.NewAnnouncer(member.AnnouncerOptions{Registrars: d.settings.Registrars})
+	d.announcer = loop.Start[member.AnnouncerInput, member.AnnouncerOutput](announcer, announcerTick, d.carryAnnouncer)
+	d.subscription = daemon.Subscribe(daemon.SubscriptionOptions{
+		Identity:   d.identity,
+		Transport:  d.transport,
+		Control:    d.settings.Control,
+		Role:       "sidecar",
+		DataCentre: d.settings.DataCentre,
+		Logger:     d.logger,
+		Changed:    func(*daemon.Documents) {},
+		Ready:      d.configured,
+	})
+}
+
+// configured announces the upstream once its configuration is confirmed.
+func (d *Daemon) configured(ready bool) {
+	d.readiness.SetConfigured(ready)
+	if ready && !d.draining.Load() {
+		d.announce(pb.MemberState_MEMBER_SERVING)
+	}
+}
+
+func (d *Daemon) announce(state pb.MemberState) {
+	d.announcer.Post(member.SetMember{Member: &pb.Member{
+		Id:          d.settings.ID,
+		Incarnation: d.identity.Incarnation,
+		Address:     d.settings.Listen,
+		DataCentre:  d.settings.DataCentre,
+		Services:    d.settings.Services,
+		State:       state,
+	}})
+}
+
+func (d *Daemon) carryAnnouncer(out member.AnnouncerOutput) {
+	send, ok := out.(member.SendTo)
+	if !ok {
+		return
+	}
+	envelope := &pb.Envelope{Body: &pb.Envelope_Member{Member: send.Message}}
+	if err := d.datagrams.Send(send.Address, envelope); err != nil {
+		d.logger.Debug("announcement not sent", "registrar", send.Address, "error", err)
+	}
+}
+
+func (d *Daemon) newRun(id sidecar.ID, a answer, request engine.Request) *run {
+	return &run{
+		id:      id,
+		client:  d.engine,
+		answer:  a,
+		request: request,
+		ended:   d.runEnded,
+		tokens: func(id sidecar.ID, count int) {
+			d.core.Post(sidecar.Tokens{ID: id, Count: count})
+		},
+	}
+}
+
+// runEnded tells the core that an engine call is over, and ends the answer
+// unless the core has stopped the call to start it again later.
+func (d *Daemon) runEnded(r *run, result engine.Result, stopped bool) {
+	outcome, reason := endOf(result, stopped)
+	if stopped && outcome != pb.Outcome_OUTCOME_DONE {
+		d.core.Post(sidecar.Ended{ID: r.id, Outcome: outcome, Reason: reason})
+		return
+	}
+	end := &pb.AnswerEnd{
+		Outcome: outcome,
+		Reason:  reason,
+		Load:    d.metrics.load(),
+		Tokens:  uint32(result.Tokens),
+	}
+	if result.Err != nil {
+		end.Detail = result.Err.Error()
+	}
+	d.runs.remove(r.id)
+	r.answer.end(end)
+	d.core.Post(sidecar.Ended{ID: r.id, Outcome: outcome, Reason: reason})
+}
+
+// carryCore carries out the outputs of the sidecar's core.
+func (d *Daemon) carryCore(out sidecar.Output) {
+	switch out := out.(type) {
+	case sidecar.Start:
+		if r := d.runs.get(out.ID); r != nil {
+			r.start(d.ctx, out.Resume)
+		}
+	case sidecar.Stop:
+		if r := d.runs.get(out.ID); r != nil {
+			go r.stop(out.Pause)
+		}
+	case sidecar.Refuse:
+		d.refuse(out)
+	case sidecar.GiveBack:
+		d.endRun(out.ID, &pb.AnswerEnd{Outcome: pb.Outcome_OUTCOME_NOT_RUN, Reason: pb.Reason_REASON_OVERLOADED})
+	case sidecar.BatchRoom:
+		d.worker.Post(batch.Room{Items: out.Items})
+	case sidecar.Drained:
+		d.coreDrained.Do(func() { close(d.coreIdle) })
+	}
+	d.metrics.setLoad(d.sidecar.Load())
+}
+
+func (d *Daemon) refuse(out sidecar.Refuse) {
+	d.metrics.refused(out.Reason)
+	d.endRun(out.ID, &pb.AnswerEnd{
+		Outcome:      out.Outcome,
+		Reason:       out.Reason,
+		Load:         d.metrics.load(),
+		RetryAfterMs: uint32(out.RetryAfter.Milliseconds()),
+	})
+}
+
+func (d *Daemon) endRun(id sidecar.ID, end *pb.AnswerEnd) {
+	if r := d.runs.remove(id); r != nil {
+		go r.answer.end(end)
+	}
+}
+
+func (d *Daemon) serve(listener, web net.Listener) {
+	d.server = transport.NewServer(d.identity, d.serveStream)
+	d.background.Add(2)
+	go func() {
+		defer d.background.Done()
+		if err := d.server.Serve(d.settings.TLS.Listener(listener)); err != nil {
+			d.fault(err)
+		}
+	}()
+	go func() {
+		defer d.background.Done()
+		d.pollLoad()
+	}()
+	context.AfterFunc(d.ctx, func() { _ = listener.Close() })
+	d.http = daemon.NewHTTP(&d.readiness, d.metrics.registry, d.handle, nil)
+	d.http.Start(d.settings.TLS.Listener(web), d.fault)
+}
+
+func (d *Daemon) serveStream(_ transport.Class, stream *transport.Stream) {
+	envelope, err := stream.Receive()
+	if err != nil {
+		return
+	}
+	if request := envelope.GetOnlineRequest(); request != nil {
+		d.serveOnline(stream, envelope.GetHeader(), request)
+	}
+}
+
+// pollLoad reads the engine's own load report, which lags behind.
+func (d *Daemon) pollLoad() {
+	if d.settings.Kind != KindModel {
+		return
+	}
+	ticker := time.NewTicker(loadInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-ticker.C:
+			ctx, cancel := context.WithTimeout(d.ctx, loadTimeout)
+			load, err := d.engine.Load(ctx)
+			cancel()
+			if err == nil {
+				d.core.Post(sidecar.EngineLoad{Running: load.Running, Queued: load.Queued, KVFree: load.KVFree})
+			}
+		}
+	}
+}
+
+// handle serves the operators' paths of this sidecar.
+func (d *Daemon) handle(ctx *fasthttp.RequestCtx) {
+	switch {
+	case string(ctx.Path()) == "/drain" && ctx.IsPost():
+		d.drain()
+		ctx.SetBodyString("draining\n")
+	case string(ctx.Path()) == "/undrain" && ctx.IsPost():
+		d.undrain()
+		ctx.SetBodyString("serving\n")
+	default:
+		ctx.Error("no such path\n", fasthttp.StatusNotFound)
+	}
+}
+
+func (d *Daemon) drain() {
+	d.draining.Store(true)
+	d.announce(pb.MemberState_MEMBER_DRAINING)
+	d.core.Post(sidecar.Drain{})
+	d.worker.Post(batch.Drain{})
+}
+
+func (d *Daemon) undrain() {
+	d.draining.Store(false)
+	d.announce(pb.MemberState_MEMBER_SERVING)
+	d.core.Post(sidecar.Undrain{})
+	d.worker.Post(batch.Undrain{})
+}
+
+func (d *Daemon) fault(err error) {
+	select {
+	case d.faults <- err:
+	default:
+	}
+}
+
+// Faults delivers an error after which the process must stop.
+func (d *Daemon) Faults() <-chan error {
+	return d.faults
+}
+
+// Stop drains the sidecar, waits a bounded time for running requests, and
+// ends it.
+func (d *Daemon) Stop() error {
+	d.logger.Info("sidecar drains")
+	d.readiness.Stop()
+	d.drain()
+	timer := time.NewTimer(d.settings.StopWait)
+	defer timer.Stop()
+	d.await(d.coreIdle, timer.C)
+	d.await(d.workerIdle, timer.C)
+	d.announce(pb.MemberState_MEMBER_LEFT)
+	d.announcer.Do(func() {})
+	return d.close()
+}
+
+func (d *Daemon) await(idle <-chan struct{}, limit <-chan time.Time) {
+	select {
+	case <-idle:
+	case <-limit:
+		d.logger.Warn("stop wait is over; running requests are cut off")
+	}
+}
+
+func (d *Daemon) close() error {
+	d.cancel()
+	d.server.Close()
+	d.http.Stop()
+	d.subscription.Close()
+	d.announcer.Close()
+	d.core.Close()
+	d.worker.Close()
+	d.transport.Close()
+	err := d.datagrams.Close()
+	d.background.Wait()
+	return err
+}
