Add the entry shell

Cause: the gate core needs callers, sidecars and control replicas. Change: entryd (calls, attempts, streaming answers, watched connections that show a caller going away, callers' tokens, drain).

--- /dev/null
+++ b/entryd/attempt.go
@@ -0,0 +1,159 @@
+package entryd
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/briarcross/briarcross/gate"
+	"github.com/briarcross/briarcross/pb"
+	"github.com/briarcross/briarcross/transport"
+)
+
+// attempt is one try of a call at one sidecar.
+type attempt struct {
+	daemon   *Daemon
+	call     *call
+	number   uint32
+	head     *pb.AnswerHead
+	sequence uint32
+	relayed  bool
+	tokens   uint32
+}
+
+// sendAttempt carries out a decision of the gate to send a call to a sidecar.
+func (d *Daemon) sendAttempt(out gate.Send) {
+	c := d.calls.get(out.ID)
+	if c == nil {
+		d.gate.Post(gate.Ended{ID: out.ID, Attempt: out.Attempt, Outcome: pb.Outcome_OUTCOME_NOT_RUN, Reason: pb.Reason_REASON_CANCELLED})
+		return
+	}
+	ctx, cancel := context.WithCancel(d.ctx)
+	c.setAttempt(out.Attempt, cancel)
+	if out.ResumeFrom > 0 {
+		c.resume(out.Attempt)
+	}
+	a := &attempt{daemon: d, call: c, number: out.Attempt, relayed: out.ResumeFrom > 0}
+	d.background.Add(1)
+	go func() {
+		defer d.background.Done()
+		defer cancel()
+		end := a.run(ctx, out)
+		d.gate.Post(gate.Ended{
+			ID:         out.ID,
+			Attempt:    out.Attempt,
+			Outcome:    end.GetOutcome(),
+			Reason:     end.GetReason(),
+			Load:       end.GetLoad(),
+			Relayed:    a.relayed,
+			RetryAfter: time.Duration(end.GetRetryAfterMs()) * time.Millisecond,
+		})
+	}()
+}
+
+func (a *attempt) run(ctx context.Context, out gate.Send) *pb.AnswerEnd {
+	stream, err := a.daemon.transport.Open(ctx, transport.Online, out.Member.GetAddress())
+	if err != nil {
+		return &pb.AnswerEnd{Outcome: pb.Outcome_OUTCOME_NOT_RUN, Reason: pb.Reason_REASON_CONNECT_FAILED}
+	}
+	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
+	defer stop()
+	defer func() { _ = stream.Close() }()
+	if err := stream.Send(a.envelope(out)); err != nil {
+		return unknownEnd(pb.Reason_REASON_CONNECTION_LOST)
+	}
+	return a.receive(ctx, stream)
+}
+
+func (a *attempt) envelope(out gate.Send) *pb.Envelope {
+	wire := proto.Clone(a.call.wire).(*pb.OnlineRequest)
+	wire.Attempt = out.Attempt
+	wire.RemainingMs = uint32(max(1, out.Remaining.Milliseconds()))
+	wire.ResumeFrom = out.ResumeFrom
+	wire.Priority = out.Profile.GetPriority()
+	wire.FirstTokenMs = out.Profile.GetFirstTokenMs()
+	wire.BetweenTokensMs = out.Profile.GetBetweenTokensMs()
+	wire.QueueMs = out.Profile.GetQueueMs()
+	return &pb.Envelope{
+		Header: a.daemon.identity.Header(out.Member.GetId(), out.Member.GetIncarnation()),
+		Body:   &pb.Envelope_OnlineRequest{OnlineRequest: wire},
+	}
+}
+
+// receive reads the answer's frames until its end.
+func (a *attempt) receive(ctx context.Context, stream *transport.Stream) *pb.AnswerEnd {
+	for {
+		envelope, err := stream.Receive()
+		if err != nil {
+			if ctx.Err() != nil {
+				return unknownEnd(pb.Reason_REASON_CANCELLED)
+			}
+			return unknownEnd(pb.Reason_REASON_CONNECTION_LOST)
+		}
+		frame := envelope.GetOnlineFrame()
+		if frame.GetRequestId() != a.call.request.ID || frame.GetAttempt() != a.number {
+			a.daemon.metrics.droppedFrames.Inc()
+			continue
+		}
+		if frame.GetSequence() != a.sequence {
+			return unknownEnd(pb.Reason_REASON_TRUNCATED)
+		}
+		a.sequence++
+		if end := a.handle(frame); end != nil {
+			return end
+		}
+	}
+}
+
+// handle processes one frame and returns the end of the attempt, if it is one.
+func (a *attempt) handle(frame *pb.OnlineFrame) *pb.AnswerEnd {
+	switch part := frame.GetPart().(type) {
+	case *pb.OnlineFrame_Head:
+		a.head = part.Head
+		return nil
+	case *pb.OnlineFrame_Data:
+		return a.relay(event{data: part.Data})
+	case *pb.OnlineFrame_End:
+		return a.end(part.End)
+	default:
+		return unknownEnd(pb.Reason_REASON_TRUNCATED)
+	}
+}
+
+// relay passes a part on if this attempt is the winner.
+func (a *attempt) relay(e event) *pb.AnswerEnd {
+	if !a.call.win(a.number) {
+		return unknownEnd(pb.Reason_REASON_CANCELLED)
+	}
+	if !a.relayed {
+		a.relayed = true
+		a.daemon.gate.Post(gate.FirstByte{ID: a.call.request.ID, Attempt: a.number})
+	}
+	if a.head != nil {
+		head := event{head: a.head}
+		a.head = nil
+		if !a.call.push(head) {
+			return unknownEnd(pb.Reason_REASON_CANCELLED)
+		}
+	}
+	if e.data != nil && !a.call.push(e) {
+		return unknownEnd(pb.Reason_REASON_CANCELLED)
+	}
+	return nil
+}
+
+func (a *attempt) end(end *pb.AnswerEnd) *pb.AnswerEnd {
+	if end.GetOutcome() != pb.Outcome_OUTCOME_DONE {
+		return end
+	}
+	// An answer without a body is relayed by its head alone.
+	if stopped := a.relay(event{}); stopped != nil {
+		return stopped
+	}
+	return end
+}
+
+func unknownEnd(reason pb.Reason) *pb.AnswerEnd {
+	return &pb.AnswerEnd{Outcome: pb.Outcome_OUTCOME_UNKNOWN, Reason: reason}
+}
--- /dev/null
+++ b/entryd/entryd.go
@@ -0,0 +1,266 @@
+package entryd
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/valyala/fasthttp"
+
+	"github.com/briarcross/briarcross/client"
+	"github.com/briarcross/briarcross/daemon"
+	"github.com/briarcross/briarcross/gate"
+	"github.com/briarcross/briarcross/loop"
+	"github.com/briarcross/briarcross/member"
+	"github.com/briarcross/briarcross/pb"
+	"github.com/briarcross/briarcross/transport"
+)
+
+const (
+	gateTick      = 10 * time.Millisecond
+	memberTick    = 100 * time.Millisecond
+	drainInterval = 20 * time.Millisecond
+)
+
+// Daemon is a running entry.
+type Daemon struct {
+	settings     *Settings
+	logger       *log.Logger
+	identity     *transport.Identity
+	transport    *transport.Client
+	control      *client.Control
+	subscription *daemon.Subscription
+	gate         *loop.Loop[gate.Input, gate.Output]
+	registrar    *loop.Loop[member.RegistrarInput, member.RegistrarOutput]
+	members      *loop.Loop[member.TableInput, member.TableOutput]
+	datagrams    *transport.Datagrams
+	http         *daemon.HTTP
+	readiness    daemon.Readiness
+	metrics      *metrics
+	callers      callers
+	calls        calls
+
+	ctx        context.Context
+	cancel     context.CancelFunc
+	background sync.WaitGroup
+	faults     chan error
+}
+
+// Start starts an entry. The settings must have passed Check.
+func Start(settings *Settings) (*Daemon, error) {
+	web, err := daemon.ListenTCP("http", settings.HTTP)
+	if err != nil {
+		return nil, err
+	}
+	d, err := newDaemon(settings)
+	if err != nil {
+		_ = web.Close()
+		return nil, err
+	}
+	d.http = daemon.NewHTTP(&d.readiness, d.metrics.registry, d.handle, func(server *fasthttp.Server) {
+		server.StreamRequestBody = true
+		server.MaxRequestBodySize = settings.MaxBodyBytes
+	})
+	d.http.Start(watchedListener{settings.TLS.Listener(web)}, d.fault)
+	d.logger.Info("entry started", "id", settings.ID, "http", settings.HTTP)
+	return d, nil
+}
+
+func newDaemon(settings *Settings) (*Daemon, error) {
+	known, err := loadCallers(settings.Tokens)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	d := &Daemon{
+		settings: settings,
+		logger:   settings.NewLogger("entry"),
+		identity: settings.NewIdentity(),
+		callers:  known,
+		calls:    calls{byID: make(map[string]*call)},
+		ctx:      ctx,
+		cancel:   cancel,
+		faults:   make(chan error, 1),
+	}
+	d.metrics = newMetrics(d.identity)
+	d.transport = transport.NewClient(d.identity, settings.TLS.ClientConfig())
+	d.control = client.NewControl(d.transport, settings.Control)
+	if err := d.startCores(); err != nil {
+		cancel()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Daemon) startCores() error {
+	core := gate.New(gate.Options{DataCentre: d.settings.DataCentre, Seed: d.identity.Incarnation})
+	d.gate = loop.Start[gate.Input, gate.Output](core, gateTick, d.carryGate)
+	registrar := member.NewRegistrar(member.RegistrarOptions{Epoch: d.identity.Incarnation})
+	d.registrar = loop.Start[member.RegistrarInput, member.RegistrarOutput](registrar, memberTick, d.carryRegistrar)
+	table := member.NewTable(member.TableOptions{
+		Entry:      d.settings.ID,
+		Address:    d.settings.Listen,
+		Registrars: d.settings.Registrars,
+	})
+	datagrams, err := transport.ListenDatagrams(d.identity, d.settings.Listen, d.datagram)
+	if err != nil {
+		d.gate.Close()
+		d.registrar.Close()
+		return err
+	}
+	d.datagrams = datagrams
+	d.members = loop.Start[member.TableInput, member.TableOutput](table, memberTick, d.carryMembers)
+	d.subscription = daemon.Subscribe(daemon.SubscriptionOptions{
+		Identity:   d.identity,
+		Transport:  d.transport,
+		Control:    d.settings.Control,
+		Role:       "entry",
+		DataCentre: d.settings.DataCentre,
+		Logger:     d.logger,
+		Changed: func(documents *daemon.Documents) {
+			d.gate.Post(gate.Config{Profiles: documents})
+		},
+		Ready: func(ready bool) {
+			d.readiness.SetConfigured(ready)
+			d.gate.Post(gate.Ready{Ready: ready})
+		},
+	})
+	return nil
+}
+
+// datagram handles a received datagram on the event loop.
+func (d *Daemon) datagram(e *pb.Envelope) {
+	message := e.GetMember()
+	if message.GetDelta() != nil {
+		if d.members != nil {
+			d.members.Post(member.Datagram{From: e.GetHeader().GetSender(), Message: message})
+		}
+		return
+	}
+	d.registrar.Post(member.Datagram{From: e.GetHeader().GetSender(), Message: message})
+}
+
+func (d *Daemon) sendMember(out member.SendTo) {
+	envelope := &pb.Envelope{Body: &pb.Envelope_Member{Member: out.Message}}
+	if err := d.datagrams.Send(out.Address, envelope); err != nil {
+		d.logger.Debug("datagram not sent", "address", out.Address, "error", err)
+	}
+}
+
+func (d *Daemon) carryRegistrar(out member.RegistrarOutput) {
+	if send, ok := out.(member.SendTo); ok {
+		d.sendMember(send)
+	}
+}
+
+func (d *Daemon) carryMembers(out member.TableOutput) {
+	switch out := out.(type) {
+	case member.SendTo:
+		d.sendMember(out)
+	case member.Changed:
+		d.gate.Post(gate.MemberChanged{Member: out.Member})
+	case member.Gone:
+		d.gate.Post(gate.MemberGone{ID: out.ID})
+	}
+}
+
+// carryGate carries out the outputs of the gate.
+func (d *Daemon) carryGate(out gate.Output) {
+	switch out := out.(type) {
+	case gate.Send:
+		d.sendAttempt(out)
+	case gate.Abort:
+		if c := d.calls.get(out.ID); c != nil {
+			c.abort(out.Attempt)
+		}
+	case gate.Claim:
+		go d.claim(out)
+	case gate.CloseClaim:
+		if c := d.calls.get(out.ID); c != nil {
+			go d.closeClaim(c, out.NotRun)
+		}
+	case gate.Finish:
+		if c := d.calls.get(out.ID); c != nil {
+			c.finish <- out
+		}
+	}
+}
+
+// handle serves callers' requests.
+func (d *Daemon) handle(ctx *fasthttp.RequestCtx) {
+	caller, known := d.callers.identify(ctx)
+	if !known {
+		d.refuse(ctx, pb.Reason_REASON_UNAUTHORIZED, "the bearer token is not known")
+		return
+	}
+	path := string(ctx.Path())
+	switch {
+	case path == "/v1/completions" || path == "/v1/chat/completions":
+		d.complete(ctx, caller)
+	case path == "/v1/models":
+		d.models(ctx)
+	case strings.HasPrefix(path, servicesPrefix):
+		d.plain(ctx, caller)
+	case strings.HasPrefix(path, filesPath), strings.HasPrefix(path, batchesPath):
+		d.batches(ctx, caller, path)
+	default:
+		d.refuse(ctx, pb.Reason_REASON_BAD_REQUEST, "no such path")
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	}
+}
+
+func (d *Daemon) fault(err error) {
+	select {
+	case d.faults <- err:
+	default:
+	}
+}
+
+// Faults delivers an error after which the process must stop.
+func (d *Daemon) Faults() <-chan error {
+	return d.faults
+}
+
+// Ready reports whether the entry takes new requests.
+func (d *Daemon) Ready() bool {
+	return d.readiness.Ready()
+}
+
+// Stop reports not ready, waits for the balancer to turn callers away and for
+// running requests to end, both bounded by settings, and ends the entry.
+func (d *Daemon) Stop() error {
+	d.logger.Info("entry drains")
+	d.readiness.Stop()
+	limit := time.NewTimer(d.settings.BalancerWait + d.settings.StopWait)
+	defer limit.Stop()
+	balancer := time.NewTimer(d.settings.BalancerWait)
+	defer balancer.Stop()
+	<-balancer.C
+	d.awaitCalls(limit.C)
+	d.http.Stop()
+	d.cancel()
+	d.background.Wait()
+	d.subscription.Close()
+	d.members.Close()
+	err := d.datagrams.Close()
+	d.registrar.Close()
+	d.gate.Close()
+	d.transport.Close()
+	return err
+}
+
+func (d *Daemon) awaitCalls(limit <-chan time.Time) {
+	ticker := time.NewTicker(drainInterval)
+	defer ticker.Stop()
+	for d.calls.count() > 0 {
+		select {
+		case <-limit:
+			d.logger.Warn("stop wait is over; running requests are cut off", "requests", d.calls.count())
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
--- /dev/null
+++ b/entryd/listener.go
@@ -0,0 +1,76 @@
+package entryd
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"time"
+)
+
+// watchedListener returns connections that can be watched for their end.
+type watchedListener struct {
+	net.Listener
+}
+
+// Accept implements net.Listener.
+func (l watchedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &watchedConn{Conn: conn}, nil
+}
+
+// watchedConn tells when the caller closes the connection while a request is
+// being handled. The HTTP library does not read during that time, so a
+// background read of one byte sees the end; a byte that arrives instead is
+// kept for the library's next read.
+type watchedConn struct {
+	net.Conn
+	mu      sync.Mutex
+	pending []byte
+}
+
+// Read implements net.Conn.
+func (c *watchedConn) Read(p []byte) (int, error) {
+	c.mu.Lock()
+	if len(c.pending) > 0 && len(p) > 0 {
+		n := copy(p, c.pending)
+		c.pending = c.pending[n:]
+		c.mu.Unlock()
+		return n, nil
+	}
+	c.mu.Unlock()
+	return c.Conn.Read(p)
+}
+
+// watch calls gone when the caller closes the connection. The returned
+// function ends the watch and must be called before the next Read.
+func (c *watchedConn) watch(gone func()) (stop func()) {
+	finished := make(chan struct{})
+	go func() {
+		defer close(finished)
+		c.readOne(gone)
+	}()
+	return func() {
+		past := time.Unix(1, 0)
+		_ = c.SetReadDeadline(past)
+		<-finished
+		_ = c.SetReadDeadline(time.Time{})
+	}
+}
+
+func (c *watchedConn) readOne(gone func()) {
+	var one [1]byte
+	n, err := c.Conn.Read(one[:])
+	if n > 0 {
+		c.mu.Lock()
+		c.pending = append(c.pending, one[0])
+		c.mu.Unlock()
+		return
+	}
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		gone()
+	}
+}
--- /dev/null
+++ b/entryd/metrics.go
@@ -0,0 +1,36 @@
+package entryd
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/briarcross/briarcross/daemon"
+	"github.com/briarcross/briarcross/transport"
+)
+
+// metrics are the series of an entry.
+type metrics struct {
+	registry      *prometheus.Registry
+	refusals      *prometheus.CounterVec
+	retries       *prometheus.CounterVec
+	droppedFrames prometheus.Counter
+}
+
+func newMetrics(identity *transport.Identity) *metrics {
+	m := &metrics{
+		registry: daemon.NewRegistry(identity),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "briarcross_entry_refusals_total",
+			Help: "Requests that were not answered whole, by reason.",
+		}, []string{"reason"}),
+		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "briarcross_entry_retries_total",
+			Help: "Attempts after the first, by the reason that ended the one before.",
+		}, []string{"reason"}),
+		droppedFrames: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "briarcross_entry_frames_dropped_total",
+			Help: "Answer frames that belonged to another request or attempt.",
+		}),
+	}
+	m.registry.MustRegister(m.refusals, m.retries, m.droppedFrames)
+	return m
+}
--- /dev/null
+++ b/entryd/online.go
@@ -0,0 +1,201 @@
+package entryd
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"io"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/valyala/fasthttp"
+
+	"github.com/briarcross/briarcross/gate"
+	"github.com/briarcross/briarcross/openai"
+	"github.com/briarcross/briarcross/pb"
+	"github.com/briarcross/briarcross/transport"
+)
+
+const (
+	requestIDBytes = 12
+	servicesPrefix = "/services/"
+	claimTimeout   = 5 * time.Second
+)
+
+func newRequestID() string {
+	var id [requestIDBytes]byte
+	_, _ = rand.Read(id[:])
+	return "req-" + hex.EncodeToString(id[:])
+}
+
+// readBody returns a copy of the request's body, or false when it is larger
+// than the limit.
+func readBody(ctx *fasthttp.RequestCtx, limit int) ([]byte, bool) {
+	if stream := ctx.RequestBodyStream(); stream != nil {
+		body, err := io.ReadAll(io.LimitReader(stream, int64(limit)+1))
+		return body, err == nil && len(body) <= limit
+	}
+	body := bytes.Clone(ctx.PostBody())
+	return body, len(body) <= limit
+}
+
+// complete serves the completion paths of a model service.
+func (d *Daemon) complete(ctx *fasthttp.RequestCtx, caller string) {
+	body, ok := readBody(ctx, d.settings.MaxBodyBytes)
+	if !ok {
+		d.refuse(ctx, pb.Reason_REASON_TOO_LARGE, "the body is too large")
+		return
+	}
+	path := string(ctx.Path())
+	completion, err := openai.Parse(path, body)
+	if err != nil {
+		d.refuse(ctx, pb.Reason_REASON_BAD_REQUEST, err.Error())
+		return
+	}
+	request := d.newRequest(ctx, caller, completion.Service, body)
+	request.Prefix = openai.PrefixHashes(completion.Prompt)
+	request.PromptTokens = openai.EstimateTokens(completion.Prompt)
+	request.MaxTokens = completion.MaxTokens
+	wire := newWire(ctx, request, path, body)
+	d.serveCall(ctx, newCall(request, wire, completion.Stream))
+}
+
+// plain serves a call of a plain service.
+func (d *Daemon) plain(ctx *fasthttp.RequestCtx, caller string) {
+	body, ok := readBody(ctx, d.settings.MaxBodyBytes)
+	if !ok {
+		d.refuse(ctx, pb.Reason_REASON_TOO_LARGE, "the body is too large")
+		return
+	}
+	rest := strings.TrimPrefix(string(ctx.Path()), servicesPrefix)
+	service, path, _ := strings.Cut(rest, "/")
+	target := "/" + path
+	if query := ctx.URI().QueryString(); len(query) > 0 {
+		target += "?" + string(query)
+	}
+	request := d.newRequest(ctx, caller, service, body)
+	request.Plain = true
+	wire := newWire(ctx, request, target, body)
+	d.serveCall(ctx, newCall(request, wire, false))
+}
+
+func (d *Daemon) newRequest(ctx *fasthttp.RequestCtx, caller, service string, body []byte) gate.Request {
+	var digest [8]byte
+	hash := xxhash.New()
+	_, _ = hash.Write(ctx.Path())
+	_, _ = hash.Write(body)
+	return gate.Request{
+		ID:         newRequestID(),
+		Caller:     caller,
+		Service:    service,
+		Idempotent: d.idempotent(ctx, service),
+		Key:        string(ctx.Request.Header.Peek(headerKey)),
+		Digest:     hash.Sum(digest[:0]),
+		Deadline:   deadlineOf(ctx),
+	}
+}
+
+// idempotent reports whether a request may run more than once: the service's
+// profile must allow it and the caller must not forbid it.
+func (d *Daemon) idempotent(ctx *fasthttp.RequestCtx, service string) bool {
+	if string(ctx.Request.Header.Peek(headerIdempotent)) == "false" {
+		return false
+	}
+	_, profile, _, ok := d.subscription.Documents().ProfileOf(service)
+	return ok && profile.GetIdempotent()
+}
+
+func deadlineOf(ctx *fasthttp.RequestCtx) time.Time {
+	ms, err := strconv.Atoi(string(ctx.Request.Header.Peek(headerTimeout)))
+	if err != nil || ms <= 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(time.Duration(ms) * time.Millisecond)
+}
+
+func newWire(ctx *fasthttp.RequestCtx, request gate.Request, path string, body []byte) *pb.OnlineRequest {
+	wire := &pb.OnlineRequest{
+		RequestId:    request.ID,
+		Service:      request.Service,
+		Caller:       request.Caller,
+		Idempotent:   request.Idempotent,
+		Method:       string(ctx.Method()),
+		Path:         path,
+		Body:         body,
+		Prefix:       request.Prefix,
+		PromptTokens: uint32(max(0, request.PromptTokens)),
+		MaxTokens:    uint32(max(0, request.MaxTokens)),
+	}
+	for name, value := range ctx.Request.Header.All() {
+		if relayedHeader(string(name)) {
+			wire.Headers = append(wire.Headers, &pb.HeaderField{Name: string(name), Value: string(value)})
+		}
+	}
+	return wire
+}
+
+// relayedHeader reports whether a header concerns the service and not this
+// connection or the caller's credentials.
+func relayedHeader(name string) bool {
+	switch name {
+	case "Connection", "Host", "Content-Length", "Transfer-Encoding", "Authorization", "Keep-Alive", "Upgrade", "Te", "Expect":
+		return false
+	default:
+		return true
+	}
+}
+
+// serveCall hands a call to the gate and answers it.
+func (d *Daemon) serveCall(ctx *fasthttp.RequestCtx, c *call) {
+	d.calls.add(c)
+	stopWatch := func() {}
+	if conn, ok := ctx.Conn().(*watchedConn); ok {
+		stopWatch = conn.watch(func() {
+			d.gate.Post(gate.CallerGone{ID: c.request.ID})
+		})
+	}
+	release := func() {
+		stopWatch()
+		close(c.done)
+		d.calls.remove(c.request.ID)
+	}
+	d.gate.Post(gate.Arrive{Request: c.request})
+	d.respond(ctx, c, release)
+}
+
+// claim records a non-idempotent request with a key before it runs.
+func (d *Daemon) claim(out gate.Claim) {
+	ctx, cancel := context.WithTimeout(d.ctx, claimTimeout)
+	defer cancel()
+	command := &pb.Command{Op: &pb.Command_ClaimOpen{ClaimOpen: out.Open}}
+	result, controlErr := d.control.Propose(ctx, transport.Control, command)
+	d.gate.Post(gate.ClaimAnswer{ID: out.ID, Result: result.GetClaim(), Err: controlErr})
+}
+
+// closeClaim records the outcome of a claimed request.
+func (d *Daemon) closeClaim(c *call, notRun bool) {
+	ctx, cancel := context.WithTimeout(d.ctx, claimTimeout)
+	defer cancel()
+	closing := &pb.ClaimClose{
+		Caller:      c.request.Caller,
+		Key:         c.request.Key,
+		RequestId:   c.request.ID,
+		NotRun:      notRun,
+		ContentType: contentTypeJSON,
+	}
+	if !notRun {
+		status, body, err := c.whole()
+		if err != nil {
+			return
+		}
+		closing.Status = uint32(status)
+		closing.Answer = body
+	}
+	command := &pb.Command{Op: &pb.Command_ClaimClose{ClaimClose: closing}}
+	if _, controlErr := d.control.Propose(ctx, transport.Control, command); controlErr != nil {
+		d.logger.Warn("outcome of a claimed request not recorded", "request", c.request.ID, "reason", controlErr.GetReason())
+	}
+}
--- /dev/null
+++ b/entryd/respond.go
@@ -0,0 +1,201 @@
+package entryd
+
+import (
+	"bufio"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/briarcross/briarcross/gate"
+	"github.com/briarcross/briarcross/openai"
+	"github.com/briarcross/briarcross/pb"
+)
+
+const (
+	headerRequestID   = "Briarcross-Request-Id"
+	headerOutcome     = "Briarcross-Outcome"
+	headerReason      = "Briarcross-Reason"
+	headerIdempotent  = "Briarcross-Idempotent"
+	headerTimeout     = "Briarcross-Timeout-Ms"
+	headerKey         = "Idempotency-Key"
+	contentTypeJSON   = "application/json"
+	contentTypeStream = "text/event-stream"
+
+	firstFailureStatus = 300
+)
+
+var outcomeLabels = map[pb.Outcome]string{
+	pb.Outcome_OUTCOME_DONE:    "done",
+	pb.Outcome_OUTCOME_NOT_RUN: "not-run",
+	pb.Outcome_OUTCOME_UNKNOWN: "unknown",
+}
+
+// statusOf maps a reason to an HTTP status.
+func statusOf(outcome pb.Outcome, reason pb.Reason) int {
+	switch reason {
+	case pb.Reason_REASON_CALLER_LIMIT, pb.Reason_REASON_RATE_LIMIT:
+		return fasthttp.StatusTooManyRequests
+	case pb.Reason_REASON_UNKNOWN_SERVICE:
+		return fasthttp.StatusNotFound
+	case pb.Reason_REASON_BAD_REQUEST:
+		return fasthttp.StatusBadRequest
+	case pb.Reason_REASON_TOO_LARGE:
+		return fasthttp.StatusRequestEntityTooLarge
+	case pb.Reason_REASON_UNAUTHORIZED:
+		return fasthttp.StatusUnauthorized
+	case pb.Reason_REASON_CLAIM_PENDING, pb.Reason_REASON_CLAIM_MISMATCH:
+		return fasthttp.StatusConflict
+	case pb.Reason_REASON_DEADLINE:
+		return fasthttp.StatusGatewayTimeout
+	}
+	if outcome == pb.Outcome_OUTCOME_NOT_RUN {
+		return fasthttp.StatusServiceUnavailable
+	}
+	return fasthttp.StatusBadGateway
+}
+
+// refuse answers a request that the gate has not seen.
+func (d *Daemon) refuse(ctx *fasthttp.RequestCtx, reason pb.Reason, message string) {
+	finish := gate.Finish{Outcome: pb.Outcome_OUTCOME_NOT_RUN, Reason: reason}
+	d.writeFailure(ctx, &finish, message)
+}
+
+// writeFailure answers a request whose answer is not whole.
+func (d *Daemon) writeFailure(ctx *fasthttp.RequestCtx, finish *gate.Finish, message string) {
+	d.metrics.refusals.WithLabelValues(finish.Reason.String()).Inc()
+	if finish.RetryAfter > 0 {
+		seconds := int64((finish.RetryAfter + time.Second - 1) / time.Second)
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatInt(seconds, 10))
+	}
+	ctx.Response.Header.Set(headerOutcome, outcomeLabels[finish.Outcome])
+	ctx.Response.Header.Set(headerReason, finish.Reason.String())
+	ctx.SetStatusCode(statusOf(finish.Outcome, finish.Reason))
+	ctx.SetContentType(contentTypeJSON)
+	if message == "" {
+		message = "the request was not answered: " + finish.Reason.String()
+	}
+	ctx.SetBody(openai.ErrorBody(finish.Reason.String(), message))
+}
+
+// respond waits for a call's answer and writes it. Streams go on after the
+// handler has returned; release is called at the end in every case.
+func (d *Daemon) respond(ctx *fasthttp.RequestCtx, c *call, release func()) {
+	ctx.Response.Header.Set(headerRequestID, c.request.ID)
+	first, finish := c.next()
+	if finish == nil && first.head != nil && d.streams(c, first.head) {
+		d.respondStream(ctx, c, first.head, release)
+		return
+	}
+	defer release()
+	for finish == nil {
+		_, finish = c.next()
+	}
+	d.respondWhole(ctx, c, finish)
+}
+
+// streams reports whether an answer is relayed as it arrives.
+func (d *Daemon) streams(c *call, head *pb.AnswerHead) bool {
+	if c.request.Plain {
+		return !c.keep
+	}
+	return c.stream && head.GetStatus() < firstFailureStatus
+}
+
+func (d *Daemon) respondWhole(ctx *fasthttp.RequestCtx, c *call, finish *gate.Finish) {
+	if finish.Replay != nil {
+		d.replay(ctx, finish.Replay)
+		return
+	}
+	if finish.Outcome != pb.Outcome_OUTCOME_DONE {
+		d.writeFailure(ctx, finish, "")
+		return
+	}
+	status, body, err := c.whole()
+	if err != nil {
+		failed := gate.Finish{Outcome: pb.Outcome_OUTCOME_UNKNOWN, Reason: pb.Reason_REASON_TRUNCATED}
+		d.writeFailure(ctx, &failed, "")
+		return
+	}
+	ctx.Response.Header.Set(headerOutcome, outcomeLabels[finish.Outcome])
+	ctx.SetContentType(contentTypeJSON)
+	if c.request.Plain {
+		setHeaders(ctx, c.headers)
+	}
+	ctx.SetStatusCode(status)
+	ctx.SetBody(body)
+}
+
+// replay answers a repeated non-idempotent request with its recorded outcome.
+func (d *Daemon) replay(ctx *fasthttp.RequestCtx, recorded *pb.ClaimResult) {
+	ctx.Response.Header.Set(headerOutcome, outcomeLabels[pb.Outcome_OUTCOME_DONE])
+	ctx.Response.Header.Set(headerRequestID, recorded.GetRequestId())
+	ctx.SetContentType(recorded.GetContentType())
+	ctx.SetStatusCode(int(recorded.GetStatus()))
+	ctx.SetBody(recorded.GetAnswer())
+}
+
+func setHeaders(ctx *fasthttp.RequestCtx, headers []*pb.HeaderField) {
+	for _, field := range headers {
+		switch field.GetName() {
+		case "Content-Length", "Transfer-Encoding", "Connection":
+		default:
+			ctx.Response.Header.Add(field.GetName(), field.GetValue())
+		}
+	}
+}
+
+// respondStream relays server-sent events as they arrive. The outcome follows
+// as a trailer, since it is not known when the headers leave.
+func (d *Daemon) respondStream(ctx *fasthttp.RequestCtx, c *call, head *pb.AnswerHead, release func()) {
+	ctx.SetStatusCode(int(head.GetStatus()))
+	ctx.SetContentType(contentTypeStream)
+	ctx.Response.Header.Set(fasthttp.HeaderCacheControl, "no-cache")
+	_ = ctx.Response.Header.SetTrailer(headerOutcome)
+	ctx.Response.ImmediateHeaderFlush = true
+	header := &ctx.Response.Header
+	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+		defer release()
+		finish := d.writeEvents(w, c)
+		header.Set(headerOutcome, outcomeLabels[finish.Outcome])
+	})
+}
+
+// writeEvents writes the answer's events and then its end: the usual end mark
+// for a whole answer, an error event for one that was cut.
+func (d *Daemon) writeEvents(w *bufio.Writer, c *call) *gate.Finish {
+	for {
+		e, finish := c.next()
+		if finish != nil {
+			d.writeEnd(w, finish)
+			return finish
+		}
+		if e.data == nil {
+			continue
+		}
+		writeEvent(w, e.data)
+		if len(c.events) > 0 {
+			continue
+		}
+		if w.Flush() != nil {
+			d.gate.Post(gate.CallerGone{ID: c.request.ID})
+		}
+	}
+}
+
+func writeEvent(w *bufio.Writer, payload []byte) {
+	_, _ = w.WriteString("data: ")
+	_, _ = w.Write(payload)
+	_, _ = w.WriteString("\n\n")
+}
+
+func (d *Daemon) writeEnd(w *bufio.Writer, finish *gate.Finish) {
+	if finish.Outcome == pb.Outcome_OUTCOME_DONE {
+		writeEvent(w, []byte("[DONE]"))
+	} else {
+		d.metrics.refusals.WithLabelValues(finish.Reason.String()).Inc()
+		_, _ = w.WriteString("event: error\n")
+		writeEvent(w, openai.ErrorBody(finish.Reason.String(), "the answer was cut off"))
+	}
+	_ = w.Flush()
+}
