--- /dev/null
+++ b/cli/main.go
@@ -0,0 +1,127 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/briarcross/briarcross/daemon"
+)
+
+// The exit codes of the command line.
+const (
+	// ExitDone means that the command did what it says.
+	ExitDone = 0
+	// ExitFailed means that the command failed; the message tells how.
+	ExitFailed = 1
+	// ExitUsage means that a flag, setting or argument is wrong.
+	ExitUsage = 2
+	// ExitConflict means that a change lost against another one.
+	ExitConflict = 3
+	// ExitUnknown means that a change may have been carried out; repeat it.
+	ExitUnknown = 4
+)
+
+const environmentPrefix = "BRIARCROSS"
+
+// app holds what all commands share.
+type app struct {
+	in  io.Reader
+	out io.Writer
+	err io.Writer
+}
+
+// exitError ends a command with an exit code.
+type exitError struct {
+	code int
+	err  error
+}
+
+func (e *exitError) Error() string { return e.err.Error() }
+
+func (e *exitError) Unwrap() error { return e.err }
+
+func failf(code int, format string, args ...any) error {
+	return &exitError{code, fmt.Errorf(format, args...)}
+}
+
+// Main runs the command line and returns its exit code.
+func Main(args []string, in io.Reader, out, errOut io.Writer) int {
+	a := &app{in: in, out: out, err: errOut}
+	root := a.root()
+	err := root.ParseAndRun(context.Background(), args)
+	if err == nil {
+		return ExitDone
+	}
+	if errors.Is(err, flag.ErrHelp) {
+		_, _ = fmt.Fprintln(out, a.usage(root, args))
+		return ExitUsage
+	}
+	_, _ = fmt.Fprintf(errOut, "briarcross: %v\n", err)
+	return exitCode(err)
+}
+
+// usage returns the help of the command that the arguments name.
+func (a *app) usage(command *ffcli.Command, args []string) string {
+	for _, arg := range args {
+		for _, sub := range command.Subcommands {
+			if sub.Name == arg {
+				command = sub
+				break
+			}
+		}
+	}
+	return ffcli.DefaultUsageFunc(command)
+}
+
+func exitCode(err error) int {
+	var exit *exitError
+	if errors.As(err, &exit) {
+		return exit.code
+	}
+	var setting *daemon.SettingError
+	if errors.As(err, &setting) {
+		return ExitUsage
+	}
+	return ExitFailed
+}
+
+func (a *app) root() *ffcli.Command {
+	fs := newFlagSet("briarcross")
+	subcommands := append(a.daemonCommands(), a.operatorCommands()...)
+	return a.command(&ffcli.Command{
+		Name:        "briarcross",
+		ShortUsage:  "briarcross <command> [flags]",
+		ShortHelp:   "Serves online and batch inference on one fleet.",
+		FlagSet:     fs,
+		Subcommands: subcommands,
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) > 0 {
+				return failf(ExitUsage, "no such command: %s", args[0])
+			}
+			return flag.ErrHelp
+		},
+	})
+}
+
+func newFlagSet(name string) *flag.FlagSet {
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	fs.SetOutput(io.Discard)
+	return fs
+}
+
+// command completes a command: environment variables, and a single line for
+// usage errors.
+func (a *app) command(c *ffcli.Command) *ffcli.Command {
+	if c.FlagSet == nil {
+		c.FlagSet = newFlagSet(c.Name)
+	}
+	c.Options = []ff.Option{ff.WithEnvVarPrefix(environmentPrefix)}
+	c.UsageFunc = func(*ffcli.Command) string { return "" }
+	return c
+}
--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -263,4 +263,3 @@
 		}
 	}
 }
-
