--- a/entryd/attempt.go
+++ b/entryd/attempt.go
@@ -18,8 +18,7 @@
 	number   uint32
 	head     *pb.AnswerHead
 	sequence uint32
-	relayed  bool
-	tokens   uint32
+	accepted bool
 }
 
 // sendAttempt carries out a decision of the gate to send a call to a sidecar.
@@ -29,12 +28,12 @@
 		d.gate.Post(gate.Ended{ID: out.ID, Attempt: out.Attempt, Outcome: pb.Outcome_OUTCOME_NOT_RUN, Reason: pb.Reason_REASON_CANCELLED})
 		return
 	}
+	if out.Cause != pb.Reason_REASON_NONE || out.Hedge {
+		d.metrics.retried(out)
+	}
 	ctx, cancel := context.WithCancel(d.ctx)
 	c.setAttempt(out.Attempt, cancel)
-	if out.ResumeFrom > 0 {
-		c.resume(out.Attempt)
-	}
-	a := &attempt{daemon: d, call: c, number: out.Attempt, relayed: out.ResumeFrom > 0}
+	a := &attempt{daemon: d, call: c, number: out.Attempt}
 	d.background.Add(1)
 	go func() {
 		defer d.background.Done()
@@ -46,7 +45,8 @@
 			Outcome:    end.GetOutcome(),
 			Reason:     end.GetReason(),
 			Load:       end.GetLoad(),
-			Relayed:    a.relayed,
+			Relayed:    a.accepted,
+			Tokens:     c.tokens.Load(),
 			RetryAfter: time.Duration(end.GetRetryAfterMs()) * time.Millisecond,
 		})
 	}()
@@ -121,15 +121,11 @@
 	}
 }
 
-// relay passes a part on if this attempt is the winner.
+// relay passes a part on if the gate accepts this attempt as the one to relay.
 func (a *attempt) relay(e event) *pb.AnswerEnd {
-	if !a.call.win(a.number) {
+	if !a.accepted && !a.accept() {
 		return unknownEnd(pb.Reason_REASON_CANCELLED)
 	}
-	if !a.relayed {
-		a.relayed = true
-		a.daemon.gate.Post(gate.FirstByte{ID: a.call.request.ID, Attempt: a.number})
-	}
 	if a.head != nil {
 		head := event{head: a.head}
 		a.head = nil
@@ -143,6 +139,17 @@
 	return nil
 }
 
+// accept reports the first byte and waits for the gate's decision.
+func (a *attempt) accept() bool {
+	verdict := make(chan bool, 1)
+	report := gate.FirstByte{ID: a.call.request.ID, Attempt: a.number}
+	posted := a.daemon.gate.PostThen(report, func() {
+		verdict <- !a.call.isDropped(a.number)
+	})
+	a.accepted = posted && <-verdict
+	return a.accepted
+}
+
 func (a *attempt) end(end *pb.AnswerEnd) *pb.AnswerEnd {
 	if end.GetOutcome() != pb.Outcome_OUTCOME_DONE {
 		return end
--- a/entryd/call.go
+++ b/entryd/call.go
@@ -28,11 +28,12 @@
 	finish  chan gate.Finish
 	done    chan struct{}
 
-	// winner is the attempt whose answer is relayed, plus one.
-	winner atomic.Uint32
+	// tokens that were passed on to the caller, over all attempts.
+	tokens atomic.Uint32
 
 	mu       sync.Mutex
 	attempts map[uint32]context.CancelFunc
+	dropped  map[uint32]bool
 	status   int
 	headers  []*pb.HeaderField
 	chunks   openai.Aggregator
@@ -49,18 +50,21 @@
 		finish:   make(chan gate.Finish, 1),
 		done:     make(chan struct{}),
 		attempts: make(map[uint32]context.CancelFunc),
+		dropped:  make(map[uint32]bool),
 	}
 }
 
-// win makes an attempt the one whose answer is relayed, unless another is.
-func (c *call) win(attempt uint32) bool {
-	mark := attempt + 1
-	return c.winner.CompareAndSwap(0, mark) || c.winner.Load() == mark
+// drop marks an attempt whose report the gate did not accept.
+func (c *call) drop(attempt uint32) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dropped[attempt] = true
 }
 
-// resume lets a new attempt go on with the answer of the winner.
-func (c *call) resume(attempt uint32) {
-	c.winner.Store(attempt + 1)
+func (c *call) isDropped(attempt uint32) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.dropped[attempt]
 }
 
 // push passes a part on to the caller. It blocks while the caller reads
@@ -83,6 +87,7 @@
 		c.status = int(e.head.GetStatus())
 		c.headers = e.head.GetHeaders()
 	}
+	c.tokens.Add(uint32(openai.PayloadTokens(e.data)))
 	if e.data == nil || !c.keep {
 		return
 	}
--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -120,7 +120,7 @@
 		DataCentre: d.settings.DataCentre,
 		Logger:     d.logger,
 		Changed: func(documents *daemon.Documents) {
-			d.gate.Post(gate.Config{Profiles: documents})
+			d.gate.Post(gate.Config{Table: documents})
 		},
 		Ready: func(ready bool) {
 			d.readiness.SetConfigured(ready)
@@ -175,6 +175,11 @@
 		if c := d.calls.get(out.ID); c != nil {
 			c.abort(out.Attempt)
 		}
+	case gate.Dropped:
+		d.metrics.droppedReports.Inc()
+		if c := d.calls.get(out.ID); c != nil {
+			c.drop(out.Attempt)
+		}
 	case gate.Claim:
 		go d.claim(out)
 	case gate.CloseClaim:
--- a/entryd/metrics.go
+++ b/entryd/metrics.go
@@ -4,15 +4,17 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/briarcross/briarcross/daemon"
+	"github.com/briarcross/briarcross/gate"
 	"github.com/briarcross/briarcross/transport"
 )
 
 // metrics are the series of an entry.
 type metrics struct {
-	registry      *prometheus.Registry
-	refusals      *prometheus.CounterVec
-	retries       *prometheus.CounterVec
-	droppedFrames prometheus.Counter
+	registry       *prometheus.Registry
+	refusals       *prometheus.CounterVec
+	retries        *prometheus.CounterVec
+	droppedFrames  prometheus.Counter
+	droppedReports prometheus.Counter
 }
 
 func newMetrics(identity *transport.Identity) *metrics {
@@ -30,7 +32,22 @@
 			Name: "briarcross_entry_frames_dropped_total",
 			Help: "Answer frames that belonged to another request or attempt.",
 		}),
+		droppedReports: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "briarcross_entry_reports_dropped_total",
+			Help: "Ends and first bytes of attempts that were late or crossed.",
+		}),
 	}
-	m.registry.MustRegister(m.refusals, m.retries, m.droppedFrames)
+	m.registry.MustRegister(m.refusals, m.retries, m.droppedFrames, m.droppedReports)
 	return m
 }
+
+const hedgeLabel = "HEDGE"
+
+// retried counts an attempt after the first.
+func (m *metrics) retried(out gate.Send) {
+	label := out.Cause.String()
+	if out.Hedge {
+		label = hedgeLabel
+	}
+	m.retries.WithLabelValues(label).Inc()
+}
--- a/entryd/online.go
+++ b/entryd/online.go
@@ -59,6 +59,7 @@
 	request.Prefix = openai.PrefixHashes(completion.Prompt)
 	request.PromptTokens = openai.EstimateTokens(completion.Prompt)
 	request.MaxTokens = completion.MaxTokens
+	request.Resumable = true
 	wire := newWire(ctx, request, path, body)
 	d.serveCall(ctx, newCall(request, wire, completion.Stream))
 }
--- a/loop/loop.go
+++ b/loop/loop.go
@@ -16,13 +16,19 @@
 	tick  time.Duration
 
 	mu     sync.Mutex
-	inputs []In
+	inputs []queued[In]
 	calls  []func()
 	closed bool
 	wake   chan struct{}
 	done   chan struct{}
 }
 
+// queued is an input with an optional call that follows its outputs.
+type queued[In any] struct {
+	in    In
+	after func()
+}
+
 // Start runs a core. Carry is called on the loop's goroutine for each output
 // and must not block; completions go back through Post.
 func Start[In, Out any](c core.Core[In, Out], tick time.Duration, carry func(Out)) *Loop[In, Out] {
@@ -40,12 +46,22 @@
 // Post queues an input. It never blocks; admission in front of the core bounds
 // the queue. Inputs after Close are dropped.
 func (l *Loop[In, Out]) Post(in In) {
+	l.PostThen(in, nil)
+}
+
+// PostThen queues an input like Post and calls after on the loop's goroutine
+// once the outputs of that input have been carried out. It reports false, and
+// never calls after, when the loop is closed.
+func (l *Loop[In, Out]) PostThen(in In, after func()) bool {
 	l.mu.Lock()
-	if !l.closed {
-		l.inputs = append(l.inputs, in)
+	if l.closed {
+		l.mu.Unlock()
+		return false
 	}
+	l.inputs = append(l.inputs, queued[In]{in, after})
 	l.mu.Unlock()
 	l.signal()
+	return true
 }
 
 // Do runs a function on the loop's goroutine and waits for it. It reports
@@ -92,7 +108,7 @@
 	defer close(l.done)
 	ticker := time.NewTicker(l.tick)
 	defer ticker.Stop()
-	var spare []In
+	var spare []queued[In]
 	for {
 		select {
 		case <-ticker.C:
@@ -111,7 +127,7 @@
 	}
 }
 
-func (l *Loop[In, Out]) take(spare []In) ([]In, []func(), bool) {
+func (l *Loop[In, Out]) take(spare []queued[In]) ([]queued[In], []func(), bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	inputs, calls := l.inputs, l.calls
@@ -119,10 +135,13 @@
 	return inputs, calls, l.closed
 }
 
-func (l *Loop[In, Out]) handle(inputs []In, calls []func()) {
-	for _, in := range inputs {
-		l.core.Step(time.Now(), in)
+func (l *Loop[In, Out]) handle(inputs []queued[In], calls []func()) {
+	for _, item := range inputs {
+		l.core.Step(time.Now(), item.in)
 		l.deliver()
+		if item.after != nil {
+			item.after()
+		}
 	}
 	for _, call := range calls {
 		call()
--- a/sidecard/online.go
+++ b/sidecard/online.go
@@ -74,7 +74,10 @@
 	}
 	d.core.Post(sidecar.Submit{Work: onlineWork(id, header, request, time.Now())})
 	go d.watchEntry(stream, id)
-	<-a.done
+	select {
+	case <-a.done:
+	case <-d.ctx.Done():
+	}
 }
 
 // watchEntry cancels a request when its entry closes the stream.
--- a/sidecard/run.go
+++ b/sidecard/run.go
@@ -27,13 +27,15 @@
 	id     sidecar.ID
 	client engine.Client
 	answer answer
-	ended  func(*run, engine.Result, bool)
+	ended  func(*run, engine.Result)
 	tokens func(sidecar.ID, int)
 
 	mu      sync.Mutex
 	request engine.Request
 	cancel  context.CancelFunc
 	stopped bool
+	paused  bool
+	waiting bool
 	emitted int
 }
 
@@ -43,6 +45,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	r.mu.Lock()
 	r.stopped = false
+	r.paused = false
+	r.waiting = false
 	r.cancel = cancel
 	if resume {
 		r.request.ResumeFrom = r.emitted
@@ -59,11 +63,7 @@
 
 func (r *run) execute(ctx context.Context, cancel context.CancelFunc, request engine.Request) {
 	defer cancel()
-	result := r.client.Run(ctx, request, r.sink)
-	r.mu.Lock()
-	stopped := r.stopped
-	r.mu.Unlock()
-	r.ended(r, result, stopped)
+	r.ended(r, r.client.Run(ctx, request, r.sink))
 }
 
 func (r *run) sink(part engine.Part) error {
@@ -99,9 +99,31 @@
 	}
 	r.mu.Lock()
 	r.request.KV = handle
+	r.paused = true
 	r.mu.Unlock()
 }
 
+// state tells whether the last engine call was stopped, and whether its KV
+// state was exported.
+func (r *run) state() (stopped, paused bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stopped, r.paused
+}
+
+// setWaiting marks a stopped run that the core will start again.
+func (r *run) setWaiting() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.waiting = true
+}
+
+func (r *run) isWaiting() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.waiting
+}
+
 // endOf converts the result of an engine call into an outcome. The answer is
 // done only when all of it was seen; it was not run only when the engine
 // certainly did not see the request.
--- a/sidecard/sidecard.go
+++ b/sidecard/sidecard.go
@@ -125,7 +125,6 @@
 		MaxQueue:    d.settings.MaxQueue,
 		MaxWindow:   d.settings.MaxWindow,
 		CanPause:    d.settings.Kind == KindModel,
-		Seed:        d.identity.Incarnation,
 	})
 	worker := batch.NewWorker(batch.WorkerOptions{
 		ID:          d.settings.ID,
@@ -193,26 +192,22 @@
 	}
 }
 
-// runEnded tells the core that an engine call is over, and ends the answer
-// unless the core has stopped the call to start it again later.
-func (d *Daemon) runEnded(r *run, result engine.Result, stopped bool) {
+// runEnded tells the core that an engine call is over and ends the answer,
+// unless the core keeps the run to start it again.
+func (d *Daemon) runEnded(r *run, result engine.Result) {
+	stopped, paused := r.state()
 	outcome, reason := endOf(result, stopped)
-	if stopped && outcome != pb.Outcome_OUTCOME_DONE {
-		d.core.Post(sidecar.Ended{ID: r.id, Outcome: outcome, Reason: reason})
-		return
-	}
-	end := &pb.AnswerEnd{
-		Outcome: outcome,
-		Reason:  reason,
-		Load:    d.metrics.load(),
-		Tokens:  uint32(result.Tokens),
-	}
+	end := &pb.AnswerEnd{Outcome: outcome, Reason: reason, Tokens: uint32(result.Tokens)}
 	if result.Err != nil {
 		end.Detail = result.Err.Error()
 	}
-	d.runs.remove(r.id)
-	r.answer.end(end)
-	d.core.Post(sidecar.Ended{ID: r.id, Outcome: outcome, Reason: reason})
+	report := sidecar.Ended{ID: r.id, Outcome: outcome, Reason: reason, Paused: paused}
+	d.core.PostThen(report, func() {
+		if !r.isWaiting() {
+			end.Load = d.sidecar.Load()
+			d.endRun(r.id, end)
+		}
+	})
 }
 
 // carryCore carries out the outputs of the sidecar's core.
@@ -228,6 +223,10 @@
 		}
 	case sidecar.Refuse:
 		d.refuse(out)
+	case sidecar.Requeued:
+		if r := d.runs.get(out.ID); r != nil {
+			r.setWaiting()
+		}
 	case sidecar.GiveBack:
 		d.endRun(out.ID, &pb.AnswerEnd{Outcome: pb.Outcome_OUTCOME_NOT_RUN, Reason: pb.Reason_REASON_OVERLOADED})
 	case sidecar.BatchRoom:
@@ -298,12 +297,19 @@
 			load, err := d.engine.Load(ctx)
 			cancel()
 			if err == nil {
-				d.core.Post(sidecar.EngineLoad{Running: load.Running, Queued: load.Queued, KVFree: load.KVFree})
+				d.core.Post(sidecar.EngineLoad{Running: load.Running, Queued: load.Waiting, KVFree: freeShare(load)})
 			}
 		}
 	}
 }
 
+func freeShare(load engine.Load) float64 {
+	if load.KVCapacity == 0 {
+		return 1
+	}
+	return 1 - float64(load.KVTokens)/float64(load.KVCapacity)
+}
+
 // handle serves the operators' paths of this sidecar.
 func (d *Daemon) handle(ctx *fasthttp.RequestCtx) {
 	switch {
