Add the installation in one process

Cause: demo, tests and newcomers need everything running at once. Change: devd starts three control replicas, entries, sidecars and fakes.

--- a/controld/controld.go
+++ b/controld/controld.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -49,7 +48,6 @@
 	ctx        context.Context
 	cancel     context.CancelFunc
 	background sync.WaitGroup
-	confirming atomic.Bool
 	faults     chan error
 }
 
@@ -192,24 +190,25 @@
 
 // confirm has a quorum confirm the revision that this replica has applied.
 func (d *Daemon) confirm() {
-	if !d.confirming.CompareAndSwap(false, true) {
-		return
-	}
 	d.background.Add(1)
 	go func() {
 		defer d.background.Done()
-		defer d.confirming.Store(false)
 		ctx, cancel := context.WithTimeout(d.ctx, confirmTimeout)
 		defer cancel()
-		if controlErr := d.replica.Confirm(ctx); controlErr == nil {
-			d.publisher.Post(spread.Confirmed{Revision: d.revision()})
+		if controlErr := d.replica.Confirm(ctx); controlErr != nil {
+			d.publisher.Post(spread.ConfirmFailed{})
+			return
 		}
+		d.publisher.Post(spread.Confirmed{Revision: d.revision()})
 	}()
 }
 
 func (d *Daemon) revision() uint64 {
-	query := &pb.Query{Query: &pb.Query_Config{Config: &pb.ConfigQuery{Name: "-"}}}
-	return d.query(query).GetConfig().GetRevision()
+	var revision uint64
+	d.replica.View(func(reader kv.Reader) {
+		revision = d.state.ConfigRevision(reader)
+	})
+	return revision
 }
 
 func (d *Daemon) query(query *pb.Query) *pb.QueryResult {
--- a/daemon/subscription.go
+++ b/daemon/subscription.go
@@ -93,10 +93,7 @@
 func Subscribe(o SubscriptionOptions) *Subscription {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Subscription{options: o, documents: NewDocuments(), ctx: ctx, cancel: cancel}
-	subscriber := spread.NewSubscriber(spread.SubscriberOptions{
-		Addresses: o.Control,
-		Seed:      o.Identity.Incarnation,
-	})
+	subscriber := spread.NewSubscriber(o.Control, spread.SubscriberOptions{}, o.Identity.Incarnation)
 	s.loop = loop.Start[spread.SubscriberInput, spread.SubscriberOutput](subscriber, subscriberTick, s.carry)
 	o.Identity.Observe(func(h *pb.Header) {
 		if h.GetConfigRevision() > s.documents.Revision() {
@@ -124,6 +121,8 @@
 		s.attach(out)
 	case spread.Apply:
 		s.apply(out.Update)
+	case spread.Report:
+		s.report()
 	case spread.Ready:
 		s.options.Ready(out.Ready)
 	}
@@ -136,12 +135,12 @@
 	revision := s.documents.Revision()
 	s.options.Identity.SetRevision(revision)
 	s.options.Logger.Info("configuration in force", "revision", revision)
-	s.report(revision)
+	s.report()
 	s.options.Changed(s.documents)
 }
 
 // report tells the attached replica which revision is in force here.
-func (s *Subscription) report(revision uint64) {
+func (s *Subscription) report() {
 	s.mu.Lock()
 	stream := s.stream
 	s.mu.Unlock()
@@ -151,7 +150,7 @@
 	s.wait.Add(1)
 	go func() {
 		defer s.wait.Done()
-		_ = stream.Send(s.watch(revision))
+		_ = stream.Send(s.watch(s.documents.Revision()))
 	}()
 }
 
@@ -181,7 +180,7 @@
 		defer cancel()
 		s.read(ctx, out)
 		if ctx.Err() == nil {
-			s.loop.Post(spread.Lost{})
+			s.loop.Post(spread.Lost{Replica: out.Replica})
 		}
 	}()
 }
@@ -204,6 +203,7 @@
 		s.stream = stream
 	}
 	s.mu.Unlock()
+	s.loop.Post(spread.Attached{Replica: out.Replica})
 	for {
 		envelope, err := stream.Receive()
 		if err != nil || ctx.Err() != nil {
--- /dev/null
+++ b/devd/devd.go
@@ -0,0 +1,356 @@
+package devd
+
+import (
+	"context"
+	_ "embed" // for the example configuration
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/briarcross/briarcross/client"
+	"github.com/briarcross/briarcross/config"
+	"github.com/briarcross/briarcross/controld"
+	"github.com/briarcross/briarcross/daemon"
+	"github.com/briarcross/briarcross/entryd"
+	labengine "github.com/briarcross/briarcross/lab/engine"
+	labservice "github.com/briarcross/briarcross/lab/service"
+	"github.com/briarcross/briarcross/pb"
+	"github.com/briarcross/briarcross/sidecard"
+	"github.com/briarcross/briarcross/transport"
+)
+
+const (
+	startTimeout  = 20 * time.Second
+	readyInterval = 20 * time.Millisecond
+	stopWait      = 20 * time.Second
+	fastTick      = 20 * time.Millisecond
+	fastLease     = 2 * time.Second
+	fastPoll      = 100 * time.Millisecond
+	balancerWait  = 100 * time.Millisecond
+)
+
+//go:embed example.yaml
+var exampleConfig []byte
+
+// PlainService is the name of the plain service in the example configuration.
+const PlainService = "records"
+
+// ModelService is the name of the model service in the example configuration.
+const ModelService = "dam-watch"
+
+// Cluster is a running installation.
+type Cluster struct {
+	settings *Settings
+	addrs    addresses
+
+	Controls []*controld.Daemon
+	Sidecars []*sidecard.Daemon
+	Entries  []*entryd.Daemon
+	Engines  []*labengine.Server
+	Service  *labservice.Server
+	faults   chan error
+}
+
+// addresses are those of all daemons and fakes.
+type addresses struct {
+	control, controlHTTP []string
+	entry, entryHTTP     []string
+	sidecar, sidecarHTTP []string
+	engine               []string
+}
+
+// PortCount returns the number of consecutive ports that settings use.
+func (s *Settings) PortCount() int {
+	const addressesEach = 3
+	return addressesEach * (controlReplicas + s.Entries + s.Sidecars + 1)
+}
+
+func newAddresses(s *Settings) addresses {
+	p := &ports{next: s.BasePort}
+	upstreams := s.Sidecars + 1
+	return addresses{
+		controlHTTP: p.takeMany(controlReplicas),
+		entryHTTP:   p.takeMany(s.Entries),
+		control:     p.takeMany(controlReplicas),
+		entry:       p.takeMany(s.Entries),
+		sidecar:     p.takeMany(upstreams),
+		sidecarHTTP: p.takeMany(upstreams),
+		engine:      p.takeMany(upstreams),
+	}
+}
+
+// Start starts an installation and waits until its entries are ready.
+func Start(settings *Settings) (*Cluster, error) {
+	c := &Cluster{
+		settings: settings,
+		addrs:    newAddresses(settings),
+		faults:   make(chan error, 1),
+	}
+	if err := c.start(); err != nil {
+		return nil, errors.Join(err, c.Stop())
+	}
+	return c, nil
+}
+
+func (c *Cluster) start() error {
+	for i := range controlReplicas {
+		if err := c.startControl(i); err != nil {
+			return err
+		}
+	}
+	if err := c.applyConfig(); err != nil {
+		return err
+	}
+	for i := range c.settings.Entries {
+		if err := c.startEntry(i); err != nil {
+			return err
+		}
+	}
+	for i := range c.settings.Sidecars {
+		if err := c.startModel(i); err != nil {
+			return err
+		}
+	}
+	if err := c.startPlain(); err != nil {
+		return err
+	}
+	return c.awaitReady()
+}
+
+func (c *Cluster) common(role string, number int, listen, web string) daemon.Settings {
+	return daemon.Settings{
+		ID:         fmt.Sprintf("%s-%d", role, number+1),
+		DataCentre: dataCentre(number),
+		Listen:     listen,
+		HTTP:       web,
+		LogLevel:   c.settings.LogLevel,
+		LogFormat:  "logfmt",
+		StopWait:   stopWait,
+	}
+}
+
+func dataCentre(number int) string {
+	names := [...]string{"lulea", "boden", "kiruna"}
+	return names[number%len(names)]
+}
+
+func (c *Cluster) startControl(i int) error {
+	s := &controld.Settings{
+		Settings:    c.common("control", i, c.addrs.control[i], c.addrs.controlHTTP[i]),
+		Tick:        fastTick,
+		RepairAfter: startTimeout,
+		LeaseTime:   fastLease,
+		PollTime:    fastPoll,
+	}
+	for n, address := range c.addrs.control {
+		s.Replicas = append(s.Replicas, fmt.Sprintf("control-%d@%s@%s", n+1, address, dataCentre(n)))
+	}
+	if c.settings.Folder != "" {
+		s.Folder = filepath.Join(c.settings.Folder, s.ID)
+	}
+	if err := s.Check(); err != nil {
+		return err
+	}
+	d, err := controld.Start(s)
+	if err != nil {
+		return err
+	}
+	c.Controls = append(c.Controls, d)
+	c.watch(d.Faults())
+	return nil
+}
+
+func (c *Cluster) startEntry(i int) error {
+	s := &entryd.Settings{
+		Settings:     c.common("entry", i, c.addrs.entry[i], c.addrs.entryHTTP[i]),
+		Control:      c.addrs.control,
+		Registrars:   c.addrs.entry,
+		BalancerWait: balancerWait,
+		MaxBodyBytes: 8 << 20,
+	}
+	if err := s.Check(); err != nil {
+		return err
+	}
+	d, err := entryd.Start(s)
+	if err != nil {
+		return err
+	}
+	c.Entries = append(c.Entries, d)
+	c.watch(d.Faults())
+	return nil
+}
+
+func (c *Cluster) startModel(i int) error {
+	listener, err := daemon.ListenTCP("base-port", c.addrs.engine[i])
+	if err != nil {
+		return err
+	}
+	engine := labengine.NewServer(labengine.Options{
+		ID:     fmt.Sprintf("engine-%d", i+1),
+		Models: []string{ModelService},
+		Seed:   c.settings.Seed + uint64(i),
+	})
+	go c.serve(engine.Serve, listener)
+	c.Engines = append(c.Engines, engine)
+	return c.startSidecar(i, sidecard.KindModel, ModelService)
+}
+
+func (c *Cluster) startPlain() error {
+	i := c.settings.Sidecars
+	listener, err := daemon.ListenTCP("base-port", c.addrs.engine[i])
+	if err != nil {
+		return err
+	}
+	c.Service = labservice.New(labservice.Options{})
+	go c.serve(c.Service.Serve, listener)
+	return c.startSidecar(i, sidecard.KindPlain, PlainService)
+}
+
+func (c *Cluster) serve(serve func(net.Listener) error, listener net.Listener) {
+	if err := serve(listener); err != nil {
+		c.fault(err)
+	}
+}
+
+func (c *Cluster) startSidecar(i int, kind, service string) error {
+	s := &sidecard.Settings{
+		Settings:   c.common("sidecar", i, c.addrs.sidecar[i], c.addrs.sidecarHTTP[i]),
+		Engine:     "http://" + c.addrs.engine[i],
+		Kind:       kind,
+		Services:   []string{service},
+		Control:    c.addrs.control,
+		Registrars: c.addrs.entry,
+		MaxWindow:  64,
+		MaxQueue:   256,
+	}
+	if err := s.Check(); err != nil {
+		return err
+	}
+	d, err := sidecard.Start(s)
+	if err != nil {
+		return err
+	}
+	c.Sidecars = append(c.Sidecars, d)
+	c.watch(d.Faults())
+	return nil
+}
+
+func (c *Cluster) watch(faults <-chan error) {
+	go func() {
+		if err, ok := <-faults; ok {
+			c.fault(err)
+		}
+	}()
+}
+
+func (c *Cluster) fault(err error) {
+	select {
+	case c.faults <- err:
+	default:
+	}
+}
+
+// applyConfig writes the first configuration unless there is one already.
+func (c *Cluster) applyConfig() error {
+	text, name := exampleConfig, "example.yaml"
+	if c.settings.Config != "" {
+		name = c.settings.Config
+		read, err := os.ReadFile(name)
+		if err != nil {
+			return daemon.Wrong("config", err.Error())
+		}
+		text = read
+	}
+	documents, err := config.Parse(name, text)
+	if err != nil {
+		return daemon.Wrong("config", err.Error())
+	}
+	change := &pb.ConfigChange{ChangeId: "dev-first-configuration", Operator: "dev"}
+	for _, document := range documents {
+		change.Ops = append(change.Ops, &pb.ConfigOp{Op: &pb.ConfigOp_Put{Put: document}})
+	}
+	return c.propose(&pb.Command{Op: &pb.Command_ConfigChange{ConfigChange: change}})
+}
+
+func (c *Cluster) propose(command *pb.Command) error {
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	t := transport.NewClient(&transport.Identity{ID: "dev"}, nil)
+	defer t.Close()
+	result, controlErr := client.NewControl(t, c.addrs.control).Propose(ctx, transport.Control, command)
+	if controlErr != nil {
+		return eris.Errorf("first configuration: %s", controlErr.GetReason())
+	}
+	// A conflict means that a data folder already holds a configuration.
+	if result.GetChange().GetOutcome() == pb.ChangeOutcome_CHANGE_INVALID {
+		return eris.Errorf("first configuration: %s", result.GetChange().GetReason())
+	}
+	return nil
+}
+
+// awaitReady waits until each entry is ready and knows an upstream of each
+// service.
+func (c *Cluster) awaitReady() error {
+	limit := time.NewTimer(startTimeout)
+	defer limit.Stop()
+	ticker := time.NewTicker(readyInterval)
+	defer ticker.Stop()
+	for !c.ready() {
+		select {
+		case <-limit.C:
+			return eris.New("the installation was not ready in time")
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) ready() bool {
+	for _, entry := range c.Entries {
+		if !entry.Ready() || entry.Members() < len(c.Sidecars) {
+			return false
+		}
+	}
+	return true
+}
+
+// EntryURL returns the base URL of an entry.
+func (c *Cluster) EntryURL(i int) string {
+	return "http://" + c.addrs.entryHTTP[i]
+}
+
+// ControlURL returns the base URL of a control replica's HTTP interface.
+func (c *Cluster) ControlURL(i int) string {
+	return "http://" + c.addrs.controlHTTP[i]
+}
+
+// Faults delivers an error after which the process must stop.
+func (c *Cluster) Faults() <-chan error {
+	return c.faults
+}
+
+// Stop ends all daemons, entries first, so that no request is cut off.
+func (c *Cluster) Stop() error {
+	var errs []error
+	for _, entry := range c.Entries {
+		errs = append(errs, entry.Stop())
+	}
+	for _, sidecar := range c.Sidecars {
+		errs = append(errs, sidecar.Stop())
+	}
+	for _, control := range c.Controls {
+		errs = append(errs, control.Stop())
+	}
+	for _, engine := range c.Engines {
+		errs = append(errs, engine.Close())
+	}
+	if c.Service != nil {
+		errs = append(errs, c.Service.Close())
+	}
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/devd/ports.go
@@ -0,0 +1,63 @@
+package devd
+
+import (
+	"net"
+	"strconv"
+)
+
+// ports gives out consecutive addresses on the loopback interface.
+type ports struct {
+	next int
+}
+
+func (p *ports) take() string {
+	address := net.JoinHostPort("127.0.0.1", strconv.Itoa(p.next))
+	p.next++
+	return address
+}
+
+func (p *ports) takeMany(n int) []string {
+	addresses := make([]string, n)
+	for i := range addresses {
+		addresses[i] = p.take()
+	}
+	return addresses
+}
+
+// FreeBasePort returns a base port at which a number of consecutive ports is
+// free for TCP and UDP.
+func FreeBasePort(count int) int {
+	const (
+		first = 20000
+		last  = 60000
+	)
+	for base := first; base+count < last; base += count {
+		if rangeFree(base, count) {
+			return base
+		}
+	}
+	return first
+}
+
+func rangeFree(base, count int) bool {
+	for port := base; port < base+count; port++ {
+		if !portFree(port) {
+			return false
+		}
+	}
+	return true
+}
+
+func portFree(port int) bool {
+	address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = listener.Close() }()
+	packets, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return false
+	}
+	return packets.Close() == nil
+}
