Share the batch state between the log and the scheduler

Cause: the scheduler reads the replicated job table; both run on goroutines of their own, and inputs may come before the replica is open. Change: batchCore serializes them so that the scheduler is never behind the state; datagrams carry the sender's address for replies.

--- /dev/null
+++ b/controld/batchcore.go
@@ -0,0 +1,103 @@
+package controld
+
+import (
+	"sync"
+	"time"
+
+	"github.com/briarcross/briarcross/batch"
+	"github.com/briarcross/briarcross/kv"
+	"github.com/briarcross/briarcross/pb"
+)
+
+// batchCore lets the goroutine that applies the log and the scheduler's loop
+// share the state of the jobs. The scheduler never sees a state that is ahead
+// of the commands that it was told of.
+type batchCore struct {
+	mu        sync.Mutex
+	told      *sync.Cond
+	untold    int
+	state     *batch.State
+	scheduler *batch.Scheduler
+}
+
+func newBatchCore(state *batch.State, scheduler *batch.Scheduler) *batchCore {
+	c := &batchCore{state: state, scheduler: scheduler}
+	c.told = sync.NewCond(&c.mu)
+	return c
+}
+
+// Apply implements control.BatchState.
+func (c *batchCore) Apply(b kv.Batch, index uint64, command *pb.Command) (*pb.CommandResult, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	result, handled := c.state.Apply(b, index, command)
+	if handled {
+		c.untold++
+	}
+	return result, handled
+}
+
+// applied tells the scheduler of a command whose writes are visible. It
+// reports whether the command concerns jobs.
+func (c *batchCore) applied(command *pb.Command, result *pb.CommandResult) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !concernsJobs(command) {
+		return false
+	}
+	c.scheduler.Step(time.Now(), batch.Applied{Command: command, Result: result})
+	c.untold--
+	c.told.Broadcast()
+	return true
+}
+
+func concernsJobs(command *pb.Command) bool {
+	switch command.GetOp().(type) {
+	case *pb.Command_JobBegin, *pb.Command_JobChunk, *pb.Command_JobAccept, *pb.Command_JobCancel,
+		*pb.Command_JobAbort, *pb.Command_ResultsCommit, *pb.Command_ItemsStart, *pb.Command_RetentionExpire:
+		return true
+	default:
+		return false
+	}
+}
+
+// Restore implements control.BatchState.
+func (c *batchCore) Restore(r kv.Reader) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state.Restore(r)
+}
+
+// Query implements control.BatchState.
+func (c *batchCore) Query(r kv.Reader, q *pb.Query) (*pb.QueryResult, bool) {
+	return c.state.Query(r, q)
+}
+
+// Step implements core.Core.
+func (c *batchCore) Step(now time.Time, in batch.SchedulerInput) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.awaitTold()
+	c.scheduler.Step(now, in)
+}
+
+// Tick implements core.Core.
+func (c *batchCore) Tick(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.awaitTold()
+	c.scheduler.Tick(now)
+}
+
+// Drain implements core.Core.
+func (c *batchCore) Drain() []batch.SchedulerOutput {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.scheduler.Drain()
+}
+
+func (c *batchCore) awaitTold() {
+	for c.untold > 0 {
+		c.told.Wait()
+	}
+}
--- a/controld/controld.go
+++ b/controld/controld.go
@@ -48,6 +48,8 @@
 	ctx        context.Context
 	cancel     context.CancelFunc
 	background sync.WaitGroup
+	// opened is closed once replica is set; its callbacks may come earlier.
+	opened chan struct{}
 	faults     chan error
 }
 
@@ -82,6 +84,7 @@
 		addresses: make(map[string]string),
 		ctx:       ctx,
 		cancel:    cancel,
+		opened:    make(chan struct{}),
 		faults:    make(chan error, 1),
 	}
 	d.transport = transport.NewClient(d.identity, settings.TLS.ClientConfig())
@@ -110,14 +113,12 @@
 	d.control = client.NewControl(d.transport, known)
 	d.peers = newPeers(d.ctx, d.transport, d.address, d.metrics.peerLost.Inc)
 
-	batchState := batch.NewState()
-	d.state = control.NewState(batchState)
+	d.leases = newLeases(d, batch.NewState())
+	d.state = control.NewState(d.leases.core)
 	d.watchers = newWatchers(d.updateSince)
 	d.spread = spread.NewPublisher(spread.PublisherOptions{})
 	d.publisher = loop.Start[spread.PublisherInput, spread.PublisherOutput](d.spread, publisherTick, d.carryPublisher)
 	d.watchers.post = d.publisher.Post
-	d.leases = newLeases(d, batchState)
-
 	d.replica, err = replica.Open(replica.Options{
 		ID:          d.settings.ID,
 		Address:     d.settings.Listen,
@@ -141,14 +142,32 @@
 		d.leases.close()
 		return err
 	}
-	d.leases.open()
+	close(d.opened)
 	return nil
 }
 
+func (d *Daemon) isOpen() bool {
+	select {
+	case <-d.opened:
+		return true
+	default:
+		return false
+	}
+}
+
+// view reads the applied state. It waits until the replica is open.
+func (d *Daemon) view(read func(kv.Reader)) {
+	select {
+	case <-d.opened:
+		d.replica.View(read)
+	case <-d.ctx.Done():
+	}
+}
+
 // address returns the address of a replica, as the membership or else the
 // settings have it.
 func (d *Daemon) address(id string) (string, bool) {
-	if d.replica != nil {
+	if d.isOpen() {
 		for _, status := range d.replica.Status().GetReplicas() {
 			if status.GetReplica().GetId() == id {
 				return status.GetReplica().GetAddress(), true
@@ -193,6 +212,7 @@
 	d.background.Add(1)
 	go func() {
 		defer d.background.Done()
+		<-d.opened
 		ctx, cancel := context.WithTimeout(d.ctx, confirmTimeout)
 		defer cancel()
 		if controlErr := d.replica.Confirm(ctx); controlErr != nil {
@@ -205,7 +225,7 @@
 
 func (d *Daemon) revision() uint64 {
 	var revision uint64
-	d.replica.View(func(reader kv.Reader) {
+	d.view(func(reader kv.Reader) {
 		revision = d.state.ConfigRevision(reader)
 	})
 	return revision
@@ -213,7 +233,7 @@
 
 func (d *Daemon) query(query *pb.Query) *pb.QueryResult {
 	var result *pb.QueryResult
-	d.replica.View(func(reader kv.Reader) {
+	d.view(func(reader kv.Reader) {
 		result = d.state.Query(reader, query)
 	})
 	return result
@@ -221,7 +241,7 @@
 
 func (d *Daemon) updateSince(from uint64) *pb.ConfigUpdate {
 	var update *pb.ConfigUpdate
-	d.replica.View(func(reader kv.Reader) {
+	d.view(func(reader kv.Reader) {
 		update = d.state.UpdateSince(reader, from)
 	})
 	return update
--- a/controld/leases.go
+++ b/controld/leases.go
@@ -7,7 +7,6 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/briarcross/briarcross/batch"
-	"github.com/briarcross/briarcross/kv"
 	"github.com/briarcross/briarcross/loop"
 	"github.com/briarcross/briarcross/pb"
 	"github.com/briarcross/briarcross/transport"
@@ -16,59 +15,36 @@
 // leases is the shell of the batch scheduler.
 type leases struct {
 	daemon *Daemon
+	core   *batchCore
 	loop   *loop.Loop[batch.SchedulerInput, batch.SchedulerOutput]
 
 	mu      sync.Mutex
 	next    uint64
 	waiting map[uint64]chan *pb.LeaseResponse
-	held    []batch.SchedulerInput
-	ready   bool
 }
 
 var errStopped = eris.New("control replica stops")
 
 func newLeases(d *Daemon, state *batch.State) *leases {
 	l := &leases{daemon: d, waiting: make(map[uint64]chan *pb.LeaseResponse)}
-	scheduler := batch.NewScheduler(batch.SchedulerOptions{
+	l.core = newBatchCore(state, batch.NewScheduler(batch.SchedulerOptions{
 		State:     state,
-		Reader:    func(read func(kv.Reader)) { d.replica.View(read) },
+		Reader:    d.view,
 		Seed:      d.identity.Incarnation,
 		LeaseTime: d.settings.LeaseTime,
 		PollTime:  d.settings.PollTime,
-	})
-	l.loop = loop.Start[batch.SchedulerInput, batch.SchedulerOutput](scheduler, schedulerTick, l.carry)
+	}))
+	l.loop = loop.Start[batch.SchedulerInput, batch.SchedulerOutput](l.core, schedulerTick, l.carry)
 	return l
 }
 
-// open passes on the inputs that arrived while the replica was being opened;
-// before that the scheduler could not read the state.
-func (l *leases) open() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.ready = true
-	for _, in := range l.held {
-		l.loop.Post(in)
-	}
-	l.held = nil
-}
-
-func (l *leases) post(in batch.SchedulerInput) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if !l.ready {
-		l.held = append(l.held, in)
-		return
-	}
-	l.loop.Post(in)
-}
-
 func (l *leases) lead(term uint64, leading bool) {
-	l.post(batch.Lead{Term: term, On: leading})
+	l.loop.Post(batch.Lead{Term: term, On: leading})
 }
 
 func (l *leases) applied(command *pb.Command, result *pb.CommandResult) {
-	if result.GetJob() != nil || result.GetResults() != nil {
-		l.post(batch.Applied{Command: command, Result: result})
+	if l.core.applied(command, result) {
+		l.loop.Wake()
 	}
 }
 
@@ -99,7 +75,7 @@
 	ctx, cancel := context.WithTimeout(l.daemon.ctx, requestTimeout)
 	defer cancel()
 	result, controlErr := l.daemon.replica.Propose(ctx, out.Command)
-	l.post(batch.ProposeDone{Token: out.Token, Result: result, Err: controlErr})
+	l.loop.Post(batch.ProposeDone{Token: out.Token, Result: result, Err: controlErr})
 }
 
 // answer hands a request to the scheduler and sends its reply.
@@ -110,7 +86,7 @@
 	token := l.next
 	l.waiting[token] = waiter
 	l.mu.Unlock()
-	l.post(batch.Request{Token: token, Message: request})
+	l.loop.Post(batch.Request{Token: token, Message: request})
 	select {
 	case response := <-waiter:
 		if response.GetError() == pb.ControlErrorCode_CONTROL_NOT_LEADER {
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -151,7 +151,7 @@
 // NewIdentity returns this start's identity. The incarnation comes from the
 // wall clock, so that a later start has a higher one.
 func (s *Settings) NewIdentity() *transport.Identity {
-	return &transport.Identity{ID: s.ID, Incarnation: uint64(time.Now().UnixNano())}
+	return &transport.Identity{ID: s.ID, Incarnation: uint64(time.Now().UnixNano()), Address: s.Listen}
 }
 
 // ListenTCP listens on an address and names the setting when it cannot.
--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -33,14 +34,16 @@
 	control      *client.Control
 	subscription *daemon.Subscription
 	gate         *loop.Loop[gate.Input, gate.Output]
-	registrar    *loop.Loop[member.RegistrarInput, member.RegistrarOutput]
-	members      *loop.Loop[member.TableInput, member.TableOutput]
-	datagrams    *transport.Datagrams
+	registrar    *loop.Loop[member.Input, member.Output]
+	members      *loop.Loop[member.Input, member.Output]
+	datagrams    atomic.Pointer[transport.Datagrams]
 	http         *daemon.HTTP
 	readiness    daemon.Readiness
 	metrics      *metrics
 	callers      callers
 	calls        calls
+	table        *member.Table
+	known        atomic.Int64
 
 	ctx        context.Context
 	cancel     context.CancelFunc
@@ -97,21 +100,22 @@
 func (d *Daemon) startCores() error {
 	core := gate.New(gate.Options{DataCentre: d.settings.DataCentre, Seed: d.identity.Incarnation})
 	d.gate = loop.Start[gate.Input, gate.Output](core, gateTick, d.carryGate)
-	registrar := member.NewRegistrar(member.RegistrarOptions{Epoch: d.identity.Incarnation})
-	d.registrar = loop.Start[member.RegistrarInput, member.RegistrarOutput](registrar, memberTick, d.carryRegistrar)
-	table := member.NewTable(member.TableOptions{
+	registrar := member.NewRegistrar(member.RegistrarOptions{}, d.identity.Incarnation)
+	d.registrar = loop.Start[member.Input, member.Output](registrar, memberTick, d.carryRegistrar)
+	d.table = member.NewTable(member.TableOptions{
 		Entry:      d.settings.ID,
 		Address:    d.settings.Listen,
 		Registrars: d.settings.Registrars,
 	})
+	d.members = loop.Start[member.Input, member.Output](d.table, memberTick, d.carryMembers)
 	datagrams, err := transport.ListenDatagrams(d.identity, d.settings.Listen, d.datagram)
 	if err != nil {
 		d.gate.Close()
 		d.registrar.Close()
+		d.members.Close()
 		return err
 	}
-	d.datagrams = datagrams
-	d.members = loop.Start[member.TableInput, member.TableOutput](table, memberTick, d.carryMembers)
+	d.datagrams.Store(datagrams)
 	d.subscription = daemon.Subscribe(daemon.SubscriptionOptions{
 		Identity:   d.identity,
 		Transport:  d.transport,
@@ -133,35 +137,40 @@
 // datagram handles a received datagram on the event loop.
 func (d *Daemon) datagram(e *pb.Envelope) {
 	message := e.GetMember()
+	in := member.Datagram{From: e.GetHeader().GetReplyAddress(), Message: message}
 	if message.GetDelta() != nil {
-		if d.members != nil {
-			d.members.Post(member.Datagram{From: e.GetHeader().GetSender(), Message: message})
-		}
+		d.members.Post(in)
 		return
 	}
-	d.registrar.Post(member.Datagram{From: e.GetHeader().GetSender(), Message: message})
+	d.registrar.Post(in)
 }
 
 func (d *Daemon) sendMember(out member.SendTo) {
+	socket := d.datagrams.Load()
+	if socket == nil {
+		return
+	}
 	envelope := &pb.Envelope{Body: &pb.Envelope_Member{Member: out.Message}}
-	if err := d.datagrams.Send(out.Address, envelope); err != nil {
+	if err := socket.Send(out.Address, envelope); err != nil {
 		d.logger.Debug("datagram not sent", "address", out.Address, "error", err)
 	}
 }
 
-func (d *Daemon) carryRegistrar(out member.RegistrarOutput) {
+func (d *Daemon) carryRegistrar(out member.Output) {
 	if send, ok := out.(member.SendTo); ok {
 		d.sendMember(send)
 	}
 }
 
-func (d *Daemon) carryMembers(out member.TableOutput) {
+func (d *Daemon) carryMembers(out member.Output) {
 	switch out := out.(type) {
 	case member.SendTo:
 		d.sendMember(out)
 	case member.Changed:
+		d.known.Store(int64(len(d.table.Members())))
 		d.gate.Post(gate.MemberChanged{Member: out.Member})
 	case member.Gone:
+		d.known.Store(int64(len(d.table.Members())))
 		d.gate.Post(gate.MemberGone{ID: out.ID})
 	}
 }
@@ -233,6 +242,11 @@
 	return d.readiness.Ready()
 }
 
+// Members returns the number of upstreams that the entry knows.
+func (d *Daemon) Members() int {
+	return int(d.known.Load())
+}
+
 // Stop reports not ready, waits for the balancer to turn callers away and for
 // running requests to end, both bounded by settings, and ends the entry.
 func (d *Daemon) Stop() error {
@@ -249,7 +263,7 @@
 	d.background.Wait()
 	d.subscription.Close()
 	d.members.Close()
-	err := d.datagrams.Close()
+	err := d.datagrams.Load().Close()
 	d.registrar.Close()
 	d.gate.Close()
 	d.transport.Close()
--- a/loop/loop.go
+++ b/loop/loop.go
@@ -87,6 +87,12 @@
 	}
 }
 
+// Wake has the loop carry out outputs that were put into the core's outbox
+// from outside the loop.
+func (l *Loop[In, Out]) Wake() {
+	l.signal()
+}
+
 // Close stops the loop and waits for its goroutine. It must not be called
 // from carry.
 func (l *Loop[In, Out]) Close() {
@@ -146,9 +152,7 @@
 	for _, call := range calls {
 		call()
 	}
-	if len(calls) > 0 {
-		l.deliver()
-	}
+	l.deliver()
 }
 
 func (l *Loop[In, Out]) deliver() {
--- a/sidecard/batch.go
+++ b/sidecard/batch.go
@@ -117,7 +117,7 @@
 	if result.Outcome != pb.ItemOutcome_ITEM_DONE {
 		result.Error = itemError(end, status)
 	}
-	d.worker.Post(batch.Finished{Ref: refOf(item), Result: result})
+	d.worker.Post(batch.Finished{Ref: batch.RefOf(item), Result: result})
 }
 
 func itemError(end *pb.AnswerEnd, status int) string {
@@ -153,10 +153,6 @@
 	}
 }
 
-func refOf(item *pb.LeasedItem) batch.ItemRef {
-	return batch.ItemRef{JobID: item.GetJobId(), Index: item.GetIndex(), FencingNumber: item.GetFencingNumber()}
-}
-
 // items maps leased items to the IDs that the sidecar's core knows them by.
 type items struct {
 	mu   sync.Mutex
@@ -166,13 +162,13 @@
 func (t *items) add(item *pb.LeasedItem, id sidecar.ID) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.byID[refOf(item)] = id
+	t.byID[batch.RefOf(item)] = id
 }
 
 func (t *items) remove(item *pb.LeasedItem) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.byID, refOf(item))
+	delete(t.byID, batch.RefOf(item))
 }
 
 func (t *items) get(ref batch.ItemRef) (sidecar.ID, bool) {
--- a/sidecard/sidecard.go
+++ b/sidecard/sidecard.go
@@ -42,8 +42,8 @@
 	core         *loop.Loop[sidecar.Input, sidecar.Output]
 	sidecar      *sidecar.Sidecar
 	worker       *loop.Loop[batch.WorkerInput, batch.WorkerOutput]
-	announcer    *loop.Loop[member.AnnouncerInput, member.AnnouncerOutput]
-	datagrams    *transport.Datagrams
+	announcer    *loop.Loop[member.Input, member.Output]
+	datagrams    atomic.Pointer[transport.Datagrams]
 	http         *daemon.HTTP
 	readiness    daemon.Readiness
 	metrics      *metrics
@@ -97,12 +97,15 @@
 		coreIdle:   make(chan struct{}),
 		workerIdle: make(chan struct{}),
 	}
-	datagrams, err := transport.ListenDatagrams(d.identity, settings.Listen, func(*pb.Envelope) {})
+	announcer := member.NewAnnouncer(member.AnnouncerOptions{Registrars: settings.Registrars})
+	d.announcer = loop.Start[member.Input, member.Output](announcer, announcerTick, d.carryAnnouncer)
+	datagrams, err := transport.ListenDatagrams(d.identity, settings.Listen, d.datagram)
 	if err != nil {
+		d.announcer.Close()
 		cancel()
 		return nil, err
 	}
-	d.datagrams = datagrams
+	d.datagrams.Store(datagrams)
 	d.metrics = newMetrics(d.identity)
 	d.transport = transport.NewClient(d.identity, settings.TLS.ClientConfig())
 	d.control = client.NewControl(d.transport, settings.Control)
@@ -135,8 +138,6 @@
 	})
 	d.worker = loop.Start[batch.WorkerInput, batch.WorkerOutput](worker, workerTick, d.carryWorker)
 	d.core = loop.Start[sidecar.Input, sidecar.Output](d.sidecar, coreTick, d.carryCore)
-	announcer := member.NewAnnouncer(member.AnnouncerOptions{Registrars: d.settings.Registrars})
-	d.announcer = loop.Start[member.AnnouncerInput, member.AnnouncerOutput](announcer, announcerTick, d.carryAnnouncer)
 	d.subscription = daemon.Subscribe(daemon.SubscriptionOptions{
 		Identity:   d.identity,
 		Transport:  d.transport,
@@ -168,13 +169,19 @@
 	}})
 }
 
-func (d *Daemon) carryAnnouncer(out member.AnnouncerOutput) {
+// datagram handles a registrar's answer.
+func (d *Daemon) datagram(e *pb.Envelope) {
+	d.announcer.Post(member.Datagram{From: e.GetHeader().GetReplyAddress(), Message: e.GetMember()})
+}
+
+func (d *Daemon) carryAnnouncer(out member.Output) {
 	send, ok := out.(member.SendTo)
-	if !ok {
+	socket := d.datagrams.Load()
+	if !ok || socket == nil {
 		return
 	}
 	envelope := &pb.Envelope{Body: &pb.Envelope_Member{Member: send.Message}}
-	if err := d.datagrams.Send(send.Address, envelope); err != nil {
+	if err := socket.Send(send.Address, envelope); err != nil {
 		d.logger.Debug("announcement not sent", "registrar", send.Address, "error", err)
 	}
 }
@@ -382,7 +389,7 @@
 	d.core.Close()
 	d.worker.Close()
 	d.transport.Close()
-	err := d.datagrams.Close()
+	err := d.datagrams.Load().Close()
 	d.background.Wait()
 	return err
 }
--- a/transport/datagram.go
+++ b/transport/datagram.go
@@ -101,6 +101,7 @@
 	if e.Header == nil {
 		e.Header = d.identity.Header("", 0)
 	}
+	e.Header.ReplyAddress = d.identity.Address
 	data, err := proto.Marshal(e)
 	if err != nil {
 		return eris.Wrap(err, "encode datagram")
--- a/transport/identity.go
+++ b/transport/identity.go
@@ -11,6 +11,8 @@
 	ID          string
 	Incarnation uint64
 	Group       uint32
+	// Address is where this process receives datagrams.
+	Address string
 
 	revision atomic.Uint64
 	observe  atomic.Pointer[func(*pb.Header)]
