Add the entry's batch paths

Cause: callers submit, watch, read and cancel jobs through any entry. Change: one-step submission of JSON lines, job objects, results by page. Conclusion: file upload before start needs a staged job state, next.

--- a/controld/controld.go
+++ b/controld/controld.go
@@ -50,7 +50,7 @@
 	background sync.WaitGroup
 	// opened is closed once replica is set; its callbacks may come earlier.
 	opened chan struct{}
-	faults     chan error
+	faults chan error
 }
 
 // Start starts a control replica. The settings must have passed Check.
--- /dev/null
+++ b/entryd/batches.go
@@ -0,0 +1,334 @@
+package entryd
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"io"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"github.com/briarcross/briarcross/batch"
+	"github.com/briarcross/briarcross/openai"
+	"github.com/briarcross/briarcross/pb"
+	"github.com/briarcross/briarcross/transport"
+)
+
+const (
+	filesPath   = "/v1/files"
+	batchesPath = "/v1/batches"
+
+	cancelSuffix  = "/cancel"
+	resultsSuffix = "/results"
+
+	jobIDBytes        = 12
+	maxFirstLineBytes = 1 << 20
+	submitTimeout     = 30 * time.Minute
+	batchCallTimeout  = 10 * time.Second
+	resultPageItems   = 256
+	resultPageBytes   = 1 << 20
+	defaultListLimit  = 20
+	contentTypeJSONL  = "application/jsonl"
+	contentTypeNDJSON = "application/x-ndjson"
+)
+
+func newJobID() string {
+	var id [jobIDBytes]byte
+	_, _ = rand.Read(id[:])
+	return "batch-" + hex.EncodeToString(id[:])
+}
+
+// batches serves the paths of batch jobs.
+func (d *Daemon) batches(ctx *fasthttp.RequestCtx, caller, path string) {
+	rest, isBatch := strings.CutPrefix(path, batchesPath)
+	if !isBatch {
+		d.files(ctx, caller, strings.TrimPrefix(path, filesPath))
+		return
+	}
+	rest = strings.TrimPrefix(rest, "/")
+	switch {
+	case rest == "" && ctx.IsPost():
+		d.submitJob(ctx, caller)
+	case rest == "":
+		d.listJobs(ctx, caller)
+	case strings.HasSuffix(rest, cancelSuffix) && ctx.IsPost():
+		d.cancelJob(ctx, caller, strings.TrimSuffix(rest, cancelSuffix))
+	case strings.HasSuffix(rest, resultsSuffix):
+		d.results(ctx, caller, strings.TrimSuffix(rest, resultsSuffix))
+	default:
+		d.showJob(ctx, caller, rest)
+	}
+}
+
+// submitJob reads a job's lines from the body.
+func (d *Daemon) submitJob(ctx *fasthttp.RequestCtx, caller string) {
+	switch string(ctx.Request.Header.ContentType()) {
+	case contentTypeJSONL, contentTypeNDJSON:
+	default:
+		d.refuse(ctx, pb.Reason_REASON_BAD_REQUEST, "the content type must be "+contentTypeJSONL)
+		return
+	}
+	job, err := d.intake(ctx, caller, bodyReader(ctx))
+	if err != nil {
+		d.writeSubmitError(ctx, err)
+		return
+	}
+	writeJob(ctx, job)
+}
+
+func bodyReader(ctx *fasthttp.RequestCtx) io.Reader {
+	if stream := ctx.RequestBodyStream(); stream != nil {
+		return stream
+	}
+	return bytes.NewReader(ctx.PostBody())
+}
+
+// firstLine is what the first line of a job tells about the job.
+type firstLine struct {
+	URL  string `json:"url"`
+	Body struct {
+		Model string `json:"model"`
+	} `json:"body"`
+}
+
+// peekFirstLine reads the first line without consuming it.
+func peekFirstLine(reader *bufio.Reader) (firstLine, error) {
+	var first firstLine
+	text, err := reader.Peek(maxFirstLineBytes)
+	line, _, found := bytes.Cut(text, []byte("\n"))
+	if !found && err == nil {
+		return first, &batch.LineError{Line: 1, Reason: "the line is too long"}
+	}
+	if len(bytes.TrimSpace(line)) == 0 {
+		return first, &batch.LineError{Line: 1, Reason: "the line is empty"}
+	}
+	if err := json.Unmarshal(line, &first); err != nil {
+		return first, &batch.LineError{Line: 1, Reason: "the line is not a JSON object: " + err.Error()}
+	}
+	return first, nil
+}
+
+// intake submits the job that the reader holds.
+func (d *Daemon) intake(ctx *fasthttp.RequestCtx, caller string, body io.Reader) (*pb.Job, error) {
+	reader := bufio.NewReaderSize(body, maxFirstLineBytes)
+	first, err := peekFirstLine(reader)
+	if err != nil {
+		return nil, err
+	}
+	options, err := d.intakeOptions(ctx, caller, first)
+	if err != nil {
+		return nil, err
+	}
+	timeout, cancel := context.WithTimeout(d.ctx, submitTimeout)
+	defer cancel()
+	return batch.NewIntake(options).Read(timeout, reader, d.proposeBatch)
+}
+
+// intakeOptions takes the terms of a job from the profile of its service.
+func (d *Daemon) intakeOptions(ctx *fasthttp.RequestCtx, caller string, first firstLine) (batch.IntakeOptions, error) {
+	service, _, profile, ok := d.subscription.Documents().ProfileOf(first.Body.Model)
+	if !ok || profile == nil {
+		return batch.IntakeOptions{}, &batch.LineError{Line: 1, Reason: "no service takes batch jobs for model " + first.Body.Model}
+	}
+	due := time.Now().Add(time.Duration(profile.GetDueMs()) * time.Millisecond)
+	forbidden := string(ctx.Request.Header.Peek(headerIdempotent)) == "false"
+	return batch.IntakeOptions{
+		JobID:       newJobID(),
+		Caller:      caller,
+		Key:         string(ctx.Request.Header.Peek(headerKey)),
+		Service:     service.GetName(),
+		Endpoint:    first.URL,
+		Model:       first.Body.Model,
+		Idempotent:  profile.GetIdempotent() && !forbidden,
+		DueUnixMs:   uint64(due.UnixMilli()),
+		RetentionMs: profile.GetRetentionMs(),
+		MaxAttempts: profile.GetMaxAttempts(),
+	}, nil
+}
+
+func (d *Daemon) proposeBatch(ctx context.Context, command *pb.Command) (*pb.CommandResult, *pb.ControlError) {
+	ctx, cancel := context.WithTimeout(ctx, batchCallTimeout)
+	defer cancel()
+	return d.control.Propose(ctx, transport.Batch, command)
+}
+
+func (d *Daemon) writeSubmitError(ctx *fasthttp.RequestCtx, err error) {
+	var line *batch.LineError
+	var submit *batch.SubmitError
+	switch {
+	case errors.As(err, &line):
+		d.refuse(ctx, pb.Reason_REASON_BAD_REQUEST, line.Error())
+	case errors.As(err, &submit) && submit.NotRun && !submit.Retry:
+		d.refuse(ctx, pb.Reason_REASON_CLAIM_MISMATCH, submit.Error())
+	case errors.As(err, &submit) && submit.NotRun:
+		d.refuse(ctx, pb.Reason_REASON_CONTROL_UNAVAILABLE, submit.Error())
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, "1")
+	default:
+		d.metrics.refusals.WithLabelValues(pb.Reason_REASON_CONTROL_UNAVAILABLE.String()).Inc()
+		ctx.Response.Header.Set(headerOutcome, outcomeLabels[pb.Outcome_OUTCOME_UNKNOWN])
+		ctx.SetStatusCode(fasthttp.StatusBadGateway)
+		ctx.SetContentType(contentTypeJSON)
+		ctx.SetBody(openai.ErrorBody("unknown", err.Error()+"; send the job again"))
+	}
+}
+
+func (d *Daemon) listJobs(ctx *fasthttp.RequestCtx, caller string) {
+	limit := ctx.QueryArgs().GetUintOrZero("limit")
+	if limit == 0 {
+		limit = defaultListLimit
+	}
+	result, ok := d.queryBatch(ctx, &pb.Query{Query: &pb.Query_JobList{JobList: &pb.JobListQuery{
+		Caller: caller,
+		After:  string(ctx.QueryArgs().Peek("after")),
+		Limit:  uint32(limit),
+	}}})
+	if !ok {
+		return
+	}
+	list := jobList{Object: "list", Data: []jobObject{}, HasMore: len(result.GetJobList().GetJobs()) == limit}
+	for _, job := range result.GetJobList().GetJobs() {
+		list.Data = append(list.Data, newJobObject(job))
+	}
+	writeValue(ctx, list)
+}
+
+func (d *Daemon) showJob(ctx *fasthttp.RequestCtx, caller, id string) {
+	result, ok := d.queryBatch(ctx, &pb.Query{Query: &pb.Query_Job{Job: &pb.JobQuery{JobId: id, Caller: caller}}})
+	if !ok {
+		return
+	}
+	d.writeJobAnswer(ctx, result.GetJob().GetError(), result.GetJob().GetJob())
+}
+
+func (d *Daemon) cancelJob(ctx *fasthttp.RequestCtx, caller, id string) {
+	command := &pb.Command{Op: &pb.Command_JobCancel{JobCancel: &pb.JobCancel{JobId: id, Caller: caller}}}
+	result, controlErr := d.proposeBatch(d.ctx, command)
+	if controlErr != nil {
+		d.refuseControl(ctx, controlErr)
+		return
+	}
+	d.writeJobAnswer(ctx, result.GetJob().GetError(), result.GetJob().GetJob())
+}
+
+func (d *Daemon) writeJobAnswer(ctx *fasthttp.RequestCtx, code pb.JobError, job *pb.Job) {
+	if code == pb.JobError_JOB_NOT_FOUND {
+		d.refuse(ctx, pb.Reason_REASON_BAD_REQUEST, "no such job")
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	writeJob(ctx, job)
+}
+
+// results writes the results of a job as JSON lines in the order of its items.
+func (d *Daemon) results(ctx *fasthttp.RequestCtx, caller, id string) {
+	from := uint32(ctx.QueryArgs().GetUintOrZero("from"))
+	limit := uint32(ctx.QueryArgs().GetUintOrZero("limit"))
+	first, ok := d.resultPage(ctx, caller, id, from, limit)
+	if !ok {
+		return
+	}
+	ctx.SetContentType(contentTypeJSONL)
+	_ = ctx.Response.Header.SetTrailer(headerOutcome)
+	header := &ctx.Response.Header
+	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+		outcome := pb.Outcome_OUTCOME_DONE
+		if err := d.writeResults(w, caller, id, limit, first); err != nil {
+			outcome = pb.Outcome_OUTCOME_UNKNOWN
+			writeLine(w, json.RawMessage(openai.ErrorBody("cut_off", err.Error())))
+		}
+		header.Set(headerOutcome, outcomeLabels[outcome])
+	})
+}
+
+func (d *Daemon) resultPage(ctx *fasthttp.RequestCtx, caller, id string, from, limit uint32) (*pb.ResultsAnswer, bool) {
+	result, ok := d.queryBatch(ctx, resultsQuery(caller, id, from, limit))
+	if !ok {
+		return nil, false
+	}
+	if result.GetResults().GetError() == pb.JobError_JOB_NOT_FOUND {
+		d.writeJobAnswer(ctx, pb.JobError_JOB_NOT_FOUND, nil)
+		return nil, false
+	}
+	return result.GetResults(), true
+}
+
+func resultsQuery(caller, id string, from, limit uint32) *pb.Query {
+	page := uint32(resultPageItems)
+	if limit > 0 {
+		page = min(page, limit)
+	}
+	return &pb.Query{Query: &pb.Query_Results{Results: &pb.ResultsQuery{
+		JobId:    id,
+		Caller:   caller,
+		From:     from,
+		Limit:    page,
+		MaxBytes: resultPageBytes,
+	}}}
+}
+
+// writeResults writes pages until the end or until limit results are written;
+// a limit of zero means all.
+func (d *Daemon) writeResults(w *bufio.Writer, caller, id string, limit uint32, page *pb.ResultsAnswer) error {
+	written := uint32(0)
+	for {
+		for _, result := range page.GetResults() {
+			writeLine(w, newResultObject(result))
+			written++
+			if limit > 0 && written == limit {
+				return w.Flush()
+			}
+		}
+		if err := w.Flush(); err != nil || page.GetEnd() {
+			return err
+		}
+		next, err := d.nextPage(caller, id, page.GetNext(), remaining(limit, written))
+		if err != nil {
+			return err
+		}
+		page = next
+	}
+}
+
+func remaining(limit, written uint32) uint32 {
+	if limit == 0 {
+		return 0
+	}
+	return limit - written
+}
+
+func (d *Daemon) nextPage(caller, id string, from, limit uint32) (*pb.ResultsAnswer, error) {
+	ctx, cancel := context.WithTimeout(d.ctx, batchCallTimeout)
+	defer cancel()
+	result, controlErr := d.control.Query(ctx, resultsQuery(caller, id, from, limit))
+	if controlErr != nil {
+		return nil, eris.New(controlErr.GetReason())
+	}
+	return result.GetResults(), nil
+}
+
+func (d *Daemon) queryBatch(ctx *fasthttp.RequestCtx, query *pb.Query) (*pb.QueryResult, bool) {
+	timeout, cancel := context.WithTimeout(d.ctx, batchCallTimeout)
+	defer cancel()
+	result, controlErr := d.control.Query(timeout, query)
+	if controlErr != nil {
+		d.refuseControl(ctx, controlErr)
+		return nil, false
+	}
+	return result, true
+}
+
+func (d *Daemon) refuseControl(ctx *fasthttp.RequestCtx, controlErr *pb.ControlError) {
+	d.refuse(ctx, pb.Reason_REASON_CONTROL_UNAVAILABLE, controlErr.GetReason())
+	if controlErr.GetCode() == pb.ControlError_UNKNOWN {
+		ctx.Response.Header.Set(headerOutcome, outcomeLabels[pb.Outcome_OUTCOME_UNKNOWN])
+	}
+	ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(1))
+}
