Add the demonstration of the main job

Cause: the whole path must be shown on real sockets in one command. Change: lab/demo: online stream, plain call, batch with resend, cancel, profile change, planned stop under a running stream.

--- a/cli/documents.go
+++ b/cli/documents.go
@@ -126,20 +126,47 @@
 	if err != nil {
 		return failf(ExitUsage, "setting -f: %v", err)
 	}
-	wanted, err := config.Parse(file, text)
+	change, current, err := planChange(flags.server, file, text, operator)
 	if err != nil {
-		return &exitError{ExitUsage, err}
+		return err
+	}
+	if len(change.GetOps()) == 0 {
+		_, err := fmt.Fprintf(a.out, "unchanged at revision %d\n", current)
+		return err
 	}
-	current, err := documents(flags.server, "")
+	revision, err := submit(flags.server, change)
 	if err != nil {
 		return err
 	}
-	change := changeTo(current, wanted, operator)
+	_, err = fmt.Fprintf(a.out, "accepted at revision %d\n", revision)
+	return err
+}
+
+// planChange returns the change that puts the documents of a file in place, and
+// the revision that it starts from.
+func planChange(server, file string, text []byte, operator string) (*pb.ConfigChange, uint64, error) {
+	wanted, err := config.Parse(file, text)
+	if err != nil {
+		return nil, 0, &exitError{ExitUsage, err}
+	}
+	current, err := documents(server, "")
+	if err != nil {
+		return nil, 0, err
+	}
+	return changeTo(current, wanted, operator), current.GetRevision(), nil
+}
+
+// ApplyText applies the documents of a YAML text and returns the revision at
+// which they are accepted. The file name appears in errors.
+func ApplyText(server, file string, text []byte, operator string) (uint64, error) {
+	change, current, err := planChange(server, file, text, operator)
+	if err != nil {
+		return 0, err
+	}
 	if len(change.GetOps()) == 0 {
-		_, err := fmt.Fprintf(a.out, "unchanged at revision %d\n", current.GetRevision())
-		return err
+		return current, nil
 	}
-	return a.submit(flags, change)
+	return submit(server, change)
 }
 
 // changeTo returns the change from the current documents to the wanted ones.
@@ -178,23 +205,23 @@
 	return hex.EncodeToString(digest[:length])
 }
 
-func (a *app) submit(flags *operatorFlags, change *pb.ConfigChange) error {
+// submit sends a change and returns the revision at which it is accepted.
+func submit(server string, change *pb.ConfigChange) (uint64, error) {
 	result := &pb.ChangeResult{}
-	c := api{server: flags.server}
+	c := api{server: server}
 	if err := c.post(pathChanges, change, result); err != nil {
-		return err
+		return 0, err
 	}
 	switch result.GetOutcome() {
 	case pb.ChangeOutcome_CHANGE_ACCEPTED:
-		_, err := fmt.Fprintf(a.out, "accepted at revision %d\n", result.GetRevision())
-		return err
+		return result.GetRevision(), nil
 	case pb.ChangeOutcome_CHANGE_CONFLICT:
 		current, err := config.Format(result.GetCurrent())
 		if err != nil {
-			return err
+			return 0, err
 		}
-		return failf(ExitConflict, "conflict: %s; current documents:\n%s", result.GetReason(), current)
+		return 0, failf(ExitConflict, "conflict: %s; current documents:\n%s", result.GetReason(), current)
 	default:
-		return failf(ExitUsage, "refused: %s", result.GetReason())
+		return 0, failf(ExitUsage, "refused: %s", result.GetReason())
 	}
 }
--- a/cli/status.go
+++ b/cli/status.go
@@ -20,7 +20,7 @@
 		ShortHelp:  "Shows the control replicas, repair, and the revision in force on each daemon.",
 		FlagSet:    fs,
 		Exec: func(context.Context, []string) error {
-			status, err := fetchStatus(flags.server)
+			status, err := FetchStatus(flags.server)
 			if err != nil {
 				return err
 			}
@@ -32,7 +32,8 @@
 	})
 }
 
-func fetchStatus(server string) (*pb.StatusAnswer, error) {
+// FetchStatus returns the status that a control replica at a base URL gives.
+func FetchStatus(server string) (*pb.StatusAnswer, error) {
 	result := &pb.QueryResult{}
 	c := api{server: server}
 	if err := c.get(pathStatus, result); err != nil {
--- a/devd/devd.go
+++ b/devd/devd.go
@@ -334,6 +334,13 @@
 	return c.faults
 }
 
+// StopSidecar makes a planned stop of one sidecar.
+func (c *Cluster) StopSidecar(i int) error {
+	sidecar := c.Sidecars[i]
+	c.Sidecars = append(c.Sidecars[:i:i], c.Sidecars[i+1:]...)
+	return sidecar.Stop()
+}
+
 // Stop ends all daemons, entries first, so that no request is cut off.
 func (c *Cluster) Stop() error {
 	var errs []error
--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -247,6 +247,11 @@
 	return int(d.known.Load())
 }
 
+// Revision returns the configuration revision in force.
+func (d *Daemon) Revision() uint64 {
+	return d.subscription.Documents().Revision()
+}
+
 // Stop reports not ready, waits for the balancer to turn callers away and for
 // running requests to end, both bounded by settings, and ends the entry.
 func (d *Daemon) Stop() error {
--- /dev/null
+++ b/lab/demo/batch.go
@@ -0,0 +1,192 @@
+package demo
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/rotisserie/eris"
+)
+
+// job is what the demonstration reads of a batch job.
+type job struct {
+	ID     string `json:"id"`
+	Status string `json:"status"`
+	Counts struct {
+		Total     int `json:"total"`
+		Completed int `json:"completed"`
+		Failed    int `json:"failed"`
+	} `json:"request_counts"`
+}
+
+// result is what the demonstration reads of an item's result.
+type result struct {
+	CustomID string          `json:"custom_id"`
+	Error    json.RawMessage `json:"error"`
+}
+
+func (r result) failed() bool {
+	return len(r.Error) > 0 && string(r.Error) != "null"
+}
+
+func (d *demo) call(method, url string, body []byte, into any) error {
+	request, err := http.NewRequest(method, url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Content-Type", "application/jsonl")
+	request.Header.Set("Briarcross-Caller", "consultant")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK {
+		return eris.Errorf("status %d: %s", response.StatusCode, text)
+	}
+	return json.Unmarshal(text, into)
+}
+
+func (d *demo) submit(entry int, lines []byte) (job, error) {
+	var submitted job
+	err := d.call(http.MethodPost, d.cluster.EntryURL(entry)+"/v1/batches", lines, &submitted)
+	return submitted, err
+}
+
+func (d *demo) show(id string) (job, error) {
+	var shown job
+	err := d.call(http.MethodGet, d.cluster.EntryURL(0)+"/v1/batches/"+id, nil, &shown)
+	return shown, err
+}
+
+func (d *demo) batch() error {
+	first, err := d.submit(0, d.records)
+	if err != nil {
+		return err
+	}
+	d.printf("   %d records acknowledged as %s\n", first.Counts.Total, first.ID)
+	again, err := d.submit(1, d.records)
+	if err != nil {
+		return err
+	}
+	if again.ID != first.ID {
+		return eris.Errorf("a resend through another entry made job %s", again.ID)
+	}
+	d.printf("   sent again through another entry: the same job\n")
+	err = await("the job is completed", func() (bool, error) {
+		shown, err := d.show(first.ID)
+		return shown.Status == "completed", err
+	})
+	if err != nil {
+		return err
+	}
+	return d.checkResults(first)
+}
+
+// checkResults checks that each record has one result, in the order of the
+// records, and that just the records that can never be done have failed.
+func (d *demo) checkResults(submitted job) error {
+	results, err := d.results(submitted.ID)
+	if err != nil {
+		return err
+	}
+	wanted, err := parseLines(d.records)
+	if err != nil {
+		return err
+	}
+	if len(results) != len(wanted) {
+		return eris.Errorf("%d results for %d records", len(results), len(wanted))
+	}
+	failed := 0
+	for i, r := range results {
+		if r.CustomID != wanted[i].CustomID {
+			return eris.Errorf("result %d is of record %s, not %s", i, r.CustomID, wanted[i].CustomID)
+		}
+		if r.failed() {
+			failed++
+			d.printf("   %s can never be done: %s\n", r.CustomID, r.Error)
+		}
+	}
+	if failed != neverDone {
+		return eris.Errorf("%d records failed, not %d", failed, neverDone)
+	}
+	d.printf("   %d results, one for each record, %d done and %d failed for good\n", len(results), len(results)-failed, failed)
+	return nil
+}
+
+func (d *demo) results(id string) ([]result, error) {
+	request, err := http.NewRequest(http.MethodGet, d.cluster.EntryURL(0)+"/v1/batches/"+id+"/results", nil)
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Briarcross-Caller", "consultant")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return nil, err
+	}
+	return parseLines(text)
+}
+
+func parseLines(text []byte) ([]result, error) {
+	var parsed []result
+	scanner := bufio.NewScanner(bytes.NewReader(text))
+	scanner.Buffer(nil, len(text)+1)
+	for scanner.Scan() {
+		var r result
+		if err := json.Unmarshal(scanner.Bytes(), &r); err != nil {
+			return nil, err
+		}
+		parsed = append(parsed, r)
+	}
+	return parsed, scanner.Err()
+}
+
+// cancel submits a long job, cancels it while it runs, and checks that the
+// engines start nothing afterwards.
+func (d *demo) cancel() error {
+	submitted, err := d.submit(0, longJob())
+	if err != nil {
+		return err
+	}
+	err = await("the job runs", func() (bool, error) {
+		return d.startedItems(submitted.ID) > 0, nil
+	})
+	if err != nil {
+		return err
+	}
+	var cancelled job
+	url := d.cluster.EntryURL(1) + "/v1/batches/" + submitted.ID + "/cancel"
+	if err := d.call(http.MethodPost, url, nil, &cancelled); err != nil {
+		return err
+	}
+	if cancelled.Status != "cancelled" {
+		return eris.Errorf("the job is %s", cancelled.Status)
+	}
+	err = await("the engines run nothing of the job", func() (bool, error) {
+		return d.runningItems() == 0, nil
+	})
+	if err != nil {
+		return err
+	}
+	started := d.startedItems(submitted.ID)
+	shown, err := d.show(submitted.ID)
+	if err != nil {
+		return err
+	}
+	if after := d.startedItems(submitted.ID); after != started || shown.Status != "cancelled" {
+		return eris.Errorf("%d items started after the job had stopped, status %s", after-started, shown.Status)
+	}
+	d.printf("   job of %d records cancelled through another entry; %d had been started, none runs\n", submitted.Counts.Total, started)
+	return nil
+}
--- /dev/null
+++ b/lab/demo/change.go
@@ -0,0 +1,99 @@
+package demo
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/briarcross/briarcross/cli"
+	"github.com/briarcross/briarcross/devd"
+	"github.com/briarcross/briarcross/pb"
+)
+
+const longJobItems = 400
+
+// longJob returns a job that keeps the engines busy for a while.
+func longJob() []byte {
+	var lines strings.Builder
+	for i := range longJobItems {
+		body, _ := json.Marshal(completionBody{Model: devd.ModelService, Prompt: fmt.Sprintf("Record %d of the long job", i), MaxTokens: longTokens})
+		fmt.Fprintf(&lines, `{"custom_id":"long-%d","method":"POST","url":"/v1/completions","body":%s}`+"\n", i, body)
+	}
+	return []byte(lines.String())
+}
+
+// startedItems counts the items of a job that the engines have started.
+func (d *demo) startedItems(jobID string) int {
+	started := 0
+	for _, engine := range d.cluster.Engines {
+		for _, entry := range engine.Ledger() {
+			if strings.HasPrefix(entry.ID, jobID+"/") {
+				started += entry.Started
+			}
+		}
+	}
+	return started
+}
+
+// runningItems counts the requests that the sidecars hold.
+func (d *demo) runningItems() int {
+	running := 0
+	for _, sidecar := range d.cluster.Sidecars {
+		running += sidecar.Running()
+	}
+	return running
+}
+
+const changedProfile = `kind: Profile
+name: inspector
+schemaVersion: 1
+spec:
+  class: online
+  firstToken: 700ms
+  betweenTokens: 100ms
+  due: 45s
+  idempotent: true
+  maxAttempts: 3
+  priority: 5
+`
+
+// changeProfile applies a changed profile and waits until every daemon reports
+// its revision in force.
+func (d *demo) changeProfile() error {
+	begin := time.Now()
+	revision, err := cli.ApplyText(d.cluster.ControlURL(0), "changed.yaml", []byte(changedProfile), "demo")
+	if err != nil {
+		return err
+	}
+	daemons := entries + sidecars + 1
+	err = await("the change is in force", func() (bool, error) {
+		status, err := cli.FetchStatus(d.cluster.ControlURL(1))
+		if err != nil {
+			return false, err
+		}
+		return inForce(status, revision) == daemons, nil
+	})
+	if err != nil {
+		return err
+	}
+	d.printf("   revision %d is in force on all %d daemons after %d ms\n", revision, daemons, time.Since(begin).Milliseconds())
+	for _, entry := range d.cluster.Entries {
+		if entry.Revision() < revision {
+			return eris.Errorf("an entry still has revision %d", entry.Revision())
+		}
+	}
+	return nil
+}
+
+func inForce(status *pb.StatusAnswer, revision uint64) int {
+	seen := make(map[string]bool)
+	for _, daemon := range status.GetDaemons() {
+		if daemon.GetRevision() >= revision {
+			seen[daemon.GetDaemon()] = true
+		}
+	}
+	return len(seen)
+}
--- a/sidecard/run.go
+++ b/sidecard/run.go
@@ -172,3 +172,9 @@
 	delete(t.byID, id)
 	return r
 }
+
+func (t *runs) count() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.byID)
+}
--- a/sidecard/sidecard.go
+++ b/sidecard/sidecard.go
@@ -342,7 +342,6 @@
 	d.draining.Store(false)
 	d.announce(pb.MemberState_MEMBER_SERVING)
 	d.core.Post(sidecar.Undrain{})
-	d.worker.Post(batch.Undrain{})
 }
 
 func (d *Daemon) fault(err error) {
@@ -357,6 +356,11 @@
 	return d.faults
 }
 
+// Running returns the number of requests that the sidecar holds.
+func (d *Daemon) Running() int {
+	return d.runs.count()
+}
+
 // Stop drains the sidecar, waits a bounded time for running requests, and
 // ends it.
 func (d *Daemon) Stop() error {
--- a/transport/datagram.go
+++ b/transport/datagram.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
-	"github.com/panjf2000/gnet/v2/pkg/logging"
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
 
@@ -52,7 +51,7 @@
 		addresses: make(map[string]*net.UDPAddr),
 	}
 	go func() {
-		d.finished <- gnet.Run(d, "udp://"+address, gnet.WithLogLevel(logging.FatalLevel))
+		d.finished <- gnet.Run(d, "udp://"+address, gnet.WithLogger(quietLogger{}))
 	}()
 	select {
 	case <-d.started:
@@ -137,3 +136,12 @@
 	<-d.finished
 	return eris.Wrap(err, "stop datagrams")
 }
+
+// quietLogger drops the event loop's own messages; its errors are returned.
+type quietLogger struct{}
+
+func (quietLogger) Debugf(string, ...any) {}
+func (quietLogger) Infof(string, ...any)  {}
+func (quietLogger) Warnf(string, ...any)  {}
+func (quietLogger) Errorf(string, ...any) {}
+func (quietLogger) Fatalf(string, ...any) {}
