Test transport, loops, settings and watched connections

Cause: the shells' parts had no tests. Change: tests of streams, incarnations, slow readers, redial, datagrams, a fuzz target for received frames, settings, callers going away.

--- /dev/null
+++ b/daemon/settings_test.go
@@ -0,0 +1,45 @@
+package daemon
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+func TestSettingsNameWhatIsWrong(t *testing.T) {
+	good := func() *Settings {
+		return &Settings{
+			ID: "e1", DataCentre: "lulea", Listen: "127.0.0.1:1", HTTP: "127.0.0.1:2",
+			LogLevel: "info", LogFormat: "logfmt", StopWait: time.Second,
+		}
+	}
+	tests := []struct {
+		name   string
+		change func(*Settings)
+	}{
+		{"id", func(s *Settings) { s.ID = "" }},
+		{"data-centre", func(s *Settings) { s.DataCentre = "" }},
+		{"listen", func(s *Settings) { s.Listen = "localhost" }},
+		{"listen", func(s *Settings) { s.Listen = "localhost:80" }},
+		{"http", func(s *Settings) { s.HTTP = "" }},
+		{"log-level", func(s *Settings) { s.LogLevel = "loud" }},
+		{"log-format", func(s *Settings) { s.LogFormat = "xml" }},
+		{"stop-wait", func(s *Settings) { s.StopWait = 0 }},
+		{"tls-cert", func(s *Settings) { s.Listen = "10.0.0.1:1" }},
+		{"tls-key", func(s *Settings) { s.TLS.Certificate = "cert.pem" }},
+		{"tls-cert", func(s *Settings) {
+			s.TLS.Certificate, s.TLS.Key, s.TLS.Authority = "missing.pem", "missing.pem", "missing.pem"
+		}},
+	}
+	g := NewWithT(t)
+	g.Expect(good().Check()).To(Succeed())
+	for _, test := range tests {
+		s := good()
+		test.change(s)
+		var wrong *SettingError
+		g.Expect(errors.As(s.Check(), &wrong)).To(BeTrue(), test.name)
+		g.Expect(wrong.Name).To(Equal(test.name))
+	}
+}
--- /dev/null
+++ b/loop/loop_test.go
@@ -0,0 +1,57 @@
+package loop
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"github.com/briarcross/briarcross/core"
+)
+
+// doubler puts out twice what it is given.
+type doubler struct {
+	out core.Outbox[int]
+}
+
+func (d *doubler) Step(_ time.Time, in int) { d.out.Put(2 * in) }
+func (d *doubler) Tick(time.Time)           {}
+func (d *doubler) Drain() []int             { return d.out.Drain() }
+
+func TestInputsAreCarriedOutInOrderAndAfterFollows(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	g := NewWithT(t)
+	var carried []int
+	l := Start[int, int](&doubler{}, time.Hour, func(out int) { carried = append(carried, out) })
+	const inputs = 1000
+	for i := range inputs {
+		l.Post(i)
+	}
+	seen := make(chan int, 1)
+	l.PostThen(inputs, func() { seen <- carried[len(carried)-1] })
+	g.Expect(<-seen).To(Equal(2 * inputs))
+	l.Close()
+	for i, out := range carried {
+		g.Expect(out).To(Equal(2 * i))
+	}
+}
+
+func TestOutputsFromOutsideAreCarriedOutAfterWake(t *testing.T) {
+	g := NewWithT(t)
+	d := &doubler{}
+	carried := make(chan int, 1)
+	l := Start[int, int](d, time.Hour, func(out int) { carried <- out })
+	defer l.Close()
+	g.Expect(l.Do(func() { d.out.Put(7) })).To(BeTrue())
+	l.Wake()
+	g.Expect(<-carried).To(Equal(7))
+}
+
+func TestAClosedLoopTakesNothing(t *testing.T) {
+	g := NewWithT(t)
+	l := Start[int, int](&doubler{}, time.Hour, func(int) {})
+	l.Close()
+	g.Expect(l.PostThen(1, func() { t.Error("called after close") })).To(BeFalse())
+	g.Expect(l.Do(func() {})).To(BeFalse())
+}
--- /dev/null
+++ b/transport/transport_test.go
@@ -0,0 +1,231 @@
+package transport
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/briarcross/briarcross/pb"
+)
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return listener
+}
+
+// serve starts a server that stops at the end of the test.
+func serve(t *testing.T, identity *Identity, handler Handler) string {
+	t.Helper()
+	listener := listen(t)
+	server := NewServer(identity, handler)
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(listener) }()
+	t.Cleanup(func() {
+		server.Close()
+		_ = listener.Close()
+		<-done
+	})
+	return listener.Addr().String()
+}
+
+func echo(_ Class, stream *Stream) {
+	for {
+		e, err := stream.Receive()
+		if err != nil {
+			return
+		}
+		if stream.Send(&pb.Envelope{Body: e.GetBody()}) != nil {
+			return
+		}
+	}
+}
+
+func data(text string) *pb.Envelope {
+	frame := &pb.OnlineFrame{Part: &pb.OnlineFrame_Data{Data: []byte(text)}}
+	return &pb.Envelope{Body: &pb.Envelope_OnlineFrame{OnlineFrame: frame}}
+}
+
+func TestStreamCarriesEnvelopesBothWays(t *testing.T) {
+	g := NewWithT(t)
+	address := serve(t, &Identity{ID: "server", Incarnation: 7}, echo)
+	client := NewClient(&Identity{ID: "client"}, nil)
+	defer client.Close()
+	stream, err := client.Open(context.Background(), Online, address)
+	g.Expect(err).NotTo(HaveOccurred())
+	for _, text := range []string{"one", "two"} {
+		g.Expect(stream.Send(data(text))).To(Succeed())
+		e, err := stream.Receive()
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(string(e.GetOnlineFrame().GetData())).To(Equal(text))
+		g.Expect(e.GetHeader().GetSender()).To(Equal("server"))
+		g.Expect(e.GetHeader().GetIncarnation()).To(Equal(uint64(7)))
+	}
+}
+
+func TestEnvelopeForAnotherIncarnationIsDropped(t *testing.T) {
+	tests := []struct {
+		name        string
+		incarnation uint64
+		group       uint32
+		answered    bool
+	}{
+		{"any incarnation", 0, 0, true},
+		{"this incarnation", 7, 0, true},
+		{"an earlier incarnation", 6, 0, false},
+		{"another group", 7, 1, false},
+	}
+	server := &Identity{ID: "server", Incarnation: 7}
+	address := serve(t, server, echo)
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g := NewWithT(t)
+			identity := &Identity{ID: "client", Group: test.group}
+			client := NewClient(identity, nil)
+			defer client.Close()
+			stream, err := client.Open(context.Background(), Online, address)
+			g.Expect(err).NotTo(HaveOccurred())
+			before := server.Dropped()
+			e := data("x")
+			e.Header = identity.Header("server", test.incarnation)
+			g.Expect(stream.Send(e)).To(Succeed())
+			// The answer carries the server's group, which the client checks only
+			// when the server has accepted the envelope.
+			_, err = stream.Receive()
+			if test.answered {
+				g.Expect(err).NotTo(HaveOccurred())
+				return
+			}
+			g.Expect(err).To(HaveOccurred())
+			g.Expect(server.Dropped()).To(Equal(before + 1))
+		})
+	}
+}
+
+// A reader that takes nothing must not hold up another stream of the same
+// connection.
+func TestSlowReaderHoldsUpNoOtherStream(t *testing.T) {
+	g := NewWithT(t)
+	blocked := make(chan struct{})
+	address := serve(t, &Identity{ID: "server"}, func(class Class, stream *Stream) {
+		first, err := stream.Receive()
+		if err != nil {
+			return
+		}
+		if string(first.GetOnlineFrame().GetData()) != "flood" {
+			_ = stream.Send(data("answer"))
+			return
+		}
+		close(blocked)
+		block := string(make([]byte, windowBytes/2))
+		for stream.Send(data(block)) == nil {
+		}
+	})
+	client := NewClient(&Identity{ID: "client"}, nil)
+	defer client.Close()
+	slow, err := client.Open(context.Background(), Online, address)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(slow.Send(data("flood"))).To(Succeed())
+	<-blocked
+	for range 10 {
+		quick, err := client.Open(context.Background(), Online, address)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(quick.Send(data("ask"))).To(Succeed())
+		answer, err := quick.Receive()
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(string(answer.GetOnlineFrame().GetData())).To(Equal("answer"))
+		_ = quick.Close()
+	}
+	_ = slow.Close()
+}
+
+func TestClientDialsAgainAfterALoss(t *testing.T) {
+	g := NewWithT(t)
+	identity := &Identity{ID: "server"}
+	listener := listen(t)
+	address := listener.Addr().String()
+	first := NewServer(identity, echo)
+	go func() { _ = first.Serve(listener) }()
+	client := NewClient(&Identity{ID: "client"}, nil)
+	defer client.Close()
+	exchange := func() error {
+		stream, err := client.Open(context.Background(), Control, address)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = stream.Close() }()
+		if err := stream.Send(data("x")); err != nil {
+			return err
+		}
+		_, err = stream.Receive()
+		return err
+	}
+	g.Expect(exchange()).To(Succeed())
+	first.Close()
+	_ = listener.Close()
+	g.Expect(exchange()).NotTo(Succeed())
+
+	again, err := net.Listen("tcp", address)
+	g.Expect(err).NotTo(HaveOccurred())
+	second := NewServer(identity, echo)
+	go func() { _ = second.Serve(again) }()
+	defer second.Close()
+	defer func() { _ = again.Close() }()
+	g.Expect(exchange()).To(Succeed())
+}
+
+func TestForeignProtocolIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	address := serve(t, &Identity{ID: "server"}, echo)
+	conn, err := net.Dial("tcp", address)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = conn.Close() }()
+	_, err = conn.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = conn.Read(make([]byte, 1))
+	g.Expect(err).To(HaveOccurred())
+}
+
+func TestDatagramsCarryEnvelopes(t *testing.T) {
+	g := NewWithT(t)
+	packets, err := net.ListenPacket("udp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	address := packets.LocalAddr().String()
+	g.Expect(packets.Close()).To(Succeed())
+
+	received := make(chan *pb.Envelope, 1)
+	receiver, err := ListenDatagrams(&Identity{ID: "b", Address: address}, address, func(e *pb.Envelope) { received <- e })
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { g.Expect(receiver.Close()).To(Succeed()) }()
+	_, err = ListenDatagrams(&Identity{ID: "c"}, address, func(*pb.Envelope) {})
+	g.Expect(err).To(MatchError(ContainSubstring(address)))
+
+	g.Expect(receiver.Send(address, data("x"))).To(Succeed())
+	e := <-received
+	g.Expect(string(e.GetOnlineFrame().GetData())).To(Equal("x"))
+	g.Expect(e.GetHeader().GetReplyAddress()).To(Equal(address))
+}
+
+func FuzzReceive(f *testing.F) {
+	f.Add([]byte{})
+	f.Add([]byte{3, 0x0a, 0x01, 0x41})
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0x7f})
+	f.Fuzz(func(t *testing.T, frame []byte) {
+		near, far := net.Pipe()
+		go func() {
+			_, _ = far.Write(frame)
+			_ = far.Close()
+		}()
+		stream := newStream(&Identity{ID: "x"}, near, "peer")
+		for {
+			if _, err := stream.Receive(); err != nil {
+				return
+			}
+		}
+	})
+}
