Let a sidecar's window double until a first sign of overload

Cause: trial: 16 callers before one idle fake engine that takes 64 sequences were refused as overloaded, since the window grew by one every 250 ms from 8. Ruled out: the engine was not late, 9 ms between tokens against 120 ms. Change: the window doubles each period until samples are late or the engine reports a queue; afterwards it grows by an eighth as before.

--- a/devd/devd.go
+++ b/devd/devd.go
@@ -324,6 +324,11 @@
 	return "http://" + c.addrs.entryHTTP[i]
 }
 
+// EngineURL returns the base URL of a fake engine.
+func (c *Cluster) EngineURL(i int) string {
+	return "http://" + c.addrs.engine[i]
+}
+
 // ControlURL returns the base URL of a control replica's HTTP interface.
 func (c *Cluster) ControlURL(i int) string {
 	return "http://" + c.addrs.controlHTTP[i]
--- a/sidecar/window.go
+++ b/sidecar/window.go
@@ -59,12 +59,14 @@
 	late    int
 	full    bool
 	kvFull  bool
+	// probing lets the window double until a first sign of overload.
+	probing bool
 	changed time.Time
 }
 
 func newWindow(o Options) window {
 	size := min(max(o.InitialWindow, o.MinWindow), o.MaxWindow)
-	return window{size: size, minimum: o.MinWindow, maximum: o.MaxWindow}
+	return window{size: size, minimum: o.MinWindow, maximum: o.MaxWindow, probing: true}
 }
 
 func (w *window) firstToken(took, target time.Duration) {
@@ -98,14 +100,22 @@
 	switch {
 	case late > windowLate:
 		w.size -= max(1, w.size/windowShrink)
+		w.probing = false
 	case late < windowGood && w.full && !w.kvFull:
-		w.size += max(1, w.size/windowGrowth)
+		w.size += w.growth()
 	}
 	w.size = min(max(w.size, w.minimum), w.maximum)
 	w.samples, w.late, w.full = 0, 0, false
 	w.changed = now
 }
 
+func (w *window) growth() int {
+	if w.probing {
+		return w.size
+	}
+	return max(1, w.size/windowGrowth)
+}
+
 // correct takes a report of the engine into account. A queue inside the engine
 // means that the window is above what the engine runs. The report may be late;
 // applying an old one again changes nothing.
@@ -113,5 +123,6 @@
 	w.kvFull = load.KVFree < kvLow
 	if load.Queued > 0 && load.Running > 0 {
 		w.size = max(min(w.size, load.Running), w.minimum)
+		w.probing = false
 	}
 }
