Bind traffic to the roles in daemons' certificates

Cause: with one authority any daemon could act as another. Conclusion: certificates for callers' HTTP are still to be told apart.

--- a/controld/rpc.go
+++ b/controld/rpc.go
@@ -19,6 +19,10 @@
 		if err != nil {
 			return
 		}
+		if !permitted(stream, envelope) {
+			d.metrics.refused.WithLabelValues("ROLE").Inc()
+			return
+		}
 		switch body := envelope.GetBody().(type) {
 		case *pb.Envelope_Quorum:
 			d.replica.Receive(body.Quorum)
@@ -39,6 +43,39 @@
 	}
 }
 
+// permitted reports whether the sender's certificate entitles it to a message.
+func permitted(stream *transport.Stream, envelope *pb.Envelope) bool {
+	if stream.HasRole(transport.RoleControl) {
+		return true
+	}
+	switch body := envelope.GetBody().(type) {
+	case *pb.Envelope_ConfigWatch:
+		return stream.HasRole(transport.RoleEntry) || stream.HasRole(transport.RoleSidecar)
+	case *pb.Envelope_LeaseRequest:
+		return stream.HasRole(transport.RoleSidecar)
+	case *pb.Envelope_ControlRequest:
+		return permittedRequest(stream, body.ControlRequest)
+	default:
+		return false
+	}
+}
+
+// permittedRequest lets entries submit what callers ask for, and sidecars only
+// read. Changes of the configuration come through the operators' interface.
+func permittedRequest(stream *transport.Stream, request *pb.ControlRequest) bool {
+	switch request.GetPropose().GetOp().(type) {
+	case nil:
+		return stream.HasRole(transport.RoleEntry) || stream.HasRole(transport.RoleSidecar)
+	case *pb.Command_ClaimOpen, *pb.Command_ClaimClose,
+		*pb.Command_JobBegin, *pb.Command_JobChunk, *pb.Command_JobAccept, *pb.Command_JobAbort, *pb.Command_JobCancel:
+		return stream.HasRole(transport.RoleEntry)
+	case *pb.Command_OrderFinish:
+		return stream.HasRole(transport.RoleSidecar)
+	default:
+		return false
+	}
+}
+
 func (d *Daemon) answer(stream *transport.Stream, request *pb.ControlRequest) error {
 	ctx, cancel := context.WithTimeout(d.ctx, requestTimeout)
 	defer cancel()
--- a/sidecard/sidecard.go
+++ b/sidecard/sidecard.go
@@ -283,7 +283,7 @@
 	if err != nil {
 		return
 	}
-	if request := envelope.GetOnlineRequest(); request != nil {
+	if request := envelope.GetOnlineRequest(); request != nil && stream.HasRole(transport.RoleEntry) {
 		d.serveOnline(stream, envelope.GetHeader(), request)
 	}
 }
--- a/transport/client.go
+++ b/transport/client.go
@@ -33,6 +33,7 @@
 type sessionSlot struct {
 	mu      sync.Mutex
 	session *yamux.Session
+	roles   peerRoles
 }
 
 // NewClient returns a client. A nil tlsConfig means plain TCP.
@@ -58,7 +59,7 @@
 		}
 		conn, openErr := session.Open()
 		if openErr == nil {
-			return newStream(c.identity, conn, address), nil
+			return newStream(c.identity, conn, address, slot.peer()), nil
 		}
 		err = openErr
 		_ = session.Close()
@@ -66,6 +67,12 @@
 	return nil, eris.Wrapf(err, "open %s stream to %s", class, address)
 }
 
+func (s *sessionSlot) peer() peerRoles {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.roles
+}
+
 func (c *Client) slot(key sessionKey) (*sessionSlot, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -90,19 +97,32 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "connect to %s", address)
 	}
-	if err := writePreface(conn, class); err != nil {
-		_ = conn.Close()
-		return nil, err
-	}
-	session, err := yamux.Client(conn, sessionConfig())
+	session, roles, err := startSession(ctx, class, conn)
 	if err != nil {
 		_ = conn.Close()
-		return nil, eris.Wrap(err, "start session")
+		return nil, err
 	}
 	slot.session = session
+	slot.roles = roles
 	return session, nil
 }
 
+// startSession checks the role of the server and opens a session of a class.
+func startSession(ctx context.Context, class Class, conn net.Conn) (*yamux.Session, peerRoles, error) {
+	roles, err := rolesOf(ctx, conn)
+	if err != nil {
+		return nil, roles, err
+	}
+	if !roles.has(serverRole[class]) {
+		return nil, roles, eris.Errorf("the server's certificate lacks the role %s", serverRole[class])
+	}
+	if err := writePreface(conn, class); err != nil {
+		return nil, roles, err
+	}
+	session, err := yamux.Client(conn, sessionConfig())
+	return session, roles, eris.Wrap(err, "start session")
+}
+
 func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
--- a/transport/server.go
+++ b/transport/server.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"context"
 	"net"
 	"sync"
 	"time"
@@ -82,6 +83,12 @@
 	if err := conn.SetReadDeadline(time.Now().Add(prefaceTimeout)); err != nil {
 		return
 	}
+	ctx, cancel := context.WithTimeout(context.Background(), prefaceTimeout)
+	defer cancel()
+	roles, err := rolesOf(ctx, conn)
+	if err != nil {
+		return
+	}
 	class, err := readPreface(conn)
 	if err != nil {
 		return
@@ -93,17 +100,17 @@
 	if err != nil {
 		return
 	}
-	s.serveSession(class, session, conn.RemoteAddr().String())
+	s.serveSession(class, session, conn.RemoteAddr().String(), roles)
 }
 
-func (s *Server) serveSession(class Class, session *yamux.Session, peer string) {
+func (s *Server) serveSession(class Class, session *yamux.Session, peer string, roles peerRoles) {
 	defer func() { _ = session.Close() }()
 	for {
 		conn, err := session.Accept()
 		if err != nil {
 			return
 		}
-		stream := newStream(s.identity, conn, peer)
+		stream := newStream(s.identity, conn, peer, roles)
 		s.wait.Add(1)
 		go func() {
 			defer s.wait.Done()
--- a/transport/stream.go
+++ b/transport/stream.go
@@ -29,18 +29,20 @@
 	conn     net.Conn
 	reader   *bufio.Reader
 	peer     string
+	roles    peerRoles
 
 	mu     sync.Mutex
 	writer *bufio.Writer
 }
 
-func newStream(identity *Identity, conn net.Conn, peer string) *Stream {
+func newStream(identity *Identity, conn net.Conn, peer string, roles peerRoles) *Stream {
 	return &Stream{
 		identity: identity,
 		conn:     conn,
 		reader:   bufio.NewReaderSize(conn, readBufferBytes),
 		writer:   bufio.NewWriterSize(conn, readBufferBytes),
 		peer:     peer,
+		roles:    roles,
 	}
 }
 
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -153,18 +153,7 @@
 	go func() { _ = first.Serve(listener) }()
 	client := NewClient(&Identity{ID: "client"}, nil)
 	defer client.Close()
-	exchange := func() error {
-		stream, err := client.Open(context.Background(), Control, address)
-		if err != nil {
-			return err
-		}
-		defer func() { _ = stream.Close() }()
-		if err := stream.Send(data("x")); err != nil {
-			return err
-		}
-		_, err = stream.Receive()
-		return err
-	}
+	exchange := func() error { return exchangeOnce(client, Control, address) }
 	g.Expect(exchange()).To(Succeed())
 	first.Close()
 	_ = listener.Close()
@@ -221,7 +210,7 @@
 			_, _ = far.Write(frame)
 			_ = far.Close()
 		}()
-		stream := newStream(&Identity{ID: "x"}, near, "peer")
+		stream := newStream(&Identity{ID: "x"}, near, "peer", peerRoles{})
 		for {
 			if _, err := stream.Receive(); err != nil {
 				return
