--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SEEDS ?= 200
 BIN := bin
 
-.PHONY: build generate check test spec bench capacity demo soak fuzz
+.PHONY: build generate check test e2e spec bench capacity demo soak fuzz
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -18,6 +18,10 @@
 test:
 	$(GO) test -race ./...
 
+# Separate processes that are killed, frozen and stopped.
+e2e:
+	BRIARCROSS_E2E=1 $(GO) test -count=1 -timeout 15m -parallel 3 ./e2e
+
 spec:
 	./spec/run
 
--- a/controld/rpc.go
+++ b/controld/rpc.go
@@ -111,31 +111,47 @@
 		}
 	}
 	if query.GetStatus() != nil {
-		status := d.status(ctx, query.GetStale())
-		return queryResponse(&pb.QueryResult{Result: &pb.QueryResult_Status{Status: status}})
+		return queryResponse(&pb.QueryResult{Result: &pb.QueryResult_Status{Status: d.statusFor(ctx, query)}})
 	}
 	return queryResponse(d.query(query))
 }
 
-// status returns the state of the group. Unless it is a stale query, it also
-// collects the daemons that are attached to the other replicas.
-func (d *Daemon) status(ctx context.Context, stale bool) *pb.StatusAnswer {
-	status := proto.Clone(d.replica.Status()).(*pb.StatusAnswer)
-	status.ConfigRevision = d.revision()
-	d.publisher.Do(func() { status.Daemons = d.spread.Daemons() })
-	if stale {
-		return status
+func (d *Daemon) statusFor(ctx context.Context, query *pb.Query) *pb.StatusAnswer {
+	if query.GetStale() {
+		return d.localStatus()
+	}
+	return d.status(ctx)
+}
+
+// status returns the state of the group as the leader sees it, with the daemons
+// that are attached to any replica.
+func (d *Daemon) status(ctx context.Context) *pb.StatusAnswer {
+	id, address, self := d.replica.Leader()
+	status := d.localStatus()
+	if !self && id != "" {
+		if seen := d.peerStatus(ctx, address); seen != nil {
+			seen.Daemons = append(seen.Daemons, status.GetDaemons()...)
+			status = seen
+		}
 	}
 	for _, replica := range status.GetReplicas() {
-		if replica.GetReplica().GetId() == d.settings.ID {
+		other := replica.GetReplica()
+		if other.GetId() == d.settings.ID || other.GetId() == id {
 			continue
 		}
-		other := d.peerStatus(ctx, replica.GetReplica().GetAddress())
-		status.Daemons = append(status.Daemons, other.GetDaemons()...)
+		status.Daemons = append(status.Daemons, d.peerStatus(ctx, other.GetAddress()).GetDaemons()...)
 	}
 	return status
 }
 
+// localStatus returns what this replica knows by itself.
+func (d *Daemon) localStatus() *pb.StatusAnswer {
+	status := proto.Clone(d.replica.Status()).(*pb.StatusAnswer)
+	status.ConfigRevision = d.revision()
+	d.publisher.Do(func() { status.Daemons = d.spread.Daemons() })
+	return status
+}
+
 const peerStatusTimeout = 500 * time.Millisecond
 
 func (d *Daemon) peerStatus(ctx context.Context, address string) *pb.StatusAnswer {
--- a/devd/ports.go
+++ b/devd/ports.go
@@ -27,10 +27,13 @@
 // FreeBasePort returns a base port at which a number of consecutive ports is
 // free for TCP and UDP.
 func FreeBasePort(count int) int {
-	const (
-		first = 20000
-		last  = 60000
-	)
+	const first = 20000
+	return FreeBasePortFrom(first, count)
+}
+
+// FreeBasePortFrom is FreeBasePort, but looks no lower than a first port.
+func FreeBasePortFrom(first, count int) int {
+	const last = 60000
 	for base := first; base+count < last; base += count {
 		if rangeFree(base, count) {
 			return base
--- /dev/null
+++ b/e2e/process_test.go
@@ -0,0 +1,117 @@
+package e2e
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+)
+
+// binary is the program under test, built once by TestMain.
+var binary string
+
+func TestMain(m *testing.M) {
+	if os.Getenv("BRIARCROSS_E2E") == "" {
+		fmt.Println("set BRIARCROSS_E2E=1 to run the tests of separate processes")
+		os.Exit(0)
+	}
+	folder, err := os.MkdirTemp("", "briarcross-e2e")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(folder, "briarcross")
+	build := exec.Command("go", "build", "-o", binary, "../cmd/briarcross")
+	if out, err := build.CombinedOutput(); err != nil {
+		panic(fmt.Sprintf("%v\n%s", err, out))
+	}
+	code := m.Run()
+	_ = os.RemoveAll(folder)
+	os.Exit(code)
+}
+
+// process is one daemon of the installation.
+type process struct {
+	name    string
+	args    []string
+	log     string
+	command *exec.Cmd
+	exited  chan struct{}
+	// frozen processes are not asked; they would hold up the caller.
+	frozen atomic.Bool
+}
+
+func newProcess(t *testing.T, folder, name string, args ...string) *process {
+	t.Helper()
+	p := &process{name: name, args: args, log: filepath.Join(folder, name+".log")}
+	p.start(t)
+	t.Cleanup(func() {
+		p.kill()
+		if t.Failed() {
+			t.Logf("last lines of %s:\n%s", name, p.lastLines())
+		}
+	})
+	return p
+}
+
+func (p *process) start(t *testing.T) {
+	t.Helper()
+	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = log.Close() }()
+	p.command = exec.Command(binary, p.args...)
+	p.command.Stdout = log
+	p.command.Stderr = log
+	if err := p.command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	p.exited = make(chan struct{})
+	go func(command *exec.Cmd, exited chan struct{}) {
+		_ = command.Wait()
+		close(exited)
+	}(p.command, p.exited)
+}
+
+// kill ends the process without a chance to clean up. A frozen process ends
+// too.
+func (p *process) kill() {
+	_ = p.command.Process.Kill()
+	<-p.exited
+}
+
+// freeze stops the process from running; its connections stay open.
+func (p *process) freeze() {
+	p.frozen.Store(true)
+	_ = p.command.Process.Signal(syscall.SIGSTOP)
+}
+
+func (p *process) resume() {
+	_ = p.command.Process.Signal(syscall.SIGCONT)
+	p.frozen.Store(false)
+}
+
+// beginStop asks for a planned stop.
+func (p *process) beginStop() {
+	_ = p.command.Process.Signal(syscall.SIGTERM)
+}
+
+// awaitStop waits for the end of a planned stop and returns the exit code.
+func (p *process) awaitStop() int {
+	<-p.exited
+	return p.command.ProcessState.ExitCode()
+}
+
+func (p *process) lastLines() string {
+	const count = 30
+	text, err := os.ReadFile(p.log)
+	if err != nil {
+		return err.Error()
+	}
+	lines := strings.Split(string(text), "\n")
+	return strings.Join(lines[max(0, len(lines)-count):], "\n")
+}
