Bound every call to a frozen process

Opening and closing a yamux stream waits up to 10 s while the connection's buffers are full, and knows no context; status asked replicas one after another; the operators' interface of the new leader asked the frozen one first. Ruled out: the election (0.3 s) and the subscription (both saw the change at once). Change: Call and Open end with their context, keep-alive 2 s and write timeout 4 s, status asks in parallel, a leader proposes directly.

--- a/client/control.go
+++ b/client/control.go
@@ -147,20 +147,10 @@
 func (c *Control) attempt(ctx context.Context, class transport.Class, address string, request *pb.ControlRequest) (response *pb.ControlResponse, sent bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
-	stream, err := c.transport.Open(ctx, class, address)
-	if err != nil {
-		return nil, false, err
-	}
-	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
-	defer stop()
-	defer func() { _ = stream.Close() }()
 	envelope := &pb.Envelope{Body: &pb.Envelope_ControlRequest{ControlRequest: request}}
-	if err := stream.Send(envelope); err != nil {
-		return nil, true, err
-	}
-	answer, err := stream.Receive()
+	answer, sent, err := c.transport.Call(ctx, class, address, envelope)
 	if err != nil {
-		return nil, true, err
+		return nil, sent, err
 	}
 	response = answer.GetControlResponse()
 	if response == nil {
--- a/controld/http.go
+++ b/controld/http.go
@@ -128,9 +128,16 @@
 	writeJSON(ctx, fasthttp.StatusOK, result.GetOrder())
 }
 
+// propose has a command carried out here when this replica leads, and else by
+// the leader.
 func (s *operatorServer) propose(command *pb.Command) (*pb.CommandResult, *pb.ControlError) {
 	ctx, cancel := context.WithTimeout(s.daemon.ctx, requestTimeout)
 	defer cancel()
+	_, address, self := s.daemon.replica.Leader()
+	if self {
+		return s.daemon.replica.Propose(ctx, command)
+	}
+	s.daemon.control.SetLeader(address)
 	return s.daemon.control.Propose(ctx, transport.Control, command)
 }
 
--- a/controld/rpc.go
+++ b/controld/rpc.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/briarcross/briarcross/pb"
@@ -134,14 +136,27 @@
 			status = seen
 		}
 	}
-	for _, replica := range status.GetReplicas() {
+	status.Daemons = append(status.Daemons, d.otherDaemons(ctx, status.GetReplicas(), id)...)
+	return status
+}
+
+// otherDaemons asks the replicas besides this one and the leader, all at the
+// same time, for the daemons attached to them.
+func (d *Daemon) otherDaemons(ctx context.Context, replicas []*pb.ReplicaStatus, leader string) []*pb.DaemonRevision {
+	var asked errgroup.Group
+	found := make([][]*pb.DaemonRevision, len(replicas))
+	for i, replica := range replicas {
 		other := replica.GetReplica()
-		if other.GetId() == d.settings.ID || other.GetId() == id {
+		if other.GetId() == d.settings.ID || other.GetId() == leader {
 			continue
 		}
-		status.Daemons = append(status.Daemons, d.peerStatus(ctx, other.GetAddress()).GetDaemons()...)
+		asked.Go(func() error {
+			found[i] = d.peerStatus(ctx, other.GetAddress()).GetDaemons()
+			return nil
+		})
 	}
-	return status
+	_ = asked.Wait()
+	return slices.Concat(found...)
 }
 
 // localStatus returns what this replica knows by itself.
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -1,10 +1,13 @@
 package e2e
 
 import (
+	"bufio"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -258,6 +261,7 @@
 func (f *fleet) awaitServing() {
 	f.t.Helper()
 	for i := range f.entry {
+		f.await("an entry knows every upstream", func() bool { return f.members(i) == f.sidecars })
 		f.await("an entry answers", func() bool {
 			_, err := f.complete(i, "warm up", 1)
 			return err == nil
@@ -265,6 +269,23 @@
 	}
 }
 
+// members returns how many upstreams an entry knows, from its metrics.
+func (f *fleet) members(entry int) int {
+	response, err := http.Get(f.entryURL(entry) + "/metrics")
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	scanner := bufio.NewScanner(response.Body)
+	for scanner.Scan() {
+		if count, ok := strings.CutPrefix(scanner.Text(), "briarcross_entry_members "); ok {
+			n, _ := strconv.Atoi(count)
+			return n
+		}
+	}
+	return 0
+}
+
 func (f *fleet) wipe(i int) {
 	f.t.Helper()
 	if err := os.RemoveAll(f.dataFolder(i)); err != nil {
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -50,7 +50,7 @@
 	p.start(t)
 	t.Cleanup(func() {
 		p.kill()
-		if t.Failed() {
+		if t.Failed() || os.Getenv("SHOWLOGS") != "" {
 			t.Logf("last lines of %s:\n%s", name, p.lastLines())
 		}
 	})
--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -87,7 +87,7 @@
 		cancel:   cancel,
 		faults:   make(chan error, 1),
 	}
-	d.metrics = newMetrics(d.identity)
+	d.metrics = newMetrics(d.identity, d.Members, d.calls.count)
 	d.transport = transport.NewClient(d.identity, settings.TLS.ClientConfig())
 	d.control = client.NewControl(d.transport, settings.Control)
 	if err := d.startCores(); err != nil {
--- a/entryd/metrics.go
+++ b/entryd/metrics.go
@@ -17,7 +17,7 @@
 	droppedReports prometheus.Counter
 }
 
-func newMetrics(identity *transport.Identity) *metrics {
+func newMetrics(identity *transport.Identity, members, running func() int) *metrics {
 	m := &metrics{
 		registry: daemon.NewRegistry(identity),
 		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -37,7 +37,11 @@
 			Help: "Ends and first bytes of attempts that were late or crossed.",
 		}),
 	}
-	m.registry.MustRegister(m.refusals, m.retries, m.droppedFrames, m.droppedReports)
+	m.registry.MustRegister(
+		m.refusals, m.retries, m.droppedFrames, m.droppedReports,
+		gauge("briarcross_entry_members", "Upstreams that the entry knows.", members),
+		gauge("briarcross_entry_running_requests", "Online requests that the entry handles.", running),
+	)
 	return m
 }
 
@@ -51,3 +55,9 @@
 	}
 	m.retries.WithLabelValues(label).Inc()
 }
+
+func gauge(name, help string, value func() int) prometheus.Collector {
+	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, func() float64 {
+		return float64(value())
+	})
+}
--- a/sidecard/batch.go
+++ b/sidecard/batch.go
@@ -212,18 +212,8 @@
 }
 
 func (d *Daemon) leaseCall(ctx context.Context, request *pb.LeaseRequest) (*pb.LeaseResponse, error) {
-	stream, err := d.transport.Open(ctx, transport.Batch, d.control.Leader())
-	if err != nil {
-		return nil, err
-	}
-	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
-	defer stop()
-	defer func() { _ = stream.Close() }()
 	envelope := &pb.Envelope{Body: &pb.Envelope_LeaseRequest{LeaseRequest: request}}
-	if err := stream.Send(envelope); err != nil {
-		return nil, err
-	}
-	reply, err := stream.Receive()
+	reply, _, err := d.transport.Call(ctx, transport.Batch, d.control.Leader(), envelope)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/transport/call.go
@@ -0,0 +1,43 @@
+package transport
+
+import (
+	"context"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/briarcross/briarcross/pb"
+)
+
+// Call sends one envelope on a stream of its own and returns the answer. It
+// ends with the context even when the other end does not read. Sent is false
+// only when the envelope was certainly not sent.
+func (c *Client) Call(ctx context.Context, class Class, address string, e *pb.Envelope) (answer *pb.Envelope, sent bool, err error) {
+	stream, err := c.Open(ctx, class, address)
+	if err != nil {
+		return nil, false, err
+	}
+	type exchanged struct {
+		answer *pb.Envelope
+		err    error
+	}
+	result := make(chan exchanged, 1)
+	go func() {
+		answer, err := stream.exchange(e)
+		result <- exchanged{answer, err}
+	}()
+	// Closing may block while the connection is full.
+	defer func() { go func() { _ = stream.Close() }() }()
+	select {
+	case r := <-result:
+		return r.answer, true, r.err
+	case <-ctx.Done():
+		return nil, true, eris.Wrapf(ctx.Err(), "call %s", address)
+	}
+}
+
+func (s *Stream) exchange(e *pb.Envelope) (*pb.Envelope, error) {
+	if err := s.Send(e); err != nil {
+		return nil, err
+	}
+	return s.Receive()
+}
--- a/transport/client.go
+++ b/transport/client.go
@@ -57,16 +57,44 @@
 		if dialErr != nil {
 			return nil, dialErr
 		}
-		conn, openErr := session.Open()
+		conn, openErr := openWithin(ctx, session)
 		if openErr == nil {
 			return newStream(c.identity, conn, address, slot.peer()), nil
 		}
 		err = openErr
+		if ctx.Err() != nil {
+			break
+		}
 		_ = session.Close()
 	}
 	return nil, eris.Wrapf(err, "open %s stream to %s", class, address)
 }
 
+// openWithin opens a stream of a session within the time of a context. The
+// session itself knows no context and blocks while its connection is full.
+func openWithin(ctx context.Context, session *yamux.Session) (net.Conn, error) {
+	type opened struct {
+		conn net.Conn
+		err  error
+	}
+	result := make(chan opened, 1)
+	go func() {
+		conn, err := session.Open()
+		result <- opened{conn, err}
+	}()
+	select {
+	case o := <-result:
+		return o.conn, o.err
+	case <-ctx.Done():
+		go func() {
+			if o := <-result; o.err == nil {
+				_ = o.conn.Close()
+			}
+		}()
+		return nil, ctx.Err()
+	}
+}
+
 func (s *sessionSlot) peer() peerRoles {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/transport/stream.go
+++ b/transport/stream.go
@@ -91,10 +91,12 @@
 }
 
 const (
-	keepAliveInterval = 5 * time.Second
-	writeTimeout      = 10 * time.Second
-	windowBytes       = 256 << 10
-	acceptBacklog     = 1024
+	keepAliveInterval = 2 * time.Second
+	// writeTimeout bounds a write, and the answer to a keep-alive, after which
+	// the other end counts as lost.
+	writeTimeout  = 4 * time.Second
+	windowBytes   = 256 << 10
+	acceptBacklog = 1024
 )
 
 func sessionConfig() *yamux.Config {
