Move the operators' client to a package of its own; add briarcross demo

Cause: the demonstration and the command line both change configuration, and a command line that imports the demonstration must not be imported by it. Change: operator.Client with typed failures; cli maps them to exit codes. Conclusion: make demo runs the program that users get.

--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 	$(BIN)/briarcross-lab capacity
 
 demo: build
-	$(BIN)/briarcross-lab demo
+	$(BIN)/briarcross demo
 
 soak:
 	./.ci/soak $(SEEDS)
--- /dev/null
+++ b/cli/demo.go
@@ -0,0 +1,23 @@
+package cli
+
+import (
+	"context"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/briarcross/briarcross/lab/demo"
+)
+
+func (a *app) demoCommand() *ffcli.Command {
+	fs := newFlagSet("demo")
+	records := fs.String("records", "examples/inspection-records.jsonl", "file of inspection records in the OpenAI batch format")
+	return a.command(&ffcli.Command{
+		Name:       "demo",
+		ShortUsage: "briarcross demo [flags]",
+		ShortHelp:  "Shows the main job on a whole installation in one process, and ends.",
+		FlagSet:    fs,
+		Exec: func(context.Context, []string) error {
+			return demo.Run(demo.Options{Records: *records, Out: a.out})
+		},
+	})
+}
--- a/cli/main.go
+++ b/cli/main.go
@@ -10,7 +10,9 @@
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"github.com/briarcross/briarcross/config"
 	"github.com/briarcross/briarcross/daemon"
+	"github.com/briarcross/briarcross/operator"
 )
 
 // The exit codes of the command line.
@@ -54,7 +56,13 @@
 func Main(args []string, in io.Reader, out, errOut io.Writer) int {
 	a := &app{in: in, out: out, err: errOut}
 	root := a.root()
-	err := root.ParseAndRun(context.Background(), args)
+	err := root.Parse(args)
+	if err != nil && !errors.Is(err, flag.ErrHelp) {
+		err = &exitError{ExitUsage, err}
+	}
+	if err == nil {
+		err = root.Run(context.Background())
+	}
 	if err == nil {
 		return ExitDone
 	}
@@ -63,6 +71,7 @@
 		return ExitUsage
 	}
 	_, _ = fmt.Fprintf(errOut, "briarcross: %v\n", err)
+	a.printConflict(err)
 	return exitCode(err)
 }
 
@@ -79,11 +88,33 @@
 	return ffcli.DefaultUsageFunc(command)
 }
 
+var failureCodes = map[operator.FailureKind]int{
+	operator.Invalid:  ExitUsage,
+	operator.NotDone:  ExitFailed,
+	operator.Unknown:  ExitUnknown,
+	operator.Conflict: ExitConflict,
+}
+
+// printConflict shows the documents that a change lost against.
+func (a *app) printConflict(err error) {
+	var failure *operator.Failure
+	if !errors.As(err, &failure) || len(failure.Current) == 0 {
+		return
+	}
+	if text, formatErr := config.Format(failure.Current); formatErr == nil {
+		_, _ = fmt.Fprintf(a.err, "the documents as they stand; edit these and apply again:\n%s", text)
+	}
+}
+
 func exitCode(err error) int {
 	var exit *exitError
 	if errors.As(err, &exit) {
 		return exit.code
 	}
+	var failure *operator.Failure
+	if errors.As(err, &failure) {
+		return failureCodes[failure.Kind]
+	}
 	var setting *daemon.SettingError
 	if errors.As(err, &setting) {
 		return ExitUsage
@@ -93,7 +124,8 @@
 
 func (a *app) root() *ffcli.Command {
 	fs := newFlagSet("briarcross")
-	subcommands := append(a.daemonCommands(), a.operatorCommands()...)
+	subcommands := append(a.daemonCommands(), a.demoCommand())
+	subcommands = append(subcommands, a.operatorCommands()...)
 	return a.command(&ffcli.Command{
 		Name:        "briarcross",
 		ShortUsage:  "briarcross <command> [flags]",
--- a/cli/status.go
+++ b/cli/status.go
@@ -7,6 +7,7 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"github.com/briarcross/briarcross/operator"
 	"github.com/briarcross/briarcross/pb"
 )
 
@@ -20,7 +21,7 @@
 		ShortHelp:  "Shows the control replicas, repair, and the revision in force on each daemon.",
 		FlagSet:    fs,
 		Exec: func(context.Context, []string) error {
-			status, err := FetchStatus(flags.server)
+			status, err := operator.NewClient(flags.server).Status()
 			if err != nil {
 				return err
 			}
@@ -32,16 +33,6 @@
 	})
 }
 
-// FetchStatus returns the status that a control replica at a base URL gives.
-func FetchStatus(server string) (*pb.StatusAnswer, error) {
-	result := &pb.QueryResult{}
-	c := api{server: server}
-	if err := c.get(pathStatus, result); err != nil {
-		return nil, err
-	}
-	return result.GetStatus(), nil
-}
-
 func (a *app) printStatus(status *pb.StatusAnswer) error {
 	w := tabwriter.NewWriter(a.out, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintf(w, "leader %s, term %d, commit %d, configuration revision %d, repair: %s\n\n",
--- a/controld/http.go
+++ b/controld/http.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/briarcross/briarcross/daemon"
+	"github.com/briarcross/briarcross/operator"
 	"github.com/briarcross/briarcross/pb"
 	"github.com/briarcross/briarcross/transport"
 )
@@ -32,30 +33,21 @@
 	return s
 }
 
-// The paths of the operators' interface.
-const (
-	pathDocuments = "/api/v1/documents"
-	pathChanges   = "/api/v1/changes"
-	pathStatus    = "/api/v1/status"
-	pathOrders    = "/api/v1/orders"
-	pathJobs      = "/api/v1/jobs"
-)
-
 func (s *operatorServer) handle(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
 	switch {
-	case path == pathDocuments:
+	case path == operator.PathDocuments:
 		s.documents(ctx)
-	case path == pathChanges && ctx.IsPost():
+	case path == operator.PathChanges && ctx.IsPost():
 		s.change(ctx)
-	case path == pathStatus:
+	case path == operator.PathStatus:
 		s.query(ctx, &pb.Query{Query: &pb.Query_Status{Status: &pb.StatusQuery{}}})
-	case path == pathOrders && ctx.IsPost():
+	case path == operator.PathOrders && ctx.IsPost():
 		s.order(ctx)
-	case strings.HasPrefix(path, pathOrders+"/"):
-		upstream := strings.TrimPrefix(path, pathOrders+"/")
+	case strings.HasPrefix(path, operator.PathOrders+"/"):
+		upstream := strings.TrimPrefix(path, operator.PathOrders+"/")
 		s.query(ctx, &pb.Query{Query: &pb.Query_Order{Order: &pb.OrderQuery{Upstream: upstream}}})
-	case path == pathJobs:
+	case path == operator.PathJobs:
 		s.jobs(ctx)
 	default:
 		ctx.Error("no such path\n", fasthttp.StatusNotFound)
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -13,9 +13,9 @@
 	"testing"
 	"time"
 
-	"github.com/briarcross/briarcross/cli"
 	"github.com/briarcross/briarcross/devd"
 	labengine "github.com/briarcross/briarcross/lab/engine"
+	"github.com/briarcross/briarcross/operator"
 	"github.com/briarcross/briarcross/pb"
 )
 
@@ -198,7 +198,7 @@
 			if p.frozen.Load() {
 				continue
 			}
-			accepted, err := cli.ApplyText(f.controlURL(i), "test.yaml", []byte(text), "test")
+			accepted, err := operator.NewClient(f.controlURL(i)).Apply("test.yaml", []byte(text), "test")
 			if err == nil {
 				revision = accepted
 				return true
@@ -218,7 +218,7 @@
 			if p.frozen.Load() {
 				continue
 			}
-			answer, err := cli.FetchStatus(f.controlURL(i))
+			answer, err := operator.NewClient(f.controlURL(i)).Status()
 			if err == nil && answer.GetLeader() != "" {
 				status = answer
 				return true
--- a/lab/demo/change.go
+++ b/lab/demo/change.go
@@ -8,8 +8,8 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/briarcross/briarcross/cli"
 	"github.com/briarcross/briarcross/devd"
+	"github.com/briarcross/briarcross/operator"
 	"github.com/briarcross/briarcross/pb"
 )
 
@@ -64,13 +64,13 @@
 // its revision in force.
 func (d *demo) changeProfile() error {
 	begin := time.Now()
-	revision, err := cli.ApplyText(d.cluster.ControlURL(0), "changed.yaml", []byte(changedProfile), "demo")
+	revision, err := operator.NewClient(d.cluster.ControlURL(0)).Apply("changed.yaml", []byte(changedProfile), "demo")
 	if err != nil {
 		return err
 	}
 	daemons := entries + sidecars + 1
 	err = await("the change is in force", func() (bool, error) {
-		status, err := cli.FetchStatus(d.cluster.ControlURL(1))
+		status, err := operator.NewClient(d.cluster.ControlURL(1)).Status()
 		if err != nil {
 			return false, err
 		}
--- /dev/null
+++ b/operator/client.go
@@ -0,0 +1,141 @@
+// Package operator calls the operators' HTTP interface of the control replicas.
+package operator
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/briarcross/briarcross/pb"
+)
+
+const apiTimeout = 10 * time.Second
+
+// The paths of the operators' interface.
+const (
+	PathDocuments = "/api/v1/documents"
+	PathChanges   = "/api/v1/changes"
+	PathStatus    = "/api/v1/status"
+	PathOrders    = "/api/v1/orders"
+	PathJobs      = "/api/v1/jobs"
+)
+
+// Client calls one control replica.
+type Client struct {
+	server string
+	client fasthttp.Client
+}
+
+// NewClient returns a client of the replica at a base URL.
+func NewClient(server string) *Client {
+	return &Client{server: server}
+}
+
+// FailureKind tells what a failed call means for the change that it carried.
+type FailureKind int
+
+// The kinds of failures.
+const (
+	// Invalid means that the request is wrong and was not carried out.
+	Invalid FailureKind = iota + 1
+	// NotDone means that the request was certainly not carried out.
+	NotDone
+	// Unknown means that the request may have been carried out; repeat it.
+	Unknown
+	// Conflict means that a change lost against another one.
+	Conflict
+)
+
+// Failure is the error of a call.
+type Failure struct {
+	Kind   FailureKind
+	Reason string
+	// Current holds the documents that conflict, as they stand.
+	Current []*pb.Document
+}
+
+// Error implements error.
+func (f *Failure) Error() string {
+	return f.Reason
+}
+
+func fail(kind FailureKind, format string, args ...any) error {
+	return &Failure{Kind: kind, Reason: fmt.Sprintf(format, args...)}
+}
+
+// get reads a message. Unknown fields of a newer server are passed over.
+func (c *Client) get(path string, into proto.Message) error {
+	return c.do(fasthttp.MethodGet, path, nil, into)
+}
+
+// post sends a message and reads the answer. The returned status tells
+// outcomes apart that carry the same kind of answer.
+func (c *Client) post(path string, body, into proto.Message) error {
+	data, err := protojson.Marshal(body)
+	if err != nil {
+		return eris.Wrap(err, "encode request")
+	}
+	return c.do(fasthttp.MethodPost, path, data, into)
+}
+
+func (c *Client) do(method, path string, body []byte, into proto.Message) error {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.Header.SetMethod(method)
+	request.SetRequestURI(c.server + path)
+	request.SetBody(body)
+	if err := c.client.DoTimeout(request, response, apiTimeout); err != nil {
+		return fail(Unknown, "no answer from %s: %v", c.server, err)
+	}
+	return c.decode(response, into)
+}
+
+func (c *Client) decode(response *fasthttp.Response, into proto.Message) error {
+	options := protojson.UnmarshalOptions{DiscardUnknown: true}
+	status := response.StatusCode()
+	if status == fasthttp.StatusOK || status == fasthttp.StatusConflict {
+		return eris.Wrap(options.Unmarshal(response.Body(), into), "decode answer")
+	}
+	failure := &pb.ControlError{}
+	if options.Unmarshal(response.Body(), failure) == nil && failure.GetCode() != pb.ControlError_UNSPECIFIED {
+		return controlFailure(failure)
+	}
+	if options.Unmarshal(response.Body(), into) == nil {
+		return nil
+	}
+	return fail(NotDone, "%s answered status %d", c.server, status)
+}
+
+func controlFailure(failure *pb.ControlError) error {
+	switch failure.GetCode() {
+	case pb.ControlError_INVALID:
+		return fail(Invalid, "%s", failure.GetReason())
+	case pb.ControlError_UNKNOWN:
+		return fail(Unknown, "the change may have been carried out, repeat it: %s", failure.GetReason())
+	default:
+		return fail(NotDone, "not carried out: %s", failure.GetReason())
+	}
+}
+
+// Status returns the state of the control group and its daemons.
+func (c *Client) Status() (*pb.StatusAnswer, error) {
+	result := &pb.QueryResult{}
+	if err := c.get(PathStatus, result); err != nil {
+		return nil, err
+	}
+	return result.GetStatus(), nil
+}
+
+// Documents returns one document by its key, or all with an empty key.
+func (c *Client) Documents(key string) (*pb.ConfigAnswer, error) {
+	result := &pb.QueryResult{}
+	if err := c.get(PathDocuments+"?name="+key, result); err != nil {
+		return nil, err
+	}
+	return result.GetConfig(), nil
+}
