--- /dev/null
+++ b/batch/bench_test.go
@@ -0,0 +1,309 @@
+package batch
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/briarcross/briarcross/kv"
+	"github.com/briarcross/briarcross/pb"
+)
+
+// steady gives every item the same run time, so that capacity is known.
+func (s *sim) steady(runTime time.Duration, slots, queueSlots int) {
+	for _, c := range s.sidecars {
+		c.slots = slots
+		c.queueSlots = queueSlots
+		c.runTime = func() time.Duration { return runTime }
+	}
+}
+
+func mustSubmit(b *testing.B, s *sim, j simJob) {
+	b.Helper()
+	if _, err := s.submit(j); err != nil {
+		b.Fatal(err)
+	}
+	s.ledger.jobs[j.id] = j
+}
+
+func mustComplete(b *testing.B, s *sim, limit time.Duration, ids ...string) time.Duration {
+	b.Helper()
+	from := s.now
+	if !s.until(limit, s.completed(ids...)) {
+		b.Fatalf("not completed within %v", limit)
+	}
+	if faults := s.ledger.check(s); len(faults) > 0 {
+		b.Fatal(faults[0])
+	}
+	return s.now.Sub(from)
+}
+
+// BenchmarkCapacity measures, on virtual time, which share of the slots of
+// nine engines a job uses while it has items that have not started, how much
+// longer than its ideal time it takes, and what it costs the log. The claims
+// of a non-idempotent job are what leases in the log would cost any job.
+func BenchmarkCapacity(b *testing.B) {
+	for _, idempotent := range []bool{true, false} {
+		for _, runTime := range []time.Duration{500 * time.Millisecond, 2 * time.Second, 8 * time.Second} {
+			b.Run(fmt.Sprintf("idempotent=%t/item=%v", idempotent, runTime), func(b *testing.B) {
+				for range b.N {
+					measureCapacity(b, idempotent, runTime)
+				}
+			})
+		}
+	}
+}
+
+func measureCapacity(b *testing.B, idempotent bool, runTime time.Duration) {
+	b.Helper()
+	const engines, slots = 9, 16
+	s := newSim(1, engines)
+	s.options.LeaseTime = defaultLeaseTime
+	s.elect(s.now)
+	s.steady(runTime, slots, 4)
+	s.advance(time.Second)
+	rounds := int(64 * time.Second / runTime)
+	items := engines * slots * rounds
+	j := plainJob("job", items)
+	j.idempotent = idempotent
+	commands, logBytes := s.commands, s.logBytes
+	mustSubmit(b, s, j)
+	submitted, submittedBytes := s.commands, s.logBytes
+	from := s.now
+	s.until(time.Hour, func() bool { return len(s.ledger.starts) == items })
+	share := s.busy().Seconds() / (engines * slots * s.now.Sub(from).Seconds())
+	mustComplete(b, s, time.Hour, "job")
+	ideal := time.Duration(rounds) * runTime
+	b.ReportMetric(share, "capacity-share")
+	b.ReportMetric((s.now.Sub(from) - ideal).Seconds(), "over-ideal-s")
+	b.ReportMetric(float64(s.commands-submitted)/float64(items), "run-commits/item")
+	b.ReportMetric(float64(submitted-commands)/float64(items), "submit-commits/item")
+	b.ReportMetric(float64(s.logBytes-submittedBytes)/float64(items), "run-log-B/item")
+	b.ReportMetric(float64(submittedBytes-logBytes)/float64(items), "submit-log-B/item")
+}
+
+func (s *sim) busy() time.Duration {
+	total := time.Duration(0)
+	for _, c := range s.sidecars {
+		total += c.busy
+	}
+	return total
+}
+
+const (
+	lossEngines = 9
+	lossSlots   = 8
+	lossRounds  = 30
+	lossRunTime = 2 * time.Second
+)
+
+// halfway runs a job on nine engines up to the middle.
+func halfway(b *testing.B) *sim {
+	b.Helper()
+	s := newSim(1, lossEngines)
+	s.options.LeaseTime = defaultLeaseTime
+	s.elect(s.now)
+	s.steady(lossRunTime, lossSlots, 2)
+	mustSubmit(b, s, plainJob("job", lossEngines*lossSlots*lossRounds))
+	s.advance(lossRounds * lossRunTime / 2)
+	return s
+}
+
+// BenchmarkEngineLoss measures, on virtual time, how much later a job ends
+// when one of nine engines dies in the middle, and its sidecar with it, than
+// when the same engine leaves without losing anything.
+func BenchmarkEngineLoss(b *testing.B) {
+	for range b.N {
+		s := halfway(b)
+		c := s.sidecars[0]
+		c.step(Drain{})
+		for _, item := range c.queue {
+			c.step(Finished{RefOf(item), &pb.ItemResult{Outcome: pb.ItemOutcome_ITEM_NOT_RUN}})
+		}
+		c.queue = nil
+		planned := mustComplete(b, s, time.Hour, "job")
+		s = halfway(b)
+		s.sidecars[0].crash()
+		lost := mustComplete(b, s, time.Hour, "job")
+		b.ReportMetric((lost - planned).Seconds(), "lost-s")
+		b.ReportMetric((defaultLeaseTime + lossRunTime).Seconds(), "bound-s")
+	}
+}
+
+// BenchmarkLeaderLoss measures, on virtual time, how much later a job ends and
+// how many items run twice when the leader is replaced in the middle.
+func BenchmarkLeaderLoss(b *testing.B) {
+	for range b.N {
+		s := halfway(b)
+		undisturbed := mustComplete(b, s, time.Hour, "job")
+		s = halfway(b)
+		s.fail(false)
+		lost := mustComplete(b, s, time.Hour, "job")
+		twice := 0
+		for _, starts := range s.ledger.starts {
+			twice += len(starts) - 1
+		}
+		b.ReportMetric((lost - undisturbed).Seconds(), "lost-s")
+		b.ReportMetric(float64(twice), "items-run-twice")
+	}
+}
+
+// BenchmarkThroughput measures how many items scheduler, state and workers
+// carry in one goroutine, against the number of engines and the chunk size.
+// The engines answer at once.
+func BenchmarkThroughput(b *testing.B) {
+	for _, engines := range []int{1, 3, 9, 18} {
+		for _, chunk := range []int{16, 64, 256} {
+			b.Run(fmt.Sprintf("engines=%d/chunk=%d", engines, chunk), func(b *testing.B) {
+				s := newSim(1, engines)
+				s.options.ChunkItems = chunk
+				s.elect(s.now)
+				s.steady(simStep, chunk, 0)
+				items := max(b.N, engines*chunk)
+				mustSubmit(b, s, plainJob("job", items))
+				commands := s.commands
+				b.ResetTimer()
+				if !s.until(time.Hour, s.completed("job")) {
+					b.Fatal("not completed")
+				}
+				b.ReportMetric(float64(items)/b.Elapsed().Seconds(), "items/s")
+				b.ReportMetric(float64(s.commands-commands)/float64(items), "run-commits/item")
+			})
+		}
+	}
+}
+
+// diskBench is a State over a store on disk, with commands applied at once.
+type diskBench struct {
+	store *kv.Disk
+	state *State
+	index uint64
+}
+
+func newDiskBench(b *testing.B) *diskBench {
+	b.Helper()
+	store, err := kv.OpenDisk(b.TempDir(), nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { _ = store.Close() })
+	return &diskBench{store: store, state: NewState()}
+}
+
+func (d *diskBench) propose(_ context.Context, c *pb.Command) (*pb.CommandResult, *pb.ControlError) {
+	d.index++
+	c.UnixMs = d.index
+	batch := d.store.NewBatch()
+	result, _ := d.state.Apply(batch, d.index, c)
+	if err := d.store.Commit(batch, false); err != nil {
+		return nil, &pb.ControlError{Code: pb.ControlError_UNKNOWN, Reason: err.Error()}
+	}
+	return result, nil
+}
+
+// lineSource makes the lines of a job as they are read.
+type lineSource struct {
+	next, items int
+	buffer      []byte
+}
+
+func (l *lineSource) Read(p []byte) (int, error) {
+	if len(l.buffer) == 0 {
+		if l.next == l.items {
+			return 0, io.EOF
+		}
+		l.buffer = fmt.Appendf(nil, `{"custom_id":"r-%d","method":"POST","url":"%s","body":{"model":"dam-watch",`+
+			`"prompt":"Piezometer %d reads 14.2 kPa; seepage at the toe is clear, 3 l/min.","max_tokens":64}}`+"\n",
+			l.next, simEndpoint, l.next)
+		l.next++
+	}
+	n := copy(p, l.buffer)
+	l.buffer = l.buffer[n:]
+	return n, nil
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkLargeJob accepts and completes a job of 970,000 items on a disk
+// and reports the heap that it takes while it runs.
+func BenchmarkLargeJob(b *testing.B) {
+	const items, chunk = 970_000, 256
+	for range b.N {
+		d := newDiskBench(b)
+		before := heapBytes()
+		scheduler := NewScheduler(SchedulerOptions{State: d.state, Reader: func(f func(kv.Reader)) { f(d.store) }})
+		now := time.Unix(1_800_000_000, 0)
+		scheduler.Step(now, Lead{Term: 1, On: true})
+		started := time.Now()
+		intake := NewIntake(IntakeOptions{
+			JobID: "job", Caller: "c", Key: "k", Service: "dam-watch", Endpoint: simEndpoint, Idempotent: true,
+		})
+		if _, err := intake.Read(context.Background(), &lineSource{items: items}, d.propose); err != nil {
+			b.Fatal(err)
+		}
+		accepted := time.Since(started)
+		heapAccepted := heapBytes()
+		started = time.Now()
+		peak := uint64(0)
+		for from := uint32(0); from < items; from += chunk {
+			commit := resultsOf(from, min(from+chunk, items))
+			command := &pb.Command{Op: &pb.Command_ResultsCommit{ResultsCommit: commit}}
+			result, _ := d.propose(context.Background(), command)
+			scheduler.Step(now, Applied{command, result})
+			if from/chunk == items/chunk/2 {
+				peak = heapBytes()
+			}
+		}
+		completed := time.Since(started)
+		b.ReportMetric(float64(items)/accepted.Seconds(), "accepted-items/s")
+		b.ReportMetric(float64(items)/completed.Seconds(), "committed-items/s")
+		b.ReportMetric(float64(int64(heapAccepted)-int64(before))/(1<<20), "heap-accepted-MB")
+		b.ReportMetric(float64(int64(peak)-int64(before))/(1<<20), "heap-half-done-MB")
+		restored := NewState()
+		started = time.Now()
+		restored.Restore(d.store)
+		b.ReportMetric(time.Since(started).Seconds()*1000, "restore-ms")
+	}
+}
+
+func resultsOf(from, to uint32) *pb.ResultsCommit {
+	commit := &pb.ResultsCommit{}
+	for index := from; index < to; index++ {
+		commit.Results = append(commit.Results, &pb.ItemResult{
+			JobId:    "job",
+			Index:    index,
+			CustomId: fmt.Sprintf("r-%d", index),
+			Outcome:  pb.ItemOutcome_ITEM_DONE,
+			Status:   200,
+			Body:     []byte(`{"choices":[{"text":"No action. Next reading in six hours."}]}`),
+		})
+	}
+	return commit
+}
+
+// BenchmarkIdleTick measures a tick while a job of 970,000 items runs and
+// nothing happens.
+func BenchmarkIdleTick(b *testing.B) {
+	state := NewState()
+	job := &pb.Job{JobId: "job", Items: 970_000, State: pb.JobState_JOB_RUNNING, Idempotent: true}
+	live := &liveJob{job: job}
+	live.allocate()
+	state.live["job"] = live
+	s := NewScheduler(SchedulerOptions{State: state, Reader: func(f func(kv.Reader)) { f(kv.NewMemory()) }})
+	now := time.Unix(1_800_000_000, 0)
+	s.Step(now, Lead{Term: 1, On: true})
+	b.ResetTimer()
+	for range b.N {
+		now = now.Add(simStep)
+		s.Tick(now)
+	}
+}
--- a/batch/bitmap.go
+++ b/batch/bitmap.go
@@ -37,6 +37,14 @@
 	m.words[index/wordBits] &^= 1 << (index % wordBits)
 }
 
+func (m bitmap) count() uint32 {
+	total := 0
+	for _, word := range m.words {
+		total += bits.OnesCount64(word)
+	}
+	return uint32(total)
+}
+
 // last returns the highest index whose bit is set.
 func (m bitmap) last() (uint32, bool) {
 	for i := len(m.words) - 1; i >= 0; i-- {
--- a/batch/doc.go
+++ b/batch/doc.go
@@ -19,7 +19,7 @@
 // A job whose items are all committed is completed by that same command, so
 // that a cancel and a completion have one order, that of the log.
 //
-// Leases are not replicated. A new leader gives the workers one lease time to
+// Leases are not replicated. A new leader gives the workers half a lease time to
 // report what they hold and adopts it; an idempotent item whose lease was
 // forgotten may run again. A non-idempotent item is claimed by an ItemsStart
 // command before it is handed out, and runs again only after its holder has
--- /dev/null
+++ b/batch/failure_test.go
@@ -0,0 +1,293 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/briarcross/briarcross/pb"
+)
+
+func (s *sim) startsOf(id string) (items, runs int) {
+	for key, starts := range s.ledger.starts {
+		if key.jobID == id {
+			items++
+			runs += len(starts)
+		}
+	}
+	return items, runs
+}
+
+func TestItemsOfADeadSidecarRunElsewhere(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		t.Run(fmt.Sprintf("idempotent=%t", idempotent), func(t *testing.T) {
+			g := NewWithT(t)
+			s := newSim(11, 3)
+			j := plainJob("job-1", 120)
+			j.idempotent = idempotent
+			s.accept(g, j)
+			s.advance(2 * time.Second)
+			inFlight := len(s.sidecars[0].running)
+			g.Expect(inFlight).To(BeNumerically(">", 0))
+			s.sidecars[0].crash()
+			g.Expect(s.until(2*time.Minute, s.completed("job-1"))).To(BeTrue())
+			g.Expect(s.ledger.check(s)).To(BeEmpty())
+			failed := int(s.job("job-1").GetFailed())
+			if idempotent {
+				g.Expect(failed).To(BeZero())
+				return
+			}
+			g.Expect(failed).To(BeNumerically(">=", inFlight))
+		})
+	}
+}
+
+func TestLeaderDiesRightAfterAcknowledging(t *testing.T) {
+	g := NewWithT(t)
+	s := newSim(12, 3)
+	s.accept(g, plainJob("job-1", 90))
+	s.fail(false)
+	g.Expect(s.until(time.Minute, func() bool { return s.job("job-1").GetDone() > 0 })).To(BeTrue())
+	s.fail(false)
+	s.accept(g, plainJob("job-2", 400))
+	s.advance(4 * time.Second)
+	g.Expect(s.cancel("job-2").GetError()).To(Equal(pb.JobError_JOB_OK))
+	s.fail(true)
+	g.Expect(s.until(2*time.Minute, s.completed("job-1"))).To(BeTrue())
+	s.advance(10 * time.Second)
+	g.Expect(s.ledger.check(s)).To(BeEmpty())
+}
+
+func TestResultsOfACutSidecarAreKeptAndCommittedOnce(t *testing.T) {
+	g := NewWithT(t)
+	s := newSim(13, 2)
+	s.accept(g, plainJob("job-1", 60))
+	s.advance(time.Second)
+	c := s.sidecars[0]
+	c.cut = true
+	s.advance(3 * time.Second)
+	g.Expect(c.worker.Unsettled()).To(BeNumerically(">", 0))
+	g.Expect(s.until(2*time.Minute, s.completed("job-1"))).To(BeTrue())
+	c.cut = false
+	g.Expect(s.until(time.Minute, func() bool { return c.worker.Unsettled() == 0 })).To(BeTrue())
+	g.Expect(s.ledger.check(s)).To(BeEmpty())
+}
+
+func TestCutSidecarStopsWithinTheLeaseTime(t *testing.T) {
+	g := NewWithT(t)
+	s := newSim(14, 1)
+	s.steady(time.Hour, 4, 2)
+	s.accept(g, plainJob("job-1", 60))
+	s.advance(time.Second)
+	c := s.sidecars[0]
+	g.Expect(c.running).NotTo(BeEmpty())
+	c.cut = true
+	s.cancel("job-1")
+	s.advance(s.options.LeaseTime)
+	g.Expect(c.running).To(BeEmpty())
+	g.Expect(c.queue).To(BeEmpty())
+}
+
+func TestOldIncarnationIsNotHeard(t *testing.T) {
+	g := NewWithT(t)
+	s := newSim(15, 1)
+	s.accept(g, plainJob("job-1", 20))
+	s.advance(200 * time.Millisecond)
+	c := s.sidecars[0]
+	old := &pb.LeaseRequest{Worker: c.id, Incarnation: c.incarnation, Sequence: 1 << 20, Services: []string{"dam-watch"}, Room: 9}
+	c.crash()
+	c.start()
+	s.advance(200 * time.Millisecond)
+	leased := s.leader.scheduler.Stats().ItemsLeased
+	s.receive(s.leader, c, old)
+	g.Expect(s.leader.scheduler.Stats().ItemsLeased).To(Equal(leased))
+	g.Expect(s.until(time.Minute, s.completed("job-1"))).To(BeTrue())
+	g.Expect(s.ledger.check(s)).To(BeEmpty())
+}
+
+func TestAnswerOfAReplacedLeaderIsDropped(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1_800_000_000, 0)
+	w := NewWorker(WorkerOptions{ID: "w", Incarnation: 1, Services: []string{"s"}})
+	w.Step(now, Room{4})
+	ask := w.Drain()[0].(Ask).Message
+	item := &pb.LeasedItem{JobId: "job", Index: 3, FencingNumber: 2<<termShift | 1}
+	w.Step(now, Response{&pb.LeaseResponse{Sequence: ask.GetSequence(), Term: 2, LeaseMs: 5000, Items: []*pb.LeasedItem{item}}})
+	g.Expect(w.Held()).To(Equal(1))
+	w.Drain()
+	now = now.Add(2 * time.Second)
+	w.Tick(now)
+	ask = w.Drain()[0].(Ask).Message
+	revoked := []*pb.LeaseRef{RefOf(item).message()}
+	w.Step(now, Response{&pb.LeaseResponse{Sequence: ask.GetSequence(), Term: 1, LeaseMs: 5000, Revoked: revoked}})
+	g.Expect(w.Held()).To(Equal(1))
+	g.Expect(w.Drain()).To(BeEmpty())
+}
+
+func TestDrainingSidecarGivesBackAndLeaves(t *testing.T) {
+	g := NewWithT(t)
+	s := newSim(16, 2)
+	s.accept(g, plainJob("job-1", 200))
+	s.advance(time.Second)
+	c := s.sidecars[0]
+	c.step(Drain{})
+	queued := append([]*pb.LeasedItem(nil), c.queue...)
+	c.queue = nil
+	for _, item := range queued {
+		c.step(Finished{RefOf(item), &pb.ItemResult{Outcome: pb.ItemOutcome_ITEM_NOT_RUN}})
+	}
+	g.Expect(s.until(10*time.Second, func() bool { return c.drained })).To(BeTrue())
+	g.Expect(c.running).To(BeEmpty())
+	ran := c.worker.Stats().ItemsRun
+	g.Expect(s.until(2*time.Minute, s.completed("job-1"))).To(BeTrue())
+	g.Expect(c.worker.Stats().ItemsRun).To(Equal(ran))
+	_, runs := s.startsOf("job-1")
+	g.Expect(runs).To(Equal(200))
+	g.Expect(s.ledger.check(s)).To(BeEmpty())
+}
+
+func TestSickEngineGetsNoMoreAndItemsSucceedElsewhere(t *testing.T) {
+	g := NewWithT(t)
+	s := newSim(17, 3)
+	s.sidecars[0].sick = true
+	s.accept(g, plainJob("job-1", 600))
+	g.Expect(s.until(5*time.Minute, s.completed("job-1"))).To(BeTrue())
+	g.Expect(s.job("job-1").GetFailed()).To(BeZero())
+	g.Expect(s.ledger.check(s)).To(BeEmpty())
+	stats := s.leader.scheduler.Stats()
+	g.Expect(stats.WorkersPaused).To(BeNumerically(">", 0))
+	g.Expect(s.sidecars[0].worker.Stats().ItemsRun).To(BeNumerically("<", 30))
+}
+
+func TestJobOfBadItemsDoesNotStopOthers(t *testing.T) {
+	g := NewWithT(t)
+	s := newSim(18, 3)
+	bad := plainJob("job-1", 150)
+	bad.poison = map[int]bool{}
+	for i := range bad.items {
+		bad.poison[i] = true
+	}
+	s.accept(g, bad)
+	s.accept(g, plainJob("job-2", 60))
+	g.Expect(s.until(3*time.Minute, s.completed("job-1", "job-2"))).To(BeTrue())
+	g.Expect(s.job("job-1").GetFailed()).To(Equal(uint32(150)))
+	g.Expect(s.ledger.check(s)).To(BeEmpty())
+	_, runs := s.startsOf("job-1")
+	g.Expect(runs).To(BeNumerically("<=", 2*150+2*len(s.sidecars)))
+}
+
+func TestLostItemsEndAfterBoundedAttempts(t *testing.T) {
+	g := NewWithT(t)
+	s := newSim(19, 1)
+	s.steady(time.Hour, 4, 0)
+	j := plainJob("job-1", 1)
+	s.accept(g, j)
+	for range 20 {
+		s.advance(time.Second)
+		s.sidecars[0].crash()
+		s.sidecars[0].start()
+	}
+	g.Expect(s.until(time.Minute, s.completed("job-1"))).To(BeTrue())
+	g.Expect(s.results("job-1")[0].GetError()).To(Equal(ErrorLost))
+}
+
+func TestSmallJobIsNotStuckBehindALargeOne(t *testing.T) {
+	for _, caller := range []string{"forbundet", "trasy"} {
+		g := NewWithT(t)
+		s := newSim(20, 9)
+		large := plainJob("large", 20000)
+		large.due = time.Minute
+		s.accept(g, large)
+		s.advance(20 * time.Second)
+		small := plainJob("small", 30)
+		small.caller = caller
+		from := s.now
+		s.accept(g, small)
+		g.Expect(s.until(time.Minute, s.completed("small"))).To(BeTrue())
+		g.Expect(s.now.Sub(from)).To(BeNumerically("<", 10*time.Second))
+	}
+}
+
+func TestHopelessJobIsReportedAtRisk(t *testing.T) {
+	g := NewWithT(t)
+	s := newSim(21, 2)
+	hopeless := plainJob("hopeless", 3000)
+	hopeless.due = 30 * time.Second
+	s.accept(g, hopeless)
+	g.Expect(s.until(10*time.Second, func() bool { return s.job("hopeless").GetAtRisk() })).To(BeTrue())
+	g.Expect(s.job("hopeless").GetEstimateUnixMs()).To(BeNumerically(">", s.job("hopeless").GetDueUnixMs()))
+	easy := newSim(22, 2)
+	easy.accept(g, plainJob("easy", 200))
+	easy.advance(10 * time.Second)
+	g.Expect(easy.job("easy").GetState()).To(Equal(pb.JobState_JOB_RUNNING))
+	g.Expect(easy.job("easy").GetAtRisk()).To(BeFalse())
+	g.Expect(easy.job("easy").GetEstimateUnixMs()).To(BeNumerically(">", 0))
+}
+
+func TestSlowItemGetsASecondRunNearTheDueTime(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		t.Run(fmt.Sprintf("idempotent=%t", idempotent), func(t *testing.T) {
+			g := NewWithT(t)
+			s := newSim(23, 3)
+			s.sidecars[0].runTime = func() time.Duration { return time.Minute }
+			j := plainJob("job-1", 60)
+			j.idempotent = idempotent
+			j.due = 30 * time.Second
+			s.accept(g, j)
+			done := s.until(30*time.Second, s.completed("job-1"))
+			g.Expect(done).To(Equal(idempotent))
+			g.Expect(s.leader.scheduler.Stats().ItemsSpeculated > 0).To(Equal(idempotent))
+			g.Expect(s.until(2*time.Minute, s.completed("job-1"))).To(BeTrue())
+			g.Expect(s.ledger.check(s)).To(BeEmpty())
+		})
+	}
+}
+
+func TestHalfReceivedJobIsAbortedAndItsResendStartsAnew(t *testing.T) {
+	g := NewWithT(t)
+	s := newSim(24, 2)
+	j := plainJob("job-1", 100)
+	begin := NewIntake(IntakeOptions{JobID: "dead", Caller: j.caller, Key: j.key}).beginCommand()
+	s.commit(s.leader, begin)
+	_, err := s.submit(j)
+	var refused *SubmitError
+	g.Expect(errors.As(err, &refused)).To(BeTrue())
+	g.Expect(refused.NotRun && refused.Retry).To(BeTrue())
+	s.fail(false)
+	s.advance(ReceiveTimeout + time.Second)
+	g.Expect(s.job("dead")).To(BeNil())
+	s.accept(g, j)
+	g.Expect(s.until(time.Minute, s.completed("job-1"))).To(BeTrue())
+	g.Expect(s.ledger.check(s)).To(BeEmpty())
+}
+
+func TestBadLineRefusesTheJobWhole(t *testing.T) {
+	g := NewWithT(t)
+	s := newSim(25, 1)
+	text := plainJob("job-1", 120).text()
+	text = strings.Replace(text, `"custom_id":"item-99"`, `"custom_id":""`, 1)
+	intake := NewIntake(IntakeOptions{JobID: "job-1", Caller: "c", Key: "k", Endpoint: simEndpoint, ChunkItems: 10})
+	_, err := intake.Read(context.Background(), strings.NewReader(text), s.propose)
+	var line *LineError
+	g.Expect(errors.As(err, &line)).To(BeTrue())
+	g.Expect(line.Line).To(Equal(uint32(100)))
+	g.Expect(s.job("job-1")).To(BeNil())
+}
+
+func TestExampleRecordsAreAccepted(t *testing.T) {
+	g := NewWithT(t)
+	records, err := os.Open("../examples/inspection-records.jsonl")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { g.Expect(records.Close()).To(Succeed()) }()
+	s := newSim(26, 1)
+	intake := NewIntake(IntakeOptions{JobID: "job-1", Caller: "c", Endpoint: simEndpoint, Model: "dam-watch"})
+	job, err := intake.Read(context.Background(), records, s.propose)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(job.GetItems()).To(Equal(uint32(60)))
+}
--- a/batch/grants.go
+++ b/batch/grants.go
@@ -10,9 +10,6 @@
 const (
 	// maxAnswerBytes bounds the item bodies in one answer.
 	maxAnswerBytes = 1 << 20
-	// graceMargin is how far beyond the last committed item a new leader
-	// looks for items that no earlier leader has handed out.
-	graceMargin = 4096
 	// exclusionTime is how long an item avoids a worker that failed it while
 	// other workers serve it.
 	exclusionTime = 30 * time.Second
@@ -52,11 +49,14 @@
 // roomOf returns how many items a worker may be given now.
 func (s *Scheduler) roomOf(now time.Time, w *workerEntry) int {
 	p := w.parked
-	if p == nil || w.draining || now.Before(w.pausedUntil) || p.starts > 0 {
+	if p == nil || w.draining || p.starts > 0 {
+		return 0
+	}
+	if now.Before(w.pausedUntil) || now.Before(w.restUntil) {
 		return 0
 	}
 	room := p.room - len(p.items)
-	if w.probing {
+	if w.pauseLevel > 0 {
 		return min(room, 1-len(w.leases))
 	}
 	return room
@@ -148,14 +148,12 @@
 }
 
 // takeFresh returns an item that was never handed out. While workers may hold
-// items of an earlier leader it keeps clear of those, which lie near the last
-// committed item.
+// items of an earlier leader it keeps clear of those.
 func (s *Scheduler) takeFresh(run *jobRun) (uint32, bool) {
 	if !s.inGrace || run.recent || !run.job.GetIdempotent() {
 		return run.nextFresh(false)
 	}
-	last, _ := run.live.settled.last()
-	if run.tail <= last+graceMargin {
+	if run.tail <= run.graceFloor {
 		return 0, false
 	}
 	return run.nextFresh(true)
--- a/batch/health.go
+++ b/batch/health.go
@@ -33,8 +33,10 @@
 		return
 	}
 	w.suspect(ref.key())
-	paused := now.Before(w.pausedUntil)
-	if w.probing || (len(w.suspects) >= sickItems && !paused) {
+	switch {
+	case now.Before(w.pausedUntil):
+		entry.refund(run, w)
+	case w.pauseLevel > 0 || len(w.suspects) >= sickItems:
 		s.pause(now, w)
 	}
 }
@@ -71,19 +73,25 @@
 	}
 }
 
-// refund takes back the attempts that items have lost to a sick worker. The
+// refund takes back an attempt that an item has lost to a sick worker. The
 // number of refunds of an item is bounded like its attempts.
-func (s *Scheduler) refund(w *workerEntry) {
+func (e *retryEntry) refund(run *jobRun, w *workerEntry) {
+	if e.failures == 0 || e.refunds >= run.job.GetMaxAttempts() || e.refundedBy == w.id {
+		return
+	}
+	e.failures--
+	e.refunds++
+	e.refundedBy = w.id
+}
+
+func (s *Scheduler) refundSuspects(w *workerEntry) {
 	for _, key := range w.suspects {
 		run, ok := s.jobs.byID[key.jobID]
 		if !ok {
 			continue
 		}
-		entry, ok := run.retries[key.index]
-		if ok && entry.failures > 0 && entry.refunds < run.job.GetMaxAttempts() && entry.refundedBy != w.id {
-			entry.failures--
-			entry.refunds++
-			entry.refundedBy = w.id
+		if entry, ok := run.retries[key.index]; ok {
+			entry.refund(run, w)
 		}
 	}
 }
@@ -95,22 +103,21 @@
 		pause *= 2
 	}
 	w.pauseLevel++
-	s.refund(w)
-	w.probing = false
+	s.refundSuspects(w)
 	w.pausedUntil = now.Add(min(pause, pauseMax))
 	s.stats.WorkersPaused++
 	s.pauseDeadlines.Set(w.id, w.pausedUntil)
 }
 
-// resumeWorkers lets paused workers try one item.
+// resumeWorkers looks at the requests of workers whose pause has ended. Such
+// a worker gets one item at a time until one succeeds.
 func (s *Scheduler) resumeWorkers(now time.Time) {
 	for {
 		id, ok := s.pauseDeadlines.Expire(now)
 		if !ok {
 			return
 		}
-		if w, ok := s.workers.byID[id]; ok && w.pauseLevel > 0 {
-			w.probing = true
+		if _, ok := s.workers.byID[id]; ok {
 			s.workAdded = true
 		}
 	}
@@ -122,7 +129,6 @@
 		return
 	}
 	w.pauseLevel = 0
-	w.probing = false
 	w.pausedUntil = time.Time{}
 	w.suspects = nil
 	s.pauseDeadlines.Remove(w.id)
--- a/batch/jobs.go
+++ b/batch/jobs.go
@@ -61,6 +61,9 @@
 	// recent is set when the job was accepted since this replica leads, so
 	// that no earlier leader can have handed out its items.
 	recent bool
+	// graceFloor is the index from which on no item is likely to be held by
+	// a worker that has not reported yet.
+	graceFloor uint32
 }
 
 // callerShare counts what a caller's jobs have received.
@@ -188,6 +191,24 @@
 	return 0, false
 }
 
+// guessFloor sets graceFloor. Items are handed out in order, so that those in
+// flight lie around the last committed one, about as far beyond it as the
+// open ones reach before it.
+func (r *jobRun) guessFloor() {
+	const (
+		factor = 2
+		least  = 256
+	)
+	last, ok := r.live.settled.last()
+	if !ok {
+		r.graceFloor = min(r.job.GetItems(), least)
+		return
+	}
+	before := last + 1 - r.live.settled.count()
+	floor := uint64(last) + factor*uint64(before) + least
+	r.graceFloor = uint32(min(floor, uint64(r.job.GetItems())))
+}
+
 // giveBack makes an item available again.
 func (r *jobRun) giveBack(index uint32) {
 	if r.settled(index) || len(r.leased[index]) > 0 {
--- a/batch/lead.go
+++ b/batch/lead.go
@@ -11,6 +11,9 @@
 const (
 	retentionInterval = time.Minute
 	maxExpiredJobs    = 64
+	// graceShare is the part of the lease time within which live workers
+	// report to a new leader: they renew more often than that.
+	graceShare = 2
 )
 
 // stepLead starts or stops leading.
@@ -30,7 +33,7 @@
 		return
 	}
 	s.inGrace = true
-	s.graceEnd = now.Add(s.options.LeaseTime)
+	s.graceEnd = now.Add(s.options.LeaseTime / graceShare)
 	s.sweepLater(now)
 	s.nextRetention = now
 }
@@ -49,7 +52,7 @@
 	for _, id := range s.state.liveIDs() {
 		l := s.state.live[id]
 		if l.job.GetState() == pb.JobState_JOB_RUNNING {
-			s.jobs.add(l)
+			s.jobs.add(l).guessFloor()
 			continue
 		}
 		s.receiveDeadlines.Set(id, now.Add(ReceiveTimeout))
--- a/batch/results.go
+++ b/batch/results.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	retryBase     = 500 * time.Millisecond
-	retryMax      = 30 * time.Second
+	retryBase     = 2 * time.Second
+	retryMax      = time.Minute
 	notRunDelay   = 500 * time.Millisecond
 	distinctFails = 2
 )
@@ -109,6 +109,7 @@
 		return
 	}
 	s.itemDeadlines.Set(ref.key(), now.Add(notRunDelay))
+	w.restUntil = now.Add(notRunDelay)
 }
 
 // fail handles a failed run of an idempotent item.
--- a/batch/scheduler.go
+++ b/batch/scheduler.go
@@ -22,7 +22,7 @@
 	// PollTime is when a worker without a full answer asks again.
 	PollTime time.Duration
 	// ParkTime is how long the request of a worker without items waits for
-	// work.
+	// work. It is at most a third of the lease time.
 	ParkTime time.Duration
 	// CommitDelay is how long results wait for others to share a command.
 	CommitDelay time.Duration
@@ -43,6 +43,9 @@
 	defaultChunkItems      = 64
 	defaultRunTime         = 10 * time.Minute
 	defaultSpeculateBefore = time.Minute
+
+	// parksPerLease keeps a waiting request well within its worker's lease.
+	parksPerLease = 3
 )
 
 func (o SchedulerOptions) withDefaults() SchedulerOptions {
@@ -53,6 +56,7 @@
 	setDefault(&o.ChunkItems, defaultChunkItems)
 	setDefault(&o.RunTime, defaultRunTime)
 	setDefault(&o.SpeculateBefore, defaultSpeculateBefore)
+	o.ParkTime = min(o.ParkTime, o.LeaseTime/parksPerLease)
 	return o
 }
 
--- a/batch/workers.go
+++ b/batch/workers.go
@@ -26,7 +26,9 @@
 	score       float64
 	pauseLevel  int
 	pausedUntil time.Time
-	probing     bool
+	// restUntil keeps a worker that gave items back from getting them again
+	// at once.
+	restUntil time.Time
 }
 
 // parkedRequest is a request that has not been answered.
