Add the capacity page, made from measured slopes

Cause: the size to design for has to be compared with what the cores cost, by numbers that can be made again. Change: lab/capacity measures how processor time, bytes and memory of the real cores grow (configuration, spreading, members, entry, sidecar, leases, log, batch; 3 or 4 sizes each, virtual time), fits lines, works out each role's needs and writes docs/CAPACITY.md by briarcross-lab capacity.

--- /dev/null
+++ b/cmd/briarcross-lab/capacity.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/rotisserie/eris"
+
+	"github.com/briarcross/briarcross/lab/capacity"
+)
+
+func capacityCommand() *ffcli.Command {
+	fs := flag.NewFlagSet("capacity", flag.ContinueOnError)
+	seed := fs.Uint64("seed", 1, "seed of all measurements")
+	output := fs.String("output", "docs/CAPACITY.md", "file of the page")
+	return &ffcli.Command{
+		Name:       "capacity",
+		ShortUsage: "briarcross-lab capacity [flags]",
+		ShortHelp:  "measure how the cost of each core grows and write the capacity page",
+		FlagSet:    fs,
+		Options:    options(),
+		Exec: func(context.Context, []string) error {
+			slopes, err := capacity.Measure(*seed, func(part string) {
+				_, _ = fmt.Fprintln(os.Stderr, "capacity: measuring", part)
+			})
+			if err != nil {
+				return err
+			}
+			var page bytes.Buffer
+			if err := capacity.WritePage(&page, *seed, slopes); err != nil {
+				return err
+			}
+			const fileMode = 0o644
+			if err := os.WriteFile(*output, page.Bytes(), fileMode); err != nil {
+				return eris.Wrap(err, "write the page")
+			}
+			for _, need := range capacity.Needs(slopes) {
+				if !need.Fits() {
+					fmt.Printf("capacity: does not fit: %s, %s\n", need.Role, need.Quantity)
+				}
+			}
+			return nil
+		},
+	}
+}
--- a/cmd/briarcross-lab/main.go
+++ b/cmd/briarcross-lab/main.go
@@ -39,6 +39,7 @@
 			serviceCommand(),
 			loadCommand(),
 			benchCommand(),
+			capacityCommand(),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
--- /dev/null
+++ b/lab/capacity/batch.go
@@ -0,0 +1,163 @@
+package capacity
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+
+	"github.com/cockroachdb/pebble/v2/vfs"
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/briarcross/briarcross/batch"
+	"github.com/briarcross/briarcross/kv"
+	"github.com/briarcross/briarcross/pb"
+)
+
+const (
+	// bodyBytes is the size of the body of an item and of its result.
+	bodyBytes  = 1024
+	chunkItems = 256
+	jobID      = "job-0000000000000001"
+)
+
+// batchRun applies the commands of one job to a state on a disk.
+type batchRun struct {
+	store kv.Store
+	// bodyBytes is the size of the bodies of items and results.
+	bodyBytes int
+	state     *batch.State
+	index     uint64
+	logBytes  int
+	applying  meter
+}
+
+func (r *batchRun) apply(command *pb.Command) *pb.CommandResult {
+	command.UnixMs = uint64(epoch.UnixMilli()) + r.index
+	r.logBytes += proto.Size(command)
+	r.index++
+	writes := r.store.NewBatch()
+	result, ok := r.state.Apply(writes, r.index, command)
+	if !ok {
+		panic("capacity: not a batch command")
+	}
+	if err := r.store.Commit(writes, false); err != nil {
+		panic(err)
+	}
+	return result
+}
+
+func (r *batchRun) submit(jobID string, items int) {
+	r.job(r.apply(&pb.Command{Op: &pb.Command_JobBegin{JobBegin: &pb.JobBegin{
+		JobId: jobID, Caller: "forbundet", Key: jobID, Service: "dam-watch", Idempotent: true,
+		DueUnixMs: uint64(epoch.UnixMilli()) + 3_600_000, RetentionMs: 3_600_000, MaxAttempts: 3, Endpoint: "/v1/completions",
+	}}}))
+	body := make([]byte, r.bodyBytes)
+	sequence := uint32(0)
+	for first := 0; first < items; first += chunkItems {
+		chunk := &pb.JobChunk{JobId: jobID, Sequence: sequence}
+		for i := first; i < min(first+chunkItems, items); i++ {
+			chunk.Items = append(chunk.Items, &pb.Item{Index: uint32(i), CustomId: fmt.Sprintf("item-%07d", i), Body: body})
+		}
+		r.job(r.apply(&pb.Command{Op: &pb.Command_JobChunk{JobChunk: chunk}}))
+		sequence++
+	}
+	r.job(r.apply(&pb.Command{Op: &pb.Command_JobAccept{JobAccept: &pb.JobAccept{
+		JobId: jobID, Items: uint32(items), Digest: []byte("digest"),
+	}}}))
+}
+
+func (r *batchRun) job(result *pb.CommandResult) {
+	if result.GetJob().GetError() != pb.JobError_JOB_OK {
+		panic(fmt.Sprintf("capacity: %v", result.GetJob()))
+	}
+}
+
+// settle commits the results of all items from the given one on.
+func (r *batchRun) settle(from, to int) {
+	body := make([]byte, r.bodyBytes)
+	for first := from; first < to; first += chunkItems {
+		commit := &pb.ResultsCommit{}
+		for i := first; i < min(first+chunkItems, to); i++ {
+			commit.Results = append(commit.Results, &pb.ItemResult{
+				JobId: jobID, Index: uint32(i), CustomId: fmt.Sprintf("item-%07d", i),
+				Outcome: pb.ItemOutcome_ITEM_DONE, Status: 200, Body: body, Attempts: 1, FencingNumber: 1,
+			})
+		}
+		result := r.apply(&pb.Command{Op: &pb.Command_ResultsCommit{ResultsCommit: commit}})
+		if int(result.GetResults().GetCommitted()) != len(commit.Results) {
+			panic(fmt.Sprintf("capacity: %v", result.GetResults()))
+		}
+	}
+}
+
+// batchSlopes measures the replicated state of a job by its size.
+func batchSlopes() ([]Slope, error) {
+	cpu := newSlope(BatchCPU, "µs", "items")
+	bytes := newSlope(BatchBytes, "B", "items")
+	memory := newSlope(BatchMemory, "B", "items")
+	for _, items := range []int{10_000, 40_000, 160_000} {
+		if err := measureJob(items, cpu, bytes); err != nil {
+			return nil, err
+		}
+		r := &batchRun{store: kv.NewMemory(), state: batch.NewState()}
+		r.submit(jobID, items)
+		// The last item stays open, so that the job's tables are still there.
+		r.settle(0, items-1)
+		memory.add(float64(items), stateMemory(r.store))
+		runtime.KeepAlive(r)
+	}
+	return append(fit(cpu, bytes, memory), jobSlope()...), nil
+}
+
+func measureJob(items int, cpu, bytes *Slope) error {
+	folder, err := os.MkdirTemp("", "capacity-")
+	if err != nil {
+		return eris.Wrap(err, "capacity: data folder")
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	store, err := kv.OpenDisk(folder, vfs.Default)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = store.Close() }()
+	r := &batchRun{store: store, state: batch.NewState(), bodyBytes: bodyBytes}
+	runtime.GC()
+	r.applying.run(func() {
+		r.submit(jobID, items)
+		r.settle(0, items-1)
+	})
+	cpu.add(float64(items), r.applying.micros())
+	bytes.add(float64(items), float64(r.logBytes))
+	return nil
+}
+
+// stateMemory returns what the state of a store keeps in memory, in bytes.
+func stateMemory(store kv.Store) float64 {
+	const copies = 32
+	states := make([]*batch.State, copies)
+	before := heapBytes()
+	for i := range states {
+		states[i] = batch.NewState()
+		states[i].Restore(store)
+	}
+	used := heapBytes() - before
+	runtime.KeepAlive(states)
+	return used / copies
+}
+
+const smallJobItems = 100
+
+// jobSlope measures the memory of many jobs that run.
+func jobSlope() []Slope {
+	memory := newSlope(JobMemory, "B", "jobs")
+	for _, jobs := range []int{50, 200, 800} {
+		r := &batchRun{store: kv.NewMemory(), state: batch.NewState()}
+		for i := range jobs {
+			r.submit(fmt.Sprintf("job-%05d", i), smallJobItems)
+		}
+		memory.add(float64(jobs), stateMemory(r.store))
+		runtime.KeepAlive(r)
+	}
+	return fit(memory)
+}
--- /dev/null
+++ b/lab/capacity/capacity_test.go
@@ -0,0 +1,56 @@
+package capacity_test
+
+import (
+	"bytes"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/briarcross/briarcross/lab/capacity"
+	"github.com/briarcross/briarcross/lab/experiment"
+)
+
+// slopes returns one unit slope for each name.
+func slopes() []capacity.Slope {
+	names := []string{
+		capacity.SpreadIdleCPU, capacity.SpreadIdleBytes, capacity.SpreadChangeCPU, capacity.SpreadChangeBytes,
+		capacity.SpreadMemory, capacity.SpreadDaemonCPU, capacity.ConfigDocuments, capacity.MemberCPU,
+		capacity.MemberBytes, capacity.MemberMemory, capacity.TableMemory, capacity.AnnouncerCPU,
+		capacity.GateRequest, capacity.GateMemory, capacity.SidecarTokens, capacity.SidecarMemory,
+		capacity.QuorumLeaderCPU, capacity.QuorumBytes, capacity.QuorumIdle, capacity.BatchCPU,
+		capacity.BatchBytes, capacity.BatchMemory, capacity.JobMemory, capacity.LeaseIdleCPU,
+		capacity.LeaseIdleBytes, capacity.WorkerIdleCPU, capacity.SnapshotBytes,
+	}
+	var all []capacity.Slope
+	for _, name := range names {
+		all = append(all, capacity.Slope{Name: name, Fit: experiment.Fit{Slope: 1}})
+	}
+	return all
+}
+
+func TestEverySlopeMatters(t *testing.T) {
+	g := NewWithT(t)
+	base := capacity.Needs(slopes())
+	for i := range slopes() {
+		changed := slopes()
+		changed[i].Fit = experiment.Fit{Slope: 3, Intercept: 5}
+		g.Expect(capacity.Needs(changed)).NotTo(Equal(base), "slope %q has no influence", changed[i].Name)
+	}
+}
+
+func TestPageNamesWhatDoesNotFit(t *testing.T) {
+	g := NewWithT(t)
+	large := slopes()
+	for i := range large {
+		large[i].Fit.Slope = 1e9
+	}
+	var page bytes.Buffer
+	g.Expect(capacity.WritePage(&page, 7, large)).To(Succeed())
+	for _, need := range capacity.Needs(large) {
+		if need.Limit > 0 {
+			g.Expect(need.Fits()).To(BeFalse(), "%s, %s", need.Role, need.Quantity)
+			g.Expect(page.String()).To(ContainSubstring("- **" + need.Role + ", " + need.Quantity + "**"))
+		}
+	}
+	g.Expect(page.String()).To(ContainSubstring("-seed 7"))
+}
--- /dev/null
+++ b/lab/capacity/config.go
@@ -0,0 +1,83 @@
+package capacity
+
+import (
+	"fmt"
+	"runtime"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/briarcross/briarcross/config"
+	"github.com/briarcross/briarcross/kv"
+	"github.com/briarcross/briarcross/pb"
+)
+
+const configChanges = 2000
+
+// configSlopes measures whether a change costs more in a larger configuration.
+func configSlopes() []Slope {
+	cpu := newSlope(ConfigDocuments, "µs a change", "documents")
+	snapshot := newSlope(SnapshotBytes, "B", "documents")
+	for _, documents := range []int{10, 100, 1000, 10_000} {
+		store := kv.NewMemory()
+		for i := range documents {
+			changeProfile(store, i, 0, uint64(i))
+		}
+		revision := uint64(documents)
+		revisions := make([]uint64, documents)
+		for i := range revisions {
+			revisions[i] = uint64(i + 1)
+		}
+		var accepting meter
+		runtime.GC()
+		accepting.run(func() {
+			for i := range configChanges {
+				row := i % documents
+				changeProfile(store, row, revisions[row], revision)
+				revision++
+				revisions[row] = revision
+			}
+		})
+		cpu.add(float64(documents), accepting.micros()/configChanges)
+		update := config.State{}.UpdateSince(store, 0)
+		snapshot.add(float64(documents), float64(proto.Size(update)))
+	}
+	return fit(cpu, snapshot)
+}
+
+// changeProfile writes one profile and what a daemon one revision behind gets.
+func changeProfile(store kv.Store, row int, expected, revision uint64) {
+	var state config.State
+	document := profileDocument(fmt.Sprintf("profile-%05d", row), uint32(revision%7))
+	batch := store.NewBatch()
+	result := state.Change(batch, &pb.ConfigChange{
+		ChangeId: fmt.Sprint("change-", revision), Operator: "operator",
+		Ops: []*pb.ConfigOp{{Op: &pb.ConfigOp_Put{Put: document}, ExpectedRevision: expected}},
+	}, uint64(epoch.UnixMilli()))
+	if result.GetOutcome() != pb.ChangeOutcome_CHANGE_ACCEPTED {
+		panic(fmt.Sprintf("capacity: change after revision %d: %v", revision, result))
+	}
+	if err := store.Commit(batch, false); err != nil {
+		panic(err)
+	}
+	if update := state.UpdateSince(store, revision); len(update.GetDocuments()) != 1 {
+		panic(fmt.Sprintf("capacity: update after revision %d has %d documents", revision, len(update.GetDocuments())))
+	}
+}
+
+// profileTemplate is a profile with the defaults of its schema.
+var profileTemplate = parseProfile()
+
+func parseProfile() *pb.Document {
+	documents, err := config.Parse("template", []byte("kind: Profile\nname: template\nspec: {class: online}\n"))
+	if err != nil {
+		panic(err)
+	}
+	return documents[0]
+}
+
+func profileDocument(name string, priority uint32) *pb.Document {
+	document := proto.Clone(profileTemplate).(*pb.Document)
+	document.GetProfile().Name = name
+	document.GetProfile().Priority = priority
+	return document
+}
--- /dev/null
+++ b/lab/capacity/gate.go
@@ -0,0 +1,106 @@
+package capacity
+
+import (
+	"fmt"
+	"runtime"
+	"time"
+
+	"github.com/briarcross/briarcross/gate"
+	"github.com/briarcross/briarcross/pb"
+)
+
+const (
+	gateRequests  = 20_000
+	gateGap       = 500 * time.Microsecond
+	gateTickEvery = 20
+	// requestsPerMember keeps the members below their windows.
+	requestsPerMember = 20
+)
+
+// gateProfiles gives one profile for every service.
+type gateProfiles struct{ profile *pb.Profile }
+
+// ProfileOf implements gate.Profiles.
+func (p gateProfiles) ProfileOf(service string) (*pb.Service, *pb.Profile, *pb.Profile, bool) {
+	return &pb.Service{Name: service}, p.profile, nil, true
+}
+
+func newGate(seed uint64, members int) *gate.Gate {
+	profile := &pb.Profile{
+		FirstTokenMs: 350, BetweenTokensMs: 66, DueMs: 60_000, QueueMs: 1000,
+		MaxAttempts: 3, RetryBudgetPermille: 100, HarmPermille: 50,
+	}
+	g := gate.New(gate.Options{DataCentre: "lulea", Seed: seed})
+	g.Step(epoch, gate.Config{Table: gateProfiles{profile}})
+	g.Step(epoch, gate.Ready{Ready: true})
+	for i := range members {
+		g.Step(epoch, gate.MemberChanged{Member: &pb.Member{
+			Id: fmt.Sprintf("sidecar-%05d", i), Incarnation: 1, Version: 1, Address: address(i),
+			DataCentre: "lulea", Services: []string{"dam-watch"}, State: pb.MemberState_MEMBER_SERVING,
+			Load: &pb.Load{Window: 32},
+		}})
+	}
+	return g
+}
+
+func gateRequest(i int) gate.Request {
+	return gate.Request{
+		ID: fmt.Sprintf("request-%07d", i), Caller: fmt.Sprintf("caller-%d", i%100), Service: "dam-watch",
+		Idempotent: true, PromptTokens: 400, MaxTokens: 64,
+		Prefix: []uint64{uint64(i % 50), uint64(i%50) + 1000, uint64(i)},
+	}
+}
+
+// decide brings a request and returns the attempt that the gate opens.
+func decide(g *gate.Gate, now time.Time, request gate.Request) gate.Send {
+	g.Step(now, gate.Arrive{Request: request})
+	for _, out := range g.Drain() {
+		if send, ok := out.(gate.Send); ok {
+			return send
+		}
+	}
+	panic("capacity: the gate did not send " + request.ID)
+}
+
+// gateSlopes measures the decisions of an entry.
+func gateSlopes(seed uint64) []Slope {
+	cpu := newSlope(GateRequest, "µs a request", "members")
+	memory := newSlope(GateMemory, "B", "requests in flight")
+	for _, members := range []int{10, 40, 160, 640} {
+		g := newGate(seed, members)
+		var deciding meter
+		runtime.GC()
+		deciding.run(func() { runGate(g) })
+		cpu.add(float64(members), deciding.micros()/gateRequests)
+	}
+	for _, requests := range []int{1000, 4000, 16_000} {
+		g := newGate(seed, requests/requestsPerMember)
+		before := heapBytes()
+		for i := range requests {
+			decide(g, epoch, gateRequest(i))
+		}
+		memory.add(float64(requests), heapBytes()-before)
+		runtime.KeepAlive(g)
+	}
+	return fit(cpu, memory)
+}
+
+// runGate carries requests through their whole life.
+func runGate(g *gate.Gate) {
+	now := epoch
+	for i := range gateRequests {
+		now = now.Add(gateGap)
+		send := decide(g, now, gateRequest(i))
+		g.Step(now, gate.FirstByte{ID: send.ID, Attempt: send.Attempt})
+		g.Drain()
+		g.Step(now, gate.Ended{
+			ID: send.ID, Attempt: send.Attempt, Outcome: pb.Outcome_OUTCOME_DONE, Relayed: true, Tokens: 64,
+			Load: &pb.Load{Window: 32, FirstTokenUs: 90_000, BetweenTokensUs: 12_000},
+		})
+		g.Drain()
+		if i%gateTickEvery == 0 {
+			g.Tick(now)
+			g.Drain()
+		}
+	}
+}
--- /dev/null
+++ b/lab/capacity/meter.go
@@ -0,0 +1,66 @@
+package capacity
+
+import (
+	"runtime"
+	"syscall"
+	"time"
+
+	"github.com/briarcross/briarcross/lab/experiment"
+)
+
+// meter sums the processor time of one part of a measurement, garbage
+// collection included. Nothing else may run in the process.
+type meter struct{ used time.Duration }
+
+func (m *meter) run(part func()) {
+	before := processTime()
+	part()
+	m.used += processTime() - before
+}
+
+func (m *meter) micros() float64 { return float64(m.used) / float64(time.Microsecond) }
+
+func processTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		panic(err) // The arguments are constant and valid.
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// heapBytes returns the live heap after a collection.
+func heapBytes() float64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc)
+}
+
+// Slope is how one cost grows with one size.
+type Slope struct {
+	Name  string
+	XUnit string
+	YUnit string
+	X, Y  []float64
+	Fit   experiment.Fit
+}
+
+func newSlope(name, yUnit, xUnit string) *Slope {
+	return &Slope{Name: name, XUnit: xUnit, YUnit: yUnit}
+}
+
+func (s *Slope) add(x, y float64) {
+	s.X = append(s.X, x)
+	s.Y = append(s.Y, y)
+}
+
+// fit fits all slopes and returns them.
+func fit(slopes ...*Slope) []Slope {
+	var fitted []Slope
+	for _, s := range slopes {
+		s.Fit = experiment.FitLine(s.X, s.Y)
+		fitted = append(fitted, *s)
+	}
+	return fitted
+}
--- /dev/null
+++ b/lab/capacity/names.go
@@ -0,0 +1,32 @@
+package capacity
+
+// Names of the slopes.
+const (
+	SpreadIdleCPU     = "control: processor time for idle watchers"
+	SpreadIdleBytes   = "control: bytes for idle watchers"
+	SpreadChangeCPU   = "control: processor time of a change"
+	SpreadChangeBytes = "control: bytes of a change"
+	SpreadMemory      = "control: memory for watchers"
+	SpreadDaemonCPU   = "daemon: processor time to follow the configuration, all daemons"
+	ConfigDocuments   = "control: processor time to accept a change, by documents"
+	MemberCPU         = "entry: processor time for announced members"
+	MemberBytes       = "entry: bytes for announced members, one registrar"
+	MemberMemory      = "entry: memory of the registrar"
+	TableMemory       = "entry: memory of the member table"
+	AnnouncerCPU      = "sidecar: processor time to announce, all sidecars"
+	GateRequest       = "entry: processor time of a decision, by members"
+	GateMemory        = "entry: memory of requests in flight"
+	SidecarTokens     = "sidecar: processor time of a request, by tokens"
+	SidecarMemory     = "sidecar: memory of queued and running requests"
+	QuorumLeaderCPU   = "control: leader's processor time of an append, by commands"
+	QuorumBytes       = "control: bytes of an append to both followers, by commands"
+	QuorumIdle        = "control: bytes of an idle group, by seconds"
+	BatchCPU          = "control: processor time to accept and settle items"
+	BatchBytes        = "control: log bytes of items"
+	BatchMemory       = "control: memory of a job, by items"
+	JobMemory         = "control: memory of jobs of 100 items"
+	LeaseIdleCPU      = "control: processor time for idle workers"
+	LeaseIdleBytes    = "control: bytes for idle workers"
+	WorkerIdleCPU     = "sidecar: processor time to ask for items, all sidecars"
+	SnapshotBytes     = "control: bytes of a configuration snapshot, by documents"
+)
--- /dev/null
+++ b/lab/capacity/needs.go
@@ -0,0 +1,204 @@
+package capacity
+
+import "github.com/briarcross/briarcross/lab/experiment"
+
+// Need is one thing that a role needs at the size to design for.
+type Need struct {
+	Role     string
+	Quantity string
+	// Formula tells how the value follows from slopes and sizes.
+	Formula string
+	Value   float64
+	Unit    string
+	// Limit is zero when none is stated.
+	Limit     float64
+	Mechanism string
+	// Remedy tells what would make it fit.
+	Remedy string
+}
+
+// Fits reports whether the value keeps the limit.
+func (n Need) Fits() bool { return n.Limit == 0 || n.Value <= n.Limit }
+
+// fits gives the fitted line of a slope by name.
+type fits map[string]experiment.Fit
+
+func byName(slopes []Slope) fits {
+	table := make(fits, len(slopes))
+	for _, s := range slopes {
+		table[s.Name] = s.Fit
+	}
+	return table
+}
+
+// Rates of the size to design for, in events a second.
+const (
+	changeRate  = float64(ChangesDay) / secondsDay
+	itemRate    = float64(ItemsDay) / secondsDay
+	jobsLive    = float64(JobsDay) * JobHours / 24
+	itemsOfJob  = float64(ItemsDay) / JobsDay
+	microsecond = 1e-6
+)
+
+// Needs works out all needs from the slopes.
+func Needs(slopes []Slope) []Need {
+	f := byName(slopes)
+	needs := controlNeeds(f)
+	needs = append(needs, batchNeeds(f)...)
+	needs = append(needs, entryNeeds(f)...)
+	return append(needs, sidecarNeeds(f)...)
+}
+
+func controlNeeds(f fits) []Need {
+	const role = "control, configuration"
+	watchers := float64(Daemons) / Voters
+	change := f[SpreadChangeCPU].At(watchers) + f[ConfigDocuments].At(Documents) + f[QuorumLeaderCPU].At(1)
+	cpu := (f[SpreadIdleCPU].At(watchers) + changeRate*change) * microsecond
+	watching := watchers * (f[SpreadIdleBytes].Slope + changeRate*f[SpreadChangeBytes].Slope)
+	group := f[QuorumIdle].Slope + changeRate*f[QuorumBytes].At(1)
+	spread := float64(Daemons)/ControlVMs*(f[SpreadIdleBytes].Slope+changeRate*f[SpreadChangeBytes].Slope) + group
+	return []Need{
+		{
+			Role: role, Quantity: "processor", Value: cpu, Unit: "core", Limit: LimitCPU,
+			Formula:   "one of 3 replicas with 867 watchers; 0.38 changes a second",
+			Mechanism: "group commit, deltas by revision, expiry heaps",
+		},
+		{
+			Role: role, Quantity: "bytes a second, 3 replicas serve all", Value: watching + group, Unit: "B/s", Limit: LimitBytes,
+			Formula:   "867 watchers, heartbeats and changes; log heartbeats and appends of the leader",
+			Mechanism: "deltas by revision; heartbeats of 5 s",
+			Remedy:    "let learners in the other control VMs serve watchers, and send a change once to each data centre and from there on",
+		},
+		{
+			Role: role, Quantity: "bytes a second, 54 VMs share the watchers", Value: spread, Unit: "B/s", Limit: LimitBytes,
+			Formula:   "48 watchers on each; log heartbeats and appends of the leader",
+			Mechanism: "not built: learners do not serve watchers yet",
+			Remedy:    "slower heartbeats of the log (100 ms now) and of watchers (5 s now)",
+		},
+		{
+			Role: role, Quantity: "memory of tables", Unit: "B", Limit: LimitMemory,
+			Value:     f[SpreadMemory].At(watchers) + f[SnapshotBytes].At(Documents),
+			Formula:   "867 watchers; 5,400 documents are on disk, counted once for the page cache",
+			Mechanism: "documents in the key-value store, not in memory",
+		},
+		{
+			Role: role, Quantity: "configuration snapshot for a restarted daemon", Unit: "B",
+			Value: f[SnapshotBytes].At(Documents), Formula: "5,400 documents",
+			Mechanism: "snapshot only when the history does not reach back",
+		},
+	}
+}
+
+func batchNeeds(f fits) []Need {
+	const role = "control, batch"
+	const groups = ControlVMs / Voters
+	cpu := (itemRate*f[BatchCPU].Slope + Sidecars*f[LeaseIdleCPU].Slope) * microsecond
+	log := itemRate * f[BatchBytes].Slope * (Voters - 1)
+	leases := Sidecars * f[LeaseIdleBytes].Slope
+	return []Need{
+		{
+			Role: role, Quantity: "processor of the leader, one group", Value: cpu, Unit: "core", Limit: LimitCPU,
+			Formula:   "197 items a second accepted and settled in chunks of 256, 2,500 sidecars asking",
+			Mechanism: "256 items a command; leases in the leader's memory",
+		},
+		{
+			Role: role, Quantity: "bytes a second of the leader, one group", Value: log + leases, Unit: "B/s", Limit: LimitBytes,
+			Formula:   "197 items a second with bodies of 1 KiB each way to two followers; 2,500 sidecars asking",
+			Mechanism: "group commit; parked requests of idle sidecars",
+			Remedy:    "batch groups for each region (the group ID is in every message and key), and bodies outside the log",
+		},
+		{
+			Role: role, Quantity: "bytes a second of the leader, 18 groups", Value: (log + leases) / groups, Unit: "B/s", Limit: LimitBytes,
+			Formula:   "the same, shared by 18 groups of 3 on 54 VMs",
+			Mechanism: "not built: one group today",
+			Remedy:    "bodies outside the log; the item bodies alone exceed the limit on 54 VMs, so they have to count as data, not control",
+		},
+		{
+			Role: role, Quantity: "memory of live jobs, one group", Unit: "B", Limit: LimitMemory,
+			Value:     jobsLive * (f[JobMemory].Slope + itemsOfJob*f[BatchMemory].Slope),
+			Formula:   "18,333 live jobs of 309 items (8 h)",
+			Mechanism: "a summary and two bitmaps for each live job",
+		},
+		{
+			Role: role, Quantity: "memory of the largest job", Unit: "B", Limit: LimitMemory,
+			Value: f[BatchMemory].At(LargestJob), Formula: "970,000 items",
+			Mechanism: "two bitmaps; items and results on disk",
+		},
+	}
+}
+
+func entryNeeds(f fits) []Need {
+	const role = "entry"
+	held := float64(Sidecars) * Registrars / Entries
+	announced := held * f[MemberBytes].Slope
+	subscriptions := 2 * Entries * f[MemberBytes].Intercept
+	following := f[SpreadIdleBytes].Slope + changeRate*f[SpreadChangeBytes].Slope
+	requests := float64(RequestsSecond) / Entries
+	candidates := float64(Sidecars) / Models
+	decision := func(members float64) float64 { return requests * f[GateRequest].At(members) * microsecond }
+	return []Need{
+		{
+			Role: role, Quantity: "processor for members", Unit: "core", Limit: LimitCPU,
+			Value:     f[MemberCPU].At(held) * microsecond,
+			Formula:   "registrar of 163 sidecars (2,500 × 3 / 46)",
+			Mechanism: "rendezvous hashing over registrars, deltas by version",
+		},
+		{
+			Role: role, Quantity: "bytes a second for members", Unit: "B/s", Limit: LimitBytes,
+			Value:     announced + subscriptions + following,
+			Formula:   "163 members announced each second; 46 registrars followed and 46 entries served; configuration",
+			Mechanism: "heartbeats of 1 s to 3 registrars; each entry follows every registrar",
+			Remedy:    "registrars for each data centre (two entries) in place of all 46, and heartbeats of 5 s with leave messages repeated",
+		},
+		{
+			Role: role, Quantity: "processor for decisions, all members of a service", Unit: "core", Limit: LimitCPU,
+			Value:     decision(candidates),
+			Formula:   "2,391 requests a second, 278 members for each of 9 models",
+			Mechanism: "the choice looks at every member of the service",
+			Remedy:    "a deterministic subset for each entry and service, as in the row below, or a choice that samples the members",
+		},
+		{
+			Role: role, Quantity: "processor for decisions, subset of 40", Unit: "core", Limit: LimitCPU,
+			Value:     decision(Subset),
+			Formula:   "2,391 requests a second, 40 members",
+			Mechanism: "not built: an entry works with every member of a service",
+		},
+		{
+			Role: role, Quantity: "memory of tables", Unit: "B", Limit: LimitMemory,
+			Value: Sidecars*f[TableMemory].Slope + held*f[MemberMemory].Slope +
+				requests*RequestSeconds*f[GateMemory].Slope + f[SnapshotBytes].At(Documents),
+			Formula:   "2,500 members, 163 announced, 31,087 requests in flight (13 s each), 5,400 documents",
+			Mechanism: "one table row for each; bodies and buffers of requests are not counted",
+		},
+	}
+}
+
+func sidecarNeeds(f fits) []Need {
+	const role = "sidecar"
+	requests := float64(RequestsSecond) / Sidecars
+	tokens := float64(TokensSecond) / Sidecars
+	control := Registrars*f[AnnouncerCPU].Slope + f[SpreadDaemonCPU].Slope + f[WorkerIdleCPU].Slope
+	deciding := requests*f[SidecarTokens].Intercept + tokens*f[SidecarTokens].Slope
+	const queued = 256 * Engines / Sidecars
+	return []Need{
+		{
+			Role: role, Quantity: "processor", Unit: "core", Limit: LimitCPU,
+			Value:     (control + deciding) * microsecond,
+			Formula:   "announcing, following, asking; 44 requests and 11,600 tokens a second through the core",
+			Mechanism: "every token costs one table update and no scan",
+		},
+		{
+			Role: role, Quantity: "bytes a second", Unit: "B/s", Limit: LimitBytes,
+			Value: Registrars*f[MemberBytes].Slope + f[SpreadIdleBytes].Slope +
+				changeRate*f[SpreadChangeBytes].Slope + f[LeaseIdleBytes].Slope,
+			Formula:   "3 registrars each second, configuration, asking for items",
+			Mechanism: "short datagrams; changes as deltas; parked requests",
+		},
+		{
+			Role: role, Quantity: "memory of tables", Unit: "B", Limit: LimitMemory,
+			Value:     queued*f[SidecarMemory].Slope + f[SnapshotBytes].At(Documents),
+			Formula:   "4 full queues of 256 requests, 5,400 documents",
+			Mechanism: "one table row for each request; bodies are not counted",
+		},
+	}
+}
--- /dev/null
+++ b/lab/capacity/sidecar.go
@@ -0,0 +1,93 @@
+package capacity
+
+import (
+	"fmt"
+	"runtime"
+	"time"
+
+	"github.com/briarcross/briarcross/pb"
+	"github.com/briarcross/briarcross/sidecar"
+)
+
+const (
+	sidecarStreams  = 32
+	sidecarRequests = 9600
+	tokenGap        = 12 * time.Millisecond
+)
+
+func newSidecar(window int) *sidecar.Sidecar {
+	return sidecar.New(sidecar.Options{
+		Incarnation: 1, Services: []string{"dam-watch"},
+		InitialWindow: window, MinWindow: window, MaxWindow: window, MaxQueue: 1 << 20,
+	})
+}
+
+func sidecarWork(i int) sidecar.Work {
+	return sidecar.Work{
+		ID:    sidecar.ID{Request: fmt.Sprintf("request-%07d", i), Attempt: 1},
+		Class: sidecar.Online, Service: "dam-watch", Caller: "caller", PromptTokens: 400, MaxTokens: 64,
+		FirstToken: 350 * time.Millisecond, BetweenTokens: 66 * time.Millisecond, Idempotent: true,
+		Prefix: []uint64{uint64(i % 50), uint64(i)}, HarmPermille: 50,
+	}
+}
+
+// sidecarSlopes measures the work of a sidecar's core.
+func sidecarSlopes() []Slope {
+	cpu := newSlope(SidecarTokens, "µs a request", "tokens")
+	memory := newSlope(SidecarMemory, "B", "requests")
+	for _, tokens := range []int{8, 32, 128, 512} {
+		var working meter
+		runtime.GC()
+		working.run(func() { runSidecar(tokens) })
+		cpu.add(float64(tokens), working.micros()/sidecarRequests)
+	}
+	for _, requests := range []int{1000, 4000, 16_000} {
+		s := newSidecar(sidecarStreams)
+		before := heapBytes()
+		for i := range requests {
+			s.Step(epoch, sidecar.Submit{Work: sidecarWork(i)})
+		}
+		s.Drain()
+		memory.add(float64(requests), heapBytes()-before)
+		runtime.KeepAlive(s)
+	}
+	return fit(cpu, memory)
+}
+
+// runSidecar carries requests through their whole life, a full window at a
+// time, with one step of the engine for each token.
+func runSidecar(tokens int) {
+	s := newSidecar(sidecarStreams)
+	now := epoch
+	for first := 0; first < sidecarRequests; first += sidecarStreams {
+		for i := range sidecarStreams {
+			s.Step(now, sidecar.Submit{Work: sidecarWork(first + i)})
+		}
+		started := startedIDs(s.Drain())
+		if len(started) != sidecarStreams {
+			panic(fmt.Sprintf("capacity: the sidecar started %d of %d requests", len(started), sidecarStreams))
+		}
+		for range tokens {
+			now = now.Add(tokenGap)
+			for _, id := range started {
+				s.Step(now, sidecar.Tokens{ID: id, Count: 1})
+			}
+			s.Tick(now)
+			s.Drain()
+		}
+		for _, id := range started {
+			s.Step(now, sidecar.Ended{ID: id, Outcome: pb.Outcome_OUTCOME_DONE})
+		}
+		s.Drain()
+	}
+}
+
+func startedIDs(outputs []sidecar.Output) []sidecar.ID {
+	var ids []sidecar.ID
+	for _, out := range outputs {
+		if start, ok := out.(sidecar.Start); ok {
+			ids = append(ids, start.ID)
+		}
+	}
+	return ids
+}
--- /dev/null
+++ b/lab/capacity/size.go
@@ -0,0 +1,58 @@
+package capacity
+
+// The size to design for.
+const (
+	Daemons        = 2600
+	Engines        = 10_000
+	ControlVMs     = 54
+	RequestsSecond = 110_000
+	TokensSecond   = 29_000_000
+	ItemsDay       = 17_000_000
+	JobsDay        = 55_000
+	LargestJob     = 970_000
+	Customers      = 2700
+	Models         = 9
+	Regions        = 7
+	DataCentres    = 27
+	ChangesDay     = 33_000
+	LostVMsDay     = 100
+	RestartsDay    = 1100
+)
+
+// Limits of what a daemon may spend on control.
+const (
+	// LimitCPU is a share of one core.
+	LimitCPU = 0.049
+	// LimitMemory is in bytes.
+	LimitMemory = 32 << 20
+	// LimitBytes is in bytes a second, both ways together.
+	LimitBytes = 3 << 10
+	// LimitInForce is the time until a change is in force, in seconds.
+	LimitInForce = 17
+)
+
+// What the size does not state and the page assumes.
+const (
+	secondsDay = 86_400
+	// Sidecars each stand before four engines of one VM.
+	Sidecars = 2500
+	// Entries are the daemons that are neither sidecars nor control.
+	Entries = Daemons - Sidecars - ControlVMs
+	// Documents are one service and one profile for each customer.
+	Documents = 2 * Customers
+	// JobHours is the time for which a job is live.
+	JobHours = 8
+	// Voters form a group of control replicas.
+	Voters = 3
+	// Registrars hold each member.
+	Registrars = 3
+	// RequestSeconds is the mean time of a request: 264 tokens at 50 ms.
+	RequestSeconds = 13
+	// Subset is the number of members that an entry would work with for each
+	// service.
+	Subset = 40
+	// RackVMs share a rack or a switch.
+	RackVMs = 40
+	// LeaseSeconds is the configuration lease of package spread.
+	LeaseSeconds = 25
+)
