Join writes of one connection; let a cold sidecar take a burst

Cause: per token one header and one body write a hop, and the core's loop was woken for each token; 200 callers on four idle cold engines: 282 of 400 requests refused as overloaded by windows that still stood at 8. Change: coalescing connection under yamux; tokens after the first reach the core with the next tick; a window that has seen no overload counts with its maximum and probes every 50 ms.

--- a/devd/devd.go
+++ b/devd/devd.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -334,6 +335,15 @@
 	return "http://" + c.addrs.controlHTTP[i]
 }
 
+// HTTPURLs returns the base URLs of all daemons' HTTP interfaces.
+func (c *Cluster) HTTPURLs() []string {
+	var urls []string
+	for _, address := range slices.Concat(c.addrs.controlHTTP, c.addrs.entryHTTP, c.addrs.sidecarHTTP) {
+		urls = append(urls, "http://"+address)
+	}
+	return urls
+}
+
 // Faults delivers an error after which the process must stop.
 func (c *Cluster) Faults() <-chan error {
 	return c.faults
--- a/loop/loop.go
+++ b/loop/loop.go
@@ -49,6 +49,16 @@
 	l.PostThen(in, nil)
 }
 
+// PostLazy queues an input like Post, but does not wake the loop: the input is
+// handled with the next one, at the latest with the next tick.
+func (l *Loop[In, Out]) PostLazy(in In) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.closed {
+		l.inputs = append(l.inputs, queued[In]{in: in})
+	}
+}
+
 // PostThen queues an input like Post and calls after on the loop's goroutine
 // once the outputs of that input have been carried out. It reports false, and
 // never calls after, when the loop is closed.
@@ -118,27 +128,34 @@
 	for {
 		select {
 		case <-ticker.C:
+			spare = l.handleQueued(spare)
 			// The ticker's own time may lie before that of the last Step.
 			l.core.Tick(time.Now())
 			l.deliver()
 		case <-l.wake:
-			inputs, calls, closed := l.take(spare)
-			l.handle(inputs, calls)
-			if closed {
-				return
-			}
-			clear(inputs)
-			spare = inputs[:0]
+			spare = l.handleQueued(spare)
+		}
+		if l.isClosed() {
+			return
 		}
 	}
 }
 
-func (l *Loop[In, Out]) take(spare []queued[In]) ([]queued[In], []func(), bool) {
+func (l *Loop[In, Out]) isClosed() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.closed && len(l.inputs) == 0 && len(l.calls) == 0
+}
+
+// handleQueued handles what is queued and returns a slice to reuse.
+func (l *Loop[In, Out]) handleQueued(spare []queued[In]) []queued[In] {
+	l.mu.Lock()
 	inputs, calls := l.inputs, l.calls
 	l.inputs, l.calls = spare, nil
-	return inputs, calls, l.closed
+	l.mu.Unlock()
+	l.handle(inputs, calls)
+	clear(inputs)
+	return inputs[:0]
 }
 
 func (l *Loop[In, Out]) handle(inputs []queued[In], calls []func()) {
--- a/sidecar/admit.go
+++ b/sidecar/admit.go
@@ -48,7 +48,7 @@
 	if ahead < free {
 		return 0
 	}
-	places := time.Duration(s.window.size)
+	places := time.Duration(s.window.attainable())
 	return s.latency.hold.value * time.Duration(ahead-max(free, 0)+1) / places
 }
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -153,7 +153,7 @@
 		RunningOnline:   uint32(s.streams.online),
 		RunningBatch:    uint32(s.streams.batch()),
 		QueuedOnline:    uint32(s.online.len()),
-		Window:          uint32(s.window.size),
+		Window:          uint32(s.window.attainable()),
 		FirstTokenUs:    uint32(s.latency.firstToken.value.Microseconds()),
 		BetweenTokensUs: uint32(s.latency.between.value.Microseconds()),
 	}
--- a/sidecar/window.go
+++ b/sidecar/window.go
@@ -34,6 +34,10 @@
 	windowPeriod = 250 * time.Millisecond
 	// windowSamples is the least number of samples for a change.
 	windowSamples = 32
+	// probePeriod and probeSamples take their place until the first sign of
+	// overload.
+	probePeriod  = 50 * time.Millisecond
+	probeSamples = 8
 	// windowLate and windowGood are the shares of samples beyond their targets
 	// above which the window shrinks and below which it may grow.
 	windowLate = 0.05
@@ -90,10 +94,14 @@
 // adapt changes the window by the samples of the last period.
 func (w *window) adapt(now time.Time, running int, waiting bool) {
 	w.full = w.full || running >= w.size || waiting
-	if now.Sub(w.changed) < windowPeriod {
+	period, samples := windowPeriod, windowSamples
+	if w.probing {
+		period, samples = probePeriod, probeSamples
+	}
+	if now.Sub(w.changed) < period {
 		return
 	}
-	if w.samples > 0 && w.samples < windowSamples {
+	if w.samples > 0 && w.samples < samples {
 		return
 	}
 	late := float64(w.late) / float64(max(w.samples, 1))
@@ -109,6 +117,15 @@
 	w.changed = now
 }
 
+// attainable is the size that the window may soon have. An engine that has shown
+// no sign of overload is not judged by the size from which the window starts.
+func (w *window) attainable() int {
+	if w.probing {
+		return w.maximum
+	}
+	return w.size
+}
+
 func (w *window) growth() int {
 	if w.probing {
 		return w.size
--- a/sidecard/run.go
+++ b/sidecard/run.go
@@ -28,7 +28,7 @@
 	client engine.Client
 	answer answer
 	ended  func(*run, engine.Result)
-	tokens func(sidecar.ID, int)
+	tokens func(id sidecar.ID, count int, first bool)
 
 	mu      sync.Mutex
 	request engine.Request
@@ -36,6 +36,8 @@
 	stopped bool
 	paused  bool
 	waiting bool
+	// started tells that the present engine call has given a token.
+	started bool
 	emitted int
 }
 
@@ -47,6 +49,7 @@
 	r.stopped = false
 	r.paused = false
 	r.waiting = false
+	r.started = false
 	r.cancel = cancel
 	if resume {
 		r.request.ResumeFrom = r.emitted
@@ -69,9 +72,11 @@
 func (r *run) sink(part engine.Part) error {
 	if data, ok := part.(engine.Data); ok && data.Tokens > 0 {
 		r.mu.Lock()
+		first := !r.started
+		r.started = true
 		r.emitted += data.Tokens
 		r.mu.Unlock()
-		r.tokens(r.id, data.Tokens)
+		r.tokens(r.id, data.Tokens, first)
 	}
 	return r.answer.part(part)
 }
--- a/sidecard/sidecard.go
+++ b/sidecard/sidecard.go
@@ -193,12 +193,21 @@
 		answer:  a,
 		request: request,
 		ended:   d.runEnded,
-		tokens: func(id sidecar.ID, count int) {
-			d.core.Post(sidecar.Tokens{ID: id, Count: count})
-		},
+		tokens:  d.reportTokens,
 	}
 }
 
+// reportTokens tells the core of new tokens. The first token is reported at
+// once; later ones may wait for the next tick.
+func (d *Daemon) reportTokens(id sidecar.ID, count int, first bool) {
+	report := sidecar.Tokens{ID: id, Count: count}
+	if first {
+		d.core.Post(report)
+		return
+	}
+	d.core.PostLazy(report)
+}
+
 // runEnded tells the core that an engine call is over and ends the answer,
 // unless the core keeps the run to start it again.
 func (d *Daemon) runEnded(r *run, result engine.Result) {
--- a/transport/client.go
+++ b/transport/client.go
@@ -147,7 +147,7 @@
 	if err := writePreface(conn, class); err != nil {
 		return nil, roles, err
 	}
-	session, err := yamux.Client(conn, sessionConfig())
+	session, err := yamux.Client(newCoalescingConn(conn), sessionConfig())
 	return session, roles, eris.Wrap(err, "start session")
 }
 
--- /dev/null
+++ b/transport/coalesce.go
@@ -0,0 +1,91 @@
+package transport
+
+import (
+	"net"
+	"sync"
+)
+
+// maxPendingBytes bounds what waits to be written to one connection; a writer
+// that meets the bound blocks.
+const maxPendingBytes = 256 << 10
+
+// coalescingConn joins the writes that arrive while an earlier write is under
+// way into one, since the session writes a header and a body for each frame of
+// each stream.
+type coalescingConn struct {
+	net.Conn
+
+	mu      sync.Mutex
+	changed *sync.Cond
+	pending []byte
+	spare   []byte
+	err     error
+}
+
+func newCoalescingConn(inner net.Conn) *coalescingConn {
+	c := &coalescingConn{Conn: inner}
+	c.changed = sync.NewCond(&c.mu)
+	go c.flush()
+	return c
+}
+
+// Write implements net.Conn. An error of the connection is returned by a later
+// call.
+func (c *coalescingConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.err == nil && len(c.pending) > maxPendingBytes {
+		c.changed.Wait()
+	}
+	if c.err != nil {
+		return 0, c.err
+	}
+	c.pending = append(c.pending, p...)
+	c.changed.Broadcast()
+	return len(p), nil
+}
+
+// flush writes what is pending until the connection fails or is closed.
+func (c *coalescingConn) flush() {
+	for {
+		data, ok := c.take()
+		if !ok {
+			return
+		}
+		if _, err := c.Conn.Write(data); err != nil {
+			c.fail(err)
+			return
+		}
+	}
+}
+
+func (c *coalescingConn) take() ([]byte, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.err == nil && len(c.pending) == 0 {
+		c.changed.Wait()
+	}
+	if c.err != nil {
+		return nil, false
+	}
+	data := c.pending
+	c.pending = c.spare[:0]
+	c.spare = data
+	c.changed.Broadcast()
+	return data, true
+}
+
+func (c *coalescingConn) fail(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.err == nil {
+		c.err = err
+	}
+	c.changed.Broadcast()
+}
+
+// Close implements net.Conn. What is pending is dropped.
+func (c *coalescingConn) Close() error {
+	c.fail(net.ErrClosed)
+	return c.Conn.Close()
+}
--- a/transport/server.go
+++ b/transport/server.go
@@ -96,7 +96,7 @@
 	if err := conn.SetReadDeadline(time.Time{}); err != nil {
 		return
 	}
-	session, err := yamux.Server(conn, sessionConfig())
+	session, err := yamux.Server(newCoalescingConn(conn), sessionConfig())
 	if err != nil {
 		return
 	}
