--- a/config/draft.go
+++ b/config/draft.go
@@ -84,6 +84,17 @@
 			return reason
 		}
 	}
+	return d.validateSize()
+}
+
+func (d *draft) validateSize() string {
+	size := bytesNumber.Get(d.reader)
+	for _, e := range d.edits {
+		size = size - documentBytes(e.before) + documentBytes(e.after)
+	}
+	if size > MaxBytes {
+		return fmt.Sprintf("the configuration would take %d bytes, at most %d are allowed", size, MaxBytes)
+	}
 	return ""
 }
 
--- a/config/machine_test.go
+++ b/config/machine_test.go
@@ -243,6 +243,13 @@
 		t.Fatalf("revision %d, want %d", answer.GetRevision(), m.want.revision)
 	}
 	compare(t, answer.GetDocuments(), m.want.docs)
+	size := uint64(0)
+	for _, doc := range answer.GetDocuments() {
+		size += documentBytes(doc)
+	}
+	if counted := bytesNumber.Get(m.bench.store); counted != size {
+		t.Fatalf("%d bytes counted, %d stored", counted, size)
+	}
 	for _, table := range m.tables {
 		compare(t, documentsOf(table, m.want.past[table.Revision()]), m.want.past[table.Revision()])
 	}
--- a/config/query.go
+++ b/config/query.go
@@ -11,6 +11,10 @@
 const (
 	defaultHistory = 20
 	maxHistory     = HistoryLimit
+
+	// maxDeltaKeys bounds the documents in a delta; a daemon that lacks more
+	// gets a snapshot.
+	maxDeltaKeys = 16_384
 )
 
 // Query returns one document by key, or every document in the order of their
@@ -71,18 +75,15 @@
 		return &pb.ConfigUpdate{Base: revision, Revision: revision}
 	}
 	update := &pb.ConfigUpdate{Base: from, Revision: revision}
-	if revision-from > HistoryLimit {
-		update.Base = 0
-		update.Snapshot = true
-		update.Documents = readAll(r)
+	if revision-from <= HistoryLimit && collect(r, update) {
 		return update
 	}
-	collect(r, update)
-	return update
+	return &pb.ConfigUpdate{Revision: revision, Snapshot: true, Documents: readAll(r)}
 }
 
 // collect fills an update with the last write to each key in (base, revision].
-func collect(r kv.Reader, update *pb.ConfigUpdate) {
+// It reports false when there are too many.
+func collect(r kv.Reader, update *pb.ConfigUpdate) bool {
 	seen := make(map[string]bool)
 	for revision := update.GetRevision(); revision > update.GetBase(); revision-- {
 		entry := &pb.ConfigRecord{}
@@ -101,7 +102,11 @@
 				update.Deleted = append(update.Deleted, key)
 			}
 		}
+		if len(seen) > maxDeltaKeys {
+			return false
+		}
 	}
 	slices.Reverse(update.Documents)
 	slices.Reverse(update.Deleted)
+	return true
 }
--- a/config/state.go
+++ b/config/state.go
@@ -23,6 +23,9 @@
 	HistoryLimit = 1024
 	// MaxOps is the number of operations in one change.
 	MaxOps = 1024
+	// MaxBytes is the encoded size of all documents. It keeps a snapshot
+	// within one message.
+	MaxBytes = 8 << 20
 
 	maxChangeIDLength = 128
 )
@@ -35,6 +38,7 @@
 
 var (
 	revisionNumber = record.Number{Key: []byte("config/revision")}
+	bytesNumber    = record.Number{Key: []byte("config/bytes")}
 	outcomeLog     = outcome.Log{
 		Prefix:    "config/outcome/",
 		Retention: OutcomeRetention,
@@ -125,11 +129,13 @@
 		UnixMs:    unixMs,
 		Documents: nil,
 	}
+	size := bytesNumber.Get(b)
 	for _, e := range d.edits {
 		if e.unchanged() {
 			continue
 		}
 		e.write(b, entry)
+		size = size - documentBytes(e.before) + documentBytes(e.after)
 	}
 	if len(entry.Documents)+len(entry.Deleted) == 0 {
 		return &pb.ChangeResult{Outcome: pb.ChangeOutcome_CHANGE_ACCEPTED, Revision: revision}
@@ -139,6 +145,7 @@
 		b.Delete(historyKey(entry.Revision - HistoryLimit))
 	}
 	revisionNumber.Set(b, entry.Revision)
+	bytesNumber.Set(b, size)
 	return &pb.ChangeResult{Outcome: pb.ChangeOutcome_CHANGE_ACCEPTED, Revision: entry.Revision}
 }
 
@@ -169,6 +176,11 @@
 	return proto.Equal(e.before, e.after)
 }
 
+// documentBytes returns the encoded size of a document; nil takes nothing.
+func documentBytes(doc *pb.Document) uint64 {
+	return uint64(proto.Size(doc))
+}
+
 // Revision returns the revision of the accepted configuration.
 func (State) Revision(r kv.Reader) uint64 {
 	return revisionNumber.Get(r)
--- a/config/state_test.go
+++ b/config/state_test.go
@@ -166,3 +166,41 @@
 	g.Expect(history).To(HaveLen(2))
 	g.Expect(history[0].GetRevision()).To(Equal(last - 1))
 }
+
+func TestSizeOfTheConfigurationIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	s := newBench()
+	s.change(change("p", put(0, profile("p", "online", 1))))
+	var result *pb.ChangeResult
+	for i := 0; i == 0 || result.GetOutcome() == accepted; i++ {
+		c := change(fmt.Sprint("fill-", i))
+		for j := range MaxOps {
+			doc := service(fmt.Sprintf("s-%d-%d", i, j), "p").GetService()
+			doc.Kind = pb.ServiceKind_SERVICE_MODEL
+			doc.Model = "m"
+			for k := range maxAdapters {
+				doc.Adapters = append(doc.Adapters, fmt.Sprintf("%0100d", k))
+			}
+			c.Ops = append(c.Ops, put(0, &pb.Document{Body: &pb.Document_Service{Service: doc}}))
+		}
+		result = s.change(c)
+	}
+	g.Expect(result).To(haveOutcome(refused))
+	g.Expect(result.GetReason()).To(ContainSubstring("bytes"))
+	stored := uint64(0)
+	for _, doc := range s.state.Query(s.store, &pb.ConfigQuery{}).GetDocuments() {
+		stored += documentBytes(doc)
+	}
+	g.Expect(bytesNumber.Get(s.store)).To(Equal(stored))
+	g.Expect(stored).To(BeNumerically("<=", MaxBytes+MaxOps*10))
+}
+
+func TestDeltaWithTooManyDocumentsBecomesASnapshot(t *testing.T) {
+	g := NewWithT(t)
+	s := newBench()
+	s.fill(maxDeltaKeys)
+	g.Expect(s.state.UpdateSince(s.store, 0).GetSnapshot()).To(BeFalse())
+	s.change(change("last", put(0, profile("last", "online", 1))))
+	g.Expect(s.state.UpdateSince(s.store, 0).GetSnapshot()).To(BeTrue())
+	g.Expect(s.state.UpdateSince(s.store, 1).GetSnapshot()).To(BeFalse())
+}
