--- a/spread/publisher.go
+++ b/spread/publisher.go
@@ -13,6 +13,8 @@
 const (
 	DefaultHeartbeat = 5 * time.Second
 	DefaultLease     = 25 * time.Second
+	// DefaultSuspectAfter exceeds the time of an election.
+	DefaultSuspectAfter = 3 * time.Second
 
 	// daemonRetention is the time for which the revision of a daemon that
 	// went silent is shown.
@@ -33,6 +35,9 @@
 	Heartbeat time.Duration
 	// Lease is the time for which a confirmation counts.
 	Lease time.Duration
+	// SuspectAfter is the time without a confirmation after which the
+	// replica tells its subscribers that it may be cut off.
+	SuspectAfter time.Duration
 }
 
 // PublisherInput is an input of a Publisher.
@@ -127,7 +132,7 @@
 	// failingSince is the time of the first question that is still without a
 	// confirmation, or zero.
 	failingSince time.Time
-	// suspect is set while no quorum has confirmed for a heartbeat interval.
+	// suspect is set while no quorum has confirmed for SuspectAfter.
 	suspect bool
 }
 
@@ -139,6 +144,9 @@
 	if options.Lease == 0 {
 		options.Lease = DefaultLease
 	}
+	if options.SuspectAfter == 0 {
+		options.SuspectAfter = DefaultSuspectAfter
+	}
 	return &Publisher{options: options}
 }
 
@@ -313,7 +321,7 @@
 // this replica may be cut off from its group.
 func (p *Publisher) suspectSelf(now time.Time) {
 	failing := p.confirm.failingSince
-	if p.confirm.suspect || failing.IsZero() || now.Sub(failing) < p.options.Heartbeat {
+	if p.confirm.suspect || failing.IsZero() || now.Sub(failing) < p.options.SuspectAfter {
 		return
 	}
 	p.confirm.suspect = true
