Measure the relay and the mix of online and batch with real daemons

Change: experiments relay (direct calls and calls through entry and sidecar in turn, in one process) and mix (online alone, batch alone, both), on an installation of package devd, whose fake engines now take a cost model.

--- a/devd/devd.go
+++ b/devd/devd.go
@@ -194,6 +194,7 @@
 		ID:     fmt.Sprintf("engine-%d", i+1),
 		Models: []string{ModelService},
 		Seed:   c.settings.Seed + uint64(i),
+		Cost:   c.settings.EngineCost,
 	})
 	go c.serve(engine.Serve, listener)
 	c.Engines = append(c.Engines, engine)
--- a/devd/settings.go
+++ b/devd/settings.go
@@ -4,6 +4,7 @@
 	"flag"
 
 	"github.com/briarcross/briarcross/daemon"
+	labengine "github.com/briarcross/briarcross/lab/engine"
 )
 
 const (
@@ -21,6 +22,8 @@
 	Config   string
 	LogLevel string
 	Seed     uint64
+	// EngineCost is the cost model of the fake engines; zero means the default.
+	EngineCost labengine.Cost
 }
 
 // Register adds the flags of the settings to a set.
--- a/lab/bench/list.go
+++ b/lab/bench/list.go
@@ -10,6 +10,8 @@
 func Experiments() []experiment.Experiment {
 	return []experiment.Experiment{
 		{Name: "engine-client", Run: engineClient},
+		{Name: "relay", Run: relay},
+		{Name: "mix", Run: mix},
 	}
 }
 
