--- /dev/null
+++ b/entryd/metrics.go
@@ -0,0 +1,63 @@
+package entryd
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/briarcross/briarcross/daemon"
+	"github.com/briarcross/briarcross/gate"
+	"github.com/briarcross/briarcross/transport"
+)
+
+// metrics are the series of an entry.
+type metrics struct {
+	registry       *prometheus.Registry
+	refusals       *prometheus.CounterVec
+	retries        *prometheus.CounterVec
+	droppedFrames  prometheus.Counter
+	droppedReports prometheus.Counter
+}
+
+func newMetrics(identity *transport.Identity, members, running func() int) *metrics {
+	m := &metrics{
+		registry: daemon.NewRegistry(identity),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "briarcross_entry_refusals_total",
+			Help: "Requests that were not answered whole, by reason.",
+		}, []string{"reason"}),
+		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "briarcross_entry_retries_total",
+			Help: "Attempts after the first, by the reason that ended the one before.",
+		}, []string{"reason"}),
+		droppedFrames: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "briarcross_entry_frames_dropped_total",
+			Help: "Answer frames that belonged to another request or attempt.",
+		}),
+		droppedReports: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "briarcross_entry_reports_dropped_total",
+			Help: "Ends and first bytes of attempts that were late or crossed.",
+		}),
+	}
+	m.registry.MustRegister(
+		m.refusals, m.retries, m.droppedFrames, m.droppedReports,
+		gauge("briarcross_entry_members", "Upstreams that the entry knows.", members),
+		gauge("briarcross_entry_running_requests", "Online requests that the entry handles.", running),
+	)
+	return m
+}
+
+const hedgeLabel = "HEDGE"
+
+// retried counts an attempt after the first.
+func (m *metrics) retried(out gate.Send) {
+	label := out.Cause.String()
+	if out.Hedge {
+		label = hedgeLabel
+	}
+	m.retries.WithLabelValues(label).Inc()
+}
+
+func gauge(name, help string, value func() int) prometheus.Collector {
+	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, func() float64 {
+		return float64(value())
+	})
+}
