Bound the documents in the answer to a conflict

Cause: answers are kept for 7 days; one with 1,024 documents each would fill the disk. Change: an answer shows the first 16 documents that conflict; control is held to the interfaces of replica and batch at compile time.

--- a/config/state.go
+++ b/config/state.go
@@ -28,6 +28,8 @@
 	MaxBytes = 8 << 20
 
 	maxChangeIDLength = 128
+	// maxConflicts bounds the documents in the answer to a conflict.
+	maxConflicts = 16
 )
 
 const (
@@ -109,7 +111,7 @@
 		Revision: revisionNumber.Get(r),
 	}
 	for _, e := range edits {
-		if e.before != nil {
+		if e.before != nil && len(result.Current) < maxConflicts {
 			result.Current = append(result.Current, e.before)
 		}
 	}
--- a/config/state_test.go
+++ b/config/state_test.go
@@ -204,3 +204,16 @@
 	g.Expect(s.state.UpdateSince(s.store, 0).GetSnapshot()).To(BeTrue())
 	g.Expect(s.state.UpdateSince(s.store, 1).GetSnapshot()).To(BeFalse())
 }
+
+func TestConflictShowsABoundedNumberOfDocuments(t *testing.T) {
+	g := NewWithT(t)
+	s := newBench()
+	s.fill(MaxOps)
+	c := change("stale")
+	for i := range MaxOps {
+		c.Ops = append(c.Ops, remove(9, fmt.Sprint("profile/p", i)))
+	}
+	result := s.change(c)
+	g.Expect(result).To(haveOutcome(conflicts))
+	g.Expect(result.GetCurrent()).To(HaveLen(maxConflicts))
+}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -5,9 +5,16 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/briarcross/briarcross/batch"
 	"github.com/briarcross/briarcross/config"
 	"github.com/briarcross/briarcross/kv"
 	"github.com/briarcross/briarcross/pb"
+	replicalog "github.com/briarcross/briarcross/replica"
+)
+
+var (
+	_ replicalog.StateMachine = (*State)(nil)
+	_ BatchState              = (*batch.State)(nil)
 )
 
 // replica applies commands in order, as a replica of the log does.
