Bear lagged engine reports, and measure admission, prefixes and costs

Change: four reports in a row correct the window. Online work is packed only for harm bounds up to 500. Batch room follows the batch limit, so that items are not taken and given back.

--- a/gate/arrive.go
+++ b/gate/arrive.go
@@ -13,6 +13,9 @@
 	noUpstreamRetryAfter = time.Second
 	// notReadyRetryAfter is told while the profiles in force are not confirmed.
 	notReadyRetryAfter = time.Second
+	// packHarmPermille is the greatest harm bound for which online work is
+	// packed on few upstreams. Above it batch work does as well beside it.
+	packHarmPermille = 500
 )
 
 // arrive admits a request or refuses it.
@@ -77,7 +80,7 @@
 }
 
 func (g *Gate) firstSend(now time.Time, r *request) {
-	u, ok := g.routes.Pick(now, route.Query{Service: r.Service, Prefix: r.Prefix})
+	u, ok := g.pick(now, r, false)
 	if !ok {
 		g.giveUp(now, r, pb.Reason_REASON_NO_UPSTREAM, noUpstreamRetryAfter)
 		return
@@ -89,6 +92,18 @@
 	}
 }
 
+// pick chooses an upstream that was not tried yet.
+func (g *Gate) pick(now time.Time, r *request, roomOnly bool) (*route.Upstream, bool) {
+	pack := r.profile.GetHarmPermille() <= packHarmPermille
+	return g.routes.Pick(now, route.Query{
+		Service:  r.Service,
+		Prefix:   r.Prefix,
+		Exclude:  r.tried,
+		Pack:     pack && !g.options.SpreadRoute,
+		RoomOnly: roomOnly,
+	})
+}
+
 // send opens an attempt at an upstream.
 func (g *Gate) send(now time.Time, r *request, u *route.Upstream, hedge bool) {
 	r.attempts++
--- a/gate/attempts.go
+++ b/gate/attempts.go
@@ -118,9 +118,7 @@
 func (g *Gate) again(now time.Time, r *request) {
 	r.winner = 0
 	full := isFull(r.cause)
-	u, ok := g.routes.Pick(now, route.Query{
-		Service: r.Service, Prefix: r.Prefix, Exclude: r.tried, RoomOnly: full,
-	})
+	u, ok := g.pick(now, r, full)
 	if !ok && (full || !g.routes.Serves(now, r.Service)) {
 		g.giveUp(now, r, r.cause, r.retryAfter)
 		return
@@ -158,7 +156,7 @@
 		}
 		r := g.requests[id]
 		r.tried = nil
-		u, ok := g.routes.Pick(now, route.Query{Service: r.Service, Prefix: r.Prefix})
+		u, ok := g.pick(now, r, false)
 		if !ok {
 			g.giveUp(now, r, pb.Reason_REASON_NO_UPSTREAM, noUpstreamRetryAfter)
 			continue
@@ -179,9 +177,7 @@
 		if len(r.live) != 1 || r.winner != 0 || r.attempts >= maxAttempts(r.profile) {
 			continue
 		}
-		u, ok := g.routes.Pick(now, route.Query{
-			Service: r.Service, Prefix: r.Prefix, Exclude: r.tried, RoomOnly: true,
-		})
+		u, ok := g.pick(now, r, true)
 		if ok && g.budget(r.Service).Take(now) {
 			g.send(now, r, u, true)
 		}
--- a/gate/bench_test.go
+++ b/gate/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -178,3 +179,66 @@
 		b.Log("direct 2", measureFleet(direct, capacity*2, false, nil))
 	}
 }
+
+// BenchmarkAdmission measures the time from an online arrival at an engine full
+// of batch work until the engine takes it.
+func BenchmarkAdmission(b *testing.B) {
+	cases := map[string]func(*sidecar.Options){
+		"start at once, pause":    func(o *sidecar.Options) {},
+		"start at once, cancel":   func(o *sidecar.Options) { o.CanPause = false },
+		"wait for stop, pause":    func(o *sidecar.Options) { o.WaitForStop = true },
+		"never stop batch (base)": func(o *sidecar.Options) { o.NoYield = true },
+	}
+	for _, name := range slices.Sorted(maps.Keys(cases)) {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				f := newFleetWith(1, 1, 2, spread, cases[name])
+				f.profile.HarmPermille = 1000
+				f.items = batchItems(core.NewRand(2))
+				for _, h := range f.hosts {
+					h.pull()
+				}
+				f.runFor(warmUp)
+				f.poisson(20, measure, onlineAsk(core.NewRand(3)))
+				f.runFor(measure)
+				for _, q := range []float64{0.5, 0.99} {
+					b.ReportMetric(quantile(f.joined, q).Seconds()*1000, fmt.Sprintf("ms-p%.0f", q*100))
+				}
+				b.ReportMetric(float64(f.batch.tokens), "batch-tokens")
+			}
+		})
+	}
+}
+
+// BenchmarkPrefix measures the share of prompt blocks that engines find cached.
+func BenchmarkPrefix(b *testing.B) {
+	const prompts, blocks = 400, 4
+	for _, m := range []mode{briarcross, random} {
+		b.Run(map[mode]string{briarcross: "affinity", random: "random"}[m], func(b *testing.B) {
+			for b.Loop() {
+				f := newFleet(1, 3, 9, m)
+				source := core.NewRand(2)
+				ask := onlineAsk(source)
+				f.runFor(100 * time.Millisecond)
+				f.poisson(100, measure, func(n int) gate.Request {
+					r := ask(n)
+					prompt := uint64(source.IntN(prompts))
+					for block := range uint64(blocks) {
+						r.Prefix = append(r.Prefix, prompt*blocks+block+1)
+					}
+					return r
+				})
+				f.runFor(measure)
+				found, all := 0, 0
+				for _, h := range f.hosts {
+					found += h.engine.found
+					all += h.engine.found + h.engine.computed
+				}
+				b.ReportMetric(float64(found)/float64(all), "hit-ratio")
+				r := f.figures(epoch.Add(warmUp), f.now)
+				b.ReportMetric(quantile(r.first, 0.5).Seconds()*1000, "first-ms-p50")
+				b.ReportMetric(quantile(r.first, 0.99).Seconds()*1000, "first-ms-p99")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/gate/cost_test.go
@@ -0,0 +1,35 @@
+package gate
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/briarcross/briarcross/pb"
+)
+
+// BenchmarkRequest measures the decisions for one request of two steps.
+func BenchmarkRequest(b *testing.B) {
+	for _, members := range []int{9, 18, 200} {
+		b.Run(fmt.Sprint(members), func(b *testing.B) {
+			gate := newTest(members, nil)
+			now := start
+			r := ask("r")
+			r.Prefix = []uint64{1, 2, 3, 4}
+			load := &pb.Load{Window: 48, RunningOnline: 3, BetweenTokensUs: 10_000}
+			b.ReportAllocs()
+			n := uint64(0)
+			for b.Loop() {
+				n++
+				r.Prefix[3] = n
+				now = now.Add(time.Millisecond)
+				gate.Step(now, Arrive{r})
+				gate.Drain()
+				gate.Step(now, FirstByte{"r", 1})
+				gate.Step(now, Ended{ID: "r", Attempt: 1, Outcome: done, Load: load})
+				gate.Drain()
+				gate.Tick(now)
+			}
+		})
+	}
+}
--- a/gate/engine_test.go
+++ b/gate/engine_test.go
@@ -31,6 +31,8 @@
 	sent   int
 	cancel bool
 	pause  bool
+	online bool
+	asked  time.Time
 }
 
 const (
@@ -43,7 +45,8 @@
 )
 
 func (e *engine) start(w sidecar.Work, resume *stream) {
-	s := &stream{id: w.ID, prompt: w.PromptTokens, tokens: w.MaxTokens}
+	s := &stream{id: w.ID, prompt: w.PromptTokens, tokens: w.MaxTokens, asked: e.host.asked[w.ID]}
+	s.online = w.Class == sidecar.Online
 	s.prompt -= e.lookup(w)
 	if resume != nil {
 		s.prompt, s.sent = 1, resume.sent
@@ -89,7 +92,11 @@
 		return
 	}
 	for len(e.queue) > 0 && len(e.streams) < engineSlots {
-		e.streams = append(e.streams, e.queue[0])
+		s := e.queue[0]
+		if s.online {
+			e.fleet.joined = append(e.fleet.joined, e.fleet.now.Sub(s.asked))
+		}
+		e.streams = append(e.streams, s)
 		e.queue = e.queue[1:]
 	}
 	took := engineBase
@@ -110,7 +117,6 @@
 }
 
 func (e *engine) finish(producing []*stream) {
-	e.stepped = false
 	if e.host.engine != e {
 		return
 	}
@@ -131,6 +137,7 @@
 			e.host.ended(s, pb.Outcome_OUTCOME_DONE)
 		}
 	}
+	e.stepped = false
 	e.run()
 }
 
--- a/gate/fleet_test.go
+++ b/gate/fleet_test.go
@@ -35,8 +35,11 @@
 	taken   int
 	batch   batchTotals
 	dropped int
-	// traced collects the policy's view for experiments.
-	mode mode
+	mode    mode
+	// joined holds the times from submission to the engine's first step.
+	joined []time.Duration
+	// change adjusts the options of the sidecars.
+	change func(*sidecar.Options)
 }
 
 // mode selects what stands between callers and engines.
@@ -48,6 +51,8 @@
 	direct
 	// spread routes without regard to batch work.
 	spread
+	// random routes without regard to prefixes and load.
+	random
 	// entryPriority serves online work first, but never stops what runs.
 	entryPriority
 )
@@ -84,15 +89,19 @@
 }
 
 func newFleet(seed uint64, fronts, hosts int, m mode) *fleet {
+	return newFleetWith(seed, fronts, hosts, m, nil)
+}
+
+func newFleetWith(seed uint64, fronts, hosts int, m mode, change func(*sidecar.Options)) *fleet {
 	f := &fleet{
-		now: epoch, random: core.NewRand(seed), calls: map[string]*call{}, mode: m, seed: seed,
+		now: epoch, random: core.NewRand(seed), calls: map[string]*call{}, mode: m, seed: seed, change: change,
 		profile: &pb.Profile{
 			FirstTokenMs: 1000, BetweenTokensMs: 60, DueMs: 60_000, QueueMs: 1000,
 			MaxAttempts: 3, RetryBudgetPermille: 100, HarmPermille: 50,
 		},
 	}
 	for n := range fronts {
-		g := gate.New(gate.Options{DataCentre: "a", Seed: seed + uint64(n), SpreadRoute: m != briarcross})
+		g := gate.New(gate.Options{DataCentre: "a", Seed: seed + uint64(n), SpreadRoute: m != briarcross, RandomRoute: m == random})
 		g.Step(f.now, gate.Config{Table: profiles{f}})
 		g.Step(f.now, gate.Ready{Ready: true})
 		f.gates = append(f.gates, &front{fleet: f, core: g})
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -23,6 +23,7 @@
 
 // Gate is the core of an entry. It implements core.Core.
 type Gate struct {
+	options   Options
 	out       core.Outbox[Output]
 	random    *rand.Rand
 	routes    *route.Table
@@ -42,12 +43,12 @@
 // until it is ready.
 func New(o Options) *Gate {
 	return &Gate{
-		random: core.NewRand(o.Seed),
+		options: o,
+		random:  core.NewRand(o.Seed),
 		routes: route.NewTable(route.Options{
 			DataCentre: o.DataCentre,
 			Seed:       o.Seed + 1,
 			Random:     o.RandomRoute,
-			Spread:     o.SpreadRoute,
 		}),
 		callers:  admit.NewCallers(),
 		budgets:  make(map[string]*admit.Budget),
--- a/gate/host_test.go
+++ b/gate/host_test.go
@@ -12,6 +12,9 @@
 	"github.com/briarcross/briarcross/sidecar"
 )
 
+// reportLag is the lag of the engine's own load reports.
+const reportLag = 1500 * time.Millisecond
+
 // host is one upstream: a sidecar with its shell, and an engine.
 type host struct {
 	fleet       *fleet
@@ -19,16 +22,15 @@
 	incarnation uint64
 	core        *sidecar.Sidecar
 	engine      *engine
-	// change adjusts the options of the sidecar.
-	change  func(*sidecar.Options)
-	links   map[sidecar.ID]*link
-	work    map[sidecar.ID]sidecar.Work
-	paused  map[sidecar.ID]*stream
-	stopped map[sidecar.ID]bool
-	room    int
-	pulling bool
-	drained bool
-	left    bool
+	asked       map[sidecar.ID]time.Time
+	links       map[sidecar.ID]*link
+	work        map[sidecar.ID]sidecar.Work
+	paused      map[sidecar.ID]*stream
+	stopped     map[sidecar.ID]bool
+	room        int
+	pulling     bool
+	drained     bool
+	left        bool
 }
 
 // link is the stream of one attempt between an entry and a host.
@@ -68,8 +70,8 @@
 	if h.fleet.mode == entryPriority {
 		o.NoYield, o.InitialWindow, o.MinWindow, o.HarmPermille = true, engineSlots, engineSlots, 1_000_000
 	}
-	if h.change != nil {
-		h.change(&o)
+	if h.fleet.change != nil {
+		h.fleet.change(&o)
 	}
 	h.core = sidecar.New(o)
 	h.engine = &engine{fleet: h.fleet, host: h, cached: map[uint64]bool{}}
@@ -77,6 +79,7 @@
 	h.work = map[sidecar.ID]sidecar.Work{}
 	h.paused = map[sidecar.ID]*stream{}
 	h.stopped = map[sidecar.ID]bool{}
+	h.asked = map[sidecar.ID]time.Time{}
 	h.room = 0
 	h.announce(pb.MemberState_MEMBER_SERVING, 1)
 	h.core.Tick(h.fleet.now)
@@ -90,6 +93,7 @@
 		if h.core == nil || h.incarnation != incarnation {
 			return
 		}
+		h.reportLate(incarnation)
 		if !h.left {
 			h.announce(pb.MemberState_MEMBER_SERVING, 1)
 		}
@@ -107,6 +111,16 @@
 	}
 }
 
+// reportLate lets the engine report its load with a lag.
+func (h *host) reportLate(incarnation uint64) {
+	report := sidecar.EngineLoad{Running: len(h.engine.streams), Queued: len(h.engine.queue), KVFree: 0.5}
+	h.fleet.after(reportLag, func() {
+		if h.incarnation == incarnation {
+			h.step(report)
+		}
+	})
+}
+
 // leave drains the sidecar. The leave message is lost; only refusals and the
 // end of the heartbeats tell the entries.
 func (h *host) leave() {
@@ -158,6 +172,7 @@
 
 func (h *host) submit(w sidecar.Work) {
 	h.work[w.ID] = w
+	h.asked[w.ID] = h.fleet.now
 	if h.fleet.mode == direct {
 		h.start(w.ID, false)
 		return
--- a/route/pick.go
+++ b/route/pick.go
@@ -20,7 +20,7 @@
 	if hasRoom(now, near) {
 		tier = near
 	}
-	if !t.options.Spread {
+	if q.Pack {
 		tier = t.services[q.Service].pack(now, tier)
 	}
 	u := t.choose(now, tier, q.Prefix)
--- a/route/table.go
+++ b/route/table.go
@@ -31,8 +31,6 @@
 	Seed       uint64
 	// Random turns affinity and load off, for comparisons.
 	Random bool
-	// Spread never packs online work, for comparisons.
-	Spread bool
 }
 
 // Query describes the attempt that looks for an upstream.
@@ -42,6 +40,9 @@
 	Prefix []uint64
 	// Exclude holds the upstreams that were tried before.
 	Exclude []*Upstream
+	// Pack asks for an upstream among those that take online work while batch
+	// work runs on the others.
+	Pack bool
 	// RoomOnly asks for an upstream whose window has room.
 	RoomOnly bool
 }
--- a/sidecar/admit.go
+++ b/sidecar/admit.go
@@ -201,10 +201,10 @@
 }
 
 // batchRoom returns the number of batch items that can be taken.
-func (s *Sidecar) batchRoom() int {
-	if s.draining {
+func (s *Sidecar) batchRoom(now time.Time) int {
+	limit := s.batchLimit(now)
+	if s.draining || limit == 0 {
 		return 0
 	}
-	places := s.window.size - s.streams.online - s.online.len()
-	return max(places-s.streams.batch()-s.batch.len()+batchAhead, 0)
+	return max(limit+batchAhead-s.streams.batch()-s.batch.len(), 0)
 }
--- /dev/null
+++ b/sidecar/cost_test.go
@@ -0,0 +1,42 @@
+package sidecar
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/briarcross/briarcross/pb"
+)
+
+// BenchmarkRequest measures the decisions for one request without its tokens.
+func BenchmarkRequest(b *testing.B) {
+	s := newTest(48, nil)
+	now := start
+	w := online(1)
+	b.ReportAllocs()
+	n := 0
+	for b.Loop() {
+		n++
+		now = now.Add(time.Millisecond)
+		w.ID.Request = fmt.Sprint(n)
+		s.Step(now, Submit{w})
+		s.Step(now, Ended{ID: w.ID, Outcome: pb.Outcome_OUTCOME_DONE})
+		s.Drain()
+		s.Tick(now)
+	}
+}
+
+// BenchmarkToken measures what each token costs.
+func BenchmarkToken(b *testing.B) {
+	s := newTest(48, nil)
+	now := start
+	w := online(1)
+	w.BetweenTokens = 50 * time.Millisecond
+	s.Step(now, Submit{w})
+	s.Drain()
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		s.Step(now, Tokens{ID: w.ID, Count: 1})
+	}
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -167,7 +167,7 @@
 	}
 	s.yield(now)
 	s.admitBatch(now)
-	s.reportRoom()
+	s.reportRoom(now)
 	s.reportDrained()
 }
 
@@ -179,8 +179,8 @@
 	s.refuse(id, pb.Outcome_OUTCOME_NOT_RUN, reason, after)
 }
 
-func (s *Sidecar) reportRoom() {
-	room := s.batchRoom()
+func (s *Sidecar) reportRoom(now time.Time) {
+	room := s.batchRoom(now)
 	if room == s.room {
 		return
 	}
--- a/sidecar/window.go
+++ b/sidecar/window.go
@@ -34,6 +34,9 @@
 	windowPeriod = 250 * time.Millisecond
 	// windowSamples is the least number of samples for a change.
 	windowSamples = 32
+	// windowReports is the number of reports in a row with a queue that
+	// correct the window.
+	windowReports = 4
 	// windowLate and windowGood are the shares of samples beyond their targets
 	// above which the window shrinks and below which it may grow.
 	windowLate = 0.05
@@ -60,6 +63,10 @@
 	full    bool
 	kvFull  bool
 	changed time.Time
+	// queuedReports counts the engine's reports in a row with a queue, reported
+	// is the highest number of running streams in them.
+	queuedReports int
+	reported      int
 }
 
 func newWindow(o Options) window {
@@ -107,11 +114,18 @@
 }
 
 // correct takes a report of the engine into account. A queue inside the engine
-// means that the window is above what the engine runs. The report may be late;
-// applying an old one again changes nothing.
+// that stays for several reports means that the window is above what the engine
+// runs; a short one stands between any two steps. The reports may be late, so
+// the highest of them counts.
 func (w *window) correct(load EngineLoad) {
 	w.kvFull = load.KVFree < kvLow
-	if load.Queued > 0 && load.Running > 0 {
-		w.size = max(min(w.size, load.Running), w.minimum)
+	if load.Queued == 0 {
+		w.queuedReports, w.reported = 0, 0
+		return
+	}
+	w.queuedReports++
+	w.reported = max(w.reported, load.Running)
+	if w.queuedReports >= windowReports {
+		w.size = max(min(w.size, w.reported), w.minimum)
 	}
 }
