--- a/route/pack.go
+++ b/route/pack.go
@@ -10,7 +10,7 @@
 const (
 	// packFill is the share of their windows up to which the upstreams that
 	// take online work are filled while batch work runs.
-	packFill = 0.15
+	packFill = 0.1
 	// demandHalfLife is the time in which the remembered demand halves.
 	demandHalfLife = 20 * time.Second
 )
--- a/sidecar/admit.go
+++ b/sidecar/admit.go
@@ -193,7 +193,7 @@
 	if !s.harm.active(now) || e.paused || s.options.NoYield {
 		return true
 	}
-	if s.streams.onlineWaiting > 0 || now.Before(s.harm.nextPrompt) {
+	if s.streams.onlineSilent > 0 || now.Before(s.harm.nextPrompt) {
 		return false
 	}
 	s.harm.addPrompt(now)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -137,7 +137,7 @@
 	s.expire(now)
 	s.returnHeld(now)
 	s.recent.expire(now)
-	s.window.adapt(now, s.streams.count()+s.reserve(), s.online.len() > 0)
+	s.window.adapt(now, s.usage())
 	s.harm.adapt(now, s.streams.online)
 	s.run(now)
 }
@@ -159,6 +159,14 @@
 	}
 }
 
+func (s *Sidecar) usage() usage {
+	return usage{
+		places: s.streams.count() + s.reserve(),
+		silent: s.streams.silent,
+		queued: s.online.len() > 0,
+	}
+}
+
 // run admits what can start and reports changes.
 func (s *Sidecar) run(now time.Time) {
 	s.admitOnline(now)
--- a/sidecar/window.go
+++ b/sidecar/window.go
@@ -37,6 +37,9 @@
 	// windowReports is the number of reports in a row with a queue that
 	// correct the window.
 	windowReports = 4
+	// crowdedDivisor is the share of silent streams above which the window does
+	// not grow, as a reciprocal.
+	crowdedDivisor = 4
 	// windowLate and windowGood are the shares of samples beyond their targets
 	// above which the window shrinks and below which it may grow.
 	windowLate = 0.05
@@ -62,6 +65,8 @@
 	late    int
 	full    bool
 	kvFull  bool
+	// probing lets the window double until a first sign of overload.
+	probing bool
 	changed time.Time
 	// queuedReports counts the engine's reports in a row with a queue, reported
 	// is the highest number of running streams in them.
@@ -71,7 +76,7 @@
 
 func newWindow(o Options) window {
 	size := min(max(o.InitialWindow, o.MinWindow), o.MaxWindow)
-	return window{size: size, minimum: o.MinWindow, maximum: o.MaxWindow}
+	return window{size: size, minimum: o.MinWindow, maximum: o.MaxWindow, probing: true}
 }
 
 func (w *window) firstToken(took, target time.Duration) {
@@ -92,9 +97,25 @@
 	}
 }
 
+// usage is how the window is used at a time.
+type usage struct {
+	// places that are taken or kept free on purpose.
+	places int
+	// silent streams have produced no token since their start.
+	silent int
+	// queued tells that online work waits for a place.
+	queued bool
+}
+
+// crowded tells that many streams wait for their first token, as they do when
+// the engine has a queue of its own.
+func (u usage) crowded() bool {
+	return u.silent > max(u.places/crowdedDivisor, 1)
+}
+
 // adapt changes the window by the samples of the last period.
-func (w *window) adapt(now time.Time, running int, waiting bool) {
-	w.full = w.full || running >= w.size || waiting
+func (w *window) adapt(now time.Time, u usage) {
+	w.full = w.full || u.places >= w.size || u.queued
 	if now.Sub(w.changed) < windowPeriod {
 		return
 	}
@@ -105,14 +126,22 @@
 	switch {
 	case late > windowLate:
 		w.size -= max(1, w.size/windowShrink)
-	case late < windowGood && w.full && !w.kvFull:
-		w.size += max(1, w.size/windowGrowth)
+		w.probing = false
+	case late < windowGood && w.full && !w.kvFull && !u.crowded():
+		w.size += w.growth()
 	}
 	w.size = min(max(w.size, w.minimum), w.maximum)
 	w.samples, w.late, w.full = 0, 0, false
 	w.changed = now
 }
 
+func (w *window) growth() int {
+	if w.probing {
+		return w.size
+	}
+	return max(1, w.size/windowGrowth)
+}
+
 // correct takes a report of the engine into account. A queue inside the engine
 // that stays for several reports means that the window is above what the engine
 // runs; a short one stands between any two steps. The reports may be late, so
@@ -127,5 +156,6 @@
 	w.reported = max(w.reported, load.Running)
 	if w.queuedReports >= windowReports {
 		w.size = max(min(w.size, w.reported), w.minimum)
+		w.probing = false
 	}
 }
