--- a/sidecar/window.go
+++ b/sidecar/window.go
@@ -34,6 +34,12 @@
 	windowPeriod = 250 * time.Millisecond
 	// windowSamples is the least number of samples for a change.
 	windowSamples = 32
+	// windowReports is the number of reports in a row with a queue that
+	// correct the window.
+	windowReports = 4
+	// crowdedDivisor is the share of silent streams above which the window does
+	// not grow, as a reciprocal.
+	crowdedDivisor = 4
 	// windowLate and windowGood are the shares of samples beyond their targets
 	// above which the window shrinks and below which it may grow.
 	windowLate = 0.05
@@ -62,6 +68,10 @@
 	// probing lets the window double until a first sign of overload.
 	probing bool
 	changed time.Time
+	// queuedReports counts the engine's reports in a row with a queue, reported
+	// is the highest number of running streams in them.
+	queuedReports int
+	reported      int
 }
 
 func newWindow(o Options) window {
@@ -87,9 +97,25 @@
 	}
 }
 
+// usage is how the window is used at a time.
+type usage struct {
+	// places that are taken or kept free on purpose.
+	places int
+	// silent streams have produced no token since their start.
+	silent int
+	// queued tells that online work waits for a place.
+	queued bool
+}
+
+// crowded tells that many streams wait for their first token, as they do when
+// the engine has a queue of its own.
+func (u usage) crowded() bool {
+	return u.silent > max(u.places/crowdedDivisor, 1)
+}
+
 // adapt changes the window by the samples of the last period.
-func (w *window) adapt(now time.Time, running int, waiting bool) {
-	w.full = w.full || running >= w.size || waiting
+func (w *window) adapt(now time.Time, u usage) {
+	w.full = w.full || u.places >= w.size || u.queued
 	if now.Sub(w.changed) < windowPeriod {
 		return
 	}
@@ -101,7 +127,7 @@
 	case late > windowLate:
 		w.size -= max(1, w.size/windowShrink)
 		w.probing = false
-	case late < windowGood && w.full && !w.kvFull:
+	case late < windowGood && w.full && !w.kvFull && !u.crowded():
 		w.size += w.growth()
 	}
 	w.size = min(max(w.size, w.minimum), w.maximum)
@@ -117,12 +143,19 @@
 }
 
 // correct takes a report of the engine into account. A queue inside the engine
-// means that the window is above what the engine runs. The report may be late;
-// applying an old one again changes nothing.
+// that stays for several reports means that the window is above what the engine
+// runs; a short one stands between any two steps. The reports may be late, so
+// the highest of them counts.
 func (w *window) correct(load EngineLoad) {
 	w.kvFull = load.KVFree < kvLow
-	if load.Queued > 0 && load.Running > 0 {
-		w.size = max(min(w.size, load.Running), w.minimum)
+	if load.Queued == 0 {
+		w.queuedReports, w.reported = 0, 0
+		return
+	}
+	w.queuedReports++
+	w.reported = max(w.reported, load.Running)
+	if w.queuedReports >= windowReports {
+		w.size = max(min(w.size, w.reported), w.minimum)
 		w.probing = false
 	}
 }
