--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -137,7 +137,7 @@
 	s.expire(now)
 	s.returnHeld(now)
 	s.recent.expire(now)
-	s.window.adapt(now, s.streams.count()+s.reserve(), s.online.len() > 0)
+	s.window.adapt(now, s.usage())
 	s.harm.adapt(now, s.streams.online)
 	s.run(now)
 }
@@ -159,6 +159,14 @@
 	}
 }
 
+func (s *Sidecar) usage() usage {
+	return usage{
+		places: s.streams.count() + s.reserve(),
+		silent: s.streams.silent,
+		queued: s.online.len() > 0,
+	}
+}
+
 // run admits what can start and reports changes.
 func (s *Sidecar) run(now time.Time) {
 	s.admitOnline(now)
@@ -167,7 +175,7 @@
 	}
 	s.yield(now)
 	s.admitBatch(now)
-	s.reportRoom()
+	s.reportRoom(now)
 	s.reportDrained()
 }
 
@@ -179,8 +187,8 @@
 	s.refuse(id, pb.Outcome_OUTCOME_NOT_RUN, reason, after)
 }
 
-func (s *Sidecar) reportRoom() {
-	room := s.batchRoom()
+func (s *Sidecar) reportRoom(now time.Time) {
+	room := s.batchRoom(now)
 	if room == s.room {
 		return
 	}
