--- a/gate/attempts.go
+++ b/gate/attempts.go
@@ -94,7 +94,7 @@
 	r.cause = in.Reason
 	r.retryAfter = in.RetryAfter
 	r.relayed = r.relayed || in.Relayed
-	r.ran = r.ran || in.Outcome != pb.Outcome_OUTCOME_NOT_RUN
+	r.ran = r.ran || !hasNotRun(in)
 	r.resumeFrom = in.Tokens
 	if len(r.live) > 0 {
 		return
@@ -106,6 +106,14 @@
 	g.again(now, r)
 }
 
+// hasNotRun tells that no engine has seen an attempt. A sidecar that was sent a
+// message for its earlier incarnation cannot know what that one ran. The entry
+// can: it sends each attempt once, on a stream of its own, and the answer on
+// this stream comes from the process that got the message.
+func hasNotRun(in Ended) bool {
+	return in.Outcome == pb.Outcome_OUTCOME_NOT_RUN || in.Reason == pb.Reason_REASON_WRONG_INCARNATION
+}
+
 func maxAttempts(profile *pb.Profile) uint32 {
 	if profile.GetMaxAttempts() == 0 {
 		return defaultAttempts
--- a/gate/doc.go
+++ b/gate/doc.go
@@ -12,6 +12,8 @@
 //   - The shell reports Ended once for each Send that was not aborted. The
 //     outcome not-run is reported only when no engine can have seen the
 //     attempt: the sidecar said so, or nothing of it was written.
+//   - Each Send is carried out once, on a stream of its own, and Ended tells
+//     only what came on this stream.
 //   - The shell relays only frames of the attempt that it reported FirstByte
 //     for, until the Finish of the request.
 //   - Frames and ends of attempts that the core no longer knows are late. The
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -120,6 +120,17 @@
 	}))
 }
 
+func TestMessageForAnEarlierIncarnationIsSentElsewhere(t *testing.T) {
+	g := NewWithT(t)
+	gate := newTest(2, nil)
+	r := ask("r")
+	r.Idempotent = false
+	step(gate, start, Arrive{r})
+	out := step(gate, start, failure("r", 1, unknown, pb.Reason_REASON_WRONG_INCARNATION))
+	g.Expect(out).To(HaveLen(1))
+	g.Expect(out[0].(Send).Cause).To(Equal(pb.Reason_REASON_WRONG_INCARNATION))
+}
+
 func TestNothingIsRepeatedAfterTheFirstByte(t *testing.T) {
 	g := NewWithT(t)
 	gate := newTest(2, nil)
--- /dev/null
+++ b/sidecar/example_test.go
@@ -0,0 +1,52 @@
+package sidecar_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/briarcross/briarcross/pb"
+	"github.com/briarcross/briarcross/sidecar"
+)
+
+// A batch item runs on an idle engine, makes room for an online request in the
+// same step, and is resumed later.
+func Example() {
+	now := time.Unix(1_000_000, 0)
+	s := sidecar.New(sidecar.Options{
+		Incarnation: 1, Services: []string{"summary"},
+		InitialWindow: 2, MinWindow: 2, MaxWindow: 2, CanPause: true,
+	})
+	show := func() {
+		for _, out := range s.Drain() {
+			if _, ok := out.(sidecar.BatchRoom); !ok {
+				fmt.Printf("%T %+v\n", out, out)
+			}
+		}
+	}
+	item := sidecar.ID{Request: "item", Attempt: 1}
+	submit := func(id sidecar.ID, class sidecar.Class) {
+		s.Step(now, sidecar.Submit{Work: sidecar.Work{
+			ID: id, Class: class, Service: "summary", PromptTokens: 100, MaxTokens: 50, Idempotent: true,
+		}})
+		show()
+	}
+	submit(item, sidecar.Batch)
+	submit(sidecar.ID{Request: "a", Attempt: 1}, sidecar.Online)
+	submit(sidecar.ID{Request: "b", Attempt: 1}, sidecar.Online)
+	s.Step(now, sidecar.Ended{ID: item, Outcome: pb.Outcome_OUTCOME_UNKNOWN, Paused: true})
+	show()
+	for _, request := range []string{"a", "b"} {
+		id := sidecar.ID{Request: request, Attempt: 1}
+		s.Step(now, sidecar.Ended{ID: id, Outcome: pb.Outcome_OUTCOME_DONE})
+	}
+	now = now.Add(time.Second)
+	s.Tick(now)
+	show()
+	// Output:
+	// sidecar.Start {ID:{Request:item Attempt:1} Resume:false}
+	// sidecar.Start {ID:{Request:a Attempt:1} Resume:false}
+	// sidecar.Stop {ID:{Request:item Attempt:1} Pause:true}
+	// sidecar.Start {ID:{Request:b Attempt:1} Resume:false}
+	// sidecar.Requeued {ID:{Request:item Attempt:1}}
+	// sidecar.Start {ID:{Request:item Attempt:1} Resume:true}
+}
