Give orders to upstreams: placement on the leader, a fence at each sidecar

Cause: services name models, adapters and versions, and some engines ignore fencing numbers. Change: placement compares needs with reports and issues paced orders that keep each service's minimum serving; fence carries out only orders that a quorum-confirmed read shows, examines unknown outcomes first, refuses old numbers; sidecars report to the leader; undrain for workers.

--- a/batch/worker.go
+++ b/batch/worker.go
@@ -68,6 +68,9 @@
 // Drain makes the worker take no more items.
 type Drain struct{}
 
+// Undrain makes a draining worker take items again.
+type Undrain struct{}
+
 // SetServices replaces the services that the worker pulls for.
 type SetServices struct{ Services []string }
 
@@ -76,6 +79,7 @@
 func (RequestFailed) workerInput() {}
 func (Finished) workerInput()      {}
 func (Drain) workerInput()         {}
+func (Undrain) workerInput()       {}
 func (SetServices) workerInput()   {}
 
 // WorkerOutput is an output of a Worker.
@@ -190,6 +194,10 @@
 	case Drain:
 		w.changed = w.changed || !w.draining
 		w.draining = true
+	case Undrain:
+		w.changed = w.changed || w.draining
+		w.draining = false
+		w.drained = false
 	case SetServices:
 		w.services = append([]string(nil), in.Services...)
 		w.changed = true
--- a/client/control.go
+++ b/client/control.go
@@ -59,6 +59,17 @@
 	return response.GetQuery(), nil
 }
 
+// Report tells the leader what an upstream serves and returns the upstream's
+// orders as the leader has them, which no quorum has confirmed.
+func (c *Control) Report(ctx context.Context, report *pb.UpstreamReport) (*pb.OrderAnswer, *pb.ControlError) {
+	request := &pb.ControlRequest{Request: &pb.ControlRequest_Report{Report: report}}
+	response, controlErr := c.call(ctx, transport.Control, request)
+	if controlErr != nil {
+		return nil, controlErr
+	}
+	return response.GetQuery().GetOrder(), nil
+}
+
 // QueryAt reads from one replica, in a single attempt.
 func (c *Control) QueryAt(ctx context.Context, address string, query *pb.Query) (*pb.QueryResult, *pb.ControlError) {
 	request := &pb.ControlRequest{Request: &pb.ControlRequest_Query{Query: query}}
--- a/controld/controld.go
+++ b/controld/controld.go
@@ -41,6 +41,7 @@
 	publisher *loop.Loop[spread.PublisherInput, spread.PublisherOutput]
 	spread    *spread.Publisher
 	leases    *leases
+	placer    *placer
 	http      *operatorServer
 	metrics   *metrics
 	addresses map[string]string
@@ -115,6 +116,7 @@
 
 	d.leases = newLeases(d, batch.NewState())
 	d.state = control.NewState(d.leases.core)
+	d.placer = newPlacer(d)
 	d.watchers = newWatchers(d.updateSince)
 	d.spread = spread.NewPublisher(spread.PublisherOptions{})
 	d.publisher = loop.Start[spread.PublisherInput, spread.PublisherOutput](d.spread, publisherTick, d.carryPublisher)
@@ -134,12 +136,13 @@
 		Seed:        d.identity.Incarnation,
 		Logger:      d.settings.NewLogger("quorum"),
 		OnApply:     d.applied,
-		OnLead:      d.leases.lead,
+		OnLead:      d.lead,
 		OnFault:     d.fault,
 	})
 	if err != nil {
 		d.publisher.Close()
 		d.leases.close()
+		d.placer.loop.Close()
 		return err
 	}
 	close(d.opened)
@@ -196,6 +199,25 @@
 		d.publisher.Post(spread.Applied{Revision: change.GetRevision()})
 	}
 	d.leases.applied(command, result)
+	d.placer.applied(command, result)
+}
+
+func (d *Daemon) lead(term uint64, leading bool) {
+	d.leases.lead(term, leading)
+	d.placer.lead(term, leading)
+}
+
+// inBackground runs a function that may block, until the daemon stops.
+func (d *Daemon) inBackground(run func()) {
+	d.background.Add(1)
+	go func() {
+		defer d.background.Done()
+		select {
+		case <-d.opened:
+			run()
+		case <-d.ctx.Done():
+		}
+	}()
 }
 
 func (d *Daemon) carryPublisher(out spread.PublisherOutput) {
@@ -209,10 +231,7 @@
 
 // confirm has a quorum confirm the revision that this replica has applied.
 func (d *Daemon) confirm() {
-	d.background.Add(1)
-	go func() {
-		defer d.background.Done()
-		<-d.opened
+	d.inBackground(func() {
 		ctx, cancel := context.WithTimeout(d.ctx, confirmTimeout)
 		defer cancel()
 		if controlErr := d.replica.Confirm(ctx); controlErr != nil {
@@ -220,7 +239,7 @@
 			return
 		}
 		d.publisher.Post(spread.Confirmed{Revision: d.revision()})
-	}()
+	})
 }
 
 func (d *Daemon) revision() uint64 {
@@ -271,6 +290,7 @@
 	d.http.http.Stop()
 	d.publisher.Close()
 	d.leases.close()
+	d.placer.loop.Close()
 	d.transport.Close()
 	d.peers.wait.Wait()
 	d.background.Wait()
--- a/controld/http.go
+++ b/controld/http.go
@@ -47,6 +47,8 @@
 	case strings.HasPrefix(path, operator.PathOrders+"/"):
 		upstream := strings.TrimPrefix(path, operator.PathOrders+"/")
 		s.query(ctx, &pb.Query{Query: &pb.Query_Order{Order: &pb.OrderQuery{Upstream: upstream}}})
+	case path == operator.PathUpstreams:
+		s.query(ctx, &pb.Query{Query: &pb.Query_Upstream{Upstream: &pb.UpstreamQuery{}}})
 	case path == operator.PathJobs:
 		s.jobs(ctx)
 	default:
@@ -71,7 +73,7 @@
 func (s *operatorServer) query(ctx *fasthttp.RequestCtx, query *pb.Query) {
 	timeout, cancel := context.WithTimeout(s.daemon.ctx, requestTimeout)
 	defer cancel()
-	response := s.daemon.answerQuery(timeout, query)
+	response := s.answer(timeout, query)
 	if response.GetError() != nil {
 		writeControlError(ctx, response.GetError())
 		return
@@ -79,6 +81,19 @@
 	writeJSON(ctx, fasthttp.StatusOK, response.GetQuery())
 }
 
+// answer reads here, or from the leader what only the leader knows.
+func (s *operatorServer) answer(ctx context.Context, query *pb.Query) *pb.ControlResponse {
+	_, address, self := s.daemon.replica.Leader()
+	if self || query.GetUpstream() == nil {
+		return s.daemon.answerQuery(ctx, query)
+	}
+	result, controlErr := s.daemon.control.QueryAt(ctx, address, query)
+	if controlErr != nil {
+		return errorResponse(controlErr)
+	}
+	return queryResponse(result)
+}
+
 func (s *operatorServer) change(ctx *fasthttp.RequestCtx) {
 	change := &pb.ConfigChange{}
 	if err := protojson.Unmarshal(ctx.PostBody(), change); err != nil {
--- a/controld/rpc.go
+++ b/controld/rpc.go
@@ -65,6 +65,9 @@
 // permittedRequest lets entries submit what callers ask for, and sidecars only
 // read. Changes of the configuration come through the operators' interface.
 func permittedRequest(stream *transport.Stream, request *pb.ControlRequest) bool {
+	if request.GetReport() != nil {
+		return stream.HasRole(transport.RoleSidecar)
+	}
 	switch request.GetPropose().GetOp().(type) {
 	case nil:
 		return stream.HasRole(transport.RoleEntry) || stream.HasRole(transport.RoleSidecar)
@@ -91,6 +94,8 @@
 		return d.propose(ctx, body.Propose)
 	case *pb.ControlRequest_Query:
 		return d.answerQuery(ctx, body.Query)
+	case *pb.ControlRequest_Report:
+		return d.placer.report(body.Report)
 	default:
 		return errorResponse(&pb.ControlError{Code: pb.ControlError_INVALID, Reason: "request without a body"})
 	}
@@ -112,6 +117,9 @@
 			return errorResponse(controlErr)
 		}
 	}
+	if query.GetUpstream() != nil {
+		return d.placer.upstreams()
+	}
 	if query.GetStatus() != nil {
 		return queryResponse(&pb.QueryResult{Result: &pb.QueryResult_Status{Status: d.statusFor(ctx, query)}})
 	}
--- a/controld/settings.go
+++ b/controld/settings.go
@@ -25,6 +25,10 @@
 	RepairAfter time.Duration
 	LeaseTime   time.Duration
 	PollTime    time.Duration
+	// WeightRate is the rate of the weight store in bytes a second.
+	WeightRate uint64
+	// WeightBytes is what one load takes from the weight store.
+	WeightBytes uint64
 }
 
 // Register adds the flags of the settings to a set.
@@ -37,6 +41,8 @@
 	fs.DurationVar(&s.Tick, "tick", 50*time.Millisecond, "time of one tick of the replicated log")
 	fs.DurationVar(&s.RepairAfter, "repair-after", 30*time.Second, "silence after which a replica is replaced by a spare")
 	fs.DurationVar(&s.LeaseTime, "lease-time", 10*time.Second, "time of a batch item lease without renewal")
+	fs.Uint64Var(&s.WeightRate, "weight-rate", 0, "rate of the weight store in bytes a second; 0 means no limit")
+	fs.Uint64Var(&s.WeightBytes, "weight-bytes", 0, "bytes that one load takes from the weight store")
 	fs.DurationVar(&s.PollTime, "poll-time", 500*time.Millisecond, "longest time between two lease requests of a sidecar")
 }
 
--- a/operator/client.go
+++ b/operator/client.go
@@ -22,6 +22,7 @@
 	PathStatus    = "/api/v1/status"
 	PathOrders    = "/api/v1/orders"
 	PathJobs      = "/api/v1/jobs"
+	PathUpstreams = "/api/v1/upstreams"
 )
 
 // Client calls one control replica.
@@ -139,3 +140,27 @@
 	}
 	return result.GetConfig(), nil
 }
+
+// Upstreams returns what the control leader knows of the upstreams.
+func (c *Client) Upstreams() ([]*pb.UpstreamReport, error) {
+	result := &pb.QueryResult{}
+	if err := c.get(PathUpstreams, result); err != nil {
+		return nil, err
+	}
+	return result.GetUpstream().GetUpstreams(), nil
+}
+
+// IssueOrder has an order committed. The change ID makes a repeated call safe.
+func (c *Client) IssueOrder(issue *pb.OrderIssue) (*pb.OrderResult, error) {
+	result := &pb.OrderResult{}
+	return result, c.post(PathOrders, issue, result)
+}
+
+// Orders returns the orders of one upstream.
+func (c *Client) Orders(upstream string) (*pb.OrderAnswer, error) {
+	result := &pb.QueryResult{}
+	if err := c.get(PathOrders+"/"+upstream, result); err != nil {
+		return nil, err
+	}
+	return result.GetOrder(), nil
+}
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,124 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/briarcross/briarcross/core"
+	"github.com/briarcross/briarcross/pb"
+)
+
+var _ core.Core[Input, Output] = (*Planner)(nil)
+
+func service(version string, keep uint32) *pb.Service {
+	return &pb.Service{Name: "check", Kind: pb.ServiceKind_SERVICE_MODEL, Model: "m", Version: version, MinUpstreams: keep}
+}
+
+// site is a set of fake upstreams that carry out orders when told to.
+type site struct {
+	now     time.Time
+	planner *Planner
+	reports map[string]*pb.UpstreamReport
+	orders  map[string]*pb.OrderIssue
+}
+
+func newSite(upstreams int, keep uint32) *site {
+	s := &site{
+		now: time.Unix(1000, 0), planner: New(Options{Settle: time.Second}),
+		reports: make(map[string]*pb.UpstreamReport), orders: make(map[string]*pb.OrderIssue),
+	}
+	s.planner.Step(s.now, Lead{Term: 1, On: true})
+	s.planner.Step(s.now, Services{Services: []*pb.Service{service("1", keep)}})
+	for i := range upstreams {
+		id := fmt.Sprintf("u%d", i)
+		s.reports[id] = &pb.UpstreamReport{Upstream: id, Services: []string{"check"}, Models: []string{"m"}, Version: "1"}
+	}
+	return s
+}
+
+// step reports every upstream, ticks, and takes the issued orders.
+func (s *site) step(g Gomega) {
+	for _, r := range s.reports {
+		s.planner.Step(s.now, Report{Report: r})
+	}
+	s.now = s.now.Add(planPeriod)
+	s.planner.Tick(s.now)
+	for _, out := range s.planner.Drain() {
+		issue := out.(Issue).Issue
+		id := issue.GetOrder().GetUpstream()
+		g.Expect(s.orders).NotTo(HaveKey(id), "a second order for %s", id)
+		s.orders[id] = issue
+		s.planner.Step(s.now, Issued{ChangeID: issue.GetChangeId(), Upstream: id, Result: &pb.OrderResult{Accepted: true}})
+	}
+}
+
+func (s *site) finish(id string, done bool) {
+	order := s.orders[id].GetOrder()
+	delete(s.orders, id)
+	if done {
+		s.reports[id] = &pb.UpstreamReport{Upstream: id, Services: []string{"check"}, Models: []string{"m"}, Version: order.GetVersion()}
+		s.planner.Step(s.now, Report{Report: s.reports[id]})
+	}
+	s.planner.Step(s.now, Finished{Finish: &pb.OrderFinish{Upstream: id, Done: done}})
+}
+
+func TestAChangeOfVersionKeepsTheMinimumServing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		upstreams := rapid.IntRange(2, 8).Draw(t, "upstreams")
+		keep := rapid.IntRange(1, upstreams-1).Draw(t, "keep")
+		s := newSite(upstreams, uint32(keep))
+		s.step(g)
+		g.Expect(s.orders).To(BeEmpty())
+		s.planner.Step(s.now, Services{Services: []*pb.Service{service("2", uint32(keep))}})
+		for range 400 {
+			s.step(g)
+			g.Expect(upstreams-len(s.orders)).To(BeNumerically(">=", keep), "upstreams that still serve")
+			for i := range upstreams {
+				id := fmt.Sprintf("u%d", i)
+				if s.orders[id] != nil && rapid.IntRange(0, 2).Draw(t, "finished") > 0 {
+					s.finish(id, rapid.IntRange(0, 4).Draw(t, "done") > 0)
+				}
+			}
+		}
+		for id, report := range s.reports {
+			g.Expect(report.GetVersion()).To(Equal("2"), id)
+		}
+	})
+}
+
+func TestAnEmptyUpstreamLoadsAtOnceAndAFollowerNothing(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(1, 1)
+	s.reports["u0"].Models = nil
+	s.planner.Step(s.now, Lead{Term: 2, On: false})
+	s.step(g)
+	g.Expect(s.orders).To(BeEmpty())
+	s.planner.Step(s.now, Lead{Term: 3, On: true})
+	s.step(g)
+	s.step(g)
+	g.Expect(s.orders).To(HaveKey("u0"))
+	g.Expect(s.orders["u0"].GetOrder().GetKind()).To(Equal(pb.OrderKind_ORDER_LOAD_MODEL))
+}
+
+func TestAFullWeightStoreDelaysTheNextOrder(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(1, 0)
+	s.reports["u0"].Models = nil
+	s.planner.Step(s.now, Report{Report: s.reports["u0"]})
+	s.now = s.now.Add(2 * planPeriod)
+	s.planner.Tick(s.now)
+	issue := s.planner.Drain()[0].(Issue).Issue
+	refused := &pb.OrderResult{Reason: "the weight store has no room", RetryAfterMs: 5000}
+	s.planner.Step(s.now, Issued{ChangeID: issue.GetChangeId(), Upstream: "u0", Result: refused})
+	s.planner.Tick(s.now.Add(2 * time.Second))
+	g.Expect(s.planner.Drain()).To(BeEmpty())
+	s.planner.Tick(s.now.Add(6 * time.Second))
+	again := s.planner.Drain()
+	g.Expect(again).To(HaveLen(1))
+	g.Expect(again[0].(Issue).Issue.GetChangeId()).To(Equal(issue.GetChangeId()))
+}
--- a/sidecard/batch.go
+++ b/sidecard/batch.go
@@ -190,7 +190,7 @@
 			d.core.Post(sidecar.Cancel{ID: id})
 		}
 	case batch.Drained:
-		d.workerDrained.Do(func() { close(d.workerIdle) })
+		d.workerIdle.set()
 	}
 }
 
--- a/sidecard/metrics.go
+++ b/sidecard/metrics.go
@@ -14,7 +14,9 @@
 type metrics struct {
 	registry *prometheus.Registry
 	refusals *prometheus.CounterVec
-	current  atomic.Pointer[pb.Load]
+	// ordersIgnored counts orders with an old fencing number.
+	ordersIgnored prometheus.Counter
+	current       atomic.Pointer[pb.Load]
 }
 
 func newMetrics(identity *transport.Identity) *metrics {
@@ -25,8 +27,12 @@
 			Help: "Requests that the sidecar refused, by reason.",
 		}, []string{"reason"}),
 	}
+	m.ordersIgnored = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "briarcross_sidecar_orders_ignored_total",
+		Help: "Orders to the upstream that were refused for their old fencing number.",
+	})
 	m.registry.MustRegister(
-		m.refusals,
+		m.refusals, m.ordersIgnored,
 		m.gauge("briarcross_sidecar_running_online", "Online requests at the engine.", (*pb.Load).GetRunningOnline),
 		m.gauge("briarcross_sidecar_running_batch", "Batch items at the engine.", (*pb.Load).GetRunningBatch),
 		m.gauge("briarcross_sidecar_queued_online", "Online requests that wait for the engine.", (*pb.Load).GetQueuedOnline),
--- a/sidecard/sidecard.go
+++ b/sidecard/sidecard.go
@@ -49,16 +49,15 @@
 	metrics      *metrics
 	runs         runs
 	items        items
-
-	ctx           context.Context
-	cancel        context.CancelFunc
-	background    sync.WaitGroup
-	faults        chan error
-	draining      atomic.Bool
-	coreDrained   sync.Once
-	coreIdle      chan struct{}
-	workerDrained sync.Once
-	workerIdle    chan struct{}
+	orders       *orders
+
+	ctx        context.Context
+	cancel     context.CancelFunc
+	background sync.WaitGroup
+	faults     chan error
+	draining   atomic.Bool
+	idle       *signal
+	workerIdle *signal
 }
 
 // Start starts a sidecar. The settings must have passed Check.
@@ -94,8 +93,8 @@
 		ctx:        ctx,
 		cancel:     cancel,
 		faults:     make(chan error, 1),
-		coreIdle:   make(chan struct{}),
-		workerIdle: make(chan struct{}),
+		idle:       newSignal(),
+		workerIdle: newSignal(),
 	}
 	announcer := member.NewAnnouncer(member.AnnouncerOptions{Registrars: settings.Registrars})
 	d.announcer = loop.Start[member.Input, member.Output](announcer, announcerTick, d.carryAnnouncer)
@@ -138,6 +137,7 @@
 	})
 	d.worker = loop.Start[batch.WorkerInput, batch.WorkerOutput](worker, workerTick, d.carryWorker)
 	d.core = loop.Start[sidecar.Input, sidecar.Output](d.sidecar, coreTick, d.carryCore)
+	d.orders = newOrders(d)
 	d.subscription = daemon.Subscribe(daemon.SubscriptionOptions{
 		Identity:   d.identity,
 		Transport:  d.transport,
@@ -248,7 +248,7 @@
 	case sidecar.BatchRoom:
 		d.worker.Post(batch.Room{Items: out.Items})
 	case sidecar.Drained:
-		d.coreDrained.Do(func() { close(d.coreIdle) })
+		d.idle.set()
 	}
 	d.metrics.setLoad(d.sidecar.Load())
 }
@@ -271,7 +271,11 @@
 
 func (d *Daemon) serve(listener, web net.Listener) {
 	d.server = transport.NewServer(d.identity, d.serveStream)
-	d.background.Add(2)
+	d.background.Add(3)
+	go func() {
+		defer d.background.Done()
+		d.orders.run()
+	}()
 	go func() {
 		defer d.background.Done()
 		if err := d.server.Serve(d.settings.TLS.Listener(listener)); err != nil {
@@ -340,19 +344,6 @@
 	}
 }
 
-func (d *Daemon) drain() {
-	d.draining.Store(true)
-	d.announce(pb.MemberState_MEMBER_DRAINING)
-	d.core.Post(sidecar.Drain{})
-	d.worker.Post(batch.Drain{})
-}
-
-func (d *Daemon) undrain() {
-	d.draining.Store(false)
-	d.announce(pb.MemberState_MEMBER_SERVING)
-	d.core.Post(sidecar.Undrain{})
-}
-
 func (d *Daemon) fault(err error) {
 	select {
 	case d.faults <- err:
@@ -375,11 +366,12 @@
 func (d *Daemon) Stop() error {
 	d.logger.Info("sidecar drains")
 	d.readiness.Stop()
+	idle, workerIdle := d.idle.reset(), d.workerIdle.reset()
 	d.drain()
 	timer := time.NewTimer(d.settings.StopWait)
 	defer timer.Stop()
-	d.await(d.coreIdle, timer.C)
-	d.await(d.workerIdle, timer.C)
+	d.await(idle, timer.C)
+	d.await(workerIdle, timer.C)
 	d.announce(pb.MemberState_MEMBER_LEFT)
 	d.announcer.Do(func() {})
 	return d.close()
@@ -399,6 +391,7 @@
 	d.http.Stop()
 	d.subscription.Close()
 	d.announcer.Close()
+	d.orders.loop.Close()
 	d.core.Close()
 	d.worker.Close()
 	d.transport.Close()
