--- a/config/document_test.go
+++ b/config/document_test.go
@@ -135,6 +135,12 @@
 	}
 }
 
+func TestJSONIsReadAsYAML(t *testing.T) {
+	g := NewWithT(t)
+	doc := parseOne(`{"kind": "Profile", "name": "p", "schemaVersion": 1, "spec": {"class": "batch", "priority": 7}}`)
+	g.Expect(proto.Equal(doc, profile("p", "batch", 7))).To(BeTrue())
+}
+
 func TestFormatWritesTheRevisionForAnEdit(t *testing.T) {
 	g := NewWithT(t)
 	doc := profile("p", "batch", 4)
--- a/spread/subscriber.go
+++ b/spread/subscriber.go
@@ -24,6 +24,9 @@
 	// silentHeartbeats is the number of heartbeats without confirmation
 	// after which a replica is left.
 	silentHeartbeats = 2
+	// reportHeartbeats is the number of heartbeats between two reports of
+	// the same revision.
+	reportHeartbeats = 3
 )
 
 // SubscriberOptions are the settings of a Subscriber. Zero values take the
@@ -309,7 +312,7 @@
 		return
 	}
 	s.confirmed = false
-	s.reportAt = now.Add(s.options.Heartbeat)
+	s.reportAt = now.Add(reportHeartbeats * s.options.Heartbeat)
 	s.outbox.Put(Attach{Replica: s.replica, From: s.revision})
 }
 
@@ -318,6 +321,6 @@
 	if s.replica == "" || now.Before(s.reportAt) {
 		return
 	}
-	s.reportAt = now.Add(s.options.Heartbeat)
+	s.reportAt = now.Add(reportHeartbeats * s.options.Heartbeat)
 	s.outbox.Put(Report{Revision: s.revision})
 }
