--- /dev/null
+++ b/batch/scheduler_test.go
@@ -0,0 +1,94 @@
+package batch
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/briarcross/briarcross/pb"
+)
+
+func TestLargeItemsShareAnswersWithinTheirSize(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		g := NewWithT(t)
+		s := newSim(31, 2)
+		j := plainJob("job-1", 12)
+		j.caller = strings.Repeat("x", maxNameBytes)
+		j.idempotent = idempotent
+		j.padding = 300 << 10
+		s.accept(g, j)
+		g.Expect(s.until(time.Minute, s.completed("job-1"))).To(BeTrue())
+		g.Expect(s.ledger.check(s)).To(BeEmpty())
+		g.Expect(s.ledger.largest).To(BeNumerically("<=", maxAnswerBytes+j.padding))
+	}
+}
+
+func TestRunThatTakesTooLongIsEnded(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		g := NewWithT(t)
+		s := newSim(32, 2)
+		s.options.RunTime = 10 * time.Second
+		s.elect(s.now)
+		s.sidecars[0].runTime = func() time.Duration { return time.Hour }
+		j := plainJob("job-1", 40)
+		j.idempotent = idempotent
+		s.accept(g, j)
+		g.Expect(s.until(2*time.Minute, s.completed("job-1"))).To(BeTrue())
+		g.Expect(s.job("job-1").GetFailed() == 0).To(Equal(idempotent))
+		g.Expect(s.ledger.check(s)).To(BeEmpty())
+	}
+}
+
+func TestClaimOfAnEarlierLeaderEndsUnknown(t *testing.T) {
+	g := NewWithT(t)
+	s := newSim(33, 0)
+	j := plainJob("job-1", 3)
+	j.idempotent = false
+	s.accept(g, j)
+	s.fail(false)
+	start := &pb.ItemsStart{JobId: "job-1", Indexes: []uint32{1}, FencingNumber: 1<<termShift | 7}
+	s.commit(s.leader, &pb.Command{Op: &pb.Command_ItemsStart{ItemsStart: start}})
+	s.sidecars = append(s.sidecars, newSimSidecar(s, "worker-00"))
+	g.Expect(s.until(time.Minute, s.completed("job-1"))).To(BeTrue())
+	g.Expect(s.results("job-1")[1].GetError()).To(Equal(ErrorUnknown))
+	g.Expect(s.job("job-1").GetDone()).To(Equal(uint32(2)))
+	g.Expect(s.ledger.check(s)).To(BeEmpty())
+}
+
+func TestReplacedLeaderSendsWorkersAway(t *testing.T) {
+	g := NewWithT(t)
+	s := newSim(34, 2)
+	s.advance(time.Second)
+	g.Expect(s.sidecars[0].worker.outstanding).To(BeTrue())
+	s.leader.scheduler.Step(s.now, Lead{Term: s.term})
+	s.carry(s.leader)
+	s.advance(100 * time.Millisecond)
+	g.Expect(s.sidecars[0].worker.Stats().AsksFailed).To(BeNumerically(">", 0))
+}
+
+func TestJobsAreListedInPagesForTheirCaller(t *testing.T) {
+	g := NewWithT(t)
+	s := newSim(35, 0)
+	for i := range 7 {
+		j := plainJob(fmt.Sprintf("job-%d", i), 2)
+		j.caller = []string{"forbundet", "trasy"}[i%2]
+		s.accept(g, j)
+	}
+	list := func(q *pb.JobListQuery) []string {
+		answer, _ := s.leader.state.Query(s.store, &pb.Query{Query: &pb.Query_JobList{JobList: q}})
+		var ids []string
+		for _, job := range answer.GetJobList().GetJobs() {
+			ids = append(ids, job.GetJobId())
+		}
+		return ids
+	}
+	g.Expect(list(&pb.JobListQuery{})).To(HaveLen(7))
+	g.Expect(list(&pb.JobListQuery{Caller: "trasy"})).To(Equal([]string{"job-1", "job-3", "job-5"}))
+	g.Expect(list(&pb.JobListQuery{Caller: "forbundet", After: "job-2", Limit: 1})).To(Equal([]string{"job-4"}))
+	q := &pb.JobQuery{JobId: "job-1", Caller: "forbundet"}
+	answer, _ := s.leader.state.Query(s.store, &pb.Query{Query: &pb.Query_Job{Job: q}})
+	g.Expect(answer.GetJob().GetError()).To(Equal(pb.JobError_JOB_NOT_FOUND))
+}
--- a/batch/sim_ledger_test.go
+++ b/batch/sim_ledger_test.go
@@ -23,6 +23,8 @@
 	// atCancel is how many results a job had when it was cancelled.
 	atCancel map[string]uint32
 	faults   []string
+	// largest is the size of the largest answer's bodies.
+	largest int
 }
 
 func newSimLedger() *simLedger {
@@ -53,7 +55,10 @@
 		l.fault("request %d was answered twice", out.Token)
 	}
 	l.answered[out.Token] = true
+	size := 0
 	for _, item := range out.Message.GetItems() {
+		size += len(item.GetBody())
+		l.largest = max(l.largest, size)
 		if at, ok := l.cancelled[item.GetJobId()]; ok && from.current {
 			l.fault("item %s/%d was handed out at %v, cancelled at %v", item.GetJobId(), item.GetIndex(), s.now, at)
 		}
--- a/batch/sim_sidecar_test.go
+++ b/batch/sim_sidecar_test.go
@@ -138,6 +138,7 @@
 func (c *simSidecar) send(m *pb.LeaseRequest) {
 	s := c.sim
 	m = proto.Clone(m).(*pb.LeaseRequest)
+	s.leaseBytes += proto.Size(m)
 	l := s.leader
 	if len(s.stale) > 0 && s.stale[len(s.stale)-1].alive && s.chance(0.5) {
 		l = s.stale[len(s.stale)-1]
@@ -175,6 +176,7 @@
 	s.ledger.replied(s, l, out)
 	from := s.ledger.requests[out.Token]
 	m := proto.Clone(out.Message).(*pb.LeaseResponse)
+	s.leaseBytes += proto.Size(m)
 	if from.sidecar.cut || s.chance(s.loss) {
 		return
 	}
