--- a/gate/attempts.go
+++ b/gate/attempts.go
@@ -94,7 +94,7 @@
 	r.cause = in.Reason
 	r.retryAfter = in.RetryAfter
 	r.relayed = r.relayed || in.Relayed
-	r.ran = r.ran || in.Outcome != pb.Outcome_OUTCOME_NOT_RUN
+	r.ran = r.ran || !hasNotRun(in)
 	r.resumeFrom = in.Tokens
 	if len(r.live) > 0 {
 		return
@@ -106,6 +106,14 @@
 	g.again(now, r)
 }
 
+// hasNotRun tells that no engine has seen an attempt. A sidecar that was sent a
+// message for its earlier incarnation cannot know what that one ran. The entry
+// can: it sends each attempt once, on a stream of its own, and the answer on
+// this stream comes from the process that got the message.
+func hasNotRun(in Ended) bool {
+	return in.Outcome == pb.Outcome_OUTCOME_NOT_RUN || in.Reason == pb.Reason_REASON_WRONG_INCARNATION
+}
+
 func maxAttempts(profile *pb.Profile) uint32 {
 	if profile.GetMaxAttempts() == 0 {
 		return defaultAttempts
@@ -118,9 +126,7 @@
 func (g *Gate) again(now time.Time, r *request) {
 	r.winner = 0
 	full := isFull(r.cause)
-	u, ok := g.routes.Pick(now, route.Query{
-		Service: r.Service, Prefix: r.Prefix, Exclude: r.tried, RoomOnly: full,
-	})
+	u, ok := g.pick(now, r, full)
 	if !ok && (full || !g.routes.Serves(now, r.Service)) {
 		g.giveUp(now, r, r.cause, r.retryAfter)
 		return
@@ -158,7 +164,7 @@
 		}
 		r := g.requests[id]
 		r.tried = nil
-		u, ok := g.routes.Pick(now, route.Query{Service: r.Service, Prefix: r.Prefix})
+		u, ok := g.pick(now, r, false)
 		if !ok {
 			g.giveUp(now, r, pb.Reason_REASON_NO_UPSTREAM, noUpstreamRetryAfter)
 			continue
@@ -179,9 +185,7 @@
 		if len(r.live) != 1 || r.winner != 0 || r.attempts >= maxAttempts(r.profile) {
 			continue
 		}
-		u, ok := g.routes.Pick(now, route.Query{
-			Service: r.Service, Prefix: r.Prefix, Exclude: r.tried, RoomOnly: true,
-		})
+		u, ok := g.pick(now, r, true)
 		if ok && g.budget(r.Service).Take(now) {
 			g.send(now, r, u, true)
 		}
--- a/sidecar/requests.go
+++ b/sidecar/requests.go
@@ -232,10 +232,10 @@
 }
 
 func (s *Sidecar) firstToken(now time.Time, e *entry) {
+	s.streams.spoke(e)
 	if e.work.Class != Online {
 		return
 	}
-	s.streams.onlineWaiting--
 	took := now.Sub(e.started)
 	s.latency.firstToken.add(took)
 	s.window.firstToken(took, e.work.FirstToken)
--- a/sidecar/streams.go
+++ b/sidecar/streams.go
@@ -7,8 +7,10 @@
 	online int
 	// stopping streams were told to stop and still hold their places.
 	stopping int
-	// onlineWaiting streams have produced no token since their start.
-	onlineWaiting int
+	// silent streams have produced no token since their start, onlineSilent are
+	// the online ones among them.
+	silent       int
+	onlineSilent int
 	// items are the running batch streams in the order of their starts.
 	items []*entry
 }
@@ -18,20 +20,29 @@
 func (s *streams) count() int { return s.online + len(s.items) }
 
 func (s *streams) add(e *entry) {
+	s.silent++
 	if e.work.Class == Online {
 		s.online++
-		s.onlineWaiting++
+		s.onlineSilent++
 		return
 	}
 	s.items = append(s.items, e)
 }
 
+// spoke counts the first token of a stream.
+func (s *streams) spoke(e *entry) {
+	s.silent--
+	if e.work.Class == Online {
+		s.onlineSilent--
+	}
+}
+
 func (s *streams) remove(e *entry) {
+	if e.lastToken.IsZero() {
+		s.spoke(e)
+	}
 	if e.work.Class == Online {
 		s.online--
-		if e.lastToken.IsZero() {
-			s.onlineWaiting--
-		}
 		return
 	}
 	at := slices.Index(s.items, e)
