Let a drained upstream serve again

Cause: an operator's undrain, and the end of an order that paused an upstream, announce serving within the same incarnation; the member table kept draining. Change: the version decides, as for every other field; only having left is final within an incarnation.

--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -167,10 +167,10 @@
 	case member.SendTo:
 		d.sendMember(out)
 	case member.Changed:
-		d.known.Store(int64(len(d.table.Members())))
+		d.known.Store(int64(d.table.Len()))
 		d.gate.Post(gate.MemberChanged{Member: out.Member})
 	case member.Gone:
-		d.known.Store(int64(len(d.table.Members())))
+		d.known.Store(int64(d.table.Len()))
 		d.gate.Post(gate.MemberGone{ID: out.ID})
 	}
 }
--- a/member/announcer.go
+++ b/member/announcer.go
@@ -129,8 +129,8 @@
 	return a.outbox.Drain()
 }
 
-// setMember announces a change at once. Within an incarnation a member that
-// drains keeps draining, and one that left stays away.
+// setMember announces a change at once. Within an incarnation a member that left
+// stays away.
 func (a *Announcer) setMember(now time.Time, in *pb.Member) {
 	next := proto.CloneOf(in)
 	if a.member == nil || next.GetIncarnation() > a.member.GetIncarnation() {
@@ -146,7 +146,9 @@
 	if next.GetIncarnation() < a.member.GetIncarnation() {
 		return
 	}
-	next.State = max(next.GetState(), a.member.GetState())
+	if a.member.GetState() == pb.MemberState_MEMBER_LEFT {
+		next.State = pb.MemberState_MEMBER_LEFT
+	}
 	next.Version = a.member.GetVersion()
 	if !differs(a.member, next) {
 		return
--- a/member/doc.go
+++ b/member/doc.go
@@ -13,8 +13,8 @@
 //
 // A Table runs on each entry. It subscribes to every registrar and merges
 // what they report: of two reports about a member the higher (incarnation,
-// version) wins, a draining member stays draining within its incarnation, and
-// a member that left does not return within its incarnation. A member is gone
+// version) wins, so that a member which drains may serve again, and a member
+// that left does not return within its incarnation. A member is gone
 // when it left, or when no live registrar lists it. While no registrar
 // answers, the Table keeps what it has.
 //
--- a/member/message.go
+++ b/member/message.go
@@ -4,8 +4,6 @@
 	"slices"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/briarcross/briarcross/pb"
 )
 
@@ -95,7 +93,9 @@
 }
 
 // merge returns the newer of two reports about a member, and whether it
-// differs from the held one. A held report may be nil.
+// differs from the held one. A held report may be nil. A member that left does
+// not come back within its incarnation; one that drains may serve again with a
+// later version.
 func merge(held, in *pb.Member) (*pb.Member, bool) {
 	if held == nil || in.GetIncarnation() > held.GetIncarnation() {
 		return in, true
@@ -103,12 +103,10 @@
 	if in.GetIncarnation() < held.GetIncarnation() || in.GetVersion() <= held.GetVersion() {
 		return held, false
 	}
-	if in.GetState() >= held.GetState() {
-		return in, true
+	if held.GetState() == pb.MemberState_MEMBER_LEFT {
+		return held, false
 	}
-	sticky := proto.CloneOf(in)
-	sticky.State = held.GetState()
-	return sticky, true
+	return in, true
 }
 
 // serves reports whether a member serves one of the services; an empty list
