Prove a change of version over separate processes

Cause: orders were tested on cores only. Change: e2e case with engines that do and do not check fencing numbers, a sidecar killed during its order, and requests answered throughout; the time before placement acts is a setting.

--- a/devd/devd.go
+++ b/devd/devd.go
@@ -147,6 +147,7 @@
 		RepairAfter: startTimeout,
 		LeaseTime:   fastLease,
 		PollTime:    fastPoll,
+		Settle:      fastLease,
 	}
 	for n, address := range c.addrs.control {
 		s.Replicas = append(s.Replicas, fmt.Sprintf("control-%d@%s@%s", n+1, address, dataCentre(n)))
--- a/e2e/failures_test.go
+++ b/e2e/failures_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	labengine "github.com/briarcross/briarcross/lab/engine"
+	"github.com/briarcross/briarcross/operator"
 	. "github.com/onsi/gomega"
 )
 
@@ -242,3 +243,45 @@
 	}
 	g.Expect(f.engines[0].Ledger()).To(HaveLen(before))
 }
+
+// A change of a model's version reaches every engine, those that check fencing
+// numbers and those that do not, while requests go on being answered; a sidecar
+// that is killed meanwhile carries its order out once it is back.
+func TestChangeOfVersionWhileServing(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	f := startFleet(t, options{sidecars: 2})
+	changed := strings.ReplaceAll(configuration, "  model: dam-watch\n", "  model: dam-watch\n  version: \"2\"\n  minUpstreams: 1\n")
+	f.apply(changed)
+	f.await("an upstream has an order", func() bool { return f.ordersIssued() > 0 })
+	f.sidecar[1].kill()
+	f.sidecar[1].start(t)
+	asked := 0
+	f.await("every engine serves the new version", func() bool {
+		_, err := f.complete(asked%entries, fmt.Sprintf("during the change %d", asked), 2)
+		g.Expect(err).NotTo(HaveOccurred())
+		asked++
+		return f.versions() == "2 2"
+	})
+}
+
+// ordersIssued counts the orders that the leader knows of.
+func (f *fleet) ordersIssued() int {
+	issued := 0
+	for _, name := range []string{"s1", "s2"} {
+		answer, err := operator.NewClient(f.controlURL(0)).Orders(name)
+		if err == nil {
+			issued += int(answer.GetFencingNumber())
+		}
+	}
+	return issued
+}
+
+// versions returns the versions that the engines serve.
+func (f *fleet) versions() string {
+	var versions []string
+	for _, engine := range f.engines {
+		versions = append(versions, engine.Identity().Version)
+	}
+	return strings.Join(versions, " ")
+}
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -124,7 +124,7 @@
 		"control", "-id", fmt.Sprintf("c%d", i+1), "-data-centre", dataCentre(i),
 		"-listen", f.address(offsetControl, i), "-http", f.address(offsetControlHTTP, i),
 		"-data", f.dataFolder(i), "-tick", "20ms", "-repair-after", "3s",
-		"-lease-time", "2s", "-poll-time", "100ms",
+		"-lease-time", "2s", "-poll-time", "100ms", "-placement-settle", "1s",
 		"-replicas", f.replicaList(0, voters),
 	}
 	if f.spares > 0 {
@@ -160,7 +160,14 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	engine := labengine.NewServer(labengine.Options{ID: fmt.Sprintf("engine-%d", i+1), Seed: uint64(i), Cost: cost})
+	engine := labengine.NewServer(labengine.Options{
+		ID:            fmt.Sprintf("engine-%d", i+1),
+		Seed:          uint64(i),
+		Cost:          cost,
+		Models:        []string{"dam-watch"},
+		Version:       "1",
+		ChecksFencing: i%2 == 0,
+	})
 	go func() { _ = engine.Serve(listener) }()
 	f.t.Cleanup(func() { _ = engine.Close() })
 	f.engines = append(f.engines, engine)
--- a/lab/engine/server.go
+++ b/lab/engine/server.go
@@ -108,6 +108,13 @@
 	return counters
 }
 
+// Identity returns what the engine serves.
+func (s *Server) Identity() engine.Identity {
+	var identity engine.Identity
+	s.do(func(time.Time) { identity = s.engine.Identity() })
+	return identity
+}
+
 // do runs a function on the engine's goroutine and waits for it. It reports
 // false when the server is closing.
 func (s *Server) do(call func(now time.Time)) bool {
