Upload files before starting them; name the engine's model; fix a race

Cause: the files interface needs items that are committed and do not run yet; a service may name another model than its own name, which engines refused (all keyed requests of the e2e case failed once engines checked the name); the outcome trailer was set by another goroutine than the one that writes headers (race detector, results of a job); the query of a plain call was recorded decoded. Ruled out for the keyed case: elections and claims, which were answered. Change: staged jobs with a longer receive time; openai.ForEngine; the trailer is set where the body is read; raw request targets.

--- a/batch/lead.go
+++ b/batch/lead.go
@@ -55,7 +55,7 @@
 			s.jobs.add(l).guessFloor()
 			continue
 		}
-		s.receiveDeadlines.Set(id, now.Add(ReceiveTimeout))
+		s.receiveDeadlines.Set(id, now.Add(receiveTimeout(l.job)))
 	}
 }
 
@@ -65,11 +65,11 @@
 	switch op := in.Command.GetOp().(type) {
 	case *pb.Command_JobBegin:
 		if code == pb.JobError_JOB_OK {
-			s.receiveDeadlines.Set(op.JobBegin.GetJobId(), now.Add(ReceiveTimeout))
+			s.receiveDeadlines.Set(op.JobBegin.GetJobId(), now.Add(receiveTimeout(in.Result.GetJob().GetJob())))
 		}
 	case *pb.Command_JobChunk:
 		if code == pb.JobError_JOB_OK {
-			s.receiveDeadlines.Set(op.JobChunk.GetJobId(), now.Add(ReceiveTimeout))
+			s.receiveDeadlines.Set(op.JobChunk.GetJobId(), now.Add(receiveTimeout(in.Result.GetJob().GetJob())))
 		}
 	case *pb.Command_JobAccept:
 		s.receiveDeadlines.Remove(op.JobAccept.GetJobId())
--- /dev/null
+++ b/batch/staged_test.go
@@ -0,0 +1,19 @@
+package batch
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+func TestStagedNameIsReadBack(t *testing.T) {
+	g := NewWithT(t)
+	staged := Staged{JobID: "batch-0a1b", Items: 970_000, Digest: []byte{1, 2, 255}}
+	read, err := ParseStaged(staged.String())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(read).To(Equal(staged))
+	for _, text := range []string{"", "a", "a.b.c", "a.1", "a.1.zz", "a.-1.00", "a.1.00.00"} {
+		_, err := ParseStaged(text)
+		g.Expect(err).To(HaveOccurred(), text)
+	}
+}
--- a/batch/state_jobs.go
+++ b/batch/state_jobs.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"time"
 
 	"github.com/briarcross/briarcross/kv"
 	"github.com/briarcross/briarcross/pb"
@@ -64,7 +65,16 @@
 }
 
 func receiveExpired(job *pb.Job, now uint64) bool {
-	return now >= job.GetUpdatedUnixMs()+uint64(ReceiveTimeout.Milliseconds())
+	return now >= job.GetUpdatedUnixMs()+uint64(receiveTimeout(job).Milliseconds())
+}
+
+// receiveTimeout is the time without a command after which the received part of
+// a job may be removed.
+func receiveTimeout(job *pb.Job) time.Duration {
+	if job.GetReceiveMs() == 0 {
+		return ReceiveTimeout
+	}
+	return time.Duration(job.GetReceiveMs()) * time.Millisecond
 }
 
 func newJob(now uint64, c *pb.JobBegin) *pb.Job {
@@ -81,6 +91,7 @@
 		Idempotent:    c.GetIdempotent(),
 		MaxAttempts:   c.GetMaxAttempts(),
 		Endpoint:      c.GetEndpoint(),
+		ReceiveMs:     c.GetReceiveMs(),
 	}
 	if job.GetRetentionMs() == 0 {
 		job.RetentionMs = uint64(DefaultRetention.Milliseconds())
@@ -136,6 +147,9 @@
 		}
 		return pb.JobError_JOB_NOT_FOUND, nil
 	}
+	if c.GetCaller() != "" && c.GetCaller() != job.GetCaller() {
+		return pb.JobError_JOB_NOT_FOUND, nil
+	}
 	if job.GetState() != pb.JobState_JOB_RECEIVING {
 		return acceptAgain(job, c)
 	}
@@ -154,6 +168,9 @@
 	job.State = pb.JobState_JOB_RUNNING
 	job.Items = c.GetItems()
 	job.Digest = c.GetDigest()
+	if c.GetDueUnixMs() > 0 {
+		job.DueUnixMs = c.GetDueUnixMs()
+	}
 	job.UpdatedUnixMs = now
 	l.allocate()
 	writeJob(b, job)
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -14,6 +14,8 @@
 	Path    string
 	Headers []*pb.HeaderField
 	Body    []byte
+	// Model replaces the model's name in the body, unless it is empty.
+	Model string
 	// ResumeFrom is the number of tokens that the caller already has.
 	ResumeFrom int
 	// KV is the handle of an exported state that the engine imports first.
--- a/entryd/batches.go
+++ b/entryd/batches.go
@@ -32,6 +32,7 @@
 	jobIDBytes        = 12
 	maxFirstLineBytes = 1 << 20
 	submitTimeout     = 30 * time.Minute
+	uploadRetention   = 24 * time.Hour
 	batchCallTimeout  = 10 * time.Second
 	resultPageItems   = 256
 	resultPageBytes   = 1 << 20
@@ -73,7 +74,7 @@
 	switch string(ctx.Request.Header.ContentType()) {
 	case contentTypeJSONL, contentTypeNDJSON:
 	default:
-		d.refuse(ctx, pb.Reason_REASON_BAD_REQUEST, "the content type must be "+contentTypeJSONL)
+		d.startUploaded(ctx, caller)
 		return
 	}
 	job, err := d.intake(ctx, caller, bodyReader(ctx))
@@ -132,6 +133,24 @@
 	return batch.NewIntake(options).Read(timeout, reader, d.proposeBatch)
 }
 
+// stage commits an uploaded file of items without starting it.
+func (d *Daemon) stage(ctx *fasthttp.RequestCtx, caller string, file io.Reader) (batch.Staged, error) {
+	reader := bufio.NewReaderSize(file, maxFirstLineBytes)
+	first, err := peekFirstLine(reader)
+	if err != nil {
+		return batch.Staged{}, err
+	}
+	options, err := d.intakeOptions(ctx, caller, first)
+	if err != nil {
+		return batch.Staged{}, err
+	}
+	options.Key = ""
+	options.ReceiveMs = uint64(uploadRetention.Milliseconds())
+	timeout, cancel := context.WithTimeout(d.ctx, submitTimeout)
+	defer cancel()
+	return batch.NewIntake(options).Stage(timeout, reader, d.proposeBatch)
+}
+
 // intakeOptions takes the terms of a job from the profile of its service.
 func (d *Daemon) intakeOptions(ctx *fasthttp.RequestCtx, caller string, first firstLine) (batch.IntakeOptions, error) {
 	service, _, profile, ok := d.subscription.Documents().ProfileOf(first.Body.Model)
@@ -236,15 +255,13 @@
 		return
 	}
 	ctx.SetContentType(contentTypeJSONL)
-	_ = ctx.Response.Header.SetTrailer(headerOutcome)
-	header := &ctx.Response.Header
-	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
-		outcome := pb.Outcome_OUTCOME_DONE
+	streamBody(ctx, func(w *bufio.Writer) pb.Outcome {
 		if err := d.writeResults(w, caller, id, limit, first); err != nil {
-			outcome = pb.Outcome_OUTCOME_UNKNOWN
 			writeLine(w, json.RawMessage(openai.ErrorBody("cut_off", err.Error())))
+			_ = w.Flush()
+			return pb.Outcome_OUTCOME_UNKNOWN
 		}
-		header.Set(headerOutcome, outcomeLabels[outcome])
+		return pb.Outcome_OUTCOME_DONE
 	})
 }
 
--- a/entryd/files.go
+++ b/entryd/files.go
@@ -1,18 +1,34 @@
 package entryd
 
 import (
+	"encoding/json"
+	"io"
+	"mime"
+	"mime/multipart"
 	"strings"
+	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
+	"github.com/briarcross/briarcross/batch"
 	"github.com/briarcross/briarcross/pb"
 )
 
-const contentSuffix = "/content"
+const (
+	contentSuffix    = "/content"
+	inputFilePrefix  = "file-"
+	maxFormBytes     = 1 << 20
+	batchFilePurpose = "batch"
+)
 
-// files serves the files of batch jobs.
+// files serves the files of batch jobs: the upload of items, and the results.
 func (d *Daemon) files(ctx *fasthttp.RequestCtx, caller, rest string) {
 	rest = strings.TrimPrefix(rest, "/")
+	if rest == "" && ctx.IsPost() {
+		d.upload(ctx, caller)
+		return
+	}
 	id, isContent := strings.CutSuffix(rest, contentSuffix)
 	job, isOutput := strings.CutPrefix(id, outputFilePrefix)
 	if isContent && isOutput {
@@ -22,3 +38,111 @@
 	d.refuse(ctx, pb.Reason_REASON_BAD_REQUEST, "no such file")
 	ctx.SetStatusCode(fasthttp.StatusNotFound)
 }
+
+// fileObject is an uploaded file as callers see it.
+type fileObject struct {
+	ID        string `json:"id"`
+	Object    string `json:"object"`
+	Purpose   string `json:"purpose"`
+	Filename  string `json:"filename"`
+	CreatedAt int64  `json:"created_at"`
+	ExpiresAt int64  `json:"expires_at"`
+	Lines     uint32 `json:"lines"`
+}
+
+// upload commits the items of a file; a later request starts them as a job.
+func (d *Daemon) upload(ctx *fasthttp.RequestCtx, caller string) {
+	file, err := openUpload(ctx)
+	if err != nil {
+		d.refuse(ctx, pb.Reason_REASON_BAD_REQUEST, err.Error())
+		return
+	}
+	staged, err := d.stage(ctx, caller, file)
+	if err != nil {
+		d.writeSubmitError(ctx, err)
+		return
+	}
+	now := time.Now()
+	ctx.Response.Header.Set(headerOutcome, outcomeLabels[pb.Outcome_OUTCOME_DONE])
+	writeValue(ctx, fileObject{
+		ID:        inputFilePrefix + staged.String(),
+		Object:    "file",
+		Purpose:   batchFilePurpose,
+		Filename:  file.FileName(),
+		CreatedAt: now.Unix(),
+		ExpiresAt: now.Add(uploadRetention).Unix(),
+		Lines:     staged.Items,
+	})
+}
+
+// openUpload returns the file part of a multipart form. The purpose field must
+// come before it.
+func openUpload(ctx *fasthttp.RequestCtx) (*multipart.Part, error) {
+	_, parameters, err := mime.ParseMediaType(string(ctx.Request.Header.ContentType()))
+	if err != nil || parameters["boundary"] == "" {
+		return nil, eris.New("the body must be a multipart form")
+	}
+	form := multipart.NewReader(bodyReader(ctx), parameters["boundary"])
+	for {
+		part, err := form.NextPart()
+		if err != nil {
+			return nil, eris.New("the form has no file")
+		}
+		switch part.FormName() {
+		case "file":
+			return part, nil
+		case "purpose":
+			value, err := io.ReadAll(io.LimitReader(part, maxFormBytes))
+			if err != nil || string(value) != batchFilePurpose {
+				return nil, eris.New("the purpose must be " + batchFilePurpose)
+			}
+		}
+	}
+}
+
+// batchRequest starts an uploaded file as a job.
+type batchRequest struct {
+	InputFileID      string `json:"input_file_id"`
+	Endpoint         string `json:"endpoint"`
+	CompletionWindow string `json:"completion_window"`
+}
+
+// startUploaded starts the items of an uploaded file. Repeating it returns the
+// same job.
+func (d *Daemon) startUploaded(ctx *fasthttp.RequestCtx, caller string) {
+	body, ok := readBody(ctx, maxFormBytes)
+	var request batchRequest
+	if !ok || json.Unmarshal(body, &request) != nil {
+		d.refuse(ctx, pb.Reason_REASON_BAD_REQUEST, "the body must name an input_file_id, or be JSON lines of type "+contentTypeJSONL)
+		return
+	}
+	staged, err := batch.ParseStaged(strings.TrimPrefix(request.InputFileID, inputFilePrefix))
+	if err != nil {
+		d.refuse(ctx, pb.Reason_REASON_BAD_REQUEST, "no such input file")
+		return
+	}
+	due, err := dueTime(request.CompletionWindow)
+	if err != nil {
+		d.refuse(ctx, pb.Reason_REASON_BAD_REQUEST, "the completion_window must be a duration such as 24h")
+		return
+	}
+	job, err := batch.AcceptStaged(d.ctx, staged, caller, due, d.proposeBatch)
+	if err != nil {
+		d.writeSubmitError(ctx, err)
+		return
+	}
+	writeJob(ctx, job)
+}
+
+// dueTime returns the end of a completion window that begins now, in
+// milliseconds of Unix time, or zero for none.
+func dueTime(window string) (uint64, error) {
+	if window == "" {
+		return 0, nil
+	}
+	length, err := time.ParseDuration(window)
+	if err != nil || length <= 0 {
+		return 0, eris.Errorf("completion window %s", window)
+	}
+	return uint64(time.Now().Add(length).UnixMilli()), nil
+}
--- a/entryd/online.go
+++ b/entryd/online.go
@@ -71,12 +71,11 @@
 		d.refuse(ctx, pb.Reason_REASON_TOO_LARGE, "the body is too large")
 		return
 	}
-	rest := strings.TrimPrefix(string(ctx.Path()), servicesPrefix)
+	// The target is relayed as the caller wrote it, not decoded and encoded anew.
+	rest := strings.TrimPrefix(string(ctx.Request.Header.RequestURI()), servicesPrefix)
 	service, path, _ := strings.Cut(rest, "/")
+	service, _, _ = strings.Cut(service, "?")
 	target := "/" + path
-	if query := ctx.URI().QueryString(); len(query) > 0 {
-		target += "?" + string(query)
-	}
 	request := d.newRequest(ctx, caller, service, body)
 	request.Plain = true
 	wire := newWire(ctx, request, target, body)
--- a/entryd/respond.go
+++ b/entryd/respond.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"errors"
+	"io"
 	"strconv"
 	"time"
 
@@ -145,19 +147,43 @@
 	}
 }
 
-// respondStream relays server-sent events as they arrive. The outcome follows
-// as a trailer, since it is not known when the headers leave.
+// outcomeStream is the body of an answer whose outcome follows as a trailer,
+// since it is not known when the headers leave. The trailer is set by the
+// goroutine that reads the body, which writes the headers too.
+type outcomeStream struct {
+	io.ReadCloser
+	header  *fasthttp.ResponseHeader
+	outcome pb.Outcome
+}
+
+// Read implements io.Reader.
+func (s *outcomeStream) Read(p []byte) (int, error) {
+	n, err := s.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		s.header.Set(headerOutcome, outcomeLabels[s.outcome])
+	}
+	return n, err
+}
+
+// streamBody answers with what a function writes, and with its outcome.
+func streamBody(ctx *fasthttp.RequestCtx, write func(*bufio.Writer) pb.Outcome) {
+	_ = ctx.Response.Header.SetTrailer(headerOutcome)
+	body := &outcomeStream{header: &ctx.Response.Header}
+	body.ReadCloser = fasthttp.NewStreamReader(func(w *bufio.Writer) {
+		body.outcome = write(w)
+	})
+	ctx.SetBodyStream(body, -1)
+}
+
+// respondStream relays server-sent events as they arrive.
 func (d *Daemon) respondStream(ctx *fasthttp.RequestCtx, c *call, head *pb.AnswerHead, release func()) {
 	ctx.SetStatusCode(int(head.GetStatus()))
 	ctx.SetContentType(contentTypeStream)
 	ctx.Response.Header.Set(fasthttp.HeaderCacheControl, "no-cache")
-	_ = ctx.Response.Header.SetTrailer(headerOutcome)
 	ctx.Response.ImmediateHeaderFlush = true
-	header := &ctx.Response.Header
-	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+	streamBody(ctx, func(w *bufio.Writer) pb.Outcome {
 		defer release()
-		finish := d.writeEvents(w, c)
-		header.Set(headerOutcome, outcomeLabels[finish.Outcome])
+		return d.writeEvents(w, c).Outcome
 	})
 }
 
--- a/lab/service/service.go
+++ b/lab/service/service.go
@@ -112,7 +112,7 @@
 	call := Call{
 		Method:         string(ctx.Method()),
 		Path:           string(ctx.URI().PathOriginal()),
-		Query:          string(ctx.QueryArgs().QueryString()),
+		Query:          string(ctx.URI().QueryString()),
 		Body:           append([]byte{}, ctx.PostBody()...),
 		IdempotencyKey: string(ctx.Request.Header.Peek(HeaderIdempotencyKey)),
 	}
--- a/openai/request.go
+++ b/openai/request.go
@@ -159,16 +159,24 @@
 	return joined.String(), nil
 }
 
-// ForceStream returns the body of a completion request with streaming turned
-// on. All other fields keep their values.
-func ForceStream(body []byte) ([]byte, error) {
+// ForEngine returns the body of a completion request as an engine gets it: with
+// streaming turned on, and with the engine's name of the model unless that is
+// empty. All other fields keep their values.
+func ForEngine(body []byte, model string) ([]byte, error) {
 	var fields map[string]json.RawMessage
 	if err := json.Unmarshal(body, &fields); err != nil {
 		return nil, eris.Wrap(err, "openai: request body")
 	}
-	if string(fields["stream"]) == "true" {
+	if model == "" && string(fields["stream"]) == "true" {
 		return body, nil
 	}
 	fields["stream"] = json.RawMessage("true")
+	if model != "" {
+		name, err := json.Marshal(model)
+		if err != nil {
+			return nil, eris.Wrap(err, "openai: model name")
+		}
+		fields["model"] = name
+	}
 	return json.Marshal(fields)
 }
--- a/sidecard/batch.go
+++ b/sidecard/batch.go
@@ -78,7 +78,13 @@
 	a := &batchAnswer{finish: func(end *pb.AnswerEnd, status int, body []byte) {
 		d.finishItem(item, end, status, body)
 	}}
-	r := d.newRun(id, a, engine.Request{ID: id.Request, Method: "POST", Path: item.GetEndpoint(), Body: item.GetBody()})
+	r := d.newRun(id, a, engine.Request{
+		ID:     id.Request,
+		Method: "POST",
+		Path:   item.GetEndpoint(),
+		Body:   item.GetBody(),
+		Model:  d.modelOf(item.GetService()),
+	})
 	if !d.runs.add(r) {
 		return
 	}
--- a/sidecard/online.go
+++ b/sidecard/online.go
@@ -65,6 +65,7 @@
 		Path:       request.GetPath(),
 		Headers:    request.GetHeaders(),
 		Body:       request.GetBody(),
+		Model:      d.modelOf(request.GetService()),
 		ResumeFrom: int(request.GetResumeFrom()),
 	})
 	if !d.runs.add(r) {
@@ -80,6 +81,13 @@
 	}
 }
 
+// modelOf returns the engine's name of a service's model, or nothing when the
+// service is not known here.
+func (d *Daemon) modelOf(service string) string {
+	svc, _, _, _ := d.subscription.Documents().ProfileOf(service)
+	return svc.GetModel()
+}
+
 // watchEntry cancels a request when its entry closes the stream.
 func (d *Daemon) watchEntry(stream *transport.Stream, id sidecar.ID) {
 	for {
