--- /dev/null
+++ b/cli/diff.go
@@ -0,0 +1,138 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/briarcross/briarcross/config"
+	"github.com/briarcross/briarcross/operator"
+	"github.com/briarcross/briarcross/pb"
+)
+
+func (a *app) diffCommand() *ffcli.Command {
+	fs := newFlagSet("diff")
+	flags := &operatorFlags{}
+	flags.register(fs)
+	file := fs.String("f", "", "YAML file of documents; - reads the standard input")
+	return a.command(&ffcli.Command{
+		Name:       "diff",
+		ShortUsage: "briarcross diff [flags] -f FILE",
+		ShortHelp:  "Shows what apply would change, and changes nothing.",
+		FlagSet:    fs,
+		Exec: func(_ context.Context, args []string) error {
+			if err := noArguments(args); err != nil {
+				return err
+			}
+			text, err := a.readFile(*file)
+			if err != nil {
+				return err
+			}
+			c, err := flags.client()
+			if err != nil {
+				return err
+			}
+			return a.diff(c, *file, text)
+		},
+	})
+}
+
+func (a *app) diff(c *operator.Client, file string, text []byte) error {
+	change, _, err := c.Plan(file, text, "")
+	if err != nil {
+		return err
+	}
+	if len(change.GetOps()) == 0 {
+		_, err := fmt.Fprintln(a.out, "no differences")
+		return err
+	}
+	for _, op := range change.GetOps() {
+		answer, err := c.Documents(config.Key(op.GetPut()))
+		if err != nil {
+			return err
+		}
+		if err := a.printDiff(answer.GetDocuments(), op.GetPut()); err != nil {
+			return err
+		}
+	}
+	return &exitError{ExitDifferent, fmt.Errorf("%d documents differ", len(change.GetOps()))}
+}
+
+// printDiff shows the lines that change from the document that stands, if any,
+// to the wanted one.
+func (a *app) printDiff(standing []*pb.Document, wanted *pb.Document) error {
+	before, err := formatPlain(standing...)
+	if err != nil {
+		return err
+	}
+	after, err := formatPlain(wanted)
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(a.out, "--- %s in force\n+++ %s wanted\n", config.Key(wanted), config.Key(wanted))
+	for _, line := range diffLines(before, after) {
+		_, _ = fmt.Fprintln(a.out, line)
+	}
+	return nil
+}
+
+// formatPlain formats documents without their revisions.
+func formatPlain(documents ...*pb.Document) ([]string, error) {
+	if len(documents) == 0 {
+		return nil, nil
+	}
+	plain := make([]*pb.Document, len(documents))
+	for i, document := range documents {
+		plain[i] = &pb.Document{Body: document.GetBody()}
+	}
+	text, err := config.Format(plain)
+	if err != nil {
+		return nil, err
+	}
+	return strings.Split(string(bytes.TrimRight(text, "\n")), "\n"), nil
+}
+
+// diffLines returns the lines of two texts in order: those of both begin with
+// a space, those of the first only with a minus, those of the second only with
+// a plus.
+func diffLines(before, after []string) []string {
+	common := commonLengths(before, after)
+	var lines []string
+	i, j := 0, 0
+	for i < len(before) || j < len(after) {
+		switch {
+		case i < len(before) && j < len(after) && before[i] == after[j]:
+			lines = append(lines, " "+before[i])
+			i++
+			j++
+		case j == len(after) || (i < len(before) && common[i+1][j] >= common[i][j+1]):
+			lines = append(lines, "-"+before[i])
+			i++
+		default:
+			lines = append(lines, "+"+after[j])
+			j++
+		}
+	}
+	return lines
+}
+
+// commonLengths returns the length of the longest common subsequence of each
+// pair of suffixes.
+func commonLengths(before, after []string) [][]int {
+	lengths := make([][]int, len(before)+1)
+	for i := range lengths {
+		lengths[i] = make([]int, len(after)+1)
+	}
+	for i := len(before) - 1; i >= 0; i-- {
+		for j := len(after) - 1; j >= 0; j-- {
+			lengths[i][j] = max(lengths[i+1][j], lengths[i][j+1])
+			if before[i] == after[j] {
+				lengths[i][j] = lengths[i+1][j+1] + 1
+			}
+		}
+	}
+	return lengths
+}
--- a/cli/documents.go
+++ b/cli/documents.go
@@ -4,113 +4,173 @@
 	"context"
 	"fmt"
 	"os"
+	"strconv"
 	"strings"
-	"text/tabwriter"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
-	"google.golang.org/protobuf/encoding/protojson"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/briarcross/briarcross/config"
 	"github.com/briarcross/briarcross/operator"
 	"github.com/briarcross/briarcross/pb"
 )
 
+const keyUsage = "profile/NAME or service/NAME"
+
 func (a *app) getCommand() *ffcli.Command {
-	fs := newFlagSet("get")
-	flags := &operatorFlags{}
-	flags.register(fs)
-	return a.command(&ffcli.Command{
-		Name:       "get",
-		ShortUsage: "briarcross get [flags] [profile/NAME | service/NAME]",
-		ShortHelp:  "Shows profiles and services.",
-		FlagSet:    fs,
-		Exec: func(_ context.Context, args []string) error {
-			name := ""
+	return a.operatorCommand("get", "get [flags] [profile/NAME | service/NAME]", "Shows profiles and services.",
+		func(f *operatorFlags, c *operator.Client, args []string) error {
+			key := ""
 			if len(args) > 0 {
-				name = args[0]
+				key = args[0]
 			}
-			answer, err := operator.NewClient(flags.server).Documents(name)
+			answer, err := documents(c, key)
 			if err != nil {
 				return err
 			}
-			if name != "" && len(answer.GetDocuments()) == 0 {
-				return failf(ExitFailed, "no document %s", name)
-			}
-			return a.printDocuments(flags.output, answer)
-		},
-	})
+			return a.printDocuments(f.output, answer)
+		})
+}
+
+// documents returns the documents under a key, or all with an empty key.
+func documents(c *operator.Client, key string) (*pb.ConfigAnswer, error) {
+	answer, err := c.Documents(key)
+	if err != nil {
+		return nil, err
+	}
+	if key != "" && len(answer.GetDocuments()) == 0 {
+		return nil, failf(ExitFailed, "no document %s at revision %d", key, answer.GetRevision())
+	}
+	return answer, nil
 }
 
 func (a *app) printDocuments(output string, answer *pb.ConfigAnswer) error {
 	switch output {
-	case "json":
-		return a.printJSON(answer)
-	case "yaml":
-		text, err := config.Format(answer.GetDocuments())
-		if err != nil {
-			return err
-		}
-		_, err = a.out.Write(text)
-		return err
+	case outputYAML:
+		return a.printDocumentText(answer.GetDocuments())
+	case outputJSON:
+		return a.printMessages(output, nil, answer)
 	default:
 		return a.printDocumentTable(answer)
 	}
 }
 
-func (a *app) printJSON(message proto.Message) error {
-	text, err := protojson.MarshalOptions{Multiline: true, Indent: "  "}.Marshal(message)
+func (a *app) printDocumentText(documents []*pb.Document) error {
+	text, err := config.Format(documents)
 	if err != nil {
 		return err
 	}
-	_, err = fmt.Fprintln(a.out, string(text))
+	_, err = a.out.Write(text)
 	return err
 }
 
 func (a *app) printDocumentTable(answer *pb.ConfigAnswer) error {
-	w := tabwriter.NewWriter(a.out, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(w, "DOCUMENT\tREVISION\tPROFILE\tCLASS")
+	w := newTable(a.out)
+	_, _ = fmt.Fprintln(w, "DOCUMENT\tREVISION\tCLASS\tPROFILE\tBATCH PROFILE")
 	for _, document := range answer.GetDocuments() {
-		service, profile := document.GetService(), document.GetProfile()
-		class := "-"
-		if profile != nil {
-			class = strings.ToLower(strings.TrimPrefix(profile.GetServiceClass().String(), "CLASS_"))
+		service := document.GetService()
+		_, _ = fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%s\n", config.Key(document), document.GetRevision(),
+			className(document.GetProfile()), orDash(service.GetProfile()), orDash(service.GetBatchProfile()))
+	}
+	return w.Flush()
+}
+
+func className(profile *pb.Profile) string {
+	if profile == nil {
+		return "-"
+	}
+	return strings.ToLower(strings.TrimPrefix(profile.GetServiceClass().String(), "CLASS_"))
+}
+
+func (a *app) describeCommand() *ffcli.Command {
+	return a.operatorCommand("describe", "describe [flags] profile/NAME | service/NAME",
+		"Shows one document with what uses it and its latest changes.",
+		func(f *operatorFlags, c *operator.Client, args []string) error {
+			key, err := oneArgument(args, keyUsage)
+			if err != nil {
+				return err
+			}
+			answer, err := documents(c, key)
+			if err != nil {
+				return err
+			}
+			if f.output != outputTable {
+				return a.printDocuments(f.output, answer)
+			}
+			return a.describe(c, key, answer)
+		})
+}
+
+func (a *app) describe(c *operator.Client, key string, answer *pb.ConfigAnswer) error {
+	if err := a.printDocumentText(answer.GetDocuments()); err != nil {
+		return err
+	}
+	all, err := c.Documents("")
+	if err != nil {
+		return err
+	}
+	if users := usersOf(key, all.GetDocuments()); len(users) > 0 {
+		_, _ = fmt.Fprintf(a.out, "\nUsed by: %s\n", strings.Join(users, ", "))
+	}
+	records, err := c.History(0, describedRecords)
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintln(a.out, "\nLatest changes:")
+	return a.printHistory(recordsOf(key, records))
+}
+
+// usersOf returns the keys of the services that name a profile.
+func usersOf(key string, all []*pb.Document) []string {
+	var users []string
+	for _, document := range all {
+		service := document.GetService()
+		if service == nil {
+			continue
 		}
-		uses := "-"
-		if service != nil {
-			uses = service.GetProfile()
+		if key == config.ProfileKey(service.GetProfile()) || key == config.ProfileKey(service.GetBatchProfile()) {
+			users = append(users, config.Key(document))
 		}
-		_, _ = fmt.Fprintf(w, "%s\t%d\t%s\t%s\n", config.Key(document), document.GetRevision(), uses, class)
 	}
-	return w.Flush()
+	return users
 }
 
 func (a *app) applyCommand() *ffcli.Command {
 	fs := newFlagSet("apply")
 	flags := &operatorFlags{}
 	flags.register(fs)
-	file := fs.String("f", "", "YAML file of documents")
-	by := fs.String("operator", os.Getenv("USER"), "name recorded with the change")
+	file := fs.String("f", "", "YAML file of documents; - reads the standard input")
 	return a.command(&ffcli.Command{
 		Name:       "apply",
-		ShortUsage: "briarcross apply -f FILE",
+		ShortUsage: "briarcross apply [flags] -f FILE",
 		ShortHelp:  "Writes profiles and services. Repeating it after a lost answer is safe.",
 		FlagSet:    fs,
-		Exec: func(context.Context, []string) error {
-			return a.apply(flags, *file, *by)
+		Exec: func(_ context.Context, args []string) error {
+			if err := noArguments(args); err != nil {
+				return err
+			}
+			text, err := a.readFile(*file)
+			if err != nil {
+				return err
+			}
+			c, err := flags.client()
+			if err != nil {
+				return err
+			}
+			return a.applyText(c, *file, text, flags.operator)
 		},
 	})
 }
 
-func (a *app) apply(flags *operatorFlags, file, by string) error {
-	if file == "" {
-		return failf(ExitUsage, "setting -f: is missing")
-	}
-	text, err := os.ReadFile(file)
+func (a *app) readFile(file string) ([]byte, error) {
+	text, err := readInput(a.in, file)
 	if err != nil {
-		return failf(ExitUsage, "setting -f: %v", err)
+		return nil, failf(ExitUsage, "setting -f: %v", err)
 	}
-	c := operator.NewClient(flags.server)
+	return text, nil
+}
+
+// applyText submits the change that puts the documents of a text in place.
+func (a *app) applyText(c *operator.Client, file string, text []byte, by string) error {
 	change, current, err := c.Plan(file, text, by)
 	if err != nil {
 		return err
@@ -119,10 +179,92 @@
 		_, err := fmt.Fprintf(a.out, "unchanged at revision %d\n", current)
 		return err
 	}
-	revision, err := c.Submit(change)
+	revision, err := submit(c, change)
 	if err != nil {
 		return err
 	}
 	_, err = fmt.Fprintf(a.out, "accepted at revision %d\n", revision)
 	return err
 }
+
+// submit sends a change, and again with the same change ID while its outcome
+// is not known.
+func submit(c *operator.Client, change *pb.ConfigChange) (revision uint64, err error) {
+	for range submitAttempts {
+		if revision, err = c.Submit(change); !outcomeUnknown(err) {
+			return revision, err
+		}
+	}
+	return revision, err
+}
+
+func (a *app) deleteCommand() *ffcli.Command {
+	fs := newFlagSet("delete")
+	flags := &operatorFlags{}
+	flags.register(fs)
+	revision := fs.Uint64("revision", 0, "revision of the document that you saw; 0 takes the one that stands")
+	return a.command(&ffcli.Command{
+		Name:       "delete",
+		ShortUsage: "briarcross delete [flags] profile/NAME | service/NAME",
+		ShortHelp:  "Deletes a profile or service. Repeating it after a lost answer is safe.",
+		FlagSet:    fs,
+		Exec: func(_ context.Context, args []string) error {
+			key, err := oneArgument(args, keyUsage)
+			if err != nil {
+				return err
+			}
+			c, err := flags.client()
+			if err != nil {
+				return err
+			}
+			return a.delete(c, key, *revision, flags.operator)
+		},
+	})
+}
+
+func (a *app) delete(c *operator.Client, key string, revision uint64, by string) error {
+	change, found, err := c.PlanDelete(key, revision, by)
+	if err != nil {
+		return err
+	}
+	if !found {
+		return a.alreadyDeleted(c, key)
+	}
+	deleted, err := submit(c, change)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(a.out, "deleted at revision %d\n", deleted)
+	return err
+}
+
+// alreadyDeleted answers a repeated deletion from the history.
+func (a *app) alreadyDeleted(c *operator.Client, key string) error {
+	revision, err := c.Deletion(key)
+	if err != nil {
+		return err
+	}
+	if revision == 0 {
+		return failf(ExitFailed, "no document %s", key)
+	}
+	_, err = fmt.Fprintf(a.out, "deleted at revision %d\n", revision)
+	return err
+}
+
+func revisionText(revision uint64) string {
+	return strconv.FormatUint(revision, 10)
+}
+
+// writeNew writes a file that must not exist yet.
+func writeNew(file string, text []byte) error {
+	const mode = 0o600
+	out, err := os.OpenFile(file, os.O_WRONLY|os.O_CREATE|os.O_EXCL, mode)
+	if err != nil {
+		return err
+	}
+	if _, err := out.Write(text); err != nil {
+		_ = out.Close()
+		return err
+	}
+	return out.Close()
+}
--- /dev/null
+++ b/cli/history.go
@@ -0,0 +1,88 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/briarcross/briarcross/config"
+	"github.com/briarcross/briarcross/pb"
+)
+
+const (
+	describedRecords = 100
+	defaultRecords   = 20
+)
+
+func (a *app) historyCommand() *ffcli.Command {
+	fs := newFlagSet("history")
+	flags := &operatorFlags{}
+	flags.register(fs)
+	limit := fs.Uint("limit", defaultRecords, "largest number of changes")
+	before := fs.Uint64("before", 0, "only changes before this revision; 0 begins at the latest")
+	return a.command(&ffcli.Command{
+		Name:       "history",
+		ShortUsage: "briarcross history [flags] [profile/NAME | service/NAME]",
+		ShortHelp:  "Shows accepted changes, latest first.",
+		FlagSet:    fs,
+		Exec: func(_ context.Context, args []string) error {
+			if err := flags.check(); err != nil {
+				return err
+			}
+			c, err := flags.client()
+			if err != nil {
+				return err
+			}
+			records, err := c.History(*before, uint32(*limit))
+			if err != nil {
+				return err
+			}
+			if len(args) > 0 {
+				records = recordsOf(args[0], records)
+			}
+			answer := &pb.ConfigHistoryAnswer{Records: records}
+			return a.printMessages(flags.output, func() error { return a.printHistory(records) }, answer)
+		},
+	})
+}
+
+// recordsOf returns the changes that wrote or deleted one document.
+func recordsOf(key string, records []*pb.ConfigRecord) []*pb.ConfigRecord {
+	var kept []*pb.ConfigRecord
+	for _, record := range records {
+		if slices.Contains(keysOf(record), key) || slices.Contains(record.GetDeleted(), key) {
+			kept = append(kept, record)
+		}
+	}
+	return kept
+}
+
+func keysOf(record *pb.ConfigRecord) []string {
+	keys := make([]string, 0, len(record.GetDocuments()))
+	for _, document := range record.GetDocuments() {
+		keys = append(keys, config.Key(document))
+	}
+	return keys
+}
+
+func (a *app) printHistory(records []*pb.ConfigRecord) error {
+	w := newTable(a.out)
+	_, _ = fmt.Fprintln(w, "REVISION\tTIME\tOPERATOR\tWRITTEN\tDELETED")
+	for _, record := range records {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", revisionText(record.GetRevision()), timeText(record.GetUnixMs()),
+			orDash(record.GetOperator()), orDash(strings.Join(keysOf(record), ",")), orDash(strings.Join(record.GetDeleted(), ",")))
+	}
+	return w.Flush()
+}
+
+// timeText formats milliseconds since 1970.
+func timeText(unixMs uint64) string {
+	if unixMs == 0 {
+		return "-"
+	}
+	return time.UnixMilli(int64(unixMs)).UTC().Format(time.RFC3339)
+}
--- /dev/null
+++ b/cli/jobs.go
@@ -0,0 +1,204 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/briarcross/briarcross/daemon"
+	"github.com/briarcross/briarcross/jobs"
+)
+
+const (
+	defaultEntry  = "http://127.0.0.1:7403"
+	submitLimit   = 10 * time.Minute
+	watchInterval = time.Second
+	listLimit     = 20
+)
+
+// callerFlags are common to the commands of batch jobs.
+type callerFlags struct {
+	entry  string
+	caller string
+	token  string
+	output string
+	tls    daemon.TLSFiles
+}
+
+func (f *callerFlags) register(fs *flag.FlagSet) {
+	fs.StringVar(&f.entry, "entry", defaultEntry, "base URL of an entry, or of the balancer before the entries")
+	fs.StringVar(&f.caller, "caller", "", "caller's name, where callers have no tokens")
+	fs.StringVar(&f.token, "token", "", "caller's token; better set by BRIARCROSS_TOKEN, since other users see flags")
+	fs.StringVar(&f.output, "o", outputTable, "output format: table, json or yaml")
+	f.tls.Register(fs)
+}
+
+func (f *callerFlags) client() (*jobs.Client, error) {
+	if err := (&operatorFlags{output: f.output}).check(); err != nil {
+		return nil, err
+	}
+	config, err := clientTLS(&f.tls)
+	if err != nil {
+		return nil, err
+	}
+	return jobs.NewClient(jobs.Options{Entry: f.entry, Caller: f.caller, Token: f.token, TLS: config}), nil
+}
+
+func (a *app) jobCommands() *ffcli.Command {
+	return a.group("job", "Submits and watches batch jobs.",
+		a.jobSubmitCommand(),
+		a.jobCommand("get", "get [flags] JOB", "Shows one job.", a.getJob),
+		a.jobListCommand(),
+		a.jobCommand("results", "results [flags] JOB", "Writes a job's results as JSON lines.", a.jobResults),
+		a.jobCommand("cancel", "cancel [flags] JOB", "Cancels a job; results that exist stay readable.", a.cancelJob),
+		a.jobWatchCommand(),
+	)
+}
+
+// jobCommand returns a command on one job.
+func (a *app) jobCommand(name, usage, help string, run func(f *callerFlags, c *jobs.Client, id string) error) *ffcli.Command {
+	fs := newFlagSet(name)
+	flags := &callerFlags{}
+	flags.register(fs)
+	return a.command(&ffcli.Command{
+		Name:       name,
+		ShortUsage: "briarcross job " + usage,
+		ShortHelp:  help,
+		FlagSet:    fs,
+		Exec: func(_ context.Context, args []string) error {
+			id, err := oneArgument(args, "the job's ID")
+			if err != nil {
+				return err
+			}
+			c, err := flags.client()
+			if err != nil {
+				return err
+			}
+			return run(flags, c, id)
+		},
+	})
+}
+
+func (a *app) getJob(f *callerFlags, c *jobs.Client, id string) error {
+	job, err := c.Get(id)
+	if err != nil {
+		return err
+	}
+	return a.printJob(f.output, job)
+}
+
+func (a *app) cancelJob(f *callerFlags, c *jobs.Client, id string) error {
+	job, err := c.Cancel(id)
+	if err != nil {
+		return err
+	}
+	return a.printJob(f.output, job)
+}
+
+func (a *app) jobResults(_ *callerFlags, c *jobs.Client, id string) error {
+	_, err := c.Results(id, a.out)
+	return err
+}
+
+func (a *app) printJob(output string, job *jobs.Job) error {
+	return a.printValue(output, job, func() error { return a.printJobs([]jobs.Job{*job}) })
+}
+
+func (a *app) printJobs(list []jobs.Job) error {
+	w := newTable(a.out)
+	_, _ = fmt.Fprintln(w, "JOB\tSERVICE\tSTATUS\tDONE\tFAILED\tITEMS\tDUE")
+	for _, job := range list {
+		counts := job.RequestCounts
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%s\n", job.ID, job.Service, job.Status,
+			counts.Completed, counts.Failed, counts.Total, time.Unix(job.DueAt, 0).UTC().Format(time.RFC3339))
+	}
+	return w.Flush()
+}
+
+func (a *app) jobSubmitCommand() *ffcli.Command {
+	fs := newFlagSet("submit")
+	flags := &callerFlags{}
+	flags.register(fs)
+	file := fs.String("f", "", "file of items in the OpenAI batch format; - reads the standard input")
+	key := fs.String("key", "", "idempotency key; empty derives it from the file, so that the same file is one job")
+	return a.command(&ffcli.Command{
+		Name:       "submit",
+		ShortUsage: "briarcross job submit [flags] -f FILE",
+		ShortHelp:  "Submits a job. Repeating it after a lost answer is safe.",
+		FlagSet:    fs,
+		Exec: func(ctx context.Context, args []string) error {
+			if err := noArguments(args); err != nil {
+				return err
+			}
+			text, err := a.readFile(*file)
+			if err != nil {
+				return err
+			}
+			c, err := flags.client()
+			if err != nil {
+				return err
+			}
+			ctx, cancel := context.WithTimeout(ctx, submitLimit)
+			defer cancel()
+			job, err := c.Submit(ctx, text, *key)
+			if err != nil {
+				return err
+			}
+			return a.printJob(flags.output, job)
+		},
+	})
+}
+
+func (a *app) jobListCommand() *ffcli.Command {
+	fs := newFlagSet("list")
+	flags := &callerFlags{}
+	flags.register(fs)
+	after := fs.String("after", "", "ID of the last job of the page before")
+	limit := fs.Int("limit", listLimit, "largest number of jobs")
+	return a.command(&ffcli.Command{
+		Name:       "list",
+		ShortUsage: "briarcross job list [flags]",
+		ShortHelp:  "Lists the caller's jobs.",
+		FlagSet:    fs,
+		Exec: func(_ context.Context, args []string) error {
+			if err := noArguments(args); err != nil {
+				return err
+			}
+			c, err := flags.client()
+			if err != nil {
+				return err
+			}
+			list, err := c.List(*after, *limit)
+			if err != nil {
+				return err
+			}
+			return a.printValue(flags.output, list, func() error { return a.printJobs(list.Data) })
+		},
+	})
+}
+
+// jobExitCode returns the exit code for a failed call to an entry.
+func jobExitCode(err error) (int, bool) {
+	var failure *jobs.Failure
+	switch {
+	case !errors.As(err, &failure):
+		return 0, false
+	case failure.Unknown:
+		return ExitUnknown, true
+	case failure.Status == statusConflict:
+		return ExitConflict, true
+	case failure.Status == statusBadRequest:
+		return ExitUsage, true
+	default:
+		return ExitFailed, true
+	}
+}
+
+const (
+	statusBadRequest = 400
+	statusConflict   = 409
+)
--- a/cli/main.go
+++ b/cli/main.go
@@ -10,7 +10,6 @@
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
 
-	"github.com/briarcross/briarcross/config"
 	"github.com/briarcross/briarcross/daemon"
 	"github.com/briarcross/briarcross/operator"
 )
@@ -27,6 +26,9 @@
 	ExitConflict = 3
 	// ExitUnknown means that a change may have been carried out; repeat it.
 	ExitUnknown = 4
+	// ExitDifferent means that diff found differences, or that a watched job is
+	// completed but some of its items failed.
+	ExitDifferent = 5
 )
 
 const environmentPrefix = "BRIARCROSS"
@@ -95,17 +97,6 @@
 	operator.Conflict: ExitConflict,
 }
 
-// printConflict shows the documents that a change lost against.
-func (a *app) printConflict(err error) {
-	var failure *operator.Failure
-	if !errors.As(err, &failure) || len(failure.Current) == 0 {
-		return
-	}
-	if text, formatErr := config.Format(failure.Current); formatErr == nil {
-		_, _ = fmt.Fprintf(a.err, "the documents as they stand; edit these and apply again:\n%s", text)
-	}
-}
-
 func exitCode(err error) int {
 	var exit *exitError
 	if errors.As(err, &exit) {
@@ -115,6 +106,9 @@
 	if errors.As(err, &failure) {
 		return failureCodes[failure.Kind]
 	}
+	if code, ok := jobExitCode(err); ok {
+		return code
+	}
 	var setting *daemon.SettingError
 	if errors.As(err, &setting) {
 		return ExitUsage
@@ -126,6 +120,7 @@
 	fs := newFlagSet("briarcross")
 	subcommands := append(a.daemonCommands(), a.demoCommand())
 	subcommands = append(subcommands, a.operatorCommands()...)
+	subcommands = append(subcommands, a.completionCommand(a.root), a.versionCommand())
 	return a.command(&ffcli.Command{
 		Name:        "briarcross",
 		ShortUsage:  "briarcross <command> [flags]",
--- /dev/null
+++ b/cli/main_test.go
@@ -0,0 +1,111 @@
+package cli
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/briarcross/briarcross/devd"
+)
+
+// firstTestPort keeps this package away from the ports of other packages'
+// tests, which run at the same time.
+const firstTestPort = 41000
+
+// installation is shared by the tests of this package. Each test uses
+// documents of its own.
+var installation *devd.Cluster
+
+func TestMain(m *testing.M) {
+	os.Exit(runTests(m))
+}
+
+func runTests(m *testing.M) int {
+	settings := &devd.Settings{Entries: 1, Sidecars: 2, LogLevel: "error", Seed: 1}
+	settings.BasePort = devd.FreeBasePortFrom(firstTestPort, settings.PortCount())
+	cluster, err := devd.Start(settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	installation = cluster
+	code := m.Run()
+	if err := cluster.Stop(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return code
+}
+
+// outcome is how a command ended.
+type outcome struct {
+	code     int
+	out, err string
+}
+
+// run runs a command line with an input.
+func run(input string, args ...string) outcome {
+	var out, errOut bytes.Buffer
+	code := Main(args, strings.NewReader(input), &out, &errOut)
+	return outcome{code, out.String(), errOut.String()}
+}
+
+// operate runs an operators' command; its flags follow the words of its name.
+func operate(words string, args ...string) outcome {
+	line := append(strings.Fields(words), "-server", installation.ControlURL(0), "-operator", "tester")
+	return run("", append(line, args...)...)
+}
+
+// call runs a command of batch jobs.
+func call(word string, args ...string) outcome {
+	line := []string{"job", word, "-entry", installation.EntryURL(0), "-caller", "tester"}
+	return run("", append(line, args...)...)
+}
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "file")
+	NewWithT(t).Expect(os.WriteFile(file, []byte(text), 0o600)).To(Succeed())
+	return file
+}
+
+func profileText(name, due string) string {
+	return fmt.Sprintf("kind: Profile\nname: %s\nschemaVersion: 1\nspec:\n  class: online\n  due: %s\n", name, due)
+}
+
+func TestUsageErrorsHaveTheirExitCode(t *testing.T) {
+	g := NewWithT(t)
+	for _, line := range []string{
+		"nothing", "get -o xml", "apply", "apply -f", "delete", "job nothing", "job get", "order load up model",
+		"order load up engine m", "order role up", "rollout watch -timeout 0s", "completion zsh", "status more",
+		"diff -f missing-file", "edit", "control -id c1", "history -limit x", "job watch -interval 0s j",
+	} {
+		g.Expect(run("", strings.Fields(line)...).code).To(Equal(ExitUsage), line)
+	}
+}
+
+func TestUnreachableServersHaveTheirExitCode(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(run("", "status", "-server", "http://127.0.0.1:1").code).To(Equal(ExitFailed))
+	g.Expect(run("", "job", "get", "-entry", "http://127.0.0.1:1", "j").code).To(Equal(ExitUnknown))
+}
+
+func TestVersionAndCompletionTellTheProgram(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(run("", "version").out).To(HavePrefix("briarcross "))
+	script := run("", "completion", "bash").out
+	for _, word := range []string{`" job submit") words="`, "rollout", "-server"} {
+		g.Expect(script).To(ContainSubstring(word))
+	}
+}
+
+// Waits end as soon as what they wait for is seen.
+const (
+	waitLimit = "60s"
+	pollTime  = "20ms"
+)
--- /dev/null
+++ b/cli/orders.go
@@ -0,0 +1,184 @@
+package cli
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"strings"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/briarcross/briarcross/operator"
+	"github.com/briarcross/briarcross/pb"
+)
+
+// The kinds of what an order loads.
+const (
+	subjectModel   = "model"
+	subjectAdapter = "adapter"
+)
+
+func (a *app) orderCommands() *ffcli.Command {
+	return a.group("order", "Gives orders to upstreams.",
+		a.loadCommand("load", "Has an upstream load a model or adapter.", map[string]pb.OrderKind{
+			subjectModel:   pb.OrderKind_ORDER_LOAD_MODEL,
+			subjectAdapter: pb.OrderKind_ORDER_LOAD_ADAPTER,
+		}),
+		a.loadCommand("unload", "Has an upstream unload a model or adapter.", map[string]pb.OrderKind{
+			subjectModel:   pb.OrderKind_ORDER_UNLOAD_MODEL,
+			subjectAdapter: pb.OrderKind_ORDER_UNLOAD_ADAPTER,
+		}),
+		a.roleCommand(),
+		a.operatorCommand("show", "order show [flags] UPSTREAM", "Shows an upstream's outstanding and last order.", a.showOrders),
+	)
+}
+
+// orderFlags are common to the commands that issue orders.
+type orderFlags struct {
+	operatorFlags
+	changeID string
+	version  string
+}
+
+func (a *app) loadCommand(name, help string, kinds map[string]pb.OrderKind) *ffcli.Command {
+	return a.issueCommand(name, name+" [flags] UPSTREAM model|adapter NAME", help, func(args []string) (*pb.Order, error) {
+		const count = 3
+		if len(args) != count {
+			return nil, failf(ExitUsage, "expected UPSTREAM, model or adapter, and NAME; flags stand before them")
+		}
+		kind, known := kinds[args[1]]
+		if !known {
+			return nil, failf(ExitUsage, "expected model or adapter, not %s", args[1])
+		}
+		return &pb.Order{Upstream: args[0], Kind: kind, Subject: args[2]}, nil
+	})
+}
+
+func (a *app) roleCommand() *ffcli.Command {
+	return a.issueCommand("role", "role [flags] UPSTREAM ROLE", "Has an upstream change its role.", func(args []string) (*pb.Order, error) {
+		const count = 2
+		if len(args) != count {
+			return nil, failf(ExitUsage, "expected UPSTREAM and ROLE; flags stand before them")
+		}
+		return &pb.Order{Upstream: args[0], Kind: pb.OrderKind_ORDER_SET_ROLE, Subject: args[1]}, nil
+	})
+}
+
+func (a *app) issueCommand(name, usage, help string, parse func(args []string) (*pb.Order, error)) *ffcli.Command {
+	fs := newFlagSet(name)
+	flags := &orderFlags{}
+	flags.register(fs)
+	fs.StringVar(&flags.changeID, "change-id", "", "change ID of an order whose outcome is not known; empty makes a new one")
+	fs.StringVar(&flags.version, "version", "", "version to load; empty lets the upstream choose")
+	return a.command(&ffcli.Command{
+		Name:       name,
+		ShortUsage: "briarcross order " + usage,
+		ShortHelp:  help,
+		FlagSet:    fs,
+		Exec: func(_ context.Context, args []string) error {
+			if err := flags.check(); err != nil {
+				return err
+			}
+			order, err := parse(args)
+			if err != nil {
+				return err
+			}
+			order.Version = flags.version
+			return a.issue(flags, order)
+		},
+	})
+}
+
+func (a *app) issue(flags *orderFlags, order *pb.Order) error {
+	c, err := flags.client()
+	if err != nil {
+		return err
+	}
+	if flags.changeID == "" {
+		flags.changeID = newChangeID()
+	}
+	result, err := issueOrder(c, &pb.OrderIssue{ChangeId: flags.changeID, Order: order})
+	if outcomeUnknown(err) {
+		return failf(ExitUnknown, "%v; run the command again with -change-id %s", err, flags.changeID)
+	}
+	if err != nil {
+		return err
+	}
+	if !result.GetAccepted() {
+		return failf(ExitConflict, "not issued: %s%s", result.GetReason(), waitText(result.GetRetryAfterMs()))
+	}
+	return a.printMessages(flags.output, func() error {
+		_, err := fmt.Fprintf(a.out, "issued %s\n", orderText(result.GetOrder()))
+		return err
+	}, result)
+}
+
+// issueOrder sends an order, and again with the same change ID while its
+// outcome is not known.
+func issueOrder(c *operator.Client, issue *pb.OrderIssue) (result *pb.OrderResult, err error) {
+	for range submitAttempts {
+		if result, err = c.IssueOrder(issue); !outcomeUnknown(err) {
+			return result, err
+		}
+	}
+	return result, err
+}
+
+func waitText(milliseconds uint64) string {
+	if milliseconds == 0 {
+		return ""
+	}
+	return fmt.Sprintf("; try again in %d ms", milliseconds)
+}
+
+func newChangeID() string {
+	const length = 16
+	var id [length]byte
+	_, _ = rand.Read(id[:])
+	return hex.EncodeToString(id[:])
+}
+
+func (a *app) showOrders(f *operatorFlags, c *operator.Client, args []string) error {
+	upstream, err := oneArgument(args, "the upstream's ID")
+	if err != nil {
+		return err
+	}
+	answer, err := c.Orders(upstream)
+	if err != nil {
+		return err
+	}
+	return a.printMessages(f.output, func() error { return a.printOrders(answer) }, answer)
+}
+
+func (a *app) printOrders(answer *pb.OrderAnswer) error {
+	finished := orderText(answer.GetFinished())
+	if answer.GetFinished() != nil {
+		finished += ", " + finishText(answer)
+	}
+	w := newTable(a.out)
+	_, _ = fmt.Fprintf(w, "fencing number\t%d\n", answer.GetFencingNumber())
+	_, _ = fmt.Fprintf(w, "outstanding\t%s\n", orderText(answer.GetOutstanding()))
+	_, _ = fmt.Fprintf(w, "finished last\t%s\n", finished)
+	return w.Flush()
+}
+
+func finishText(answer *pb.OrderAnswer) string {
+	if answer.GetFinishedDone() {
+		return "done"
+	}
+	return "not done: " + orDash(answer.GetFinishedReason())
+}
+
+// orderText tells an order in one line.
+func orderText(order *pb.Order) string {
+	if order == nil {
+		return "-"
+	}
+	kind := strings.ToLower(strings.TrimPrefix(order.GetKind().String(), "ORDER_"))
+	text := fmt.Sprintf("%d %s %s", order.GetFencingNumber(), strings.ReplaceAll(kind, "_", " "), order.GetSubject())
+	if order.GetVersion() != "" {
+		text += " version " + order.GetVersion()
+	}
+	return text
+}
--- /dev/null
+++ b/cli/output.go
@@ -0,0 +1,87 @@
+package cli
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"go.yaml.in/yaml/v3"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	outputTable = "table"
+	outputJSON  = "json"
+	outputYAML  = "yaml"
+
+	outputIndent = "  "
+)
+
+// printMessages prints messages as JSON or YAML, or has table print them.
+func (a *app) printMessages(output string, table func() error, messages ...proto.Message) error {
+	if output == outputTable {
+		return table()
+	}
+	values := make([]json.RawMessage, len(messages))
+	for i, message := range messages {
+		text, err := protojson.MarshalOptions{EmitUnpopulated: true}.Marshal(message)
+		if err != nil {
+			return err
+		}
+		values[i] = text
+	}
+	if len(values) == 1 {
+		return a.printValue(output, values[0], nil)
+	}
+	return a.printValue(output, values, nil)
+}
+
+// printValue prints a value that encodes to JSON.
+func (a *app) printValue(output string, value any, table func() error) error {
+	if output == outputTable && table != nil {
+		return table()
+	}
+	text, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	if output == outputYAML {
+		return a.printYAML(text)
+	}
+	var indented bytes.Buffer
+	if err := json.Indent(&indented, text, "", outputIndent); err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(a.out, indented.String())
+	return err
+}
+
+// printYAML prints JSON text as YAML in the same order of fields.
+func (a *app) printYAML(text []byte) error {
+	var node yaml.Node
+	if err := yaml.Unmarshal(text, &node); err != nil {
+		return err
+	}
+	blockStyle(&node)
+	encoder := yaml.NewEncoder(a.out)
+	encoder.SetIndent(len(outputIndent))
+	if err := encoder.Encode(&node); err != nil {
+		return err
+	}
+	return encoder.Close()
+}
+
+func blockStyle(node *yaml.Node) {
+	node.Style = 0
+	for _, child := range node.Content {
+		blockStyle(child)
+	}
+}
+
+func newTable(out io.Writer) *tabwriter.Writer {
+	const padding = 2
+	return tabwriter.NewWriter(out, 0, 0, padding, ' ', 0)
+}
--- /dev/null
+++ b/cli/rollout.go
@@ -0,0 +1,116 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/briarcross/briarcross/operator"
+	"github.com/briarcross/briarcross/pb"
+)
+
+const (
+	rolloutInterval = 500 * time.Millisecond
+	rolloutTimeout  = time.Minute
+)
+
+// rolloutFlags configure the watch of a revision.
+type rolloutFlags struct {
+	operatorFlags
+	revision uint64
+	timeout  time.Duration
+	interval time.Duration
+}
+
+func (a *app) rolloutCommands() *ffcli.Command {
+	fs := newFlagSet("watch")
+	flags := &rolloutFlags{}
+	flags.register(fs)
+	fs.Uint64Var(&flags.revision, "revision", 0, "revision to wait for; 0 takes the latest accepted one")
+	fs.DurationVar(&flags.timeout, "timeout", rolloutTimeout, "longest time to wait")
+	fs.DurationVar(&flags.interval, "interval", rolloutInterval, "time between two looks")
+	watch := a.command(&ffcli.Command{
+		Name:       "watch",
+		ShortUsage: "briarcross rollout watch [flags]",
+		ShortHelp:  "Waits until every daemon has a revision in force.",
+		FlagSet:    fs,
+		Exec: func(ctx context.Context, args []string) error {
+			if err := noArguments(args); err != nil {
+				return err
+			}
+			if flags.interval <= 0 || flags.timeout <= 0 {
+				return failf(ExitUsage, "settings -interval and -timeout: must be positive")
+			}
+			c, err := flags.client()
+			if err != nil {
+				return err
+			}
+			ctx, cancel := context.WithTimeout(ctx, flags.timeout)
+			defer cancel()
+			return a.watchRollout(ctx, c, flags)
+		},
+	})
+	return a.group("rollout", "Follows the spread of the configuration.", watch)
+}
+
+func (a *app) watchRollout(ctx context.Context, c *operator.Client, flags *rolloutFlags) error {
+	ticker := time.NewTicker(flags.interval)
+	defer ticker.Stop()
+	last := ""
+	for {
+		status, err := c.Status()
+		if err != nil && ctx.Err() == nil && !temporary(err) {
+			return err
+		}
+		var lagging []string
+		if err == nil {
+			if flags.revision == 0 {
+				flags.revision = status.GetConfigRevision()
+			}
+			lagging = laggingDaemons(status, flags.revision)
+			last = a.showRollout(status, flags.revision, lagging, last)
+			if len(lagging) == 0 && status.GetConfigRevision() >= flags.revision {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return failf(ExitFailed, "revision %d is not in force everywhere: %s", flags.revision, orDash(strings.Join(lagging, ", ")))
+		case <-ticker.C:
+		}
+	}
+}
+
+// temporary reports whether a failed look may succeed later.
+func temporary(err error) bool {
+	var failure *operator.Failure
+	return errors.As(err, &failure) && (failure.Kind == operator.Unknown || failure.Kind == operator.NotDone)
+}
+
+// laggingDaemons returns the daemons that have an older revision in force.
+func laggingDaemons(status *pb.StatusAnswer, revision uint64) []string {
+	var lagging []string
+	for _, d := range status.GetDaemons() {
+		if d.GetRevision() < revision {
+			lagging = append(lagging, d.GetDaemon())
+		}
+	}
+	return lagging
+}
+
+// showRollout prints the progress when it has changed, and returns its line.
+func (a *app) showRollout(status *pb.StatusAnswer, revision uint64, lagging []string, last string) string {
+	all := len(status.GetDaemons())
+	line := fmt.Sprintf("revision %d is in force on %d of %d daemons", revision, all-len(lagging), all)
+	if len(lagging) > 0 {
+		line += "; waiting for " + strings.Join(lagging, ", ")
+	}
+	if line != last {
+		_, _ = fmt.Fprintln(a.out, line)
+	}
+	return line
+}
--- a/cli/status.go
+++ b/cli/status.go
@@ -1,9 +1,7 @@
 package cli
 
 import (
-	"context"
 	"fmt"
-	"text/tabwriter"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
@@ -12,29 +10,21 @@
 )
 
 func (a *app) statusCommand() *ffcli.Command {
-	fs := newFlagSet("status")
-	flags := &operatorFlags{}
-	flags.register(fs)
-	return a.command(&ffcli.Command{
-		Name:       "status",
-		ShortUsage: "briarcross status [flags]",
-		ShortHelp:  "Shows the control replicas, repair, and the revision in force on each daemon.",
-		FlagSet:    fs,
-		Exec: func(context.Context, []string) error {
-			status, err := operator.NewClient(flags.server).Status()
-			if err != nil {
+	return a.operatorCommand("status", "status [flags]", "Shows the control replicas, repair, and the revision in force on each daemon.",
+		func(f *operatorFlags, c *operator.Client, args []string) error {
+			if err := noArguments(args); err != nil {
 				return err
 			}
-			if flags.output == "json" {
-				return a.printJSON(status)
+			status, err := c.Status()
+			if err != nil {
+				return err
 			}
-			return a.printStatus(status)
-		},
-	})
+			return a.printMessages(f.output, func() error { return a.printStatus(status) }, status)
+		})
 }
 
 func (a *app) printStatus(status *pb.StatusAnswer) error {
-	w := tabwriter.NewWriter(a.out, 0, 0, 2, ' ', 0)
+	w := newTable(a.out)
 	_, _ = fmt.Fprintf(w, "leader %s, term %d, commit %d, configuration revision %d, repair: %s\n\n",
 		status.GetLeader(), status.GetTerm(), status.GetCommitIndex(), status.GetConfigRevision(), orDash(status.GetRepair()))
 	_, _ = fmt.Fprintln(w, "REPLICA\tDATA CENTRE\tADDRESS\tROLE\tMATCH\tACTIVE")
--- /dev/null
+++ b/cli/upstreams.go
@@ -0,0 +1,100 @@
+package cli
+
+import (
+	"fmt"
+	"net/url"
+	"strings"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/briarcross/briarcross/operator"
+	"github.com/briarcross/briarcross/pb"
+)
+
+func (a *app) upstreamCommands() *ffcli.Command {
+	return a.group("upstream", "Lists, drains and undrains upstreams.",
+		a.operatorCommand("list", "upstream list [flags]", "Lists the upstreams with what they serve.", a.listUpstreams),
+		a.operatorCommand("drain", "upstream drain [flags] UPSTREAM", "Gives an upstream no new work.",
+			func(f *operatorFlags, c *operator.Client, args []string) error {
+				return a.switchUpstream(f, c, args, operator.PathDrain, "draining")
+			}),
+		a.operatorCommand("undrain", "upstream undrain [flags] UPSTREAM", "Gives a drained upstream work again.",
+			func(f *operatorFlags, c *operator.Client, args []string) error {
+				return a.switchUpstream(f, c, args, operator.PathUndrain, "serving")
+			}),
+	)
+}
+
+func (a *app) listUpstreams(f *operatorFlags, c *operator.Client, args []string) error {
+	if err := noArguments(args); err != nil {
+		return err
+	}
+	upstreams, err := c.Upstreams()
+	if err != nil {
+		return err
+	}
+	answer := &pb.UpstreamAnswer{Upstreams: upstreams}
+	return a.printMessages(f.output, func() error { return a.printUpstreams(upstreams) }, answer)
+}
+
+func (a *app) printUpstreams(upstreams []*pb.UpstreamReport) error {
+	w := newTable(a.out)
+	_, _ = fmt.Fprintln(w, "UPSTREAM\tDATA CENTRE\tKIND\tSERVICES\tMODELS\tADAPTERS\tVERSION\tROLE\tSTATE\tORDER")
+	for _, u := range upstreams {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", u.GetUpstream(), u.GetDataCentre(), u.GetKind(),
+			listText(u.GetServices()), listText(u.GetModels()), listText(u.GetAdapters()), orDash(u.GetVersion()),
+			orDash(u.GetRole()), upstreamState(u), orderText(u.GetOutstanding()))
+	}
+	return w.Flush()
+}
+
+func listText(items []string) string {
+	return orDash(strings.Join(items, ","))
+}
+
+func upstreamState(u *pb.UpstreamReport) string {
+	if u.GetDraining() {
+		return "draining"
+	}
+	return "serving"
+}
+
+// switchUpstream posts to the sidecar of an upstream.
+func (a *app) switchUpstream(f *operatorFlags, c *operator.Client, args []string, path, state string) error {
+	id, err := oneArgument(args, "the upstream's ID")
+	if err != nil {
+		return err
+	}
+	address, err := sidecarURL(f, c, id)
+	if err != nil {
+		return err
+	}
+	sidecar, err := f.clientOf(address)
+	if err != nil {
+		return err
+	}
+	if err := sidecar.Post(path); err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(a.out, "%s is %s\n", id, state)
+	return err
+}
+
+// sidecarURL returns the base URL of an upstream's sidecar. It has the scheme
+// of the control replica's.
+func sidecarURL(f *operatorFlags, c *operator.Client, id string) (string, error) {
+	upstreams, err := c.Upstreams()
+	if err != nil {
+		return "", err
+	}
+	server, err := url.Parse(f.server)
+	if err != nil {
+		return "", failf(ExitUsage, "setting -server: %v", err)
+	}
+	for _, u := range upstreams {
+		if u.GetUpstream() == id {
+			return server.Scheme + "://" + u.GetHttp(), nil
+		}
+	}
+	return "", failf(ExitFailed, "the leader has no report of upstream %s; upstream list shows those it has", id)
+}
--- /dev/null
+++ b/cli/watch.go
@@ -0,0 +1,142 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/briarcross/briarcross/jobs"
+)
+
+const (
+	barWidth     = 40
+	watchRetries = 30
+)
+
+func (a *app) jobWatchCommand() *ffcli.Command {
+	fs := newFlagSet("watch")
+	flags := &callerFlags{}
+	flags.register(fs)
+	interval := fs.Duration("interval", watchInterval, "time between two looks at the job")
+	return a.command(&ffcli.Command{
+		Name:       "watch",
+		ShortUsage: "briarcross job watch [flags] JOB",
+		ShortHelp:  "Shows the progress of a job until it ends.",
+		FlagSet:    fs,
+		Exec: func(ctx context.Context, args []string) error {
+			id, err := oneArgument(args, "the job's ID")
+			if err != nil {
+				return err
+			}
+			if *interval <= 0 {
+				return failf(ExitUsage, "setting -interval: must be positive")
+			}
+			c, err := flags.client()
+			if err != nil {
+				return err
+			}
+			return a.watchJob(ctx, c, id, *interval)
+		},
+	})
+}
+
+// watchJob shows a job until it ends. Some looks may fail in a row, so that an
+// entry's restart does not end the watch.
+func (a *app) watchJob(ctx context.Context, c *jobs.Client, id string, interval time.Duration) error {
+	view := &progress{app: a, terminal: isTerminal(a.out)}
+	defer view.end()
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	failures := 0
+	for {
+		job, err := c.Get(id)
+		if err == nil {
+			failures = 0
+			view.show(job)
+			if job.Ended() {
+				return endOf(job)
+			}
+		} else if failures++; failures > watchRetries || !passing(err) {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+// passing reports whether a failed look may succeed later.
+func passing(err error) bool {
+	code, ok := jobExitCode(err)
+	if ok && code == ExitUnknown {
+		return true
+	}
+	var failure *jobs.Failure
+	return errors.As(err, &failure) && failure.RetryAfter > 0
+}
+
+// endOf tells how a job ended.
+func endOf(job *jobs.Job) error {
+	switch {
+	case job.Status != jobs.StatusCompleted:
+		return failf(ExitFailed, "job %s is %s", job.ID, job.Status)
+	case job.RequestCounts.Failed > 0:
+		return failf(ExitDifferent, "job %s is completed, but %d items failed", job.ID, job.RequestCounts.Failed)
+	default:
+		return nil
+	}
+}
+
+// progress shows a job: as one bar that moves on a terminal, and else as a
+// line for each change.
+type progress struct {
+	app      *app
+	terminal bool
+	last     string
+}
+
+func (p *progress) show(job *jobs.Job) {
+	line := progressLine(job)
+	if line == p.last {
+		return
+	}
+	if p.terminal {
+		_, _ = fmt.Fprintf(p.app.out, "\r\x1b[K%s", line)
+	} else {
+		_, _ = fmt.Fprintln(p.app.out, line)
+	}
+	p.last = line
+}
+
+func (p *progress) end() {
+	if p.terminal && p.last != "" {
+		_, _ = fmt.Fprintln(p.app.out)
+	}
+}
+
+func progressLine(job *jobs.Job) string {
+	counts := job.RequestCounts
+	finished := counts.Completed + counts.Failed
+	filled := 0
+	if counts.Total > 0 {
+		filled = min(barWidth, barWidth*finished/counts.Total)
+	}
+	bar := strings.Repeat("#", filled) + strings.Repeat(".", barWidth-filled)
+	return fmt.Sprintf("[%s] %d/%d done, %d failed, %s", bar, finished, counts.Total, counts.Failed, job.Status)
+}
+
+func isTerminal(out any) bool {
+	file, ok := out.(*os.File)
+	if !ok {
+		return false
+	}
+	info, err := file.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0
+}
--- a/controld/http.go
+++ b/controld/http.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"strings"
 
 	"github.com/valyala/fasthttp"
@@ -49,6 +50,8 @@
 		s.query(ctx, &pb.Query{Query: &pb.Query_Order{Order: &pb.OrderQuery{Upstream: upstream}}})
 	case path == operator.PathUpstreams:
 		s.query(ctx, &pb.Query{Query: &pb.Query_Upstream{Upstream: &pb.UpstreamQuery{}}})
+	case path == operator.PathHistory:
+		s.history(ctx)
 	case path == operator.PathJobs:
 		s.jobs(ctx)
 	default:
@@ -61,6 +64,15 @@
 	s.query(ctx, &pb.Query{Query: &pb.Query_Config{Config: &pb.ConfigQuery{Name: name}}})
 }
 
+func (s *operatorServer) history(ctx *fasthttp.RequestCtx) {
+	before, _ := strconv.ParseUint(string(ctx.QueryArgs().Peek("before")), 10, 64)
+	query := &pb.ConfigHistoryQuery{
+		Before: before,
+		Limit:  uint32(max(0, ctx.QueryArgs().GetUintOrZero("limit"))),
+	}
+	s.query(ctx, &pb.Query{Query: &pb.Query_History{History: query}})
+}
+
 func (s *operatorServer) jobs(ctx *fasthttp.RequestCtx) {
 	list := &pb.JobListQuery{
 		Caller: string(ctx.QueryArgs().Peek("caller")),
@@ -126,6 +138,7 @@
 		writeControlError(ctx, &pb.ControlError{Code: pb.ControlError_INVALID, Reason: err.Error()})
 		return
 	}
+	s.pace(issue)
 	command := &pb.Command{Op: &pb.Command_OrderIssue{OrderIssue: issue}}
 	result, controlErr := s.propose(command)
 	if controlErr != nil {
@@ -135,6 +148,17 @@
 	writeJSON(ctx, fasthttp.StatusOK, result.GetOrder())
 }
 
+// pace gives an operator's load the rate of the weight store, as the planner
+// does for its own orders.
+func (s *operatorServer) pace(issue *pb.OrderIssue) {
+	switch issue.GetOrder().GetKind() {
+	case pb.OrderKind_ORDER_LOAD_MODEL, pb.OrderKind_ORDER_LOAD_ADAPTER:
+		issue.GetOrder().WeightBytes = s.daemon.settings.WeightBytes
+		issue.WeightBytesPerSecond = s.daemon.settings.WeightRate
+		issue.WeightBurstBytes = s.daemon.settings.WeightBytes
+	}
+}
+
 // propose has a command carried out here when this replica leads, and else by
 // the leader.
 func (s *operatorServer) propose(command *pb.Command) (*pb.CommandResult, *pb.ControlError) {
--- a/daemon/tls.go
+++ b/daemon/tls.go
@@ -85,13 +85,9 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "load certificate")
 	}
-	pem, err := os.ReadFile(f.Authority)
+	pool, err := loadAuthority(f.Authority)
 	if err != nil {
-		return nil, eris.Wrap(err, "read authority")
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(pem) {
-		return nil, eris.Errorf("no certificate in %s", f.Authority)
+		return nil, err
 	}
 	return &tls.Config{
 		Certificates: []tls.Certificate{pair},
@@ -123,3 +119,39 @@
 	}
 	return f.Config
 }
+
+// Client returns the configuration of a command that ends soon: the authority
+// to trust and, when set, the certificate to show. It is nil when no file is
+// set.
+func (f *TLSFiles) Client() (*tls.Config, error) {
+	if !f.Enabled() && f.Authority == "" {
+		return nil, nil
+	}
+	pool, err := loadAuthority(f.Authority)
+	if err != nil {
+		return nil, err
+	}
+	config := &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}
+	if !f.Enabled() {
+		return config, nil
+	}
+	pair, err := tls.LoadX509KeyPair(f.Certificate, f.Key)
+	if err != nil {
+		return nil, eris.Wrap(err, "load certificate")
+	}
+	config.Certificates = []tls.Certificate{pair}
+	return config, nil
+}
+
+// loadAuthority reads the certificates of an authority.
+func loadAuthority(file string) (*x509.CertPool, error) {
+	pem, err := os.ReadFile(file)
+	if err != nil {
+		return nil, eris.Wrap(err, "read authority")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, eris.Errorf("no certificate in %s", file)
+	}
+	return pool, nil
+}
--- a/operator/change.go
+++ b/operator/change.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"slices"
 
 	"google.golang.org/protobuf/proto"
 
@@ -10,6 +11,9 @@
 	"github.com/briarcross/briarcross/pb"
 )
 
+// deletionRecords is how many accepted changes Deletion looks through.
+const deletionRecords = 100
+
 // Plan returns the change that puts the documents of a file in place, and
 // the revision that it starts from.
 func (c *Client) Plan(file string, text []byte, operator string) (*pb.ConfigChange, uint64, error) {
@@ -83,8 +87,56 @@
 	case pb.ChangeOutcome_CHANGE_ACCEPTED:
 		return result.GetRevision(), nil
 	case pb.ChangeOutcome_CHANGE_CONFLICT:
-		return 0, &Failure{Kind: Conflict, Reason: "conflict: " + result.GetReason(), Current: result.GetCurrent()}
+		return 0, &Failure{Kind: Conflict, Reason: "conflict: " + result.GetReason(), Current: result.GetCurrent(), Wanted: puts(change)}
 	default:
 		return 0, fail(Invalid, "refused: %s", result.GetReason())
 	}
 }
+
+// puts returns the documents that a change writes.
+func puts(change *pb.ConfigChange) []*pb.Document {
+	var documents []*pb.Document
+	for _, op := range change.GetOps() {
+		if put := op.GetPut(); put != nil {
+			documents = append(documents, put)
+		}
+	}
+	return documents
+}
+
+// PlanDelete returns the change that deletes a document. Revision is the one
+// that the operator saw; zero takes the revision that stands. Found is false
+// when there is no document to delete.
+func (c *Client) PlanDelete(key string, revision uint64, operator string) (change *pb.ConfigChange, found bool, err error) {
+	current, err := c.Documents(key)
+	if err != nil {
+		return nil, false, err
+	}
+	if revision == 0 {
+		if len(current.GetDocuments()) == 0 {
+			return nil, false, nil
+		}
+		revision = current.GetDocuments()[0].GetRevision()
+	}
+	change = &pb.ConfigChange{Operator: operator, Ops: []*pb.ConfigOp{{
+		Op:               &pb.ConfigOp_Delete{Delete: key},
+		ExpectedRevision: revision,
+	}}}
+	change.ChangeId = changeID(change)
+	return change, true, nil
+}
+
+// Deletion returns the revision that deleted a document which is gone, or
+// zero when the recent history has none.
+func (c *Client) Deletion(key string) (uint64, error) {
+	records, err := c.History(0, deletionRecords)
+	if err != nil {
+		return 0, err
+	}
+	for _, record := range records {
+		if slices.Contains(record.GetDeleted(), key) {
+			return record.GetRevision(), nil
+		}
+	}
+	return 0, nil
+}
--- a/operator/client.go
+++ b/operator/client.go
@@ -2,7 +2,13 @@
 package operator
 
 import (
+	"crypto/tls"
+	"errors"
 	"fmt"
+	"net"
+	"net/url"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -23,17 +29,41 @@
 	PathOrders    = "/api/v1/orders"
 	PathJobs      = "/api/v1/jobs"
 	PathUpstreams = "/api/v1/upstreams"
+	PathHistory   = "/api/v1/history"
 )
 
+// The paths of a sidecar's interface.
+const (
+	PathDrain   = "/drain"
+	PathUndrain = "/undrain"
+)
+
+// Access is how an operator proves who they are. The zero value is for plain
+// HTTP on loopback.
+type Access struct {
+	// Token is an operator's bearer token; empty sends none.
+	Token string
+	// TLS holds the operator's certificate and the authority of the daemons.
+	TLS *tls.Config
+}
+
 // Client calls one control replica.
 type Client struct {
 	server string
+	token  string
 	client fasthttp.Client
 }
 
 // NewClient returns a client of the replica at a base URL.
 func NewClient(server string) *Client {
-	return &Client{server: server}
+	return NewClientWith(server, Access{})
+}
+
+// NewClientWith returns a client that proves who the operator is.
+func NewClientWith(server string, access Access) *Client {
+	c := &Client{server: strings.TrimSuffix(server, "/"), token: access.Token}
+	c.client.TLSConfig = access.TLS
+	return c
 }
 
 // FailureKind tells what a failed call means for the change that it carried.
@@ -57,6 +87,8 @@
 	Reason string
 	// Current holds the documents that conflict, as they stand.
 	Current []*pb.Document
+	// Wanted holds the documents of the change that lost.
+	Wanted []*pb.Document
 }
 
 // Error implements error.
@@ -90,12 +122,34 @@
 	request.Header.SetMethod(method)
 	request.SetRequestURI(c.server + path)
 	request.SetBody(body)
-	if err := c.client.DoTimeout(request, response, apiTimeout); err != nil {
-		return fail(Unknown, "no answer from %s: %v", c.server, err)
+	if err := c.send(request, response); err != nil {
+		return err
 	}
 	return c.decode(response, into)
 }
 
+func (c *Client) send(request *fasthttp.Request, response *fasthttp.Response) error {
+	if c.token != "" {
+		request.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+c.token)
+	}
+	err := c.client.DoTimeout(request, response, apiTimeout)
+	switch {
+	case errors.Is(err, fasthttp.ErrDialTimeout), isDialError(err):
+		return fail(NotDone, "cannot reach %s: %v", c.server, err)
+	case err != nil:
+		return fail(Unknown, "no answer from %s: %v", c.server, err)
+	case response.StatusCode() == fasthttp.StatusUnauthorized:
+		return fail(Invalid, "%s does not accept this operator: set -token, or -tls-cert and -tls-key", c.server)
+	}
+	return nil
+}
+
+// isDialError reports whether a request was never sent.
+func isDialError(err error) bool {
+	var network *net.OpError
+	return errors.As(err, &network) && network.Op == "dial"
+}
+
 func (c *Client) decode(response *fasthttp.Response, into proto.Message) error {
 	options := protojson.UnmarshalOptions{DiscardUnknown: true}
 	status := response.StatusCode()
@@ -135,7 +189,7 @@
 // Documents returns one document by its key, or all with an empty key.
 func (c *Client) Documents(key string) (*pb.ConfigAnswer, error) {
 	result := &pb.QueryResult{}
-	if err := c.get(PathDocuments+"?name="+key, result); err != nil {
+	if err := c.get(PathDocuments+"?name="+url.QueryEscape(key), result); err != nil {
 		return nil, err
 	}
 	return result.GetConfig(), nil
@@ -159,8 +213,37 @@
 // Orders returns the orders of one upstream.
 func (c *Client) Orders(upstream string) (*pb.OrderAnswer, error) {
 	result := &pb.QueryResult{}
-	if err := c.get(PathOrders+"/"+upstream, result); err != nil {
+	if err := c.get(PathOrders+"/"+url.PathEscape(upstream), result); err != nil {
 		return nil, err
 	}
 	return result.GetOrder(), nil
 }
+
+// History returns accepted changes, latest first: at most limit records before
+// a revision. Zero means the default limit, and the latest revision.
+func (c *Client) History(before uint64, limit uint32) ([]*pb.ConfigRecord, error) {
+	query := url.Values{}
+	query.Set("before", strconv.FormatUint(before, 10))
+	query.Set("limit", strconv.FormatUint(uint64(limit), 10))
+	result := &pb.QueryResult{}
+	if err := c.get(PathHistory+"?"+query.Encode(), result); err != nil {
+		return nil, err
+	}
+	return result.GetHistory().GetRecords(), nil
+}
+
+// Post sends an empty request to a path of a sidecar.
+func (c *Client) Post(path string) error {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.SetRequestURI(c.server + path)
+	if err := c.send(request, response); err != nil {
+		return err
+	}
+	if response.StatusCode() != fasthttp.StatusOK {
+		return fail(NotDone, "%s answered status %d", c.server, response.StatusCode())
+	}
+	return nil
+}
