Let the harm bound decide how far online work is packed

Cause: packing alone exceeded small harm bounds: at a bound of 20 the first token p99 was 1.10 of online work alone, and batch starved at 100 requests a second. Change: the share of a window that packed work fills follows the harm bound; one batch stream stays where the whole bound allows one.

--- a/gate/arrive.go
+++ b/gate/arrive.go
@@ -16,6 +16,11 @@
 	// packHarmPermille is the greatest harm bound for which online work is
 	// packed on few upstreams. Above it batch work does as well beside it.
 	packHarmPermille = 500
+	// packFillBase, packFillSlope and packFillMax give the share of a window
+	// that packed online work fills, from the harm bound.
+	packFillBase  = 0.03
+	packFillSlope = 0.7
+	packFillMax   = 0.2
 )
 
 // arrive admits a request or refuses it.
@@ -94,16 +99,26 @@
 
 // pick chooses an upstream that was not tried yet.
 func (g *Gate) pick(now time.Time, r *request, roomOnly bool) (*route.Upstream, bool) {
-	pack := r.profile.GetHarmPermille() <= packHarmPermille
 	return g.routes.Pick(now, route.Query{
 		Service:  r.Service,
 		Prefix:   r.Prefix,
 		Exclude:  r.tried,
-		Pack:     pack && !g.options.SpreadRoute,
+		Pack:     g.packFill(r.profile),
 		RoomOnly: roomOnly,
 	})
 }
 
+// packFill returns how far upstreams are filled with online work while batch
+// work runs on others. Online requests harm each other the more the fewer
+// upstreams they share, so the harm bound of the profile decides.
+func (g *Gate) packFill(profile *pb.Profile) float64 {
+	if g.options.SpreadRoute || profile.GetHarmPermille() > packHarmPermille {
+		return 0
+	}
+	harm := float64(profile.GetHarmPermille()) / 1000
+	return min(packFillBase+packFillSlope*harm, packFillMax)
+}
+
 // send opens an attempt at an upstream.
 func (g *Gate) send(now time.Time, r *request, u *route.Upstream, hedge bool) {
 	r.attempts++
--- a/route/pack.go
+++ b/route/pack.go
@@ -8,9 +8,6 @@
 )
 
 const (
-	// packFill is the share of their windows up to which the upstreams that
-	// take online work are filled while batch work runs.
-	packFill = 0.1
 	// demandHalfLife is the time in which the remembered demand halves.
 	demandHalfLife = 20 * time.Second
 )
@@ -53,11 +50,13 @@
 	return d.peak
 }
 
-// pack returns the leading upstreams that are enough for the online work, while
+// pack returns the leading upstreams that are enough for the online work when
+// each is filled up to a share of its window, while
 // batch work runs on any. The others are left to batch work, which harms no
 // online work there and is not stopped again and again. Without batch work all
 // upstreams are used.
-func (s *service) pack(now time.Time, list []*Upstream) []*Upstream {
+// A fill of zero or less packs nothing.
+func (s *service) pack(now time.Time, list []*Upstream, fill float64) []*Upstream {
 	pending, window, hasBatch := 0.0, 0, false
 	for _, u := range list {
 		pending += u.pending(now)
@@ -65,12 +64,12 @@
 		hasBatch = hasBatch || u.load.GetRunningBatch() > 0
 	}
 	wanted := s.demand.update(now, pending+1)
-	if !hasBatch {
+	if !hasBatch || fill <= 0 {
 		return list
 	}
 	// An upstream that is not full does not learn its window, so the mean of
 	// all is taken.
-	each := packFill * float64(window) / float64(len(list))
+	each := fill * float64(window) / float64(len(list))
 	room := 0.0
 	for i, u := range list {
 		room += each * u.share(now)
--- a/route/pick.go
+++ b/route/pick.go
@@ -20,9 +20,7 @@
 	if hasRoom(now, near) {
 		tier = near
 	}
-	if q.Pack {
-		tier = t.services[q.Service].pack(now, tier)
-	}
+	tier = t.services[q.Service].pack(now, tier, q.Pack)
 	u := t.choose(now, tier, q.Prefix)
 	if q.RoomOnly && u.fill(now) >= roomFill {
 		return nil, false
--- a/sidecar/harm.go
+++ b/sidecar/harm.go
@@ -104,6 +104,9 @@
 	}
 	alone := base + slope*float64(online)
 	streams := h.bound() * alone / slope
+	if whole := h.share() * alone / slope; whole >= 1 {
+		streams = max(streams, 1)
+	}
 	return int(math.Min(streams, float64(window)))
 }
 
@@ -122,6 +125,10 @@
 // ways add up in the tail, where a small harm weighs most: batch tokens in each
 // step, batch prompts in some, and packed online work.
 func (h *harm) bound() float64 {
-	share := float64(h.permille) / 1000
-	return math.Pow(share, boundExponent)
+	return math.Pow(h.share(), boundExponent)
+}
+
+// share returns the bound of the profile as a share of online latency.
+func (h *harm) share() float64 {
+	return float64(h.permille) / 1000
 }
