batch: polls cost less when nothing can be handed out

Cause: a poll looked at every job, and a waiting request lasted as long as the daemons wait for its answer (5 s), so that it ended as failed. Change: the scheduler remembers that nothing has become available since a poll of the same service found nothing; requests wait 3 s at most. Tests that a cancel reaches an answer that waits for a claim, and that a leader refuses a worker that knows a later term. Figures: one poll and tick with 10,000 workers and 1,000 jobs 16.4 us before, 4.9 us after, on a busy machine.

--- a/batch/bench_test.go
+++ b/batch/bench_test.go
@@ -327,3 +327,49 @@
 		s.Tick(now)
 	}
 }
+
+// BenchmarkPoll measures a request of one of 10,000 workers while 1,000 jobs
+// run whose items are all handed out, and the tick that follows.
+func BenchmarkPoll(b *testing.B) {
+	const workers, jobs = 10_000, 1_000
+	state := NewState()
+	store := kv.NewMemory()
+	for i := range jobs {
+		id := fmt.Sprintf("job-%04d", i)
+		live := &liveJob{job: &pb.Job{
+			JobId: id, Caller: fmt.Sprintf("caller-%d", i%20), Service: "dam-watch", Items: 1,
+			State: pb.JobState_JOB_RUNNING, Idempotent: true,
+		}}
+		live.allocate()
+		state.live[id] = live
+	}
+	s := NewScheduler(SchedulerOptions{State: state, Reader: func(f func(kv.Reader)) { f(store) }})
+	now := time.Unix(1_800_000_000, 0)
+	s.Step(now, Lead{Term: 1, On: true})
+	for _, run := range s.jobs.order {
+		run.head = run.tail
+	}
+	request := func(n int) *pb.LeaseRequest {
+		return &pb.LeaseRequest{
+			Worker: fmt.Sprintf("worker-%05d", n%workers), Incarnation: 1, Sequence: uint64(n/workers + 1),
+			Services: []string{"dam-watch"}, Room: 4, Term: 1,
+		}
+	}
+	for n := range workers {
+		s.Step(now, Request{uint64(n), request(n)})
+	}
+	s.Drain()
+	requests := make([]*pb.LeaseRequest, b.N)
+	for n := range requests {
+		requests[n] = request(workers + n)
+	}
+	b.ResetTimer()
+	for n, m := range requests {
+		if n%workers == 0 {
+			now = now.Add(defaultParkTime / 2)
+		}
+		s.Step(now, Request{uint64(workers + n), m})
+		s.Tick(now)
+		s.Drain()
+	}
+}
--- a/batch/estimates.go
+++ b/batch/estimates.go
@@ -27,6 +27,9 @@
 	runTime time.Duration
 	// weight is the sum of the shares of the service's jobs.
 	weight float64
+	// dryVersion is the scheduler's work version at which no item of the
+	// service was available.
+	dryVersion uint64
 }
 
 // count notes a completed item.
@@ -79,12 +82,12 @@
 	}
 	s.updateRates(now, elapsed)
 	s.weighJobs(now)
+	s.speculative = false
 	for _, run := range s.jobs.order {
 		s.estimateJob(now, run)
-		if s.leading && s.speculable(now, run) {
-			s.workAdded = true
-		}
+		s.speculative = s.speculative || s.speculable(now, run)
 	}
+	s.workAdded = s.workAdded || s.speculative
 }
 
 // dropStale forgets jobs that a restored state does not hold.
@@ -101,6 +104,7 @@
 	s.jobs.remove(run)
 	if l, ok := s.state.running(run.job.GetJobId()); ok {
 		s.jobs.add(l)
+		s.addWork()
 	}
 }
 
--- a/batch/grants.go
+++ b/batch/grants.go
@@ -27,7 +27,7 @@
 // grant fills the room of a parked request.
 func (s *Scheduler) grant(now time.Time, w *workerEntry) {
 	room := s.roomOf(now, w)
-	if room <= 0 {
+	if room <= 0 || (s.dry(w) && !s.speculative) {
 		return
 	}
 	s.visit++
@@ -42,10 +42,30 @@
 		granted += s.give(now, w, run, s.take(now, w, run, limit))
 	}
 	if granted == 0 {
+		s.noteDry(w)
 		s.speculate(now, w, room)
 	}
 }
 
+// dry reports whether nothing has become available since a request found
+// nothing for the worker's services.
+func (s *Scheduler) dry(w *workerEntry) bool {
+	for _, service := range w.services {
+		if s.jobs.rate(service).dryVersion != s.workVersion {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Scheduler) noteDry(w *workerEntry) {
+	for _, service := range w.services {
+		if !s.jobs.anyAvailable(service) {
+			s.jobs.rate(service).dryVersion = s.workVersion
+		}
+	}
+}
+
 // roomOf returns how many items a worker may be given now.
 func (s *Scheduler) roomOf(now time.Time, w *workerEntry) int {
 	p := w.parked
--- a/batch/health.go
+++ b/batch/health.go
@@ -118,7 +118,7 @@
 			return
 		}
 		if _, ok := s.workers.byID[id]; ok {
-			s.workAdded = true
+			s.addWork()
 		}
 	}
 }
@@ -132,5 +132,5 @@
 	w.pausedUntil = time.Time{}
 	w.suspects = nil
 	s.pauseDeadlines.Remove(w.id)
-	s.workAdded = true
+	s.addWork()
 }
--- a/batch/jobs.go
+++ b/batch/jobs.go
@@ -157,6 +157,16 @@
 	}
 }
 
+// anyAvailable reports whether a job of a service has items to hand out.
+func (t *jobTable) anyAvailable(service string) bool {
+	for _, run := range t.order {
+		if run.available() > 0 && run.job.GetService() == service {
+			return true
+		}
+	}
+	return false
+}
+
 // available returns the number of items that may be handed out.
 func (r *jobRun) available() int {
 	return len(r.returned) + int(r.tail-r.head)
--- a/batch/lead.go
+++ b/batch/lead.go
@@ -32,6 +32,7 @@
 	if !in.On {
 		return
 	}
+	s.addWork()
 	s.inGrace = true
 	s.graceEnd = now.Add(s.options.LeaseTime / graceShare)
 	s.sweepLater(now)
@@ -95,7 +96,7 @@
 		return
 	}
 	s.jobs.add(l).recent = true
-	s.workAdded = true
+	s.addWork()
 }
 
 // startApplied notices a claim that another leader proposed, whose holder is
@@ -215,7 +216,7 @@
 func (s *Scheduler) sweepLost(now time.Time) {
 	if s.inGrace && !now.Before(s.graceEnd) {
 		s.inGrace = false
-		s.workAdded = true
+		s.addWork()
 	}
 	if !s.sweeping || now.Before(s.sweepAt) {
 		return
--- a/batch/requests.go
+++ b/batch/requests.go
@@ -238,9 +238,15 @@
 // lost after the item had been claimed.
 const ErrorUnknown = "unknown: the item may have run and is not repeated"
 
+// addWork makes the next step look at parked requests.
+func (s *Scheduler) addWork() {
+	s.workAdded = true
+	s.workVersion++
+}
+
 func (s *Scheduler) makeAvailable(run *jobRun, index uint32) {
 	run.giveBack(index)
-	s.workAdded = true
+	s.addWork()
 }
 
 // loseWorker takes back everything that a worker holds.
--- a/batch/scheduler.go
+++ b/batch/scheduler.go
@@ -22,7 +22,8 @@
 	// PollTime is when a worker without a full answer asks again.
 	PollTime time.Duration
 	// ParkTime is how long the request of a worker without items waits for
-	// work. It is at most a third of the lease time.
+	// work. It is at most a third of the lease time, and less than what the
+	// shells of the workers wait for an answer.
 	ParkTime time.Duration
 	// CommitDelay is how long results wait for others to share a command.
 	CommitDelay time.Duration
@@ -38,7 +39,7 @@
 const (
 	defaultLeaseTime       = 15 * time.Second
 	defaultPollTime        = time.Second
-	defaultParkTime        = 5 * time.Second
+	defaultParkTime        = 3 * time.Second
 	defaultCommitDelay     = 200 * time.Millisecond
 	defaultChunkItems      = 64
 	defaultRunTime         = 10 * time.Minute
@@ -181,8 +182,12 @@
 	nextEstimate  time.Time
 	lastEstimate  time.Time
 	// workAdded and answersDue make the next step look at parked requests.
-	workAdded  bool
-	answersDue bool
+	workAdded bool
+	// workVersion counts the times that an item or a job became available.
+	workVersion uint64
+	// speculative is set while some job may have items run a second time.
+	speculative bool
+	answersDue  bool
 	// open counts the leases whose outcome is not known yet.
 	open int
 	// visit numbers the answers, so that a job gives one chunk to each.
--- a/batch/scheduler_test.go
+++ b/batch/scheduler_test.go
@@ -92,3 +92,34 @@
 	answer, _ := s.leader.state.Query(s.store, &pb.Query{Query: &pb.Query_Job{Job: q}})
 	g.Expect(answer.GetJob().GetError()).To(Equal(pb.JobError_JOB_NOT_FOUND))
 }
+
+// request gives a request to the leader at once and returns its token.
+func (s *sim) request(m *pb.LeaseRequest) uint64 {
+	token := s.ledger.request(newSimSidecar(s, m.GetWorker()), m.GetIncarnation())
+	s.leader.scheduler.Step(s.now, Request{token, m})
+	return token
+}
+
+func TestCancelReachesAnAnswerThatWaitsForAClaim(t *testing.T) {
+	g := NewWithT(t)
+	s := newSim(36, 0)
+	s.accept(g, plainJob("job-1", 1))
+	claimed := plainJob("job-2", 1)
+	claimed.idempotent = false
+	s.accept(g, claimed)
+	token := s.request(&pb.LeaseRequest{Worker: "w", Incarnation: 1, Sequence: 1, Services: []string{"dam-watch"}, Room: 2})
+	g.Expect(s.leader.scheduler.workers.byID["w"].parked.items).To(HaveLen(1))
+	s.cancel("job-1")
+	s.advance(time.Second)
+	g.Expect(s.ledger.answered[token]).To(BeTrue())
+	g.Expect(s.ledger.faults).To(BeEmpty())
+}
+
+func TestLeaderRefusesAWorkerThatKnowsALaterTerm(t *testing.T) {
+	g := NewWithT(t)
+	s := newSim(37, 0)
+	s.request(&pb.LeaseRequest{Worker: "w", Incarnation: 1, Sequence: 1, Term: s.term + 1})
+	reply := s.leader.scheduler.Drain()[0].(Reply)
+	g.Expect(reply.Message.GetError()).To(Equal(pb.ControlErrorCode_CONTROL_NOT_LEADER))
+	g.Expect(s.leader.scheduler.workers.byID).To(BeEmpty())
+}
