--- a/batch/bench_test.go
+++ b/batch/bench_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"runtime"
+	"syscall"
 	"testing"
 	"time"
 
@@ -65,11 +66,14 @@
 	s.elect(s.now)
 	s.steady(runTime, slots, 4)
 	s.advance(time.Second)
+	idleBytes := s.leaseBytes
+	s.advance(time.Minute)
+	idleBytes = s.leaseBytes - idleBytes
 	rounds := int(64 * time.Second / runTime)
 	items := engines * slots * rounds
 	j := plainJob("job", items)
 	j.idempotent = idempotent
-	commands, logBytes := s.commands, s.logBytes
+	commands, logBytes, leaseBytes := s.commands, s.logBytes, s.leaseBytes
 	mustSubmit(b, s, j)
 	submitted, submittedBytes := s.commands, s.logBytes
 	from := s.now
@@ -77,6 +81,9 @@
 	share := s.busy().Seconds() / (engines * slots * s.now.Sub(from).Seconds())
 	mustComplete(b, s, time.Hour, "job")
 	ideal := time.Duration(rounds) * runTime
+	busySeconds := s.now.Sub(from).Seconds()
+	b.ReportMetric(float64(idleBytes)/time.Minute.Seconds()/engines, "idle-B/s/worker")
+	b.ReportMetric(float64(s.leaseBytes-leaseBytes)/busySeconds/engines, "busy-B/s/worker")
 	b.ReportMetric(share, "capacity-share")
 	b.ReportMetric((s.now.Sub(from) - ideal).Seconds(), "over-ideal-s")
 	b.ReportMetric(float64(s.commands-submitted)/float64(items), "run-commits/item")
@@ -239,6 +246,7 @@
 	const items, chunk = 970_000, 256
 	for range b.N {
 		d := newDiskBench(b)
+		b.ReportMetric(peakResidentMB(b), "resident-at-start-MB")
 		before := heapBytes()
 		scheduler := NewScheduler(SchedulerOptions{State: d.state, Reader: func(f func(kv.Reader)) { f(d.store) }})
 		now := time.Unix(1_800_000_000, 0)
@@ -272,9 +280,21 @@
 		started = time.Now()
 		restored.Restore(d.store)
 		b.ReportMetric(time.Since(started).Seconds()*1000, "restore-ms")
+		b.ReportMetric(peakResidentMB(b), "peak-resident-MB")
 	}
 }
 
+// peakResidentMB returns the most memory that the process has had resident.
+func peakResidentMB(b *testing.B) float64 {
+	b.Helper()
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		b.Fatal(err)
+	}
+	const kilobytesPerMegabyte = 1024
+	return float64(usage.Maxrss) / kilobytesPerMegabyte
+}
+
 func resultsOf(from, to uint32) *pb.ResultsCommit {
 	commit := &pb.ResultsCommit{}
 	for index := from; index < to; index++ {
@@ -307,3 +327,49 @@
 		s.Tick(now)
 	}
 }
+
+// BenchmarkPoll measures a request of one of 10,000 workers while 1,000 jobs
+// run whose items are all handed out, and the tick that follows.
+func BenchmarkPoll(b *testing.B) {
+	const workers, jobs = 10_000, 1_000
+	state := NewState()
+	store := kv.NewMemory()
+	for i := range jobs {
+		id := fmt.Sprintf("job-%04d", i)
+		live := &liveJob{job: &pb.Job{
+			JobId: id, Caller: fmt.Sprintf("caller-%d", i%20), Service: "dam-watch", Items: 1,
+			State: pb.JobState_JOB_RUNNING, Idempotent: true,
+		}}
+		live.allocate()
+		state.live[id] = live
+	}
+	s := NewScheduler(SchedulerOptions{State: state, Reader: func(f func(kv.Reader)) { f(store) }})
+	now := time.Unix(1_800_000_000, 0)
+	s.Step(now, Lead{Term: 1, On: true})
+	for _, run := range s.jobs.order {
+		run.head = run.tail
+	}
+	request := func(n int) *pb.LeaseRequest {
+		return &pb.LeaseRequest{
+			Worker: fmt.Sprintf("worker-%05d", n%workers), Incarnation: 1, Sequence: uint64(n/workers + 1),
+			Services: []string{"dam-watch"}, Room: 4, Term: 1,
+		}
+	}
+	for n := range workers {
+		s.Step(now, Request{uint64(n), request(n)})
+	}
+	s.Drain()
+	requests := make([]*pb.LeaseRequest, b.N)
+	for n := range requests {
+		requests[n] = request(workers + n)
+	}
+	b.ResetTimer()
+	for n, m := range requests {
+		if n%workers == 0 {
+			now = now.Add(defaultParkTime / 2)
+		}
+		s.Step(now, Request{uint64(workers + n), m})
+		s.Tick(now)
+		s.Drain()
+	}
+}
