Refuse delayed copies of refused requests

Cause: a delayed copy of a request that was refused as overloaded could run later, when there was room, and made its not-run untrue. Change: the sidecar remembers refused requests as it does accepted ones. A batch item that is given back says whether it ran.

--- a/gate/fault_test.go
+++ b/gate/fault_test.go
@@ -116,6 +116,9 @@
 			f.crashLater(i%len(f.hosts), time.Duration(i)*600*time.Millisecond, 10*time.Millisecond)
 		}
 	}},
+	{name: "duplicates meet overload", rate: 150, done: 0.3, plan: func(f *fleet) {
+		f.duplicates = 500
+	}},
 	{name: "one engine is ten times slower", rate: 30, done: 0.98, plan: func(f *fleet) {
 		f.hosts[0].engine.slow = 10
 	}},
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -170,3 +170,34 @@
 	g.Expect(ok).To(BeTrue())
 	g.Expect(u.Member().GetIncarnation()).To(BeEquivalentTo(2))
 }
+
+func TestOnlineWorkIsPackedWhileBatchRuns(t *testing.T) {
+	g := NewWithT(t)
+	table := newTest(6)
+	used := func(now time.Time, pack float64) map[string]bool {
+		seen := map[string]bool{}
+		for range 100 {
+			u, _ := table.Pick(now, Query{Service: "check", Pack: pack})
+			seen[u.Member().GetId()] = true
+		}
+		return seen
+	}
+	g.Expect(used(start, 0.25)).To(HaveLen(6), "without batch work all are used")
+	for _, u := range table.byID {
+		u.report(start, &pb.Load{Window: 8, RunningBatch: 5})
+	}
+	g.Expect(used(start, 0)).To(HaveLen(6))
+	first := used(start, 0.25)
+	g.Expect(first).To(HaveLen(1), "one request fits in a quarter of one window")
+	busy := table.upstreams("check")[0]
+	for range 4 {
+		table.Sent(busy)
+	}
+	g.Expect(used(start, 0.25)).To(HaveLen(2), "five requests need three upstreams, of which one is busy")
+	for range 4 {
+		table.Done(start, busy, nil)
+	}
+	g.Expect(used(start.Add(time.Second), 0.25)).To(HaveLen(3), "the demand is remembered")
+	later := start.Add(5 * demandHalfLife)
+	g.Expect(used(later, 0.25)).To(Equal(first))
+}
--- a/sidecar/machine_test.go
+++ b/sidecar/machine_test.go
@@ -57,6 +57,9 @@
 		case Refuse:
 			m.refuse(t, out)
 		case GiveBack:
+			if out.Ran != (m.starts[out.ID] > 0) {
+				t.Fatalf("%v was given back with ran %t after %d starts", out.ID, out.Ran, m.starts[out.ID])
+			}
 			m.answers[out.ID]++
 		}
 	}
@@ -127,7 +130,7 @@
 	}
 	id := ID{Request: fmt.Sprint(rapid.IntRange(0, m.next-1).Draw(t, "again")), Attempt: 1}
 	w := m.work[id]
-	if w.Class == Batch || m.refused[id] == pb.Outcome_OUTCOME_NOT_RUN {
+	if w.Class == Batch {
 		return
 	}
 	m.duplicate = &id
--- a/sidecar/messages.go
+++ b/sidecar/messages.go
@@ -139,7 +139,11 @@
 type Requeued struct{ ID ID }
 
 // GiveBack returns a batch item, which does not run, to its job.
-type GiveBack struct{ ID ID }
+type GiveBack struct {
+	ID ID
+	// Ran tells that the engine has run a part of it before it was stopped.
+	Ran bool
+}
 
 // BatchRoom tells how many more batch items can be taken.
 type BatchRoom struct{ Items int }
--- a/sidecar/recent.go
+++ b/sidecar/recent.go
@@ -6,8 +6,8 @@
 	"github.com/briarcross/briarcross/core"
 )
 
-// recent remembers the highest attempt of each request that was accepted, so
-// that delayed duplicates are refused.
+// recent remembers the highest attempt of each request that was accepted or
+// refused, so that delayed duplicates are refused.
 type recent struct {
 	memory   time.Duration
 	attempts map[string]uint32
@@ -23,7 +23,7 @@
 	r.expiry.Set(id.Request, now.Add(r.memory))
 }
 
-// seen reports whether this attempt or a later one was accepted before.
+// seen reports whether this attempt or a later one came before.
 func (r *recent) seen(id ID) bool {
 	attempt, ok := r.attempts[id.Request]
 	return ok && attempt >= id.Attempt
--- a/sidecar/requests.go
+++ b/sidecar/requests.go
@@ -13,12 +13,17 @@
 
 // submit refuses work or queues it.
 func (s *Sidecar) submit(now time.Time, w Work) {
-	if reason, after := s.refusal(now, w); reason != pb.Reason_REASON_NONE {
-		s.refuse(w.ID, refusalOutcome(reason), reason, after)
+	reason, after := s.refusal(now, w)
+	outcome := refusalOutcome(reason)
+	if w.Class == Online && outcome == pb.Outcome_OUTCOME_NOT_RUN {
+		// Also after a refusal: a delayed copy must not make it untrue.
+		s.recent.add(now, w.ID)
+	}
+	if reason != pb.Reason_REASON_NONE {
+		s.refuse(w.ID, outcome, reason, after)
 		return
 	}
 	if w.Class == Online {
-		s.recent.add(now, w.ID)
 		s.harm.note(w.HarmPermille)
 	}
 	e := &entry{work: w, submitted: now}
@@ -26,8 +31,9 @@
 	s.enqueue(now, e)
 }
 
-// refusalOutcome tells what a refusal says about the request. A duplicate and a
-// message for an earlier incarnation may follow a copy that an engine has seen.
+// refusalOutcome tells what is known of a submitted request before it starts. A
+// duplicate and a message for an earlier incarnation may follow a copy that an
+// engine has seen.
 func refusalOutcome(reason pb.Reason) pb.Outcome {
 	switch reason {
 	case pb.Reason_REASON_DUPLICATE, pb.Reason_REASON_WRONG_INCARNATION:
@@ -179,7 +185,7 @@
 func (s *Sidecar) giveBack(e *entry) {
 	s.dequeue(e)
 	s.forget(e)
-	s.out.Put(GiveBack{ID: e.work.ID})
+	s.out.Put(GiveBack{ID: e.work.ID, Ran: e.yields > 0})
 }
 
 // ended frees the place of an entry.
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -150,6 +150,17 @@
 	}
 }
 
+func TestDelayedCopyOfARefusedRequestDoesNotRun(t *testing.T) {
+	g := NewWithT(t)
+	s := newTest(2, nil)
+	step(s, start, Drain{})
+	step(s, start, Submit{online(1)})
+	step(s, start, Undrain{})
+	out := step(s, start.Add(time.Second), Submit{online(1)})
+	g.Expect(out).To(HaveLen(1))
+	g.Expect(out[0].(Refuse).Reason).To(Equal(pb.Reason_REASON_DUPLICATE))
+}
+
 func TestQueuedRequestIsAnsweredWhenItsTimeHasPassed(t *testing.T) {
 	g := NewWithT(t)
 	s := newTest(1, nil)
