--- a/batch/bench_test.go
+++ b/batch/bench_test.go
@@ -105,48 +105,62 @@
 	lossSlots   = 8
 	lossRounds  = 30
 	lossRunTime = 2 * time.Second
+	lossItems   = lossEngines * lossSlots * lossRounds
 )
 
-// halfway runs a job on nine engines up to the middle.
-func halfway(b *testing.B) *sim {
+// runUntil runs a job on nine engines until it has this many results.
+func runUntil(b *testing.B, results uint32) *sim {
 	b.Helper()
 	s := newSim(1, lossEngines)
 	s.options.LeaseTime = defaultLeaseTime
 	s.elect(s.now)
 	s.steady(lossRunTime, lossSlots, 2)
-	mustSubmit(b, s, plainJob("job", lossEngines*lossSlots*lossRounds))
-	s.advance(lossRounds * lossRunTime / 2)
+	mustSubmit(b, s, plainJob("job", lossItems))
+	if !s.until(time.Hour, func() bool { return s.job("job").GetDone() >= results }) {
+		b.Fatal("too slow")
+	}
 	return s
 }
 
 // BenchmarkEngineLoss measures, on virtual time, how much later a job ends
-// when one of nine engines dies in the middle, and its sidecar with it, than
-// when the same engine leaves without losing anything.
+// when one of nine engines dies, and its sidecar with it, than when the same
+// engine leaves without losing anything: in the middle of the job, and when
+// its last items run.
 func BenchmarkEngineLoss(b *testing.B) {
-	for range b.N {
-		s := halfway(b)
-		c := s.sidecars[0]
-		c.step(Drain{})
-		for _, item := range c.queue {
-			c.step(Finished{RefOf(item), &pb.ItemResult{Outcome: pb.ItemOutcome_ITEM_NOT_RUN}})
-		}
-		c.queue = nil
-		planned := mustComplete(b, s, time.Hour, "job")
-		s = halfway(b)
-		s.sidecars[0].crash()
-		lost := mustComplete(b, s, time.Hour, "job")
-		b.ReportMetric((lost - planned).Seconds(), "lost-s")
-		b.ReportMetric((defaultLeaseTime + lossRunTime).Seconds(), "bound-s")
+	const middle, last = lossItems / 2, lossItems - lossEngines*lossSlots
+	for _, results := range []uint32{middle, last} {
+		b.Run(fmt.Sprintf("at=%d/%d", results, lossItems), func(b *testing.B) {
+			for range b.N {
+				measureEngineLoss(b, results)
+			}
+		})
+	}
+}
+
+func measureEngineLoss(b *testing.B, results uint32) {
+	b.Helper()
+	s := runUntil(b, results)
+	c := s.sidecars[0]
+	c.step(Drain{})
+	for _, item := range c.queue {
+		c.step(Finished{RefOf(item), &pb.ItemResult{Outcome: pb.ItemOutcome_ITEM_NOT_RUN}})
 	}
+	c.queue = nil
+	planned := mustComplete(b, s, time.Hour, "job")
+	s = runUntil(b, results)
+	s.sidecars[0].crash()
+	lost := mustComplete(b, s, time.Hour, "job")
+	b.ReportMetric((lost - planned).Seconds(), "lost-s")
+	b.ReportMetric((defaultLeaseTime + lossRunTime).Seconds(), "bound-s")
 }
 
 // BenchmarkLeaderLoss measures, on virtual time, how much later a job ends and
 // how many items run twice when the leader is replaced in the middle.
 func BenchmarkLeaderLoss(b *testing.B) {
 	for range b.N {
-		s := halfway(b)
+		s := runUntil(b, lossItems/2)
 		undisturbed := mustComplete(b, s, time.Hour, "job")
-		s = halfway(b)
+		s = runUntil(b, lossItems/2)
 		s.fail(false)
 		lost := mustComplete(b, s, time.Hour, "job")
 		twice := 0
