Protect the HTTP interfaces with certificates and hashed tokens

Cause: the HTTP interfaces asked callers for daemons' certificates or took everybody in; plain HTTP was accepted on any address; a key that is not valid UTF-8 broke the messages between daemons.

Change: -http-tls-cert and -http-tls-key give the HTTP interface a certificate of its own (else the daemon's); callers need none. Operators' paths of control replicas and sidecars, and the metrics of all daemons, need a certificate with the role briarcross-operator or a token whose hash stands in -operators. Certificates and tokens are read again when their files change; the last good content stays in force. Plain HTTP is refused off loopback, and plain mode is warned of in the log. Headers, connections, idle time and streams of one connection are bounded. Requests whose path, query or headers are not valid UTF-8 get 400.

Small changes in entryd, sidecard, controld (use of daemon.NewHTTP and HTTPListener) and transport (maxStreams).

--- a/controld/controld.go
+++ b/controld/controld.go
@@ -56,6 +56,10 @@
 
 // Start starts a control replica. The settings must have passed Check.
 func Start(settings *Settings) (*Daemon, error) {
+	guard, err := settings.NewGuard()
+	if err != nil {
+		return nil, err
+	}
 	listener, err := daemon.ListenTCP("listen", settings.Listen)
 	if err != nil {
 		return nil, err
@@ -71,7 +75,7 @@
 		_ = operators.Close()
 		return nil, err
 	}
-	d.serve(listener, operators)
+	d.serve(listener, operators, guard)
 	d.logger.Info("control replica started", "id", settings.ID, "listen", settings.Listen, "http", settings.HTTP)
 	return d, nil
 }
@@ -266,7 +270,7 @@
 	return update
 }
 
-func (d *Daemon) serve(listener, operators net.Listener) {
+func (d *Daemon) serve(listener, operators net.Listener, guard *daemon.Guard) {
 	d.server = transport.NewServer(d.identity, d.serveStream)
 	d.background.Add(1)
 	go func() {
@@ -275,8 +279,9 @@
 			d.fault(err)
 		}
 	}()
-	d.http = newOperatorServer(d)
-	d.http.http.Start(d.settings.TLS.Listener(operators), d.fault)
+	d.http = newOperatorServer(d, guard)
+	d.http.http.Start(d.settings.HTTPListener(operators), d.fault)
+	d.settings.WarnPlain(d.logger)
 	context.AfterFunc(d.ctx, func() { _ = listener.Close() })
 }
 
--- a/controld/http.go
+++ b/controld/http.go
@@ -25,11 +25,19 @@
 	http      *daemon.HTTP
 }
 
-func newOperatorServer(d *Daemon) *operatorServer {
+func newOperatorServer(d *Daemon, guard *daemon.Guard) *operatorServer {
 	s := &operatorServer{daemon: d}
 	s.readiness.SetConfigured(true)
-	s.http = daemon.NewHTTP(&s.readiness, d.metrics.registry, s.handle, func(server *fasthttp.Server) {
-		server.MaxRequestBodySize = maxOperatorBodyBytes
+	s.http = daemon.NewHTTP(daemon.HTTPOptions{
+		Readiness:     &s.readiness,
+		Registry:      d.metrics.registry,
+		Guard:         guard,
+		OperatorsOnly: true,
+		Logger:        d.logger,
+		Handler:       s.handle,
+		Configure: func(server *fasthttp.Server) {
+			server.MaxRequestBodySize = maxOperatorBodyBytes
+		},
 	})
 	return s
 }
--- a/daemon/http.go
+++ b/daemon/http.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/valyala/fasthttp"
 )
@@ -34,37 +35,74 @@
 	return r.configured.Load() && !r.stopping.Load()
 }
 
+// HTTPOptions configure an HTTP interface.
+type HTTPOptions struct {
+	Readiness *Readiness
+	Registry  *prometheus.Registry
+	// Guard protects the metrics, and all other paths too with OperatorsOnly.
+	Guard *Guard
+	// OperatorsOnly is set where all paths are for operators.
+	OperatorsOnly bool
+	// Logger gets faults of single connections, at the debug level.
+	Logger *log.Logger
+	// Handler serves all paths but those of health, readiness and metrics.
+	Handler fasthttp.RequestHandler
+	// Configure changes the server before it starts; nil leaves it as it is.
+	Configure func(*fasthttp.Server)
+}
+
 // HTTP serves the health, readiness and metrics paths of a daemon and passes
 // other paths to its handler.
 type HTTP struct {
-	server    *fasthttp.Server
-	readiness *Readiness
-	metrics   fasthttp.RequestHandler
-	next      fasthttp.RequestHandler
-	done      chan struct{}
+	options HTTPOptions
+	server  *fasthttp.Server
+	metrics fasthttp.RequestHandler
+	done    chan struct{}
 }
 
-// NewHTTP returns a server. Configure may change it before it starts; it may
-// be nil.
-func NewHTTP(readiness *Readiness, registry *prometheus.Registry, next fasthttp.RequestHandler, configure func(*fasthttp.Server)) *HTTP {
-	h := &HTTP{
-		readiness: readiness,
-		metrics:   MetricsHandler(registry),
-		next:      next,
-		done:      make(chan struct{}),
-	}
+const (
+	// maxHeaderBytes bounds the headers of a request.
+	maxHeaderBytes = 16 << 10
+	// maxConnections bounds the connections that a server handles at a time.
+	maxConnections  = 16 << 10
+	idleTimeout     = 5 * time.Minute
+	operatorTimeout = 30 * time.Second
+)
+
+// NewHTTP returns a server.
+func NewHTTP(o HTTPOptions) *HTTP {
+	h := &HTTP{options: o, metrics: MetricsHandler(o.Registry), done: make(chan struct{})}
 	h.server = &fasthttp.Server{
 		Handler:               h.handle,
 		Name:                  "briarcross",
 		NoDefaultServerHeader: true,
 		CloseOnShutdown:       true,
+		ReadBufferSize:        maxHeaderBytes,
+		Concurrency:           maxConnections,
+		IdleTimeout:           idleTimeout,
+		Logger:                connectionLogger{o.Logger},
+	}
+	if o.OperatorsOnly {
+		h.server.ReadTimeout = operatorTimeout
 	}
-	if configure != nil {
-		configure(h.server)
+	if o.Configure != nil {
+		o.Configure(h.server)
 	}
 	return h
 }
 
+// connectionLogger logs faults that any client can cause.
+type connectionLogger struct {
+	logger *log.Logger
+}
+
+// Printf implements fasthttp.Logger.
+func (l connectionLogger) Printf(format string, args ...any) {
+	if l.logger != nil {
+		l.logger.Debugf(format, args...)
+	}
+}
+
 // Start serves a listener; an error is passed to fault.
 func (h *HTTP) Start(listener net.Listener, fault func(error)) {
 	go func() {
@@ -84,20 +122,30 @@
 }
 
 func (h *HTTP) handle(ctx *fasthttp.RequestCtx) {
-	switch string(ctx.Path()) {
-	case "/healthz":
+	path := string(ctx.Path())
+	switch {
+	case path == "/healthz":
 		ctx.SetBodyString("ok\n")
-	case "/readyz":
+	case path == "/readyz":
 		h.readyz(ctx)
-	case "/metrics":
+	case !h.allows(ctx, path):
+		ctx.Error("only operators may do this: show a token or a certificate\n", fasthttp.StatusUnauthorized)
+	case path == metricsPath:
 		h.metrics(ctx)
 	default:
-		h.next(ctx)
+		h.options.Handler(ctx)
 	}
 }
 
+const metricsPath = "/metrics"
+
+func (h *HTTP) allows(ctx *fasthttp.RequestCtx, path string) bool {
+	guarded := h.options.OperatorsOnly || path == metricsPath
+	return !guarded || h.options.Guard.Allows(ctx)
+}
+
 func (h *HTTP) readyz(ctx *fasthttp.RequestCtx) {
-	if !h.readiness.Ready() {
+	if !h.options.Readiness.Ready() {
 		ctx.Error("not ready\n", fasthttp.StatusServiceUnavailable)
 		return
 	}
--- /dev/null
+++ b/daemon/servertls.go
@@ -0,0 +1,109 @@
+package daemon
+
+import (
+	"crypto/tls"
+	"flag"
+	"net"
+
+	"github.com/charmbracelet/log"
+	"github.com/rotisserie/eris"
+)
+
+// ServerFiles name the certificate that a daemon shows on its HTTP interface.
+// Both empty means the daemon's own certificate, if it has one.
+type ServerFiles struct {
+	Certificate string
+	Key         string
+	pair        reloaded[tls.Certificate]
+}
+
+// Register adds the flags to a set.
+func (f *ServerFiles) Register(fs *flag.FlagSet) {
+	fs.StringVar(&f.Certificate, "http-tls-cert", "", "file of the certificate of the HTTP interface; empty uses -tls-cert")
+	fs.StringVar(&f.Key, "http-tls-key", "", "file of the private key of -http-tls-cert")
+}
+
+// Enabled reports whether certificate files are set.
+func (f *ServerFiles) Enabled() bool {
+	return f.Certificate != ""
+}
+
+func (f *ServerFiles) check() error {
+	if f.Enabled() && f.Key == "" {
+		return Wrong("http-tls-key", "is missing although -http-tls-cert is set")
+	}
+	if !f.Enabled() && f.Key != "" {
+		return Wrong("http-tls-cert", "is missing although -http-tls-key is set")
+	}
+	if !f.Enabled() {
+		return nil
+	}
+	if _, err := f.load(); err != nil {
+		return Wrong("http-tls-cert", err.Error())
+	}
+	return nil
+}
+
+func (f *ServerFiles) load() (*tls.Certificate, error) {
+	pair, err := tls.LoadX509KeyPair(f.Certificate, f.Key)
+	if err != nil {
+		return nil, eris.Wrap(err, "load certificate")
+	}
+	return &pair, nil
+}
+
+// current returns the certificate as its files stand.
+func (f *ServerFiles) current() *tls.Certificate {
+	return f.pair.get(f.load, f.Certificate, f.Key)
+}
+
+// httpSecure reports whether the HTTP interface uses TLS.
+func (s *Settings) httpSecure() bool {
+	return s.HTTPTLS.Enabled() || s.TLS.Enabled()
+}
+
+// HTTPListener wraps the listener of the HTTP interface with TLS when
+// certificate files are set. Clients need no certificate; one that they show
+// must be signed by the daemons' authority.
+func (s *Settings) HTTPListener(inner net.Listener) net.Listener {
+	if !s.httpSecure() {
+		return inner
+	}
+	return tls.NewListener(inner, &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			return s.httpConfig()
+		},
+	})
+}
+
+func (s *Settings) httpConfig() (*tls.Config, error) {
+	config := &tls.Config{MinVersion: tls.VersionTLS13}
+	if s.TLS.Enabled() {
+		own := s.TLS.Config()
+		if own == nil {
+			return nil, eris.New("the certificate files are damaged")
+		}
+		config.Certificates = own.Certificates
+		config.ClientCAs = own.ClientCAs
+		config.ClientAuth = tls.VerifyClientCertIfGiven
+	}
+	if s.HTTPTLS.Enabled() {
+		pair := s.HTTPTLS.current()
+		if pair == nil {
+			return nil, eris.New("the certificate files are damaged")
+		}
+		config.Certificates = []tls.Certificate{*pair}
+	}
+	return config, nil
+}
+
+// WarnPlain logs which interfaces of a daemon are not encrypted.
+func (s *Settings) WarnPlain(logger *log.Logger) {
+	if !s.TLS.Enabled() {
+		logger.Warn("plain mode between daemons, for loopback only; set -tls-cert", "listen", s.Listen)
+	}
+	if !s.httpSecure() {
+		logger.Warn("plain HTTP, for loopback only; set -http-tls-cert", "http", s.HTTP)
+	}
+}
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -23,7 +23,10 @@
 	LogLevel   string
 	LogFormat  string
 	TLS        TLSFiles
-	StopWait   time.Duration
+	HTTPTLS    ServerFiles
+	// Operators is the file of operators' token hashes.
+	Operators string
+	StopWait  time.Duration
 }
 
 // Register adds the flags of the settings to a set.
@@ -35,7 +38,9 @@
 	fs.StringVar(&s.LogLevel, "log-level", "info", "debug, info, warn or error")
 	fs.StringVar(&s.LogFormat, "log-format", "logfmt", "logfmt, json or text")
 	fs.DurationVar(&s.StopWait, "stop-wait", 30*time.Second, "longest time that a planned stop waits for running requests")
+	fs.StringVar(&s.Operators, "operators", "", "file of operators' token hashes; empty accepts certificates only, and everybody in plain mode")
 	s.TLS.Register(fs)
+	s.HTTPTLS.Register(fs)
 }
 
 // SettingError names the setting that is wrong.
@@ -77,7 +82,24 @@
 	if s.StopWait <= 0 {
 		return Wrong("stop-wait", "must be positive")
 	}
-	return s.TLS.Check(s.Listen)
+	return s.checkAccess()
+}
+
+// checkAccess reports the first wrong setting of certificates and tokens.
+func (s *Settings) checkAccess() error {
+	if _, err := LoadTokens(s.Operators); err != nil {
+		return Wrong("operators", err.Error())
+	}
+	if err := s.TLS.Check(s.Listen); err != nil {
+		return err
+	}
+	if err := s.HTTPTLS.check(); err != nil {
+		return err
+	}
+	if !s.httpSecure() {
+		return checkLoopback("http-tls-cert", s.HTTP)
+	}
+	return nil
 }
 
 // CheckAddress reports an address that is not an IP address and a port.
--- a/daemon/tls.go
+++ b/daemon/tls.go
@@ -6,8 +6,6 @@
 	"flag"
 	"net"
 	"os"
-	"sync"
-	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -19,9 +17,7 @@
 	Key         string
 	Authority   string
 
-	mu       sync.Mutex
-	loaded   *tls.Config
-	modified time.Time
+	config reloaded[tls.Config]
 }
 
 // Register adds the flags to a set.
@@ -39,7 +35,7 @@
 // Check reports incomplete or unreadable files, and plain TCP off loopback.
 func (f *TLSFiles) Check(listen string) error {
 	if !f.Enabled() {
-		return checkLoopback(listen)
+		return checkLoopback("tls-cert", listen)
 	}
 	if f.Key == "" {
 		return Wrong("tls-key", "is missing although -tls-cert is set")
@@ -53,31 +49,24 @@
 	return nil
 }
 
-func checkLoopback(listen string) error {
-	host, _, err := net.SplitHostPort(listen)
+// checkLoopback reports an address off loopback, for which a setting must name
+// a certificate.
+func checkLoopback(setting, address string) error {
+	host, _, err := net.SplitHostPort(address)
 	if err != nil {
-		return Wrong("listen", err.Error())
+		return Wrong(setting, err.Error())
 	}
 	if ip := net.ParseIP(host); ip == nil || !ip.IsLoopback() {
-		return Wrong("tls-cert", "is missing; without certificates only loopback addresses are accepted, not "+listen)
+		return Wrong(setting, "is missing; without certificates only loopback addresses are accepted, not "+address)
 	}
 	return nil
 }
 
 // Config returns the current mutual TLS configuration. It reads the files
-// again when the certificate file has changed, and keeps the last good
-// configuration when the new files are damaged.
+// again when one of them has changed, and keeps the last good configuration
+// when the new files are damaged.
 func (f *TLSFiles) Config() *tls.Config {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	info, err := os.Stat(f.Certificate)
-	if err == nil && (f.loaded == nil || !info.ModTime().Equal(f.modified)) {
-		if config, loadErr := f.load(); loadErr == nil {
-			f.loaded = config
-			f.modified = info.ModTime()
-		}
-	}
-	return f.loaded
+	return f.config.get(f.load, f.Certificate, f.Key, f.Authority)
 }
 
 func (f *TLSFiles) load() (*tls.Config, error) {
--- /dev/null
+++ b/daemon/tokens.go
@@ -0,0 +1,124 @@
+package daemon
+
+import (
+	"bufio"
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	bearerPrefix  = "Bearer "
+	tokensRecheck = time.Second
+)
+
+type tokenHash [sha256.Size]byte
+
+// Tokens maps hashes of bearer tokens to names. It reads its file again when
+// the file has changed, and keeps the last good content when the new one is
+// damaged. It is safe for concurrent use.
+type Tokens struct {
+	file string
+
+	mu       sync.Mutex
+	names    map[tokenHash]string
+	modified time.Time
+	checked  time.Time
+}
+
+// LoadTokens reads a file with one token a line: the name of its holder and
+// the SHA-256 hash of the token in hexadecimal. An empty file name returns nil.
+func LoadTokens(file string) (*Tokens, error) {
+	if file == "" {
+		return nil, nil
+	}
+	t := &Tokens{file: file}
+	return t, t.load()
+}
+
+// HashToken returns the hash of a token as it stands in a file of tokens.
+func HashToken(token string) string {
+	hash := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(hash[:])
+}
+
+// load reads the file when it has changed.
+func (t *Tokens) load() error {
+	info, err := os.Stat(t.file)
+	if err != nil {
+		return eris.Wrap(err, "read tokens")
+	}
+	if t.names != nil && info.ModTime().Equal(t.modified) {
+		return nil
+	}
+	text, err := os.ReadFile(t.file)
+	if err != nil {
+		return eris.Wrap(err, "read tokens")
+	}
+	names, err := parseTokens(t.file, text)
+	if err != nil {
+		return err
+	}
+	t.names, t.modified = names, info.ModTime()
+	return nil
+}
+
+func parseTokens(file string, text []byte) (map[tokenHash]string, error) {
+	names := make(map[tokenHash]string)
+	scanner := bufio.NewScanner(bytes.NewReader(text))
+	for line := 1; scanner.Scan(); line++ {
+		if err := parseToken(names, scanner.Text()); err != nil {
+			return nil, eris.Errorf("%s:%d: %v", file, line, err)
+		}
+	}
+	return names, eris.Wrap(scanner.Err(), "read tokens")
+}
+
+func parseToken(names map[tokenHash]string, line string) error {
+	fields := strings.Fields(line)
+	if len(fields) == 0 || strings.HasPrefix(fields[0], "#") {
+		return nil
+	}
+	const columns = 2
+	if len(fields) != columns {
+		return eris.New("expected a name and a hash")
+	}
+	var hash tokenHash
+	if len(fields[1]) != hex.EncodedLen(len(hash)) {
+		return eris.New("the hash must be 64 hexadecimal digits")
+	}
+	if _, err := hex.Decode(hash[:], []byte(fields[1])); err != nil {
+		return eris.New("the hash must be 64 hexadecimal digits")
+	}
+	names[hash] = fields[0]
+	return nil
+}
+
+// Identify returns the holder of a request's bearer token, or false when the
+// token is missing or not known.
+func (t *Tokens) Identify(ctx *fasthttp.RequestCtx) (string, bool) {
+	token, ok := bytes.CutPrefix(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization), []byte(bearerPrefix))
+	if !ok {
+		return "", false
+	}
+	name, ok := t.current()[sha256.Sum256(token)]
+	return name, ok
+}
+
+func (t *Tokens) current() map[tokenHash]string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now := time.Now(); now.Sub(t.checked) >= tokensRecheck {
+		t.checked = now
+		// A damaged file leaves the last good content in force.
+		_ = t.load()
+	}
+	return t.names
+}
--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -40,7 +40,7 @@
 	http         *daemon.HTTP
 	readiness    daemon.Readiness
 	metrics      *metrics
-	callers      callers
+	callers      *daemon.Tokens
 	calls        calls
 	table        *member.Table
 	known        atomic.Int64
@@ -53,6 +53,10 @@
 
 // Start starts an entry. The settings must have passed Check.
 func Start(settings *Settings) (*Daemon, error) {
+	guard, err := settings.NewGuard()
+	if err != nil {
+		return nil, err
+	}
 	web, err := daemon.ListenTCP("http", settings.HTTP)
 	if err != nil {
 		return nil, err
@@ -62,17 +66,25 @@
 		_ = web.Close()
 		return nil, err
 	}
-	d.http = daemon.NewHTTP(&d.readiness, d.metrics.registry, d.handle, func(server *fasthttp.Server) {
-		server.StreamRequestBody = true
-		server.MaxRequestBodySize = settings.MaxBodyBytes
+	d.http = daemon.NewHTTP(daemon.HTTPOptions{
+		Readiness: &d.readiness,
+		Registry:  d.metrics.registry,
+		Guard:     guard,
+		Logger:    d.logger,
+		Handler:   d.handle,
+		Configure: func(server *fasthttp.Server) {
+			server.StreamRequestBody = true
+			server.MaxRequestBodySize = settings.MaxBodyBytes
+		},
 	})
-	d.http.Start(watchedListener{settings.TLS.Listener(web)}, d.fault)
+	d.http.Start(watchedListener{settings.HTTPListener(web)}, d.fault)
+	settings.WarnPlain(d.logger)
 	d.logger.Info("entry started", "id", settings.ID, "http", settings.HTTP)
 	return d, nil
 }
 
 func newDaemon(settings *Settings) (*Daemon, error) {
-	known, err := loadCallers(settings.Tokens)
+	known, err := daemon.LoadTokens(settings.Tokens)
 	if err != nil {
 		return nil, err
 	}
@@ -204,7 +216,11 @@
 
 // handle serves callers' requests.
 func (d *Daemon) handle(ctx *fasthttp.RequestCtx) {
-	caller, known := d.callers.identify(ctx)
+	if !validText(ctx) {
+		d.refuse(ctx, pb.Reason_REASON_BAD_REQUEST, "the path, query and headers must be valid UTF-8")
+		return
+	}
+	caller, known := d.identify(ctx)
 	if !known {
 		d.refuse(ctx, pb.Reason_REASON_UNAUTHORIZED, "the bearer token is not known")
 		return
--- a/entryd/listener.go
+++ b/entryd/listener.go
@@ -32,6 +32,11 @@
 	pending []byte
 }
 
+// NetConn returns the connection within.
+func (c *watchedConn) NetConn() net.Conn {
+	return c.Conn
+}
+
 // Read implements net.Conn.
 func (c *watchedConn) Read(p []byte) (int, error) {
 	c.mu.Lock()
--- a/entryd/settings.go
+++ b/entryd/settings.go
@@ -44,7 +44,7 @@
 	if s.MaxBodyBytes <= 0 {
 		return daemon.Wrong("max-body-bytes", "must be positive")
 	}
-	if _, err := loadCallers(s.Tokens); err != nil {
+	if _, err := daemon.LoadTokens(s.Tokens); err != nil {
 		return daemon.Wrong("tokens", err.Error())
 	}
 	return nil
--- /dev/null
+++ b/entryd/text_test.go
@@ -0,0 +1,24 @@
+package entryd
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"github.com/valyala/fasthttp"
+)
+
+func TestTextOfRequestsMustBeUTF8(t *testing.T) {
+	g := NewWithT(t)
+	request := func(change func(*fasthttp.Request)) bool {
+		ctx := &fasthttp.RequestCtx{}
+		ctx.Request.SetRequestURI("/v1/completions")
+		change(&ctx.Request)
+		return validText(ctx)
+	}
+	g.Expect(request(func(r *fasthttp.Request) { r.Header.Set(headerKey, "nätt") })).To(BeTrue())
+	g.Expect(request(func(r *fasthttp.Request) { r.Header.Set(headerKey, "a\xff") })).To(BeFalse())
+	g.Expect(request(func(r *fasthttp.Request) { r.Header.Set(headerCaller, "\xc3") })).To(BeFalse())
+	g.Expect(request(func(r *fasthttp.Request) { r.Header.Set("X-Other", "\xc3") })).To(BeFalse())
+	g.Expect(request(func(r *fasthttp.Request) { r.SetRequestURI("/services/a/%ff") })).To(BeFalse())
+	g.Expect(request(func(r *fasthttp.Request) { r.SetRequestURI("/services/a/%c3%a4?b=%ff") })).To(BeTrue())
+}
--- /dev/null
+++ b/internal/testcert/testcert.go
@@ -0,0 +1,88 @@
+// Package testcert makes certificates for tests.
+package testcert
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// Authority signs certificates.
+type Authority struct {
+	// File holds the authority's certificate.
+	File   string
+	folder string
+	key    *ecdsa.PrivateKey
+	own    *x509.Certificate
+}
+
+// New returns a new authority whose files live as long as the test.
+func New(t *testing.T) *Authority {
+	t.Helper()
+	a := &Authority{folder: t.TempDir(), key: newKey(t)}
+	a.File = filepath.Join(a.folder, "ca.pem")
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), IsCA: true, BasicConstraintsValid: true,
+		Subject:   pkix.Name{CommonName: "test authority"},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &a.key.PublicKey, a.key)
+	check(t, err)
+	a.own, err = x509.ParseCertificate(der)
+	check(t, err)
+	writePEM(t, a.File, "CERTIFICATE", der)
+	return a
+}
+
+// Issue writes a certificate with a role, and its key, under a name. It is
+// valid for 127.0.0.1. Issuing a name again replaces its files.
+func (a *Authority) Issue(t *testing.T, name, role string) (certificate, key string) {
+	t.Helper()
+	private := newKey(t)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(time.Now().UnixNano()),
+		Subject:      pkix.Name{CommonName: name, OrganizationalUnit: []string{role}},
+		NotBefore:    time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.own, &private.PublicKey, a.key)
+	check(t, err)
+	encoded, err := x509.MarshalECPrivateKey(private)
+	check(t, err)
+	certificate, key = filepath.Join(a.folder, name+".pem"), filepath.Join(a.folder, name+".key")
+	writePEM(t, key, "EC PRIVATE KEY", encoded)
+	writePEM(t, certificate, "CERTIFICATE", der)
+	return certificate, key
+}
+
+func newKey(t *testing.T) *ecdsa.PrivateKey {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	check(t, err)
+	return key
+}
+
+func writePEM(t *testing.T, file, kind string, der []byte) {
+	t.Helper()
+	text := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+	const mode = 0o600
+	check(t, os.WriteFile(file, text, mode))
+}
+
+func check(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
--- a/sidecard/sidecard.go
+++ b/sidecard/sidecard.go
@@ -62,6 +62,10 @@
 
 // Start starts a sidecar. The settings must have passed Check.
 func Start(settings *Settings) (*Daemon, error) {
+	guard, err := settings.NewGuard()
+	if err != nil {
+		return nil, err
+	}
 	listener, err := daemon.ListenTCP("listen", settings.Listen)
 	if err != nil {
 		return nil, err
@@ -77,7 +81,7 @@
 		_ = web.Close()
 		return nil, err
 	}
-	d.serve(listener, web)
+	d.serve(listener, web, guard)
 	d.logger.Info("sidecar started", "id", settings.ID, "listen", settings.Listen, "engine", settings.Engine)
 	return d, nil
 }
@@ -269,7 +273,7 @@
 	}
 }
 
-func (d *Daemon) serve(listener, web net.Listener) {
+func (d *Daemon) serve(listener, web net.Listener, guard *daemon.Guard) {
 	d.server = transport.NewServer(d.identity, d.serveStream)
 	d.background.Add(3)
 	go func() {
@@ -287,8 +291,16 @@
 		d.pollLoad()
 	}()
 	context.AfterFunc(d.ctx, func() { _ = listener.Close() })
-	d.http = daemon.NewHTTP(&d.readiness, d.metrics.registry, d.handle, nil)
-	d.http.Start(d.settings.TLS.Listener(web), d.fault)
+	d.http = daemon.NewHTTP(daemon.HTTPOptions{
+		Readiness:     &d.readiness,
+		Registry:      d.metrics.registry,
+		Guard:         guard,
+		OperatorsOnly: true,
+		Logger:        d.logger,
+		Handler:       d.handle,
+	})
+	d.http.Start(d.settings.HTTPListener(web), d.fault)
+	d.settings.WarnPlain(d.logger)
 }
 
 func (d *Daemon) serveStream(_ transport.Class, stream *transport.Stream) {
--- a/transport/server.go
+++ b/transport/server.go
@@ -9,7 +9,12 @@
 	"github.com/hashicorp/yamux"
 )
 
-const prefaceTimeout = 5 * time.Second
+const (
+	prefaceTimeout = 5 * time.Second
+	// maxStreams bounds the streams of one connection that are served at a time;
+	// more are closed unread.
+	maxStreams = 4096
+)
 
 // Handler serves one stream and closes it before it returns.
 type Handler func(class Class, stream *Stream)
@@ -110,6 +115,10 @@
 		if err != nil {
 			return
 		}
+		if session.NumStreams() > maxStreams {
+			_ = conn.Close()
+			continue
+		}
 		stream := newStream(s.identity, conn, peer, roles)
 		s.wait.Add(1)
 		go func() {
