Sharpen the simulated faults

Cause: with deliberate mistakes in the core, the soak saw too few of them. Change: power loss of all replicas, pauses, uneven ticks, crashes right after votes and after answered writes, mostly empty unsynced tails.

--- a/replica/sim_client_test.go
+++ b/replica/sim_client_test.go
@@ -80,14 +80,16 @@
 	n.must(err)
 	id, answer, _ := n.waiters.addProposal()
 	c.writes = answer
-	n.step(quorum.Propose{Proposals: []quorum.Proposal{{ID: id, Data: data}}})
+	n.later(0, func() {
+		n.step(quorum.Propose{Proposals: []quorum.Proposal{{ID: id, Data: data}}})
+	})
 }
 
 func (c *simClient) read(n *simNode, key string) {
 	c.call(n, registerInput{key: key})
 	id, answer, _ := n.waiters.addRead()
 	c.reads = answer
-	n.step(quorum.Confirm{ID: id})
+	n.later(0, func() { n.step(quorum.Confirm{ID: id}) })
 }
 
 // answerClients collects the answers that a node has given.
@@ -117,6 +119,7 @@
 		if c.input.write {
 			c.leader = c.node
 			c.w.check.acknowledged++
+			c.w.crashAfterAck(c.node)
 		}
 	case c.input.write && err.Code == pb.ControlError_UNKNOWN:
 		op.Output = registerOutput{unknown: true}
--- a/replica/sim_faults_test.go
+++ b/replica/sim_faults_test.go
@@ -31,6 +31,11 @@
 	{"jump a clock", func(w *world) {
 		w.anyNode().clock = time.Duration(w.rand.IntN(7200)-3600) * time.Second
 	}},
+	{"lose the power of all", func(w *world) { w.losePower() }},
+	{"pause the leader", func(w *world) { w.pause(w.leader()) }},
+	{"pause a replica", func(w *world) { w.pause(w.anyNode()) }},
+	{"crash after votes", func(w *world) { w.voteCrashPercent = 40; w.crashFor(w.leader(), 500) }},
+	{"crash after answers", func(w *world) { w.ackCrashPercent = 5 }},
 	{"heal", func(w *world) { w.heal() }},
 	{"heal the network", func(w *world) { clear(w.cut); w.lossPercent = 0 }},
 	{"hand over", func(w *world) { w.handOver() }},
@@ -53,6 +58,32 @@
 	})
 }
 
+// losePower stops all nodes at once.
+func (w *world) losePower() {
+	for _, n := range w.nodes {
+		w.crashFor(n, w.rand.IntN(200))
+	}
+}
+
+func (w *world) pause(n *simNode) {
+	if n != nil {
+		n.pausedUntil = w.now + int64(w.rand.IntN(1000))
+	}
+}
+
+// crashAfterAck stops the node that has just answered a write, for long, and
+// another one for a moment.
+func (w *world) crashAfterAck(n *simNode) {
+	if !w.percent(w.ackCrashPercent) {
+		return
+	}
+	other := w.anyNode()
+	w.after(0, func() {
+		w.crashFor(n, 2000)
+		w.crashFor(other, w.rand.IntN(50))
+	})
+}
+
 func (w *world) isolateLeader(inbound, outbound bool) {
 	if leader := w.leader(); leader != nil {
 		w.isolate(leader.id, inbound, outbound)
--- a/replica/sim_store_test.go
+++ b/replica/sim_store_test.go
@@ -76,9 +76,10 @@
 }
 
 // crash returns the store as a restart finds it: the synced batches and a
-// prefix of the others.
+// prefix of the others, often an empty one.
 func (s *crashStore) crash(rand *rand.Rand) (*crashStore, error) {
-	if err := s.persist(rand.IntN(len(s.unsynced) + 1)); err != nil {
+	kept := rand.IntN(len(s.unsynced)+1) * rand.IntN(2)
+	if err := s.persist(kept); err != nil {
 		return nil, err
 	}
 	next := newCrashStore()
--- a/replica/sim_test.go
+++ b/replica/sim_test.go
@@ -60,6 +60,10 @@
 	duplicatePercent int
 	maxDelay         int
 	syncDelay        int
+	// voteCrashPercent and ackCrashPercent are the chances of a crash right
+	// after a vote and right after an answered write.
+	voteCrashPercent int
+	ackCrashPercent  int
 }
 
 // newWorld starts three members in three data centres and two spares.
@@ -131,7 +135,7 @@
 func (w *world) deliver(m *pb.QuorumMessage) {
 	target := w.node(m.To)
 	if target.up && !w.cut[simLink{m.From, m.To}] {
-		target.step(quorum.Received{Message: m})
+		target.later(0, func() { target.step(quorum.Received{Message: m}) })
 	}
 }
 
@@ -169,6 +173,7 @@
 func (w *world) heal() {
 	clear(w.cut)
 	w.lossPercent, w.duplicatePercent, w.maxDelay, w.syncDelay = 0, 0, 3, 4
+	w.voteCrashPercent, w.ackCrashPercent = 0, 0
 	for _, n := range w.nodes {
 		if !n.up {
 			n.start()
@@ -188,6 +193,8 @@
 	up          bool
 	incarnation int
 	period      int
+	// pausedUntil delays everything that the node does.
+	pausedUntil int64
 	clock       time.Duration
 
 	core    *quorum.Core
@@ -203,7 +210,7 @@
 
 func newSimNode(w *world, id, dataCentre string, member bool) *simNode {
 	n := &simNode{w: w, id: id, dataCentre: dataCentre, member: member}
-	n.period = simTick - 1 + w.rand.IntN(3)
+	n.period = simTick - 4 + w.rand.IntN(9)
 	n.wipe()
 	return n
 }
@@ -272,9 +279,14 @@
 func (n *simNode) later(delay int, run func()) {
 	incarnation := n.incarnation
 	n.w.after(delay, func() {
-		if n.incarnation == incarnation {
-			run()
+		if n.incarnation != incarnation {
+			return
 		}
+		if pause := int(n.pausedUntil - n.w.now); pause > 0 {
+			n.later(pause, run)
+			return
+		}
+		run()
 	})
 }
 
@@ -299,6 +311,7 @@
 		switch out := out.(type) {
 		case quorum.Send:
 			n.w.send(out.Message)
+			n.crashAfterVote(out.Message)
 		case quorum.Save, quorum.Truncate:
 			n.writes = append(n.writes, out)
 			n.startWrite()
@@ -317,6 +330,13 @@
 	n.w.answerClients(n)
 }
 
+// crashAfterVote stops the node for a moment after it has granted a vote.
+func (n *simNode) crashAfterVote(m *pb.QuorumMessage) {
+	if m.Kind == pb.QuorumKind_QUORUM_VOTE_REPLY && !m.Reject && n.w.percent(n.w.voteCrashPercent) {
+		n.later(0, func() { n.w.crashFor(n, n.w.rand.IntN(30)) })
+	}
+}
+
 // answer passes an output to the waiters as the shell does.
 func (n *simNode) answer(out quorum.Output) {
 	shell := Replica{waiters: n.waiters}
--- a/replica/soak_test.go
+++ b/replica/soak_test.go
@@ -12,7 +12,7 @@
 const (
 	defaultSoakSeeds = 12
 	soakWorkers      = 3
-	soakRounds       = 18
+	soakRounds       = 25
 )
 
 // soakSeeds returns the seeds to run: one that is replayed, or as many as
