--- a/batch/grants.go
+++ b/batch/grants.go
@@ -10,9 +10,6 @@
 const (
 	// maxAnswerBytes bounds the item bodies in one answer.
 	maxAnswerBytes = 1 << 20
-	// graceMargin is how far beyond the last committed item a new leader
-	// looks for items that no earlier leader has handed out.
-	graceMargin = 4096
 	// exclusionTime is how long an item avoids a worker that failed it while
 	// other workers serve it.
 	exclusionTime = 30 * time.Second
@@ -30,7 +27,7 @@
 // grant fills the room of a parked request.
 func (s *Scheduler) grant(now time.Time, w *workerEntry) {
 	room := s.roomOf(now, w)
-	if room <= 0 {
+	if room <= 0 || (s.dry(w) && !s.speculative) {
 		return
 	}
 	s.visit++
@@ -45,18 +42,41 @@
 		granted += s.give(now, w, run, s.take(now, w, run, limit))
 	}
 	if granted == 0 {
+		s.noteDry(w)
 		s.speculate(now, w, room)
 	}
 }
 
+// dry reports whether nothing has become available since a request found
+// nothing for the worker's services.
+func (s *Scheduler) dry(w *workerEntry) bool {
+	for _, service := range w.services {
+		if s.jobs.rate(service).dryVersion != s.workVersion {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Scheduler) noteDry(w *workerEntry) {
+	for _, service := range w.services {
+		if !s.jobs.anyAvailable(service) {
+			s.jobs.rate(service).dryVersion = s.workVersion
+		}
+	}
+}
+
 // roomOf returns how many items a worker may be given now.
 func (s *Scheduler) roomOf(now time.Time, w *workerEntry) int {
 	p := w.parked
-	if p == nil || w.draining || now.Before(w.pausedUntil) || p.starts > 0 {
+	if p == nil || w.draining || p.starts > 0 {
+		return 0
+	}
+	if now.Before(w.pausedUntil) || now.Before(w.restUntil) {
 		return 0
 	}
 	room := p.room - len(p.items)
-	if w.probing {
+	if w.pauseLevel > 0 {
 		return min(room, 1-len(w.leases))
 	}
 	return room
@@ -148,14 +168,12 @@
 }
 
 // takeFresh returns an item that was never handed out. While workers may hold
-// items of an earlier leader it keeps clear of those, which lie near the last
-// committed item.
+// items of an earlier leader it keeps clear of those.
 func (s *Scheduler) takeFresh(run *jobRun) (uint32, bool) {
 	if !s.inGrace || run.recent || !run.job.GetIdempotent() {
 		return run.nextFresh(false)
 	}
-	last, _ := run.live.settled.last()
-	if run.tail <= last+graceMargin {
+	if run.tail <= run.graceFloor {
 		return 0, false
 	}
 	return run.nextFresh(true)
--- a/batch/lead.go
+++ b/batch/lead.go
@@ -11,6 +11,9 @@
 const (
 	retentionInterval = time.Minute
 	maxExpiredJobs    = 64
+	// graceShare is the part of the lease time within which live workers
+	// report to a new leader: they renew more often than that.
+	graceShare = 2
 )
 
 // stepLead starts or stops leading.
@@ -29,8 +32,9 @@
 	if !in.On {
 		return
 	}
+	s.addWork()
 	s.inGrace = true
-	s.graceEnd = now.Add(s.options.LeaseTime)
+	s.graceEnd = now.Add(s.options.LeaseTime / graceShare)
 	s.sweepLater(now)
 	s.nextRetention = now
 }
@@ -49,7 +53,7 @@
 	for _, id := range s.state.liveIDs() {
 		l := s.state.live[id]
 		if l.job.GetState() == pb.JobState_JOB_RUNNING {
-			s.jobs.add(l)
+			s.jobs.add(l).guessFloor()
 			continue
 		}
 		s.receiveDeadlines.Set(id, now.Add(ReceiveTimeout))
@@ -92,7 +96,7 @@
 		return
 	}
 	s.jobs.add(l).recent = true
-	s.workAdded = true
+	s.addWork()
 }
 
 // startApplied notices a claim that another leader proposed, whose holder is
@@ -212,7 +216,7 @@
 func (s *Scheduler) sweepLost(now time.Time) {
 	if s.inGrace && !now.Before(s.graceEnd) {
 		s.inGrace = false
-		s.workAdded = true
+		s.addWork()
 	}
 	if !s.sweeping || now.Before(s.sweepAt) {
 		return
--- a/gate/arrive.go
+++ b/gate/arrive.go
@@ -13,6 +13,14 @@
 	noUpstreamRetryAfter = time.Second
 	// notReadyRetryAfter is told while the profiles in force are not confirmed.
 	notReadyRetryAfter = time.Second
+	// packHarmPermille is the greatest harm bound for which online work is
+	// packed on few upstreams. Above it batch work does as well beside it.
+	packHarmPermille = 500
+	// packFillBase, packFillSlope and packFillMax give the share of a window
+	// that packed online work fills, from the harm bound.
+	packFillBase  = 0.03
+	packFillSlope = 0.7
+	packFillMax   = 0.2
 )
 
 // arrive admits a request or refuses it.
@@ -77,7 +85,7 @@
 }
 
 func (g *Gate) firstSend(now time.Time, r *request) {
-	u, ok := g.routes.Pick(now, route.Query{Service: r.Service, Prefix: r.Prefix})
+	u, ok := g.pick(now, r, false)
 	if !ok {
 		g.giveUp(now, r, pb.Reason_REASON_NO_UPSTREAM, noUpstreamRetryAfter)
 		return
@@ -89,6 +97,28 @@
 	}
 }
 
+// pick chooses an upstream that was not tried yet.
+func (g *Gate) pick(now time.Time, r *request, roomOnly bool) (*route.Upstream, bool) {
+	return g.routes.Pick(now, route.Query{
+		Service:  r.Service,
+		Prefix:   r.Prefix,
+		Exclude:  r.tried,
+		Pack:     g.packFill(r.profile),
+		RoomOnly: roomOnly,
+	})
+}
+
+// packFill returns how far upstreams are filled with online work while batch
+// work runs on others. Online requests harm each other the more the fewer
+// upstreams they share, so the harm bound of the profile decides.
+func (g *Gate) packFill(profile *pb.Profile) float64 {
+	if g.options.SpreadRoute || profile.GetHarmPermille() > packHarmPermille {
+		return 0
+	}
+	harm := float64(profile.GetHarmPermille()) / 1000
+	return min(packFillBase+packFillSlope*harm, packFillMax)
+}
+
 // send opens an attempt at an upstream.
 func (g *Gate) send(now time.Time, r *request, u *route.Upstream, hedge bool) {
 	r.attempts++
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -17,10 +17,13 @@
 	Seed       uint64
 	// RandomRoute turns affinity and load off, for comparisons.
 	RandomRoute bool
+	// SpreadRoute never packs online work, for comparisons.
+	SpreadRoute bool
 }
 
 // Gate is the core of an entry. It implements core.Core.
 type Gate struct {
+	options   Options
 	out       core.Outbox[Output]
 	random    *rand.Rand
 	routes    *route.Table
@@ -40,7 +43,8 @@
 // until it is ready.
 func New(o Options) *Gate {
 	return &Gate{
-		random: core.NewRand(o.Seed),
+		options: o,
+		random:  core.NewRand(o.Seed),
 		routes: route.NewTable(route.Options{
 			DataCentre: o.DataCentre,
 			Seed:       o.Seed + 1,
@@ -67,7 +71,7 @@
 	case CallerGone:
 		g.callerGone(now, in.ID)
 	case MemberChanged:
-		g.routes.Put(in.Member)
+		g.routes.Put(now, in.Member)
 	case MemberGone:
 		g.routes.Remove(in.ID)
 	case Config:
--- /dev/null
+++ b/loop/loop.go
@@ -0,0 +1,179 @@
+// Package loop drives one core on one goroutine: it feeds inputs and ticks to
+// the core and carries out its outputs in order.
+package loop
+
+import (
+	"sync"
+	"time"
+
+	"github.com/briarcross/briarcross/core"
+)
+
+// Loop owns a core. Its methods are safe for concurrent use.
+type Loop[In, Out any] struct {
+	core  core.Core[In, Out]
+	carry func(Out)
+	tick  time.Duration
+
+	mu     sync.Mutex
+	inputs []queued[In]
+	calls  []func()
+	closed bool
+	wake   chan struct{}
+	done   chan struct{}
+}
+
+// queued is an input with an optional call that follows its outputs.
+type queued[In any] struct {
+	in    In
+	after func()
+}
+
+// Start runs a core. Carry is called on the loop's goroutine for each output
+// and must not block; completions go back through Post.
+func Start[In, Out any](c core.Core[In, Out], tick time.Duration, carry func(Out)) *Loop[In, Out] {
+	l := &Loop[In, Out]{
+		core:  c,
+		carry: carry,
+		tick:  tick,
+		wake:  make(chan struct{}, 1),
+		done:  make(chan struct{}),
+	}
+	go l.run()
+	return l
+}
+
+// Post queues an input. It never blocks; admission in front of the core bounds
+// the queue. Inputs after Close are dropped.
+func (l *Loop[In, Out]) Post(in In) {
+	l.PostThen(in, nil)
+}
+
+// PostLazy queues an input like Post, but does not wake the loop: the input is
+// handled with the next one, at the latest with the next tick.
+func (l *Loop[In, Out]) PostLazy(in In) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.closed {
+		l.inputs = append(l.inputs, queued[In]{in: in})
+	}
+}
+
+// PostThen queues an input like Post and calls after on the loop's goroutine
+// once the outputs of that input have been carried out. It reports false, and
+// never calls after, when the loop is closed.
+func (l *Loop[In, Out]) PostThen(in In, after func()) bool {
+	l.mu.Lock()
+	if l.closed {
+		l.mu.Unlock()
+		return false
+	}
+	l.inputs = append(l.inputs, queued[In]{in, after})
+	l.mu.Unlock()
+	l.signal()
+	return true
+}
+
+// Do runs a function on the loop's goroutine and waits for it. It reports
+// false when the loop is closed.
+func (l *Loop[In, Out]) Do(call func()) bool {
+	finished := make(chan struct{})
+	l.mu.Lock()
+	if l.closed {
+		l.mu.Unlock()
+		return false
+	}
+	l.calls = append(l.calls, func() {
+		call()
+		close(finished)
+	})
+	l.mu.Unlock()
+	l.signal()
+	select {
+	case <-finished:
+		return true
+	case <-l.done:
+		return false
+	}
+}
+
+// Wake has the loop carry out outputs that were put into the core's outbox
+// from outside the loop.
+func (l *Loop[In, Out]) Wake() {
+	l.signal()
+}
+
+// Close stops the loop and waits for its goroutine. It must not be called
+// from carry.
+func (l *Loop[In, Out]) Close() {
+	l.mu.Lock()
+	l.closed = true
+	l.mu.Unlock()
+	l.signal()
+	<-l.done
+}
+
+func (l *Loop[In, Out]) signal() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (l *Loop[In, Out]) run() {
+	defer close(l.done)
+	ticker := time.NewTicker(l.tick)
+	defer ticker.Stop()
+	var spare []queued[In]
+	for {
+		select {
+		case <-ticker.C:
+			spare = l.handleQueued(spare)
+			// The ticker's own time may lie before that of the last Step.
+			l.core.Tick(time.Now())
+			l.deliver()
+		case <-l.wake:
+			spare = l.handleQueued(spare)
+		}
+		if l.isClosed() {
+			return
+		}
+	}
+}
+
+func (l *Loop[In, Out]) isClosed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.closed && len(l.inputs) == 0 && len(l.calls) == 0
+}
+
+// handleQueued handles what is queued and returns a slice to reuse.
+func (l *Loop[In, Out]) handleQueued(spare []queued[In]) []queued[In] {
+	l.mu.Lock()
+	inputs, calls := l.inputs, l.calls
+	l.inputs, l.calls = spare, nil
+	l.mu.Unlock()
+	l.handle(inputs, calls)
+	clear(inputs)
+	return inputs[:0]
+}
+
+func (l *Loop[In, Out]) handle(inputs []queued[In], calls []func()) {
+	for _, item := range inputs {
+		l.core.Step(time.Now(), item.in)
+		l.deliver()
+		if item.after != nil {
+			item.after()
+		}
+	}
+	for _, call := range calls {
+		call()
+	}
+	l.deliver()
+}
+
+func (l *Loop[In, Out]) deliver() {
+	for _, out := range l.core.Drain() {
+		l.carry(out)
+	}
+}
