Test the shedding, backoff, hedge budget and gradual return

Cause: trial mutations of these rules passed the tests. Change: one test for each, and one that equal seeds give equal runs.

--- a/gate/fault_test.go
+++ b/gate/fault_test.go
@@ -178,6 +178,19 @@
 	}
 }
 
+func TestEqualSeedsGiveEqualRuns(t *testing.T) {
+	g := NewWithT(t)
+	ends := func() map[string]gate.Finish {
+		f := runFaults(1, schedules[0])
+		all := map[string]gate.Finish{"events": {Attempt: uint32(f.sequence)}}
+		for id, c := range f.calls {
+			all[id] = c.finish
+		}
+		return all
+	}
+	g.Expect(ends()).To(Equal(ends()))
+}
+
 func TestBurstOntoEnginesFullOfBatchStartsAtOnce(t *testing.T) {
 	g := NewWithT(t)
 	f := newFleet(3, 1, 2, briarcross)
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -170,6 +170,43 @@
 	}))
 }
 
+func TestHedgesStayWithinTheBudget(t *testing.T) {
+	g := NewWithT(t)
+	gate := newTest(3, func(p *pb.Profile) { p.RetryBudgetPermille, p.HedgeAfterMs = 0, 100 })
+	now, hedges := start, 0
+	for n := range 60 {
+		id := fmt.Sprint(n)
+		step(gate, now, Arrive{ask(id)})
+		now = now.Add(100 * time.Millisecond)
+		gate.Tick(now)
+		hedges += len(gate.Drain())
+		step(gate, now, CallerGone{id})
+	}
+	g.Expect(hedges).To(BeNumerically("~", 22, 3), "a burst of twenty and one each two seconds")
+}
+
+func TestOnlyUpstreamIsTriedAgainAfterABackoff(t *testing.T) {
+	g := NewWithT(t)
+	gate := newTest(1, nil)
+	step(gate, start, Arrive{ask("r")})
+	g.Expect(step(gate, start, failure("r", 1, unknown, pb.Reason_REASON_CONNECTION_LOST))).To(BeEmpty())
+	gate.Tick(start.Add(retryBackoff / 4))
+	g.Expect(gate.Drain()).To(BeEmpty())
+	gate.Tick(start.Add(retryBackoff))
+	g.Expect(gate.Drain()[0].(Send).Attempt).To(BeEquivalentTo(2))
+}
+
+func TestFullUpstreamIsNotTriedAgain(t *testing.T) {
+	g := NewWithT(t)
+	gate := newTest(1, nil)
+	step(gate, start, Arrive{ask("r")})
+	full := failure("r", 1, notRun, pb.Reason_REASON_OVERLOADED)
+	full.RetryAfter = 3 * time.Second
+	g.Expect(step(gate, start, full)).To(Equal([]Output{
+		Finish{ID: "r", Outcome: notRun, Reason: pb.Reason_REASON_OVERLOADED, RetryAfter: 3 * time.Second},
+	}))
+}
+
 func TestDeadlineIsAnsweredAtOnce(t *testing.T) {
 	g := NewWithT(t)
 	gate := newTest(1, func(p *pb.Profile) { p.DueMs = 500 })
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -101,9 +101,17 @@
 	g.Expect(picks(start)).To(BeZero())
 	returned := start.Add(ejectFirst)
 	table.Sent(bad)
+	for _, u := range table.upstreams("check") {
+		if u != bad {
+			u.inFlight = 3
+		}
+	}
 	g.Expect(picks(returned)).To(BeZero(), "the first share is one request")
-	g.Expect(picks(returned.Add(returnTime))).To(BeNumerically("<", 100))
+	g.Expect(picks(returned.Add(returnTime))).To(BeNumerically(">", 150), "its whole share is back")
 	table.Done(returned, bad, nil)
+	for _, u := range table.upstreams("check") {
+		u.inFlight = 0
+	}
 	table.Succeeded(returned.Add(returnTime+time.Second), bad)
 	g.Expect(picks(returned.Add(returnTime + time.Second))).To(BeNumerically("~", 100, 50))
 }
--- a/sidecar/policy_test.go
+++ b/sidecar/policy_test.go
@@ -140,3 +140,63 @@
 	s.Tick(start.Add(DefaultBatchWait))
 	g.Expect(outputs(s)).To(Equal([]Output{GiveBack{ID: batch(1).ID}}))
 }
+
+// learnHold lets the sidecar see a request that held its place for a time.
+func learnHold(s *Sidecar, hold time.Duration) time.Time {
+	w := online(1000)
+	s.Step(start, Submit{w})
+	end := start.Add(hold)
+	s.Step(end, Ended{ID: w.ID, Outcome: pb.Outcome_OUTCOME_DONE})
+	s.Drain()
+	return end
+}
+
+func TestRequestThatCannotMakeItsTargetIsRefusedOnArrival(t *testing.T) {
+	g := NewWithT(t)
+	s := newTest(1, nil)
+	now := learnHold(s, time.Second)
+	step(s, now, Submit{online(1)})
+	late := online(2)
+	late.FirstToken = 900 * millisecond
+	g.Expect(step(s, now, Submit{late})).To(Equal([]Output{Refuse{
+		ID: late.ID, Outcome: pb.Outcome_OUTCOME_NOT_RUN,
+		Reason: pb.Reason_REASON_OVERLOADED, RetryAfter: time.Second,
+	}}))
+	patient := online(3)
+	patient.FirstToken = 1100 * millisecond
+	g.Expect(step(s, now, Submit{patient})).To(BeEmpty())
+}
+
+func TestRequestThatWaitedTooLongIsNotStarted(t *testing.T) {
+	g := NewWithT(t)
+	s := newTest(1, nil)
+	step(s, start, Submit{online(1)})
+	w := online(2)
+	w.FirstToken = time.Second
+	step(s, start, Submit{w})
+	out := step(s, start.Add(1100*millisecond), Ended{ID: online(1).ID})
+	g.Expect(out).To(HaveLen(1))
+	g.Expect(out[0].(Refuse).Reason).To(Equal(pb.Reason_REASON_OVERLOADED))
+}
+
+func TestSmallExcessOverTheHarmBoundIsBorne(t *testing.T) {
+	g := NewWithT(t)
+	s := newTest(40, nil)
+	fillWithBatch(s, 24)
+	for n := range 200 {
+		streams := n % 40
+		s.harm.interval(10*millisecond+time.Duration(streams)*500*time.Microsecond, streams)
+	}
+	w := online(1)
+	w.HarmPermille = 1000
+	g.Expect(step(s, start, Submit{w})).To(Equal([]Output{Start{ID: w.ID}}), "24 are little more than 21")
+	strict := online(2)
+	strict.HarmPermille = 200
+	stops := 0
+	for _, out := range step(s, start, Submit{strict}) {
+		if _, ok := out.(Stop); ok {
+			stops++
+		}
+	}
+	g.Expect(stops).To(BeNumerically(">", 18))
+}
