Serve profiles on loopback, count bytes by class, and list all series

Change: -pprof serves profiles on a loopback address. Control replicas report their CPU time and resident memory.

Small changes in transport (Identity.Traffic), controld (usage.go, Series), entryd and sidecard (Series).

Shown by: go test ./daemon ./transport ./controld ./cli.

--- a/cli/daemons.go
+++ b/cli/daemons.go
@@ -9,6 +9,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/briarcross/briarcross/controld"
+	"github.com/briarcross/briarcross/daemon"
 	"github.com/briarcross/briarcross/devd"
 	"github.com/briarcross/briarcross/entryd"
 	"github.com/briarcross/briarcross/sidecard"
@@ -61,11 +62,25 @@
 			if err := s.Check(); err != nil {
 				return err
 			}
+			profiling, err := startProfiling(s)
+			if err != nil {
+				return err
+			}
+			defer profiling.Stop()
 			return runDaemon(start)
 		},
 	})
 }
 
+// startProfiling serves profiles when the settings of a daemon ask for it.
+func startProfiling(s settings) (*daemon.Profiling, error) {
+	common, ok := s.(interface{ Common() *daemon.Settings })
+	if !ok {
+		return nil, nil
+	}
+	return common.Common().StartProfiling()
+}
+
 // runDaemon runs a daemon until a signal stops it or it breaks.
 func runDaemon(start func() (stoppable, error)) error {
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
--- a/controld/metrics.go
+++ b/controld/metrics.go
@@ -27,5 +27,12 @@
 		}),
 	}
 	m.registry.MustRegister(m.refused, m.peerLost)
+	registerUsage(m.registry)
 	return m
 }
+
+// Series returns the registry of a control replica that is not started, for
+// the documentation of its series.
+func Series() *prometheus.Registry {
+	return newMetrics(&transport.Identity{}).registry
+}
--- /dev/null
+++ b/controld/usage.go
@@ -0,0 +1,56 @@
+package controld
+
+import (
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// residentFile holds the sizes of this process in pages.
+const residentFile = "/proc/self/statm"
+
+// registerUsage adds the series of what this process takes.
+func registerUsage(registry *prometheus.Registry) {
+	registry.MustRegister(
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "briarcross_control_cpu_seconds_total",
+			Help: "CPU time that the process has taken, in seconds.",
+		}, cpuSeconds),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "briarcross_control_memory_bytes",
+			Help: "Memory of the process that is resident, in bytes.",
+		}, memoryBytes),
+	)
+}
+
+// cpuSeconds returns the user and system time of this process.
+func cpuSeconds() float64 {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	taken := time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+	return taken.Seconds()
+}
+
+// memoryBytes returns the resident memory of this process.
+func memoryBytes() float64 {
+	text, err := os.ReadFile(residentFile)
+	if err != nil {
+		return 0
+	}
+	const residentColumn = 1
+	columns := strings.Fields(string(text))
+	if len(columns) <= residentColumn {
+		return 0
+	}
+	pages, err := strconv.Atoi(columns[residentColumn])
+	if err != nil {
+		return 0
+	}
+	return float64(pages * os.Getpagesize())
+}
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -22,9 +22,24 @@
 			Help: "Received envelopes that were meant for another incarnation or group.",
 		}, func() float64 { return float64(identity.Dropped()) }),
 	)
+	for _, class := range transport.Classes() {
+		traffic := identity.Traffic(class)
+		registry.MustRegister(
+			trafficCounter(class, "sent", traffic.Sent),
+			trafficCounter(class, "received", traffic.Received),
+		)
+	}
 	return registry
 }
 
+func trafficCounter(class transport.Class, direction string, count func() uint64) prometheus.Collector {
+	return prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name:        "briarcross_transport_bytes_total",
+		Help:        "Bytes to and from other daemons, before encryption, by class of traffic.",
+		ConstLabels: prometheus.Labels{"class": class.String(), "direction": direction},
+	}, func() float64 { return float64(count()) })
+}
+
 // MetricsHandler serves the series of a registry.
 func MetricsHandler(registry *prometheus.Registry) fasthttp.RequestHandler {
 	return fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
--- /dev/null
+++ b/daemon/pprof.go
@@ -0,0 +1,51 @@
+package daemon
+
+import (
+	"net"
+
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/pprofhandler"
+)
+
+// Profiling serves profiles of this process on loopback.
+type Profiling struct {
+	server   *fasthttp.Server
+	listener net.Listener
+	done     chan struct{}
+}
+
+// StartProfiling serves profiles at the Pprof setting, below /debug/pprof/. It
+// returns nil when the setting is empty.
+func (s *Settings) StartProfiling() (*Profiling, error) {
+	if s.Pprof == "" {
+		return nil, nil
+	}
+	listener, err := ListenTCP("pprof", s.Pprof)
+	if err != nil {
+		return nil, err
+	}
+	p := &Profiling{
+		server:   &fasthttp.Server{Handler: pprofhandler.PprofHandler, Logger: connectionLogger{}, CloseOnShutdown: true},
+		listener: listener,
+		done:     make(chan struct{}),
+	}
+	go func() {
+		defer close(p.done)
+		_ = p.server.Serve(listener)
+	}()
+	return p, nil
+}
+
+// Address returns the address that is served.
+func (p *Profiling) Address() string {
+	return p.listener.Addr().String()
+}
+
+// Stop ends the interface; running profiles are cut off.
+func (p *Profiling) Stop() {
+	if p == nil {
+		return
+	}
+	_ = p.listener.Close()
+	<-p.done
+}
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -26,7 +26,9 @@
 	HTTPTLS    ServerFiles
 	// Operators is the file of operators' token hashes.
 	Operators string
-	StopWait  time.Duration
+	// Pprof is the loopback address of the profiling interface; empty has none.
+	Pprof    string
+	StopWait time.Duration
 }
 
 // Register adds the flags of the settings to a set.
@@ -39,10 +41,16 @@
 	fs.StringVar(&s.LogFormat, "log-format", "logfmt", "logfmt, json or text")
 	fs.DurationVar(&s.StopWait, "stop-wait", 30*time.Second, "longest time that a planned stop waits for running requests")
 	fs.StringVar(&s.Operators, "operators", "", "file of operators' token hashes; empty accepts certificates only, and everybody in plain mode")
+	fs.StringVar(&s.Pprof, "pprof", "", "loopback address and port of the profiling interface; empty has none")
 	s.TLS.Register(fs)
 	s.HTTPTLS.Register(fs)
 }
 
+// Common returns the settings themselves. Daemons' settings embed them.
+func (s *Settings) Common() *Settings {
+	return s
+}
+
 // SettingError names the setting that is wrong.
 type SettingError struct {
 	Name   string
@@ -82,6 +90,9 @@
 	if s.StopWait <= 0 {
 		return Wrong("stop-wait", "must be positive")
 	}
+	if s.Pprof != "" && !isLoopback(s.Pprof) {
+		return Wrong("pprof", "must be a loopback address and a port, not "+s.Pprof)
+	}
 	return s.checkAccess()
 }
 
--- a/daemon/tls.go
+++ b/daemon/tls.go
@@ -52,16 +52,22 @@
 // checkLoopback reports an address off loopback, for which a setting must name
 // a certificate.
 func checkLoopback(setting, address string) error {
-	host, _, err := net.SplitHostPort(address)
-	if err != nil {
-		return Wrong(setting, err.Error())
-	}
-	if ip := net.ParseIP(host); ip == nil || !ip.IsLoopback() {
+	if !isLoopback(address) {
 		return Wrong(setting, "is missing; without certificates only loopback addresses are accepted, not "+address)
 	}
 	return nil
 }
 
+// isLoopback reports whether an address and port is on loopback.
+func isLoopback(address string) bool {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return false
+	}
+	ip := net.ParseIP(host)
+	return ip != nil && ip.IsLoopback()
+}
+
 // Config returns the current mutual TLS configuration. It reads the files
 // again when one of them has changed, and keeps the last good configuration
 // when the new files are damaged.
--- a/entryd/metrics.go
+++ b/entryd/metrics.go
@@ -61,3 +61,10 @@
 		return float64(value())
 	})
 }
+
+// Series returns the registry of an entry that is not started, for the
+// documentation of its series.
+func Series() *prometheus.Registry {
+	none := func() int { return 0 }
+	return newMetrics(&transport.Identity{}, none, none).registry
+}
--- a/sidecard/metrics.go
+++ b/sidecard/metrics.go
@@ -58,3 +58,9 @@
 func (m *metrics) load() *pb.Load {
 	return m.current.Load()
 }
+
+// Series returns the registry of a sidecar that is not started, for the
+// documentation of its series.
+func Series() *prometheus.Registry {
+	return newMetrics(&transport.Identity{}).registry
+}
--- a/transport/class.go
+++ b/transport/class.go
@@ -18,6 +18,11 @@
 	classEnd
 )
 
+// Classes lists all classes.
+func Classes() []Class {
+	return []Class{Online, Batch, Control}
+}
+
 // String returns the label of the class in metrics and logs.
 func (c Class) String() string {
 	switch c {
--- a/transport/client.go
+++ b/transport/client.go
@@ -125,7 +125,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "connect to %s", address)
 	}
-	session, roles, err := startSession(ctx, class, conn)
+	session, roles, err := c.startSession(ctx, class, conn)
 	if err != nil {
 		_ = conn.Close()
 		return nil, err
@@ -136,7 +136,7 @@
 }
 
 // startSession checks the role of the server and opens a session of a class.
-func startSession(ctx context.Context, class Class, conn net.Conn) (*yamux.Session, peerRoles, error) {
+func (c *Client) startSession(ctx context.Context, class Class, conn net.Conn) (*yamux.Session, peerRoles, error) {
 	roles, err := rolesOf(ctx, conn)
 	if err != nil {
 		return nil, roles, err
@@ -147,7 +147,7 @@
 	if err := writePreface(conn, class); err != nil {
 		return nil, roles, err
 	}
-	session, err := yamux.Client(newCoalescingConn(conn), sessionConfig())
+	session, err := yamux.Client(newCoalescingConn(conn, c.identity.Traffic(class)), sessionConfig())
 	return session, roles, eris.Wrap(err, "start session")
 }
 
--- a/transport/coalesce.go
+++ b/transport/coalesce.go
@@ -14,6 +14,7 @@
 // each stream.
 type coalescingConn struct {
 	net.Conn
+	traffic *Traffic
 
 	mu      sync.Mutex
 	changed *sync.Cond
@@ -22,8 +23,8 @@
 	err     error
 }
 
-func newCoalescingConn(inner net.Conn) *coalescingConn {
-	c := &coalescingConn{Conn: inner}
+func newCoalescingConn(inner net.Conn, traffic *Traffic) *coalescingConn {
+	c := &coalescingConn{Conn: inner, traffic: traffic}
 	c.changed = sync.NewCond(&c.mu)
 	go c.flush()
 	return c
@@ -41,10 +42,18 @@
 		return 0, c.err
 	}
 	c.pending = append(c.pending, p...)
+	c.traffic.sent.Add(uint64(len(p)))
 	c.changed.Broadcast()
 	return len(p), nil
 }
 
+// Read implements net.Conn.
+func (c *coalescingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.traffic.received.Add(uint64(n))
+	return n, err
+}
+
 // flush writes what is pending until the connection fails or is closed.
 func (c *coalescingConn) flush() {
 	for {
--- a/transport/identity.go
+++ b/transport/identity.go
@@ -17,6 +17,28 @@
 	revision atomic.Uint64
 	observe  atomic.Pointer[func(*pb.Header)]
 	dropped  atomic.Uint64
+	traffic  [classEnd]Traffic
+}
+
+// Traffic counts the bytes on the connections of one class, before encryption.
+type Traffic struct {
+	sent     atomic.Uint64
+	received atomic.Uint64
+}
+
+// Sent returns the number of bytes handed to connections.
+func (t *Traffic) Sent() uint64 {
+	return t.sent.Load()
+}
+
+// Received returns the number of bytes read from connections.
+func (t *Traffic) Received() uint64 {
+	return t.received.Load()
+}
+
+// Traffic returns the counts of a class.
+func (i *Identity) Traffic(class Class) *Traffic {
+	return &i.traffic[class]
 }
 
 // SetRevision stores the configuration revision that outgoing headers carry.
--- a/transport/server.go
+++ b/transport/server.go
@@ -101,7 +101,7 @@
 	if err := conn.SetReadDeadline(time.Time{}); err != nil {
 		return
 	}
-	session, err := yamux.Server(newCoalescingConn(conn), sessionConfig())
+	session, err := yamux.Server(newCoalescingConn(conn, s.identity.Traffic(class)), sessionConfig())
 	if err != nil {
 		return
 	}
