Refuse a storage that lost synced writes

Change: each synced write carries a number, kept also in an unsynced file beside the storage. A storage that ends before it is refused, with the log file and the offset, before anything is changed. kv gains OpenDiskReadOnly. Conclusion: a loss of synced writes does not pass for a torn write, unless a power loss also set the watermark back.

--- a/kv/disk.go
+++ b/kv/disk.go
@@ -27,6 +27,15 @@
 // is cut; other damage is an error that names the file. A nil fs means the
 // operating system's files.
 func OpenDisk(folder string, fs vfs.FS) (*Disk, error) {
+	return openDisk(folder, fs, false)
+}
+
+// OpenDiskReadOnly opens an existing store without changing its files.
+func OpenDiskReadOnly(folder string) (*Disk, error) {
+	return openDisk(folder, nil, true)
+}
+
+func openDisk(folder string, fs vfs.FS, readOnly bool) (*Disk, error) {
 	if fs == nil {
 		fs = vfs.Default
 	}
@@ -37,6 +46,7 @@
 		Cache:        cache,
 		MemTableSize: diskMemtableBytes,
 		Logger:       quietLogger{},
+		ReadOnly:     readOnly,
 	}
 	db, err := pebble.Open(folder, options)
 	if err != nil {
--- a/replica/identity.go
+++ b/replica/identity.go
@@ -57,6 +57,9 @@
 	if err := file.check(path, options); err != nil {
 		return nil, 0, err
 	}
+	if err := checkSynced(options.Folder); err != nil {
+		return nil, 0, eris.Wrapf(err, "open data folder %s", options.Folder)
+	}
 	store, err := kv.OpenDisk(filepath.Join(options.Folder, storeFolderName), nil)
 	if err != nil {
 		return nil, 0, err
@@ -127,6 +130,10 @@
 	if err != nil {
 		return 0, err
 	}
+	mark := filepath.Join(options.Folder, watermarkFileName)
+	if err := os.Remove(mark); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return 0, eris.Wrapf(err, "remove watermark file %s", mark)
+	}
 	file := identityFile{Replica: options.ID, Group: options.Group, Identity: identity}
 	if err := file.write(path); err != nil {
 		return 0, err
--- a/replica/record.go
+++ b/replica/record.go
@@ -18,6 +18,7 @@
 	keyHardState  = "hardstate"
 	keyIdentity   = "identity"
 	keyStarts     = "starts"
+	keyWrites     = "writes"
 	prefixLog     = "log/"
 	prefixMachine = "machine/"
 )
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -83,6 +83,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if options.Folder != "" {
+		if storage.mark, err = openWatermark(options.Folder); err != nil {
+			return nil, err
+		}
+	}
 	r = &Replica{
 		options:  options,
 		store:    store,
@@ -195,7 +200,7 @@
 	r.halt()
 	_ = r.tasks.Wait()
 	r.waiters.close()
-	return r.store.Close()
+	return errors.Join(r.storage.close(), r.store.Close())
 }
 
 // handOverElections bounds the time of a hand-over in election timeouts.
--- a/replica/storage.go
+++ b/replica/storage.go
@@ -16,6 +16,10 @@
 	store kv.Store
 	// lastEntry is the last index written to the log. The writer owns it.
 	lastEntry uint64
+	// writes numbers the synced writes; mark keeps the last number outside
+	// the store, and is nil in memory. The writer owns both.
+	writes uint64
+	mark   *watermark
 	// applied is the position of the state. The apply goroutine owns it.
 	applied *pb.SnapshotMeta
 	// chunkBytes bounds the chunks of a snapshot.
@@ -33,6 +37,9 @@
 	if s.generation, err = getNumber(store, keyGeneration); err != nil {
 		return nil, quorum.Stored{}, err
 	}
+	if s.writes, err = getNumber(store, keyWrites); err != nil {
+		return nil, quorum.Stored{}, err
+	}
 	stored, err := loadRecords(store)
 	if err != nil {
 		return nil, quorum.Stored{}, err
@@ -123,7 +130,23 @@
 			setMessage(batch, []byte(keyBase), item.Base)
 		}
 	}
-	return s.store.Commit(batch, true)
+	s.writes++
+	setNumber(batch, keyWrites, s.writes)
+	if err := s.store.Commit(batch, true); err != nil {
+		return err
+	}
+	if s.mark == nil {
+		return nil
+	}
+	return s.mark.write(s.writes)
+}
+
+// close releases what the storage opened beside the store.
+func (s *storage) close() error {
+	if s.mark == nil {
+		return nil
+	}
+	return s.mark.close()
 }
 
 func (s *storage) writeSave(batch kv.Batch, save quorum.Save) {
--- /dev/null
+++ b/replica/watermark.go
@@ -0,0 +1,145 @@
+package replica
+
+import (
+	"encoding/binary"
+	"errors"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"github.com/briarcross/briarcross/kv"
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/pebble/v2/record"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	watermarkFileName = "synced"
+	watermarkBytes    = 16
+)
+
+// watermark is a file beside the storage that holds the number of the last
+// synced write. The storage's own log ends silently at damaged bytes, as at a
+// torn last write; a storage that ends before the watermark has lost synced
+// writes. The file itself is not synced: after a power loss it may lag.
+type watermark struct {
+	file *os.File
+}
+
+func openWatermark(folder string) (*watermark, error) {
+	path := filepath.Join(folder, watermarkFileName)
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, fileMode)
+	if err != nil {
+		return nil, eris.Wrapf(err, "open watermark file %s", path)
+	}
+	return &watermark{file}, nil
+}
+
+func (w *watermark) write(number uint64) error {
+	raw := numberBytes(number)
+	raw = binary.BigEndian.AppendUint64(raw, xxhash.Sum64(raw))
+	_, err := w.file.WriteAt(raw, 0)
+	return eris.Wrap(err, "write watermark file")
+}
+
+func (w *watermark) close() error {
+	return w.file.Close()
+}
+
+// readWatermark returns zero when there is no watermark yet.
+func readWatermark(folder string) (uint64, error) {
+	path := filepath.Join(folder, watermarkFileName)
+	raw, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) || err == nil && len(raw) == 0 {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, eris.Wrapf(err, "read watermark file %s", path)
+	}
+	if len(raw) != watermarkBytes || binary.BigEndian.Uint64(raw[8:]) != xxhash.Sum64(raw[:8]) {
+		return 0, eris.Errorf("watermark file %s is damaged at offset 0", path)
+	}
+	return binary.BigEndian.Uint64(raw), nil
+}
+
+// checkSynced refuses a storage that has lost synced writes. It changes
+// nothing in the folder.
+func checkSynced(folder string) error {
+	synced, err := readWatermark(folder)
+	if err != nil || synced == 0 {
+		return err
+	}
+	store := filepath.Join(folder, storeFolderName)
+	files, err := filepath.Glob(filepath.Join(store, "*"))
+	if err != nil || len(files) == 0 {
+		return err
+	}
+	held, err := lastWriteIn(store)
+	if err != nil || held >= synced {
+		return err
+	}
+	return eris.Errorf("storage lost synced writes: it ends at write %d of %d; %s", held, synced, locateDamage(store))
+}
+
+// lastWriteIn reads the number of the last write that a storage holds.
+func lastWriteIn(store string) (number uint64, err error) {
+	defer recoverFault(func(fault error) { err = fault })
+	disk, err := kv.OpenDiskReadOnly(store)
+	if err != nil {
+		return 0, err
+	}
+	number, err = getNumber(disk, keyWrites)
+	return number, errors.Join(err, disk.Close())
+}
+
+// locateDamage names the files of the storage's log that end early.
+func locateDamage(store string) string {
+	logs, err := filepath.Glob(filepath.Join(store, "*.log"))
+	if err != nil {
+		return err.Error()
+	}
+	found := "no damaged log file found"
+	for _, path := range logs {
+		offset, err := validBytes(path)
+		if err != nil {
+			found = eris.Errorf("file %s is damaged at offset %d: %v", path, offset, err).Error()
+		}
+	}
+	return found
+}
+
+// newLogReader converts a file number to the library's unexported type.
+func newLogReader[N ~uint64](create func(io.Reader, N) *record.Reader, file io.Reader, number uint64) *record.Reader {
+	return create(file, N(number))
+}
+
+// validBytes returns where the valid records of a log file end, and the
+// error that ends them if it is not the end of the file.
+func validBytes(path string) (int64, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = file.Close() }()
+	number, err := strconv.ParseUint(strings.TrimSuffix(filepath.Base(path), ".log"), 10, 64)
+	if err != nil {
+		return 0, err
+	}
+	reader := newLogReader(record.NewReader, file, number)
+	for {
+		offset := reader.Offset()
+		next, err := reader.Next()
+		if err == nil {
+			_, err = io.Copy(io.Discard, next)
+		}
+		if errors.Is(err, io.EOF) {
+			return offset, nil
+		}
+		if err != nil {
+			return offset, err
+		}
+	}
+}
