--- /dev/null
+++ b/quorum/core_test.go
@@ -0,0 +1,115 @@
+package quorum
+
+import (
+	"testing"
+	"time"
+
+	"github.com/briarcross/briarcross/pb"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+// memberCore returns a core that already knows its group of three.
+func memberCore(stored Stored) *Core {
+	stored.Bootstrap = &pb.Bootstrap{Decided: true, Membership: &pb.Membership{
+		Size:     3,
+		Replicas: []*pb.Replica{{Id: "a", Identity: 1}, {Id: "b", Identity: 2}, {Id: "c", Identity: 3}},
+	}}
+	return New(Options{ID: "a", Identity: 1, Stored: stored})
+}
+
+func sent(c *Core) []*pb.QuorumMessage {
+	var messages []*pb.QuorumMessage
+	for _, out := range c.Drain() {
+		if s, ok := out.(Send); ok {
+			messages = append(messages, s.Message)
+		}
+	}
+	return messages
+}
+
+func voteRequest(toIdentity uint64) Received {
+	return Received{&pb.QuorumMessage{
+		Kind: pb.QuorumKind_QUORUM_VOTE, From: "b", To: "a", FromIdentity: 2, ToIdentity: toIdentity, Term: 5,
+	}}
+}
+
+func TestVoteLeavesOnlyAfterItIsSaved(t *testing.T) {
+	expect := NewWithT(t)
+	c := memberCore(Stored{})
+	c.Step(time.Time{}, voteRequest(1))
+	var ticket uint64
+	for _, out := range c.Drain() {
+		expect.Expect(out).NotTo(BeAssignableToTypeOf(Send{}))
+		if save, ok := out.(Save); ok {
+			ticket = save.Ticket
+			expect.Expect(save.Hard.Vote).To(Equal("b"))
+		}
+	}
+	c.Step(time.Time{}, Saved{ticket})
+	messages := sent(c)
+	expect.Expect(messages).To(HaveLen(1))
+	expect.Expect(messages[0].Kind).To(Equal(pb.QuorumKind_QUORUM_VOTE_REPLY))
+	expect.Expect(messages[0].Reject).To(BeFalse())
+}
+
+func TestRequestForAnotherIdentityIsDropped(t *testing.T) {
+	expect := NewWithT(t)
+	c := memberCore(Stored{})
+	c.Step(time.Time{}, voteRequest(99))
+	expect.Expect(sent(c)).To(BeEmpty())
+	expect.Expect(c.Status().Term).To(BeZero())
+}
+
+func TestReplyOfAnotherIdentityDoesNotCount(t *testing.T) {
+	expect := NewWithT(t)
+	c := memberCore(Stored{})
+	for range 3 * DefaultElectionTicks {
+		c.Tick(time.Time{})
+	}
+	reply := &pb.QuorumMessage{
+		Kind: pb.QuorumKind_QUORUM_PRE_VOTE_REPLY, From: "b", To: "a", FromIdentity: 99, ToIdentity: 1, Term: 1,
+	}
+	c.Step(time.Time{}, Received{reply})
+	expect.Expect(c.Status().Term).To(BeZero())
+	reply.FromIdentity = 2
+	c.Step(time.Time{}, Received{reply})
+	expect.Expect(c.Status().Term).To(Equal(uint64(1)))
+}
+
+func TestMessageOfAnotherGroupIsDropped(t *testing.T) {
+	expect := NewWithT(t)
+	c := memberCore(Stored{})
+	request := voteRequest(1)
+	request.Message.Group = 8
+	c.Step(time.Time{}, request)
+	expect.Expect(c.Status().Term).To(BeZero())
+}
+
+func TestLogCountsItsBytes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := newEntryLog(&pb.SnapshotMeta{Index: 10, Term: 1}, nil)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0:
+				if l.last() > l.base.Index {
+					l.cut(rapid.Uint64Range(l.first(), l.last()).Draw(t, "cut"))
+				}
+			case 1:
+				if l.last() > l.base.Index {
+					l.truncate(rapid.Uint64Range(l.first(), l.last()).Draw(t, "truncate"))
+				}
+			default:
+				size := rapid.IntRange(0, 20).Draw(t, "size")
+				l.append(&pb.LogEntry{Term: 1, Index: l.last() + 1, Data: make([]byte, size)})
+			}
+			var want uint64
+			for _, e := range l.entries {
+				want += uint64(len(e.Data)) + entryOverheadBytes
+			}
+			if got := l.bytes(l.base.Index, l.last()); got != want {
+				t.Fatalf("log counts %d bytes, holds %d", got, want)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/replica/bench_test.go
@@ -0,0 +1,245 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+
+	"github.com/briarcross/briarcross/kv"
+	"github.com/briarcross/briarcross/pb"
+	"github.com/briarcross/briarcross/quorum"
+	"go.etcd.io/bbolt"
+	"google.golang.org/protobuf/proto"
+)
+
+const benchEntryBytes = 300
+
+func benchEntries(first uint64, n int) []*pb.LogEntry {
+	var entries []*pb.LogEntry
+	for i := range n {
+		entries = append(entries, &pb.LogEntry{Term: 1, Index: first + uint64(i), Data: make([]byte, benchEntryBytes)})
+	}
+	return entries
+}
+
+func reportEntries(b *testing.B, perSync int) {
+	b.ReportMetric(float64(b.N*perSync)/b.Elapsed().Seconds(), "entries/s")
+}
+
+// BenchmarkGroupCommit compares one sync an entry with one sync for many, on
+// pebble and on bbolt.
+func BenchmarkGroupCommit(b *testing.B) {
+	for _, perSync := range []int{1, 16, 64, 256} {
+		b.Run(fmt.Sprintf("pebble/entries=%d", perSync), func(b *testing.B) { benchPebble(b, perSync) })
+		b.Run(fmt.Sprintf("bbolt/entries=%d", perSync), func(b *testing.B) { benchBolt(b, perSync) })
+	}
+}
+
+func benchPebble(b *testing.B, perSync int) {
+	store, err := kv.OpenDisk(b.TempDir(), nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = store.Close() }()
+	s, _, err := loadStorage(store)
+	if err != nil {
+		b.Fatal(err)
+	}
+	next := uint64(1)
+	for b.Loop() {
+		if err := s.write([]writeItem{quorum.Save{Entries: benchEntries(next, perSync)}}); err != nil {
+			b.Fatal(err)
+		}
+		next += uint64(perSync)
+	}
+	reportEntries(b, perSync)
+}
+
+func benchBolt(b *testing.B, perSync int) {
+	db, err := bbolt.Open(filepath.Join(b.TempDir(), "bolt"), fileMode, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = db.Close() }()
+	next := uint64(1)
+	for b.Loop() {
+		err := db.Update(func(tx *bbolt.Tx) error { return putBolt(tx, benchEntries(next, perSync)) })
+		if err != nil {
+			b.Fatal(err)
+		}
+		next += uint64(perSync)
+	}
+	reportEntries(b, perSync)
+}
+
+func putBolt(tx *bbolt.Tx, entries []*pb.LogEntry) error {
+	bucket, err := tx.CreateBucketIfNotExists([]byte(prefixLog))
+	if err != nil {
+		return err
+	}
+	for _, e := range entries {
+		raw, err := proto.Marshal(e)
+		if err != nil {
+			return err
+		}
+		if err := bucket.Put(logKey(e.Index), seal(logKey(e.Index), raw)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// BenchmarkPropose measures commands through three replicas on disk in one
+// process. One client at a time is one sync an entry.
+func BenchmarkPropose(b *testing.B) {
+	for _, clients := range []int{1, 16, 64, 256} {
+		b.Run(fmt.Sprintf("clients=%d", clients), func(b *testing.B) { benchPropose(b, clients) })
+	}
+}
+
+func benchPropose(b *testing.B, clients int) {
+	g := newGroup(b)
+	root := b.TempDir()
+	openThree(g, func(id string) string { return filepath.Join(root, id) })
+	defer g.closeAll()
+	g.propose(claim("key", "value"))
+	leader := g.leader()
+	work := make(chan int)
+	var group sync.WaitGroup
+	for range clients {
+		group.Go(func() {
+			for i := range work {
+				if _, err := leader.Propose(context.Background(), claim(fmt.Sprint(i%1000), "value")); err != nil {
+					b.Error(err)
+				}
+			}
+		})
+	}
+	b.ResetTimer()
+	for i := range b.N {
+		work <- i
+	}
+	close(work)
+	group.Wait()
+	b.StopTimer()
+	reportEntries(b, 1)
+}
+
+// BenchmarkElection measures, in the simulation, the time from a leader's
+// crash to the next acknowledged change, in election timeouts.
+func BenchmarkElection(b *testing.B) {
+	const electionTimeout = quorum.DefaultElectionTicks * simTick
+	var times []float64
+	for seed := range b.N {
+		w := newWorld(uint64(seed))
+		for _, n := range w.nodes {
+			n.period = simTick
+		}
+		w.runUntil(10_000, func() bool { return w.leader() != nil && w.check.acknowledged > 3 })
+		for _, c := range w.clients {
+			c.stopped = true
+		}
+		w.runFor(2000 + w.rand.IntN(200))
+		crashed := w.now
+		w.leader().crash()
+		w.awaitChange()
+		times = append(times, float64(w.now-crashed)/electionTimeout)
+	}
+	slices.Sort(times)
+	b.ReportMetric(times[len(times)/2], "median-timeouts")
+	b.ReportMetric(times[len(times)*99/100], "p99-timeouts")
+}
+
+// awaitChange writes as soon as a replica leads, until a write succeeds.
+func (w *world) awaitChange() {
+	probe := &simClient{w: w, id: len(w.clients), stopped: true}
+	w.clients = append(w.clients, probe)
+	for before := w.check.acknowledged; w.check.acknowledged == before; w.runFor(1) {
+		if leader := w.leader(); leader != nil && !probe.busy() {
+			probe.write(leader, "key0")
+		}
+	}
+}
+
+// BenchmarkRestart measures the opening of a folder with a log of some length,
+// with the applied state kept and with the whole log to replay.
+func BenchmarkRestart(b *testing.B) {
+	for _, entries := range []int{1000, 10_000, 50_000} {
+		b.Run(fmt.Sprintf("entries=%d/state=kept", entries), func(b *testing.B) { benchRestart(b, entries, entries) })
+		b.Run(fmt.Sprintf("entries=%d/state=replayed", entries), func(b *testing.B) { benchRestart(b, entries, 0) })
+	}
+}
+
+func benchRestart(b *testing.B, entries, applied int) {
+	folder := b.TempDir()
+	fillFolder(b, folder, entries, applied)
+	for b.Loop() {
+		store, s, stored := openFilled(b, folder)
+		pending := stored.Entries[s.applied.Index:]
+		for len(pending) > 0 {
+			n := min(len(pending), maxApplyEntries)
+			if _, err := s.apply(claimMachine{}, pending[:n]); err != nil {
+				b.Fatal(err)
+			}
+			pending = pending[n:]
+		}
+		b.StopTimer()
+		if err := store.Close(); err != nil {
+			b.Fatal(err)
+		}
+		if applied < entries {
+			forgetApplied(b, folder)
+		}
+		b.StartTimer()
+	}
+}
+
+func openFilled(b *testing.B, folder string) (*kv.Disk, *storage, quorum.Stored) {
+	store, err := kv.OpenDisk(folder, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	s, stored, err := loadStorage(store)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return store, s, stored
+}
+
+func fillFolder(b *testing.B, folder string, entries, applied int) {
+	store, s, _ := openFilled(b, folder)
+	data, err := proto.Marshal(claim("key", string(make([]byte, benchEntryBytes))))
+	if err != nil {
+		b.Fatal(err)
+	}
+	log := benchEntries(1, entries)
+	for _, e := range log {
+		e.Data = data
+	}
+	if err := s.write([]writeItem{quorum.Save{Entries: log}}); err != nil {
+		b.Fatal(err)
+	}
+	if applied > 0 {
+		if _, err := s.apply(claimMachine{}, log[:applied]); err != nil {
+			b.Fatal(err)
+		}
+	}
+	if err := store.Close(); err != nil {
+		b.Fatal(err)
+	}
+}
+
+func forgetApplied(b *testing.B, folder string) {
+	store, _, _ := openFilled(b, folder)
+	batch := store.NewBatch()
+	batch.Delete([]byte(keyApplied))
+	if err := store.Commit(batch, true); err != nil {
+		b.Fatal(err)
+	}
+	if err := store.Close(); err != nil {
+		b.Fatal(err)
+	}
+}
