--- a/lab/bench/direct.go
+++ b/lab/bench/direct.go
@@ -55,7 +55,7 @@
 	var result experiment.Result
 	series := experiment.Series{Name: "client and fake engine"}
 	for _, streams := range []int{1, 16, 128} {
-		perToken, err := tokenCost(ctx, client, "m", streams, max(1, streamRounds/streams))
+		perToken, err := tokenCost(ctx, 0, client, "m", streams, max(1, streamRounds/streams))
 		if err != nil {
 			return result, err
 		}
--- a/lab/bench/list.go
+++ b/lab/bench/list.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"github.com/briarcross/briarcross/lab/experiment"
 )
@@ -15,24 +16,42 @@
 	}
 }
 
-// bounds are the stated targets of metrics that Go benchmarks report, by the
-// names that experiment.ParseGoBench gives them.
-func bounds() []target {
-	return []target{}
+// target is a stated target of the metrics of some Go benchmarks, by the names
+// that experiment.ParseGoBench gives them.
+type target struct {
+	prefix string
+	metric string
+	bound  *experiment.Bound
 }
 
-type target struct {
-	name  string
-	bound *experiment.Bound
+func (t target) covers(name string) bool {
+	return strings.HasPrefix(name, t.prefix) && strings.HasSuffix(name, "/"+t.metric)
+}
+
+// Targets of issue 5.
+const (
+	commitsItem   = 0.1
+	capacityShare = 0.95
+	// engineLossSeconds is the lease time and the time of one item.
+	engineLossSeconds = 17
+)
+
+func targets() []target {
+	return []target{
+		{prefix: "batch/Capacity/", metric: "capacity-share", bound: experiment.Least(capacityShare)},
+		{prefix: "batch/", metric: "run-commits-per-item", bound: experiment.Most(commitsItem)},
+		{prefix: "batch/EngineLoss", metric: "lost-s", bound: experiment.Most(engineLossSeconds)},
+		{prefix: "batch/LeaderLoss", metric: "items-run-twice", bound: experiment.Most(0)},
+	}
 }
 
 // ApplyBounds sets the stated targets on measures of Go benchmarks.
 func ApplyBounds(measures []experiment.Measure) {
-	targets := bounds()
+	all := targets()
 	for i := range measures {
-		at := slices.IndexFunc(targets, func(t target) bool { return t.name == measures[i].Name })
+		at := slices.IndexFunc(all, func(t target) bool { return t.covers(measures[i].Name) })
 		if at >= 0 {
-			measures[i].Bound = targets[at].bound
+			measures[i].Bound = all[at].bound
 		}
 	}
 }
--- a/lab/bench/relay.go
+++ b/lab/bench/relay.go
@@ -24,17 +24,27 @@
 	addedMicrosToken = 2
 )
 
-// relay compares requests through entry and sidecar with direct calls to the
-// same engine, in turn. Everything runs in this process, so that the difference
+// relay compares requests through entry and sidecar with direct calls to an
+// equal engine, in turn. Everything runs in this process, so that the difference
 // of its processor time is what entry and sidecar cost.
 func relay(ctx context.Context, seed uint64) (experiment.Result, error) {
 	var result experiment.Result
-	cluster, err := startCluster(seed, 1, 1, labengine.Cost{Base: relayStep, PrefillChunk: labengine.DefaultMaxKVTokens})
+	message, err := loopbackMessageCost()
+	if err != nil {
+		return result, err
+	}
+	cost := labengine.Cost{Base: relayStep, PrefillChunk: labengine.DefaultMaxKVTokens}
+	cluster, err := startCluster(seed, 1, 1, cost)
 	if err != nil {
 		return result, err
 	}
 	defer func() { _ = cluster.Stop() }()
-	direct := engine.NewHTTP(cluster.EngineURL(0), engine.Options{})
+	up, err := startUpstream(labengine.Options{Seed: seed, Cost: cost})
+	if err != nil {
+		return result, err
+	}
+	defer func() { _ = up.server.Close() }()
+	direct := engine.NewHTTP(up.url, engine.Options{})
 	defer direct.Close()
 	through := engine.NewHTTP(cluster.EntryURL(0), engine.Options{Entry: true})
 	defer through.Close()
@@ -42,17 +52,24 @@
 	if err != nil {
 		return result, err
 	}
-	directCPU, throughCPU, err := tokenCosts(ctx, direct, through)
+	idle, err := idleShare(ctx)
+	if err != nil {
+		return result, err
+	}
+	directCPU, throughCPU, err := tokenCosts(ctx, idle, direct, through)
 	if err != nil {
 		return result, err
 	}
 	result.Measures = []experiment.Measure{
+		{Name: "relay/loopback-message-cpu", Value: message, Unit: "µs"},
+		{Name: "relay/idle-installation-cpu", Value: idle, Unit: "cores"},
 		{Name: "relay/first-token-direct-p50", Value: directFirst, Unit: "ms"},
 		{Name: "relay/first-token-through-p50", Value: throughFirst, Unit: "ms"},
 		{Name: "relay/added-latency-p50", Value: throughFirst - directFirst, Unit: "ms", Bound: experiment.Most(addedLatencyMS)},
 		{Name: "relay/cpu-per-token-direct", Value: directCPU, Unit: "µs"},
 		{Name: "relay/cpu-per-token-through", Value: throughCPU, Unit: "µs"},
 		{Name: "relay/added-cpu-per-token", Value: throughCPU - directCPU, Unit: "µs", Bound: experiment.Most(addedMicrosToken)},
+		{Name: "relay/cpu-through-over-direct", Value: throughCPU / directCPU},
 	}
 	return result, nil
 }
@@ -101,15 +118,15 @@
 }
 
 // tokenCosts returns the medians of the processor time for each token, in
-// microseconds, of rounds that take turns.
-func tokenCosts(ctx context.Context, direct, through engine.Client) (float64, float64, error) {
+// microseconds, of rounds that take turns, less the idle installation's.
+func tokenCosts(ctx context.Context, idle float64, direct, through engine.Client) (float64, float64, error) {
 	var directCosts, throughCosts []float64
 	for range relayPairs {
-		d, err := tokenCost(ctx, direct, devd.ModelService, relayStreams, relayRounds)
+		d, err := tokenCost(ctx, idle, direct, devd.ModelService, relayStreams, relayRounds)
 		if err != nil {
 			return 0, 0, err
 		}
-		t, err := tokenCost(ctx, through, devd.ModelService, relayStreams, relayRounds)
+		t, err := tokenCost(ctx, idle, through, devd.ModelService, relayStreams, relayRounds)
 		if err != nil {
 			return 0, 0, err
 		}
