Share listeners and fault reports among the shells

Cause: the start of the three shells and their fault channels stood three times. Change: daemon.Listeners and daemon.FaultReporter; WaitGroup.Go in place of counted goroutines. Conclusion: behaviour as before.

--- a/controld/controld.go
+++ b/controld/controld.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"time"
 
@@ -28,6 +27,7 @@
 
 // Daemon is a running control replica.
 type Daemon struct {
+	daemon.FaultReporter
 	settings  *Settings
 	logger    *log.Logger
 	identity  *transport.Identity
@@ -51,7 +51,6 @@
 	background sync.WaitGroup
 	// opened is closed once replica is set; its callbacks may come earlier.
 	opened chan struct{}
-	faults chan error
 }
 
 // Start starts a control replica. The settings must have passed Check.
@@ -60,22 +59,16 @@
 	if err != nil {
 		return nil, err
 	}
-	listener, err := daemon.ListenTCP("listen", settings.Listen)
+	listeners, err := settings.OpenListeners()
 	if err != nil {
 		return nil, err
 	}
-	operators, err := daemon.ListenTCP("http", settings.HTTP)
-	if err != nil {
-		_ = listener.Close()
-		return nil, err
-	}
 	d, err := newDaemon(settings)
 	if err != nil {
-		_ = listener.Close()
-		_ = operators.Close()
+		listeners.Close()
 		return nil, err
 	}
-	d.serve(listener, operators, guard)
+	d.serve(listeners, guard)
 	d.logger.Info("control replica started", "id", settings.ID, "listen", settings.Listen, "http", settings.HTTP)
 	return d, nil
 }
@@ -83,14 +76,14 @@
 func newDaemon(settings *Settings) (*Daemon, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Daemon{
-		settings:  settings,
-		logger:    settings.NewLogger("control"),
-		identity:  settings.NewIdentity(),
-		addresses: make(map[string]string),
-		ctx:       ctx,
-		cancel:    cancel,
-		opened:    make(chan struct{}),
-		faults:    make(chan error, 1),
+		settings:      settings,
+		logger:        settings.NewLogger("control"),
+		identity:      settings.NewIdentity(),
+		addresses:     make(map[string]string),
+		ctx:           ctx,
+		cancel:        cancel,
+		opened:        make(chan struct{}),
+		FaultReporter: daemon.NewFaultReporter(),
 	}
 	d.transport = transport.NewClient(d.identity, settings.TLS.ClientConfig())
 	d.metrics = newMetrics(d.identity)
@@ -141,7 +134,7 @@
 		Logger:      d.settings.NewLogger("quorum"),
 		OnApply:     d.applied,
 		OnLead:      d.lead,
-		OnFault:     d.fault,
+		OnFault:     d.Fault,
 	})
 	if err != nil {
 		d.publisher.Close()
@@ -185,18 +178,6 @@
 	return address, ok
 }
 
-func (d *Daemon) fault(err error) {
-	select {
-	case d.faults <- err:
-	default:
-	}
-}
-
-// Faults delivers an error after which the process must stop.
-func (d *Daemon) Faults() <-chan error {
-	return d.faults
-}
-
 func (d *Daemon) applied(_ uint64, command *pb.Command, result *pb.CommandResult) {
 	if change := result.GetChange(); change.GetOutcome() == pb.ChangeOutcome_CHANGE_ACCEPTED {
 		d.identity.SetRevision(change.GetRevision())
@@ -213,15 +194,13 @@
 
 // inBackground runs a function that may block, until the daemon stops.
 func (d *Daemon) inBackground(run func()) {
-	d.background.Add(1)
-	go func() {
-		defer d.background.Done()
+	d.background.Go(func() {
 		select {
 		case <-d.opened:
 			run()
 		case <-d.ctx.Done():
 		}
-	}()
+	})
 }
 
 func (d *Daemon) carryPublisher(out spread.PublisherOutput) {
@@ -270,19 +249,17 @@
 	return update
 }
 
-func (d *Daemon) serve(listener, operators net.Listener, guard *daemon.Guard) {
+func (d *Daemon) serve(listeners *daemon.Listeners, guard *daemon.Guard) {
 	d.server = transport.NewServer(d.identity, d.serveStream)
-	d.background.Add(1)
-	go func() {
-		defer d.background.Done()
-		if err := d.server.Serve(d.settings.TLS.Listener(listener)); err != nil {
-			d.fault(err)
+	d.background.Go(func() {
+		if err := d.server.Serve(d.settings.TLS.Listener(listeners.Peers)); err != nil {
+			d.Fault(err)
 		}
-	}()
+	})
 	d.http = newOperatorServer(d, guard)
-	d.http.http.Start(d.settings.HTTPListener(operators), d.fault)
+	d.http.http.Start(d.settings.HTTPListener(listeners.HTTP), d.Fault)
 	d.settings.WarnPlain(d.logger)
-	context.AfterFunc(d.ctx, func() { _ = listener.Close() })
+	context.AfterFunc(d.ctx, func() { _ = listeners.Peers.Close() })
 }
 
 // Stop ends the replica. A leader hands its leadership over first.
--- a/controld/peers.go
+++ b/controld/peers.go
@@ -55,14 +55,12 @@
 	if !ok {
 		queue = make(chan *pb.QuorumMessage, peerQueue)
 		p.queues[id] = queue
-		p.wait.Add(1)
-		go p.run(id, queue)
+		p.wait.Go(func() { p.run(id, queue) })
 	}
 	return queue
 }
 
 func (p *peers) run(id string, queue chan *pb.QuorumMessage) {
-	defer p.wait.Done()
 	for p.ctx.Err() == nil {
 		stream := p.connect(id)
 		if stream != nil {
--- a/daemon/subscription.go
+++ b/daemon/subscription.go
@@ -147,11 +147,9 @@
 	if stream == nil {
 		return
 	}
-	s.wait.Add(1)
-	go func() {
-		defer s.wait.Done()
+	s.wait.Go(func() {
 		_ = stream.Send(s.watch(s.documents.Revision()))
-	}()
+	})
 }
 
 func (s *Subscription) watch(from uint64) *pb.Envelope {
@@ -174,15 +172,13 @@
 	s.detach = cancel
 	s.stream = nil
 	s.mu.Unlock()
-	s.wait.Add(1)
-	go func() {
-		defer s.wait.Done()
+	s.wait.Go(func() {
 		defer cancel()
 		s.read(ctx, out)
 		if ctx.Err() == nil {
 			s.loop.Post(spread.Lost{Replica: out.Replica})
 		}
-	}()
+	})
 }
 
 func (s *Subscription) read(ctx context.Context, out spread.Attach) {
--- a/devd/devd.go
+++ b/devd/devd.go
@@ -46,6 +46,7 @@
 
 // Cluster is a running installation.
 type Cluster struct {
+	daemon.FaultReporter
 	settings *Settings
 	addrs    addresses
 
@@ -54,7 +55,6 @@
 	Entries  []*entryd.Daemon
 	Engines  []*labengine.Server
 	Service  *labservice.Server
-	faults   chan error
 }
 
 // addresses are those of all daemons and fakes.
@@ -88,9 +88,9 @@
 // Start starts an installation and waits until its entries are ready.
 func Start(settings *Settings) (*Cluster, error) {
 	c := &Cluster{
-		settings: settings,
-		addrs:    newAddresses(settings),
-		faults:   make(chan error, 1),
+		settings:      settings,
+		addrs:         newAddresses(settings),
+		FaultReporter: daemon.NewFaultReporter(),
 	}
 	if err := c.start(); err != nil {
 		return nil, errors.Join(err, c.Stop())
@@ -216,7 +216,7 @@
 
 func (c *Cluster) serve(serve func(net.Listener) error, listener net.Listener) {
 	if err := serve(listener); err != nil {
-		c.fault(err)
+		c.Fault(err)
 	}
 }
 
@@ -246,18 +246,11 @@
 func (c *Cluster) watch(faults <-chan error) {
 	go func() {
 		if err, ok := <-faults; ok {
-			c.fault(err)
+			c.Fault(err)
 		}
 	}()
 }
 
-func (c *Cluster) fault(err error) {
-	select {
-	case c.faults <- err:
-	default:
-	}
-}
-
 // applyConfig writes the first configuration unless there is one already.
 func (c *Cluster) applyConfig() error {
 	text, name := exampleConfig, "example.yaml"
@@ -346,11 +339,6 @@
 	return urls
 }
 
-// Faults delivers an error after which the process must stop.
-func (c *Cluster) Faults() <-chan error {
-	return c.faults
-}
-
 // StopSidecar makes a planned stop of one sidecar.
 func (c *Cluster) StopSidecar(i int) error {
 	sidecar := c.Sidecars[i]
--- a/entryd/attempt.go
+++ b/entryd/attempt.go
@@ -34,9 +34,7 @@
 	ctx, cancel := context.WithCancel(d.ctx)
 	c.setAttempt(out.Attempt, cancel)
 	a := &attempt{daemon: d, call: c, number: out.Attempt}
-	d.background.Add(1)
-	go func() {
-		defer d.background.Done()
+	d.background.Go(func() {
 		defer cancel()
 		end := a.run(ctx, out)
 		d.gate.Post(gate.Ended{
@@ -49,7 +47,7 @@
 			Tokens:     c.tokens.Load(),
 			RetryAfter: time.Duration(end.GetRetryAfterMs()) * time.Millisecond,
 		})
-	}()
+	})
 }
 
 func (a *attempt) run(ctx context.Context, out gate.Send) *pb.AnswerEnd {
--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -27,6 +27,7 @@
 
 // Daemon is a running entry.
 type Daemon struct {
+	daemon.FaultReporter
 	settings     *Settings
 	logger       *log.Logger
 	identity     *transport.Identity
@@ -48,7 +49,6 @@
 	ctx        context.Context
 	cancel     context.CancelFunc
 	background sync.WaitGroup
-	faults     chan error
 }
 
 // Start starts an entry. The settings must have passed Check.
@@ -77,7 +77,7 @@
 			server.MaxRequestBodySize = settings.MaxBodyBytes
 		},
 	})
-	d.http.Start(watchedListener{settings.HTTPListener(web)}, d.fault)
+	d.http.Start(watchedListener{settings.HTTPListener(web)}, d.Fault)
 	settings.WarnPlain(d.logger)
 	d.logger.Info("entry started", "id", settings.ID, "http", settings.HTTP)
 	return d, nil
@@ -90,14 +90,14 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Daemon{
-		settings: settings,
-		logger:   settings.NewLogger("entry"),
-		identity: settings.NewIdentity(),
-		callers:  known,
-		calls:    calls{byID: make(map[string]*call)},
-		ctx:      ctx,
-		cancel:   cancel,
-		faults:   make(chan error, 1),
+		settings:      settings,
+		logger:        settings.NewLogger("entry"),
+		identity:      settings.NewIdentity(),
+		callers:       known,
+		calls:         calls{byID: make(map[string]*call)},
+		ctx:           ctx,
+		cancel:        cancel,
+		FaultReporter: daemon.NewFaultReporter(),
 	}
 	d.metrics = newMetrics(d.identity, d.Members, d.calls.count)
 	d.transport = transport.NewClient(d.identity, settings.TLS.ClientConfig())
@@ -241,18 +241,6 @@
 	}
 }
 
-func (d *Daemon) fault(err error) {
-	select {
-	case d.faults <- err:
-	default:
-	}
-}
-
-// Faults delivers an error after which the process must stop.
-func (d *Daemon) Faults() <-chan error {
-	return d.faults
-}
-
 // Ready reports whether the entry takes new requests.
 func (d *Daemon) Ready() bool {
 	return d.readiness.Ready()
--- a/sidecard/sidecard.go
+++ b/sidecard/sidecard.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,6 +30,7 @@
 
 // Daemon is a running sidecar.
 type Daemon struct {
+	daemon.FaultReporter
 	settings     *Settings
 	logger       *log.Logger
 	identity     *transport.Identity
@@ -54,7 +54,6 @@
 	ctx        context.Context
 	cancel     context.CancelFunc
 	background sync.WaitGroup
-	faults     chan error
 	draining   atomic.Bool
 	idle       *signal
 	workerIdle *signal
@@ -66,22 +65,16 @@
 	if err != nil {
 		return nil, err
 	}
-	listener, err := daemon.ListenTCP("listen", settings.Listen)
+	listeners, err := settings.OpenListeners()
 	if err != nil {
 		return nil, err
 	}
-	web, err := daemon.ListenTCP("http", settings.HTTP)
-	if err != nil {
-		_ = listener.Close()
-		return nil, err
-	}
 	d, err := newDaemon(settings)
 	if err != nil {
-		_ = listener.Close()
-		_ = web.Close()
+		listeners.Close()
 		return nil, err
 	}
-	d.serve(listener, web, guard)
+	d.serve(listeners, guard)
 	d.logger.Info("sidecar started", "id", settings.ID, "listen", settings.Listen, "engine", settings.Engine)
 	return d, nil
 }
@@ -89,16 +82,16 @@
 func newDaemon(settings *Settings) (*Daemon, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Daemon{
-		settings:   settings,
-		logger:     settings.NewLogger("sidecar"),
-		identity:   settings.NewIdentity(),
-		runs:       runs{byID: make(map[sidecar.ID]*run)},
-		items:      items{byID: make(map[batch.ItemRef]sidecar.ID)},
-		ctx:        ctx,
-		cancel:     cancel,
-		faults:     make(chan error, 1),
-		idle:       newSignal(),
-		workerIdle: newSignal(),
+		settings:      settings,
+		logger:        settings.NewLogger("sidecar"),
+		identity:      settings.NewIdentity(),
+		runs:          runs{byID: make(map[sidecar.ID]*run)},
+		items:         items{byID: make(map[batch.ItemRef]sidecar.ID)},
+		ctx:           ctx,
+		cancel:        cancel,
+		FaultReporter: daemon.NewFaultReporter(),
+		idle:          newSignal(),
+		workerIdle:    newSignal(),
 	}
 	announcer := member.NewAnnouncer(member.AnnouncerOptions{Registrars: settings.Registrars})
 	d.announcer = loop.Start[member.Input, member.Output](announcer, announcerTick, d.carryAnnouncer)
@@ -273,24 +266,16 @@
 	}
 }
 
-func (d *Daemon) serve(listener, web net.Listener, guard *daemon.Guard) {
+func (d *Daemon) serve(listeners *daemon.Listeners, guard *daemon.Guard) {
 	d.server = transport.NewServer(d.identity, d.serveStream)
-	d.background.Add(3)
-	go func() {
-		defer d.background.Done()
-		d.orders.run()
-	}()
-	go func() {
-		defer d.background.Done()
-		if err := d.server.Serve(d.settings.TLS.Listener(listener)); err != nil {
-			d.fault(err)
+	d.background.Go(func() {
+		if err := d.server.Serve(d.settings.TLS.Listener(listeners.Peers)); err != nil {
+			d.Fault(err)
 		}
-	}()
-	go func() {
-		defer d.background.Done()
-		d.pollLoad()
-	}()
-	context.AfterFunc(d.ctx, func() { _ = listener.Close() })
+	})
+	d.background.Go(d.orders.run)
+	d.background.Go(d.pollLoad)
+	context.AfterFunc(d.ctx, func() { _ = listeners.Peers.Close() })
 	d.http = daemon.NewHTTP(daemon.HTTPOptions{
 		Readiness:     &d.readiness,
 		Registry:      d.metrics.registry,
@@ -299,7 +284,7 @@
 		Logger:        d.logger,
 		Handler:       d.handle,
 	})
-	d.http.Start(d.settings.HTTPListener(web), d.fault)
+	d.http.Start(d.settings.HTTPListener(listeners.HTTP), d.Fault)
 	d.settings.WarnPlain(d.logger)
 }
 
@@ -356,18 +341,6 @@
 	}
 }
 
-func (d *Daemon) fault(err error) {
-	select {
-	case d.faults <- err:
-	default:
-	}
-}
-
-// Faults delivers an error after which the process must stop.
-func (d *Daemon) Faults() <-chan error {
-	return d.faults
-}
-
 // Running returns the number of requests that the sidecar holds.
 func (d *Daemon) Running() int {
 	return d.runs.count()
--- a/transport/server.go
+++ b/transport/server.go
@@ -120,12 +120,10 @@
 			continue
 		}
 		stream := newStream(s.identity, conn, peer, roles)
-		s.wait.Add(1)
-		go func() {
-			defer s.wait.Done()
+		s.wait.Go(func() {
 			defer func() { _ = stream.Close() }()
 			s.handler(class, stream)
-		}()
+		})
 	}
 }
 
