Carry the harm bound to the sidecar and announce its load

Cause: the profile's harm bound never reached the sidecar, so each profile acted as the default; an entry took the default window for upstreams that it had not used, since announcements held no load. Change: both are sent; the announcer passes a load on only when it differs.

--- a/entryd/attempt.go
+++ b/entryd/attempt.go
@@ -73,6 +73,7 @@
 	wire.FirstTokenMs = out.Profile.GetFirstTokenMs()
 	wire.BetweenTokensMs = out.Profile.GetBetweenTokensMs()
 	wire.QueueMs = out.Profile.GetQueueMs()
+	wire.HarmPermille = out.Profile.GetHarmPermille()
 	return &pb.Envelope{
 		Header: a.daemon.identity.Header(out.Member.GetId(), out.Member.GetIncarnation()),
 		Body:   &pb.Envelope_OnlineRequest{OnlineRequest: wire},
--- a/sidecard/online.go
+++ b/sidecard/online.go
@@ -112,6 +112,7 @@
 		MaxTokens:     int(request.GetMaxTokens()),
 		Prefix:        request.GetPrefix(),
 		Idempotent:    request.GetIdempotent(),
+		HarmPermille:  request.GetHarmPermille(),
 		Incarnation:   header.GetReceiverIncarnation(),
 	}
 	if request.GetRemainingMs() > 0 {
--- a/sidecard/sidecard.go
+++ b/sidecard/sidecard.go
@@ -55,6 +55,8 @@
 	cancel     context.CancelFunc
 	background sync.WaitGroup
 	draining   atomic.Bool
+	// state is the pb.MemberState that was announced last.
+	state      atomic.Int32
 	idle       *signal
 	workerIdle *signal
 }
@@ -155,7 +157,10 @@
 	}
 }
 
+// announce states the upstream to the registrars, which hear of it when it
+// differs enough from what they know.
 func (d *Daemon) announce(state pb.MemberState) {
+	d.state.Store(int32(state))
 	d.announcer.Post(member.SetMember{Member: &pb.Member{
 		Id:          d.settings.ID,
 		Incarnation: d.identity.Incarnation,
@@ -163,6 +168,7 @@
 		DataCentre:  d.settings.DataCentre,
 		Services:    d.settings.Services,
 		State:       state,
+		Load:        d.metrics.load(),
 	}})
 }
 
@@ -275,6 +281,7 @@
 	})
 	d.background.Go(d.orders.run)
 	d.background.Go(d.pollLoad)
+	d.background.Go(d.announceLoad)
 	context.AfterFunc(d.ctx, func() { _ = listeners.Peers.Close() })
 	d.http = daemon.NewHTTP(daemon.HTTPOptions{
 		Readiness:     &d.readiness,
@@ -298,6 +305,23 @@
 	}
 }
 
+// announceLoad keeps the announced load up to date, for entries that have sent
+// nothing here and so have not seen it in an answer.
+func (d *Daemon) announceLoad() {
+	ticker := time.NewTicker(loadInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-ticker.C:
+			if state := pb.MemberState(d.state.Load()); state != pb.MemberState_MEMBER_UNSPECIFIED {
+				d.announce(state)
+			}
+		}
+	}
+}
+
 // pollLoad reads the engine's own load report, which lags behind.
 func (d *Daemon) pollLoad() {
 	if d.settings.Kind != KindModel {
