batch: a leader that regains its lease in the same term loses and repeats nothing

Change: the counter begins anew only in a new term. A claim that is applied without a known lease is swept, a release that is applied makes its item available whoever proposed it, and an item whose result is on its way keeps its place among those that wait. The soak makes leaders flap.

--- a/batch/commits.go
+++ b/batch/commits.go
@@ -152,10 +152,8 @@
 	for _, entry := range entries {
 		delete(s.commits.byKey, refOfResult(entry.result).key())
 		s.settleReporters(entry)
-		if entry.result.GetOutcome() == pb.ItemOutcome_ITEM_NOT_RUN {
-			s.released(entry)
-		}
 	}
+	s.addWork()
 }
 
 func (s *Scheduler) settleReporters(entry *commitEntry) {
@@ -169,12 +167,7 @@
 }
 
 // released makes a non-idempotent item available whose claim was given up.
-func (s *Scheduler) released(entry *commitEntry) {
-	ref := refOfResult(entry.result)
-	run, ok := s.jobs.byID[ref.JobID]
-	if !ok {
-		return
-	}
+func (s *Scheduler) released(run *jobRun, ref ItemRef) {
 	if l, ok := run.findLease(ref); ok {
 		s.dropLease(l)
 	}
--- a/batch/grants.go
+++ b/batch/grants.go
@@ -144,9 +144,9 @@
 	kept := run.returned[:0]
 	for _, index := range run.returned {
 		switch {
-		case !run.free(index) || s.commits.holds(itemKey{run.job.GetJobId(), index}):
+		case !run.free(index):
 			delete(run.waiting, index)
-		case len(taken) == limit || s.excluded(now, w, run, index):
+		case len(taken) == limit || s.excluded(now, w, run, index) || s.commits.holds(itemKey{run.job.GetJobId(), index}):
 			kept = append(kept, index)
 		default:
 			delete(run.waiting, index)
--- a/batch/lead.go
+++ b/batch/lead.go
@@ -26,8 +26,10 @@
 	}
 	s.reset()
 	s.leading = in.On
-	s.term = in.Term
-	s.nextFence = 0
+	if in.Term != s.term {
+		s.term = in.Term
+		s.nextFence = 0
+	}
 	s.followAll(now)
 	if !in.On {
 		return
@@ -99,11 +101,19 @@
 	s.addWork()
 }
 
-// startApplied notices a claim that another leader proposed, whose holder is
-// not known here.
+// startApplied notices a claim that was proposed before this replica led, or
+// before it led again, so that its holder is not known here.
 func (s *Scheduler) startApplied(now time.Time, start *pb.ItemsStart) {
-	if s.leading && start.GetFencingNumber()>>termShift != s.term {
-		s.sweepLater(now)
+	run, ok := s.jobs.byID[start.GetJobId()]
+	if !ok || !s.leading {
+		return
+	}
+	for _, index := range start.GetIndexes() {
+		ref := ItemRef{start.GetJobId(), index, start.GetFencingNumber()}
+		if _, known := run.findLease(ref); !known {
+			s.sweepLater(now)
+			return
+		}
 	}
 }
 
@@ -114,7 +124,11 @@
 	s.stats.ResultsRefused += uint64(counts.GetRefused())
 	for _, result := range commit.GetResults() {
 		run, ok := s.jobs.byID[result.GetJobId()]
-		if !ok || result.GetOutcome() == pb.ItemOutcome_ITEM_NOT_RUN {
+		if !ok {
+			continue
+		}
+		if result.GetOutcome() == pb.ItemOutcome_ITEM_NOT_RUN {
+			s.released(run, refOfResult(result))
 			continue
 		}
 		s.jobs.rate(run.job.GetService()).count()
--- a/batch/soak_test.go
+++ b/batch/soak_test.go
@@ -83,6 +83,19 @@
 	s.after(time.Duration(s.rand.Int64N(int64(3*time.Second))), func() { s.maxDelay = usual })
 }
 
+// flapLeader makes the leader lose its leader lease and regain it in the same
+// term.
+func flapLeader(s *sim) {
+	l := s.leader
+	l.scheduler.Step(s.now, Lead{Term: l.term})
+	s.carry(l)
+	s.advance(time.Duration(s.rand.Int64N(int64(time.Second))))
+	if l.current {
+		l.scheduler.Step(s.now, Lead{Term: l.term, On: true})
+		s.carry(l)
+	}
+}
+
 // killLeaderAfterCancel loses the leader right after it has acknowledged.
 func killLeaderAfterCancel(s *sim) {
 	for _, id := range []string{"job-0", "job-3"} {
@@ -165,7 +178,7 @@
 	}
 	faults := []soakFault{
 		crashSidecar, cutSidecar, sickenEngine, killLeader, deposeLeader, killLeaderAfterCancel, resubmit,
-		giveBackQueue, drainSidecar, slowNetwork,
+		giveBackQueue, drainSidecar, slowNetwork, flapLeader,
 	}
 	for i := range soakJobs {
 		s.submitUntilKnown(soakJob(i))
