--- a/batch/commits.go
+++ b/batch/commits.go
@@ -94,9 +94,13 @@
 }
 
 // queueResult puts a result on its way into the log. An item has at most one
-// result there.
+// result there; a claim whose result finds another lease's in its place is
+// looked at again by the sweep.
 func (s *Scheduler) queueResult(now time.Time, result *pb.ItemResult, w *workerEntry) {
-	if s.commits.holds(refOfResult(result).key()) {
+	if known, ok := s.commits.byKey[refOfResult(result).key()]; ok {
+		if refOfResult(known.result) != refOfResult(result) {
+			s.sweepLater(now)
+		}
 		return
 	}
 	entry := &commitEntry{result: result}
