--- a/cmd/briarcross-lab/bench.go
+++ b/cmd/briarcross-lab/bench.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"runtime"
+	"strings"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -98,6 +99,16 @@
 	return measures, err
 }
 
+// machine describes the machine and how busy it is at the end of the run.
+func machine() string {
+	text := fmt.Sprintf("%s/%s, %d processors", runtime.GOOS, runtime.GOARCH, runtime.NumCPU())
+	load, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return text
+	}
+	return text + ", load average " + strings.TrimSpace(string(load))
+}
+
 func drawAll(folder string, figures []experiment.Figure) error {
 	for _, figure := range figures {
 		if err := experiment.Draw(folder, figure); err != nil {
@@ -114,7 +125,7 @@
 		Commit:      s.commit,
 		UnixSeconds: time.Now().Unix(),
 		Seed:        s.seed,
-		Machine:     fmt.Sprintf("%s/%s, %d processors", runtime.GOOS, runtime.GOARCH, runtime.NumCPU()),
+		Machine:     machine(),
 		Measures:    measures,
 	}
 	if err := experiment.Save(s.results, record); err != nil {
--- a/lab/capacity/needs.go
+++ b/lab/capacity/needs.go
@@ -1,6 +1,10 @@
 package capacity
 
-import "github.com/briarcross/briarcross/lab/experiment"
+import (
+	"github.com/briarcross/briarcross/lab/experiment"
+	"github.com/briarcross/briarcross/member"
+	"github.com/briarcross/briarcross/spread"
+)
 
 // Need is one thing that a role needs at the size to design for.
 type Need struct {
@@ -56,7 +60,7 @@
 	cpu := (f[SpreadIdleCPU].At(watchers) + changeRate*change) * microsecond
 	watching := watchers * (f[SpreadIdleBytes].Slope + changeRate*f[SpreadChangeBytes].Slope)
 	group := f[QuorumIdle].Slope + changeRate*f[QuorumBytes].At(1)
-	spread := float64(Daemons)/ControlVMs*(f[SpreadIdleBytes].Slope+changeRate*f[SpreadChangeBytes].Slope) + group
+	shared := float64(Daemons)/ControlVMs*(f[SpreadIdleBytes].Slope+changeRate*f[SpreadChangeBytes].Slope) + group
 	return []Need{
 		{
 			Role: role, Quantity: "processor", Value: cpu, Unit: "core", Limit: LimitCPU,
@@ -66,14 +70,14 @@
 		{
 			Role: role, Quantity: "bytes a second, 3 replicas serve all", Value: watching + group, Unit: "B/s", Limit: LimitBytes,
 			Formula:   "867 watchers, heartbeats and changes; log heartbeats and appends of the leader",
-			Mechanism: "deltas by revision; heartbeats of 5 s",
+			Mechanism: "deltas by revision; heartbeats of " + spread.DefaultHeartbeat.String(),
 			Remedy:    "let learners in the other control VMs serve watchers, and send a change once to each data centre and from there on",
 		},
 		{
-			Role: role, Quantity: "bytes a second, 54 VMs share the watchers", Value: spread, Unit: "B/s", Limit: LimitBytes,
+			Role: role, Quantity: "bytes a second, 54 VMs share the watchers", Value: shared, Unit: "B/s", Limit: LimitBytes,
 			Formula:   "48 watchers on each; log heartbeats and appends of the leader",
 			Mechanism: "not built: learners do not serve watchers yet",
-			Remedy:    "slower heartbeats of the log (100 ms now) and of watchers (5 s now)",
+			Remedy:    "slower heartbeats of the log (100 ms now) and of watchers (" + spread.DefaultHeartbeat.String() + " now)",
 		},
 		{
 			Role: role, Quantity: "memory of tables", Unit: "B", Limit: LimitMemory,
@@ -147,7 +151,7 @@
 			Role: role, Quantity: "bytes a second for members", Unit: "B/s", Limit: LimitBytes,
 			Value:     announced + subscriptions + following,
 			Formula:   "163 members announced each second; 46 registrars followed and 46 entries served; configuration",
-			Mechanism: "heartbeats of 1 s to 3 registrars; each entry follows every registrar",
+			Mechanism: "heartbeats of " + member.DefaultHeartbeat.String() + " to 3 registrars; each entry follows every registrar",
 			Remedy:    "registrars for each data centre (two entries) in place of all 46, and heartbeats of 5 s with leave messages repeated",
 		},
 		{
--- a/lab/capacity/size.go
+++ b/lab/capacity/size.go
@@ -1,5 +1,11 @@
 package capacity
 
+import (
+	"time"
+
+	"github.com/briarcross/briarcross/spread"
+)
+
 // The size to design for.
 const (
 	Daemons        = 2600
@@ -54,5 +60,5 @@
 	// RackVMs share a rack or a switch.
 	RackVMs = 40
 	// LeaseSeconds is the configuration lease of package spread.
-	LeaseSeconds = 25
+	LeaseSeconds = int(spread.DefaultLease / time.Second)
 )
