Test that a failed sync stops the replica

Cause: nothing may be answered from writes that did not reach the disk. Change: a test with a store whose syncs fail: the proposal ends as unknown, OnFault is called once, later calls are refused, no goroutine is left. Conclusion: the rule on sync errors is held by a test.

--- /dev/null
+++ b/replica/fault_test.go
@@ -0,0 +1,50 @@
+package replica
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+
+	"github.com/briarcross/briarcross/kv"
+	"github.com/briarcross/briarcross/pb"
+	. "github.com/onsi/gomega"
+	"github.com/rotisserie/eris"
+	"go.uber.org/goleak"
+)
+
+// failingStore fails its syncs once it is told to.
+type failingStore struct {
+	*kv.Memory
+	failing atomic.Bool
+}
+
+func (s *failingStore) Commit(batch kv.Batch, sync bool) error {
+	if sync && s.failing.Load() {
+		return eris.New("sync failed")
+	}
+	return s.Memory.Commit(batch, sync)
+}
+
+func TestFailedSyncStopsTheReplicaAndAnswersNothing(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	expect := NewWithT(t)
+	store := &failingStore{Memory: kv.NewMemory()}
+	faults := make(chan error, 2)
+	options := Options{
+		ID: "a", Bootstrap: bootstrap("a"), Tick: testTick, Machine: claimMachine{},
+		Send: func(*pb.QuorumMessage) {}, OnFault: func(err error) { faults <- err },
+	}
+	expect.Expect(options.complete()).To(Succeed())
+	r, err := start(options, store, 1)
+	expect.Expect(err).NotTo(HaveOccurred())
+	expect.Eventually(func() bool { _, _, self := r.Leader(); return self }, testTimeout, testTick).Should(BeTrue())
+
+	store.failing.Store(true)
+	_, failed := r.Propose(context.Background(), claim("key", "value"))
+	expect.Expect(failed.GetCode()).To(Equal(pb.ControlError_UNKNOWN))
+	expect.Expect(<-faults).To(MatchError(ContainSubstring("sync failed")))
+	_, failed = r.Propose(context.Background(), claim("key", "value"))
+	expect.Expect(failed.GetCode()).To(Equal(pb.ControlError_NOT_LEADER))
+	expect.Expect(r.Close()).To(Succeed())
+	expect.Expect(faults).To(BeEmpty())
+}
