--- a/batch/commits.go
+++ b/batch/commits.go
@@ -94,9 +94,13 @@
 }
 
 // queueResult puts a result on its way into the log. An item has at most one
-// result there.
+// result there; a claim whose result finds another lease's in its place is
+// looked at again by the sweep.
 func (s *Scheduler) queueResult(now time.Time, result *pb.ItemResult, w *workerEntry) {
-	if s.commits.holds(refOfResult(result).key()) {
+	if known, ok := s.commits.byKey[refOfResult(result).key()]; ok {
+		if refOfResult(known.result) != refOfResult(result) {
+			s.sweepLater(now)
+		}
 		return
 	}
 	entry := &commitEntry{result: result}
@@ -152,10 +156,8 @@
 	for _, entry := range entries {
 		delete(s.commits.byKey, refOfResult(entry.result).key())
 		s.settleReporters(entry)
-		if entry.result.GetOutcome() == pb.ItemOutcome_ITEM_NOT_RUN {
-			s.released(entry)
-		}
 	}
+	s.addWork()
 }
 
 func (s *Scheduler) settleReporters(entry *commitEntry) {
@@ -169,12 +171,7 @@
 }
 
 // released makes a non-idempotent item available whose claim was given up.
-func (s *Scheduler) released(entry *commitEntry) {
-	ref := refOfResult(entry.result)
-	run, ok := s.jobs.byID[ref.JobID]
-	if !ok {
-		return
-	}
+func (s *Scheduler) released(run *jobRun, ref ItemRef) {
 	if l, ok := run.findLease(ref); ok {
 		s.dropLease(l)
 	}
