--- a/cli/operations_test.go
+++ b/cli/operations_test.go
@@ -37,7 +37,7 @@
 	g.Expect(submitted(t, items("run", count)).ID).To(Equal(job.ID), "a repeated submission is the same job")
 	watched := call("watch", "-interval", "20ms", job.ID)
 	g.Expect(watched.code).To(Equal(ExitDone), watched.err)
-	g.Expect(watched.out).To(HaveSuffix("12/12 done, 0 failed, completed\n"))
+	g.Expect(watched.out).To(HaveSuffix("12/12 finished, 0 failed, completed\n"))
 	results := call("results", job.ID)
 	g.Expect(results.code).To(Equal(ExitDone), results.err)
 	g.Expect(strings.Count(results.out, "\n")).To(Equal(count))
--- a/cli/rollout.go
+++ b/cli/rollout.go
@@ -62,7 +62,7 @@
 	defer ticker.Stop()
 	last := ""
 	for {
-		status, err := c.Status()
+		status, err := confirmedStatus(c)
 		if err != nil && ctx.Err() == nil && !temporary(err) {
 			return err
 		}
@@ -85,6 +85,15 @@
 	}
 }
 
+// confirmedStatus returns a status that a leader has confirmed.
+func confirmedStatus(c *operator.Client) (*pb.StatusAnswer, error) {
+	status, err := c.Status()
+	if err == nil && status.GetStale() {
+		return nil, &operator.Failure{Kind: operator.NotDone, Reason: "no leader confirmed the status"}
+	}
+	return status, err
+}
+
 // temporary reports whether a failed look may succeed later.
 func temporary(err error) bool {
 	var failure *operator.Failure
--- a/cli/secure_test.go
+++ b/cli/secure_test.go
@@ -175,7 +175,7 @@
 	g.Expect(json.Unmarshal([]byte(result.out), &job)).To(Succeed())
 	watched := s.call("watch", "-token", "secret", "-interval", "20ms", job.ID)
 	g.Expect(watched.code).To(Equal(ExitDone), watched.err)
-	g.Expect(watched.out).To(ContainSubstring("3/3 done"))
+	g.Expect(watched.out).To(ContainSubstring("3/3 finished"))
 }
 
 func TestTokensFitTheirHash(t *testing.T) {
--- a/cli/status.go
+++ b/cli/status.go
@@ -25,8 +25,11 @@
 
 func (a *app) printStatus(status *pb.StatusAnswer) error {
 	w := newTable(a.out)
+	if status.GetStale() {
+		_, _ = fmt.Fprintln(w, "no leader confirmed this: what this replica knows by itself")
+	}
 	_, _ = fmt.Fprintf(w, "leader %s, term %d, commit %d, configuration revision %d, repair: %s\n\n",
-		status.GetLeader(), status.GetTerm(), status.GetCommitIndex(), status.GetConfigRevision(), orDash(status.GetRepair()))
+		orDash(status.GetLeader()), status.GetTerm(), status.GetCommitIndex(), status.GetConfigRevision(), orDash(status.GetRepair()))
 	_, _ = fmt.Fprintln(w, "REPLICA\tDATA CENTRE\tADDRESS\tROLE\tMATCH\tACTIVE")
 	for _, r := range status.GetReplicas() {
 		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%t\n", r.GetReplica().GetId(), r.GetReplica().GetDataCentre(),
--- a/cli/upstreams.go
+++ b/cli/upstreams.go
@@ -39,11 +39,11 @@
 
 func (a *app) printUpstreams(upstreams []*pb.UpstreamReport) error {
 	w := newTable(a.out)
-	_, _ = fmt.Fprintln(w, "UPSTREAM\tDATA CENTRE\tKIND\tSERVICES\tMODELS\tADAPTERS\tVERSION\tROLE\tSTATE\tORDER")
+	_, _ = fmt.Fprintln(w, "UPSTREAM\tDATA CENTRE\tKIND\tSERVICES\tMODELS\tADAPTERS\tVERSION\tROLE\tSTATE\tSEEN\tORDER")
 	for _, u := range upstreams {
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", u.GetUpstream(), u.GetDataCentre(), u.GetKind(),
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", u.GetUpstream(), u.GetDataCentre(), u.GetKind(),
 			listText(u.GetServices()), listText(u.GetModels()), listText(u.GetAdapters()), orDash(u.GetVersion()),
-			orDash(u.GetRole()), upstreamState(u), orderText(u.GetOutstanding()))
+			orDash(u.GetRole()), upstreamState(u), timeText(u.GetSeenUnixMs()), orderText(u.GetOutstanding()))
 	}
 	return w.Flush()
 }
--- a/cli/watch.go
+++ b/cli/watch.go
@@ -129,7 +129,7 @@
 		filled = min(barWidth, barWidth*finished/counts.Total)
 	}
 	bar := strings.Repeat("#", filled) + strings.Repeat(".", barWidth-filled)
-	return fmt.Sprintf("[%s] %d/%d done, %d failed, %s", bar, finished, counts.Total, counts.Failed, job.Status)
+	return fmt.Sprintf("[%s] %d/%d finished, %d failed, %s", bar, finished, counts.Total, counts.Failed, job.Status)
 }
 
 func isTerminal(out any) bool {
--- a/controld/http.go
+++ b/controld/http.go
@@ -50,7 +50,7 @@
 	case path == operator.PathChanges && ctx.IsPost():
 		s.change(ctx)
 	case path == operator.PathStatus:
-		s.query(ctx, &pb.Query{Query: &pb.Query_Status{Status: &pb.StatusQuery{}}})
+		s.status(ctx)
 	case path == operator.PathOrders && ctx.IsPost():
 		s.order(ctx)
 	case strings.HasPrefix(path, operator.PathOrders+"/"):
@@ -67,6 +67,21 @@
 	}
 }
 
+// status answers also when no leader can confirm it, since operators need it
+// most then; the answer says so.
+func (s *operatorServer) status(ctx *fasthttp.RequestCtx) {
+	timeout, cancel := context.WithTimeout(s.daemon.ctx, requestTimeout)
+	defer cancel()
+	query := &pb.Query{Query: &pb.Query_Status{Status: &pb.StatusQuery{}}}
+	response := s.daemon.answerQuery(timeout, query)
+	if response.GetError() != nil {
+		query.Stale = true
+		response = s.daemon.answerQuery(timeout, query)
+		response.GetQuery().GetStatus().Stale = true
+	}
+	writeJSON(ctx, fasthttp.StatusOK, response.GetQuery())
+}
+
 func (s *operatorServer) documents(ctx *fasthttp.RequestCtx) {
 	name := string(ctx.QueryArgs().Peek("name"))
 	s.query(ctx, &pb.Query{Query: &pb.Query_Config{Config: &pb.ConfigQuery{Name: name}}})
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -219,7 +219,7 @@
 				continue
 			}
 			answer, err := operator.NewClient(f.controlURL(i)).Status()
-			if err == nil && answer.GetLeader() != "" {
+			if err == nil && !answer.GetStale() && answer.GetLeader() != "" {
 				status = answer
 				return true
 			}
