--- a/controld/rpc.go
+++ b/controld/rpc.go
@@ -1,6 +1,7 @@
 package controld
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -145,9 +146,24 @@
 		}
 	}
 	status.Daemons = append(status.Daemons, d.otherDaemons(ctx, status.GetReplicas(), id)...)
+	status.Daemons = latestReports(status.GetDaemons())
 	return status
 }
 
+// latestReports returns the latest report of each daemon, in the order of their
+// names. A daemon that has just moved to another replica has two.
+func latestReports(reports []*pb.DaemonRevision) []*pb.DaemonRevision {
+	slices.SortFunc(reports, func(a, b *pb.DaemonRevision) int {
+		return cmp.Or(
+			cmp.Compare(a.GetDaemon(), b.GetDaemon()),
+			cmp.Compare(b.GetSeenUnixMs(), a.GetSeenUnixMs()),
+		)
+	})
+	return slices.CompactFunc(reports, func(a, b *pb.DaemonRevision) bool {
+		return a.GetDaemon() == b.GetDaemon()
+	})
+}
+
 // otherDaemons asks the replicas besides this one and the leader, all at the
 // same time, for the daemons attached to them.
 func (d *Daemon) otherDaemons(ctx context.Context, replicas []*pb.ReplicaStatus, leader string) []*pb.DaemonRevision {
