--- a/cli/status_test.go
+++ b/cli/status_test.go
@@ -23,6 +23,7 @@
 		},
 		Replicas: daemon.List{"c1@" + address(0) + "@lulea", "c2@" + address(2) + "@boden", "c3@" + address(3) + "@kiruna"},
 		Tick:     20 * time.Millisecond, RepairAfter: time.Minute, LeaseTime: time.Second, PollTime: 100 * time.Millisecond,
+		Settle: time.Second,
 	}
 	g.Expect(settings.Check()).To(Succeed())
 	d, err := controld.Start(settings)
