--- a/entryd/call.go
+++ b/entryd/call.go
@@ -27,6 +27,9 @@
 	events  chan event
 	finish  chan gate.Finish
 	done    chan struct{}
+	// closing is set on the gate's loop while the claim's outcome is recorded,
+	// and closed afterwards.
+	closing chan struct{}
 
 	// tokens that were passed on to the caller, over all attempts.
 	tokens atomic.Uint32
--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -205,15 +205,30 @@
 		go d.claim(out)
 	case gate.CloseClaim:
 		if c := d.calls.get(out.ID); c != nil {
+			c.closing = make(chan struct{})
 			go d.closeClaim(c, out.NotRun)
 		}
 	case gate.Finish:
 		if c := d.calls.get(out.ID); c != nil {
-			c.finish <- out
+			d.finishCall(c, out)
 		}
 	}
 }
 
+// finishCall passes the final outcome on. The answer to a claimed request waits
+// until its outcome is recorded, so that the caller finds it when it asks again.
+func (d *Daemon) finishCall(c *call, finish gate.Finish) {
+	closing := c.closing
+	if closing == nil {
+		c.finish <- finish
+		return
+	}
+	d.background.Go(func() {
+		<-closing
+		c.finish <- finish
+	})
+}
+
 // handle serves callers' requests.
 func (d *Daemon) handle(ctx *fasthttp.RequestCtx) {
 	if !validText(ctx) {
--- a/entryd/online.go
+++ b/entryd/online.go
@@ -177,6 +177,7 @@
 
 // closeClaim records the outcome of a claimed request.
 func (d *Daemon) closeClaim(c *call, notRun bool) {
+	defer close(c.closing)
 	ctx, cancel := context.WithTimeout(d.ctx, claimTimeout)
 	defer cancel()
 	closing := &pb.ClaimClose{
