--- a/batch/results.go
+++ b/batch/results.go
@@ -37,7 +37,7 @@
 	switch result.GetOutcome() {
 	case pb.ItemOutcome_ITEM_DONE:
 		s.succeed(now, w, run, l, result)
-	case pb.ItemOutcome_ITEM_NOT_RUN:
+	case pb.ItemOutcome_ITEM_NOT_RUN, pb.ItemOutcome_ITEM_YIELDED:
 		s.takeNotRun(now, w, run, l, ref)
 	default:
 		w.settle(ref)
@@ -96,7 +96,8 @@
 	}
 }
 
-// takeNotRun puts back an item that no engine has seen.
+// takeNotRun puts back an item that no engine has seen, or that was stopped to
+// make room.
 func (s *Scheduler) takeNotRun(now time.Time, w *workerEntry, run *jobRun, l *lease, ref ItemRef) {
 	w.settle(ref)
 	if l == nil {
--- a/batch/worker.go
+++ b/batch/worker.go
@@ -58,8 +58,8 @@
 
 // Finished is the outcome of an item. The sidecar sets ITEM_DONE for an
 // answer, ITEM_FAILED for a refusal that another run would repeat, ITEM_RETRY
-// for a failure that it may not, and ITEM_NOT_RUN when certainly no engine
-// has seen the item.
+// for a failure that it may not, ITEM_NOT_RUN when certainly no engine has seen
+// the item, and ITEM_YIELDED when an idempotent item was stopped to make room.
 type Finished struct {
 	Ref    ItemRef
 	Result *pb.ItemResult
--- a/sidecard/batch.go
+++ b/sidecard/batch.go
@@ -146,6 +146,8 @@
 	switch {
 	case end.GetOutcome() == pb.Outcome_OUTCOME_NOT_RUN:
 		return pb.ItemOutcome_ITEM_NOT_RUN
+	case end.GetOutcome() == pb.Outcome_OUTCOME_UNKNOWN && end.GetReason() == pb.Reason_REASON_OVERLOADED:
+		return pb.ItemOutcome_ITEM_YIELDED
 	case end.GetOutcome() != pb.Outcome_OUTCOME_DONE:
 		return pb.ItemOutcome_ITEM_RETRY
 	case status < firstFailure:
--- /dev/null
+++ b/sidecard/batch_test.go
@@ -0,0 +1,60 @@
+package sidecard
+
+import (
+	"net/http"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/briarcross/briarcross/engine"
+	"github.com/briarcross/briarcross/pb"
+	"github.com/briarcross/briarcross/sidecar"
+)
+
+func TestItemOutcomes(t *testing.T) {
+	done := &pb.AnswerEnd{Outcome: pb.Outcome_OUTCOME_DONE}
+	cut := &pb.AnswerEnd{Outcome: pb.Outcome_OUTCOME_UNKNOWN, Reason: pb.Reason_REASON_TRUNCATED}
+	refused := &pb.AnswerEnd{Outcome: pb.Outcome_OUTCOME_NOT_RUN, Reason: pb.Reason_REASON_CONNECT_FAILED}
+	tests := []struct {
+		name   string
+		end    *pb.AnswerEnd
+		status int
+		want   pb.ItemOutcome
+	}{
+		{"whole answer", done, http.StatusOK, pb.ItemOutcome_ITEM_DONE},
+		{"never possible", done, http.StatusBadRequest, pb.ItemOutcome_ITEM_FAILED},
+		{"engine busy", done, http.StatusTooManyRequests, pb.ItemOutcome_ITEM_RETRY},
+		{"engine error", done, http.StatusInternalServerError, pb.ItemOutcome_ITEM_RETRY},
+		{"cut off", cut, http.StatusOK, pb.ItemOutcome_ITEM_RETRY},
+		{"not reached", refused, 0, pb.ItemOutcome_ITEM_NOT_RUN},
+		{"given back before it ran", givenBack(sidecar.GiveBack{}), 0, pb.ItemOutcome_ITEM_NOT_RUN},
+		{"given back after it ran", givenBack(sidecar.GiveBack{Ran: true}), 0, pb.ItemOutcome_ITEM_YIELDED},
+	}
+	for _, test := range tests {
+		NewWithT(t).Expect(itemOutcome(test.end, test.status)).To(Equal(test.want), test.name)
+	}
+}
+
+// A request counts as not run only when nothing of it was sent, and as done only
+// when the whole answer was seen.
+func TestEndsTellTheTruth(t *testing.T) {
+	tests := []struct {
+		name    string
+		result  engine.Result
+		stopped bool
+		outcome pb.Outcome
+		reason  pb.Reason
+	}{
+		{"whole", engine.Result{Sent: true, Complete: true}, false, pb.Outcome_OUTCOME_DONE, pb.Reason_REASON_NONE},
+		{"whole before the stop", engine.Result{Sent: true, Complete: true}, true, pb.Outcome_OUTCOME_DONE, pb.Reason_REASON_NONE},
+		{"not sent", engine.Result{}, false, pb.Outcome_OUTCOME_NOT_RUN, pb.Reason_REASON_CONNECT_FAILED},
+		{"stopped", engine.Result{Sent: true, Tokens: 3}, true, pb.Outcome_OUTCOME_UNKNOWN, pb.Reason_REASON_CANCELLED},
+		{"cut", engine.Result{Sent: true, Tokens: 3}, false, pb.Outcome_OUTCOME_UNKNOWN, pb.Reason_REASON_TRUNCATED},
+		{"no token", engine.Result{Sent: true}, false, pb.Outcome_OUTCOME_UNKNOWN, pb.Reason_REASON_ENGINE_FAILED},
+	}
+	for _, test := range tests {
+		outcome, reason := endOf(test.result, test.stopped)
+		NewWithT(t).Expect(outcome).To(Equal(test.outcome), test.name)
+		NewWithT(t).Expect(reason).To(Equal(test.reason), test.name)
+	}
+}
--- a/sidecard/sidecard.go
+++ b/sidecard/sidecard.go
@@ -247,7 +247,7 @@
 			r.setWaiting()
 		}
 	case sidecar.GiveBack:
-		d.endRun(out.ID, &pb.AnswerEnd{Outcome: pb.Outcome_OUTCOME_NOT_RUN, Reason: pb.Reason_REASON_OVERLOADED})
+		d.endRun(out.ID, givenBack(out))
 	case sidecar.BatchRoom:
 		d.worker.Post(batch.Room{Items: out.Items})
 	case sidecar.Drained:
@@ -256,6 +256,16 @@
 	d.metrics.setLoad(d.sidecar.Load())
 }
 
+// givenBack ends an item that returns to its job. It was not run only when the
+// engine has seen nothing of it.
+func givenBack(out sidecar.GiveBack) *pb.AnswerEnd {
+	end := &pb.AnswerEnd{Outcome: pb.Outcome_OUTCOME_NOT_RUN, Reason: pb.Reason_REASON_OVERLOADED}
+	if out.Ran {
+		end.Outcome = pb.Outcome_OUTCOME_UNKNOWN
+	}
+	return end
+}
+
 func (d *Daemon) refuse(out sidecar.Refuse) {
 	d.metrics.refused(out.Reason)
 	d.endRun(out.ID, &pb.AnswerEnd{
