Split the sidecar's shell; refuse jobs while the configuration is unconfirmed

Change: runs.go and announce.go; one command over a file; such an entry refuses with CONFIG_STALE and Retry-After; the test waits for the revision.

--- a/cli/diff.go
+++ b/cli/diff.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"fmt"
 	"strings"
 
@@ -14,30 +13,10 @@
 )
 
 func (a *app) diffCommand() *ffcli.Command {
-	fs := newFlagSet("diff")
-	flags := &operatorFlags{}
-	flags.register(fs)
-	file := fs.String("f", "", "YAML file of documents; - reads the standard input")
-	return a.command(&ffcli.Command{
-		Name:       "diff",
-		ShortUsage: "briarcross diff [flags] -f FILE",
-		ShortHelp:  "Shows what apply would change, and changes nothing.",
-		FlagSet:    fs,
-		Exec: func(_ context.Context, args []string) error {
-			if err := noArguments(args); err != nil {
-				return err
-			}
-			text, err := a.readFile(*file)
-			if err != nil {
-				return err
-			}
-			c, err := flags.client()
-			if err != nil {
-				return err
-			}
-			return a.diff(c, *file, text)
-		},
-	})
+	return a.fileCommand("diff", "Shows what apply would change, and changes nothing.",
+		func(c *operator.Client, _ *operatorFlags, file string, text []byte) error {
+			return a.diff(c, file, text)
+		})
 }
 
 func (a *app) diff(c *operator.Client, file string, text []byte) error {
--- a/cli/documents.go
+++ b/cli/documents.go
@@ -135,14 +135,25 @@
 }
 
 func (a *app) applyCommand() *ffcli.Command {
-	fs := newFlagSet("apply")
+	return a.fileCommand("apply", "Writes profiles and services. Repeating it after a lost answer is safe.",
+		func(c *operator.Client, flags *operatorFlags, file string, text []byte) error {
+			return a.applyText(c, file, text, flags.operator)
+		})
+}
+
+// fileRun carries out a command with the documents of a file.
+type fileRun func(c *operator.Client, flags *operatorFlags, file string, text []byte) error
+
+// fileCommand returns a command that reads documents from a file.
+func (a *app) fileCommand(name, help string, run fileRun) *ffcli.Command {
+	fs := newFlagSet(name)
 	flags := &operatorFlags{}
 	flags.register(fs)
 	file := fs.String("f", "", "YAML file of documents; - reads the standard input")
 	return a.command(&ffcli.Command{
-		Name:       "apply",
-		ShortUsage: "briarcross apply [flags] -f FILE",
-		ShortHelp:  "Writes profiles and services. Repeating it after a lost answer is safe.",
+		Name:       name,
+		ShortUsage: "briarcross " + name + " [flags] -f FILE",
+		ShortHelp:  help,
 		FlagSet:    fs,
 		Exec: func(_ context.Context, args []string) error {
 			if err := noArguments(args); err != nil {
@@ -156,7 +167,7 @@
 			if err != nil {
 				return err
 			}
-			return a.applyText(c, *file, text, flags.operator)
+			return run(c, flags, *file, text)
 		},
 	})
 }
--- a/cli/secure_test.go
+++ b/cli/secure_test.go
@@ -166,7 +166,9 @@
 	s := startSecured(t)
 	config := []string{"-token", "secret", "-f", write(t, secureConfig)}
 	g.Eventually(func() int { return s.operate("apply", config...).code }, waitLimit, pollTime).Should(Equal(ExitDone))
-	g.Eventually(func() bool { return s.entry.Ready() && s.entry.Members() == 1 }, waitLimit, pollTime).Should(BeTrue())
+	g.Eventually(func() bool {
+		return s.entry.Ready() && s.entry.Revision() > 0 && s.entry.Members() == 1
+	}, waitLimit, pollTime).Should(BeTrue())
 	file := write(t, items("secure", 3))
 	g.Expect(s.call("submit", "-f", file).err).To(ContainSubstring("bearer token"))
 	result := s.call("submit", "-token", "secret", "-o", "json", "-f", file)
--- a/daemon/http.go
+++ b/daemon/http.go
@@ -25,6 +25,11 @@
 	r.configured.Store(on)
 }
 
+// Configured reports whether the daemon holds a confirmed configuration.
+func (r *Readiness) Configured() bool {
+	return r.configured.Load()
+}
+
 // Stop makes the daemon not ready for good.
 func (r *Readiness) Stop() {
 	r.stopping.Store(true)
--- a/entryd/batches.go
+++ b/entryd/batches.go
@@ -69,8 +69,21 @@
 	}
 }
 
+// refuseUnconfigured refuses a job while the profiles in force are not known.
+func (d *Daemon) refuseUnconfigured(ctx *fasthttp.RequestCtx) bool {
+	if d.readiness.Configured() {
+		return false
+	}
+	d.refuse(ctx, pb.Reason_REASON_CONFIG_STALE, "the configuration is not confirmed yet")
+	ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, "1")
+	return true
+}
+
 // submitJob reads a job's lines from the body.
 func (d *Daemon) submitJob(ctx *fasthttp.RequestCtx, caller string) {
+	if d.refuseUnconfigured(ctx) {
+		return
+	}
 	switch string(ctx.Request.Header.ContentType()) {
 	case contentTypeJSONL, contentTypeNDJSON:
 	default:
--- a/entryd/files.go
+++ b/entryd/files.go
@@ -52,6 +52,9 @@
 
 // upload commits the items of a file; a later request starts them as a job.
 func (d *Daemon) upload(ctx *fasthttp.RequestCtx, caller string) {
+	if d.refuseUnconfigured(ctx) {
+		return
+	}
 	file, err := openUpload(ctx)
 	if err != nil {
 		d.refuse(ctx, pb.Reason_REASON_BAD_REQUEST, err.Error())
--- /dev/null
+++ b/sidecard/announce.go
@@ -0,0 +1,97 @@
+package sidecard
+
+import (
+	"context"
+	"time"
+
+	"github.com/briarcross/briarcross/engine"
+	"github.com/briarcross/briarcross/member"
+	"github.com/briarcross/briarcross/pb"
+	"github.com/briarcross/briarcross/sidecar"
+)
+
+// configured announces the upstream once its configuration is confirmed.
+func (d *Daemon) configured(ready bool) {
+	d.readiness.SetConfigured(ready)
+	if ready && !d.draining.Load() {
+		d.announce(pb.MemberState_MEMBER_SERVING)
+	}
+}
+
+// announce states the upstream to the registrars, which hear of it when it
+// differs enough from what they know.
+func (d *Daemon) announce(state pb.MemberState) {
+	d.state.Store(int32(state))
+	d.announcer.Post(member.SetMember{Member: &pb.Member{
+		Id:          d.settings.ID,
+		Incarnation: d.identity.Incarnation,
+		Address:     d.settings.Listen,
+		DataCentre:  d.settings.DataCentre,
+		Services:    d.settings.Services,
+		State:       state,
+		Load:        d.metrics.load(),
+	}})
+}
+
+// datagram handles a registrar's answer.
+func (d *Daemon) datagram(e *pb.Envelope) {
+	d.announcer.Post(member.Datagram{From: e.GetHeader().GetReplyAddress(), Message: e.GetMember()})
+}
+
+func (d *Daemon) carryAnnouncer(out member.Output) {
+	send, ok := out.(member.SendTo)
+	socket := d.datagrams.Load()
+	if !ok || socket == nil {
+		return
+	}
+	envelope := &pb.Envelope{Body: &pb.Envelope_Member{Member: send.Message}}
+	if err := socket.Send(send.Address, envelope); err != nil {
+		d.logger.Debug("announcement not sent", "registrar", send.Address, "error", err)
+	}
+}
+
+// announceLoad keeps the announced load up to date, for entries that have sent
+// nothing here and so have not seen it in an answer.
+func (d *Daemon) announceLoad() {
+	ticker := time.NewTicker(loadInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-ticker.C:
+			if state := pb.MemberState(d.state.Load()); state != pb.MemberState_MEMBER_UNSPECIFIED {
+				d.announce(state)
+			}
+		}
+	}
+}
+
+// pollLoad reads the engine's own load report, which lags behind.
+func (d *Daemon) pollLoad() {
+	if d.settings.Kind != KindModel {
+		return
+	}
+	ticker := time.NewTicker(loadInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-ticker.C:
+			ctx, cancel := context.WithTimeout(d.ctx, loadTimeout)
+			load, err := d.engine.Load(ctx)
+			cancel()
+			if err == nil {
+				d.core.Post(sidecar.EngineLoad{Running: load.Running, Queued: load.Waiting, KVFree: freeShare(load)})
+			}
+		}
+	}
+}
+
+func freeShare(load engine.Load) float64 {
+	if load.KVCapacity == 0 {
+		return 1
+	}
+	return 1 - float64(load.KVTokens)/float64(load.KVCapacity)
+}
--- /dev/null
+++ b/sidecard/runs.go
@@ -0,0 +1,101 @@
+package sidecard
+
+import (
+	"github.com/briarcross/briarcross/batch"
+	"github.com/briarcross/briarcross/engine"
+	"github.com/briarcross/briarcross/pb"
+	"github.com/briarcross/briarcross/sidecar"
+)
+
+func (d *Daemon) newRun(id sidecar.ID, a answer, request engine.Request) *run {
+	return &run{
+		id:      id,
+		client:  d.engine,
+		answer:  a,
+		request: request,
+		ended:   d.runEnded,
+		tokens:  d.reportTokens,
+	}
+}
+
+// reportTokens tells the core of new tokens. The first token is reported at
+// once; later ones may wait for the next tick.
+func (d *Daemon) reportTokens(id sidecar.ID, count int, first bool) {
+	report := sidecar.Tokens{ID: id, Count: count}
+	if first {
+		d.core.Post(report)
+		return
+	}
+	d.core.PostLazy(report)
+}
+
+// runEnded tells the core that an engine call is over and ends the answer,
+// unless the core keeps the run to start it again.
+func (d *Daemon) runEnded(r *run, result engine.Result) {
+	stopped, paused := r.state()
+	outcome, reason := endOf(result, stopped)
+	end := &pb.AnswerEnd{Outcome: outcome, Reason: reason, Tokens: uint32(result.Tokens)}
+	if result.Err != nil {
+		end.Detail = result.Err.Error()
+	}
+	report := sidecar.Ended{ID: r.id, Outcome: outcome, Reason: reason, Paused: paused}
+	d.core.PostThen(report, func() {
+		if !r.isWaiting() {
+			end.Load = d.sidecar.Load()
+			d.endRun(r.id, end)
+		}
+	})
+}
+
+// carryCore carries out the outputs of the sidecar's core.
+func (d *Daemon) carryCore(out sidecar.Output) {
+	switch out := out.(type) {
+	case sidecar.Start:
+		if r := d.runs.get(out.ID); r != nil {
+			r.start(d.ctx, out.Resume)
+		}
+	case sidecar.Stop:
+		if r := d.runs.get(out.ID); r != nil {
+			go r.stop(out.Pause)
+		}
+	case sidecar.Refuse:
+		d.refuse(out)
+	case sidecar.Requeued:
+		if r := d.runs.get(out.ID); r != nil {
+			r.setWaiting()
+		}
+	case sidecar.GiveBack:
+		d.endRun(out.ID, givenBack(out))
+	case sidecar.BatchRoom:
+		d.worker.Post(batch.Room{Items: out.Items})
+	case sidecar.Drained:
+		d.idle.set()
+	}
+	d.metrics.setLoad(d.sidecar.Load())
+}
+
+// givenBack ends an item that returns to its job. It was not run only when the
+// engine has seen nothing of it.
+func givenBack(out sidecar.GiveBack) *pb.AnswerEnd {
+	end := &pb.AnswerEnd{Outcome: pb.Outcome_OUTCOME_NOT_RUN, Reason: pb.Reason_REASON_OVERLOADED}
+	if out.Ran {
+		end.Outcome = pb.Outcome_OUTCOME_UNKNOWN
+	}
+	return end
+}
+
+func (d *Daemon) refuse(out sidecar.Refuse) {
+	d.metrics.refused(out.Reason)
+	d.endRun(out.ID, &pb.AnswerEnd{
+		Outcome:      out.Outcome,
+		Reason:       out.Reason,
+		Load:         d.metrics.load(),
+		RetryAfterMs: uint32(out.RetryAfter.Milliseconds()),
+	})
+}
+
+func (d *Daemon) endRun(id sidecar.ID, end *pb.AnswerEnd) {
+	if r := d.runs.remove(id); r != nil {
+		go r.answer.end(end)
+	}
+}
