Drop two public items that nothing uses

Cause: a read of the change found Stream.SetReceiveDeadline without a caller, since calls end with their context, and MaxDatagramBytes, which nothing reads. Change: both removed. Conclusion: behaviour as before.

--- a/transport/datagram.go
+++ b/transport/datagram.go
@@ -13,9 +13,6 @@
 	"github.com/briarcross/briarcross/pb"
 )
 
-// MaxDatagramBytes bounds a sent datagram, below the smallest usual path limit.
-const MaxDatagramBytes = 1400
-
 const datagramStartTimeout = 5 * time.Second
 
 // Datagrams sends and receives envelopes over UDP. Losses are not reported.
--- a/transport/stream.go
+++ b/transport/stream.go
@@ -79,12 +79,6 @@
 	return e, nil
 }
 
-// SetReceiveDeadline bounds the following calls of Receive. The zero time
-// means no bound.
-func (s *Stream) SetReceiveDeadline(at time.Time) error {
-	return s.conn.SetReadDeadline(at)
-}
-
 // Close ends the stream in both directions.
 func (s *Stream) Close() error {
 	return s.conn.Close()
