--- a/cli/main.go
+++ b/cli/main.go
@@ -118,7 +118,7 @@
 
 func (a *app) root() *ffcli.Command {
 	fs := newFlagSet("briarcross")
-	subcommands := append(a.daemonCommands(), a.demoCommand())
+	subcommands := append(a.daemonCommands(), a.nodeCommand(), a.demoCommand())
 	subcommands = append(subcommands, a.operatorCommands()...)
 	subcommands = append(subcommands, a.completionCommand(a.root), a.tokenCommand(), a.versionCommand())
 	return a.command(&ffcli.Command{
--- /dev/null
+++ b/cli/nodes.go
@@ -0,0 +1,135 @@
+package cli
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/briarcross/briarcross/controlnode"
+	"github.com/briarcross/briarcross/entrynode"
+	"github.com/briarcross/briarcross/eventlog"
+	"github.com/briarcross/briarcross/node"
+	"github.com/briarcross/briarcross/platform"
+	"github.com/briarcross/briarcross/storenode"
+)
+
+const (
+	// settingsInterval is the pause between two looks at the settings file,
+	// which may change without a signal.
+	settingsInterval = time.Second
+	// memoryShare is the part of the process's memory that the collector may
+	// fill before it works harder; the rest is for stacks and buffers.
+	memoryShare = 0.7
+)
+
+// seeded is a daemon whose seeds may change.
+type seeded interface {
+	stoppable
+	SetSeeds([]string)
+}
+
+// nodeCommand groups the daemons that read the platform's settings file.
+func (a *app) nodeCommand() *ffcli.Command {
+	return a.command(&ffcli.Command{
+		Name:       "node",
+		ShortUsage: "briarcross node <role>",
+		ShortHelp:  "Runs a daemon on the users' platform; " + platform.SettingsVariable + " names its settings file.",
+		Subcommands: []*ffcli.Command{
+			a.nodeRole(node.RoleEntry, "Serves callers.", func(s *node.Settings, l *log.Logger) (seeded, error) {
+				return entrynode.Start(s, platform.Codec{}, l, platform.EntryHandlers)
+			}),
+			a.nodeRole(node.RoleControl, "Runs a control replica.", func(s *node.Settings, l *log.Logger) (seeded, error) {
+				return controlnode.Start(s, l, platform.ControlHandler)
+			}),
+			a.nodeRole(node.RoleStore, "Runs a storage replica.", func(s *node.Settings, l *log.Logger) (seeded, error) {
+				return storenode.Start(s, platform.Codec{}, l)
+			}),
+		},
+		Exec: func(context.Context, []string) error {
+			return failf(ExitUsage, "node needs a role: entry, control or store")
+		},
+	})
+}
+
+func (a *app) nodeRole(role, help string, start func(*node.Settings, *log.Logger) (seeded, error)) *ffcli.Command {
+	return a.command(&ffcli.Command{
+		Name:       role,
+		ShortUsage: "briarcross node " + role,
+		ShortHelp:  help,
+		Exec: func(context.Context, []string) error {
+			return runNode(role, start)
+		},
+	})
+}
+
+// runNode runs a daemon until a signal stops it or it breaks.
+func runNode(role string, start func(*node.Settings, *log.Logger) (seeded, error)) error {
+	path := platform.SettingsPath()
+	settings, err := platform.LoadSettings(path, role)
+	if err != nil {
+		return err
+	}
+	if settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
+	}
+	writer := eventlog.NewWriter(os.Stdout)
+	defer writer.Close()
+	logger := eventlog.New(writer, settings.ID, role)
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+
+	daemon, err := start(settings, logger)
+	if err != nil {
+		logger.Error("start_failed", "error", err)
+		return err
+	}
+	logger.Info(eventlog.Started, "address", settings.Address, "data_centre", settings.DataCentre, "first_start", settings.FirstStart, "seeds", settings.Seeds)
+	err = watchNode(daemon, settings, logger, path, stop, reload)
+	logger.Info(eventlog.Stopped, "error", err)
+	return err
+}
+
+// watchNode passes changes of the settings on until the daemon ends.
+func watchNode(daemon seeded, settings *node.Settings, logger *log.Logger, path string, stop, reload <-chan os.Signal) error {
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	read := modified(path)
+	for {
+		select {
+		case <-stop:
+			return daemon.Stop()
+		case err := <-daemon.Faults():
+			return err
+		case <-ticker.C:
+			if now := modified(path); now.Equal(read) {
+				continue
+			}
+		case <-reload:
+		}
+		read = modified(path)
+		changed, err := platform.LoadSettings(path, settings.Role)
+		if err != nil {
+			logger.Error(eventlog.SettingsRejected, "error", err)
+			continue
+		}
+		logger.Info(eventlog.SettingsReloaded, "seeds", changed.Seeds)
+		daemon.SetSeeds(changed.Seeds)
+	}
+}
+
+// modified returns the time of a file's last change, or zero if it has none.
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
--- a/client/control.go
+++ b/client/control.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,16 +24,22 @@
 // Control calls a group of control replicas. It is safe for concurrent use.
 type Control struct {
 	transport *transport.Client
-	addresses []string
+	timeout   time.Duration
 
-	mu     sync.Mutex
-	leader string
-	next   int
+	mu        sync.Mutex
+	addresses []string
+	leader    string
+	next      int
 }
 
 // NewControl returns a client of the replicas at the given addresses.
 func NewControl(t *transport.Client, addresses []string) *Control {
-	return &Control{transport: t, addresses: addresses}
+	return &Control{transport: t, addresses: addresses, timeout: attemptTimeout}
+}
+
+// SetTimeout bounds one attempt at one replica.
+func (c *Control) SetTimeout(timeout time.Duration) {
+	c.timeout = timeout
 }
 
 // Propose has a command carried out by the leader. It repeats the command
@@ -83,6 +90,16 @@
 	return response.GetQuery(), nil
 }
 
+// SetAddresses replaces the addresses of the replicas.
+func (c *Control) SetAddresses(addresses []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.addresses = slices.Clone(addresses)
+	if !slices.Contains(addresses, c.leader) {
+		c.leader = ""
+	}
+}
+
 // Leader returns the address that most likely leads.
 func (c *Control) Leader() string {
 	c.mu.Lock()
@@ -90,6 +107,9 @@
 	if c.leader != "" {
 		return c.leader
 	}
+	if len(c.addresses) == 0 {
+		return ""
+	}
 	return c.addresses[c.next%len(c.addresses)]
 }
 
@@ -156,7 +176,10 @@
 
 // attempt makes one call. Sent tells whether the request may have arrived.
 func (c *Control) attempt(ctx context.Context, class transport.Class, address string, request *pb.ControlRequest) (response *pb.ControlResponse, sent bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	if address == "" {
+		return nil, false, eris.New("no replica is known")
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	envelope := &pb.Envelope{Body: &pb.Envelope_ControlRequest{ControlRequest: request}}
 	answer, sent, err := c.transport.Call(ctx, class, address, envelope)
--- a/controld/controld.go
+++ b/controld/controld.go
@@ -14,6 +14,7 @@
 	"github.com/briarcross/briarcross/kv"
 	"github.com/briarcross/briarcross/loop"
 	"github.com/briarcross/briarcross/pb"
+	"github.com/briarcross/briarcross/peering"
 	"github.com/briarcross/briarcross/replica"
 	"github.com/briarcross/briarcross/spread"
 	"github.com/briarcross/briarcross/transport"
@@ -36,7 +37,7 @@
 	control   *client.Control
 	state     *control.State
 	replica   *replica.Replica
-	peers     *peers
+	peers     *peering.Peers
 	watchers  *watchers
 	publisher *loop.Loop[spread.PublisherInput, spread.PublisherOutput]
 	spread    *spread.Publisher
@@ -109,7 +110,7 @@
 		known = append(known, r.GetAddress())
 	}
 	d.control = client.NewControl(d.transport, known)
-	d.peers = newPeers(d.ctx, d.transport, d.address, d.metrics.peerLost.Inc)
+	d.peers = peering.New(d.ctx, d.transport, d.address, d.metrics.peerLost.Inc)
 
 	d.leases = newLeases(d, batch.NewState())
 	d.state = control.NewState(d.leases.core)
@@ -127,7 +128,7 @@
 		Spares:      spares,
 		Join:        d.settings.Join,
 		Machine:     d.state,
-		Send:        d.peers.send,
+		Send:        d.peers.Send,
 		Tick:        d.settings.Tick,
 		RepairAfter: d.settings.RepairAfter,
 		Seed:        d.identity.Incarnation,
@@ -274,7 +275,7 @@
 	d.leases.close()
 	d.placer.loop.Close()
 	d.transport.Close()
-	d.peers.wait.Wait()
+	d.peers.Wait()
 	d.background.Wait()
 	return err
 }
--- /dev/null
+++ b/controlnode/duties.go
@@ -0,0 +1,124 @@
+package controlnode
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/briarcross/briarcross/eventlog"
+	"github.com/briarcross/briarcross/node"
+	"github.com/briarcross/briarcross/pb"
+)
+
+const (
+	// foundingPatience is the time for which a leader waits for more storage
+	// daemons than have announced themselves, before it founds a smaller group.
+	foundingPatience = 4 * time.Second
+	proposeTimeout   = time.Second
+)
+
+// runDuties keeps the membership of the control group, and founds the storage
+// group, while this replica leads.
+func (n *Node) runDuties() {
+	ticker := time.NewTicker(dutyInterval)
+	defer ticker.Stop()
+	var firstSeen time.Time
+	members := ""
+	for {
+		select {
+		case <-n.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		members = n.noteMembers(members)
+		n.expireUpstreams()
+		_, _, leading := n.replica.Leader()
+		if !leading {
+			firstSeen = time.Time{}
+			continue
+		}
+		n.replica.SetSpares(n.spares())
+		stores := n.attached(node.RoleStore)
+		if firstSeen.IsZero() && len(stores) > 0 {
+			firstSeen = time.Now()
+		}
+		if len(stores) > 0 {
+			n.foundStorage(stores, time.Since(firstSeen) > foundingPatience)
+		}
+	}
+}
+
+// noteMembers logs a change of the group's membership.
+func (n *Node) noteMembers(known string) string {
+	status := n.replica.Status()
+	current := ""
+	for _, r := range status.GetReplicas() {
+		current += r.GetReplica().GetAddress()
+		if r.GetReplica().GetLearner() {
+			current += "(learner)"
+		}
+		current += " "
+	}
+	if current != known {
+		n.logger.Info(eventlog.MembersChanged, "group", "control", "members", current, "term", status.GetTerm(), "index", status.GetCommitIndex())
+	}
+	return current
+}
+
+func (n *Node) expireUpstreams() {
+	n.upstreamLock.Lock()
+	defer n.upstreamLock.Unlock()
+	n.upstreams.Expire(time.Now())
+}
+
+func (n *Node) attached(role string) []*pb.Daemon {
+	daemons, _ := n.watchers.list()
+	return slices.DeleteFunc(daemons, func(d *pb.Daemon) bool { return d.GetRole() != role })
+}
+
+// spares lists the attached control replicas that may join the group.
+func (n *Node) spares() []*pb.Replica {
+	var spares []*pb.Replica
+	for _, d := range n.attached(node.RoleControl) {
+		spares = append(spares, &pb.Replica{Id: d.GetAddress(), Address: d.GetAddress(), DataCentre: d.GetDataCentre()})
+	}
+	return spares
+}
+
+// foundStorage names the first members of the storage group.
+func (n *Node) foundStorage(stores []*pb.Daemon, patienceOver bool) {
+	if len(n.placement().GetStorage()) > 0 {
+		return
+	}
+	size := n.settings.GroupSize()
+	if len(stores) < size && !patienceOver {
+		return
+	}
+	members := deploymentSpread(stores, size)
+	ctx, cancel := context.WithTimeout(n.ctx, proposeTimeout)
+	defer cancel()
+	command := &pb.Command{Op: &pb.Command_StorageFound{StorageFound: &pb.StorageFound{Members: members}}}
+	if _, controlErr := n.replica.Propose(ctx, command); controlErr != nil {
+		n.logger.Warn(eventlog.StorageFounded, "error", controlErr.GetReason())
+	}
+}
+
+// deploymentSpread picks members from as many data centres as possible.
+func deploymentSpread(stores []*pb.Daemon, size int) []*pb.Replica {
+	used := make(map[string]int)
+	var members []*pb.Replica
+	remaining := slices.Clone(stores)
+	for len(members) < size && len(remaining) > 0 {
+		best := 0
+		for i, d := range remaining {
+			if used[d.GetDataCentre()] < used[remaining[best].GetDataCentre()] {
+				best = i
+			}
+		}
+		d := remaining[best]
+		remaining = slices.Delete(remaining, best, best+1)
+		used[d.GetDataCentre()]++
+		members = append(members, &pb.Replica{Id: d.GetAddress(), Address: d.GetAddress(), DataCentre: d.GetDataCentre()})
+	}
+	return members
+}
--- /dev/null
+++ b/controlnode/streams.go
@@ -0,0 +1,49 @@
+package controlnode
+
+import (
+	"context"
+	"time"
+
+	"github.com/briarcross/briarcross/pb"
+	"github.com/briarcross/briarcross/transport"
+)
+
+// requestTimeout bounds a request that another replica forwarded.
+const requestTimeout = 2 * time.Second
+
+// serveStream handles one stream of another daemon.
+func (n *Node) serveStream(_ transport.Class, stream *transport.Stream) {
+	for {
+		envelope, err := stream.Receive()
+		if err != nil {
+			return
+		}
+		switch body := envelope.GetBody().(type) {
+		case *pb.Envelope_Quorum:
+			n.replica.Receive(body.Quorum)
+		case *pb.Envelope_FleetWatch:
+			n.serveWatch(stream, body.FleetWatch)
+			return
+		case *pb.Envelope_ControlRequest:
+			if n.answer(stream, body.ControlRequest) != nil {
+				return
+			}
+		default:
+			return
+		}
+	}
+}
+
+// answer carries out a command that another daemon forwarded to the leader.
+func (n *Node) answer(stream *transport.Stream, request *pb.ControlRequest) error {
+	ctx, cancel := context.WithTimeout(n.ctx, requestTimeout)
+	defer cancel()
+	response := &pb.ControlResponse{}
+	result, controlErr := n.replica.Propose(ctx, request.GetPropose())
+	if controlErr != nil {
+		response.Response = &pb.ControlResponse_Error{Error: controlErr}
+	} else {
+		response.Response = &pb.ControlResponse_Result{Result: result}
+	}
+	return stream.Send(&pb.Envelope{Body: &pb.Envelope_ControlResponse{ControlResponse: response}})
+}
--- /dev/null
+++ b/dispatch/pick.go
@@ -0,0 +1,98 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/briarcross/briarcross/fleet"
+)
+
+// tier ranks the upstreams for an ask; a lower one is better.
+type tier int
+
+const (
+	// nearFree has a free slot in the data centre of the request.
+	nearFree tier = iota
+	farFree
+	// nearYielding is full, but batch there gives way to online.
+	nearYielding
+	farYielding
+	// suspect has failed lately or is silent, and is tried last.
+	suspect
+	unusable
+)
+
+// pick returns the best upstream for an ask, or nil. Among equals it prefers
+// the one with the most free slots, and a random one among those, so that
+// daemons that decide at the same time spread out.
+func (p *Pool) pick(now time.Time, ask Ask) *upstream {
+	best, bestTier, bestFree, equals := (*upstream)(nil), unusable, 0, 0
+	for _, id := range p.order {
+		u := p.upstreams[id]
+		t := p.tier(now, u, ask)
+		if t == unusable || t > bestTier || t == bestTier && u.free() < bestFree {
+			continue
+		}
+		if t < bestTier || u.free() > bestFree {
+			best, bestTier, bestFree, equals = u, t, u.free(), 1
+			continue
+		}
+		equals++
+		if p.rand.IntN(equals) == 0 {
+			best = u
+		}
+	}
+	return best
+}
+
+func (p *Pool) tier(now time.Time, u *upstream, ask Ask) tier {
+	if u.Service != ask.Service || u.Phase != fleet.Ready || slices.Contains(ask.Avoid, u.ID) {
+		return unusable
+	}
+	near := u.DataCentre == p.options.DataCentre
+	doubtful := now.Before(u.suspectUntil) || now.Sub(u.Heard) > p.options.Silence
+	if ask.Class == Batch {
+		return batchTier(u, near, doubtful, p.options.BatchReserve)
+	}
+	switch {
+	case u.online() >= u.Slots:
+		return unusable
+	case doubtful:
+		return suspect
+	case u.free() > 0 && near:
+		return nearFree
+	case u.free() > 0:
+		return farFree
+	case near:
+		return nearYielding
+	}
+	return farYielding
+}
+
+func batchTier(u *upstream, near, doubtful bool, reserve int) tier {
+	switch {
+	case doubtful || u.free() <= reserve:
+		return unusable
+	case near:
+		return nearFree
+	}
+	return farFree
+}
+
+// Overload returns the number of batch grants of this pool that an upstream
+// must give up for online requests, for each upstream that has to.
+func (p *Pool) Overload() map[string]int {
+	var overload map[string]int
+	for _, id := range p.order {
+		u := p.upstreams[id]
+		excess := min(-u.free(), u.own[Batch])
+		if excess <= 0 || u.online() == 0 {
+			continue
+		}
+		if overload == nil {
+			overload = make(map[string]int)
+		}
+		overload[id] = excess
+	}
+	return overload
+}
--- /dev/null
+++ b/dispatch/pool.go
@@ -0,0 +1,315 @@
+package dispatch
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/briarcross/briarcross/core"
+	"github.com/briarcross/briarcross/fleet"
+)
+
+// Class separates work that people wait for from work that is due later.
+type Class int
+
+// The classes of work.
+const (
+	Online Class = iota
+	Batch
+	classes
+)
+
+// Options configures a Pool.
+type Options struct {
+	// DataCentre is where the pool's requests come from.
+	DataCentre string
+	Seed       uint64
+	// BatchReserve is the number of slots of each upstream that batch leaves
+	// free for online requests.
+	BatchReserve int
+	// PeerTimeout is the age at which another daemon's load report is dropped.
+	PeerTimeout time.Duration
+	// Silence is the time without a heartbeat after which an upstream is used
+	// only when no other is left.
+	Silence time.Duration
+}
+
+// Ask is a request for a slot.
+type Ask struct {
+	// ID names the ask; the caller chooses it.
+	ID      uint64
+	Service string
+	Class   Class
+	// Priority orders the asks of a class; zero comes first.
+	Priority int
+	// Avoid names upstreams that have already failed the request.
+	Avoid []string
+	// Wait bounds the time for which the ask may wait for a slot.
+	Wait time.Duration
+}
+
+// Grant assigns a slot of an upstream to an ask. It is held until Done.
+type Grant struct {
+	Ask      uint64
+	Upstream string
+	Address  string
+	Class    Class
+	// Waited is the time between the ask and the grant.
+	Waited time.Duration
+}
+
+// Refusal ends an ask without a slot.
+type Refusal struct {
+	Ask    uint64
+	Reason Reason
+	// RetryAfter is the time after which a slot is likely to be free.
+	RetryAfter time.Duration
+}
+
+// Reason tells why an ask was refused.
+type Reason string
+
+// The reasons of refusals.
+const (
+	// NoUpstream means that no upstream of the service is known.
+	NoUpstream Reason = "no_upstream"
+	// QueueFull means that the wait would be longer than the ask allows.
+	QueueFull Reason = "queue_full"
+	// WaitOver means that no slot became free within the allowed wait.
+	WaitOver Reason = "wait_over"
+)
+
+type waiting struct {
+	ask   Ask
+	since time.Time
+}
+
+// upstream is what the pool knows of one upstream.
+type upstream struct {
+	fleet.Upstream
+	// own counts the grants of this pool, peers those of other daemons.
+	own   [classes]int
+	peers [classes]int
+	// suspectUntil is set after failures; failures counts them in a row.
+	suspectUntil time.Time
+	failures     int
+}
+
+func (u *upstream) online() int { return u.own[Online] + u.peers[Online] }
+
+func (u *upstream) batch() int { return u.own[Batch] + u.peers[Batch] }
+
+func (u *upstream) free() int { return u.Slots - u.online() - u.batch() }
+
+// Pool assigns slots.
+type Pool struct {
+	options   Options
+	rand      *rand.Rand
+	upstreams map[string]*upstream
+	// order lists the IDs of the upstreams in ascending order.
+	order   []string
+	reports map[string]peerReport
+	queue   []waiting
+	rates   map[string]*rate
+	granted []Grant
+	refused []Refusal
+}
+
+// New returns a pool without upstreams.
+func New(options Options) *Pool {
+	return &Pool{
+		options:   options,
+		rand:      core.NewRand(options.Seed),
+		upstreams: make(map[string]*upstream),
+		reports:   make(map[string]peerReport),
+		rates:     make(map[string]*rate),
+	}
+}
+
+// Update stores the latest heartbeat of an upstream.
+func (p *Pool) Update(u fleet.Upstream) {
+	held, known := p.upstreams[u.ID]
+	if !known {
+		held = &upstream{}
+		p.upstreams[u.ID] = held
+		at, _ := slices.BinarySearch(p.order, u.ID)
+		p.order = slices.Insert(p.order, at, u.ID)
+	}
+	if u.BornUnixMs != held.BornUnixMs {
+		held.suspectUntil, held.failures = time.Time{}, 0
+	}
+	held.Upstream = u
+	if !known {
+		p.countPeers()
+	}
+}
+
+// Forget drops an upstream. Grants that are still held end without effect.
+func (p *Pool) Forget(id string) {
+	if _, known := p.upstreams[id]; !known {
+		return
+	}
+	delete(p.upstreams, id)
+	at, _ := slices.BinarySearch(p.order, id)
+	p.order = slices.Delete(p.order, at, at+1)
+}
+
+// Request handles an ask: the answer comes with the next Drain.
+func (p *Pool) Request(now time.Time, ask Ask) {
+	if p.hasWaiting(ask) || !p.grant(now, waiting{ask, now}) {
+		p.wait(now, ask)
+	}
+}
+
+// hasWaiting reports whether an ask of the same service comes first.
+func (p *Pool) hasWaiting(ask Ask) bool {
+	for _, w := range p.queue {
+		if w.ask.Service == ask.Service && !before(ask, w.ask) {
+			return true
+		}
+	}
+	return false
+}
+
+// before orders asks by class and priority.
+func before(a, b Ask) bool {
+	return cmp.Or(cmp.Compare(a.Class, b.Class), cmp.Compare(a.Priority, b.Priority)) < 0
+}
+
+// wait queues an ask, or refuses it when the queue moves too slowly for it.
+func (p *Pool) wait(now time.Time, ask Ask) {
+	if !p.serves(ask.Service) {
+		p.refuse(ask, NoUpstream, upstreamRetry)
+		return
+	}
+	ahead := 0
+	at := len(p.queue)
+	for i, w := range p.queue {
+		if before(ask, w.ask) {
+			at = min(at, i)
+			continue
+		}
+		if w.ask.Service == ask.Service {
+			ahead++
+		}
+	}
+	expected := p.rate(ask.Service).wait(now, ahead+1)
+	if expected > ask.Wait || ask.Wait <= 0 {
+		p.refuse(ask, QueueFull, expected)
+		return
+	}
+	p.queue = slices.Insert(p.queue, at, waiting{ask, now})
+}
+
+func (p *Pool) serves(service string) bool {
+	for _, id := range p.order {
+		if u := p.upstreams[id]; u.Service == service && u.Phase == fleet.Ready {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Pool) refuse(ask Ask, reason Reason, after time.Duration) {
+	p.refused = append(p.refused, Refusal{ask.ID, reason, max(minRetry, min(after, maxRetry))})
+}
+
+// Cancel withdraws an ask that waits.
+func (p *Pool) Cancel(id uint64) {
+	p.queue = slices.DeleteFunc(p.queue, func(w waiting) bool { return w.ask.ID == id })
+}
+
+// Outcome tells how a request ended at its upstream.
+type Outcome int
+
+// The outcomes of a grant.
+const (
+	// Served requests were answered by the upstream.
+	Served Outcome = iota
+	// Unused grants say nothing about the upstream.
+	Unused
+	// Full upstreams refused the request without running it.
+	Full
+	// Failed upstreams could not be reached, or broke the answer off.
+	Failed
+	// Departed upstreams said that they are not the one that was meant.
+	Departed
+)
+
+// Done ends a grant.
+func (p *Pool) Done(now time.Time, g Grant, outcome Outcome) {
+	u, known := p.upstreams[g.Upstream]
+	if !known {
+		return
+	}
+	u.own[g.Class] = max(0, u.own[g.Class]-1)
+	switch outcome {
+	case Served:
+		u.failures = 0
+		u.suspectUntil = time.Time{}
+		p.rate(u.Service).note(now)
+	case Full:
+		u.suspectUntil = now.Add(fullPause)
+	case Failed:
+		u.failures++
+		u.suspectUntil = now.Add(min(firstSuspicion<<min(u.failures-1, maxDoublings), maxSuspicion))
+	case Departed:
+		u.Phase = fleet.Gone
+	case Unused:
+	}
+	p.advance(now)
+}
+
+// Tick grants what can be granted and refuses what has waited too long.
+func (p *Pool) Tick(now time.Time) {
+	p.expirePeers(now)
+	p.advance(now)
+	p.queue = slices.DeleteFunc(p.queue, func(w waiting) bool {
+		if now.Sub(w.since) < w.ask.Wait {
+			return false
+		}
+		p.refuse(w.ask, WaitOver, p.rate(w.ask.Service).wait(now, len(p.queue)))
+		return true
+	})
+}
+
+// advance grants the asks that wait, in order, as far as slots are free.
+func (p *Pool) advance(now time.Time) {
+	kept := p.queue[:0]
+	for _, w := range p.queue {
+		if !p.grant(now, w) {
+			kept = append(kept, w)
+		}
+	}
+	clear(p.queue[len(kept):])
+	p.queue = kept
+}
+
+func (p *Pool) grant(now time.Time, w waiting) bool {
+	u := p.pick(now, w.ask)
+	if u == nil {
+		return false
+	}
+	u.own[w.ask.Class]++
+	p.granted = append(p.granted, Grant{
+		Ask:      w.ask.ID,
+		Upstream: u.ID,
+		Address:  u.Address,
+		Class:    w.ask.Class,
+		Waited:   now.Sub(w.since),
+	})
+	return true
+}
+
+// Drain returns the grants and refusals since the last call.
+func (p *Pool) Drain() ([]Grant, []Refusal) {
+	granted, refused := p.granted, p.refused
+	p.granted, p.refused = nil, nil
+	return granted, refused
+}
+
+// Waiting returns the number of asks that wait.
+func (p *Pool) Waiting() int {
+	return len(p.queue)
+}
--- a/engine/calls.go
+++ b/engine/calls.go
@@ -33,7 +33,7 @@
 	defer stop()
 	x := newExchange(h.pool)
 	x.request.Header.SetMethod(method)
-	x.request.SetRequestURI("http://" + h.pool.address + path)
+	x.request.SetRequestURI("http://" + h.pool.Address() + path)
 	if body != nil {
 		encoded, err := json.Marshal(body)
 		if err != nil {
--- a/engine/exchange.go
+++ b/engine/exchange.go
@@ -8,6 +8,8 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
+	"github.com/briarcross/briarcross/internal/connpool"
+	"github.com/briarcross/briarcross/internal/fields"
 	"github.com/briarcross/briarcross/pb"
 )
 
@@ -16,8 +18,8 @@
 
 // exchange is one HTTP request and its answer on one connection.
 type exchange struct {
-	pool     *pool
-	conn     *conn
+	pool     *connpool.Pool
+	conn     *connpool.Conn
 	request  *fasthttp.Request
 	response *fasthttp.Response
 	// unwatch stops the closing of the connection on cancel; it reports
@@ -26,35 +28,35 @@
 	sent    bool
 }
 
-func newExchange(p *pool) *exchange {
+func newExchange(p *connpool.Pool) *exchange {
 	x := &exchange{pool: p}
 	x.request = fasthttp.AcquireRequest()
 	x.response = fasthttp.AcquireResponse()
 	x.response.StreamBody = true
-	x.request.SetRequestURI("http://" + p.address + "/")
+	x.request.SetRequestURI("http://" + p.Address() + "/")
 	return x
 }
 
 // send writes the request and reads the head of the answer.
 func (x *exchange) send(ctx context.Context) error {
-	c, err := x.pool.get(ctx)
+	c, err := x.pool.Get(ctx)
 	if err != nil {
-		return err
+		return eris.Wrap(err, "engine")
 	}
 	x.conn = c
 	x.unwatch = context.AfterFunc(ctx, func() { _ = c.Conn.Close() })
-	err = x.request.Write(c.writer)
+	err = x.request.Write(c.Writer)
 	if err == nil {
-		err = c.writer.Flush()
+		err = c.Writer.Flush()
 	}
-	x.sent = c.written > 0
+	x.sent = c.Written > 0
 	if err != nil {
 		return eris.Wrap(err, "engine: send request")
 	}
 	if x.request.Header.IsHead() {
 		x.response.SkipBody = true
 	}
-	if err := x.response.ReadLimitBody(c.reader, 0); err != nil {
+	if err := x.response.ReadLimitBody(c.Reader, 0); err != nil {
 		return eris.Wrap(err, "engine: read answer")
 	}
 	return nil
@@ -88,7 +90,7 @@
 		}
 		_ = x.response.CloseBodyStream()
 		if reuse {
-			x.pool.put(x.conn)
+			x.pool.Put(x.conn, connpool.DefaultIdleTime)
 		}
 	}
 	fasthttp.ReleaseRequest(x.request)
@@ -105,8 +107,8 @@
 	if x.conn.SetReadDeadline(time.Now().Add(drainTimeout)) != nil {
 		return false
 	}
-	n, err := io.Copy(io.Discard, io.LimitReader(x.body(), readBufferBytes))
-	return err == nil && n < readBufferBytes && x.conn.SetReadDeadline(time.Time{}) == nil
+	n, err := io.Copy(io.Discard, io.LimitReader(x.body(), connpool.BufferBytes))
+	return err == nil && n < connpool.BufferBytes && x.conn.SetReadDeadline(time.Time{}) == nil
 }
 
 type eofReader struct{}
@@ -134,7 +136,7 @@
 // setHeaders copies request headers that are meant for the upstream.
 func setHeaders(request *fasthttp.Request, headers []*pb.HeaderField) {
 	for _, field := range headers {
-		if !hopByHop(field.GetName()) {
+		if !fields.HopByHop(field.GetName()) {
 			request.Header.Add(field.GetName(), field.GetValue())
 		}
 	}
@@ -144,7 +146,7 @@
 func answerHeaders(response *fasthttp.Response) []*pb.HeaderField {
 	var headers []*pb.HeaderField
 	for name, value := range response.Header.All() {
-		if hopByHop(string(name)) {
+		if fields.HopByHop(string(name)) {
 			continue
 		}
 		headers = append(headers, &pb.HeaderField{Name: string(name), Value: string(value)})
--- a/engine/plain.go
+++ b/engine/plain.go
@@ -6,6 +6,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/briarcross/briarcross/internal/connpool"
 	"github.com/briarcross/briarcross/pb"
 )
 
@@ -13,7 +14,7 @@
 var ErrNotSupported = eris.New("engine: a plain service does not support this call")
 
 type plainClient struct {
-	pool *pool
+	pool *connpool.Pool
 }
 
 // NewPlain returns a client of a plain HTTP service. Method, headers and body
@@ -92,4 +93,4 @@
 func (p *plainClient) Dropped() uint64 { return 0 }
 
 // Close implements Client.
-func (p *plainClient) Close() { p.pool.close() }
+func (p *plainClient) Close() { p.pool.Close() }
--- a/engine/sse.go
+++ b/engine/sse.go
@@ -6,6 +6,8 @@
 	"io"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/briarcross/briarcross/internal/connpool"
 )
 
 // maxEventBytes bounds one server-sent event.
@@ -23,7 +25,7 @@
 
 func newEventReader(source io.Reader) *eventReader {
 	scanner := bufio.NewScanner(source)
-	scanner.Buffer(make([]byte, 0, readBufferBytes), maxEventBytes)
+	scanner.Buffer(make([]byte, 0, connpool.BufferBytes), maxEventBytes)
 	return &eventReader{scanner: scanner}
 }
 
--- /dev/null
+++ b/entrynode/jobs.go
@@ -0,0 +1,118 @@
+package entrynode
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/briarcross/briarcross/eventlog"
+	"github.com/briarcross/briarcross/pb"
+	"github.com/briarcross/briarcross/routing"
+	"github.com/briarcross/briarcross/transport"
+)
+
+const (
+	// storageAttempt bounds one attempt at one storage replica. It is above the
+	// longest wait for a result.
+	storageAttempt = 1500 * time.Millisecond
+	// storagePatience bounds a call to the storage group.
+	storagePatience = 3 * time.Second
+	// storageRetry is about the time of an election.
+	storageRetry = 700 * time.Millisecond
+	// maxPageBytes bounds the results in one answer.
+	maxPageBytes = 1 << 20
+	// maxPageWait bounds the wait for a result, below storageAttempt.
+	maxPageWait = time.Second
+)
+
+// submit accepts a batch job. The acknowledgement follows its replication.
+func (n *Node) submit(w http.ResponseWriter, r *http.Request, said Request, route *routing.Route, table *routing.Table, body []byte) {
+	arrived := time.Now()
+	job, err := n.codec.Job(body)
+	if err != nil || said.ID == "" || len(job.Items) == 0 {
+		n.refuse(w, said.ID, refusal{reason: "invalid_job", status: http.StatusBadRequest, route: route.Name, routing: table.Version, err: err})
+		return
+	}
+	submit := &pb.PageSubmit{
+		JobId:    said.ID,
+		Host:     route.Host,
+		Path:     r.URL.Path,
+		DueMs:    uint64(route.RunTarget.Milliseconds()),
+		KeepMs:   uint64(route.Keep.Milliseconds()),
+		RetainMs: uint64((route.Keep + n.settings.Retention).Milliseconds()),
+		Attempts: uint32(max(1, route.Attempts)),
+	}
+	for _, item := range job.Items {
+		submit.Items = append(submit.Items, encodeItem(item))
+	}
+	ctx, cancel := context.WithTimeout(n.ctx, min(storagePatience, route.Timeout))
+	defer cancel()
+	_, controlErr := n.Storage.Propose(ctx, transport.Batch, &pb.Command{Op: &pb.Command_PageSubmit{PageSubmit: submit}})
+	if controlErr != nil {
+		n.refuseJob(w, said.ID, "submit", controlErr)
+		return
+	}
+	n.logger.Info(eventlog.JobAccepted, "job", said.ID, "items", len(job.Items), "route", route.Name, "routing", table.Version,
+		"elapsed_ms", time.Since(arrived).Milliseconds())
+	w.WriteHeader(http.StatusAccepted)
+}
+
+func encodeItem(item JobItem) *pb.PageItem {
+	encoded := &pb.PageItem{Id: item.ID, Path: item.Path, Body: item.Body}
+	for name, value := range item.Headers {
+		encoded.Headers = append(encoded.Headers, &pb.HeaderField{Name: name, Value: value})
+	}
+	return encoded
+}
+
+// refuseJob answers a call that the storage group did not carry out. Only one
+// that has certainly changed nothing is refused as such.
+func (n *Node) refuseJob(w http.ResponseWriter, id, call string, controlErr *pb.ControlError) {
+	n.logger.Warn(eventlog.JobRefused, "job", id, "call", call, "code", controlErr.GetCode().String(), "reason", controlErr.GetReason())
+	f := refusal{reason: "storage_unavailable", retryAfter: storageRetry}
+	if controlErr.GetCode() == pb.ControlError_UNKNOWN {
+		f = refusal{reason: "storage_outcome_unknown", status: http.StatusGatewayTimeout}
+	}
+	n.refuse(w, id, f)
+}
+
+// EndJob ends a job. It reports whether the job is known.
+func (n *Node) EndJob(w http.ResponseWriter, id string) (known, done bool) {
+	ctx, cancel := context.WithTimeout(n.ctx, storagePatience)
+	defer cancel()
+	result, controlErr := n.Storage.Propose(ctx, transport.Batch, &pb.Command{Op: &pb.Command_PageEnd{PageEnd: &pb.PageEnd{JobId: id}}})
+	if controlErr != nil {
+		n.refuseJob(w, id, "end", controlErr)
+		return false, false
+	}
+	n.logger.Info(eventlog.JobEnded, "job", id, "known", result.GetPage().GetKnown())
+	return result.GetPage().GetKnown(), true
+}
+
+// Page reads the results of a job from a position on.
+func (n *Node) Page(w http.ResponseWriter, id string, from uint32, wait time.Duration) (*pb.PageAnswer, bool) {
+	query := &pb.PageQuery{
+		JobId: id, From: from, MaxBytes: maxPageBytes, WaitMs: uint32(min(wait, maxPageWait).Milliseconds()),
+	}
+	result, ok := n.query(w, id, "page", &pb.Query{Query: &pb.Query_Page{Page: query}})
+	return result.GetPage(), ok
+}
+
+// ItemBody reads the body of an item.
+func (n *Node) ItemBody(w http.ResponseWriter, id, item string) (*pb.PageBodyAnswer, bool) {
+	query := &pb.PageBodyQuery{JobId: id, ItemId: item}
+	result, ok := n.query(w, id, "body", &pb.Query{Query: &pb.Query_PageBody{PageBody: query}})
+	return result.GetPageBody(), ok
+}
+
+func (n *Node) query(w http.ResponseWriter, id, call string, query *pb.Query) (*pb.QueryResult, bool) {
+	ctx, cancel := context.WithTimeout(n.ctx, storagePatience)
+	defer cancel()
+	result, controlErr := n.Storage.Query(ctx, query)
+	if controlErr != nil {
+		// A read changes nothing, whatever became of it.
+		n.refuseJob(w, id, call, &pb.ControlError{Code: pb.ControlError_OVERLOADED, Reason: controlErr.GetReason()})
+		return nil, false
+	}
+	return result, true
+}
--- /dev/null
+++ b/entrynode/metrics.go
@@ -0,0 +1,42 @@
+package entrynode
+
+import "github.com/prometheus/client_golang/prometheus"
+
+type metrics struct {
+	registry    *prometheus.Registry
+	connections prometheus.Counter
+	requests    *prometheus.CounterVec
+	refusals    *prometheus.CounterVec
+	retries     *prometheus.CounterVec
+	waits       prometheus.Histogram
+	firstByte   *prometheus.HistogramVec
+}
+
+// latencyBuckets spans the time of one engine step to the usual deadlines.
+var latencyBuckets = []float64{.005, .01, .02, .04, .08, .15, .3, .6, 1.2, 2.5, 5}
+
+func newMetrics() *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		connections: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "briarcross_upstream_connections_total", Help: "New connections to upstreams.",
+		}),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "briarcross_requests_total", Help: "Requests of callers by outcome.",
+		}, []string{"outcome"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "briarcross_refusals_total", Help: "Refused requests by reason.",
+		}, []string{"reason"}),
+		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "briarcross_retries_total", Help: "Further attempts at upstreams by reason.",
+		}, []string{"reason"}),
+		waits: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "briarcross_slot_wait_seconds", Help: "Wait for a slot.", Buckets: latencyBuckets,
+		}),
+		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "briarcross_first_byte_seconds", Help: "Time from the request to the first byte of its answer.", Buckets: latencyBuckets,
+		}, []string{"route"}),
+	}
+	m.registry.MustRegister(m.connections, m.requests, m.refusals, m.retries, m.waits, m.firstByte)
+	return m
+}
--- /dev/null
+++ b/entrynode/serve.go
@@ -0,0 +1,118 @@
+package entrynode
+
+import (
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/briarcross/briarcross/eventlog"
+	"github.com/briarcross/briarcross/routing"
+)
+
+const (
+	// firstTableRetry is the time after which a starting entry has its routing
+	// table.
+	firstTableRetry = time.Second
+	// defaultBodyBytes bounds a body while the routing table names no limit.
+	defaultBodyBytes = 8 << 20
+)
+
+// Serve answers one request of a caller.
+func (n *Node) Serve(w http.ResponseWriter, r *http.Request) {
+	if n.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	said := n.codec.Request(r)
+	table := n.Table()
+	if table == nil {
+		n.refuse(w, said.ID, refusal{reason: "no_routing_table", retryAfter: firstTableRetry})
+		return
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	route, ok := table.Match(r.Host, path)
+	if !ok {
+		n.refuse(w, said.ID, refusal{reason: "no_route", status: http.StatusNotFound, routing: table.Version})
+		return
+	}
+	body, failure := readBody(w, r, table.Limits)
+	if failure != nil {
+		failure.routing = table.Version
+		n.refuse(w, said.ID, *failure)
+		return
+	}
+	if route.Kind == routing.Bulk && r.Method == http.MethodPost {
+		n.submit(w, r, said, route, table, body)
+		return
+	}
+	n.newExchange(w, r, said, route, table, body).run()
+}
+
+// readBody reads a request's body within the limits of the routing table.
+func readBody(w http.ResponseWriter, r *http.Request, limits routing.Limits) ([]byte, *refusal) {
+	if limits.HeaderBytes > 0 && headerBytes(r) > limits.HeaderBytes {
+		return nil, &refusal{reason: "header_too_large", status: http.StatusRequestHeaderFieldsTooLarge}
+	}
+	most := int64(defaultBodyBytes)
+	if limits.BodyBytes > 0 {
+		most = int64(limits.BodyBytes)
+	}
+	if r.ContentLength > most {
+		return nil, &refusal{reason: "body_too_large", status: http.StatusRequestEntityTooLarge}
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, &refusal{reason: "body_too_large", status: http.StatusRequestEntityTooLarge}
+	case err != nil:
+		return nil, &refusal{reason: "body_broken", status: http.StatusBadRequest, err: err}
+	}
+	return body, nil
+}
+
+func headerBytes(r *http.Request) int {
+	size := len(r.Method) + len(r.RequestURI)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
+	}
+	return size
+}
+
+// refusal is a final answer of the entry's own.
+type refusal struct {
+	reason string
+	// status is the HTTP status; zero means that the request has not run and
+	// may come again.
+	status     int
+	retryAfter time.Duration
+	routing    uint64
+	route      string
+	waited     time.Duration
+	err        error
+}
+
+// refuse answers without the help of an upstream.
+func (n *Node) refuse(w http.ResponseWriter, id string, f refusal) {
+	if f.status == 0 {
+		f.status = http.StatusServiceUnavailable
+	}
+	n.metrics.refusals.WithLabelValues(f.reason).Inc()
+	n.metrics.requests.WithLabelValues("refused").Inc()
+	n.logger.Info(eventlog.RequestRefused, "request", id, "reason", f.reason, "status", f.status, "route", f.route,
+		"retry_after_ms", f.retryAfter.Milliseconds(), "waited_ms", f.waited.Milliseconds(), "routing", f.routing, "error", f.err)
+	if f.retryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(f.retryAfter.Seconds(), 'f', 2, 64))
+	}
+	http.Error(w, f.reason, f.status)
+}
+
+// pick returns the service for a request of a route.
+func (n *Node) pick(route *routing.Route) string {
+	return route.Service(rand.Uint64())
+}
--- /dev/null
+++ b/eventlog/logger.go
@@ -0,0 +1,53 @@
+package eventlog
+
+import (
+	"io"
+	"time"
+
+	"github.com/charmbracelet/log"
+)
+
+// New returns a logger of one daemon. Each line names the daemon and its role.
+func New(out io.Writer, daemon, role string) *log.Logger {
+	return log.NewWithOptions(out, log.Options{
+		Level:           log.InfoLevel,
+		Formatter:       log.JSONFormatter,
+		ReportTimestamp: true,
+		TimeFormat:      time.RFC3339Nano,
+	}).With("daemon", daemon, "role", role)
+}
+
+// The names of events. docs/operators/events.md lists them with their fields.
+const (
+	Started           = "started"
+	Stopping          = "stopping"
+	Stopped           = "stopped"
+	SettingsReloaded  = "settings_reloaded"
+	SettingsRejected  = "settings_rejected"
+	DependencyLost    = "dependency_lost"
+	DependencyFound   = "dependency_found"
+	RequestRefused    = "request_refused"
+	RequestPlaced     = "request_placed"
+	RequestRetried    = "request_retried"
+	RequestResumed    = "request_resumed"
+	RequestFinished   = "request_finished"
+	RequestCut        = "request_cut"
+	UpstreamChanged   = "upstream_changed"
+	HeartbeatRejected = "heartbeat_rejected"
+	RoutingApplied    = "routing_applied"
+	RoutingRejected   = "routing_rejected"
+	RoutingAccepted   = "routing_accepted"
+	LeaderChanged     = "leader_changed"
+	MembersChanged    = "members_changed"
+	StorageFounded    = "storage_founded"
+	StorageRetiring   = "storage_retiring"
+	StorageRetired    = "storage_retired"
+	JobAccepted       = "job_accepted"
+	JobRefused        = "job_refused"
+	JobEnded          = "job_ended"
+	ItemPlaced        = "item_placed"
+	ItemYielded       = "item_yielded"
+	ItemRetried       = "item_retried"
+	ItemSettled       = "item_settled"
+	ReadRefused       = "read_refused"
+)
--- /dev/null
+++ b/eventlog/writer.go
@@ -0,0 +1,88 @@
+package eventlog
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+)
+
+// maxBufferedBytes bounds the lines that wait for the output.
+const maxBufferedBytes = 512 << 10
+
+// Writer passes lines to an output in the background. Write never blocks.
+type Writer struct {
+	out     io.Writer
+	mu      sync.Mutex
+	buffer  []byte
+	spare   []byte
+	dropped uint64
+	total   atomic.Uint64
+	wake    chan struct{}
+	closed  bool
+	done    chan struct{}
+}
+
+// NewWriter starts a writer.
+func NewWriter(out io.Writer) *Writer {
+	w := &Writer{out: out, wake: make(chan struct{}, 1), done: make(chan struct{})}
+	go w.run()
+	return w
+}
+
+// Write implements io.Writer for whole lines. It reports no error: a line that
+// finds the buffer full is counted as dropped.
+func (w *Writer) Write(line []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.closed || len(w.buffer)+len(line) > maxBufferedBytes {
+		w.dropped++
+		w.total.Add(1)
+		return len(line), nil
+	}
+	w.buffer = append(w.buffer, line...)
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+	return len(line), nil
+}
+
+// Dropped returns the number of lines that were dropped.
+func (w *Writer) Dropped() uint64 { return w.total.Load() }
+
+// Close writes what is buffered and ends the writer.
+func (w *Writer) Close() {
+	w.mu.Lock()
+	w.closed = true
+	w.mu.Unlock()
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+	<-w.done
+}
+
+func (w *Writer) run() {
+	defer close(w.done)
+	for range w.wake {
+		batch, dropped, closed := w.take()
+		if dropped > 0 {
+			batch = fmt.Appendf(batch, "{\"msg\":\"log_dropped\",\"lines\":%d}\n", dropped)
+		}
+		// A failed write to the log has nowhere to be reported.
+		_, _ = w.out.Write(batch)
+		if closed {
+			return
+		}
+	}
+}
+
+func (w *Writer) take() (batch []byte, dropped uint64, closed bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	batch, dropped = w.buffer, w.dropped
+	w.buffer, w.spare = w.spare[:0], w.buffer
+	w.dropped = 0
+	return batch, dropped, w.closed
+}
--- /dev/null
+++ b/fleet/table.go
@@ -0,0 +1,172 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Phase is what an upstream says of itself.
+type Phase int
+
+// The phases of an upstream.
+const (
+	Ready Phase = iota + 1
+	// Draining upstreams finish what they run and take nothing new.
+	Draining
+	Gone
+)
+
+// Upstream is the latest heartbeat of one upstream.
+type Upstream struct {
+	ID string
+	// BornUnixMs tells the starts of one ID apart; zero if unknown.
+	BornUnixMs uint64
+	// Sequence grows with each heartbeat of one start.
+	Sequence   uint64
+	Service    string
+	Address    string
+	DataCentre string
+	Slots      int
+	Phase      Phase
+	// ColdUntil is the time until which the upstream is slow after its start.
+	ColdUntil time.Time
+	// Heard is the time of the latest heartbeat.
+	Heard time.Time
+
+	// change numbers the latest change of the record.
+	change uint64
+}
+
+// keepGone is the time for which an upstream that left is remembered, so that
+// a delayed heartbeat does not bring it back.
+const keepGone = 2 * time.Minute
+
+// Table merges heartbeats. The zero value is not usable; call NewTable.
+type Table struct {
+	upstreams map[string]*Upstream
+	// atAddress holds the ID of the upstream that started last at an address.
+	atAddress map[string]string
+	changes   uint64
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{upstreams: make(map[string]*Upstream), atAddress: make(map[string]string)}
+}
+
+// Apply merges a heartbeat. It reports whether the heartbeat was newer than
+// what the table holds.
+func (t *Table) Apply(beat Upstream) bool {
+	held, known := t.upstreams[beat.ID]
+	if known && !supersedes(&beat, held) {
+		return false
+	}
+	if other := t.occupant(&beat); other != nil {
+		if other.BornUnixMs > beat.BornUnixMs {
+			beat.Phase = Gone
+		} else if other.Phase != Gone {
+			other.Phase = Gone
+			t.touch(other)
+		}
+	}
+	stored := beat
+	t.upstreams[beat.ID] = &stored
+	if stored.Phase != Gone {
+		t.atAddress[stored.Address] = stored.ID
+	}
+	t.touch(&stored)
+	return true
+}
+
+// supersedes reports whether a heartbeat is newer than the one held.
+func supersedes(beat, held *Upstream) bool {
+	if beat.BornUnixMs != held.BornUnixMs {
+		return beat.BornUnixMs > held.BornUnixMs
+	}
+	if held.Phase == Gone {
+		return false
+	}
+	return beat.Phase == Gone || beat.Sequence > held.Sequence
+}
+
+// occupant returns another upstream that is known at the address of a
+// heartbeat.
+func (t *Table) occupant(beat *Upstream) *Upstream {
+	id, ok := t.atAddress[beat.Address]
+	if !ok || id == beat.ID {
+		return nil
+	}
+	return t.upstreams[id]
+}
+
+// Leave records that an upstream deregistered. The latest start that is known
+// counts as gone; of an unknown upstream, every start before now.
+func (t *Table) Leave(id string, now time.Time) {
+	held, known := t.upstreams[id]
+	if !known {
+		held = &Upstream{ID: id, BornUnixMs: uint64(now.UnixMilli())}
+		t.upstreams[id] = held
+	}
+	held.Phase = Gone
+	held.Heard = now
+	t.touch(held)
+}
+
+func (t *Table) touch(u *Upstream) {
+	t.changes++
+	u.change = t.changes
+}
+
+// Get returns an upstream by its ID.
+func (t *Table) Get(id string) (Upstream, bool) {
+	u, ok := t.upstreams[id]
+	if !ok {
+		return Upstream{}, false
+	}
+	return *u, true
+}
+
+// Changes numbers the latest change of the table.
+func (t *Table) Changes() uint64 {
+	return t.changes
+}
+
+// Since returns the upstreams that changed after a change number, in the order
+// of their changes.
+func (t *Table) Since(change uint64) []Upstream {
+	if change >= t.changes {
+		return nil
+	}
+	var changed []Upstream
+	for _, u := range t.upstreams {
+		if u.change > change {
+			changed = append(changed, *u)
+		}
+	}
+	slices.SortFunc(changed, func(a, b Upstream) int { return cmp.Compare(a.change, b.change) })
+	return changed
+}
+
+// All returns all upstreams in the order of their IDs.
+func (t *Table) All() []Upstream {
+	all := make([]Upstream, 0, len(t.upstreams))
+	for _, u := range t.upstreams {
+		all = append(all, *u)
+	}
+	slices.SortFunc(all, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
+
+// Expire forgets the upstreams that left, or fell silent, long ago.
+func (t *Table) Expire(now time.Time) {
+	for id, u := range t.upstreams {
+		if now.Sub(u.Heard) < keepGone {
+			continue
+		}
+		delete(t.upstreams, id)
+		if t.atAddress[u.Address] == id {
+			delete(t.atAddress, u.Address)
+		}
+	}
+}
--- a/engine/alive.go
+++ b/internal/connpool/alive.go
@@ -1,4 +1,4 @@
-package engine
+package connpool
 
 import (
 	"net"
--- /dev/null
+++ b/internal/connpool/pool.go
@@ -0,0 +1,130 @@
+// Package connpool keeps idle connections to one address.
+package connpool
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Conn is one connection with its buffers.
+type Conn struct {
+	net.Conn
+	Reader *bufio.Reader
+	Writer *bufio.Writer
+	// Written counts the bytes of the current request that left the process.
+	Written int
+	// Reused is set when the connection has carried a request before.
+	Reused bool
+
+	idleUntil time.Time
+}
+
+const (
+	// BufferBytes is the size of the buffers of a connection.
+	BufferBytes = 4 << 10
+	// DefaultIdleTime bounds the reuse of a connection whose server names no
+	// limit; it is below the usual idle timeouts of servers.
+	DefaultIdleTime = 4 * time.Second
+	// maxIdleConns bounds the idle connections of one pool.
+	maxIdleConns = 256
+)
+
+// countingWriter counts what the kernel accepted.
+type countingWriter struct{ conn *Conn }
+
+func (w countingWriter) Write(p []byte) (int, error) {
+	n, err := w.conn.Conn.Write(p)
+	w.conn.Written += n
+	return n, err
+}
+
+// Pool keeps idle connections to one address. It is safe for concurrent use.
+type Pool struct {
+	address string
+	dialer  net.Dialer
+	onDial  func()
+	mu      sync.Mutex
+	idle    []*Conn
+	closed  bool
+}
+
+// New returns a pool. A zero timeout leaves the time of dialling unbounded.
+// OnDial, unless nil, is called for each new connection.
+func New(address string, dialTimeout time.Duration, onDial func()) *Pool {
+	return &Pool{address: address, dialer: net.Dialer{Timeout: dialTimeout}, onDial: onDial}
+}
+
+// Address returns the address that the pool connects to.
+func (p *Pool) Address() string { return p.address }
+
+// Get returns an idle connection that the server has not closed, or dials.
+func (p *Pool) Get(ctx context.Context) (*Conn, error) {
+	for {
+		c := p.takeIdle()
+		if c == nil {
+			return p.dial(ctx)
+		}
+		if time.Now().Before(c.idleUntil) && c.Reader.Buffered() == 0 && alive(c.Conn) {
+			c.Written = 0
+			c.Reused = true
+			return c, nil
+		}
+		_ = c.Conn.Close()
+	}
+}
+
+func (p *Pool) takeIdle() *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	last := len(p.idle) - 1
+	if last < 0 {
+		return nil
+	}
+	c := p.idle[last]
+	p.idle[last] = nil
+	p.idle = p.idle[:last]
+	return c
+}
+
+func (p *Pool) dial(ctx context.Context) (*Conn, error) {
+	if p.onDial != nil {
+		p.onDial()
+	}
+	raw, err := p.dialer.DialContext(ctx, "tcp", p.address)
+	if err != nil {
+		return nil, eris.Wrap(err, "connect")
+	}
+	c := &Conn{Conn: raw}
+	c.Reader = bufio.NewReaderSize(raw, BufferBytes)
+	c.Writer = bufio.NewWriterSize(countingWriter{c}, BufferBytes)
+	return c, nil
+}
+
+// Put returns a connection whose last answer was read to its end. It is used
+// again within the given time.
+func (p *Pool) Put(c *Conn, idle time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || len(p.idle) >= maxIdleConns || idle <= 0 {
+		_ = c.Conn.Close()
+		return
+	}
+	c.idleUntil = time.Now().Add(idle)
+	p.idle = append(p.idle, c)
+}
+
+// Close closes the idle connections; others are closed when they return.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, c := range p.idle {
+		_ = c.Conn.Close()
+	}
+	p.idle = nil
+}
--- a/engine/headers.go
+++ b/internal/fields/fields.go
@@ -1,10 +1,11 @@
-package engine
+// Package fields knows which HTTP header fields concern one connection only.
+package fields
 
 import "strings"
 
-// hopByHop reports whether a header concerns one connection only, or is set
+// HopByHop reports whether a header concerns one connection only, or is set
 // anew for each.
-func hopByHop(name string) bool {
+func HopByHop(name string) bool {
 	switch strings.ToLower(name) {
 	case "connection", "keep-alive", "proxy-connection", "te", "trailer",
 		"transfer-encoding", "upgrade", "content-length", "host", "expect":
--- /dev/null
+++ b/jobpages/plan.go
@@ -0,0 +1,143 @@
+package jobpages
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Key names an item.
+type Key struct {
+	JobID string
+	Index uint32
+}
+
+// Progress is what is known of an item that has no result.
+type Progress struct {
+	// Text holds the events so far.
+	Text []byte
+	// Events counts them.
+	Events int
+	// LastEvent is the ID of the last one.
+	LastEvent string
+	// Failures counts the runs that an engine ended with a failure.
+	Failures int
+	// NotBefore is the time before which the item does not run again.
+	NotBefore time.Time
+	// Upstream is where the item runs; empty while it waits.
+	Upstream string
+	// Avoid names the upstream at which the last run broke off.
+	Avoid string
+}
+
+const (
+	// firstBackoff doubles with each failure of an item.
+	firstBackoff = 100 * time.Millisecond
+	maxBackoff   = 2 * time.Second
+	// breakPause is the time after a broken run before the item goes on, so
+	// that the engine before has stopped.
+	breakPause = 50 * time.Millisecond
+)
+
+// Plan is the leader's volatile knowledge of the items that run. A new leader
+// starts with an empty one and runs every open item from its beginning.
+type Plan struct {
+	items map[Key]*Progress
+}
+
+// NewPlan returns an empty plan.
+func NewPlan() *Plan {
+	return &Plan{items: make(map[Key]*Progress)}
+}
+
+// Next returns the open items that may start now, the earliest due first.
+func (p *Plan) Next(now time.Time, open []OpenItem) []Key {
+	var next []Key
+	for _, item := range open {
+		key := Key{item.JobID, item.Index}
+		if held, known := p.items[key]; known && (held.Upstream != "" || now.Before(held.NotBefore)) {
+			continue
+		}
+		next = append(next, key)
+	}
+	return next
+}
+
+// Start marks an item as running and returns its progress.
+func (p *Plan) Start(key Key, upstream string) *Progress {
+	held, known := p.items[key]
+	if !known {
+		held = &Progress{}
+		p.items[key] = held
+	}
+	held.Upstream = upstream
+	return held
+}
+
+// Progress returns what is known of an item; nil if nothing is.
+func (p *Plan) Progress(key Key) *Progress {
+	return p.items[key]
+}
+
+// End is how a run ended.
+type End int
+
+// The ends of a run that leave the item open.
+const (
+	// Yielded runs were stopped for online requests.
+	Yielded End = iota
+	// Unrun runs did not start.
+	Unrun
+	// Broke runs ended without their whole output.
+	Broke
+	// Failed runs were ended by the engine with a failure.
+	Failed
+)
+
+// Stop marks an item as waiting after a run. It returns the number of failures.
+func (p *Plan) Stop(now time.Time, key Key, end End) int {
+	held, known := p.items[key]
+	if !known {
+		return 0
+	}
+	held.Avoid = ""
+	switch end {
+	case Broke:
+		held.NotBefore = now.Add(breakPause)
+		held.Avoid = held.Upstream
+	case Failed:
+		held.Failures++
+		held.NotBefore = now.Add(min(firstBackoff<<min(held.Failures, 8), maxBackoff))
+		held.Avoid = held.Upstream
+		// A failed run is not gone on with.
+		held.Text, held.Events, held.LastEvent = nil, 0, ""
+	case Unrun:
+		held.NotBefore = now.Add(breakPause)
+	}
+	held.Upstream = ""
+	return held.Failures
+}
+
+// Forget drops an item that has its result.
+func (p *Plan) Forget(key Key) {
+	delete(p.items, key)
+}
+
+// Victims picks the runs at an upstream whose stop loses least: those with the
+// fewest events, which have the least to be read again.
+func (p *Plan) Victims(upstream string, count int) []Key {
+	var running []Key
+	for key, held := range p.items {
+		if held.Upstream == upstream {
+			running = append(running, key)
+		}
+	}
+	slices.SortFunc(running, func(a, b Key) int {
+		return cmp.Or(
+			cmp.Compare(p.items[a].Events, p.items[b].Events),
+			cmp.Compare(a.JobID, b.JobID),
+			cmp.Compare(a.Index, b.Index),
+		)
+	})
+	return running[:min(count, len(running))]
+}
--- /dev/null
+++ b/jobpages/query.go
@@ -0,0 +1,65 @@
+package jobpages
+
+import (
+	"github.com/briarcross/briarcross/internal/record"
+	"github.com/briarcross/briarcross/kv"
+	"github.com/briarcross/briarcross/pb"
+)
+
+// Page returns the results of a job from a position on, as many as fit, and
+// at least one if there is one.
+func Page(r kv.Reader, q *pb.PageQuery) *pb.PageAnswer {
+	job, known := readJob(r, q.GetJobId())
+	if !known {
+		return &pb.PageAnswer{}
+	}
+	answer := &pb.PageAnswer{Known: true, Items: job.GetItems(), Next: q.GetFrom()}
+	bytes := 0
+	for answer.GetNext() < job.GetSettled() {
+		stored, ok := r.Get(partKey(kindResult, q.GetJobId(), answer.GetNext()))
+		if !ok {
+			break
+		}
+		bytes += len(stored)
+		if len(answer.GetEntries()) > 0 && bytes > int(q.GetMaxBytes()) {
+			break
+		}
+		entry := &pb.PageEntry{}
+		record.Decode(stored, entry)
+		answer.Entries = append(answer.Entries, entry)
+		answer.Next++
+	}
+	return answer
+}
+
+// Finished reports whether no further result of a job can come.
+func Finished(r kv.Reader, id string) bool {
+	job, known := readJob(r, id)
+	return !known || job.GetEnded() || job.GetSettled() == job.GetItems()
+}
+
+// Body returns the body of an item that has no result yet.
+func Body(r kv.Reader, q *pb.PageBodyQuery) *pb.PageBodyAnswer {
+	answer := &pb.PageBodyAnswer{}
+	prefix := partPrefix(kindItem, q.GetJobId())
+	r.Scan(prefix, kv.PrefixEnd(prefix), func(_, value []byte) bool {
+		item := &pb.PageItem{}
+		record.Decode(value, item)
+		if item.GetId() == q.GetItemId() {
+			answer.Known = true
+			answer.Body = item.GetBody()
+		}
+		return !answer.GetKnown()
+	})
+	return answer
+}
+
+// Item returns an item and its job.
+func Item(r kv.Reader, id string, index uint32) (*pb.PageJob, *pb.PageItem, bool) {
+	job, known := readJob(r, id)
+	if !known {
+		return nil, nil, false
+	}
+	item, ok := readItem(r, id, index)
+	return job, item, ok
+}
--- /dev/null
+++ b/node/dispatcher.go
@@ -0,0 +1,156 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/briarcross/briarcross/client"
+	"github.com/briarcross/briarcross/dispatch"
+	"github.com/briarcross/briarcross/eventlog"
+	"github.com/briarcross/briarcross/fleet"
+	"github.com/briarcross/briarcross/pb"
+	"github.com/briarcross/briarcross/routing"
+	"github.com/briarcross/briarcross/transport"
+)
+
+const (
+	// batchReserve is the number of slots of an upstream that batch leaves free
+	// for the online requests that arrive before it can give way.
+	batchReserve = 1
+	// silentHeartbeats is the number of missed heartbeats after which an
+	// upstream is used only when no other is left.
+	silentHeartbeats = 4
+	// storageInterval is the pause between two looks for storage replicas.
+	storageInterval = 200 * time.Millisecond
+)
+
+// Dispatcher is what daemons share that place requests at upstreams.
+type Dispatcher struct {
+	Settings  *Settings
+	Logger    *log.Logger
+	Identity  *transport.Identity
+	Transport *transport.Client
+	View      *View
+	Slots     *Slots
+	// Storage calls the storage group.
+	Storage *client.Control
+
+	follower  *Follower
+	reports   *Reports
+	datagrams *transport.Datagrams
+	decode    func([]byte) (*routing.Table, error)
+	table     atomic.Pointer[routing.Table]
+	tableLock sync.Mutex
+	onGone    func(fleet.Upstream)
+	tasks     sync.WaitGroup
+}
+
+// NewDispatcher returns a dispatcher. Decode reads a routing table; onGone is
+// called for an upstream that takes no new requests any more.
+func NewDispatcher(settings *Settings, logger *log.Logger, decode func([]byte) (*routing.Table, error), onGone func(fleet.Upstream)) (*Dispatcher, error) {
+	d := &Dispatcher{
+		Settings: settings,
+		Logger:   logger,
+		Identity: settings.Identity(),
+		View:     NewView(),
+		decode:   decode,
+		onGone:   onGone,
+	}
+	d.Transport = transport.NewClient(d.Identity, nil)
+	d.Storage = client.NewControl(d.Transport, nil)
+	d.Slots = NewSlots(dispatch.Options{
+		DataCentre:   settings.DataCentre,
+		Seed:         d.Identity.Incarnation,
+		BatchReserve: batchReserve,
+		PeerTimeout:  PeerTimeout,
+		Silence:      silentHeartbeats * settings.Heartbeat,
+	}, func() { d.reports.Changed() })
+	datagrams, err := transport.ListenDatagrams(d.Identity, settings.Address, d.receive)
+	if err != nil {
+		return nil, err
+	}
+	d.datagrams = datagrams
+	d.reports = NewReports(datagrams, d.View, settings.Address, d.Slots.Loads)
+	d.follower = NewFollower(d.Transport, d.View, settings.Self(d.Identity), settings.Seeds, logger, d.changed)
+	return d, nil
+}
+
+// Run follows the control replicas until the context ends.
+func (d *Dispatcher) Run(ctx context.Context) {
+	d.tasks.Go(func() { d.follower.Run(ctx) })
+	d.tasks.Go(func() { d.reports.Run(ctx) })
+	d.tasks.Go(func() { d.Slots.Run(ctx) })
+	d.tasks.Go(func() { d.findStorage(ctx) })
+}
+
+// Close ends what Run started, after its context has ended.
+func (d *Dispatcher) Close() {
+	d.tasks.Wait()
+	if err := d.datagrams.Close(); err != nil {
+		d.Logger.Warn("stopping datagrams failed", "error", err)
+	}
+	d.Transport.Close()
+}
+
+// SetSeeds replaces the addresses at which control replicas are looked for.
+func (d *Dispatcher) SetSeeds(seeds []string) {
+	d.follower.SetSeeds(seeds)
+}
+
+// Table returns the routing table in force, or nil before there is one.
+func (d *Dispatcher) Table() *routing.Table {
+	return d.table.Load()
+}
+
+func (d *Dispatcher) receive(e *pb.Envelope) {
+	if report := e.GetLoadReport(); report != nil {
+		d.Slots.Peer(e.GetHeader().GetSender(), report.GetSequence(), DecodeLoads(report))
+	}
+}
+
+func (d *Dispatcher) changed(c Changes) {
+	if c.Routing != nil {
+		d.apply(c.Routing)
+	}
+	for _, u := range c.Upstreams {
+		if u.Phase != fleet.Ready {
+			d.Logger.Info(eventlog.UpstreamChanged, "upstream", u.ID, "phase", int(u.Phase), "address", u.Address, "sequence", u.Sequence)
+			d.onGone(u)
+		}
+	}
+	d.Slots.Update(c.Upstreams)
+}
+
+// apply puts a routing table in force unless a newer one is.
+func (d *Dispatcher) apply(r *Routing) {
+	d.tableLock.Lock()
+	defer d.tableLock.Unlock()
+	if held := d.table.Load(); held != nil && held.Version >= r.Version {
+		return
+	}
+	table, err := d.decode(r.Document)
+	if err != nil {
+		d.Logger.Error(eventlog.RoutingRejected, "version", r.Version, "error", err)
+		return
+	}
+	d.table.Store(table)
+	d.Logger.Info(eventlog.RoutingApplied, "version", r.Version, "routes", len(table.Routes), "services", len(table.Services))
+}
+
+// findStorage keeps the addresses of the storage replicas up to date.
+func (d *Dispatcher) findStorage(ctx context.Context) {
+	for ctx.Err() == nil {
+		var addresses []string
+		for _, store := range d.View.Daemons(RoleStore) {
+			addresses = append(addresses, store.GetAddress())
+		}
+		if len(addresses) > 0 {
+			d.Storage.SetAddresses(addresses)
+		}
+		pause(ctx, storageInterval)
+	}
+}
--- /dev/null
+++ b/node/slots.go
@@ -0,0 +1,171 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/briarcross/briarcross/dispatch"
+	"github.com/briarcross/briarcross/fleet"
+)
+
+// slotTick is the pause between two looks at the asks that wait; it bounds how
+// late a wait ends.
+const slotTick = 10 * time.Millisecond
+
+// Slots is a dispatch pool that goroutines share. Asks wait on channels.
+type Slots struct {
+	mu      sync.Mutex
+	pool    *dispatch.Pool
+	next    uint64
+	waiting map[uint64]chan answer
+	changed func()
+}
+
+type answer struct {
+	grant   dispatch.Grant
+	refusal *dispatch.Refusal
+}
+
+// NewSlots returns slots that call changed after each change of the loads.
+func NewSlots(options dispatch.Options, changed func()) *Slots {
+	return &Slots{
+		pool:    dispatch.New(options),
+		waiting: make(map[uint64]chan answer),
+		changed: changed,
+	}
+}
+
+// Acquire waits for a slot. It returns a refusal when none can be had; its
+// reason is empty when the context ended.
+func (s *Slots) Acquire(ctx context.Context, ask dispatch.Ask) (dispatch.Grant, *dispatch.Refusal) {
+	result := make(chan answer, 1)
+	s.mu.Lock()
+	s.next++
+	ask.ID = s.next
+	s.waiting[ask.ID] = result
+	s.pool.Request(time.Now(), ask)
+	s.deliver()
+	s.mu.Unlock()
+	select {
+	case a := <-result:
+		return a.grant, a.refusal
+	case <-ctx.Done():
+		return s.withdraw(ask.ID, result)
+	}
+}
+
+// withdraw ends an ask, which may have been answered in the meantime.
+func (s *Slots) withdraw(id uint64, result chan answer) (dispatch.Grant, *dispatch.Refusal) {
+	s.mu.Lock()
+	s.pool.Cancel(id)
+	delete(s.waiting, id)
+	s.mu.Unlock()
+	select {
+	case a := <-result:
+		if a.refusal == nil {
+			s.Release(a.grant, dispatch.Unused)
+		}
+	default:
+	}
+	return dispatch.Grant{}, &dispatch.Refusal{}
+}
+
+// Release ends a grant.
+func (s *Slots) Release(g dispatch.Grant, outcome dispatch.Outcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pool.Done(time.Now(), g, outcome)
+	s.deliver()
+	s.changed()
+}
+
+// Update stores heartbeats.
+func (s *Slots) Update(upstreams []fleet.Upstream) {
+	if len(upstreams) == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, u := range upstreams {
+		s.pool.Update(u)
+	}
+	s.pool.Tick(time.Now())
+	s.deliver()
+}
+
+// Forget drops an upstream.
+func (s *Slots) Forget(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pool.Forget(id)
+}
+
+// Peer stores the load report of another daemon.
+func (s *Slots) Peer(peer string, sequence uint64, loads []dispatch.Load) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pool.Peer(time.Now(), peer, sequence, loads)
+	s.deliver()
+}
+
+// Loads returns the grants that are held.
+func (s *Slots) Loads() []dispatch.Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool.Loads()
+}
+
+// Overload returns the number of batch grants to give up at each upstream.
+func (s *Slots) Overload() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool.Overload()
+}
+
+// Usable reports whether an upstream may get new requests.
+func (s *Slots) Usable(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool.Usable(id)
+}
+
+// Waiting returns the number of asks that wait.
+func (s *Slots) Waiting() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool.Waiting()
+}
+
+// Run ends the waits that are over, until the context ends.
+func (s *Slots) Run(ctx context.Context) {
+	ticker := time.NewTicker(slotTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		s.mu.Lock()
+		s.pool.Tick(time.Now())
+		s.deliver()
+		s.mu.Unlock()
+	}
+}
+
+// deliver hands out the answers of the pool.
+func (s *Slots) deliver() {
+	granted, refused := s.pool.Drain()
+	for _, g := range granted {
+		s.waiting[g.Ask] <- answer{grant: g}
+		delete(s.waiting, g.Ask)
+	}
+	for _, r := range refused {
+		s.waiting[r.Ask] <- answer{refusal: &r}
+		delete(s.waiting, r.Ask)
+	}
+	if len(granted) > 0 {
+		s.changed()
+	}
+}
--- a/controld/peers.go
+++ b/peering/peering.go
@@ -1,4 +1,5 @@
-package controld
+// Package peering carries the messages of a replicated log between replicas.
+package peering
 
 import (
 	"context"
@@ -15,10 +16,10 @@
 	peerDialTime = time.Second
 )
 
-// peers sends messages of the replicated log to the other replicas, each over
+// Peers sends messages of the replicated log to the other replicas, each over
 // a stream of its own. A full queue or a lost connection loses messages, which
 // the log repeats.
-type peers struct {
+type Peers struct {
 	ctx     context.Context
 	client  *transport.Client
 	address func(id string) (string, bool)
@@ -29,8 +30,10 @@
 	wait   sync.WaitGroup
 }
 
-func newPeers(ctx context.Context, client *transport.Client, address func(string) (string, bool), lost func()) *peers {
-	return &peers{
+// New returns a sender. Address finds the address of a replica; lost is called
+// for each message that is dropped.
+func New(ctx context.Context, client *transport.Client, address func(string) (string, bool), lost func()) *Peers {
+	return &Peers{
 		ctx:     ctx,
 		client:  client,
 		address: address,
@@ -39,8 +42,8 @@
 	}
 }
 
-// send queues a message for its receiver. It never blocks.
-func (p *peers) send(m *pb.QuorumMessage) {
+// Send queues a message for its receiver. It never blocks.
+func (p *Peers) Send(m *pb.QuorumMessage) {
 	select {
 	case p.queue(m.GetTo()) <- m:
 	default:
@@ -48,7 +51,10 @@
 	}
 }
 
-func (p *peers) queue(id string) chan *pb.QuorumMessage {
+// Wait returns once the context has ended and all senders have stopped.
+func (p *Peers) Wait() { p.wait.Wait() }
+
+func (p *Peers) queue(id string) chan *pb.QuorumMessage {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	queue, ok := p.queues[id]
@@ -60,7 +66,7 @@
 	return queue
 }
 
-func (p *peers) run(id string, queue chan *pb.QuorumMessage) {
+func (p *Peers) run(id string, queue chan *pb.QuorumMessage) {
 	for p.ctx.Err() == nil {
 		stream := p.connect(id)
 		if stream != nil {
@@ -71,7 +77,7 @@
 	}
 }
 
-func (p *peers) connect(id string) *transport.Stream {
+func (p *Peers) connect(id string) *transport.Stream {
 	address, ok := p.address(id)
 	if !ok {
 		return nil
@@ -85,7 +91,7 @@
 	return stream
 }
 
-func (p *peers) forward(stream *transport.Stream, queue chan *pb.QuorumMessage) {
+func (p *Peers) forward(stream *transport.Stream, queue chan *pb.QuorumMessage) {
 	for {
 		select {
 		case <-p.ctx.Done():
@@ -102,7 +108,7 @@
 
 // discardDuring drops messages while no connection exists, so that a receiver
 // that comes back is not sent old ones.
-func (p *peers) discardDuring(queue chan *pb.QuorumMessage, d time.Duration) {
+func (p *Peers) discardDuring(queue chan *pb.QuorumMessage, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	for {
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -56,6 +56,8 @@
 	barrier     uint64
 	transfer    transferState
 	candidates  []candidateSpare
+	// retiring names the voters that a spare replaces while they still answer.
+	retiring []string
 
 	reads readTable
 }
@@ -127,6 +129,10 @@
 		c.onChunkRead(in)
 	case Transfer:
 		c.startTransfer()
+	case SetSpares:
+		c.options.Spares = in.Spares
+	case SetRetiring:
+		c.retiring = in.IDs
 	}
 	c.flush()
 }
--- a/quorum/input.go
+++ b/quorum/input.go
@@ -40,11 +40,20 @@
 // Transfer asks a leader to hand over to another voter.
 type Transfer struct{}
 
-func (Received) isInput()  {}
-func (Propose) isInput()   {}
-func (Confirm) isInput()   {}
-func (Saved) isInput()     {}
-func (Applied) isInput()   {}
-func (Installed) isInput() {}
-func (ChunkRead) isInput() {}
-func (Transfer) isInput()  {}
+// SetSpares replaces the replicas that may join the group.
+type SetSpares struct{ Spares []*pb.Replica }
+
+// SetRetiring names the replicas that are to leave the group once a spare has
+// taken their place.
+type SetRetiring struct{ IDs []string }
+
+func (Received) isInput()    {}
+func (Propose) isInput()     {}
+func (Confirm) isInput()     {}
+func (Saved) isInput()       {}
+func (Applied) isInput()     {}
+func (Installed) isInput()   {}
+func (ChunkRead) isInput()   {}
+func (Transfer) isInput()    {}
+func (SetSpares) isInput()   {}
+func (SetRetiring) isInput() {}
--- a/quorum/repair.go
+++ b/quorum/repair.go
@@ -96,9 +96,43 @@
 		c.replace(c.membership().Repair.GetLost())
 		return
 	}
+	if id, ok := c.emptiedVoter(); ok {
+		c.replace(id)
+		return
+	}
 	if lost := c.lostVoter(); lost != nil {
 		c.replace(lost.replica.Id)
+		return
 	}
+	if id, ok := c.retiringVoter(); ok {
+		c.replace(id)
+	}
+}
+
+// emptiedVoter returns a voter that announces another identity than the one
+// that is bound: the folder that voted is gone, so no silence has to pass.
+func (c *Core) emptiedVoter() (string, bool) {
+	for _, s := range c.candidates {
+		if c.fresh(s) && c.isRemoteVoter(s.replica.Id) {
+			return s.replica.Id, true
+		}
+	}
+	return "", false
+}
+
+func (c *Core) isRemoteVoter(id string) bool {
+	p := c.peer(id)
+	return p != nil && !p.replica.Learner && !c.active(p)
+}
+
+// retiringVoter returns a voter that is to leave the group.
+func (c *Core) retiringVoter() (string, bool) {
+	for _, r := range c.membership().Replicas {
+		if !r.Learner && slices.Contains(c.retiring, r.Id) {
+			return r.Id, true
+		}
+	}
+	return "", false
 }
 
 func (c *Core) learner() *progress {
@@ -135,7 +169,7 @@
 func (c *Core) removeLost() {
 	next := proto.CloneOf(c.membership())
 	lost := next.Repair.GetLost()
-	if p := c.peer(lost); p == nil || c.active(p) {
+	if !c.removable(lost) {
 		lost = c.surplusVoter()
 	}
 	if !c.survivesWithout(lost) {
@@ -147,6 +181,15 @@
 	c.changeMembership(next)
 }
 
+// removable reports whether a voter is lost, or to leave the group.
+func (c *Core) removable(id string) bool {
+	if slices.Contains(c.retiring, id) && findReplica(c.membership(), id) != nil {
+		return true
+	}
+	p := c.peer(id)
+	return p != nil && !c.active(p)
+}
+
 // surplusVoter picks the voter that has been silent longest, or the one that
 // joined last when all answer.
 func (c *Core) surplusVoter() string {
@@ -217,7 +260,7 @@
 func (c *Core) chooseSpare(lost string) *pb.Replica {
 	var best *pb.Replica
 	for _, s := range c.candidates {
-		if c.tick > s.heard+c.options.ElectionTicks {
+		if !c.fresh(s) || slices.Contains(c.retiring, s.replica.Id) {
 			continue
 		}
 		if s.replica.Id == lost {
@@ -233,6 +276,11 @@
 	return best
 }
 
+// fresh reports whether a candidate has announced itself lately.
+func (c *Core) fresh(s candidateSpare) bool {
+	return c.tick <= s.heard+c.options.ElectionTicks
+}
+
 // crowded reports whether a spare's data centre has another voter.
 func (c *Core) crowded(spare *pb.Replica, lost string) bool {
 	for _, r := range c.membership().Replicas {
--- a/replica/identity.go
+++ b/replica/identity.go
@@ -54,6 +54,9 @@
 	if err != nil {
 		return nil, 0, err
 	}
+	if err := file.checkOriginal(path, options); err != nil {
+		return nil, 0, err
+	}
 	if err := file.check(path, options); err != nil {
 		return nil, 0, err
 	}
@@ -64,6 +67,10 @@
 	if err != nil {
 		return nil, 0, err
 	}
+	// A power loss must not remove the name of a new store's folder.
+	if err := syncFolder(options.Folder); err != nil {
+		return nil, 0, errors.Join(err, store.Close())
+	}
 	identity, err := claimFolder(store, file, path, options)
 	if err != nil {
 		return nil, 0, errors.Join(err, store.Close())
@@ -84,14 +91,22 @@
 	if err := json.Unmarshal(raw, file); err != nil {
 		return nil, eris.Wrapf(err, "identity file %s is damaged", path)
 	}
+	return file, nil
+}
+
+// checkOriginal refuses a copied folder, as far as inode numbers tell.
+func (f *identityFile) checkOriginal(path string, options *Options) error {
+	if f == nil || options.Remounted {
+		return nil
+	}
 	inode, err := inodeOf(path)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	if inode != file.Inode {
-		return nil, eris.Errorf("data folder %s is a copy: start with an empty folder to join again", filepath.Dir(path))
+	if inode != f.Inode {
+		return eris.Errorf("data folder %s is a copy: start with an empty folder to join again", filepath.Dir(path))
 	}
-	return file, nil
+	return nil
 }
 
 func (f *identityFile) check(path string, options *Options) error {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -106,6 +106,7 @@
 		Bootstrap:      options.Bootstrap,
 		Spares:         options.Spares,
 		Join:           options.Join,
+		Size:           options.Size,
 		ElectionTicks:  options.ElectionTicks,
 		HeartbeatTicks: options.HeartbeatTicks,
 		RepairTicks:    options.repairTicks(),
@@ -187,6 +188,17 @@
 	}
 }
 
+// SetSpares replaces the replicas that may join the group.
+func (r *Replica) SetSpares(spares []*pb.Replica) {
+	r.inbox.put(quorum.SetSpares{Spares: spares})
+}
+
+// SetRetiring names the replicas that are to leave the group once spares have
+// taken their place.
+func (r *Replica) SetRetiring(ids []string) {
+	r.inbox.put(quorum.SetRetiring{IDs: ids})
+}
+
 // View shows the applied state. The reader is valid only during the call.
 func (r *Replica) View(visit func(kv.Reader)) {
 	reader, snapshot := r.storage.view()
--- a/replica/watermark.go
+++ b/replica/watermark.go
@@ -49,7 +49,8 @@
 	return w.file.Close()
 }
 
-// readWatermark returns zero when there is no watermark yet.
+// readWatermark returns zero when there is no watermark yet, or when a power
+// loss has torn it: the file is not synced.
 func readWatermark(folder string) (uint64, error) {
 	path := filepath.Join(folder, watermarkFileName)
 	raw, err := os.ReadFile(path)
@@ -60,7 +61,7 @@
 		return 0, eris.Wrapf(err, "read watermark file %s", path)
 	}
 	if len(raw) != watermarkBytes || binary.BigEndian.Uint64(raw[8:]) != xxhash.Sum64(raw[:8]) {
-		return 0, eris.Errorf("watermark file %s is damaged at offset 0", path)
+		return 0, nil
 	}
 	return binary.BigEndian.Uint64(raw), nil
 }
--- /dev/null
+++ b/storenode/item.go
@@ -0,0 +1,195 @@
+package storenode
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/briarcross/briarcross/dispatch"
+	"github.com/briarcross/briarcross/eventlog"
+	"github.com/briarcross/briarcross/jobpages"
+	"github.com/briarcross/briarcross/pb"
+	"github.com/briarcross/briarcross/routing"
+	"github.com/briarcross/briarcross/upstream"
+)
+
+const (
+	// eventTimeout is the silence of an engine after which an item goes on at
+	// another one. It is far above the pauses of a loaded engine.
+	eventTimeout = 2500 * time.Millisecond
+	// itemBufferBytes holds several events.
+	itemBufferBytes = 8 << 10
+)
+
+func serviceOf(route *routing.Route) string {
+	return route.Service(rand.Uint64())
+}
+
+// itemRun is one run of an item at one upstream.
+type itemRun struct {
+	runner   *runner
+	plan     *jobpages.Plan
+	key      jobpages.Key
+	job      *pb.PageJob
+	item     *pb.PageItem
+	grant    dispatch.Grant
+	progress *jobpages.Progress
+	yielded  *atomic.Bool
+}
+
+func (x *itemRun) run(ctx context.Context) {
+	n := x.runner.node
+	n.logger.Info(eventlog.ItemPlaced, "request", x.item.GetId(), "job", x.key.JobID, "item", x.key.Index,
+		"upstream", x.grant.Upstream, "after", x.progress.LastEvent)
+	end, status, reason := x.exchange(ctx)
+	switch {
+	case reason == "" && status == http.StatusOK:
+		x.runner.settle(x.key, &pb.PageResult{Text: x.progress.Text, Status: http.StatusOK})
+		x.leave()
+		return
+	case status == http.StatusUnprocessableEntity:
+		x.runner.settle(x.key, &pb.PageResult{Failed: true, Reason: "cannot_be_done", Status: uint32(status)})
+		x.leave()
+		return
+	}
+	if failures := x.pause(end); end == jobpages.Failed && failures >= int(x.job.GetAttempts()) {
+		x.runner.settle(x.key, &pb.PageResult{Failed: true, Reason: "attempts_exhausted", Status: uint32(status)})
+		x.leave()
+		return
+	}
+	event := eventlog.ItemRetried
+	if end == jobpages.Yielded {
+		event = eventlog.ItemYielded
+	}
+	n.logger.Info(event, "request", x.item.GetId(), "job", x.key.JobID, "item", x.key.Index, "upstream", x.grant.Upstream,
+		"reason", reason, "status", status, "events", x.progress.Events, "last_event", x.progress.LastEvent)
+	x.runner.wake()
+}
+
+// leave forgets an item that has its result.
+func (x *itemRun) leave() {
+	x.runner.mu.Lock()
+	defer x.runner.mu.Unlock()
+	x.plan.Forget(x.key)
+	if x.runner.plan == x.plan {
+		delete(x.runner.stops, x.key)
+	}
+}
+
+// pause has the item wait for another run.
+func (x *itemRun) pause(end jobpages.End) int {
+	x.runner.mu.Lock()
+	defer x.runner.mu.Unlock()
+	if x.runner.plan == x.plan {
+		delete(x.runner.stops, x.key)
+	}
+	return x.plan.Stop(time.Now(), x.key, end)
+}
+
+// exchange runs the item. An empty reason and the status 200 mean that its
+// output is complete.
+func (x *itemRun) exchange(ctx context.Context) (end jobpages.End, status int, reason string) {
+	outcome := dispatch.Unused
+	defer func() { x.runner.node.Slots.Release(x.grant, outcome) }()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silent := time.AfterFunc(eventTimeout, cancel)
+	defer silent.Stop()
+	answer, err := x.runner.engines.Do(ctx, x.call())
+	if err != nil {
+		if x.yielded.Load() {
+			return jobpages.Yielded, 0, "yielded"
+		}
+		outcome = dispatch.Failed
+		if upstream.CertaintyOf(err) == upstream.NotSent {
+			return jobpages.Unrun, 0, "unreachable"
+		}
+		return jobpages.Broke, 0, "no_answer"
+	}
+	defer answer.Close()
+	switch {
+	case answer.OtherInstance:
+		outcome = dispatch.Departed
+		return jobpages.Unrun, answer.Status, "other_instance"
+	case answer.NotRun:
+		outcome = dispatch.Full
+		return jobpages.Unrun, answer.Status, "refused"
+	case !answer.Genuine:
+		outcome = dispatch.Failed
+		return jobpages.Broke, 0, "not_genuine"
+	case answer.Status == http.StatusUnprocessableEntity || answer.Status == http.StatusInternalServerError:
+		outcome = dispatch.Served
+		// The body of a failure does not matter; reading it keeps the connection.
+		_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, itemBufferBytes))
+		return jobpages.Failed, answer.Status, "engine_failed"
+	case answer.Status != http.StatusOK:
+		outcome = dispatch.Failed
+		return jobpages.Broke, 0, "unexpected_status"
+	}
+	reason = x.read(answer, silent)
+	switch {
+	case reason == "":
+		outcome = dispatch.Served
+		return 0, http.StatusOK, ""
+	case x.yielded.Load():
+		return jobpages.Yielded, 0, "yielded"
+	}
+	outcome = dispatch.Failed
+	return jobpages.Broke, 0, reason
+}
+
+func (x *itemRun) call() *upstream.Call {
+	header := make(http.Header)
+	for _, field := range x.item.GetHeaders() {
+		header.Set(field.GetName(), field.GetValue())
+	}
+	return &upstream.Call{
+		Address:     x.grant.Address,
+		Instance:    x.grant.Upstream,
+		RequestID:   x.item.GetId(),
+		Method:      http.MethodPost,
+		Target:      x.item.GetPath(),
+		Host:        x.job.GetHost(),
+		Header:      header,
+		Body:        x.item.GetBody(),
+		ResumeAfter: x.progress.LastEvent,
+	}
+}
+
+// read collects the whole events of an answer. It returns why the output is
+// not complete, or nothing.
+func (x *itemRun) read(answer *upstream.Answer, silent *time.Timer) string {
+	events := upstream.Events{Last: x.progress.LastEvent}
+	events.Data = func(data []byte) {
+		x.runner.mu.Lock()
+		defer x.runner.mu.Unlock()
+		if x.progress.Events > 0 {
+			x.progress.Text = append(x.progress.Text, '\n')
+		}
+		x.progress.Text = append(x.progress.Text, data...)
+		x.progress.Events++
+		x.progress.LastEvent = events.Last
+	}
+	buffer := make([]byte, itemBufferBytes)
+	for {
+		size, err := answer.Body.Read(buffer)
+		if size > 0 {
+			silent.Reset(eventTimeout)
+			if _, malformed := events.Push(buffer[:size]); malformed != nil {
+				return "malformed"
+			}
+		}
+		switch {
+		case errors.Is(err, io.EOF) && events.Pending() == 0:
+			return ""
+		case errors.Is(err, io.EOF):
+			return "event_cut"
+		case err != nil:
+			return "broke_off"
+		}
+	}
+}
--- /dev/null
+++ b/storenode/runner.go
@@ -0,0 +1,237 @@
+package storenode
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/briarcross/briarcross/dispatch"
+	"github.com/briarcross/briarcross/eventlog"
+	"github.com/briarcross/briarcross/jobpages"
+	"github.com/briarcross/briarcross/kv"
+	"github.com/briarcross/briarcross/pb"
+	"github.com/briarcross/briarcross/upstream"
+)
+
+const (
+	// runnerTick is the pause between two looks at the items that may start and
+	// at the upstreams that have to be relieved.
+	runnerTick = 20 * time.Millisecond
+	// leadPause is the time between an election and the first run of a new
+	// leader; the one before has stopped its runs by then.
+	leadPause = 600 * time.Millisecond
+	// expireInterval is the pause between two looks for expired jobs.
+	expireInterval = 5 * time.Second
+	maxExpire      = 32
+	// maxStarts bounds the items that start in one tick.
+	maxStarts = 16
+)
+
+// runner runs the items of the open jobs while this replica leads.
+type runner struct {
+	node    *Node
+	engines *upstream.Client
+	woken   chan struct{}
+
+	mu      sync.Mutex
+	leading bool
+	ledAt   time.Time
+	plan    *jobpages.Plan
+	stops   map[jobpages.Key]stop
+	ctx     context.Context
+	cancel  context.CancelFunc
+	tasks   sync.WaitGroup
+}
+
+// stop ends one run.
+type stop struct {
+	cancel context.CancelFunc
+	// yielded is set when the run gives way to online requests.
+	yielded *atomic.Bool
+}
+
+func newRunner(n *Node, dialect upstream.Dialect) *runner {
+	r := &runner{
+		node:    n,
+		engines: upstream.NewClient(dialect, nil),
+		woken:   make(chan struct{}, 1),
+		plan:    jobpages.NewPlan(),
+		stops:   make(map[jobpages.Key]stop),
+	}
+	r.ctx, r.cancel = context.WithCancel(n.ctx)
+	r.tasks.Go(func() { r.loop(n.ctx) })
+	return r
+}
+
+// lead starts or ends the runs of this replica.
+func (r *runner) lead(leading bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leading = leading
+	r.ledAt = time.Now()
+	r.cancel()
+	r.ctx, r.cancel = context.WithCancel(r.node.ctx)
+	r.plan = jobpages.NewPlan()
+	r.stops = make(map[jobpages.Key]stop)
+}
+
+// wake has the runner look for items soon. It never blocks.
+func (r *runner) wake() {
+	select {
+	case r.woken <- struct{}{}:
+	default:
+	}
+}
+
+func (r *runner) close() {
+	r.mu.Lock()
+	r.cancel()
+	r.mu.Unlock()
+	r.tasks.Wait()
+}
+
+// endJob stops the runs of a job.
+func (r *runner) endJob(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for key, s := range r.stops {
+		if key.JobID == id {
+			s.cancel()
+		}
+	}
+}
+
+func (r *runner) loop(ctx context.Context) {
+	ticker := time.NewTicker(runnerTick)
+	defer ticker.Stop()
+	expireAt := time.Now().Add(expireInterval)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-r.woken:
+		}
+		if !r.ready() {
+			continue
+		}
+		r.relieve()
+		r.startItems()
+		if time.Now().After(expireAt) {
+			expireAt = time.Now().Add(expireInterval)
+			r.expire()
+		}
+	}
+}
+
+func (r *runner) ready() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leading && time.Since(r.ledAt) > leadPause && r.node.Table() != nil
+}
+
+// relieve stops runs at the upstreams that online requests have overfilled, and
+// at those that leave.
+func (r *runner) relieve() {
+	for id, count := range r.node.Slots.Overload() {
+		r.mu.Lock()
+		for _, key := range r.plan.Victims(id, count) {
+			if s, running := r.stops[key]; running && s.yielded.CompareAndSwap(false, true) {
+				s.cancel()
+			}
+		}
+		r.mu.Unlock()
+	}
+}
+
+// startItems starts open items as far as slots are free.
+func (r *runner) startItems() {
+	open := r.node.state.Open()
+	r.mu.Lock()
+	next := r.plan.Next(time.Now(), open)
+	r.mu.Unlock()
+	for i, key := range next {
+		if i == maxStarts || !r.startItem(key) {
+			return
+		}
+	}
+}
+
+// startItem starts one item. It reports whether another one may fit.
+func (r *runner) startItem(key jobpages.Key) bool {
+	replica := r.node.replica.Load()
+	var job *pb.PageJob
+	var item *pb.PageItem
+	known := false
+	replica.View(func(reader kv.Reader) { job, item, known = jobpages.Item(reader, key.JobID, key.Index) })
+	if !known {
+		return true
+	}
+	route, ok := r.node.Table().Match(job.GetHost(), item.GetPath())
+	if !ok {
+		r.settle(key, &pb.PageResult{Failed: true, Reason: "no_route"})
+		return true
+	}
+	if uint64(time.Now().UnixMilli()) > job.GetKeepUnixMs() {
+		r.settle(key, &pb.PageResult{Failed: true, Reason: "kept_too_long"})
+		return true
+	}
+	ask := dispatch.Ask{Service: serviceOf(route), Class: dispatch.Batch}
+	r.mu.Lock()
+	if held := r.plan.Progress(key); held != nil && held.Avoid != "" {
+		ask.Avoid = []string{held.Avoid}
+	}
+	parent := r.ctx
+	r.mu.Unlock()
+	grant, refused := r.node.Slots.Acquire(parent, ask)
+	if refused != nil {
+		return false
+	}
+	r.start(parent, key, job, item, grant)
+	return true
+}
+
+func (r *runner) start(parent context.Context, key jobpages.Key, job *pb.PageJob, item *pb.PageItem, grant dispatch.Grant) {
+	ctx, cancel := context.WithCancel(parent)
+	yielded := &atomic.Bool{}
+	r.mu.Lock()
+	progress := r.plan.Start(key, grant.Upstream)
+	r.stops[key] = stop{cancel, yielded}
+	plan := r.plan
+	r.mu.Unlock()
+	run := &itemRun{runner: r, plan: plan, key: key, job: job, item: item, grant: grant, progress: progress, yielded: yielded}
+	r.tasks.Go(func() {
+		defer cancel()
+		run.run(ctx)
+	})
+}
+
+// settle records a result. It is repeated until the outcome is known, since
+// the first result of an item wins.
+func (r *runner) settle(key jobpages.Key, result *pb.PageResult) {
+	result.JobId, result.Item = key.JobID, key.Index
+	command := &pb.Command{Op: &pb.Command_PageSettle{PageSettle: &pb.PageSettle{Results: []*pb.PageResult{result}}}}
+	ctx, cancel := context.WithTimeout(r.node.ctx, proposeTimeout)
+	defer cancel()
+	_, controlErr := r.node.replica.Load().Propose(ctx, command)
+	r.node.logger.Info(eventlog.ItemSettled, "job", key.JobID, "item", key.Index, "failed", result.GetFailed(),
+		"reason", result.GetReason(), "status", result.GetStatus(), "bytes", len(result.GetText()), "error", controlErr.GetReason())
+}
+
+func (r *runner) expire() {
+	replica := r.node.replica.Load()
+	var expired []string
+	replica.View(func(reader kv.Reader) {
+		expired = r.node.state.Expired(reader, uint64(time.Now().UnixMilli()), maxExpire)
+	})
+	if len(expired) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.node.ctx, proposeTimeout)
+	defer cancel()
+	command := &pb.Command{Op: &pb.Command_PageExpire{PageExpire: &pb.PageExpire{JobIds: expired}}}
+	if _, controlErr := replica.Propose(ctx, command); controlErr != nil {
+		r.node.logger.Warn("jobs_not_expired", "jobs", len(expired), "reason", controlErr.GetReason())
+	}
+}
--- a/transport/client.go
+++ b/transport/client.go
@@ -162,6 +162,22 @@
 	return dialer.DialContext(ctx, "tcp", address)
 }
 
+// Reset closes the connection to an address, so that the next stream opens a
+// new one. Use it when a connection is silent that should not be.
+func (c *Client) Reset(class Class, address string) {
+	c.mu.Lock()
+	slot := c.sessions[sessionKey{address, class}]
+	c.mu.Unlock()
+	if slot == nil {
+		return
+	}
+	slot.mu.Lock()
+	defer slot.mu.Unlock()
+	if slot.session != nil {
+		_ = slot.session.Close()
+	}
+}
+
 // Close ends all connections and their streams.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/transport/stream.go
+++ b/transport/stream.go
@@ -85,10 +85,13 @@
 }
 
 const (
-	keepAliveInterval = 2 * time.Second
+	// keepAliveInterval and writeTimeout together bound the time for which a
+	// connection that went silent is used; they are below the time in which
+	// daemons have to be in contact again.
+	keepAliveInterval = time.Second
 	// writeTimeout bounds a write, and the answer to a keep-alive, after which
 	// the other end counts as lost.
-	writeTimeout  = 4 * time.Second
+	writeTimeout  = 1500 * time.Millisecond
 	windowBytes   = 256 << 10
 	acceptBacklog = 1024
 )
--- /dev/null
+++ b/upstream/events.go
@@ -0,0 +1,93 @@
+package upstream
+
+import (
+	"bytes"
+
+	"github.com/rotisserie/eris"
+)
+
+// maxEventBytes bounds one event.
+const maxEventBytes = 1 << 20
+
+// ErrEventTooLarge means that an event exceeds the bound.
+var ErrEventTooLarge = eris.New("event is too large")
+
+// Events cuts a stream of server-sent events into whole events, so that an
+// engine that stops in the middle of one leaves nothing of it behind.
+type Events struct {
+	pending []byte
+	// Last is the ID of the last whole event; empty before the first.
+	Last string
+	// Count is the number of whole events.
+	Count int
+	// Data, if set, is called with the payload of each whole event.
+	Data func([]byte)
+}
+
+// Push adds bytes and returns the whole events at the front of what is
+// pending. The slice is valid until the next call.
+func (e *Events) Push(p []byte) ([]byte, error) {
+	e.pending = append(e.pending, p...)
+	end := 0
+	for {
+		size := eventSize(e.pending[end:])
+		if size == 0 {
+			break
+		}
+		e.note(e.pending[end : end+size])
+		end += size
+	}
+	if len(e.pending)-end > maxEventBytes {
+		return nil, ErrEventTooLarge
+	}
+	whole := e.pending[:end:end]
+	e.pending = append([]byte(nil), e.pending[end:]...)
+	return whole, nil
+}
+
+// Pending returns the number of bytes of an event that is not whole.
+func (e *Events) Pending() int { return len(e.pending) }
+
+// Reset drops the bytes of an event that is not whole.
+func (e *Events) Reset() { e.pending = nil }
+
+// eventSize returns the length of the first event with its closing empty
+// line, or zero when there is no whole one.
+func eventSize(p []byte) int {
+	lf := bytes.Index(p, []byte("\n\n"))
+	crlf := bytes.Index(p, []byte("\n\r\n"))
+	switch {
+	case lf >= 0 && (crlf < 0 || lf < crlf):
+		return lf + len("\n\n")
+	case crlf >= 0:
+		return crlf + len("\n\r\n")
+	}
+	return 0
+}
+
+func (e *Events) note(event []byte) {
+	var data []byte
+	hasData := false
+	for line := range bytes.SplitSeq(event, []byte("\n")) {
+		line = bytes.TrimSuffix(line, []byte("\r"))
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		value = bytes.TrimPrefix(value, []byte(" "))
+		switch string(name) {
+		case "id":
+			e.Last = string(value)
+		case "data":
+			if hasData {
+				data = append(data, '\n')
+			}
+			data = append(data, value...)
+			hasData = true
+		}
+	}
+	if !hasData {
+		return
+	}
+	e.Count++
+	if e.Data != nil {
+		e.Data(data)
+	}
+}
