Save the progress of items, keep upstreams across a power loss, leave room for bursts

Change: the leader of the storage group records what running items have generated once a second and a new leader resumes there; control keeps the table of upstreams on its disk; batch that is not urgent leaves the slots that the last burst took.

--- a/controlnode/api.go
+++ b/controlnode/api.go
@@ -75,13 +75,15 @@
 	before, known := n.upstreams.Get(beat.ID)
 	applied := n.upstreams.Apply(beat)
 	after, _ := n.upstreams.Get(beat.ID)
+	changed := !known || before.Phase != after.Phase || before.BornUnixMs != after.BornUnixMs || before.Address != after.Address
+	n.unsaved = n.unsaved || applied && changed
 	n.upstreamLock.Unlock()
 	if !applied {
 		n.logger.Info(eventlog.HeartbeatRejected, "upstream", beat.ID, "born", beat.BornUnixMs, "sequence", beat.Sequence,
 			"held_born", before.BornUnixMs, "held_sequence", before.Sequence)
 		return
 	}
-	if !known || before.Phase != after.Phase || before.BornUnixMs != after.BornUnixMs || before.Address != after.Address {
+	if changed {
 		n.logUpstream(after)
 		n.watchers.notify()
 	}
@@ -92,6 +94,7 @@
 	n.upstreamLock.Lock()
 	n.upstreams.Leave(id, time.Now())
 	after, _ := n.upstreams.Get(id)
+	n.unsaved = true
 	n.upstreamLock.Unlock()
 	n.logUpstream(after)
 	n.watchers.notify()
--- a/controlnode/duties.go
+++ b/controlnode/duties.go
@@ -32,6 +32,7 @@
 		}
 		members = n.noteMembers(members)
 		n.expireUpstreams()
+		n.saveUpstreams()
 		_, _, leading := n.replica.Leader()
 		if !leading {
 			firstSeen = time.Time{}
--- a/controlnode/node.go
+++ b/controlnode/node.go
@@ -61,6 +61,9 @@
 	// upstreams holds the heartbeats that this replica received.
 	upstreamLock sync.Mutex
 	upstreams    *fleet.Table
+	// unsaved is set when upstreams joined, left or changed their phase since
+	// the table was written to the disk.
+	unsaved bool
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -80,6 +83,7 @@
 		ctx:           ctx,
 		cancel:        cancel,
 	}
+	n.loadUpstreams()
 	n.transport = transport.NewClient(n.identity, nil)
 	n.leader = client.NewControl(n.transport, nil)
 	n.leader.SetTimeout(forwardTimeout)
--- /dev/null
+++ b/dispatch/peak.go
@@ -0,0 +1,78 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/briarcross/briarcross/fleet"
+)
+
+// peakWindow is the time for which a burst of online requests is remembered;
+// it spans the pause between two bursts of the usual traffic.
+const peakWindow = 10 * time.Second
+
+// peak is the highest number of online requests that a service ran at a time
+// in the current and the last window.
+type peak struct {
+	start time.Time
+	now   int
+	last  int
+}
+
+func (k *peak) note(now time.Time, online int) {
+	if elapsed := now.Sub(k.start); elapsed >= 2*peakWindow {
+		k.start, k.now, k.last = now, 0, 0
+	} else if elapsed >= peakWindow {
+		k.start, k.now, k.last = k.start.Add(peakWindow), 0, k.now
+	}
+	k.now = max(k.now, online)
+}
+
+func (k *peak) highest() int { return max(k.now, k.last) }
+
+// totals sums a service up over the upstreams that may get requests.
+type totals struct {
+	slots, online, batch, upstreams int
+}
+
+func (p *Pool) totals(service string) totals {
+	var t totals
+	for _, id := range p.order {
+		u := p.upstreams[id]
+		if u.Service != service || u.Phase != fleet.Ready {
+			continue
+		}
+		t.slots += u.Slots
+		t.online += u.online()
+		t.batch += u.batch()
+		t.upstreams++
+	}
+	return t
+}
+
+func (p *Pool) notePeaks(now time.Time) {
+	seen := make(map[string]bool, len(p.peaks))
+	for _, id := range p.order {
+		service := p.upstreams[id].Service
+		if seen[service] {
+			continue
+		}
+		seen[service] = true
+		p.peak(service).note(now, p.totals(service).online)
+	}
+}
+
+func (p *Pool) peak(service string) *peak {
+	k, ok := p.peaks[service]
+	if !ok {
+		k = &peak{}
+		p.peaks[service] = k
+	}
+	return k
+}
+
+// room reports whether batch can take one more slot of a service and leave
+// enough for a burst like the last ones.
+func (p *Pool) room(service string) bool {
+	t := p.totals(service)
+	return t.batch < t.slots-p.peak(service).highest()-p.options.BatchReserve*t.upstreams
+}
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -26,6 +26,9 @@
 // the one with the most free slots, and a random one among those, so that
 // daemons that decide at the same time spread out.
 func (p *Pool) pick(now time.Time, ask Ask) *upstream {
+	if ask.Class == Batch && !ask.Borrow && !p.room(ask.Service) {
+		return nil
+	}
 	best, bestTier, bestFree, equals := (*upstream)(nil), unusable, 0, 0
 	for _, id := range p.order {
 		u := p.upstreams[id]
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -45,6 +45,9 @@
 	Priority int
 	// Avoid names upstreams that have already failed the request.
 	Avoid []string
+	// Borrow lets batch use slots that the next burst of online requests will
+	// need again; it is for items that would be late otherwise.
+	Borrow bool
 	// Wait bounds the time for which the ask may wait for a slot.
 	Wait time.Duration
 }
@@ -57,6 +60,9 @@
 	Class    Class
 	// Waited is the time between the ask and the grant.
 	Waited time.Duration
+	// Free is the number of slots that the pool believes to be free after the
+	// grant; below zero, batch has to give way first.
+	Free int
 }
 
 // Refusal ends an ask without a slot.
@@ -112,6 +118,7 @@
 	reports map[string]peerReport
 	queue   []waiting
 	rates   map[string]*rate
+	peaks   map[string]*peak
 	granted []Grant
 	refused []Refusal
 }
@@ -124,6 +131,7 @@
 		upstreams: make(map[string]*upstream),
 		reports:   make(map[string]peerReport),
 		rates:     make(map[string]*rate),
+		peaks:     make(map[string]*peak),
 	}
 }
 
@@ -264,6 +272,7 @@
 // Tick grants what can be granted and refuses what has waited too long.
 func (p *Pool) Tick(now time.Time) {
 	p.expirePeers(now)
+	p.notePeaks(now)
 	p.advance(now)
 	p.queue = slices.DeleteFunc(p.queue, func(w waiting) bool {
 		if now.Sub(w.since) < w.ask.Wait {
@@ -298,6 +307,7 @@
 		Address:  u.Address,
 		Class:    w.ask.Class,
 		Waited:   now.Sub(w.since),
+		Free:     u.free(),
 	})
 	return true
 }
--- a/entrynode/exchange.go
+++ b/entrynode/exchange.go
@@ -55,6 +55,8 @@
 	// relaying is set once the head of an answer has been sent.
 	relaying bool
 	events   upstream.Events
+	// first is the time from the request to its first event.
+	first time.Duration
 }
 
 func (n *Node) newExchange(w http.ResponseWriter, r *http.Request, said Request, route *routing.Route, table *routing.Table, body []byte) *exchange {
@@ -200,7 +202,7 @@
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
 	x.node.logger.Info(eventlog.RequestPlaced, "request", x.said.ID, "route", x.route.Name, "routing", x.table.Version,
-		"upstream", grant.Upstream, "address", grant.Address, "waited_ms", grant.Waited.Milliseconds(), "ran", x.ran)
+		"upstream", grant.Upstream, "address", grant.Address, "waited_ms", grant.Waited.Milliseconds(), "free", grant.Free, "ran", x.ran)
 	answer, err := x.node.engines.Do(ctx, x.call(grant))
 	if err != nil {
 		if x.ctx.Err() == nil {
@@ -334,7 +336,8 @@
 		return nil
 	}
 	if first {
-		x.node.metrics.firstByte.WithLabelValues(x.route.Name).Observe(x.elapsed().Seconds())
+		x.first = x.elapsed()
+		x.node.metrics.firstByte.WithLabelValues(x.route.Name).Observe(x.first.Seconds())
 	}
 	if _, err := x.w.Write(whole); err != nil {
 		x.abandon()
@@ -372,5 +375,5 @@
 func (x *exchange) finish(status int) {
 	x.node.metrics.requests.WithLabelValues("answered").Inc()
 	x.node.logger.Info(eventlog.RequestFinished, "request", x.said.ID, "status", status, "ran", x.ran, "unrun", x.unrun,
-		"events", x.events.Count, "elapsed_ms", x.elapsed().Milliseconds())
+		"events", x.events.Count, "first_ms", x.first.Milliseconds(), "elapsed_ms", x.elapsed().Milliseconds())
 }
--- a/entrynode/serve.go
+++ b/entrynode/serve.go
@@ -15,8 +15,8 @@
 
 const (
 	// firstTableRetry is the time after which a starting entry has its routing
-	// table.
-	firstTableRetry = time.Second
+	// table and has heard of upstreams, even if all daemons start at once.
+	firstTableRetry = 800 * time.Millisecond
 	// defaultBodyBytes bounds a body while the routing table names no limit.
 	defaultBodyBytes = 8 << 20
 )
--- /dev/null
+++ b/internal/durable/file.go
@@ -0,0 +1,43 @@
+// Package durable replaces small files so that a power loss leaves either the
+// old content or the new one.
+package durable
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+
+	"github.com/rotisserie/eris"
+)
+
+const fileMode = 0o600
+
+// WriteFile replaces a file's content and returns once it is synced.
+func WriteFile(path string, content []byte) error {
+	temporary := path + ".new"
+	file, err := os.OpenFile(temporary, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+	if err != nil {
+		return eris.Wrapf(err, "create %s", temporary)
+	}
+	_, err = file.Write(content)
+	if err == nil {
+		err = file.Sync()
+	}
+	err = errors.Join(err, file.Close())
+	if err == nil {
+		err = os.Rename(temporary, path)
+	}
+	if err == nil {
+		err = SyncFolder(filepath.Dir(path))
+	}
+	return eris.Wrapf(err, "write %s", path)
+}
+
+// SyncFolder makes the names in a folder durable.
+func SyncFolder(path string) error {
+	folder, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	return errors.Join(folder.Sync(), folder.Close())
+}
--- a/jobpages/keys.go
+++ b/jobpages/keys.go
@@ -17,6 +17,8 @@
 	kindItem    = 'i'
 	kindResult  = 'r'
 	kindSettled = 's'
+	// The progress of an item lies in parts, by the bytes before each.
+	kindProgress = 'g'
 )
 
 func jobKey(id string) []byte {
@@ -32,6 +34,11 @@
 	return binary.BigEndian.AppendUint32(partPrefix(kind, id), index)
 }
 
+// progressID names an item among the keys of progress.
+func progressID(id string, index uint32) string {
+	return string(binary.BigEndian.AppendUint32([]byte(id), index))
+}
+
 func deletePart(b kv.Batch, kind byte, id string) {
 	prefix := partPrefix(kind, id)
 	b.DeleteRange(prefix, kv.PrefixEnd(prefix))
--- a/jobpages/plan.go
+++ b/jobpages/plan.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/briarcross/briarcross/pb"
 )
 
 // Key names an item.
@@ -20,6 +22,8 @@
 	Events int
 	// LastEvent is the ID of the last one.
 	LastEvent string
+	// Saved is the number of bytes of the text that are saved.
+	Saved int
 	// Failures counts the runs that an engine ended with a failure.
 	Failures int
 	// NotBefore is the time before which the item does not run again.
@@ -110,7 +114,7 @@
 		held.NotBefore = now.Add(min(firstBackoff<<min(held.Failures, 8), maxBackoff))
 		held.Avoid = held.Upstream
 		// A failed run is not gone on with.
-		held.Text, held.Events, held.LastEvent = nil, 0, ""
+		held.Text, held.Events, held.LastEvent, held.Saved = nil, 0, "", 0
 	case Unrun:
 		held.NotBefore = now.Add(breakPause)
 	}
@@ -118,6 +122,36 @@
 	return held.Failures
 }
 
+// Resume gives an item that is not known yet its saved progress.
+func (p *Plan) Resume(key Key, saved *pb.PageProgress) {
+	if _, known := p.items[key]; known || len(saved.GetText()) == 0 {
+		return
+	}
+	p.items[key] = &Progress{
+		Text: saved.GetText(), Events: int(saved.GetEvents()), LastEvent: saved.GetLastEvent(), Saved: len(saved.GetText()),
+	}
+}
+
+// Unsaved returns what the items have generated since it was last asked, and
+// counts it as saved.
+func (p *Plan) Unsaved() []*pb.PageProgress {
+	var unsaved []*pb.PageProgress
+	for key, held := range p.items {
+		if len(held.Text) == held.Saved {
+			continue
+		}
+		unsaved = append(unsaved, &pb.PageProgress{
+			JobId: key.JobID, Item: key.Index, Base: uint32(held.Saved), Text: slices.Clone(held.Text[held.Saved:]),
+			Events: uint32(held.Events), LastEvent: held.LastEvent,
+		})
+		held.Saved = len(held.Text)
+	}
+	slices.SortFunc(unsaved, func(a, b *pb.PageProgress) int {
+		return cmp.Or(cmp.Compare(a.GetJobId(), b.GetJobId()), cmp.Compare(a.GetItem(), b.GetItem()))
+	})
+	return unsaved
+}
+
 // Forget drops an item that has its result.
 func (p *Plan) Forget(key Key) {
 	delete(p.items, key)
--- a/jobpages/query.go
+++ b/jobpages/query.go
@@ -63,3 +63,17 @@
 	item, ok := readItem(r, id, index)
 	return job, item, ok
 }
+
+// Saved returns the saved progress of an item; it has no text if there is none.
+func Saved(r kv.Reader, id string, index uint32) *pb.PageProgress {
+	saved := &pb.PageProgress{JobId: id, Item: index}
+	prefix := partPrefix(kindProgress, progressID(id, index))
+	r.Scan(prefix, kv.PrefixEnd(prefix), func(_, value []byte) bool {
+		part := &pb.PageProgress{}
+		record.Decode(value, part)
+		saved.Text = append(saved.Text, part.GetText()...)
+		saved.Events, saved.LastEvent = part.GetEvents(), part.GetLastEvent()
+		return true
+	})
+	return saved
+}
--- a/jobpages/state.go
+++ b/jobpages/state.go
@@ -44,6 +44,10 @@
 				result.Settled++
 			}
 		}
+	case *pb.Command_PageSave:
+		for _, progress := range op.PageSave.GetProgress() {
+			s.save(b, progress)
+		}
 	case *pb.Command_PageExpire:
 		for _, id := range op.PageExpire.GetJobIds() {
 			s.expire(b, c.GetUnixMs(), id)
@@ -90,6 +94,9 @@
 		writeJob(b, job)
 		delete(s.open, id)
 		deletePart(b, kindItem, id)
+		for i := range job.GetItems() {
+			deletePart(b, kindProgress, progressID(id, i))
+		}
 	}
 	return true
 }
@@ -104,7 +111,16 @@
 	if !ok {
 		return false
 	}
-	entry := &pb.PageEntry{ItemId: item.GetId(), Failed: r.GetFailed(), Text: r.GetText()}
+	text := r.GetText()
+	if r.GetBase() > 0 {
+		saved := Saved(b, r.GetJobId(), r.GetItem())
+		if len(saved.GetText()) < int(r.GetBase()) {
+			return false
+		}
+		text = append(saved.GetText()[:r.GetBase():r.GetBase()], text...)
+	}
+	deletePart(b, kindProgress, progressID(r.GetJobId(), r.GetItem()))
+	entry := &pb.PageEntry{ItemId: item.GetId(), Failed: r.GetFailed(), Text: text}
 	b.Set(partKey(kindResult, r.GetJobId(), open.job.GetSettled()), record.Encode(entry))
 	b.Set(partKey(kindSettled, r.GetJobId(), r.GetItem()), nil)
 	open.settled[r.GetItem()] = true
@@ -117,6 +133,22 @@
 	return true
 }
 
+// save stores what an item has generated. What does not begin where the saved
+// part ends belongs to another run and replaces it, if it begins anew.
+func (s *State) save(b kv.Batch, c *pb.PageProgress) {
+	open, ok := s.open[c.GetJobId()]
+	if !ok || int(c.GetItem()) >= len(open.settled) || open.settled[c.GetItem()] {
+		return
+	}
+	id := progressID(c.GetJobId(), c.GetItem())
+	if c.GetBase() == 0 {
+		deletePart(b, kindProgress, id)
+	} else if len(Saved(b, c.GetJobId(), c.GetItem()).GetText()) != int(c.GetBase()) {
+		return
+	}
+	record.Set(b, partKey(kindProgress, id, c.GetBase()), c)
+}
+
 // expire removes a closed job whose retention has ended.
 func (s *State) expire(b kv.Batch, now uint64, id string) {
 	job, known := readJob(b, id)
--- a/jobpages/state_test.go
+++ b/jobpages/state_test.go
@@ -137,6 +137,65 @@
 	expect.Expect(g.settle("early", 1, "again")).To(BeZero())
 }
 
+func (g *group) save(id string, item, base uint32, text, last string) {
+	progress := &pb.PageProgress{JobId: id, Item: item, Base: base, Text: []byte(text), Events: 3, LastEvent: last}
+	g.apply(&pb.Command{Op: &pb.Command_PageSave{PageSave: &pb.PageSave{Progress: []*pb.PageProgress{progress}}}})
+}
+
+// A leader that dies leaves the saved part of its items to the next one.
+func TestSavedProgressIsGoneOnWith(t *testing.T) {
+	expect := NewWithT(t)
+	g := newGroup(t)
+	g.submit("j", 2)
+	g.save("j", 1, 0, "one", "3")
+	g.save("j", 1, 3, "two", "6")
+	g.save("j", 1, 3, "again", "9")
+	saved := Saved(g.store, "j", 1)
+	expect.Expect(string(saved.GetText())).To(Equal("onetwo"))
+	expect.Expect(saved.GetLastEvent()).To(Equal("6"))
+	p := NewPlan()
+	p.Resume(Key{"j", 1}, saved)
+	expect.Expect(p.Progress(Key{"j", 1}).LastEvent).To(Equal("6"))
+	expect.Expect(p.Unsaved()).To(BeEmpty())
+	settle := func(base uint32, text string) uint32 {
+		result := &pb.PageResult{JobId: "j", Item: 1, Base: base, Text: []byte(text)}
+		return g.apply(&pb.Command{Op: &pb.Command_PageSettle{PageSettle: &pb.PageSettle{Results: []*pb.PageResult{result}}}}).GetSettled()
+	}
+	expect.Expect(settle(7, "missing")).To(BeZero())
+	expect.Expect(settle(6, "three")).To(BeEquivalentTo(1))
+	expect.Expect(string(g.page("j", 0).GetEntries()[0].GetText())).To(Equal("onetwothree"))
+	expect.Expect(Saved(g.store, "j", 1).GetText()).To(BeEmpty())
+}
+
+func TestARunFromTheBeginningReplacesSavedProgress(t *testing.T) {
+	expect := NewWithT(t)
+	g := newGroup(t)
+	g.submit("j", 1)
+	g.save("j", 0, 0, "old", "3")
+	g.save("j", 0, 3, "older", "6")
+	g.save("j", 0, 0, "new", "1")
+	expect.Expect(string(Saved(g.store, "j", 0).GetText())).To(Equal("new"))
+	g.end("j")
+	expect.Expect(Saved(g.store, "j", 0).GetText()).To(BeEmpty())
+	g.save("j", 0, 0, "late", "1")
+	expect.Expect(Saved(g.store, "j", 0).GetText()).To(BeEmpty())
+}
+
+func TestUnsavedProgressIsHandedOutOnce(t *testing.T) {
+	expect := NewWithT(t)
+	p := NewPlan()
+	held := p.Start(Key{"j", 0}, "u")
+	held.Text, held.Events, held.LastEvent = []byte("one"), 1, "1"
+	first := p.Unsaved()
+	expect.Expect(first).To(HaveLen(1))
+	expect.Expect(first[0].GetBase()).To(BeZero())
+	expect.Expect(p.Unsaved()).To(BeEmpty())
+	held.Text = append(held.Text, "two"...)
+	second := p.Unsaved()
+	expect.Expect(second[0].GetBase()).To(BeEquivalentTo(3))
+	expect.Expect(string(second[0].GetText())).To(Equal("two"))
+}
+
 func TestOnlyClosedJobsExpire(t *testing.T) {
 	expect := NewWithT(t)
 	g := newGroup(t)
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -21,9 +21,9 @@
 	// batchReserve is the number of slots of an upstream that batch leaves free
 	// for the online requests that arrive before it can give way.
 	batchReserve = 1
-	// silentHeartbeats is the number of missed heartbeats after which an
+	// SilentHeartbeats is the number of missed heartbeats after which an
 	// upstream is used only when no other is left.
-	silentHeartbeats = 4
+	SilentHeartbeats = 4
 	// storageInterval is the pause between two looks for storage replicas.
 	storageInterval = 200 * time.Millisecond
 )
@@ -67,7 +67,7 @@
 		Seed:         d.Identity.Incarnation,
 		BatchReserve: batchReserve,
 		PeerTimeout:  PeerTimeout,
-		Silence:      silentHeartbeats * settings.Heartbeat,
+		Silence:      SilentHeartbeats * settings.Heartbeat,
 	}, func() { d.reports.Changed() })
 	datagrams, err := transport.ListenDatagrams(d.Identity, settings.Address, d.receive)
 	if err != nil {
--- a/node/view.go
+++ b/node/view.go
@@ -54,7 +54,7 @@
 	}
 	before := v.upstreams.Changes()
 	for _, beat := range u.GetUpstreams() {
-		v.upstreams.Apply(decodeBeat(now, beat))
+		v.upstreams.Apply(DecodeBeat(now, beat))
 	}
 	changes.Upstreams = v.upstreams.Since(before)
 	if len(u.GetStorage()) > 0 {
@@ -130,7 +130,8 @@
 	return slices.Compact(merged)
 }
 
-func decodeBeat(now time.Time, beat *pb.UpstreamBeat) fleet.Upstream {
+// DecodeBeat reads an upstream of an update.
+func DecodeBeat(now time.Time, beat *pb.UpstreamBeat) fleet.Upstream {
 	heard := now.Add(-time.Duration(beat.GetAgeMs()) * time.Millisecond)
 	return fleet.Upstream{
 		ID:         beat.GetId(),
--- a/replica/identity.go
+++ b/replica/identity.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"syscall"
 
+	"github.com/briarcross/briarcross/internal/durable"
 	"github.com/briarcross/briarcross/kv"
 	"github.com/rotisserie/eris"
 )
@@ -68,7 +69,7 @@
 		return nil, 0, err
 	}
 	// A power loss must not remove the name of a new store's folder.
-	if err := syncFolder(options.Folder); err != nil {
+	if err := durable.SyncFolder(options.Folder); err != nil {
 		return nil, 0, errors.Join(err, store.Close())
 	}
 	identity, err := claimFolder(store, file, path, options)
@@ -175,7 +176,7 @@
 		err = os.Rename(temporary, path)
 	}
 	if err == nil {
-		err = syncFolder(filepath.Dir(path))
+		err = durable.SyncFolder(filepath.Dir(path))
 	}
 	return eris.Wrapf(err, "write identity file %s", path)
 }
@@ -196,14 +197,6 @@
 	return file.Sync()
 }
 
-func syncFolder(path string) error {
-	folder, err := os.Open(path)
-	if err != nil {
-		return err
-	}
-	return errors.Join(folder.Sync(), folder.Close())
-}
-
 func inodeOf(path string) (uint64, error) {
 	info, err := os.Stat(path)
 	if err != nil {
--- a/storenode/item.go
+++ b/storenode/item.go
@@ -45,10 +45,12 @@
 	n := x.runner.node
 	n.logger.Info(eventlog.ItemPlaced, "request", x.item.GetId(), "job", x.key.JobID, "item", x.key.Index,
 		"upstream", x.grant.Upstream, "after", x.progress.LastEvent)
+	began := time.Now()
 	end, status, reason := x.exchange(ctx)
 	switch {
 	case reason == "" && status == http.StatusOK:
-		x.runner.settle(x.key, &pb.PageResult{Text: x.progress.Text, Status: http.StatusOK})
+		x.runner.noteRun(time.Since(began))
+		x.runner.settleText(x.key, x.progress)
 		x.leave()
 		return
 	case status == http.StatusUnprocessableEntity:
--- a/storenode/runner.go
+++ b/storenode/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,8 +25,19 @@
 	// expireInterval is the pause between two looks for expired jobs.
 	expireInterval = 5 * time.Second
 	maxExpire      = 32
+	// saveInterval is the pause between two records of what the running items
+	// have generated; a new leader repeats that much at the most.
+	saveInterval = time.Second
 	// maxStarts bounds the items that start in one tick.
 	maxStarts = 16
+	// urgentSlack is the time between an item's expected end and its due time
+	// below which it may use slots that online requests will need again. It
+	// leaves time for a change of leader and another run.
+	urgentSlack = 9 * time.Second
+	// firstRunTime is the expected time of a run before any has ended, and
+	// runTimeWeight the weight of the latest one in the average.
+	firstRunTime  = 6 * time.Second
+	runTimeWeight = 0.1
 )
 
 // runner runs the items of the open jobs while this replica leads.
@@ -39,6 +51,8 @@
 	ledAt   time.Time
 	plan    *jobpages.Plan
 	stops   map[jobpages.Key]stop
+	// runTime is the average time of the runs that ended with a result.
+	runTime time.Duration
 	ctx     context.Context
 	cancel  context.CancelFunc
 	tasks   sync.WaitGroup
@@ -58,6 +72,7 @@
 		woken:   make(chan struct{}, 1),
 		plan:    jobpages.NewPlan(),
 		stops:   make(map[jobpages.Key]stop),
+		runTime: firstRunTime,
 	}
 	r.ctx, r.cancel = context.WithCancel(n.ctx)
 	r.tasks.Go(func() { r.loop(n.ctx) })
@@ -106,6 +121,7 @@
 	ticker := time.NewTicker(runnerTick)
 	defer ticker.Stop()
 	expireAt := time.Now().Add(expireInterval)
+	saveAt := time.Now().Add(saveInterval)
 	for {
 		select {
 		case <-ctx.Done():
@@ -118,6 +134,10 @@
 		}
 		r.relieve()
 		r.startItems()
+		if time.Now().After(saveAt) {
+			saveAt = time.Now().Add(saveInterval)
+			r.save()
+		}
 		if time.Now().After(expireAt) {
 			expireAt = time.Now().Add(expireInterval)
 			r.expire()
@@ -163,8 +183,12 @@
 	replica := r.node.replica.Load()
 	var job *pb.PageJob
 	var item *pb.PageItem
+	var saved *pb.PageProgress
 	known := false
-	replica.View(func(reader kv.Reader) { job, item, known = jobpages.Item(reader, key.JobID, key.Index) })
+	replica.View(func(reader kv.Reader) {
+		job, item, known = jobpages.Item(reader, key.JobID, key.Index)
+		saved = jobpages.Saved(reader, key.JobID, key.Index)
+	})
 	if !known {
 		return true
 	}
@@ -178,7 +202,10 @@
 		return true
 	}
 	ask := dispatch.Ask{Service: serviceOf(route), Class: dispatch.Batch}
+	due := time.UnixMilli(int64(job.GetDueUnixMs()))
 	r.mu.Lock()
+	r.plan.Resume(key, saved)
+	ask.Borrow = time.Until(due)-r.runTime < urgentSlack
 	if held := r.plan.Progress(key); held != nil && held.Avoid != "" {
 		ask.Avoid = []string{held.Avoid}
 	}
@@ -207,16 +234,53 @@
 	})
 }
 
-// settle records a result. It is repeated until the outcome is known, since
-// the first result of an item wins.
-func (r *runner) settle(key jobpages.Key, result *pb.PageResult) {
+// noteRun takes the time of a run that ended with a result into the average.
+func (r *runner) noteRun(took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.runTime += time.Duration(runTimeWeight * float64(took-r.runTime))
+}
+
+// save records what the running items have generated. A record that is lost
+// costs a new leader a repetition, and the result its shorter form.
+func (r *runner) save() {
+	r.mu.Lock()
+	unsaved := r.plan.Unsaved()
+	r.mu.Unlock()
+	if len(unsaved) == 0 {
+		return
+	}
+	command := &pb.Command{Op: &pb.Command_PageSave{PageSave: &pb.PageSave{Progress: unsaved}}}
+	r.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(r.node.ctx, proposeTimeout)
+		defer cancel()
+		if _, controlErr := r.node.replica.Load().Propose(ctx, command); controlErr != nil {
+			r.node.logger.Warn(eventlog.ProgressNotSaved, "items", len(unsaved), "reason", controlErr.GetReason())
+		}
+	})
+}
+
+// settleText records the output of an item: what is not saved yet, or all of
+// it when the saved part is not there.
+func (r *runner) settleText(key jobpages.Key, progress *jobpages.Progress) {
+	rest := &pb.PageResult{Base: uint32(progress.Saved), Text: progress.Text[progress.Saved:], Status: http.StatusOK}
+	if r.settle(key, rest) || !r.node.state.IsOpen(key.JobID, key.Index) {
+		return
+	}
+	r.settle(key, &pb.PageResult{Text: progress.Text, Status: http.StatusOK})
+}
+
+// settle records a result. The first result of an item wins. It reports
+// whether this one is known to have been recorded.
+func (r *runner) settle(key jobpages.Key, result *pb.PageResult) bool {
 	result.JobId, result.Item = key.JobID, key.Index
 	command := &pb.Command{Op: &pb.Command_PageSettle{PageSettle: &pb.PageSettle{Results: []*pb.PageResult{result}}}}
 	ctx, cancel := context.WithTimeout(r.node.ctx, proposeTimeout)
 	defer cancel()
-	_, controlErr := r.node.replica.Load().Propose(ctx, command)
+	answer, controlErr := r.node.replica.Load().Propose(ctx, command)
 	r.node.logger.Info(eventlog.ItemSettled, "job", key.JobID, "item", key.Index, "failed", result.GetFailed(),
-		"reason", result.GetReason(), "status", result.GetStatus(), "bytes", len(result.GetText()), "error", controlErr.GetReason())
+		"reason", result.GetReason(), "status", result.GetStatus(), "base", result.GetBase(), "bytes", len(result.GetText()), "error", controlErr.GetReason())
+	return answer.GetPage().GetSettled() > 0
 }
 
 func (r *runner) expire() {
