--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -8,6 +8,6 @@
 // leaves slots free for the next arrivals, and an upstream that is overfull is
 // relieved by stopping batch runs, which resume elsewhere.
 //
-// A Pool follows the contract of package core: it reads no clock and draws no
-// random numbers.
+// A Pool follows the contract of package core: it reads no clock, and all
+// randomness comes from its seed.
 package dispatch
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -31,9 +31,9 @@
 // last report.
 const spareSlots = 2
 
-// pick returns the best upstream for an ask, or nil. Among equals it prefers
-// the one with the most free slots, and among those the first in an order of
-// its own, so that daemons that decide at the same time spread out.
+// pick returns the upstream of the best tier with the most free slots, or nil.
+// Among equals it takes the first in an order of this pool's own, so that
+// daemons that decide at the same time spread out.
 func (p *Pool) pick(now time.Time, ask Ask) *upstream {
 	if ask.Class == Batch && !ask.Borrow && p.totals(ask.Service).batch >= p.Room(ask.Service) {
 		return nil
@@ -52,7 +52,7 @@
 	return best
 }
 
-// better orders upstreams of one tier.
+// better orders two upstreams of one tier.
 func better(a, b *upstream) bool {
 	if a.free() != b.free() {
 		return a.free() > b.free()
@@ -99,13 +99,12 @@
 }
 
 // Overload returns the number of batch grants of this pool that an upstream
-// must give up for online requests, for each upstream that has to. A burst
-// finds the reserve free again once it has begun.
+// must give up for online requests, for each upstream that has to.
 func (p *Pool) Overload() map[string]int {
 	var overload map[string]int
 	for _, id := range p.order {
 		u := p.upstreams[id]
-		excess := min(p.options.BatchReserve-u.free(), u.own[Batch])
+		excess := min(-u.free(), u.own[Batch])
 		if excess <= 0 || u.online() == 0 {
 			continue
 		}
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -2,11 +2,11 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/briarcross/briarcross/core"
 	"github.com/briarcross/briarcross/fleet"
 )
 
@@ -22,10 +22,10 @@
 
 // Options configures a Pool.
 type Options struct {
-	// Self names the daemon; each has an order of upstreams of its own.
-	Self string
 	// DataCentre is where the pool's requests come from.
 	DataCentre string
+	// Seed must differ between daemons.
+	Seed uint64
 	// BatchReserve is the number of slots of each upstream that batch leaves
 	// free for online requests.
 	BatchReserve int
@@ -101,7 +101,7 @@
 	// suspectUntil is set after failures; failures counts them in a row.
 	suspectUntil time.Time
 	failures     int
-	// rank orders the upstreams for this daemon.
+	// rank is the upstream's place in this pool's order.
 	rank uint64
 }
 
@@ -114,6 +114,7 @@
 // Pool assigns slots.
 type Pool struct {
 	options   Options
+	rand      *rand.Rand
 	upstreams map[string]*upstream
 	// order lists the IDs of the upstreams in ascending order.
 	order   []string
@@ -129,6 +130,7 @@
 func New(options Options) *Pool {
 	return &Pool{
 		options:   options,
+		rand:      core.NewRand(options.Seed),
 		upstreams: make(map[string]*upstream),
 		reports:   make(map[string]peerReport),
 		rates:     make(map[string]*rate),
@@ -140,7 +142,7 @@
 func (p *Pool) Update(u fleet.Upstream) {
 	held, known := p.upstreams[u.ID]
 	if !known {
-		held = &upstream{rank: xxhash.Sum64String(p.options.Self + "\x00" + u.ID)}
+		held = &upstream{rank: p.rand.Uint64()}
 		p.upstreams[u.ID] = held
 		at, _ := slices.BinarySearch(p.order, u.ID)
 		p.order = slices.Insert(p.order, at, u.ID)
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -64,7 +64,7 @@
 	d.Storage = client.NewControl(d.Transport, nil)
 	d.Slots = NewSlots(dispatch.Options{
 		DataCentre:   settings.DataCentre,
-		Self:         settings.ID,
+		Seed:         d.Identity.Incarnation,
 		BatchReserve: batchReserve,
 		PeerTimeout:  PeerTimeout,
 		Silence:      SilentHeartbeats * settings.Heartbeat,
