Tests with separate processes on the platform's protocol, and a fault soak

Stand-ins for engines that speak heartbeats, instances, resumption and stamps; processes on loopback networks of their own; a proxy that delays, drops one way, silences and resets; seeds decide the faults. -listen lets a daemon stand behind such a proxy.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SEEDS ?= 200
 BIN := bin
 
-.PHONY: build generate check test e2e spec bench capacity demo soak fuzz
+.PHONY: build generate check test e2e spec bench capacity demo soak soak-faults fuzz
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -36,3 +36,10 @@
 
 soak:
 	./.ci/soak $(SEEDS)
+
+# Separate processes with faults from outside: make soak-faults SEED=7 MINUTES=5
+SEED ?= 1
+MINUTES ?= 1
+soak-faults:
+	BRIARCROSS_E2E=1 BRIARCROSS_FAULT_SEED=$(SEED) BRIARCROSS_FAULT_SECONDS=$$((60 * $(MINUTES))) \
+		$(GO) test -count=1 -v -timeout 2h -run TestFaultSoak ./e2e
--- a/cli/nodes.go
+++ b/cli/nodes.go
@@ -59,26 +59,28 @@
 
 func (a *app) nodeRole(role, help string, start func(*node.Settings, *log.Logger) (seeded, error)) *ffcli.Command {
 	fs := newFlagSet(role)
-	metrics := fs.String("metrics", "", "address at which metrics are served; empty serves none")
+	extra := &node.Settings{}
+	fs.StringVar(&extra.Metrics, "metrics", "", "address at which metrics are served; empty serves none")
+	fs.StringVar(&extra.Listen, "listen", "", "address to listen on for other daemons, if they reach it through a translation")
 	return a.command(&ffcli.Command{
 		Name:       role,
 		ShortUsage: "briarcross node " + role + " [flags]",
 		ShortHelp:  help,
 		FlagSet:    fs,
 		Exec: func(context.Context, []string) error {
-			return runNode(role, *metrics, start)
+			return runNode(role, extra, start)
 		},
 	})
 }
 
 // runNode runs a daemon until a signal stops it or it breaks.
-func runNode(role, metrics string, start func(*node.Settings, *log.Logger) (seeded, error)) error {
+func runNode(role string, extra *node.Settings, start func(*node.Settings, *log.Logger) (seeded, error)) error {
 	path := platform.SettingsPath()
 	settings, err := platform.LoadSettings(path, role)
 	if err != nil {
 		return err
 	}
-	settings.Metrics = metrics
+	settings.Metrics, settings.Listen = extra.Metrics, extra.Listen
 	if settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
 	}
--- a/controlnode/node.go
+++ b/controlnode/node.go
@@ -106,7 +106,7 @@
 func sameAddress(id string) (string, bool) { return id, true }
 
 func (n *Node) open() error {
-	listener, err := daemon.ListenTCP("address", n.settings.Address)
+	listener, err := daemon.ListenTCP("address", n.settings.ListenAddress())
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/e2e/platform_engine_test.go
@@ -0,0 +1,223 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// Headers and paths of the platform that the stand-ins speak.
+const (
+	headerID      = "Briarcross-Request-Id"
+	headerExpect  = "Briarcross-Expect-Instance"
+	headerStamp   = "Briarcross-Response-Stamp"
+	headerNotRun  = "Briarcross-Not-Executed"
+	headerResume  = "Last-Event-Id"
+	headerTime    = "Briarcross-Deadline-Ms"
+	pathBeat      = "/Instances.Heartbeat/"
+	pathLeave     = "/Instances.Deregister/"
+	engineSlots   = 8
+	eventInterval = 8 * time.Millisecond
+	beatInterval  = 300 * time.Millisecond
+	serviceName   = "summaries"
+)
+
+// eventsOf returns the number of events of a request's whole answer.
+func eventsOf(id string) int {
+	h := fnv.New32a()
+	_, _ = io.WriteString(h, id)
+	return 6 + int(h.Sum32()%12)
+}
+
+func eventText(id string, n int) string { return fmt.Sprintf("%s/%d", id, n) }
+
+// textOfItem returns the whole output of a batch item.
+func textOfItem(id string) string {
+	var events []string
+	for n := 1; n <= eventsOf(id); n++ {
+		events = append(events, eventText(id, n))
+	}
+	return strings.Join(events, "\n")
+}
+
+// runLedger records what the engines have run.
+type runLedger struct {
+	mu   sync.Mutex
+	runs map[string][]time.Time
+}
+
+func (l *runLedger) note(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.runs == nil {
+		l.runs = make(map[string][]time.Time)
+	}
+	l.runs[id] = append(l.runs[id], time.Now())
+}
+
+func (l *runLedger) of(id string) []time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]time.Time(nil), l.runs[id]...)
+}
+
+// platformEngine is a stand-in for an engine of the platform.
+type platformEngine struct {
+	id      string
+	zone    string
+	address string
+	born    int64
+	ledger  *runLedger
+	control []string
+	client  *http.Client
+	server  *http.Server
+
+	running  atomic.Int32
+	sequence atomic.Int64
+	draining atomic.Bool
+	// drainedAt is the time of the acknowledged notice that the engine leaves.
+	drainedAt atomic.Int64
+	// late counts the requests that came long after that notice.
+	late   atomic.Int32
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+}
+
+func startPlatformEngine(t *testing.T, id, zone, ip string, control []string, ledger *runLedger) *platformEngine {
+	t.Helper()
+	listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	e := &platformEngine{
+		id: id, zone: zone, address: listener.Addr().String(), born: time.Now().UnixMilli(), ledger: ledger,
+		control: control, cancel: cancel,
+		client: &http.Client{Timeout: time.Second, Transport: &http.Transport{}},
+	}
+	e.server = &http.Server{Handler: http.HandlerFunc(e.serve)}
+	e.done.Go(func() { _ = e.server.Serve(listener) })
+	e.done.Go(func() { e.beat(ctx) })
+	t.Cleanup(e.stop)
+	return e
+}
+
+// stop ends the engine without a notice.
+func (e *platformEngine) stop() {
+	e.cancel()
+	_ = e.server.Close()
+	e.done.Wait()
+	e.client.CloseIdleConnections()
+}
+
+// beat sends heartbeats until the engine stops.
+func (e *platformEngine) beat(ctx context.Context) {
+	ticker := time.NewTicker(beatInterval)
+	defer ticker.Stop()
+	for next := 0; ; next++ {
+		e.beatOnce(next)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (e *platformEngine) beatOnce(next int) {
+	state := "ready"
+	if e.draining.Load() {
+		state = "draining"
+	}
+	body, err := json.Marshal(map[string]any{
+		"Service": serviceName, "Addr": e.address, "Zone": e.zone, "Slots": engineSlots,
+		"State": state, "Seq": e.sequence.Add(1), "born": e.born, "ColdLeftMs": 0,
+	})
+	if err != nil {
+		panic(err)
+	}
+	for i := range e.control {
+		url := "http://" + e.control[(next+i)%len(e.control)] + pathBeat + e.id
+		response, err := e.client.Post(url, "application/json", bytes.NewReader(body))
+		if err != nil {
+			continue
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+		if response.StatusCode/100 != 2 {
+			continue
+		}
+		if state == "draining" {
+			e.drainedAt.CompareAndSwap(0, time.Now().UnixMilli())
+		}
+		return
+	}
+}
+
+// drainTime is the time after which a leaving engine gets nothing new.
+const drainTime = 2 * time.Second
+
+func (e *platformEngine) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	id := r.Header.Get(headerID)
+	w.Header().Set(headerID, id)
+	if expected := r.Header.Get(headerExpect); expected != "" && expected != e.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if at := e.drainedAt.Load(); at > 0 && time.Since(time.UnixMilli(at)) > drainTime {
+		e.late.Add(1)
+	}
+	if id == "" || e.running.Add(1) > engineSlots {
+		e.running.Add(-1)
+		w.Header().Set(headerNotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer e.running.Add(-1)
+	e.ledger.note(id)
+	if bytes.Contains(body, []byte("impossible")) {
+		w.Header().Set(headerStamp, e.id)
+		w.WriteHeader(http.StatusUnprocessableEntity)
+		return
+	}
+	e.stream(w, r, id)
+}
+
+func (e *platformEngine) stream(w http.ResponseWriter, r *http.Request, id string) {
+	from, err := strconv.Atoi(r.Header.Get(headerResume))
+	if err != nil {
+		from = 0
+	}
+	w.Header().Set(headerStamp, e.id+"."+id)
+	w.Header().Set("Content-Type", "text/event-stream")
+	ticker := time.NewTicker(eventInterval)
+	defer ticker.Stop()
+	for n := from + 1; n <= eventsOf(id); n++ {
+		select {
+		case <-r.Context().Done():
+			return
+		case <-ticker.C:
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, eventText(id, n)); err != nil {
+			return
+		}
+		if http.NewResponseController(w).Flush() != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/e2e/platform_jobs_test.go
@@ -0,0 +1,95 @@
+package e2e
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+)
+
+// pageOfJob is a page of results as a caller reads it.
+type pageOfJob struct {
+	Total     int
+	NextToken int
+	Results   []struct {
+		ID    string `json:"Id"`
+		State string
+		Text  string
+	}
+}
+
+func itemID(job string, i int) string { return fmt.Sprintf("%s-item-%d", job, i) }
+
+// submitJob submits a job and returns the status; zero without an answer. The
+// last item of each job can never be done.
+func (f *platformFleet) submitJob(n *platformNode, job string, items int) int {
+	type item struct {
+		ID      string `json:"Id"`
+		Path    string
+		Headers map[string]string
+		Body    string
+	}
+	var requests []item
+	for i := range items {
+		body := "record"
+		if i == items-1 {
+			body = "impossible"
+		}
+		requests = append(requests, item{itemID(job, i), "/jobs/1/x", map[string]string{}, base64.StdEncoding.EncodeToString([]byte(body))})
+	}
+	body, err := json.Marshal(map[string]any{"Requests": requests})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	status, _ := f.jobCall(http.MethodPost, n, "/jobs/submit", job, string(body))
+	return status
+}
+
+func (f *platformFleet) jobCall(method string, n *platformNode, path, job, body string) (int, []byte) {
+	request, err := http.NewRequest(method, "http://"+n.front()+path, strings.NewReader(body))
+	if err != nil {
+		return 0, nil
+	}
+	request.Host = hostName
+	request.Header.Set(headerID, job)
+	response, err := f.client.Do(request)
+	if err != nil {
+		return 0, nil
+	}
+	defer func() { _ = response.Body.Close() }()
+	raw, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return response.StatusCode, raw
+}
+
+// readJob reads the results of a job from a position on.
+func (f *platformFleet) readJob(n *platformNode, job string, after int) (int, pageOfJob) {
+	status, raw := f.jobCall(http.MethodGet, n, fmt.Sprintf("/lots/%s?After=%d", job, after), job, "")
+	var page pageOfJob
+	if status == http.StatusOK {
+		if err := json.Unmarshal(raw, &page); err != nil {
+			f.t.Errorf("job %s: a page cannot be read: %v", job, err)
+		}
+	}
+	return status, page
+}
+
+// wrongResult returns what is wrong with a listed result, or nothing.
+func wrongResult(job string, items int, id, state, text string) string {
+	last := itemID(job, items-1)
+	switch {
+	case !strings.HasPrefix(id, job+"-item-"):
+		return "an item of another job"
+	case id == last && state != "errored":
+		return "an impossible item is " + state
+	case id != last && state != "completed":
+		return "an item is " + state
+	case id != last && text != textOfItem(id):
+		return fmt.Sprintf("text %q instead of %q", text, textOfItem(id))
+	}
+	return ""
+}
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -35,8 +35,10 @@
 
 // process is one daemon of the installation.
 type process struct {
-	name    string
-	args    []string
+	name string
+	args []string
+	// env is added to the environment of the test.
+	env     []string
 	log     string
 	command *exec.Cmd
 	exited  chan struct{}
@@ -46,7 +48,12 @@
 
 func newProcess(t *testing.T, folder, name string, args ...string) *process {
 	t.Helper()
-	p := &process{name: name, args: args, log: filepath.Join(folder, name+".log")}
+	return startProcess(t, folder, name, nil, args...)
+}
+
+func startProcess(t *testing.T, folder, name string, env []string, args ...string) *process {
+	t.Helper()
+	p := &process{name: name, args: args, env: env, log: filepath.Join(folder, name+".log")}
 	p.start(t)
 	t.Cleanup(func() {
 		p.kill()
@@ -65,6 +72,7 @@
 	}
 	defer func() { _ = log.Close() }()
 	p.command = exec.Command(binary, p.args...)
+	p.command.Env = append(os.Environ(), p.env...)
 	p.command.Stdout = log
 	p.command.Stderr = log
 	if err := p.command.Start(); err != nil {
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -69,7 +69,7 @@
 		PeerTimeout:  PeerTimeout,
 		Silence:      SilentHeartbeats * settings.Heartbeat,
 	}, func() { d.reports.Changed() })
-	datagrams, err := transport.ListenDatagrams(d.Identity, settings.Address, d.receive)
+	datagrams, err := transport.ListenDatagrams(d.Identity, settings.ListenAddress(), d.receive)
 	if err != nil {
 		return nil, err
 	}
--- a/node/settings.go
+++ b/node/settings.go
@@ -25,6 +25,9 @@
 	DataCentre string
 	// Address is for streams and datagrams of other daemons.
 	Address string
+	// Listen is where the daemon listens for others, if they reach it at Address
+	// through a translation; empty means Address.
+	Listen string
 	// Seeds are the addresses of a few control replicas.
 	Seeds []string
 	// FirstStart is set while the deployment starts for the first time.
@@ -87,6 +90,14 @@
 	return nil
 }
 
+// ListenAddress returns where the daemon listens for other daemons.
+func (s *Settings) ListenAddress() string {
+	if s.Listen != "" {
+		return s.Listen
+	}
+	return s.Address
+}
+
 // Identity returns this start's identity.
 func (s *Settings) Identity() *transport.Identity {
 	return &transport.Identity{ID: s.ID, Incarnation: uint64(time.Now().UnixNano()), Address: s.Address}
--- a/storenode/node.go
+++ b/storenode/node.go
@@ -77,7 +77,7 @@
 		ctx:           ctx,
 		cancel:        cancel,
 	}
-	listener, err := daemon.ListenTCP("address", settings.Address)
+	listener, err := daemon.ListenTCP("address", settings.ListenAddress())
 	if err != nil {
 		cancel()
 		return nil, err
