--- a/cli/main.go
+++ b/cli/main.go
@@ -120,7 +120,7 @@
 	fs := newFlagSet("briarcross")
 	subcommands := append(a.daemonCommands(), a.nodeCommand(), a.demoCommand())
 	subcommands = append(subcommands, a.operatorCommands()...)
-	subcommands = append(subcommands, a.completionCommand(a.root), a.tokenCommand(), a.versionCommand())
+	subcommands = append(subcommands, a.completionCommand(a.root), a.explainCommand(), a.tokenCommand(), a.versionCommand())
 	return a.command(&ffcli.Command{
 		Name:        "briarcross",
 		ShortUsage:  "briarcross <command> [flags]",
--- a/cli/nodes.go
+++ b/cli/nodes.go
@@ -94,7 +94,7 @@
 
 	daemon, err := start(settings, logger)
 	if err != nil {
-		logger.Error("start_failed", "error", err)
+		logger.Error(eventlog.StartFailed, "error", err)
 		return err
 	}
 	logger.Info(eventlog.Started, "address", settings.Address, "data_centre", settings.DataCentre, "first_start", settings.FirstStart, "seeds", settings.Seeds)
--- a/entrynode/exchange.go
+++ b/entrynode/exchange.go
@@ -52,6 +52,8 @@
 	// refused it.
 	ran   int
 	unrun int
+	// upstream is where the request was placed last.
+	upstream string
 	// relaying is set once the head of an answer has been sent.
 	relaying bool
 	events   upstream.Events
@@ -162,7 +164,8 @@
 // abandon ends a request whose caller has left.
 func (x *exchange) abandon() {
 	x.node.metrics.requests.WithLabelValues("abandoned").Inc()
-	x.node.logger.Info(eventlog.RequestCut, "request", x.said.ID, "reason", "caller_left", "elapsed_ms", x.elapsed().Milliseconds())
+	x.node.logger.Info(eventlog.RequestCut, "request", x.said.ID, "reason", "caller_left", "upstream", x.upstream,
+		"events", x.events.Count, "elapsed_ms", x.elapsed().Milliseconds(), "left_ms", (x.left - x.elapsed()).Milliseconds())
 	panic(http.ErrAbortHandler)
 }
 
@@ -174,8 +177,8 @@
 	}
 	if x.relaying {
 		x.node.metrics.requests.WithLabelValues("cut").Inc()
-		x.node.logger.Warn(eventlog.RequestCut, "request", x.said.ID, "reason", reason, "events", x.events.Count,
-			"elapsed_ms", x.elapsed().Milliseconds(), "left_ms", (x.left - x.elapsed()).Milliseconds())
+		x.node.logger.Warn(eventlog.RequestCut, "request", x.said.ID, "reason", reason, "upstream", x.upstream,
+			"events", x.events.Count, "elapsed_ms", x.elapsed().Milliseconds(), "left_ms", (x.left - x.elapsed()).Milliseconds())
 		panic(http.ErrAbortHandler)
 	}
 	f := refusal{reason: reason, route: x.route.Name, routing: x.table.Version, waited: x.elapsed()}
@@ -201,6 +204,7 @@
 	defer func() { x.node.Slots.Release(grant, outcome) }()
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
+	x.upstream = grant.Upstream
 	x.node.logger.Info(eventlog.RequestPlaced, "request", x.said.ID, "route", x.route.Name, "routing", x.table.Version,
 		"upstream", grant.Upstream, "address", grant.Address, "waited_ms", grant.Waited.Milliseconds(), "free", grant.Free, "ran", x.ran)
 	answer, err := x.node.engines.Do(ctx, x.call(grant))
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -24,7 +24,7 @@
 	// is not ready out of rotation, with one of its checks to spare.
 	rotationTime = 3 * time.Second
 	// stopMargin is what remains of the grace time for the process to end.
-	stopMargin = 300 * time.Millisecond
+	stopMargin = time.Second
 	// headerTimeout and idleTimeout bound connections that send nothing. The
 	// second is above the idle times that routing tables allow callers.
 	headerTimeout = 10 * time.Second
@@ -74,6 +74,7 @@
 	metrics *metrics
 
 	callers  *http.Server
+	unused   *unusedConns
 	ready    *http.Server
 	exporter *node.MetricsServer
 	stopping atomic.Bool
@@ -99,6 +100,7 @@
 		logger:        logger,
 		codec:         codec,
 		metrics:       newMetrics(),
+		unused:        newUnusedConns(),
 		ctx:           ctx,
 		cancel:        cancel,
 	}
@@ -135,6 +137,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          quietLog,
+		ConnState:         n.unused.note,
 	}
 	n.ready = &http.Server{Handler: handlers.Ready, ReadHeaderTimeout: headerTimeout, ErrorLog: quietLog}
 	n.metrics.registry.MustRegister(n.Collectors()...)
@@ -178,7 +181,8 @@
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	err := n.callers.Shutdown(ctx)
+	n.unused.close()
+	err := errors.Join(n.callers.Shutdown(ctx), n.callers.Close())
 	_ = n.ready.Close()
 	n.exporter.Close()
 	n.cancel()
--- /dev/null
+++ b/entrynode/node_test.go
@@ -0,0 +1,450 @@
+package entrynode
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	. "github.com/onsi/gomega"
+
+	"github.com/briarcross/briarcross/node"
+	"github.com/briarcross/briarcross/pb"
+	"github.com/briarcross/briarcross/routing"
+	"github.com/briarcross/briarcross/transport"
+	"github.com/briarcross/briarcross/upstream"
+)
+
+const (
+	testLimit = 20 * time.Second
+	testPoll  = 5 * time.Millisecond
+)
+
+// testCodec is a dialect of these tests' own.
+type testCodec struct{}
+
+func (testCodec) Encode(header http.Header, call *upstream.Call) {
+	header.Set("Id", call.RequestID)
+	header.Set("Engine", call.Instance)
+	header.Set("Left", strconv.FormatInt(call.Left.Milliseconds(), 10))
+	if call.ResumeAfter != "" {
+		header.Set("After", call.ResumeAfter)
+	}
+}
+
+func (testCodec) Decode(status int, header http.Header) upstream.Head {
+	return upstream.Head{
+		RequestID: header.Get("Id"), NotRun: header.Get("Not-Run") != "",
+		OtherInstance: status == http.StatusMisdirectedRequest, Genuine: header.Get("Mark") != "",
+	}
+}
+
+func (testCodec) Request(r *http.Request) Request {
+	ms, err := strconv.Atoi(r.Header.Get("Patience"))
+	if err != nil {
+		ms = 0
+	}
+	return Request{ID: r.Header.Get("Id"), Deadline: time.Duration(ms) * time.Millisecond, ResumeAfter: r.Header.Get("After")}
+}
+
+func (testCodec) Job([]byte) (Job, error) { return Job{}, nil }
+
+func (testCodec) Table([]byte) (*routing.Table, error) {
+	route := func(name string, kind routing.Kind, attempts int, resumable bool) routing.Route {
+		return routing.Route{
+			Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, Splits: []routing.Split{{Service: "s", Weight: 1}},
+			Timeout: 3 * time.Second, Objective: 400 * time.Millisecond, Attempts: attempts, Resumable: resumable,
+		}
+	}
+	table := &routing.Table{
+		Version:  4,
+		Services: []routing.Service{{Name: "s"}},
+		Limits:   routing.Limits{BodyBytes: 1000, HeaderBytes: 2000},
+		Routes: []routing.Route{
+			route("resume", routing.Streaming, 2, true), route("stream", routing.Streaming, 1, false),
+			route("repeat", routing.Idempotent, 2, false), route("once", routing.Mutating, 2, false),
+		},
+	}
+	return table, table.Build()
+}
+
+// engine answers each request as its script says. A request is named by its
+// ID, so that scripts do not depend on which engine gets it.
+type engine struct {
+	address string
+	seen    chan *http.Request
+	calls   atomic.Int32
+}
+
+// startEngine serves with a script that gets the number of the call, from 1,
+// and returns raw bytes; the connection closes after bytes that end in "<cut>".
+func startEngine(t *testing.T, script func(call int, r *http.Request) string) *engine {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	e := &engine{address: listener.Addr().String(), seen: make(chan *http.Request, 64)}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go e.serve(conn, script)
+		}
+	}()
+	return e
+}
+
+func (e *engine) serve(conn net.Conn, script func(int, *http.Request) string) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.ReadAll(r.Body); err != nil {
+			return
+		}
+		e.seen <- r
+		answer := script(int(e.calls.Add(1)), r)
+		whole, cut := strings.CutSuffix(answer, "<cut>")
+		if _, err := io.WriteString(conn, whole); err != nil || cut {
+			return
+		}
+	}
+}
+
+// chunked returns an answer with a body in one chunk, without its end if the
+// body is cut.
+func chunked(id, body string) string {
+	whole, cut := strings.CutSuffix(body, "<cut>")
+	answer := "HTTP/1.1 200 OK\r\nMark: m\r\nId: " + id + "\r\nTransfer-Encoding: chunked\r\n\r\n" +
+		fmt.Sprintf("%x\r\n%s\r\n", len(whole), whole)
+	if cut {
+		return answer + "<cut>"
+	}
+	return answer + "0\r\n\r\n"
+}
+
+func events(from, to int) string {
+	var b strings.Builder
+	for n := from; n <= to; n++ {
+		fmt.Fprintf(&b, "id: %d\ndata: x%d\n\n", n, n)
+	}
+	return b.String()
+}
+
+// startEntry starts an entry before engines, behind a stand-in for a control
+// replica that says what they are.
+func startEntry(t *testing.T, engines ...*engine) (url string, n *Node) {
+	t.Helper()
+	update := &pb.FleetUpdate{RoutingVersion: 4, RoutingDocument: []byte("table")}
+	for i, e := range engines {
+		update.Upstreams = append(update.Upstreams, &pb.UpstreamBeat{
+			Id: fmt.Sprintf("i-%d", i), BornUnixMs: 1, Sequence: 1, Service: "s", Address: e.address,
+			DataCentre: "d", Slots: 4, Phase: pb.UpstreamPhase_UPSTREAM_READY,
+		})
+	}
+	control, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := transport.NewServer(&transport.Identity{ID: "control"}, func(_ transport.Class, stream *transport.Stream) {
+		if _, err := stream.Receive(); err != nil {
+			return
+		}
+		_ = stream.Send(&pb.Envelope{Body: &pb.Envelope_FleetUpdate{FleetUpdate: update}})
+		_, _ = stream.Receive()
+	})
+	go func() { _ = server.Serve(control) }()
+	settings := &node.Settings{
+		ID: "entry", Role: node.RoleEntry, DataCentre: "d", Address: freeAddress(t), Seeds: []string{control.Addr().String()},
+		Callers: freeAddress(t), Ready: freeAddress(t), Heartbeat: time.Hour, Grace: 4 * time.Second,
+	}
+	n, err = Start(settings, testCodec{}, log.New(io.Discard), func(n *Node) Handlers {
+		return Handlers{Callers: http.HandlerFunc(n.Serve), Ready: http.NotFoundHandler()}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		n.cancel()
+		_ = n.callers.Close()
+		_ = n.ready.Close()
+		n.Close()
+		n.tasks.Wait()
+		_ = control.Close()
+		server.Close()
+	})
+	NewWithT(t).Eventually(n.Ready, testLimit, testPoll).Should(BeTrue())
+	return "http://" + settings.Callers, n
+}
+
+// hosts numbers the loopback addresses of this package's tests.
+var hosts atomic.Int32
+
+// freeAddress returns an address that no other test uses.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	n := hosts.Add(1)
+	return fmt.Sprintf("127.79.%d.%d:18000", n/200, 1+n%200)
+}
+
+type result struct {
+	status     int
+	body       string
+	err        error
+	retryAfter string
+	mark       string
+}
+
+func ask(t *testing.T, url, path string) result {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodPost, url+path, strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "h"
+	r.Header.Set("Id", "r1")
+	r.Header.Set("Patience", "2500")
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(r)
+	if err != nil {
+		return result{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return result{response.StatusCode, string(body), err, response.Header.Get("Retry-After"), response.Header.Get("Mark")}
+}
+
+func TestAStreamThatBreaksOffInAnEventGoesOnElsewhere(t *testing.T) {
+	for name, first := range map[string]string{
+		"in an event":      chunked("r1", events(1, 3)+"id: 4\nda<cut>"),
+		"between events":   chunked("r1", events(1, 3)+"<cut>"),
+		"complete but cut": strings.TrimSuffix(chunked("r1", events(1, 3)+"id: 4\nda"), "<cut>"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			expect := NewWithT(t)
+			var calls atomic.Int32
+			script := func(_ int, r *http.Request) string {
+				if calls.Add(1) == 1 {
+					return first
+				}
+				return chunked("r1", events(4, 6))
+			}
+			a, b := startEngine(t, script), startEngine(t, script)
+			url, _ := startEntry(t, a, b)
+			got := ask(t, url, "/resume/x")
+			expect.Expect(got.err).NotTo(HaveOccurred())
+			expect.Expect(got.body).To(Equal(events(1, 6)))
+			expect.Expect(a.calls.Load()).To(BeEquivalentTo(1))
+			expect.Expect(b.calls.Load()).To(BeEquivalentTo(1))
+			resumed := <-b.seen
+			if resumed.Header.Get("After") == "" {
+				resumed = <-a.seen
+			}
+			expect.Expect(resumed.Header.Get("After")).To(Equal("3"))
+		})
+	}
+}
+
+func TestAStreamThatMayNotBeRepeatedIsCutVisibly(t *testing.T) {
+	expect := NewWithT(t)
+	script := func(int, *http.Request) string { return chunked("r1", events(1, 3)+"id: 4\nda<cut>") }
+	a, b := startEngine(t, script), startEngine(t, script)
+	url, _ := startEntry(t, a, b)
+	got := ask(t, url, "/stream/x")
+	expect.Expect(got.err).To(HaveOccurred())
+	expect.Expect(got.body).To(Equal(events(1, 3)))
+	expect.Expect(a.calls.Load() + b.calls.Load()).To(BeEquivalentTo(1))
+}
+
+func TestWhatMayHaveRunIsNotSaidNotToHaveRun(t *testing.T) {
+	for path, calls := range map[string]int{"/once/x": 1, "/stream/x": 1, "/repeat/x": 2, "/resume/x": 2} {
+		t.Run(path, func(t *testing.T) {
+			expect := NewWithT(t)
+			script := func(int, *http.Request) string { return "<cut>" }
+			a, b := startEngine(t, script), startEngine(t, script)
+			url, _ := startEntry(t, a, b)
+			got := ask(t, url, path)
+			expect.Expect(got.status).To(Equal(http.StatusBadGateway))
+			expect.Expect(int(a.calls.Load() + b.calls.Load())).To(Equal(calls))
+		})
+	}
+}
+
+func TestAnEngineThatDidNotRunItIsPassedOver(t *testing.T) {
+	for name, refusal := range map[string]string{
+		"full":  "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nId: r1\r\nContent-Length: 0\r\n\r\n",
+		"moved": "HTTP/1.1 421 Misdirected Request\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			expect := NewWithT(t)
+			var calls atomic.Int32
+			script := func(int, *http.Request) string {
+				if calls.Add(1) == 1 {
+					return refusal
+				}
+				return chunked("r1", events(1, 2))
+			}
+			url, _ := startEntry(t, startEngine(t, script), startEngine(t, script))
+			got := ask(t, url, "/stream/x")
+			expect.Expect(got.status).To(Equal(http.StatusOK))
+			expect.Expect(got.body).To(Equal(events(1, 2)))
+		})
+	}
+}
+
+func TestARequestThatNoEngineRanMayComeAgain(t *testing.T) {
+	expect := NewWithT(t)
+	script := func(int, *http.Request) string {
+		return "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	}
+	url, _ := startEntry(t, startEngine(t, script), startEngine(t, script))
+	got := ask(t, url, "/once/x")
+	expect.Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+	expect.Expect(got.retryAfter).NotTo(BeEmpty())
+}
+
+func TestAnswersThatAreNotTheEnginesNeverLookLikeIt(t *testing.T) {
+	for name, answer := range map[string]string{
+		"no mark":         "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 2\r\n\r\nok",
+		"not HTTP":        "garbage\r\n\r\n<cut>",
+		"another request": strings.Repeat("HTTP/1.1 200 OK\r\nMark: m\r\nId: r0\r\nContent-Length: 2\r\n\r\nno", 4) + "<cut>",
+	} {
+		t.Run(name, func(t *testing.T) {
+			expect := NewWithT(t)
+			url, _ := startEntry(t, startEngine(t, func(int, *http.Request) string { return answer }))
+			got := ask(t, url, "/once/x")
+			expect.Expect(got.status).To(Equal(http.StatusBadGateway))
+			expect.Expect(got.mark).To(BeEmpty())
+		})
+	}
+}
+
+func TestAnEnginesFailureIsPassedOnUnchanged(t *testing.T) {
+	expect := NewWithT(t)
+	script := func(int, *http.Request) string {
+		return "HTTP/1.1 500 Internal Server Error\r\nMark: m\r\nId: r1\r\nContent-Length: 4\r\n\r\noops"
+	}
+	url, _ := startEntry(t, startEngine(t, script), startEngine(t, script))
+	got := ask(t, url, "/once/x")
+	expect.Expect(got.status).To(Equal(http.StatusInternalServerError))
+	expect.Expect(got.body).To(Equal("oops"))
+	expect.Expect(got.mark).To(Equal("m"))
+}
+
+func TestAnEngineGetsTheTimeThatIsLeft(t *testing.T) {
+	expect := NewWithT(t)
+	e := startEngine(t, func(int, *http.Request) string { return chunked("r1", events(1, 1)) })
+	url, _ := startEntry(t, e)
+	expect.Expect(ask(t, url, "/stream/x").status).To(Equal(http.StatusOK))
+	left, err := strconv.Atoi((<-e.seen).Header.Get("Left"))
+	expect.Expect(err).NotTo(HaveOccurred())
+	expect.Expect(left).To(And(BeNumerically("<=", 2500), BeNumerically(">", 0)))
+}
+
+func TestASilentEngineEndsAtTheDeadline(t *testing.T) {
+	expect := NewWithT(t)
+	release := make(chan struct{})
+	defer close(release)
+	e := startEngine(t, func(int, *http.Request) string {
+		<-release
+		return "<cut>"
+	})
+	url, _ := startEntry(t, e)
+	got := ask(t, url, "/once/x")
+	expect.Expect(got.status).To(Equal(http.StatusGatewayTimeout))
+}
+
+func TestACallerThatLeavesEndsTheRun(t *testing.T) {
+	expect := NewWithT(t)
+	ended := make(chan struct{})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	expect.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = listener.Close() })
+	started := make(chan struct{})
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		reader := bufio.NewReader(conn)
+		if r, err := http.ReadRequest(reader); err == nil {
+			_, _ = io.ReadAll(r.Body)
+		}
+		close(started)
+		_, _ = reader.ReadByte()
+		close(ended)
+	}()
+	url, _ := startEntry(t, &engine{address: listener.Addr().String()})
+	conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+	expect.Expect(err).NotTo(HaveOccurred())
+	_, err = io.WriteString(conn, "POST /stream/x HTTP/1.1\r\nHost: h\r\nId: r1\r\nContent-Length: 4\r\n\r\nbody")
+	expect.Expect(err).NotTo(HaveOccurred())
+	<-started
+	expect.Expect(conn.Close()).To(Succeed())
+	expect.Eventually(ended, testLimit).Should(BeClosed())
+}
+
+func TestLimitsOfTheRoutingTable(t *testing.T) {
+	expect := NewWithT(t)
+	url, _ := startEntry(t, startEngine(t, func(int, *http.Request) string { return "<cut>" }))
+	r, err := http.NewRequest(http.MethodPost, url+"/once/x", strings.NewReader(strings.Repeat("x", 1001)))
+	expect.Expect(err).NotTo(HaveOccurred())
+	r.Host = "h"
+	response, err := http.DefaultClient.Do(r)
+	expect.Expect(err).NotTo(HaveOccurred())
+	expect.Expect(response.StatusCode).To(Equal(http.StatusRequestEntityTooLarge))
+	_ = response.Body.Close()
+	got := ask(t, url, "/unknown/x")
+	expect.Expect(got.status).To(Equal(http.StatusNotFound))
+}
+
+func TestWithoutARoutingTableNothingIsSaidOfRoutes(t *testing.T) {
+	expect := NewWithT(t)
+	settings := &node.Settings{
+		ID: "entry", Role: node.RoleEntry, DataCentre: "d", Address: freeAddress(t), Seeds: []string{freeAddress(t)},
+		Callers: freeAddress(t), Ready: freeAddress(t), Heartbeat: time.Hour, Grace: 4 * time.Second,
+	}
+	n, err := Start(settings, testCodec{}, log.New(io.Discard), func(n *Node) Handlers {
+		return Handlers{Callers: http.HandlerFunc(n.Serve), Ready: http.NotFoundHandler()}
+	})
+	expect.Expect(err).NotTo(HaveOccurred())
+	expect.Expect(n.Ready()).To(BeFalse())
+	got := ask(t, "http://"+settings.Callers, "/unknown/x")
+	expect.Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+	expect.Expect(got.retryAfter).NotTo(BeEmpty())
+	n.cancel()
+	_ = n.callers.Close()
+	_ = n.ready.Close()
+	n.Close()
+}
+
+// A caller that connects and sends nothing must not hold a planned stop up
+// until the process is killed.
+func TestAnUnusedConnectionDoesNotHoldUpAStop(t *testing.T) {
+	expect := NewWithT(t)
+	url, n := startEntry(t, startEngine(t, func(int, *http.Request) string { return chunked("r1", events(1, 2)) }))
+	conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+	expect.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = conn.Close() }()
+	expect.Expect(ask(t, url, "/stream/x").status).To(Equal(http.StatusOK))
+	stopped := make(chan error, 1)
+	go func() { stopped <- n.Stop() }()
+	expect.Eventually(n.Ready, testLimit, testPoll).Should(BeFalse())
+	// Until the balancer has noticed, requests are answered as before.
+	expect.Expect(ask(t, url, "/stream/x").body).To(Equal(events(1, 2)))
+	expect.Expect(<-stopped).NotTo(HaveOccurred())
+}
--- a/eventlog/logger.go
+++ b/eventlog/logger.go
@@ -19,6 +19,7 @@
 
 // The names of events. docs/operators/events.md lists them with their fields.
 const (
+	StartFailed        = "start_failed"
 	Started            = "started"
 	Stopping           = "stopping"
 	Stopped            = "stopped"
@@ -52,5 +53,6 @@
 	ReadRefused        = "read_refused"
 	UpstreamsNotLoaded = "upstreams_not_loaded"
 	UpstreamsNotSaved  = "upstreams_not_saved"
+	JobsNotExpired     = "jobs_not_expired"
 	ProgressNotSaved   = "progress_not_saved"
 )
--- /dev/null
+++ b/explain/explain.go
@@ -0,0 +1,138 @@
+// Package explain finds the way of one request, batch item, job or routing
+// version in the logs of all daemons.
+package explain
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/briarcross/briarcross/eventlog"
+)
+
+// maxLineBytes bounds one line of a log; longer ones end the reading.
+const maxLineBytes = 1 << 20
+
+// Line is one event of a log.
+type Line struct {
+	Time   time.Time
+	Event  string
+	Daemon string
+	Fields map[string]any
+	Raw    string
+}
+
+// Find returns the lines that name an ID, in the order of their times. The ID
+// is that of a request, an item's request or a job; "version:N" names a
+// version of the routing table. Text before the JSON object of a line is
+// ignored, as collectors put it there.
+func Find(source io.Reader, id string) ([]Line, error) {
+	scanner := bufio.NewScanner(source)
+	scanner.Buffer(nil, maxLineBytes)
+	var found []Line
+	for scanner.Scan() {
+		if !bytes.Contains(scanner.Bytes(), []byte(strings.TrimPrefix(id, versionPrefix))) {
+			continue
+		}
+		if line, ok := parse(scanner.Text()); ok && line.names(id) {
+			found = append(found, line)
+		}
+	}
+	slices.SortStableFunc(found, func(a, b Line) int { return a.Time.Compare(b.Time) })
+	return found, eris.Wrap(scanner.Err(), "read log")
+}
+
+const versionPrefix = "version:"
+
+func parse(text string) (Line, bool) {
+	at := strings.IndexByte(text, '{')
+	if at < 0 {
+		return Line{}, false
+	}
+	decoder := json.NewDecoder(strings.NewReader(text[at:]))
+	decoder.UseNumber()
+	line := Line{Raw: text[at:]}
+	if decoder.Decode(&line.Fields) != nil {
+		return Line{}, false
+	}
+	line.Event = line.text("msg")
+	line.Daemon = line.text("daemon")
+	when, err := time.Parse(time.RFC3339Nano, line.text("time"))
+	line.Time = when
+	return line, err == nil && line.Event != ""
+}
+
+func (l Line) text(field string) string {
+	value, ok := l.Fields[field]
+	if !ok || value == nil {
+		return ""
+	}
+	return fmt.Sprint(value)
+}
+
+func (l Line) names(id string) bool {
+	if version, ok := strings.CutPrefix(id, versionPrefix); ok {
+		return l.text("version") == version
+	}
+	return l.text("request") == id || l.text("job") == id
+}
+
+// reasons says in words what the reasons of refusals and cuts mean.
+var reasons = map[string]string{
+	"no_routing_table":        "the entry had just started and no control replica had given it a routing table",
+	"no_route":                "the routing table of the given version has no route for the host and path",
+	"no_upstream":             "no upstream of the service was known",
+	"queue_full":              "more requests waited for a slot than could get one in the time that the route allows",
+	"wait_over":               "no slot became free within the share of the objective for which a request may wait",
+	"unreachable":             "the upstreams that were tried could not be reached",
+	"no_answer":               "an upstream broke off before it answered; the request may have run",
+	"broke_off":               "an upstream broke off in the middle of its answer",
+	"event_cut":               "an upstream ended its answer in the middle of an event",
+	"malformed":               "an upstream sent what is no stream of events",
+	"not_genuine":             "what answered was not the engine",
+	"caller_left":             "the caller closed its connection",
+	"deadline":                "the time of the caller or the route ended before a slot was free",
+	"storage_unavailable":     "no leader of the storage group could be reached",
+	"storage_outcome_unknown": "the storage group may have carried the call out, and the answer was lost",
+	"yielded":                 "the run was stopped for online requests",
+	"cannot_be_done":          "the engine says that the item can never be done",
+	"attempts_exhausted":      "the engines failed the item as often as its route allows",
+	"kept_too_long":           "the item was not done in the time for which its job is kept",
+}
+
+// Cause says in one line how the way ended and why.
+func Cause(lines []Line) string {
+	cause := "no decision is logged for it"
+	for _, l := range lines {
+		reason := l.text("reason")
+		words := reason
+		if known, ok := reasons[reason]; ok {
+			words = reason + ": " + known
+		}
+		switch l.Event {
+		case eventlog.RequestRefused:
+			cause = fmt.Sprintf("refused by %s with %s after %s ms; %s", l.Daemon, l.text("status"), l.text("waited_ms"), words)
+			if version := l.text("routing"); version != "" && version != "0" {
+				cause += " (routing version " + version + ")"
+			}
+		case eventlog.RequestCut:
+			cause = fmt.Sprintf("cut by %s after %s events and %s ms at upstream %s; %s", l.Daemon, l.text("events"), l.text("elapsed_ms"), l.text("upstream"), words)
+		case eventlog.RequestFinished:
+			cause = fmt.Sprintf("answered through %s with %s, first event after %s ms, %s upstreams ran it", l.Daemon, l.text("status"), l.text("first_ms"), l.text("ran"))
+		case eventlog.ItemSettled:
+			cause = fmt.Sprintf("settled by %s, failed %s %s", l.Daemon, l.text("failed"), words)
+		case eventlog.JobRefused:
+			cause = fmt.Sprintf("%s refused by %s: %s", l.text("call"), l.Daemon, words)
+		case eventlog.JobAccepted, eventlog.JobEnded, eventlog.RoutingAccepted, eventlog.RoutingApplied, eventlog.RoutingRejected:
+			cause = fmt.Sprintf("%s at %s %s", l.Event, l.Daemon, words)
+		}
+	}
+	return strings.TrimSpace(cause)
+}
--- /dev/null
+++ b/explain/explain_test.go
@@ -0,0 +1,49 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+const logs = `
+  3.870 edge-1 {"time":"2026-10-13T13:21:24.87Z","level":"info","msg":"request_retried","daemon":"edge-1","request":"a1","upstream":"i-2","reason":"no_answer","ran":1}
+{"time":"2026-10-13T13:21:24.86Z","level":"info","msg":"request_placed","daemon":"edge-1","request":"a1","upstream":"i-2"}
+{"time":"2026-10-13T13:21:24.88Z","level":"info","msg":"request_refused","daemon":"edge-1","request":"a1","reason":"no_answer","status":502,"waited_ms":20,"routing":7}
+{"time":"2026-10-13T13:21:24.89Z","level":"info","msg":"request_finished","daemon":"edge-1","request":"a11","status":200}
+{"time":"2026-10-13T13:21:25Z","level":"info","msg":"routing_applied","daemon":"edge-2","version":7}
+not a line with a1
+{"broken a1
+`
+
+func TestTheWayOfARequestIsInOrder(t *testing.T) {
+	expect := NewWithT(t)
+	lines, err := Find(strings.NewReader(logs), "a1")
+	expect.Expect(err).NotTo(HaveOccurred())
+	var events []string
+	for _, l := range lines {
+		events = append(events, l.Event)
+	}
+	expect.Expect(events).To(Equal([]string{"request_placed", "request_retried", "request_refused"}))
+	cause := Cause(lines)
+	expect.Expect(cause).To(ContainSubstring("refused by edge-1 with 502 after 20 ms"))
+	expect.Expect(cause).To(ContainSubstring("may have run"))
+	expect.Expect(cause).To(ContainSubstring("routing version 7"))
+}
+
+func TestAVersionIsFound(t *testing.T) {
+	expect := NewWithT(t)
+	lines, err := Find(strings.NewReader(logs), "version:7")
+	expect.Expect(err).NotTo(HaveOccurred())
+	expect.Expect(lines).To(HaveLen(1))
+	expect.Expect(Cause(lines)).To(Equal("routing_applied at edge-2"))
+}
+
+func TestAnUnknownIDHasNoCause(t *testing.T) {
+	expect := NewWithT(t)
+	lines, err := Find(strings.NewReader(logs), "zz")
+	expect.Expect(err).NotTo(HaveOccurred())
+	expect.Expect(lines).To(BeEmpty())
+	expect.Expect(Cause(lines)).To(Equal("no decision is logged for it"))
+}
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -47,6 +47,7 @@
 	tableLock sync.Mutex
 	onGone    func(fleet.Upstream)
 	tasks     sync.WaitGroup
+	closeOnce sync.Once
 }
 
 // NewDispatcher returns a dispatcher. Decode reads a routing table; onGone is
@@ -89,11 +90,13 @@
 
 // Close ends what Run started, after its context has ended.
 func (d *Dispatcher) Close() {
-	d.tasks.Wait()
-	if err := d.datagrams.Close(); err != nil {
-		d.Logger.Warn("stopping datagrams failed", "error", err)
-	}
-	d.Transport.Close()
+	d.closeOnce.Do(func() {
+		d.tasks.Wait()
+		if err := d.datagrams.Close(); err != nil {
+			d.Logger.Warn(eventlog.Stopping, "error", err)
+		}
+		d.Transport.Close()
+	})
 }
 
 // SetSeeds replaces the addresses at which control replicas are looked for.
--- a/node/loads.go
+++ b/node/loads.go
@@ -16,8 +16,10 @@
 	reportPause = 20 * time.Millisecond
 	// reportInterval is the longest time between two load reports.
 	reportInterval = 250 * time.Millisecond
-	// PeerTimeout is the age at which a load report is dropped.
-	PeerTimeout = 4 * reportInterval
+	// PeerTimeout is the age at which a load report is dropped. The runs of a
+	// VM that lost its power go on at the engines until they end, and nothing
+	// can stop them; batch items take several seconds.
+	PeerTimeout = 5 * time.Second
 )
 
 // Reports exchanges load reports with the other daemons that place requests.
--- /dev/null
+++ b/node/view_test.go
@@ -0,0 +1,112 @@
+package node
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/briarcross/briarcross/dispatch"
+	"github.com/briarcross/briarcross/fleet"
+	"github.com/briarcross/briarcross/pb"
+)
+
+var now = time.UnixMilli(5_000_000)
+
+// A control replica that was cut off comes back with an old routing table.
+func TestTheRoutingTableNeverGoesBack(t *testing.T) {
+	expect := NewWithT(t)
+	v := NewView()
+	changes := v.Merge(now, "a", &pb.FleetUpdate{RoutingVersion: 7, RoutingDocument: []byte("seven")})
+	expect.Expect(changes.Routing).To(Equal(&Routing{7, []byte("seven")}))
+	for _, version := range []uint64{6, 7} {
+		changes = v.Merge(now, "b", &pb.FleetUpdate{RoutingVersion: version, RoutingDocument: []byte("other")})
+		expect.Expect(changes.Routing).To(BeNil())
+	}
+	expect.Expect(v.RoutingVersion()).To(BeEquivalentTo(7))
+}
+
+// Two control replicas tell of one upstream, one of them late.
+func TestTheLatestHeartbeatOfAnyReplicaCounts(t *testing.T) {
+	expect := NewWithT(t)
+	v := NewView()
+	beat := func(sequence uint64, phase pb.UpstreamPhase) *pb.FleetUpdate {
+		return &pb.FleetUpdate{Upstreams: []*pb.UpstreamBeat{{
+			Id: "u", BornUnixMs: 1, Sequence: sequence, Address: "u:1", Slots: 8, Phase: phase, AgeMs: 300,
+		}}}
+	}
+	changes := v.Merge(now, "a", beat(5, pb.UpstreamPhase_UPSTREAM_DRAINING))
+	expect.Expect(changes.Upstreams).To(HaveLen(1))
+	expect.Expect(changes.Upstreams[0].Heard).To(Equal(now.Add(-300 * time.Millisecond)))
+	changes = v.Merge(now, "b", beat(4, pb.UpstreamPhase_UPSTREAM_READY))
+	expect.Expect(changes.Upstreams).To(BeEmpty())
+	expect.Expect(v.Upstreams()[0].Phase).To(Equal(fleet.Draining))
+}
+
+func TestDaemonsAreThoseThatAnyReplicaSees(t *testing.T) {
+	expect := NewWithT(t)
+	v := NewView()
+	daemon := func(address string, incarnation uint64) *pb.Daemon {
+		return &pb.Daemon{Id: address, Role: RoleStore, Address: address, Incarnation: incarnation}
+	}
+	v.Merge(now, "a", &pb.FleetUpdate{Daemons: []*pb.Daemon{daemon("s1", 1), daemon("s2", 1)}, Control: []string{"a", "b"}})
+	v.Merge(now, "b", &pb.FleetUpdate{Daemons: []*pb.Daemon{daemon("s2", 2), daemon("s3", 1)}, Control: []string{"b", "c"}})
+	found := v.Daemons(RoleStore)
+	expect.Expect(found).To(HaveLen(3))
+	expect.Expect(found[1].GetIncarnation()).To(BeEquivalentTo(2))
+	expect.Expect(v.Daemons(RoleEntry)).To(BeEmpty())
+	expect.Expect(v.Control()).To(Equal([]string{"a", "b", "c"}))
+	v.Lost("b")
+	expect.Expect(v.Daemons(RoleStore)).To(HaveLen(2))
+}
+
+func TestABeatSurvivesItsEncoding(t *testing.T) {
+	expect := NewWithT(t)
+	u := fleet.Upstream{
+		ID: "u", BornUnixMs: 3, Sequence: 4, Service: "s", Address: "a:1", DataCentre: "d", Slots: 8, Phase: fleet.Gone,
+		Heard: now.Add(-time.Second), ColdUntil: now.Add(time.Second),
+	}
+	expect.Expect(DecodeBeat(now, EncodeBeat(now, u))).To(Equal(u))
+}
+
+func newSlots(slots int) *Slots {
+	s := NewSlots(dispatch.Options{DataCentre: "d", Seed: 1, PeerTimeout: time.Hour, Silence: time.Hour}, func() {})
+	s.Update([]fleet.Upstream{{ID: "u", Service: "s", DataCentre: "d", Slots: slots, Phase: fleet.Ready, Heard: time.Now()}})
+	return s
+}
+
+func TestAWaitingAskGetsTheSlotThatIsReleased(t *testing.T) {
+	expect := NewWithT(t)
+	s := newSlots(1)
+	ask := dispatch.Ask{Service: "s", Wait: time.Hour}
+	held, refused := s.Acquire(context.Background(), ask)
+	expect.Expect(refused).To(BeNil())
+	got := make(chan dispatch.Grant, 1)
+	go func() {
+		grant, _ := s.Acquire(context.Background(), ask)
+		got <- grant
+	}()
+	expect.Eventually(s.Waiting, 20*time.Second, time.Millisecond).Should(Equal(1))
+	s.Release(held, dispatch.Served)
+	expect.Expect((<-got).Upstream).To(Equal("u"))
+	expect.Expect(s.Loads()).To(Equal([]dispatch.Load{{Upstream: "u", Online: 1}}))
+}
+
+func TestACallerThatLeavesTakesNoSlot(t *testing.T) {
+	expect := NewWithT(t)
+	s := newSlots(1)
+	ask := dispatch.Ask{Service: "s", Wait: time.Hour}
+	held, _ := s.Acquire(context.Background(), ask)
+	ctx, cancel := context.WithCancel(context.Background())
+	refusals := make(chan *dispatch.Refusal, 1)
+	go func() {
+		_, refused := s.Acquire(ctx, ask)
+		refusals <- refused
+	}()
+	expect.Eventually(s.Waiting, 20*time.Second, time.Millisecond).Should(Equal(1))
+	cancel()
+	expect.Expect((<-refusals).Reason).To(BeEmpty())
+	s.Release(held, dispatch.Served)
+	expect.Expect(s.Loads()).To(BeEmpty())
+}
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	peerQueue    = 4096
-	peerBackoff  = 50 * time.Millisecond
+	peerQueue   = 4096
+	peerBackoff = 50 * time.Millisecond
 	// peerDialTime is far above a connection between regions. A VM without
 	// power answers nothing; a new attempt finds it once it is back.
 	peerDialTime = 400 * time.Millisecond
--- a/storenode/runner.go
+++ b/storenode/runner.go
@@ -303,6 +303,6 @@
 	defer cancel()
 	command := &pb.Command{Op: &pb.Command_PageExpire{PageExpire: &pb.PageExpire{JobIds: expired}}}
 	if _, controlErr := replica.Propose(ctx, command); controlErr != nil {
-		r.node.logger.Warn("jobs_not_expired", "jobs", len(expired), "reason", controlErr.GetReason())
+		r.node.logger.Warn(eventlog.JobsNotExpired, "jobs", len(expired), "reason", controlErr.GetReason())
 	}
 }
