Follow the settings where constants stood; forget upstreams that left long ago

Found in reading the diff: entries kept every upstream that ever was; the silence before a repair and the time of a planned stop were constants that fit two sites; two daemons logged members with the same code; two methods had no caller. Ready upstreams are forgotten only while others are heard.

--- a/controlnode/duties.go
+++ b/controlnode/duties.go
@@ -30,7 +30,7 @@
 			return
 		case <-ticker.C:
 		}
-		members = n.noteMembers(members)
+		members = node.LogMembers(n.logger, "control", n.replica.Status(), members)
 		n.expireUpstreams()
 		n.saveUpstreams()
 		_, _, leading := n.replica.Leader()
@@ -49,23 +49,6 @@
 	}
 }
 
-// noteMembers logs a change of the group's membership.
-func (n *Node) noteMembers(known string) string {
-	status := n.replica.Status()
-	current := ""
-	for _, r := range status.GetReplicas() {
-		current += r.GetReplica().GetAddress()
-		if r.GetReplica().GetLearner() {
-			current += "(learner)"
-		}
-		current += " "
-	}
-	if current != known {
-		n.logger.Info(eventlog.MembersChanged, "group", "control", "members", current, "term", status.GetTerm(), "index", status.GetCommitIndex())
-	}
-	return current
-}
-
 func (n *Node) expireUpstreams() {
 	n.upstreamLock.Lock()
 	defer n.upstreamLock.Unlock()
--- a/controlnode/node.go
+++ b/controlnode/node.go
@@ -27,9 +27,6 @@
 const (
 	// group numbers the control group in its messages.
 	group = 0
-	// repairAfter is the silence after which a spare replaces a voter. It
-	// leaves a new replica time to copy the state before it has to count.
-	repairAfter = 2 * time.Second
 	// dutyInterval is the pause between two looks at the group's members.
 	dutyInterval = 100 * time.Millisecond
 	// forwardTimeout bounds one attempt to reach the leader.
@@ -123,7 +120,7 @@
 		Join:        len(founders) == 0,
 		Machine:     deployment.State{},
 		Send:        n.peers.Send,
-		RepairAfter: repairAfter,
+		RepairAfter: n.settings.RepairAfter(),
 		Seed:        n.identity.Incarnation,
 		Logger:      n.logger,
 		OnApply:     n.applied,
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -1,10 +1,6 @@
 package dispatch
 
-import (
-	"time"
-
-	"github.com/briarcross/briarcross/fleet"
-)
+import "time"
 
 // Load counts the requests that a daemon has at an upstream.
 type Load struct {
@@ -70,9 +66,3 @@
 	}
 	return loads
 }
-
-// Usable reports whether an upstream may get new requests.
-func (p *Pool) Usable(id string) bool {
-	u, known := p.upstreams[id]
-	return known && u.Phase == fleet.Ready
-}
--- a/dispatch/pool_test.go
+++ b/dispatch/pool_test.go
@@ -220,6 +220,19 @@
 	expect.Expect(g).NotTo(BeNil())
 }
 
+func TestAForgottenUpstreamIsNotUsed(t *testing.T) {
+	expect := NewWithT(t)
+	p := newPool(up("a", "near", 8), up("b", "far", 8))
+	held, _ := one(p, start, online(1, 0))
+	expect.Expect(held.Upstream).To(Equal("a"))
+	p.Forget("a")
+	p.Forget("unknown")
+	g, _ := one(p, start, online(2, 0))
+	expect.Expect(g.Upstream).To(Equal("b"))
+	p.Done(start, *held, Served)
+	expect.Expect(p.Loads()).To(Equal([]Load{{"b", 1, 0}}))
+}
+
 func TestARestartedUpstreamIsNotSuspect(t *testing.T) {
 	expect := NewWithT(t)
 	p := newPool(up("a", "near", 8), up("b", "far", 8))
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -176,7 +176,7 @@
 	deadline := time.Now().Add(n.settings.Grace - stopMargin)
 	n.stopping.Store(true)
 	select {
-	case <-time.After(rotationTime):
+	case <-time.After(min(rotationTime, n.settings.Grace/2)):
 	case <-n.ctx.Done():
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -158,15 +158,30 @@
 	return all
 }
 
-// Expire forgets the upstreams that left, or fell silent, long ago.
-func (t *Table) Expire(now time.Time) {
+// Expire forgets the upstreams that left long ago, and those that have been
+// silent for long while others were heard: if none is heard, it is not the
+// upstreams that are gone. It returns their IDs.
+func (t *Table) Expire(now time.Time) []string {
+	var latest time.Time
+	for _, u := range t.upstreams {
+		if u.Heard.After(latest) {
+			latest = u.Heard
+		}
+	}
+	var expired []string
 	for id, u := range t.upstreams {
-		if now.Sub(u.Heard) < keepGone {
+		until := latest
+		if u.Phase == Gone {
+			until = now
+		}
+		if until.Sub(u.Heard) < keepGone {
 			continue
 		}
 		delete(t.upstreams, id)
 		if t.atAddress[u.Address] == id {
 			delete(t.atAddress, u.Address)
 		}
+		expired = append(expired, id)
 	}
+	return expired
 }
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -26,6 +26,9 @@
 	SilentHeartbeats = 4
 	// storageInterval is the pause between two looks for storage replicas.
 	storageInterval = 200 * time.Millisecond
+	// expireInterval is the pause between two looks for upstreams that left
+	// long ago.
+	expireInterval = 10 * time.Second
 )
 
 // Dispatcher is what daemons share that place requests at upstreams.
@@ -86,6 +89,7 @@
 	d.tasks.Go(func() { d.reports.Run(ctx) })
 	d.tasks.Go(func() { d.Slots.Run(ctx) })
 	d.tasks.Go(func() { d.findStorage(ctx) })
+	d.tasks.Go(func() { d.expireUpstreams(ctx) })
 }
 
 // Close ends what Run started, after its context has ended.
@@ -157,3 +161,13 @@
 		pause(ctx, storageInterval)
 	}
 }
+
+// expireUpstreams drops the upstreams that left long ago.
+func (d *Dispatcher) expireUpstreams(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, id := range d.View.Expire(time.Now()) {
+			d.Slots.Forget(id)
+		}
+		pause(ctx, expireInterval)
+	}
+}
--- /dev/null
+++ b/node/members.go
@@ -0,0 +1,28 @@
+package node
+
+import (
+	"strings"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/briarcross/briarcross/eventlog"
+	"github.com/briarcross/briarcross/pb"
+)
+
+// LogMembers logs the membership of a group if it differs from the one known,
+// and returns it.
+func LogMembers(logger *log.Logger, group string, status *pb.StatusAnswer, known string) string {
+	var members strings.Builder
+	for _, r := range status.GetReplicas() {
+		members.WriteString(r.GetReplica().GetAddress())
+		if r.GetReplica().GetLearner() {
+			members.WriteString("(learner)")
+		}
+		members.WriteByte(' ')
+	}
+	if members.String() != known {
+		logger.Info(eventlog.MembersChanged, "group", group, "members", members.String(),
+			"term", status.GetTerm(), "index", status.GetCommitIndex())
+	}
+	return members.String()
+}
--- a/node/settings.go
+++ b/node/settings.go
@@ -55,6 +55,23 @@
 	MemoryBytes int64
 }
 
+const (
+	// repairShare is the part of CatchUp that passes in silence before a spare
+	// replaces a voter; the rest is for copying the state.
+	repairShare = 0.45
+	// defaultCatchUp is used where the settings name none.
+	defaultCatchUp = 4500 * time.Millisecond
+)
+
+// RepairAfter is the silence after which a spare replaces a voter.
+func (s *Settings) RepairAfter() time.Duration {
+	catchUp := s.CatchUp
+	if catchUp <= 0 {
+		catchUp = defaultCatchUp
+	}
+	return time.Duration(repairShare * float64(catchUp))
+}
+
 // Check reports the first wrong setting of a role.
 func (s *Settings) Check(role string) error {
 	if s.ID == "" {
--- a/node/slots.go
+++ b/node/slots.go
@@ -131,13 +131,6 @@
 	return s.pool.Room(service)
 }
 
-// Usable reports whether an upstream may get new requests.
-func (s *Slots) Usable(id string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.pool.Usable(id)
-}
-
 // Waiting returns the number of asks that wait.
 func (s *Slots) Waiting() int {
 	s.mu.Lock()
--- a/node/view.go
+++ b/node/view.go
@@ -124,6 +124,14 @@
 	return v.upstreams.All()
 }
 
+// Expire forgets the upstreams that left, or fell silent, long ago. It returns
+// their IDs.
+func (v *View) Expire(now time.Time) []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.upstreams.Expire(now)
+}
+
 func mergeAddresses(held, more []string) []string {
 	merged := slices.Concat(held, more)
 	slices.Sort(merged)
--- a/node/view_test.go
+++ b/node/view_test.go
@@ -110,3 +110,12 @@
 	s.Release(held, dispatch.Served)
 	expect.Expect(s.Loads()).To(BeEmpty())
 }
+
+func TestRepairLeavesTimeToCatchUp(t *testing.T) {
+	expect := NewWithT(t)
+	for _, catchUp := range []time.Duration{time.Second, 4500 * time.Millisecond, 20 * time.Second} {
+		s := Settings{CatchUp: catchUp}
+		expect.Expect(s.RepairAfter()).To(And(BeNumerically(">", 0), BeNumerically("<", catchUp/2)))
+	}
+	expect.Expect((&Settings{}).RepairAfter()).To(BeNumerically(">", 0))
+}
--- a/storenode/node.go
+++ b/storenode/node.go
@@ -29,8 +29,6 @@
 const (
 	// group numbers the storage group in its messages.
 	group = 1
-	// repairAfter is the silence after which a spare replaces a voter.
-	repairAfter = 2 * time.Second
 	// placementInterval is the pause between two looks at the placement.
 	placementInterval = 100 * time.Millisecond
 	proposeTimeout    = 2 * time.Second
@@ -130,7 +128,7 @@
 			n.open()
 			continue
 		}
-		members = n.noteMembers(r, members)
+		members = node.LogMembers(n.logger, "storage", r.Status(), members)
 		_, _, leading := r.Leader()
 		if leading {
 			n.lead(r)
@@ -157,7 +155,7 @@
 		Join:        !founder,
 		Machine:     n.state,
 		Send:        n.peers.Send,
-		RepairAfter: repairAfter,
+		RepairAfter: n.settings.RepairAfter(),
 		Seed:        n.Identity.Incarnation,
 		Logger:      n.logger,
 		OnApply:     n.applied,
@@ -177,22 +175,6 @@
 	n.logger.Info(eventlog.MembersChanged, "group", "storage", "opened", true, "founder", founder, "founders", len(founders))
 }
 
-func (n *Node) noteMembers(r *replica.Replica, known string) string {
-	status := r.Status()
-	current := ""
-	for _, member := range status.GetReplicas() {
-		current += member.GetReplica().GetAddress()
-		if member.GetReplica().GetLearner() {
-			current += "(learner)"
-		}
-		current += " "
-	}
-	if current != known {
-		n.logger.Info(eventlog.MembersChanged, "group", "storage", "members", current, "term", status.GetTerm(), "index", status.GetCommitIndex())
-	}
-	return current
-}
-
 // lead names the spares of the group and reports replicas that are emptied.
 func (n *Node) lead(r *replica.Replica) {
 	_, retiring := n.View.Storage()
