Give items up only under a routing table as new as their job's, and beyond clock skew

Found in reading: a new storage leader that was cut off while a route was added would have settled its items as failed for want of a route, and a clock that jumped ahead would have ended items before their time. A job now carries the routing version it was accepted under; the time to keep has a margin of 10 s. A run that is stopped from here no longer marks its upstream as suspect.

--- a/entrynode/jobs.go
+++ b/entrynode/jobs.go
@@ -41,6 +41,8 @@
 		KeepMs:   uint64(route.Keep.Milliseconds()),
 		RetainMs: uint64((route.Keep + n.settings.Retention).Milliseconds()),
 		Attempts: uint32(max(1, route.Attempts)),
+
+		RoutingVersion: table.Version,
 	}
 	for _, item := range job.Items {
 		submit.Items = append(submit.Items, encodeItem(item))
--- a/jobpages/plan.go
+++ b/jobpages/plan.go
@@ -187,3 +187,34 @@
 	rounds := (open + room - 1) / room
 	return time.Duration(rounds)*runTime > left
 }
+
+// keepMargin is added to the time for which an item is kept. The clocks of VMs
+// may differ, and jump, by some seconds.
+const keepMargin = 10 * time.Second
+
+// Verdict tells whether an item may run.
+type Verdict string
+
+// The verdicts on an item.
+const (
+	MayRun Verdict = ""
+	// MustWait is the verdict while this daemon's routing table is older than
+	// the one that the job was accepted under.
+	MustWait    Verdict = "routing_behind"
+	NoRoute     Verdict = "no_route"
+	KeptTooLong Verdict = "kept_too_long"
+)
+
+// Judge decides whether an item of a job may run, given the version of the
+// routing table and whether it has a route for the item.
+func Judge(job *pb.PageJob, now time.Time, routing uint64, routed bool) Verdict {
+	switch {
+	case !routed && routing < job.GetRoutingVersion():
+		return MustWait
+	case !routed:
+		return NoRoute
+	case now.After(time.UnixMilli(int64(job.GetKeepUnixMs())).Add(keepMargin)):
+		return KeptTooLong
+	}
+	return MayRun
+}
--- a/jobpages/plan_test.go
+++ b/jobpages/plan_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/briarcross/briarcross/pb"
 )
 
 var open = []OpenItem{{JobID: "a", Index: 0}, {JobID: "a", Index: 1}, {JobID: "b", Index: 0}}
@@ -73,3 +75,23 @@
 	expect.Expect(MustHurry(5*time.Second, run, 1, 100)).To(BeTrue())
 	expect.Expect(MustHurry(time.Minute, run, 1, 0)).To(BeTrue())
 }
+
+// A new leader was cut off while routes were added: it must not give up the
+// items of a route that it has not heard of.
+func TestAnItemIsGivenUpOnlyUnderARoutingTableAsNewAsItsJobs(t *testing.T) {
+	expect := NewWithT(t)
+	now := time.UnixMilli(100_000)
+	job := &pb.PageJob{RoutingVersion: 7, KeepUnixMs: 100_000}
+	expect.Expect(Judge(job, now, 6, false)).To(Equal(MustWait))
+	expect.Expect(Judge(job, now, 7, false)).To(Equal(NoRoute))
+	expect.Expect(Judge(job, now, 9, false)).To(Equal(NoRoute))
+	expect.Expect(Judge(job, now, 6, true)).To(Equal(MayRun))
+}
+
+// The clock of a leader jumps ahead by some seconds.
+func TestAnItemIsKeptBeyondItsTimeByTheSkewOfClocks(t *testing.T) {
+	expect := NewWithT(t)
+	job := &pb.PageJob{KeepUnixMs: 100_000}
+	expect.Expect(Judge(job, time.UnixMilli(105_000), 1, true)).To(Equal(MayRun))
+	expect.Expect(Judge(job, time.UnixMilli(111_000), 1, true)).To(Equal(KeptTooLong))
+}
--- a/jobpages/state.go
+++ b/jobpages/state.go
@@ -74,6 +74,7 @@
 		KeepUnixMs:     now + c.GetKeepMs(),
 		RetainUnixMs:   now + c.GetRetainMs(),
 		Attempts:       c.GetAttempts(),
+		RoutingVersion: c.GetRoutingVersion(),
 	}
 	writeJob(b, job)
 	for i, item := range c.GetItems() {
--- a/storenode/item.go
+++ b/storenode/item.go
@@ -95,10 +95,16 @@
 
 // exchange runs the item. An empty reason and the status 200 mean that its
 // output is complete.
-func (x *itemRun) exchange(ctx context.Context) (end jobpages.End, status int, reason string) {
+func (x *itemRun) exchange(parent context.Context) (end jobpages.End, status int, reason string) {
 	outcome := dispatch.Unused
-	defer func() { x.runner.node.Slots.Release(x.grant, outcome) }()
-	ctx, cancel := context.WithCancel(ctx)
+	defer func() {
+		if parent.Err() != nil {
+			// A run that was stopped from here says nothing about the upstream.
+			outcome = dispatch.Unused
+		}
+		x.runner.node.Slots.Release(x.grant, outcome)
+	}()
+	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
 	silent := time.AfterFunc(eventTimeout, cancel)
 	defer silent.Stop()
--- a/storenode/runner.go
+++ b/storenode/runner.go
@@ -193,13 +193,14 @@
 	if !known {
 		return true
 	}
-	route, ok := r.node.Table().Match(job.GetHost(), item.GetPath())
-	if !ok {
-		r.settle(key, &pb.PageResult{Failed: true, Reason: "no_route"})
+	table := r.node.Table()
+	route, routed := table.Match(job.GetHost(), item.GetPath())
+	switch verdict := jobpages.Judge(job, time.Now(), table.Version, routed); verdict {
+	case jobpages.MayRun:
+	case jobpages.MustWait:
 		return true
-	}
-	if uint64(time.Now().UnixMilli()) > job.GetKeepUnixMs() {
-		r.settle(key, &pb.PageResult{Failed: true, Reason: "kept_too_long"})
+	default:
+		r.settle(key, &pb.PageResult{Failed: true, Reason: string(verdict)})
 		return true
 	}
 	ask := dispatch.Ask{Service: serviceOf(route), Class: dispatch.Batch}
