--- a/cli/main_test.go
+++ b/cli/main_test.go
@@ -15,7 +15,7 @@
 
 // firstTestPort keeps this package away from the ports of other packages'
 // tests, which run at the same time.
-const firstTestPort = 41000
+const firstTestPort = 28000
 
 // installation is shared by the tests of this package. Each test uses
 // documents of its own.
