--- a/controlnode/duties.go
+++ b/controlnode/duties.go
@@ -38,7 +38,7 @@
 			firstSeen = time.Time{}
 			continue
 		}
-		n.replica.SetSpares(n.spares())
+		n.replica.SetSpares(node.Replicas(n.attached(node.RoleControl)))
 		stores := n.attached(node.RoleStore)
 		if firstSeen.IsZero() && len(stores) > 0 {
 			firstSeen = time.Now()
@@ -60,15 +60,6 @@
 	return slices.DeleteFunc(daemons, func(d *pb.Daemon) bool { return d.GetRole() != role })
 }
 
-// spares lists the attached control replicas that may join the group.
-func (n *Node) spares() []*pb.Replica {
-	var spares []*pb.Replica
-	for _, d := range n.attached(node.RoleControl) {
-		spares = append(spares, &pb.Replica{Id: d.GetAddress(), Address: d.GetAddress(), DataCentre: d.GetDataCentre()})
-	}
-	return spares
-}
-
 // foundStorage names the first members of the storage group.
 func (n *Node) foundStorage(stores []*pb.Daemon, patienceOver bool) {
 	if len(n.placement().GetStorage()) > 0 {
@@ -78,7 +69,7 @@
 	if len(stores) < size && !patienceOver {
 		return
 	}
-	members := deploymentSpread(stores, size)
+	members := spreadMembers(stores, size)
 	ctx, cancel := context.WithTimeout(n.ctx, proposeTimeout)
 	defer cancel()
 	command := &pb.Command{Op: &pb.Command_StorageFound{StorageFound: &pb.StorageFound{Members: members}}}
@@ -87,22 +78,21 @@
 	}
 }
 
-// deploymentSpread picks members from as many data centres as possible.
-func deploymentSpread(stores []*pb.Daemon, size int) []*pb.Replica {
+// spreadMembers picks members from as many data centres as possible.
+func spreadMembers(stores []*pb.Daemon, size int) []*pb.Replica {
 	used := make(map[string]int)
-	var members []*pb.Replica
+	var chosen []*pb.Daemon
 	remaining := slices.Clone(stores)
-	for len(members) < size && len(remaining) > 0 {
+	for len(chosen) < size && len(remaining) > 0 {
 		best := 0
 		for i, d := range remaining {
 			if used[d.GetDataCentre()] < used[remaining[best].GetDataCentre()] {
 				best = i
 			}
 		}
-		d := remaining[best]
+		chosen = append(chosen, remaining[best])
+		used[remaining[best].GetDataCentre()]++
 		remaining = slices.Delete(remaining, best, best+1)
-		used[d.GetDataCentre()]++
-		members = append(members, &pb.Replica{Id: d.GetAddress(), Address: d.GetAddress(), DataCentre: d.GetDataCentre()})
 	}
-	return members
+	return node.Replicas(chosen)
 }
--- a/controlnode/node.go
+++ b/controlnode/node.go
@@ -88,7 +88,7 @@
 	n.leader.SetTimeout(forwardTimeout)
 	n.watchers = newWatchers()
 	n.metrics = newMetrics(n)
-	n.peers = peering.New(ctx, n.transport, sameAddress, func() {})
+	n.peers = peering.New(ctx, n.transport, node.ReplicaAddress, func() {})
 	if err := n.open(); err != nil {
 		cancel()
 		return nil, err
@@ -99,9 +99,6 @@
 	return n, nil
 }
 
-// sameAddress finds a replica's address: replicas are named by it.
-func sameAddress(id string) (string, bool) { return id, true }
-
 func (n *Node) open() error {
 	listener, err := daemon.ListenTCP("address", n.settings.ListenAddress())
 	if err != nil {
--- a/controlnode/watch.go
+++ b/controlnode/watch.go
@@ -1,7 +1,6 @@
 package controlnode
 
 import (
-	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -78,11 +77,7 @@
 	for _, d := range w.daemons {
 		daemons = append(daemons, d)
 	}
-	slices.SortFunc(daemons, func(a, b *pb.Daemon) int {
-		return cmp.Or(cmp.Compare(a.GetAddress(), b.GetAddress()), cmp.Compare(b.GetIncarnation(), a.GetIncarnation()))
-	})
-	daemons = slices.CompactFunc(daemons, func(a, b *pb.Daemon) bool { return a.GetAddress() == b.GetAddress() })
-	return daemons, w.changes
+	return node.UniqueDaemons(daemons), w.changes
 }
 
 // serveWatch sends updates to a subscriber until its stream ends.
--- a/entrynode/exchange.go
+++ b/entrynode/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
@@ -68,7 +69,7 @@
 	}
 	return &exchange{
 		node: n, w: w, request: r, said: said, route: route, table: table, body: body,
-		service: n.pick(route), arrived: time.Now(), left: left,
+		service: route.Service(rand.Uint64()), arrived: time.Now(), left: left,
 		events: upstream.Events{Last: said.ResumeAfter},
 	}
 }
--- a/entrynode/serve.go
+++ b/entrynode/serve.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -111,8 +110,3 @@
 	}
 	http.Error(w, f.reason, f.status)
 }
-
-// pick returns the service for a request of a route.
-func (n *Node) pick(route *routing.Route) string {
-	return route.Service(rand.Uint64())
-}
--- a/node/loads.go
+++ b/node/loads.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/briarcross/briarcross/dispatch"
@@ -29,8 +28,7 @@
 	self      string
 	loads     func() []dispatch.Load
 	changed   chan struct{}
-
-	mu       sync.Mutex
+	// sequence is used by Run only.
 	sequence uint64
 }
 
@@ -64,11 +62,9 @@
 }
 
 func (r *Reports) send() {
-	r.mu.Lock()
 	// Sequence numbers start at the clock, so that they grow across restarts.
 	r.sequence = max(r.sequence+1, uint64(time.Now().UnixMilli()))
 	report := &pb.LoadReport{Sequence: r.sequence}
-	r.mu.Unlock()
 	for _, load := range r.loads() {
 		report.Loads = append(report.Loads, &pb.UpstreamLoad{
 			Id:     load.Upstream,
--- a/node/view.go
+++ b/node/view.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -96,10 +95,7 @@
 			}
 		}
 	}
-	slices.SortFunc(found, func(a, b *pb.Daemon) int {
-		return cmp.Or(cmp.Compare(a.GetAddress(), b.GetAddress()), cmp.Compare(b.GetIncarnation(), a.GetIncarnation()))
-	})
-	return slices.CompactFunc(found, func(a, b *pb.Daemon) bool { return a.GetAddress() == b.GetAddress() })
+	return UniqueDaemons(found)
 }
 
 // Control lists the addresses of the control replicas.
--- a/storenode/item.go
+++ b/storenode/item.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -13,7 +12,6 @@
 	"github.com/briarcross/briarcross/eventlog"
 	"github.com/briarcross/briarcross/jobpages"
 	"github.com/briarcross/briarcross/pb"
-	"github.com/briarcross/briarcross/routing"
 	"github.com/briarcross/briarcross/upstream"
 )
 
@@ -25,10 +23,6 @@
 	itemBufferBytes = 8 << 10
 )
 
-func serviceOf(route *routing.Route) string {
-	return route.Service(rand.Uint64())
-}
-
 // itemRun is one run of an item at one upstream.
 type itemRun struct {
 	runner   *runner
--- a/storenode/node.go
+++ b/storenode/node.go
@@ -95,7 +95,7 @@
 		_ = listener.Close()
 		return nil, err
 	}
-	n.peers = peering.New(ctx, n.Transport, func(id string) (string, bool) { return id, true }, func() {})
+	n.peers = peering.New(ctx, n.Transport, node.ReplicaAddress, func() {})
 	n.control = client.NewControl(n.Transport, settings.Seeds)
 	n.server = transport.NewServer(n.Identity, n.serveStream)
 	n.tasks.Go(func() {
@@ -178,11 +178,7 @@
 // lead names the spares of the group and reports replicas that are emptied.
 func (n *Node) lead(r *replica.Replica) {
 	_, retiring := n.View.Storage()
-	var spares []*pb.Replica
-	for _, d := range n.View.Daemons(node.RoleStore) {
-		spares = append(spares, &pb.Replica{Id: d.GetAddress(), Address: d.GetAddress(), DataCentre: d.GetDataCentre()})
-	}
-	r.SetSpares(spares)
+	r.SetSpares(node.Replicas(n.View.Daemons(node.RoleStore)))
 	r.SetRetiring(retiring)
 	n.control.SetAddresses(slices.Concat(n.settings.Seeds, n.View.Control()))
 	for _, address := range retiring {
--- a/storenode/runner.go
+++ b/storenode/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -203,7 +204,7 @@
 		r.settle(key, &pb.PageResult{Failed: true, Reason: string(verdict)})
 		return true
 	}
-	ask := dispatch.Ask{Service: serviceOf(route), Class: dispatch.Batch}
+	ask := dispatch.Ask{Service: route.Service(rand.Uint64()), Class: dispatch.Batch}
 	due := time.UnixMilli(int64(job.GetDueUnixMs()))
 	r.mu.Lock()
 	r.plan.Resume(key, saved)
