Let refused callers come back when they can be served, and serve them first

Change: the pool counts the callers that it sent away. Callers that return, known by less time left than others of their route, come first and may wait for the objective, unless they alone exceed what is served. The drain of the queue is measured by the requests that are underway and the time for which they hold a slot.

--- a/dispatch/peak.go
+++ b/dispatch/peak.go
@@ -10,21 +10,20 @@
 // it spans the pause between two bursts of the usual traffic.
 const peakWindow = 10 * time.Second
 
-// peak is the highest number of online requests that a service ran at a time
-// in the current and the last window.
+// peak is the highest of the numbers noted in the current and the last window.
 type peak struct {
 	start time.Time
 	now   int
 	last  int
 }
 
-func (k *peak) note(now time.Time, online int) {
+func (k *peak) note(now time.Time, number int) {
 	if elapsed := now.Sub(k.start); elapsed >= 2*peakWindow {
 		k.start, k.now, k.last = now, 0, 0
 	} else if elapsed >= peakWindow {
 		k.start, k.now, k.last = k.start.Add(peakWindow), 0, k.now
 	}
-	k.now = max(k.now, online)
+	k.now = max(k.now, number)
 }
 
 func (k *peak) highest() int { return max(k.now, k.last) }
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -51,6 +51,13 @@
 	Borrow bool
 	// Wait bounds the time for which the ask may wait for a slot.
 	Wait time.Duration
+	// Kind names requests that start with the same time until their deadline.
+	Kind string
+	// Left is the time until the caller's deadline; zero if it has none. An ask
+	// that has less than others of its kind comes from a caller that returns.
+	Left time.Duration
+	// ReturnWait replaces Wait for a caller that returns.
+	ReturnWait time.Duration
 }
 
 // Grant assigns a slot of an upstream to an ask. It is held until Done.
@@ -59,8 +66,12 @@
 	Upstream string
 	Address  string
 	Class    Class
+	// At is the time of the grant.
+	At time.Time
 	// Waited is the time between the ask and the grant.
 	Waited time.Duration
+	// Returned is set for a caller that was sent away or failed before.
+	Returned bool
 	// Free is the number of slots that the pool believes to be free after the
 	// grant; below zero, batch has to give way first.
 	Free int
@@ -72,6 +83,8 @@
 	Reason Reason
 	// RetryAfter is the time after which a slot is likely to be free.
 	RetryAfter time.Duration
+	// Returned is set for a caller that was sent away or failed before.
+	Returned bool
 }
 
 // Reason tells why an ask was refused.
@@ -90,6 +103,8 @@
 type waiting struct {
 	ask   Ask
 	since time.Time
+	// returned is set for a caller that was sent away or failed before.
+	returned bool
 }
 
 // upstream is what the pool knows of one upstream.
@@ -122,6 +137,9 @@
 	queue   []waiting
 	rates   map[string]*rate
 	peaks   map[string]*peak
+	returns map[string]*returns
+	// lefts holds the most milliseconds that asks of a kind had left.
+	lefts   map[string]*peak
 	granted []Grant
 	refused []Refusal
 }
@@ -135,6 +153,8 @@
 		reports:   make(map[string]peerReport),
 		rates:     make(map[string]*rate),
 		peaks:     make(map[string]*peak),
+		returns:   make(map[string]*returns),
+		lefts:     make(map[string]*peak),
 	}
 }
 
@@ -168,49 +188,56 @@
 
 // Request handles an ask: the answer comes with the next Drain.
 func (p *Pool) Request(now time.Time, ask Ask) {
-	if p.hasWaiting(ask) || !p.grant(now, waiting{ask, now}) {
-		p.wait(now, ask)
+	w := waiting{ask: ask, since: now, returned: p.returned(now, ask)}
+	if w.returned && p.returnsFit(now, ask.Service) {
+		w.ask.Wait = max(ask.Wait, ask.ReturnWait)
 	}
+	if ask.Class == Online {
+		p.rate(ask.Service).arrive(now)
+	}
+	at, ahead := p.place(now, w)
+	if ahead == 0 && p.grant(now, w) {
+		return
+	}
+	p.wait(now, w, at, ahead)
 }
 
-// hasWaiting reports whether an ask of the same service comes first.
-func (p *Pool) hasWaiting(ask Ask) bool {
-	for _, w := range p.queue {
-		if w.ask.Service == ask.Service && !before(ask, w.ask) {
-			return true
+// place returns where an ask belongs in the queue, and the number of asks of
+// its service that come first.
+func (p *Pool) place(now time.Time, w waiting) (at, ahead int) {
+	at = len(p.queue)
+	returnsFirst := p.returnsFit(now, w.ask.Service)
+	for i, q := range p.queue {
+		if before(w, q, returnsFirst) {
+			at = min(at, i)
+			continue
+		}
+		if q.ask.Service == w.ask.Service {
+			ahead++
 		}
 	}
-	return false
+	return at, ahead
 }
 
-// before orders asks by class and priority.
-func before(a, b Ask) bool {
-	return cmp.Or(cmp.Compare(a.Class, b.Class), cmp.Compare(a.Priority, b.Priority)) < 0
+// before orders asks by class and priority, and then puts callers that return
+// first where that is asked for.
+func before(a, b waiting, returnsFirst bool) bool {
+	order := cmp.Or(cmp.Compare(a.ask.Class, b.ask.Class), cmp.Compare(a.ask.Priority, b.ask.Priority))
+	return order < 0 || order == 0 && returnsFirst && a.returned && !b.returned
 }
 
 // wait queues an ask, or refuses it when the queue moves too slowly for it.
-func (p *Pool) wait(now time.Time, ask Ask) {
-	if !p.serves(ask.Service) {
-		p.refuse(ask, NoUpstream, upstreamRetry)
+func (p *Pool) wait(now time.Time, w waiting, at, ahead int) {
+	if !p.serves(w.ask.Service) {
+		p.refuse(now, w, NoUpstream)
 		return
 	}
-	ahead := 0
-	at := len(p.queue)
-	for i, w := range p.queue {
-		if before(ask, w.ask) {
-			at = min(at, i)
-			continue
-		}
-		if w.ask.Service == ask.Service {
-			ahead++
-		}
-	}
-	expected := p.rate(ask.Service).wait(now, ahead+1)
-	if expected > ask.Wait || ask.Wait <= 0 {
-		p.refuse(ask, QueueFull, p.rate(ask.Service).retryAfter(now, ahead+1))
+	expected := p.freeIn(now, w.ask.Service, ahead+1)
+	if expected > w.ask.Wait || w.ask.Wait <= 0 {
+		p.refuse(now, w, QueueFull)
 		return
 	}
-	p.queue = slices.Insert(p.queue, at, waiting{ask, now})
+	p.queue = slices.Insert(p.queue, at, w)
 }
 
 func (p *Pool) serves(service string) bool {
@@ -222,8 +249,12 @@
 	return false
 }
 
-func (p *Pool) refuse(ask Ask, reason Reason, after time.Duration) {
-	p.refused = append(p.refused, Refusal{ask.ID, reason, max(minRetry, min(after, maxRetry))})
+func (p *Pool) refuse(now time.Time, w waiting, reason Reason) {
+	after := p.retryAfter(now, w.ask, reason)
+	if w.ask.Class == Online {
+		p.expected(w.ask.Service).note(now, after)
+	}
+	p.refused = append(p.refused, Refusal{w.ask.ID, reason, after, w.returned})
 }
 
 // Cancel withdraws an ask that waits.
@@ -259,7 +290,7 @@
 	case Served:
 		u.failures = 0
 		u.suspectUntil = time.Time{}
-		p.rate(u.Service).note(now)
+		p.rate(u.Service).complete(now, g)
 	case Full:
 		u.suspectUntil = now.Add(fullPause)
 	case Failed:
@@ -281,7 +312,7 @@
 		if now.Sub(w.since) < w.ask.Wait {
 			return false
 		}
-		p.refuse(w.ask, WaitOver, p.rate(w.ask.Service).retryAfter(now, len(p.queue)))
+		p.refuse(now, w, WaitOver)
 		return true
 	})
 }
@@ -309,7 +340,9 @@
 		Upstream: u.ID,
 		Address:  u.Address,
 		Class:    w.ask.Class,
+		At:       now,
 		Waited:   now.Sub(w.since),
+		Returned: w.returned,
 		Free:     u.free(),
 	})
 	return true
--- a/dispatch/rate.go
+++ b/dispatch/rate.go
@@ -3,17 +3,6 @@
 import "time"
 
 const (
-	// minRetry and maxRetry bound the time for which a refused caller is asked
-	// to stay away: below the first it would meet the same queue, beyond the
-	// second slots would stand idle after a burst.
-	minRetry = 100 * time.Millisecond
-	maxRetry = 1500 * time.Millisecond
-	// unknownRetry is the time to stay away while nothing has been completed
-	// lately: about the time of one stream.
-	unknownRetry = 600 * time.Millisecond
-	// upstreamRetry is the time after which a missing upstream may be back; it
-	// is near the interval of heartbeats.
-	upstreamRetry = time.Second
 	// fullPause keeps requests away from an upstream that reported a full
 	// queue; a slot is usually free again after it.
 	fullPause = 50 * time.Millisecond
@@ -21,18 +10,55 @@
 	firstSuspicion = 250 * time.Millisecond
 	maxSuspicion   = 2 * time.Second
 	maxDoublings   = 3
+	// holdMemory is the number of requests over which the time that one holds
+	// its slot is averaged; some time of a burst's requests.
+	holdMemory = 16
 	// rateWindow is the time over which completions are counted; shorter than
 	// the bursts that it has to follow.
 	rateWindow = time.Second
 )
 
-// rate counts the completions of a service in the current and the last window.
-type rate struct {
+// counter counts events over the current and the last window.
+type counter struct {
 	start time.Time
 	now   int
 	last  int
 }
 
+func (c *counter) roll(now time.Time) {
+	elapsed := now.Sub(c.start)
+	switch {
+	case elapsed < rateWindow:
+		return
+	case elapsed < 2*rateWindow:
+		c.last, c.now = c.now, 0
+		c.start = c.start.Add(rateWindow)
+	default:
+		c.last, c.now = 0, 0
+		c.start = now
+	}
+}
+
+func (c *counter) note(now time.Time) {
+	c.roll(now)
+	c.now++
+}
+
+// recent estimates the number of events in the rateWindow up to now.
+func (c *counter) recent(now time.Time) float64 {
+	c.roll(now)
+	fraction := float64(now.Sub(c.start)) / float64(rateWindow)
+	return float64(c.now) + float64(c.last)*(1-fraction)
+}
+
+// rate measures how fast online requests for a service arrive, how fast they
+// are completed, and for how long one holds its slot.
+type rate struct {
+	arrived   counter
+	completed counter
+	hold      time.Duration
+}
+
 func (p *Pool) rate(service string) *rate {
 	r, ok := p.rates[service]
 	if !ok {
@@ -42,41 +68,43 @@
 	return r
 }
 
-func (r *rate) roll(now time.Time) {
-	elapsed := now.Sub(r.start)
-	switch {
-	case elapsed < rateWindow:
+func (r *rate) arrive(now time.Time) { r.arrived.note(now) }
+
+func (r *rate) complete(now time.Time, g Grant) {
+	if g.Class != Online {
 		return
-	case elapsed < 2*rateWindow:
-		r.last, r.now = r.now, 0
-		r.start = r.start.Add(rateWindow)
-	default:
-		r.last, r.now = 0, 0
-		r.start = now
 	}
+	r.completed.note(now)
+	held := now.Sub(g.At)
+	if r.hold == 0 {
+		r.hold = held
+	}
+	r.hold += (held - r.hold) / holdMemory
 }
 
-func (r *rate) note(now time.Time) {
-	r.roll(now)
-	r.now++
-}
-
-// wait estimates the time until a number of slots become free. Without recent
-// completions it is the least time, which lets the first asks wait.
-func (r *rate) wait(now time.Time, slots int) time.Duration {
-	r.roll(now)
-	fraction := float64(now.Sub(r.start)) / float64(rateWindow)
-	seen := float64(r.now) + float64(r.last)*(1-fraction)
-	if seen < 1 {
-		return 0
+// drain returns the number of slots that become free in a rateWindow: as many
+// as lately, or more if more requests are underway now.
+func (p *Pool) drain(now time.Time, service string) float64 {
+	r := p.rate(service)
+	completed := r.completed.recent(now)
+	if r.hold <= 0 {
+		return completed
+	}
+	underway := 0
+	for _, u := range p.upstreams {
+		if u.Service == service {
+			underway += u.own[Online]
+		}
 	}
-	return time.Duration(float64(slots) / seen * float64(rateWindow))
+	return max(completed, float64(underway)*float64(rateWindow)/float64(r.hold))
 }
 
-// retryAfter estimates when a refused caller finds a free slot.
-func (r *rate) retryAfter(now time.Time, slots int) time.Duration {
-	if wait := r.wait(now, slots); wait > 0 {
-		return wait
+// freeIn estimates the time until a number of slots become free. While nothing
+// is known it is zero, which lets the first asks wait.
+func (p *Pool) freeIn(now time.Time, service string, slots int) time.Duration {
+	drained := p.drain(now, service)
+	if drained < 1 {
+		return 0
 	}
-	return unknownRetry
+	return time.Duration(float64(slots) / drained * float64(rateWindow))
 }
--- a/entrynode/exchange.go
+++ b/entrynode/exchange.go
@@ -22,6 +22,9 @@
 	// for a slot. A caller that is refused this early can still be served on
 	// time when it returns.
 	waitShare = 0.25
+	// returnWaitShare is the part of its time left for which a caller that has
+	// been refused before may wait; what remains is enough for one more return.
+	returnWaitShare = 0.5
 	// maxUnrun bounds the upstreams that may refuse one request without having
 	// run it.
 	maxUnrun = 4
@@ -130,16 +133,20 @@
 // ask describes the slot that the request needs. One that has run already is
 // worth waiting for as long as its answer can be on time.
 func (x *exchange) ask() dispatch.Ask {
+	left := x.left - x.elapsed()
 	wait := time.Duration(waitShare * float64(x.route.Objective))
 	if x.ran > 0 {
 		wait = x.route.Objective
 	}
 	return dispatch.Ask{
-		Service:  x.service,
-		Class:    dispatch.Online,
-		Priority: x.route.Priority,
-		Avoid:    x.avoid,
-		Wait:     max(0, min(wait, x.left-x.elapsed())),
+		Service:    x.service,
+		Class:      dispatch.Online,
+		Priority:   x.route.Priority,
+		Avoid:      x.avoid,
+		Wait:       max(0, min(wait, left)),
+		Kind:       x.route.Name,
+		Left:       max(0, x.said.Deadline-x.elapsed()),
+		ReturnWait: max(0, min(x.route.Objective, time.Duration(returnWaitShare*float64(left)))),
 	}
 }
 
@@ -159,6 +166,7 @@
 	}
 	x.node.refuse(x.w, x.said.ID, refusal{
 		reason: reason, retryAfter: refused.RetryAfter, route: x.route.Name, routing: x.table.Version, waited: x.elapsed(),
+		left: x.left - x.elapsed(), returned: refused.Returned,
 	})
 }
 
@@ -207,7 +215,8 @@
 	defer cancel()
 	x.upstream = grant.Upstream
 	x.node.logger.Info(eventlog.RequestPlaced, "request", x.said.ID, "route", x.route.Name, "routing", x.table.Version,
-		"upstream", grant.Upstream, "address", grant.Address, "waited_ms", grant.Waited.Milliseconds(), "free", grant.Free, "ran", x.ran)
+		"upstream", grant.Upstream, "address", grant.Address, "waited_ms", grant.Waited.Milliseconds(), "free", grant.Free, "ran", x.ran,
+		"left_ms", (x.left - x.elapsed()).Milliseconds(), "returned", grant.Returned)
 	answer, err := x.node.engines.Do(ctx, x.call(grant))
 	if err != nil {
 		if x.ctx.Err() == nil {
--- a/entrynode/serve.go
+++ b/entrynode/serve.go
@@ -93,7 +93,11 @@
 	routing    uint64
 	route      string
 	waited     time.Duration
-	err        error
+	// left is the time until the caller's deadline.
+	left time.Duration
+	// returned is set for a caller that was sent away before.
+	returned bool
+	err      error
 }
 
 // refuse answers without the help of an upstream.
@@ -104,7 +108,8 @@
 	n.metrics.refusals.WithLabelValues(f.reason).Inc()
 	n.metrics.requests.WithLabelValues("refused").Inc()
 	n.logger.Info(eventlog.RequestRefused, "request", id, "reason", f.reason, "status", f.status, "route", f.route,
-		"retry_after_ms", f.retryAfter.Milliseconds(), "waited_ms", f.waited.Milliseconds(), "routing", f.routing, "error", f.err)
+		"retry_after_ms", f.retryAfter.Milliseconds(), "waited_ms", f.waited.Milliseconds(), "routing", f.routing,
+		"left_ms", f.left.Milliseconds(), "returned", f.returned, "error", f.err)
 	if f.retryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(f.retryAfter.Seconds(), 'f', 2, 64))
 	}
