Run batch that can be in time before batch that is late

Change: items that can still be in time go first, those near the end of their keep time before them; runs that are late or have time give way first. The time that an item needs follows the events and their pace of those completed.

--- /dev/null
+++ b/jobpages/overload_test.go
@@ -0,0 +1,106 @@
+package jobpages
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// Jobs come at one and a half times what the fleet can do, for more than twice
+// the time in which they are due. The fleet does as many in time as it can do,
+// and completes all of them.
+func TestAnOverloadOfBatchDoesNotMakeAllItemsLate(t *testing.T) {
+	const (
+		slots     = 20
+		runTime   = 5 * time.Second
+		events    = 250
+		due       = 18 * time.Second
+		keep      = time.Minute
+		interval  = time.Second / 6
+		lasting   = 40 * time.Second
+		step      = 50 * time.Millisecond
+		perSecond = float64(slots) / float64(runTime/time.Second)
+	)
+	expect := NewWithT(t)
+	began := time.UnixMilli(0)
+	p, pace := NewPlan(), NewPace()
+	pace.events, pace.eventTime = events, runTime/events
+	ends := map[Key]time.Time{}
+	var open []OpenItem
+	arrived, completed, inTime := 0, 0, 0
+	for elapsed := time.Duration(0); elapsed < 3*lasting; elapsed += step {
+		now := began.Add(elapsed)
+		for ; elapsed < lasting && time.Duration(arrived)*interval <= elapsed; arrived++ {
+			open = append(open, OpenItem{JobID: "j", Index: uint32(arrived), DueMs: uint64(now.Add(due).UnixMilli()), KeepMs: uint64(now.Add(keep).UnixMilli())})
+		}
+		kept := open[:0]
+		for _, item := range open {
+			key := Key{item.JobID, item.Index}
+			if end, running := ends[key]; !running || now.Before(end) {
+				kept = append(kept, item)
+				continue
+			}
+			delete(ends, key)
+			p.Forget(key)
+			completed++
+			expect.Expect(now.UnixMilli()).To(BeNumerically("<=", int64(item.KeepMs)), "an item was given up")
+			if now.UnixMilli() <= int64(item.DueMs) {
+				inTime++
+			}
+		}
+		open = kept
+		for _, key := range p.Next(now, open, pace) {
+			if len(ends) == slots {
+				break
+			}
+			p.Start(key, "u", began)
+			ends[key] = now.Add(runTime)
+		}
+	}
+	expect.Expect(completed).To(Equal(arrived))
+	expect.Expect(float64(inTime)).To(BeNumerically(">=", 0.9*perSecond*(lasting+due).Seconds()))
+}
+
+// At an upstream that has to be relieved, runs that can wait stop first: what
+// is late already, then what has the most time left.
+func TestRunsThatAreNearTheirDueTimeAreStoppedLast(t *testing.T) {
+	expect := NewWithT(t)
+	now := time.UnixMilli(0)
+	pace := NewPace()
+	p := NewPlan()
+	for i, left := range []time.Duration{7 * time.Second, 15 * time.Second, time.Second, 9 * time.Second} {
+		p.Start(Key{"a", uint32(i)}, "u", now.Add(left))
+	}
+	expect.Expect(p.Victims(now, "u", 4, pace)).To(Equal([]Key{{"a", 2}, {"a", 1}, {"a", 3}, {"a", 0}}))
+}
+
+// The time that remains follows the items that have been done.
+func TestThePaceFollowsTheItemsDone(t *testing.T) {
+	expect := NewWithT(t)
+	pace := NewPace()
+	for range 100 {
+		pace.Note(100, 50, 500*time.Millisecond)
+	}
+	expect.Expect(pace.Remaining(0)).To(BeNumerically("~", time.Second, 10*time.Millisecond))
+	expect.Expect(pace.Remaining(50)).To(BeNumerically("~", 500*time.Millisecond, 10*time.Millisecond))
+	expect.Expect(pace.Remaining(100)).To(BeNumerically(">", 0))
+}
+
+// Batch comes for so long that late items would never have their turn: they
+// get it before they are given up.
+func TestALateItemRunsBeforeItIsGivenUp(t *testing.T) {
+	expect := NewWithT(t)
+	pace := NewPace()
+	now := time.UnixMilli(100_000)
+	item := func(index uint32, due, keep time.Duration) OpenItem {
+		return OpenItem{JobID: "j", Index: index, DueMs: uint64(now.Add(due).UnixMilli()), KeepMs: uint64(now.Add(keep).UnixMilli())}
+	}
+	waiting := []OpenItem{
+		item(0, -time.Second, time.Minute),
+		item(1, 2*time.Second, time.Minute),
+		item(2, -10*time.Second, 10*time.Second),
+		item(3, time.Minute, 2*time.Minute),
+	}
+	expect.Expect(NewPlan().Next(now, waiting, pace)).To(Equal([]Key{{"j", 2}, {"j", 3}, {"j", 0}, {"j", 1}}))
+}
--- a/jobpages/plan.go
+++ b/jobpages/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -32,6 +33,8 @@
 	Upstream string
 	// Avoid names the upstream at which the last run broke off.
 	Avoid string
+	// Due is the time at which the item should be done.
+	Due time.Time
 }
 
 const (
@@ -41,6 +44,9 @@
 	// breakPause is the time after a broken run before the item goes on, so
 	// that the engine before has stopped.
 	breakPause = 50 * time.Millisecond
+	// rescueMargin is the time before an item is given up at which it comes
+	// first; it leaves time for a change of leader and another run.
+	rescueMargin = 8 * time.Second
 )
 
 // Plan is the leader's volatile knowledge of the items that run. A new leader
@@ -54,27 +60,45 @@
 	return &Plan{items: make(map[Key]*Progress)}
 }
 
-// Next returns the open items that may start now, the earliest due first.
-func (p *Plan) Next(now time.Time, open []OpenItem) []Key {
-	var next []Key
+// Next returns the open items that may start now: first those that would
+// otherwise be given up, then those that can be done in time, the earliest due
+// first, then the others. It answers batch that comes faster than it can be
+// done for longer than its jobs have: in the order of due times alone, each
+// item would start when it is late already.
+func (p *Plan) Next(now time.Time, open []OpenItem, pace *Pace) []Key {
+	var rescued, timely, late []Key
 	for _, item := range open {
 		key := Key{item.JobID, item.Index}
-		if held, known := p.items[key]; known && (held.Upstream != "" || now.Before(held.NotBefore)) {
+		held, known := p.items[key]
+		if known && (held.Upstream != "" || now.Before(held.NotBefore)) {
 			continue
 		}
-		next = append(next, key)
+		done := 0
+		if known {
+			done = held.Events
+		}
+		end := now.Add(pace.Remaining(done))
+		switch {
+		case end.Add(rescueMargin).After(time.UnixMilli(int64(item.KeepMs))):
+			rescued = append(rescued, key)
+		case !end.After(time.UnixMilli(int64(item.DueMs))):
+			timely = append(timely, key)
+		default:
+			late = append(late, key)
+		}
 	}
-	return next
+	return slices.Concat(rescued, timely, late)
 }
 
 // Start marks an item as running and returns its progress.
-func (p *Plan) Start(key Key, upstream string) *Progress {
+func (p *Plan) Start(key Key, upstream string, due time.Time) *Progress {
 	held, known := p.items[key]
 	if !known {
 		held = &Progress{}
 		p.items[key] = held
 	}
 	held.Upstream = upstream
+	held.Due = due
 	return held
 }
 
@@ -157,23 +181,38 @@
 	delete(p.items, key)
 }
 
-// Victims picks the runs at an upstream whose stop loses least: those with the
-// fewest events, which have the least to be read again.
-func (p *Plan) Victims(upstream string, count int) []Key {
-	var running []Key
+// Victims picks the runs at an upstream that can best wait: those that are late
+// already, then those with the most time left, then those with the fewest
+// events, which have the least to be read again.
+func (p *Plan) Victims(now time.Time, upstream string, count int, pace *Pace) []Key {
+	type run struct {
+		key   Key
+		slack time.Duration
+	}
+	var running []run
 	for key, held := range p.items {
-		if held.Upstream == upstream {
-			running = append(running, key)
+		if held.Upstream != upstream {
+			continue
+		}
+		slack := held.Due.Sub(now) - pace.Remaining(held.Events)
+		if slack < 0 {
+			slack = math.MaxInt64
 		}
+		running = append(running, run{key, slack})
 	}
-	slices.SortFunc(running, func(a, b Key) int {
+	slices.SortFunc(running, func(a, b run) int {
 		return cmp.Or(
-			cmp.Compare(p.items[a].Events, p.items[b].Events),
-			cmp.Compare(a.JobID, b.JobID),
-			cmp.Compare(a.Index, b.Index),
+			cmp.Compare(b.slack, a.slack),
+			cmp.Compare(p.items[a.key].Events, p.items[b.key].Events),
+			cmp.Compare(a.key.JobID, b.key.JobID),
+			cmp.Compare(a.key.Index, b.key.Index),
 		)
 	})
-	return running[:min(count, len(running))]
+	var victims []Key
+	for _, r := range running[:min(count, len(running))] {
+		victims = append(victims, r.key)
+	}
+	return victims
 }
 
 // MustHurry reports whether items would be late if they ran only in the slots
--- a/jobpages/plan_test.go
+++ b/jobpages/plan_test.go
@@ -15,10 +15,10 @@
 	expect := NewWithT(t)
 	now := time.UnixMilli(0)
 	p := NewPlan()
-	p.Start(Key{"a", 1}, "u")
-	expect.Expect(p.Next(now, open)).To(Equal([]Key{{"a", 0}, {"b", 0}}))
+	p.Start(Key{"a", 1}, "u", now)
+	expect.Expect(p.Next(now, open, NewPace())).To(Equal([]Key{{"a", 0}, {"b", 0}}))
 	p.Stop(now, Key{"a", 1}, Yielded)
-	expect.Expect(p.Next(now, open)).To(HaveLen(3))
+	expect.Expect(p.Next(now, open, NewPace())).To(HaveLen(3))
 }
 
 // A burst of online requests overfills an upstream: the runs with the least to
@@ -28,13 +28,13 @@
 	now := time.UnixMilli(0)
 	p := NewPlan()
 	for i, events := range []int{200, 3, 90} {
-		held := p.Start(Key{"a", uint32(i)}, "u")
+		held := p.Start(Key{"a", uint32(i)}, "u", now)
 		held.Events, held.LastEvent, held.Text = events, "x", []byte("text")
 	}
-	p.Start(Key{"b", 0}, "other")
-	victims := p.Victims("u", 2)
+	p.Start(Key{"b", 0}, "other", now)
+	victims := p.Victims(now, "u", 2, NewPace())
 	expect.Expect(victims).To(Equal([]Key{{"a", 1}, {"a", 2}}))
-	expect.Expect(p.Victims("u", 9)).To(HaveLen(3))
+	expect.Expect(p.Victims(now, "u", 9, NewPace())).To(HaveLen(3))
 	p.Stop(now, victims[0], Yielded)
 	expect.Expect(p.Progress(victims[0]).Text).To(Equal([]byte("text")))
 	expect.Expect(p.Progress(victims[0]).Avoid).To(BeEmpty())
@@ -44,11 +44,11 @@
 	expect := NewWithT(t)
 	now := time.UnixMilli(0)
 	p := NewPlan()
-	held := p.Start(Key{"a", 0}, "u")
+	held := p.Start(Key{"a", 0}, "u", now)
 	held.Events, held.LastEvent = 3, "3"
 	p.Stop(now, Key{"a", 0}, Broke)
-	expect.Expect(p.Next(now, open[:1])).To(BeEmpty())
-	expect.Expect(p.Next(now.Add(breakPause), open[:1])).To(HaveLen(1))
+	expect.Expect(p.Next(now, open[:1], NewPace())).To(BeEmpty())
+	expect.Expect(p.Next(now.Add(breakPause), open[:1], NewPace())).To(HaveLen(1))
 	expect.Expect(held.Avoid).To(Equal("u"))
 	expect.Expect(held.LastEvent).To(Equal("3"))
 }
@@ -58,7 +58,7 @@
 	now := time.UnixMilli(0)
 	p := NewPlan()
 	for run := range 3 {
-		held := p.Start(Key{"a", 0}, "u")
+		held := p.Start(Key{"a", 0}, "u", now)
 		held.Events, held.LastEvent = 3, "3"
 		expect.Expect(p.Stop(now, Key{"a", 0}, Failed)).To(Equal(run + 1))
 		expect.Expect(held.Events).To(BeZero())
--- a/jobpages/state_test.go
+++ b/jobpages/state_test.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -184,7 +185,7 @@
 func TestUnsavedProgressIsHandedOutOnce(t *testing.T) {
 	expect := NewWithT(t)
 	p := NewPlan()
-	held := p.Start(Key{"j", 0}, "u")
+	held := p.Start(Key{"j", 0}, "u", time.UnixMilli(0))
 	held.Text, held.Events, held.LastEvent = []byte("one"), 1, "1"
 	first := p.Unsaved()
 	expect.Expect(first).To(HaveLen(1))
--- a/storenode/item.go
+++ b/storenode/item.go
@@ -39,11 +39,11 @@
 	n := x.runner.node
 	n.logger.Info(eventlog.ItemPlaced, "request", x.item.GetId(), "job", x.key.JobID, "item", x.key.Index,
 		"upstream", x.grant.Upstream, "after", x.progress.LastEvent)
-	began := time.Now()
+	began, before := time.Now(), x.progress.Events
 	end, status, reason := x.exchange(ctx)
 	switch {
 	case reason == "" && status == http.StatusOK:
-		x.runner.noteRun(time.Since(began))
+		x.runner.noteRun(x.progress.Events, x.progress.Events-before, time.Since(began))
 		x.runner.settleText(x.key, x.progress)
 		x.leave()
 		return
--- a/storenode/runner.go
+++ b/storenode/runner.go
@@ -34,10 +34,6 @@
 	// dueMargin is the time before an item's due time at which it should be
 	// done. It leaves time for a change of leader and another run.
 	dueMargin = 6 * time.Second
-	// firstRunTime is the expected time of a run before any has ended, and
-	// runTimeWeight the weight of the latest one in the average.
-	firstRunTime  = 6 * time.Second
-	runTimeWeight = 0.1
 )
 
 // runner runs the items of the open jobs while this replica leads.
@@ -51,8 +47,7 @@
 	ledAt   time.Time
 	plan    *jobpages.Plan
 	stops   map[jobpages.Key]stop
-	// runTime is the average time of the runs that ended with a result.
-	runTime time.Duration
+	pace    *jobpages.Pace
 	ctx     context.Context
 	cancel  context.CancelFunc
 	tasks   sync.WaitGroup
@@ -72,7 +67,7 @@
 		woken:   make(chan struct{}, 1),
 		plan:    jobpages.NewPlan(),
 		stops:   make(map[jobpages.Key]stop),
-		runTime: firstRunTime,
+		pace:    jobpages.NewPace(),
 	}
 	r.ctx, r.cancel = context.WithCancel(n.ctx)
 	r.tasks.Go(func() { r.loop(n.ctx) })
@@ -156,7 +151,7 @@
 func (r *runner) relieve() {
 	for id, count := range r.node.Slots.Overload() {
 		r.mu.Lock()
-		for _, key := range r.plan.Victims(id, count) {
+		for _, key := range r.plan.Victims(time.Now(), id, count, r.pace) {
 			if s, running := r.stops[key]; running && s.yielded.CompareAndSwap(false, true) {
 				s.cancel()
 			}
@@ -169,7 +164,7 @@
 func (r *runner) startItems() {
 	open := r.node.state.Open()
 	r.mu.Lock()
-	next := r.plan.Next(time.Now(), open)
+	next := r.plan.Next(time.Now(), open, r.pace)
 	running := len(r.stops)
 	r.mu.Unlock()
 	for i, key := range next {
@@ -208,7 +203,7 @@
 	due := time.UnixMilli(int64(job.GetDueUnixMs()))
 	r.mu.Lock()
 	r.plan.Resume(key, saved)
-	ask.Borrow = jobpages.MustHurry(time.Until(due)-dueMargin, r.runTime, open, r.node.Slots.Room(ask.Service))
+	ask.Borrow = jobpages.MustHurry(time.Until(due)-dueMargin, r.pace.Remaining(0), open, r.node.Slots.Room(ask.Service))
 	if held := r.plan.Progress(key); held != nil && held.Avoid != "" {
 		ask.Avoid = []string{held.Avoid}
 	}
@@ -226,7 +221,7 @@
 	ctx, cancel := context.WithCancel(parent)
 	yielded := &atomic.Bool{}
 	r.mu.Lock()
-	progress := r.plan.Start(key, grant.Upstream)
+	progress := r.plan.Start(key, grant.Upstream, time.UnixMilli(int64(job.GetDueUnixMs())))
 	r.stops[key] = stop{cancel, yielded}
 	plan := r.plan
 	r.mu.Unlock()
@@ -237,12 +232,12 @@
 	})
 }
 
-// noteRun takes the time of a run that ended with a result into the average.
-func (r *runner) noteRun(took time.Duration) {
+// noteRun takes in the last run of an item that is complete.
+func (r *runner) noteRun(events, lastRun int, took time.Duration) {
 	r.node.metrics.runTime.Observe(took.Seconds())
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.runTime += time.Duration(runTimeWeight * float64(took-r.runTime))
+	r.pace.Note(events, lastRun, took)
 }
 
 // save records what the running items have generated. A record that is lost
