Do not reuse connections that rested as long as one that was lost

Change: a connection that breaks as soon as it is used again lowers the idle limit of all of a client's connections to half of its rest; the limit doubles every 5 s.

--- /dev/null
+++ b/internal/connpool/idle.go
@@ -0,0 +1,50 @@
+package connpool
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// leastIdleTime is the lowest limit that is learned; below it a request
+	// that breaks off says nothing about the rest before it.
+	leastIdleTime = 50 * time.Millisecond
+	// idleRecovery is the time in which a learned limit doubles, so that a
+	// limit that was met by chance does not stay.
+	idleRecovery = 5 * time.Second
+)
+
+// IdleLimit learns for how long connections may rest before they are used
+// again, from those that were lost as soon as they were used. It answers servers
+// and middleboxes that drop idle connections without notice: the next request
+// there is reset, and nobody knows whether it has run. It is safe for concurrent
+// use; the zero value has no limit.
+type IdleLimit struct {
+	mu      sync.Mutex
+	limit   time.Duration
+	lowered time.Time
+}
+
+// Lost takes in a connection that was lost after a rest.
+func (l *IdleLimit) Lost(now time.Time, rested time.Duration) {
+	if rested < leastIdleTime {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.limit, l.lowered = max(leastIdleTime, rested/2), now
+}
+
+// At returns the limit in force.
+func (l *IdleLimit) At(now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.limit == 0 {
+		return DefaultIdleTime
+	}
+	for now.Sub(l.lowered) >= idleRecovery && l.limit < DefaultIdleTime {
+		l.lowered = l.lowered.Add(idleRecovery)
+		l.limit *= 2
+	}
+	return l.limit
+}
--- /dev/null
+++ b/internal/connpool/idle_test.go
@@ -0,0 +1,38 @@
+package connpool
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+func TestALostConnectionLowersTheIdleLimitForAWhile(t *testing.T) {
+	expect := NewWithT(t)
+	now := time.UnixMilli(1_000_000)
+	var l IdleLimit
+	expect.Expect(l.At(now)).To(Equal(DefaultIdleTime))
+	l.Lost(now, 800*time.Millisecond)
+	expect.Expect(l.At(now)).To(Equal(400 * time.Millisecond))
+	l.Lost(now, 300*time.Millisecond)
+	expect.Expect(l.At(now)).To(Equal(150 * time.Millisecond))
+	expect.Expect(l.At(now.Add(idleRecovery))).To(Equal(300 * time.Millisecond))
+	expect.Expect(l.At(now.Add(time.Minute))).To(BeNumerically(">=", DefaultIdleTime))
+}
+
+// An engine that crashes takes the connections that were in use with it.
+func TestAConnectionLostWithoutARestLowersNothing(t *testing.T) {
+	expect := NewWithT(t)
+	now := time.UnixMilli(1_000_000)
+	var l IdleLimit
+	l.Lost(now, time.Millisecond)
+	expect.Expect(l.At(now)).To(Equal(DefaultIdleTime))
+}
+
+func TestTheIdleLimitHasAFloor(t *testing.T) {
+	expect := NewWithT(t)
+	now := time.UnixMilli(1_000_000)
+	var l IdleLimit
+	l.Lost(now, leastIdleTime)
+	expect.Expect(l.At(now)).To(Equal(leastIdleTime))
+}
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -18,9 +18,12 @@
 	Writer *bufio.Writer
 	// Written counts the bytes of the current request that left the process.
 	Written int
-	// Reused is set when the connection has carried a request before.
+	// Reused is set when the connection has carried a request before, and
+	// Rested is the time since then.
 	Reused bool
+	Rested time.Duration
 
+	idleSince time.Time
 	idleUntil time.Time
 }
 
@@ -48,6 +51,8 @@
 	address string
 	dialer  net.Dialer
 	onDial  func()
+	limit   *IdleLimit
+	now     func() time.Time
 	mu      sync.Mutex
 	idle    []*Conn
 	closed  bool
@@ -56,9 +61,13 @@
 // New returns a pool. A zero timeout leaves the time of dialling unbounded.
 // OnDial, unless nil, is called for each new connection.
 func New(address string, dialTimeout time.Duration, onDial func()) *Pool {
-	return &Pool{address: address, dialer: net.Dialer{Timeout: dialTimeout}, onDial: onDial}
+	return &Pool{address: address, dialer: net.Dialer{Timeout: dialTimeout}, onDial: onDial, now: time.Now}
 }
 
+// Limit has the pool keep to an idle limit, which pools may share, by a clock.
+// It must be called before the pool is used.
+func (p *Pool) Limit(l *IdleLimit, now func() time.Time) { p.limit, p.now = l, now }
+
 // Address returns the address that the pool connects to.
 func (p *Pool) Address() string { return p.address }
 
@@ -69,7 +78,7 @@
 		if c == nil {
 			return p.dial(ctx)
 		}
-		if time.Now().Before(c.idleUntil) && c.Reader.Buffered() == 0 && alive(c.Conn) {
+		if p.usable(c, p.now()) {
 			c.Written = 0
 			c.Reused = true
 			return c, nil
@@ -78,6 +87,14 @@
 	}
 }
 
+func (p *Pool) usable(c *Conn, now time.Time) bool {
+	c.Rested = now.Sub(c.idleSince)
+	if p.limit != nil && c.Rested > p.limit.At(now) {
+		return false
+	}
+	return now.Before(c.idleUntil) && c.Reader.Buffered() == 0 && alive(c.Conn)
+}
+
 func (p *Pool) takeIdle() *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -114,7 +131,8 @@
 		_ = c.Conn.Close()
 		return
 	}
-	c.idleUntil = time.Now().Add(idle)
+	c.idleSince = p.now()
+	c.idleUntil = c.idleSince.Add(idle)
 	p.idle = append(p.idle, c)
 }
 
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -23,6 +23,9 @@
 	// idleShare is the part of an engine's announced idle timeout for which a
 	// connection is used again.
 	idleShare = 0.7
+	// lostAtOnce is the time after which a broken exchange is not blamed on the
+	// rest of its connection; it spans a round trip between regions.
+	lostAtOnce = 100 * time.Millisecond
 	// maxStaleAnswers bounds the answers to earlier requests that are skipped
 	// on one connection.
 	maxStaleAnswers = 2
@@ -105,14 +108,18 @@
 type Client struct {
 	dialect Dialect
 	onDial  func()
-	mu      sync.Mutex
-	pools   map[string]*connpool.Pool
+	// idle is shared by all upstreams: what drops idle connections at one of
+	// them does so at others.
+	idle  connpool.IdleLimit
+	now   func() time.Time
+	mu    sync.Mutex
+	pools map[string]*connpool.Pool
 }
 
 // NewClient returns a client. OnDial, unless nil, is called for each new
 // connection.
 func NewClient(dialect Dialect, onDial func()) *Client {
-	return &Client{dialect: dialect, onDial: onDial, pools: make(map[string]*connpool.Pool)}
+	return &Client{dialect: dialect, onDial: onDial, now: time.Now, pools: make(map[string]*connpool.Pool)}
 }
 
 func (c *Client) pool(address string) *connpool.Pool {
@@ -121,6 +128,7 @@
 	p, ok := c.pools[address]
 	if !ok {
 		p = connpool.New(address, dialTimeout, c.onDial)
+		p.Limit(&c.idle, c.now)
 		c.pools[address] = p
 	}
 	return p
@@ -163,12 +171,15 @@
 		return nil, &Error{NotSent, err}
 	}
 	unwatch := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	began := c.now()
 	answer, err := c.exchange(conn, call)
 	if err != nil {
 		unwatch()
 		_ = conn.Close()
-		if ctx.Err() != nil {
+		if now := c.now(); ctx.Err() != nil {
 			err = ctx.Err()
+		} else if conn.Reused && now.Sub(began) < lostAtOnce {
+			c.idle.Lost(now, conn.Rested)
 		}
 		certainty := MayHaveRun
 		if conn.Written == 0 {
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 )
@@ -222,3 +223,35 @@
 	expect.Expect(errors.Is(err, context.Canceled)).To(BeTrue())
 	expect.Expect(<-closed).To(HaveOccurred())
 }
+
+// An engine that forgets a connection while it is idle loses the request that
+// finds out; later ones do not use connections that rested as long, there or at
+// another engine.
+func TestConnectionsThatAreDroppedWhileIdleAreNotUsedAgain(t *testing.T) {
+	expect := NewWithT(t)
+	const ok, rest = "HTTP/1.1 200 OK\r\nMark: m\r\nContent-Length: 2\r\n\r\nok", 300 * time.Millisecond
+	dials := 0
+	client := NewClient(plainDialect{}, func() { dials++ })
+	now := time.UnixMilli(1_000_000)
+	client.now = func() time.Time { return now }
+	do := func(address string) error {
+		answer, err := client.Do(context.Background(), call(address, "1"))
+		if err != nil {
+			return err
+		}
+		defer answer.Close()
+		_, err = io.ReadAll(answer.Body)
+		return err
+	}
+	forgetful, _ := scriptedEngine(t, ok, "", ok, ok)
+	other, _ := scriptedEngine(t, ok, ok)
+	expect.Expect(do(forgetful)).To(Succeed())
+	expect.Expect(do(other)).To(Succeed())
+	now = now.Add(rest)
+	expect.Expect(do(forgetful)).NotTo(Succeed())
+	expect.Expect(do(other)).To(Succeed())
+	expect.Expect(do(forgetful)).To(Succeed())
+	now = now.Add(rest)
+	expect.Expect(do(forgetful)).To(Succeed())
+	expect.Expect(dials).To(Equal(5))
+}
