Report an upstream that leaves once for each phase

Each heartbeat of a draining upstream was logged as a change and closed its idle connections again; the view now tells a change of phase from a heartbeat. Test first: the second draining heartbeat counted as a departure.

--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -123,11 +123,9 @@
 	if c.Routing != nil {
 		d.apply(c.Routing)
 	}
-	for _, u := range c.Upstreams {
-		if u.Phase != fleet.Ready {
-			d.Logger.Info(eventlog.UpstreamChanged, "upstream", u.ID, "phase", int(u.Phase), "address", u.Address, "sequence", u.Sequence)
-			d.onGone(u)
-		}
+	for _, u := range c.Left {
+		d.Logger.Info(eventlog.UpstreamChanged, "upstream", u.ID, "phase", int(u.Phase), "address", u.Address, "sequence", u.Sequence)
+		d.onGone(u)
 	}
 	d.Slots.Update(c.Upstreams)
 }
--- a/node/view.go
+++ b/node/view.go
@@ -21,6 +21,8 @@
 	mu        sync.Mutex
 	routing   Routing
 	upstreams *fleet.Table
+	// phases holds the phase of each upstream that was reported last.
+	phases map[string]phase
 	// daemons holds what each control replica said last, by its address.
 	daemons  map[string][]*pb.Daemon
 	control  []string
@@ -28,9 +30,15 @@
 	retiring []string
 }
 
+// phase is the phase of one start of an upstream.
+type phase struct {
+	bornUnixMs uint64
+	phase      fleet.Phase
+}
+
 // NewView returns an empty view.
 func NewView() *View {
-	return &View{upstreams: fleet.NewTable(), daemons: make(map[string][]*pb.Daemon)}
+	return &View{upstreams: fleet.NewTable(), phases: make(map[string]phase), daemons: make(map[string][]*pb.Daemon)}
 }
 
 // Changes are the parts of a view that an update changed.
@@ -38,7 +46,9 @@
 	// Routing is set when a routing table with a higher version came.
 	Routing   *Routing
 	Upstreams []fleet.Upstream
-	Daemons   bool
+	// Left lists those of the upstreams that take no new requests from now on.
+	Left    []fleet.Upstream
+	Daemons bool
 }
 
 // Merge takes an update of one control replica in.
@@ -56,6 +66,7 @@
 		v.upstreams.Apply(DecodeBeat(now, beat))
 	}
 	changes.Upstreams = v.upstreams.Since(before)
+	changes.Left = v.left(changes.Upstreams)
 	if len(u.GetStorage()) > 0 {
 		v.storage = u.GetStorage()
 	}
@@ -68,6 +79,19 @@
 	return changes
 }
 
+// left lists the changed upstreams that began to leave, or are gone.
+func (v *View) left(changed []fleet.Upstream) []fleet.Upstream {
+	var left []fleet.Upstream
+	for _, u := range changed {
+		now := phase{u.BornUnixMs, u.Phase}
+		if u.Phase != fleet.Ready && v.phases[u.ID] != now {
+			left = append(left, u)
+		}
+		v.phases[u.ID] = now
+	}
+	return left
+}
+
 // Lost drops what a control replica said about daemons.
 func (v *View) Lost(from string) {
 	v.mu.Lock()
@@ -125,7 +149,11 @@
 func (v *View) Expire(now time.Time) []string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.upstreams.Expire(now)
+	expired := v.upstreams.Expire(now)
+	for _, id := range expired {
+		delete(v.phases, id)
+	}
+	return expired
 }
 
 func mergeAddresses(held, more []string) []string {
--- a/node/view_test.go
+++ b/node/view_test.go
@@ -44,6 +44,23 @@
 	expect.Expect(v.Upstreams()[0].Phase).To(Equal(fleet.Draining))
 }
 
+// An upstream that drains goes on to send heartbeats; it leaves once.
+func TestAnUpstreamLeavesOnceInEachPhase(t *testing.T) {
+	expect := NewWithT(t)
+	v := NewView()
+	merge := func(born, sequence uint64, phase pb.UpstreamPhase) int {
+		return len(v.Merge(now, "a", &pb.FleetUpdate{Upstreams: []*pb.UpstreamBeat{{
+			Id: "u", BornUnixMs: born, Sequence: sequence, Address: "u:1", Slots: 8, Phase: phase,
+		}}}).Left)
+	}
+	expect.Expect(merge(1, 1, pb.UpstreamPhase_UPSTREAM_READY)).To(BeZero())
+	expect.Expect(merge(1, 2, pb.UpstreamPhase_UPSTREAM_DRAINING)).To(Equal(1))
+	expect.Expect(merge(1, 3, pb.UpstreamPhase_UPSTREAM_DRAINING)).To(BeZero())
+	expect.Expect(merge(1, 4, pb.UpstreamPhase_UPSTREAM_GONE)).To(Equal(1))
+	expect.Expect(merge(2, 1, pb.UpstreamPhase_UPSTREAM_READY)).To(BeZero())
+	expect.Expect(merge(2, 2, pb.UpstreamPhase_UPSTREAM_DRAINING)).To(Equal(1))
+}
+
 func TestDaemonsAreThoseThatAnyReplicaSees(t *testing.T) {
 	expect := NewWithT(t)
 	v := NewView()
