--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -1,10 +1,6 @@
 package dispatch
 
-import (
-	"time"
-
-	"github.com/briarcross/briarcross/fleet"
-)
+import "time"
 
 const (
 	// fullPause keeps requests away from an upstream that reported a full
@@ -84,13 +80,19 @@
 	return max(h.failures, h.peersFailures) < provenFailures
 }
 
-// shuns reports whether an upstream that has failed several times must not get
+// shunned reports whether an upstream that has failed several times must not get
 // a request of a class now: while it is suspect it gets none, even if no other
 // is free, and then one at a time until it has served one.
-func (p *Pool) shuns(now time.Time, u *upstream, class Class) bool {
+func (u *upstream) shunned(now time.Time, class Class) bool {
 	return !u.proven() && (u.suspect(now) || u.own[class] > 0)
 }
 
+// selective reports whether upstreams of a service that fail are shunned. They
+// are not while most of them fail: then none is better.
+func selective(failing, ready int) bool {
+	return float64(failing) <= plausibleShare*float64(ready)
+}
+
 // plausible reports whether the upstreams that a daemon suspects are few enough
 // for the cause to lie with them.
 func (p *Pool) plausible(loads []Load) bool {
@@ -107,19 +109,3 @@
 	}
 	return true
 }
-
-// selective reports whether upstreams of a service that fail are shunned. They
-// are not while most of them fail: then none is better.
-func (p *Pool) selective(service string) bool {
-	failing, ready := 0, 0
-	for _, u := range p.upstreams {
-		if u.Service != service || u.Phase != fleet.Ready {
-			continue
-		}
-		ready++
-		if !u.proven() {
-			failing++
-		}
-	}
-	return failing > 0 && float64(failing) <= plausibleShare*float64(ready)
-}
--- a/dispatch/peak.go
+++ b/dispatch/peak.go
@@ -35,8 +35,7 @@
 
 func (p *Pool) totals(service string) totals {
 	var t totals
-	for _, id := range p.order {
-		u := p.upstreams[id]
+	for _, u := range p.order {
 		if u.Service != service || u.Phase != fleet.Ready {
 			continue
 		}
@@ -50,8 +49,8 @@
 
 func (p *Pool) notePeaks(now time.Time) {
 	seen := make(map[string]bool, len(p.peaks))
-	for _, id := range p.order {
-		service := p.upstreams[id].Service
+	for _, u := range p.order {
+		service := u.Service
 		if seen[service] {
 			continue
 		}
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -82,10 +82,9 @@
 // Loads returns the grants that this pool has given out, and its suspicions.
 func (p *Pool) Loads(now time.Time) []Load {
 	var loads []Load
-	for _, id := range p.order {
-		u := p.upstreams[id]
+	for _, u := range p.order {
 		if u.own != [classes]int{} || u.failures > 0 {
-			loads = append(loads, Load{id, u.own[Online], u.own[Batch], max(0, u.suspectUntil.Sub(now)), u.failures})
+			loads = append(loads, Load{u.ID, u.own[Online], u.own[Batch], max(0, u.suspectUntil.Sub(now)), u.failures})
 		}
 	}
 	return loads
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -38,22 +38,44 @@
 	if ask.Class == Batch && !ask.Borrow && p.totals(ask.Service).batch >= p.Room(ask.Service) {
 		return nil
 	}
-	best, bestTier := (*upstream)(nil), unusable
-	selective, avoiding := p.selective(ask.Service), p.avoiding(ask)
-	for _, id := range p.order {
-		u := p.upstreams[id]
-		if avoiding && slices.Contains(ask.Avoid, u.ID) || selective && p.shuns(now, u, ask.Class) {
+	avoiding := p.avoiding(ask)
+	var best, proven candidate
+	ready, failing := 0, 0
+	for _, u := range p.order {
+		if u.Service != ask.Service || u.Phase != fleet.Ready {
 			continue
 		}
-		t := p.tier(now, u, ask)
-		if t == unusable || t > bestTier {
+		ready++
+		if !u.proven() {
+			failing++
+		}
+		if avoiding && slices.Contains(ask.Avoid, u.ID) {
 			continue
 		}
-		if t < bestTier || better(u, best) {
-			best, bestTier = u, t
+		t := p.tier(now, u, ask)
+		best.offer(u, t)
+		if !u.shunned(now, ask.Class) {
+			proven.offer(u, t)
 		}
 	}
-	return best
+	if selective(failing, ready) {
+		return proven.upstream
+	}
+	return best.upstream
+}
+
+// candidate is the best upstream that was offered.
+type candidate struct {
+	upstream *upstream
+	tier     tier
+}
+
+func (c *candidate) offer(u *upstream, t tier) {
+	switch {
+	case t == unusable || c.upstream != nil && t > c.tier:
+	case c.upstream == nil || t < c.tier || better(u, c.upstream):
+		c.upstream, c.tier = u, t
+	}
 }
 
 // avoiding reports whether an ask keeps away from the upstreams that it names.
@@ -63,8 +85,8 @@
 	if ask.Class == Online {
 		return true
 	}
-	for _, id := range p.order {
-		if u := p.upstreams[id]; u.Service == ask.Service && u.Phase == fleet.Ready && !slices.Contains(ask.Avoid, id) {
+	for _, u := range p.order {
+		if u.Service == ask.Service && u.Phase == fleet.Ready && !slices.Contains(ask.Avoid, u.ID) {
 			return true
 		}
 	}
@@ -80,9 +102,6 @@
 }
 
 func (p *Pool) tier(now time.Time, u *upstream, ask Ask) tier {
-	if u.Service != ask.Service || u.Phase != fleet.Ready {
-		return unusable
-	}
 	near := u.DataCentre == p.options.DataCentre
 	doubtful := u.suspect(now) || now.Sub(u.Heard) > p.options.Silence
 	if ask.Class == Batch {
@@ -121,8 +140,7 @@
 // must give up for online requests, for each upstream that has to.
 func (p *Pool) Overload() map[string]int {
 	var overload map[string]int
-	for _, id := range p.order {
-		u := p.upstreams[id]
+	for _, u := range p.order {
 		excess := min(-u.free(), u.own[Batch])
 		if excess <= 0 || u.online() == 0 {
 			continue
@@ -130,7 +148,7 @@
 		if overload == nil {
 			overload = make(map[string]int)
 		}
-		overload[id] = excess
+		overload[u.ID] = excess
 	}
 	return overload
 }
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -63,6 +63,7 @@
 // Grant assigns a slot of an upstream to an ask. It is held until Done.
 type Grant struct {
 	Ask      uint64
+	Service  string
 	Upstream string
 	Address  string
 	Class    Class
@@ -129,8 +130,8 @@
 	options   Options
 	rand      *rand.Rand
 	upstreams map[string]*upstream
-	// order lists the IDs of the upstreams in ascending order.
-	order   []string
+	// order lists the upstreams by ascending ID.
+	order   []*upstream
 	reports map[string]peerReport
 	queue   []waiting
 	rates   map[string]*rate
@@ -160,10 +161,10 @@
 func (p *Pool) Update(u fleet.Upstream) {
 	held, known := p.upstreams[u.ID]
 	if !known {
-		held = &upstream{rank: p.rand.Uint64()}
+		held = &upstream{Upstream: u, rank: p.rand.Uint64()}
 		p.upstreams[u.ID] = held
-		at, _ := slices.BinarySearch(p.order, u.ID)
-		p.order = slices.Insert(p.order, at, u.ID)
+		at, _ := slices.BinarySearchFunc(p.order, u.ID, byID)
+		p.order = slices.Insert(p.order, at, held)
 	}
 	if u.BornUnixMs != held.BornUnixMs {
 		held.health = health{}
@@ -174,13 +175,15 @@
 	}
 }
 
+func byID(u *upstream, id string) int { return cmp.Compare(u.ID, id) }
+
 // Forget drops an upstream. Grants that are still held end without effect.
 func (p *Pool) Forget(id string) {
 	if _, known := p.upstreams[id]; !known {
 		return
 	}
 	delete(p.upstreams, id)
-	at, _ := slices.BinarySearch(p.order, id)
+	at, _ := slices.BinarySearchFunc(p.order, id, byID)
 	p.order = slices.Delete(p.order, at, at+1)
 }
 
@@ -239,8 +242,8 @@
 }
 
 func (p *Pool) serves(service string) bool {
-	for _, id := range p.order {
-		if u := p.upstreams[id]; u.Service == service && u.Phase == fleet.Ready {
+	for _, u := range p.order {
+		if u.Service == service && u.Phase == fleet.Ready {
 			return true
 		}
 	}
@@ -280,6 +283,10 @@
 
 // Done ends a grant.
 func (p *Pool) Done(now time.Time, g Grant, outcome Outcome) {
+	if g.Class == Online {
+		r := p.rate(g.Service)
+		r.underway = max(0, r.underway-1)
+	}
 	u, known := p.upstreams[g.Upstream]
 	if !known {
 		return
@@ -332,8 +339,12 @@
 		return false
 	}
 	u.own[w.ask.Class]++
+	if w.ask.Class == Online {
+		p.rate(w.ask.Service).underway++
+	}
 	p.granted = append(p.granted, Grant{
 		Ask:      w.ask.ID,
+		Service:  w.ask.Service,
 		Upstream: u.ID,
 		Address:  u.Address,
 		Class:    w.ask.Class,
--- a/dispatch/pool_test.go
+++ b/dispatch/pool_test.go
@@ -346,8 +346,8 @@
 			}
 		}
 		running = kept
-		for _, id := range p.order {
-			if p.upstreams[id].free() < 0 {
+		for _, u := range p.order {
+			if u.free() < 0 {
 				result.overfull++
 			}
 		}
@@ -378,11 +378,27 @@
 			running = append(running, run{g, s*step + length})
 		}
 		result.refused += len(refused)
-		for _, id := range p.order {
-			idle += max(0, p.upstreams[id].free()-p.options.BatchReserve)
+		for _, u := range p.order {
+			idle += max(0, u.free()-p.options.BatchReserve)
 			total += 8
 		}
 	}
 	result.idleWhileWaiting = float64(idle) / float64(total)
 	return result
 }
+
+// BenchmarkDecision measures one grant and its end, by the number of upstreams.
+func BenchmarkDecision(b *testing.B) {
+	for _, count := range []int{10, 100, 1000, 10_000} {
+		b.Run(strconv.Itoa(count), func(b *testing.B) {
+			p := newPool()
+			for i := range count {
+				p.Update(up("u"+strconv.Itoa(i), []string{"near", "far"}[i%2], 8))
+			}
+			for b.Loop() {
+				g, _ := one(p, start, online(1, 0))
+				p.Done(start, *g, Served)
+			}
+		})
+	}
+}
--- a/dispatch/rate.go
+++ b/dispatch/rate.go
@@ -50,6 +50,8 @@
 	arrived   counter
 	completed counter
 	hold      time.Duration
+	// underway counts the online grants that are held.
+	underway int
 }
 
 func (p *Pool) rate(service string) *rate {
@@ -83,13 +85,7 @@
 	if r.hold <= 0 {
 		return completed
 	}
-	underway := 0
-	for _, u := range p.upstreams {
-		if u.Service == service {
-			underway += u.own[Online]
-		}
-	}
-	return max(completed, float64(underway)*float64(rateWindow)/float64(r.hold))
+	return max(completed, float64(r.underway)*float64(rateWindow)/float64(r.hold))
 }
 
 // freeIn estimates the time until a number of slots become free. While nothing
