--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -38,22 +38,74 @@
 	peersFailures     int
 }
 
-func (h *health) served() {
-	h.failures /= 2
+// Judgement is a change of what a pool thinks of an upstream.
+type Judgement struct {
+	Upstream string
+	// Failures that count against the upstream; zero once it is trusted again.
+	Failures int
+	// Suspect is the time for which requests are kept away.
+	Suspect time.Duration
+}
+
+// served counts a success. It reports whether the upstream is trusted again.
+func (h *health) served() bool {
 	if h.failures == 0 {
-		h.suspectUntil = time.Time{}
+		return false
+	}
+	h.failures /= 2
+	if h.failures > 0 {
+		return false
 	}
+	h.suspectUntil = time.Time{}
+	return true
 }
 
 // failed counts a failure. Those of requests that were sent before the last
-// one was noticed tell nothing new.
-func (h *health) failed(now, sent time.Time) {
+// one was noticed tell nothing new. It reports whether this one does.
+func (h *health) failed(now, sent time.Time) bool {
 	if sent.Before(h.suspectSince) {
-		return
+		return false
 	}
 	h.failures = max(h.failures, h.peersFailures) + 1
 	h.suspectSince = now
 	h.suspectUntil = now.Add(min(firstSuspicion<<min(h.failures-1, maxDoublings), maxSuspicion))
+	return true
+}
+
+// judge counts how a request ended.
+func (p *Pool) judge(now time.Time, u *upstream, g Grant, outcome Outcome) {
+	changed := false
+	switch outcome {
+	case Served:
+		changed = u.served()
+	case Failed:
+		changed = u.failed(now, g.At)
+	case Full:
+		u.full(now)
+	case Departed, Unused:
+	}
+	if changed {
+		p.judged = append(p.judged, Judgement{u.ID, u.failures, max(0, u.suspectUntil.Sub(now))})
+	}
+}
+
+// Judgements returns what the pool came to think of upstreams since the last
+// call.
+func (p *Pool) Judgements() []Judgement {
+	judged := p.judged
+	p.judged = nil
+	return judged
+}
+
+// Suspects counts the upstreams that requests are kept away from.
+func (p *Pool) Suspects(now time.Time) int {
+	count := 0
+	for _, u := range p.order {
+		if u.suspect(now) {
+			count++
+		}
+	}
+	return count
 }
 
 // heardOf takes in what another daemon thinks of the upstream.
--- a/dispatch/health_test.go
+++ b/dispatch/health_test.go
@@ -184,3 +184,19 @@
 	g, _ := one(p, start, online(1, 0))
 	expect.Expect(g).NotTo(BeNil())
 }
+
+// What the log tells of an upstream: each failure that counts, and the success
+// that ends the doubt.
+func TestAChangedOpinionIsReportedOnce(t *testing.T) {
+	expect := NewWithT(t)
+	p := newPool(up("a", "near", 8), up("b", "far", 8), up("c", "far", 8))
+	sent := Grant{Upstream: "a", Service: "s", At: start}
+	p.Done(at(5), sent, Failed)
+	p.Done(at(6), sent, Failed)
+	expect.Expect(p.Judgements()).To(Equal([]Judgement{{"a", 1, firstSuspicion}}))
+	expect.Expect(p.Suspects(at(6))).To(Equal(1))
+	p.Done(at(7), sent, Served)
+	p.Done(at(8), sent, Served)
+	expect.Expect(p.Judgements()).To(Equal([]Judgement{{"a", 0, 0}}))
+	expect.Expect(p.Suspects(at(8))).To(BeZero())
+}
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -141,6 +141,7 @@
 	lefts   map[string]*peak
 	granted []Grant
 	refused []Refusal
+	judged  []Judgement
 }
 
 // New returns a pool without upstreams.
@@ -292,17 +293,13 @@
 		return
 	}
 	u.own[g.Class] = max(0, u.own[g.Class]-1)
+	p.judge(now, u, g, outcome)
 	switch outcome {
 	case Served:
-		u.served()
 		p.rate(u.Service).complete(now, g)
-	case Full:
-		u.full(now)
-	case Failed:
-		u.failed(now, g.At)
 	case Departed:
 		u.Phase = fleet.Gone
-	case Unused:
+	case Unused, Full, Failed:
 	}
 	p.advance(now)
 }
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/briarcross/briarcross/client"
 	"github.com/briarcross/briarcross/dispatch"
@@ -49,8 +50,10 @@
 	table     atomic.Pointer[routing.Table]
 	tableLock sync.Mutex
 	onGone    func(fleet.Upstream)
-	tasks     sync.WaitGroup
-	closeOnce sync.Once
+	// suspicions counts the failures that count against upstreams.
+	suspicions prometheus.Counter
+	tasks      sync.WaitGroup
+	closeOnce  sync.Once
 }
 
 // NewDispatcher returns a dispatcher. Decode reads a routing table; onGone is
@@ -63,6 +66,9 @@
 		View:     NewView(),
 		decode:   decode,
 		onGone:   onGone,
+		suspicions: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "briarcross_upstream_suspicions_total", Help: "Failures that had requests kept away from an upstream.",
+		}),
 	}
 	d.Transport = transport.NewClient(d.Identity, nil)
 	d.Storage = client.NewControl(d.Transport, nil)
@@ -72,7 +78,7 @@
 		BatchReserve: batchReserve,
 		PeerTimeout:  PeerTimeout,
 		Silence:      SilentHeartbeats * settings.Heartbeat,
-	}, func() { d.reports.Changed() })
+	}, func() { d.reports.Changed() }, d.judged)
 	datagrams, err := transport.ListenDatagrams(d.Identity, settings.ListenAddress(), d.receive)
 	if err != nil {
 		return nil, err
@@ -123,13 +129,24 @@
 	if c.Routing != nil {
 		d.apply(c.Routing)
 	}
-	for _, u := range c.Left {
-		d.Logger.Info(eventlog.UpstreamChanged, "upstream", u.ID, "phase", int(u.Phase), "address", u.Address, "sequence", u.Sequence)
-		d.onGone(u)
+	for _, u := range c.Moved {
+		d.Logger.Info(eventlog.UpstreamChanged, "upstream", u.ID, "phase", int(u.Phase), "address", u.Address,
+			"service", u.Service, "born", u.BornUnixMs, "sequence", u.Sequence)
+		if u.Phase != fleet.Ready {
+			d.onGone(u)
+		}
 	}
 	d.Slots.Update(c.Upstreams)
 }
 
+// judged notes what this daemon came to think of an upstream.
+func (d *Dispatcher) judged(j dispatch.Judgement) {
+	if j.Failures > 0 {
+		d.suspicions.Inc()
+	}
+	d.Logger.Info(eventlog.UpstreamJudged, "upstream", j.Upstream, "failures", j.Failures, "suspect_ms", j.Suspect.Milliseconds())
+}
+
 // apply puts a routing table in force unless a newer one is.
 func (d *Dispatcher) apply(r *Routing) {
 	d.tableLock.Lock()
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -79,6 +79,10 @@
 			}
 			return oldest.Seconds()
 		}),
+		d.suspicions,
+		Gauge("briarcross_upstreams_suspect", "Upstreams that failed requests and that others are kept away from.", func() float64 {
+			return float64(d.Slots.Suspects())
+		}),
 		Gauge("briarcross_slot_waiters", "Requests that wait for a slot.", func() float64 {
 			return float64(d.Slots.Waiting())
 		}),
--- a/node/slots.go
+++ b/node/slots.go
@@ -20,6 +20,7 @@
 	next    uint64
 	waiting map[uint64]chan answer
 	changed func()
+	judged  func(dispatch.Judgement)
 }
 
 type answer struct {
@@ -27,12 +28,14 @@
 	refusal *dispatch.Refusal
 }
 
-// NewSlots returns slots that call changed after each change of the loads.
-func NewSlots(options dispatch.Options, changed func()) *Slots {
+// NewSlots returns slots that call changed after each change of the loads, and
+// judged for what they come to think of an upstream. Neither may block.
+func NewSlots(options dispatch.Options, changed func(), judged func(dispatch.Judgement)) *Slots {
 	return &Slots{
 		pool:    dispatch.New(options),
 		waiting: make(map[uint64]chan answer),
 		changed: changed,
+		judged:  judged,
 	}
 }
 
@@ -138,6 +141,13 @@
 	return s.pool.Waiting()
 }
 
+// Suspects counts the upstreams that requests are kept away from.
+func (s *Slots) Suspects() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool.Suspects(time.Now())
+}
+
 // Run ends the waits that are over, until the context ends.
 func (s *Slots) Run(ctx context.Context) {
 	ticker := time.NewTicker(slotTick)
@@ -166,6 +176,9 @@
 		s.waiting[r.Ask] <- answer{refusal: &r}
 		delete(s.waiting, r.Ask)
 	}
+	for _, j := range s.pool.Judgements() {
+		s.judged(j)
+	}
 	if len(granted) > 0 {
 		s.changed()
 	}
--- a/node/view.go
+++ b/node/view.go
@@ -46,8 +46,8 @@
 	// Routing is set when a routing table with a higher version came.
 	Routing   *Routing
 	Upstreams []fleet.Upstream
-	// Left lists those of the upstreams that take no new requests from now on.
-	Left    []fleet.Upstream
+	// Moved lists those of the upstreams that joined, began to leave or are gone.
+	Moved   []fleet.Upstream
 	Daemons bool
 }
 
@@ -66,7 +66,7 @@
 		v.upstreams.Apply(DecodeBeat(now, beat))
 	}
 	changes.Upstreams = v.upstreams.Since(before)
-	changes.Left = v.left(changes.Upstreams)
+	changes.Moved = v.moved(changes.Upstreams)
 	if len(u.GetStorage()) > 0 {
 		v.storage = u.GetStorage()
 	}
@@ -79,17 +79,17 @@
 	return changes
 }
 
-// left lists the changed upstreams that began to leave, or are gone.
-func (v *View) left(changed []fleet.Upstream) []fleet.Upstream {
-	var left []fleet.Upstream
+// moved lists the changed upstreams that are in another phase than before.
+func (v *View) moved(changed []fleet.Upstream) []fleet.Upstream {
+	var moved []fleet.Upstream
 	for _, u := range changed {
 		now := phase{u.BornUnixMs, u.Phase}
-		if u.Phase != fleet.Ready && v.phases[u.ID] != now {
-			left = append(left, u)
+		if v.phases[u.ID] != now {
+			moved = append(moved, u)
 		}
 		v.phases[u.ID] = now
 	}
-	return left
+	return moved
 }
 
 // Lost drops what a control replica said about daemons.
--- a/node/view_test.go
+++ b/node/view_test.go
@@ -45,18 +45,19 @@
 }
 
 // An upstream that drains goes on to send heartbeats; it leaves once.
-func TestAnUpstreamLeavesOnceInEachPhase(t *testing.T) {
+func TestAnUpstreamEntersEachPhaseOnce(t *testing.T) {
 	expect := NewWithT(t)
 	v := NewView()
 	merge := func(born, sequence uint64, phase pb.UpstreamPhase) int {
 		return len(v.Merge(now, "a", &pb.FleetUpdate{Upstreams: []*pb.UpstreamBeat{{
 			Id: "u", BornUnixMs: born, Sequence: sequence, Address: "u:1", Slots: 8, Phase: phase,
-		}}}).Left)
+		}}}).Moved)
 	}
-	expect.Expect(merge(1, 1, pb.UpstreamPhase_UPSTREAM_READY)).To(BeZero())
+	expect.Expect(merge(1, 1, pb.UpstreamPhase_UPSTREAM_READY)).To(Equal(1))
 	expect.Expect(merge(1, 2, pb.UpstreamPhase_UPSTREAM_DRAINING)).To(Equal(1))
 	expect.Expect(merge(1, 3, pb.UpstreamPhase_UPSTREAM_DRAINING)).To(BeZero())
 	expect.Expect(merge(1, 4, pb.UpstreamPhase_UPSTREAM_GONE)).To(Equal(1))
+	expect.Expect(merge(2, 1, pb.UpstreamPhase_UPSTREAM_READY)).To(Equal(1))
 	expect.Expect(merge(2, 1, pb.UpstreamPhase_UPSTREAM_READY)).To(BeZero())
 	expect.Expect(merge(2, 2, pb.UpstreamPhase_UPSTREAM_DRAINING)).To(Equal(1))
 }
@@ -88,7 +89,7 @@
 }
 
 func newSlots(slots int) *Slots {
-	s := NewSlots(dispatch.Options{DataCentre: "d", Seed: 1, PeerTimeout: time.Hour, Silence: time.Hour}, func() {})
+	s := NewSlots(dispatch.Options{DataCentre: "d", Seed: 1, PeerTimeout: time.Hour, Silence: time.Hour}, func() {}, func(dispatch.Judgement) {})
 	s.Update([]fleet.Upstream{{ID: "u", Service: "s", DataCentre: "d", Slots: slots, Phase: fleet.Ready, Heard: time.Now()}})
 	return s
 }
