Forget in time what counted against an upstream

Cause, found in review: failures were forgotten only with successes, so a daemon that sends an upstream nothing more, and through its reports those of its data centre, had it on probation without end. A full queue was reported to them as a suspicion too. Change: failures count for 5 s after their suspicion; only failures are reported.

--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -13,6 +13,9 @@
 	// peerDelay leaves the first request after a suspicion to the daemon that
 	// had it, and spans its next report.
 	peerDelay = 100 * time.Millisecond
+	// forgetAfter is the time after a suspicion from which its failures no longer
+	// count. A daemon that sends the upstream nothing learns no better.
+	forgetAfter = 5 * time.Second
 	// provenFailures is the number of failures after which an upstream has to
 	// serve a request before it gets several at a time.
 	provenFailures = 2
@@ -66,7 +69,7 @@
 	if sent.Before(h.suspectSince) {
 		return false
 	}
-	h.failures = max(h.failures, h.peersFailures) + 1
+	h.failures = h.against(now) + 1
 	h.suspectSince = now
 	h.suspectUntil = now.Add(min(firstSuspicion<<min(h.failures-1, maxDoublings), maxSuspicion))
 	return true
@@ -108,6 +111,14 @@
 	return count
 }
 
+// opinion returns what this daemon itself has against the upstream.
+func (h *health) opinion(now time.Time) (suspect time.Duration, failures int) {
+	if h.failures == 0 || now.Sub(h.suspectUntil) >= forgetAfter {
+		return 0, 0
+	}
+	return max(0, h.suspectUntil.Sub(now)), h.failures
+}
+
 // heardOf takes in what another daemon thinks of the upstream.
 func (h *health) heardOf(received time.Time, load Load) {
 	if until := received.Add(load.Suspect + peerDelay); load.Suspect > 0 && until.After(h.peersSuspectUntil) {
@@ -127,16 +138,22 @@
 	return now.Before(h.suspectUntil) || now.Before(h.peersSuspectUntil)
 }
 
+// against returns the failures that count against the upstream.
+func (h *health) against(now time.Time) int {
+	_, own := h.opinion(now)
+	return max(own, h.peersFailures)
+}
+
 // proven reports whether the upstream has not failed several times in a row.
-func (h *health) proven() bool {
-	return max(h.failures, h.peersFailures) < provenFailures
+func (h *health) proven(now time.Time) bool {
+	return h.against(now) < provenFailures
 }
 
 // shunned reports whether an upstream that has failed several times must not get
 // a request of a class now: while it is suspect it gets none, even if no other
 // is free, and then one at a time until it has served one.
 func (u *upstream) shunned(now time.Time, class Class) bool {
-	return !u.proven() && (u.suspect(now) || u.own[class] > 0)
+	return !u.proven(now) && (u.suspect(now) || u.own[class] > 0)
 }
 
 // selective reports whether upstreams of a service that fail are shunned. They
--- a/dispatch/health_test.go
+++ b/dispatch/health_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/briarcross/briarcross/fleet"
 )
 
 // Two of nine upstreams report to be ready and fail each request after 3 ms,
@@ -143,6 +145,26 @@
 	}
 }
 
+// A daemon that sends an upstream nothing more cannot find that it is well
+// again: what it thought of it expires, there and at its peers.
+func TestFailuresAreForgottenInTime(t *testing.T) {
+	expect := NewWithT(t)
+	ups := []fleet.Upstream{up("back", "near", 8), up("b", "far", 1), up("c", "far", 1)}
+	p, peer := newPool(ups...), newPool(ups...)
+	for i := range 3 {
+		now := at(1000 * i)
+		p.Done(now, Grant{Upstream: "back", Service: "s", At: now}, Failed)
+	}
+	later := at(2000).Add(maxSuspicion + forgetAfter)
+	peer.Peer(later, Report{Peer: "p", Sequence: 1, DataCentre: "near", Loads: p.Loads(later)})
+	for _, pool := range []*Pool{p, peer} {
+		for i := range 8 {
+			g, _ := one(pool, later, online(uint64(i), 0))
+			expect.Expect(g.Upstream).To(Equal("back"))
+		}
+	}
+}
+
 // The requests that an upstream had when it failed count as one failure.
 func TestRequestsThatFailTogetherCountOnce(t *testing.T) {
 	expect := NewWithT(t)
@@ -200,3 +222,14 @@
 	expect.Expect(p.Judgements()).To(Equal([]Judgement{{"a", 0, 0}}))
 	expect.Expect(p.Suspects(at(8))).To(BeZero())
 }
+
+// An upstream whose queue is full is no worse for others a moment later.
+func TestAFullUpstreamIsNotReportedAsSuspect(t *testing.T) {
+	expect := NewWithT(t)
+	p := newPool(up("a", "near", 8), up("b", "far", 8))
+	first, _ := one(p, start, online(1, 0))
+	second, _ := one(p, start, online(2, 0))
+	p.Done(start, *first, Full)
+	expect.Expect(second.Upstream).To(Equal("a"))
+	expect.Expect(p.Loads(start)).To(Equal([]Load{{Upstream: "a", Online: 1}}))
+}
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -83,8 +83,9 @@
 func (p *Pool) Loads(now time.Time) []Load {
 	var loads []Load
 	for _, u := range p.order {
-		if u.own != [classes]int{} || u.failures > 0 {
-			loads = append(loads, Load{u.ID, u.own[Online], u.own[Batch], max(0, u.suspectUntil.Sub(now)), u.failures})
+		suspect, failures := u.opinion(now)
+		if u.own != [classes]int{} || failures > 0 {
+			loads = append(loads, Load{u.ID, u.own[Online], u.own[Batch], suspect, failures})
 		}
 	}
 	return loads
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -46,7 +46,7 @@
 			continue
 		}
 		ready++
-		if !u.proven() {
+		if !u.proven(now) {
 			failing++
 		}
 		if avoiding && slices.Contains(ask.Avoid, u.ID) {
