Explain requests that were lost with their entry

It now looks for the next start of that daemon. Test first: the lost request had no cause. Served requests are not touched.

--- a/explain/explain.go
+++ b/explain/explain.go
@@ -36,17 +36,49 @@
 func Find(source io.Reader, id string) ([]Line, error) {
 	scanner := bufio.NewScanner(source)
 	scanner.Buffer(nil, maxLineBytes)
-	var found []Line
+	name, start := []byte(strings.TrimPrefix(id, versionPrefix)), []byte(`"`+eventlog.Started+`"`)
+	var found, starts []Line
 	for scanner.Scan() {
-		if !bytes.Contains(scanner.Bytes(), []byte(strings.TrimPrefix(id, versionPrefix))) {
+		named := bytes.Contains(scanner.Bytes(), name)
+		if !named && !bytes.Contains(scanner.Bytes(), start) {
 			continue
 		}
-		if line, ok := parse(scanner.Text()); ok && line.names(id) {
+		line, ok := parse(scanner.Text())
+		switch {
+		case ok && named && line.names(id):
 			found = append(found, line)
+		case ok && line.Event == eventlog.Started:
+			starts = append(starts, line)
 		}
 	}
-	slices.SortStableFunc(found, func(a, b Line) int { return a.Time.Compare(b.Time) })
-	return found, eris.Wrap(scanner.Err(), "read log")
+	byTime := func(a, b Line) int { return a.Time.Compare(b.Time) }
+	slices.SortStableFunc(found, byTime)
+	slices.SortStableFunc(starts, byTime)
+	return appendRestart(found, starts), eris.Wrap(scanner.Err(), "read log")
+}
+
+// appendRestart adds the next start of a daemon that had a request underway
+// and wrote no end for it.
+func appendRestart(found, starts []Line) []Line {
+	if len(found) == 0 || !found[len(found)-1].underway() {
+		return found
+	}
+	last := found[len(found)-1]
+	for _, s := range starts {
+		if s.Daemon == last.Daemon && s.Time.After(last.Time) {
+			return append(found, s)
+		}
+	}
+	return found
+}
+
+// underway reports whether a request goes on after a line.
+func (l Line) underway() bool {
+	switch l.Event {
+	case eventlog.RequestPlaced, eventlog.RequestRetried, eventlog.RequestResumed:
+		return true
+	}
+	return false
 }
 
 const versionPrefix = "version:"
@@ -124,6 +156,10 @@
 			}
 		case eventlog.RequestCut:
 			cause = fmt.Sprintf("cut by %s after %s events and %s ms at upstream %s; %s", l.Daemon, l.text("events"), l.text("elapsed_ms"), l.text("upstream"), words)
+		case eventlog.RequestPlaced, eventlog.RequestRetried, eventlog.RequestResumed:
+			cause = fmt.Sprintf("underway at %s, which wrote no end for it", l.Daemon)
+		case eventlog.Started:
+			cause += fmt.Sprintf(" and started again at %s: what it had underway was lost", l.Time.Format(time.TimeOnly))
 		case eventlog.RequestFinished:
 			cause = fmt.Sprintf("answered through %s with %s, first event after %s ms, %s upstreams ran it", l.Daemon, l.text("status"), l.text("first_ms"), l.text("ran"))
 		case eventlog.ItemSettled:
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -47,3 +47,23 @@
 	expect.Expect(lines).To(BeEmpty())
 	expect.Expect(Cause(lines)).To(Equal("no decision is logged for it"))
 }
+
+// An entry lost its power with a request underway: nothing is written of it
+// afterwards, but the entry started again.
+func TestARequestThatWasLostWithItsEntryIsExplained(t *testing.T) {
+	expect := NewWithT(t)
+	const lost = `
+{"time":"2026-10-13T13:21:20Z","level":"info","msg":"started","daemon":"edge-1"}
+{"time":"2026-10-13T13:21:24Z","level":"info","msg":"request_placed","daemon":"edge-1","request":"b2","upstream":"i-2"}
+{"time":"2026-10-13T13:21:25Z","level":"info","msg":"started","daemon":"edge-2"}
+{"time":"2026-10-13T13:21:27Z","level":"info","msg":"started","daemon":"edge-1"}
+{"time":"2026-10-13T13:21:29Z","level":"info","msg":"started","daemon":"edge-1"}
+`
+	lines, err := Find(strings.NewReader(lost), "b2")
+	expect.Expect(err).NotTo(HaveOccurred())
+	expect.Expect(lines).To(HaveLen(2))
+	expect.Expect(Cause(lines)).To(Equal("underway at edge-1, which wrote no end for it and started again at 13:21:27: what it had underway was lost"))
+	whole, err := Find(strings.NewReader(lost+strings.ReplaceAll(logs, "a1\"", "b2\"")), "b2")
+	expect.Expect(err).NotTo(HaveOccurred())
+	expect.Expect(Cause(whole)).To(ContainSubstring("refused by edge-1"))
+}
