Forget the kinds of request that no longer come; one accessor for records

Found reading the diff: the longest time left was kept for every route name that ever was. The four copies of look up or make are one function. No decision changes.

--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -30,7 +30,7 @@
 // this would be given more than the others.
 type health struct {
 	// suspectSince and suspectUntil bound the time in which the upstream is used
-	// only when no other is left.
+	// only when no other is left, and after several failures not at all.
 	suspectSince time.Time
 	suspectUntil time.Time
 	// failures grows by one with a failure, and halves with a success.
--- a/dispatch/overload_test.go
+++ b/dispatch/overload_test.go
@@ -133,3 +133,17 @@
 	expect.Expect(float64(served)).To(BeNumerically(">=", 0.9*4000), "slots stand idle")
 	expect.Expect(float64(r.servedAtOnce)).To(BeNumerically(">=", 0.39*float64(served)))
 }
+
+// Routes come and go; what was learned of their callers goes with them.
+func TestKindsWithoutRequestsAreForgotten(t *testing.T) {
+	expect := NewWithT(t)
+	p := newPool(up("a", "near", 8))
+	for i := range 100 {
+		now := start.Add(time.Duration(i) * peakWindow)
+		ask := online(uint64(i), 0)
+		ask.Kind, ask.Left = strconv.Itoa(i), time.Second
+		g, _ := one(p, now, ask)
+		p.Done(now, *g, Served)
+	}
+	expect.Expect(len(p.lefts)).To(BeNumerically("<=", 3))
+}
--- a/dispatch/peak.go
+++ b/dispatch/peak.go
@@ -18,14 +18,17 @@
 }
 
 func (k *peak) note(now time.Time, number int) {
-	if elapsed := now.Sub(k.start); elapsed >= 2*peakWindow {
+	if k.over(now) {
 		k.start, k.now, k.last = now, 0, 0
-	} else if elapsed >= peakWindow {
+	} else if now.Sub(k.start) >= peakWindow {
 		k.start, k.now, k.last = k.start.Add(peakWindow), 0, k.now
 	}
 	k.now = max(k.now, number)
 }
 
+// over reports whether nothing was noted in the current and the last window.
+func (k *peak) over(now time.Time) bool { return now.Sub(k.start) >= 2*peakWindow }
+
 func (k *peak) highest() int { return max(k.now, k.last) }
 
 // totals sums a service up over the upstreams that may get requests.
@@ -59,14 +62,7 @@
 	}
 }
 
-func (p *Pool) peak(service string) *peak {
-	k, ok := p.peaks[service]
-	if !ok {
-		k = &peak{}
-		p.peaks[service] = k
-	}
-	return k
-}
+func (p *Pool) peak(service string) *peak { return of(p.peaks, service) }
 
 // Room returns the number of slots of a service that batch can use and still
 // leave enough for a burst like the last ones.
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -108,6 +108,16 @@
 	returned bool
 }
 
+// of returns the record of a service or kind, which it makes if there is none.
+func of[V any](records map[string]*V, name string) *V {
+	record, known := records[name]
+	if !known {
+		record = new(V)
+		records[name] = record
+	}
+	return record
+}
+
 // upstream is what the pool knows of one upstream.
 type upstream struct {
 	fleet.Upstream
@@ -137,11 +147,13 @@
 	rates   map[string]*rate
 	peaks   map[string]*peak
 	returns map[string]*returns
-	// lefts holds the most milliseconds that asks of a kind had left.
-	lefts   map[string]*peak
-	granted []Grant
-	refused []Refusal
-	judged  []Judgement
+	// lefts holds the most milliseconds that asks of a kind had left, and
+	// forgotten is when kinds without asks were dropped last.
+	lefts     map[string]*peak
+	forgotten time.Time
+	granted   []Grant
+	refused   []Refusal
+	judged    []Judgement
 }
 
 // New returns a pool without upstreams.
--- a/dispatch/rate.go
+++ b/dispatch/rate.go
@@ -54,14 +54,7 @@
 	underway int
 }
 
-func (p *Pool) rate(service string) *rate {
-	r, ok := p.rates[service]
-	if !ok {
-		r = &rate{}
-		p.rates[service] = r
-	}
-	return r
-}
+func (p *Pool) rate(service string) *rate { return of(p.rates, service) }
 
 func (r *rate) arrive(now time.Time) { r.arrived.note(now) }
 
--- a/dispatch/returns.go
+++ b/dispatch/returns.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 const (
 	// minRetry and maxRetry bound the time for which a refused caller is asked
@@ -40,14 +43,7 @@
 	tick int64
 }
 
-func (p *Pool) expected(service string) *returns {
-	r, ok := p.returns[service]
-	if !ok {
-		r = &returns{}
-		p.returns[service] = r
-	}
-	return r
-}
+func (p *Pool) expected(service string) *returns { return of(p.returns, service) }
 
 func (r *returns) at(tick int64) *int {
 	return &r.due[(tick%returnRing+returnRing)%returnRing]
@@ -96,15 +92,22 @@
 	if ask.Left <= 0 {
 		return false
 	}
-	most, ok := p.lefts[ask.Kind]
-	if !ok {
-		most = &peak{}
-		p.lefts[ask.Kind] = most
-	}
+	p.forgetKinds(now)
+	most := of(p.lefts, ask.Kind)
 	most.note(now, int(ask.Left.Milliseconds()))
 	return ask.Left < time.Duration(most.highest())*time.Millisecond-returnMargin
 }
 
+// forgetKinds drops the kinds that no request came for lately; routes come and
+// go for as long as the daemon runs.
+func (p *Pool) forgetKinds(now time.Time) {
+	if now.Sub(p.forgotten) < peakWindow {
+		return
+	}
+	p.forgotten = now
+	maps.DeleteFunc(p.lefts, func(_ string, most *peak) bool { return most.over(now) })
+}
+
 // returnsFit reports whether the callers that return are fewer than those that
 // are served. Then they come first, as they have less time left; otherwise the
 // slots would all go to callers that have been delayed already, and none to
