--- a/e2e/platform_fleet_test.go
+++ b/e2e/platform_fleet_test.go
@@ -25,8 +25,24 @@
 	hostName   = "fleet.example"
 )
 
-// networks numbers the loopback networks of fleets that run in parallel.
-var networks atomic.Int32
+// claimPort is listened on for as long as a fleet uses a loopback network.
+const claimPort = 17700
+
+// claimNetwork returns the number of a loopback network that no other fleet
+// uses, of this test process or of another one on the machine.
+func claimNetwork(t *testing.T) int {
+	t.Helper()
+	for network := 1; network < 255; network++ {
+		claim, err := net.Listen("tcp", fmt.Sprintf("127.78.%d.1:%d", network, claimPort))
+		if err != nil {
+			continue
+		}
+		t.Cleanup(func() { _ = claim.Close() })
+		return network
+	}
+	t.Fatal("no loopback network is free")
+	return 0
+}
 
 // platformNode is one daemon with its settings file.
 type platformNode struct {
@@ -55,10 +71,17 @@
 
 const zones = 3
 
+// Two runs of these tests on one machine do not meet.
+func TestFleetsClaimNetworksOfTheirOwn(t *testing.T) {
+	if first, second := claimNetwork(t), claimNetwork(t); first == second {
+		t.Fatalf("network %d was given out twice", first)
+	}
+}
+
 func startPlatformFleet(t *testing.T, entries, engines int, proxied bool) *platformFleet {
 	t.Helper()
 	f := &platformFleet{
-		t: t, folder: t.TempDir(), network: int(networks.Add(1)), proxied: proxied,
+		t: t, folder: t.TempDir(), network: claimNetwork(t), proxied: proxied,
 		client: &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	for i := range zones {
