--- a/controlnode/api.go
+++ b/controlnode/api.go
@@ -86,13 +86,7 @@
 // RecordHeartbeat applies a heartbeat of an upstream, unless a newer one is known.
 func (n *Node) RecordHeartbeat(heartbeat fleet.Upstream) {
 	heartbeat.LastHeartbeat = time.Now()
-	n.upstreamLock.Lock()
-	previous, known := n.upstreams.Get(heartbeat.ID)
-	applied := n.upstreams.Apply(heartbeat)
-	current, _ := n.upstreams.Get(heartbeat.ID)
-	changed := !known || previous.Phase != current.Phase || previous.StartUnixMs != current.StartUnixMs || previous.Address != current.Address
-	n.upstreamsUnsaved = n.upstreamsUnsaved || applied && changed
-	n.upstreamLock.Unlock()
+	previous, current, applied, changed := n.applyHeartbeat(heartbeat, false)
 	if !applied {
 		n.metrics.heartbeats.WithLabelValues("late").Inc()
 		n.logger.Info(eventlog.HeartbeatRejected, "upstream", heartbeat.ID, "born", heartbeat.StartUnixMs, "sequence", heartbeat.Sequence,
@@ -106,6 +100,38 @@
 	}
 }
 
+// applyHeartbeat merges a heartbeat that this replica received itself, or relayed by
+// another one.
+func (n *Node) applyHeartbeat(heartbeat fleet.Upstream, relayed bool) (previous, current fleet.Upstream, applied, changed bool) {
+	n.upstreamLock.Lock()
+	defer n.upstreamLock.Unlock()
+	before := n.upstreams.LastSignificantChange()
+	previous, _ = n.upstreams.Get(heartbeat.ID)
+	applied = n.upstreams.Apply(heartbeat)
+	current, _ = n.upstreams.Get(heartbeat.ID)
+	changed = n.upstreams.LastSignificantChange() != before
+	n.upstreamsUnsaved = n.upstreamsUnsaved || changed
+	if applied {
+		n.relayed[heartbeat.ID] = relayed
+	}
+	return previous, current, applied, changed
+}
+
+// applyRelayed applies the heartbeats that another replica has received.
+func (n *Node) applyRelayed(changes node.ViewChanges) {
+	notify := false
+	for _, u := range changes.Renewed {
+		_, current, _, changed := n.applyHeartbeat(u, true)
+		if changed {
+			n.logUpstream(current)
+			notify = true
+		}
+	}
+	if notify {
+		n.subscribers.notify()
+	}
+}
+
 // Deregister records that an upstream has left the deployment.
 func (n *Node) Deregister(id string) {
 	n.upstreamLock.Lock()
@@ -136,7 +162,7 @@
 		return Done
 	}
 	remaining := 0
-	for _, d := range n.subscribedDaemons(node.RoleStore) {
+	for _, d := range n.daemonsOf(node.RoleStore) {
 		if d.GetAddress() != address && !slices.Contains(placement.GetRetiring(), d.GetAddress()) {
 			remaining++
 		}
@@ -163,12 +189,7 @@
 
 // storageAddress returns the address of the storage daemon with an ID.
 func (n *Node) storageAddress(id string) (string, bool) {
-	for _, d := range n.view.Daemons(node.RoleStore) {
-		if d.GetId() == id {
-			return d.GetAddress(), true
-		}
-	}
-	for _, d := range n.subscribedDaemons(node.RoleStore) {
+	for _, d := range n.daemonsOf(node.RoleStore) {
 		if d.GetId() == id {
 			return d.GetAddress(), true
 		}
--- a/controlnode/maintenance.go
+++ b/controlnode/maintenance.go
@@ -39,8 +39,8 @@
 			firstStoreAt = time.Time{}
 			continue
 		}
-		n.replica.SetSpares(node.ReplicasFromDaemons(n.subscribedDaemons(node.RoleControl)))
-		storeDaemons := n.subscribedDaemons(node.RoleStore)
+		n.replica.SetSpares(node.ReplicasFromDaemons(n.daemonsOf(node.RoleControl)))
+		storeDaemons := n.daemonsOf(node.RoleStore)
 		if firstStoreAt.IsZero() && len(storeDaemons) > 0 {
 			firstStoreAt = time.Now()
 		}
@@ -50,16 +50,21 @@
 	}
 }
 
+// expireUpstreams removes the upstreams that left or fell silent long ago, and lists
+// those that have missed several heartbeats.
 func (n *Node) expireUpstreams() {
+	now := time.Now()
 	n.upstreamLock.Lock()
-	defer n.upstreamLock.Unlock()
-	n.upstreams.Expire(time.Now())
-}
-
-// subscribedDaemons lists the subscribers of this replica with a role.
-func (n *Node) subscribedDaemons(role string) []*pb.Daemon {
-	daemons, _ := n.subscribers.list()
-	return slices.DeleteFunc(daemons, func(d *pb.Daemon) bool { return d.GetRole() != role })
+	for _, id := range n.upstreams.Expire(now) {
+		delete(n.relayed, id)
+	}
+	silent := n.upstreams.SilentSince(now.Add(-node.MaxMissedHeartbeats * n.settings.HeartbeatInterval))
+	changed := !slices.Equal(silent, n.silent)
+	n.silent = silent
+	n.upstreamLock.Unlock()
+	if changed {
+		n.subscribers.notify()
+	}
 }
 
 // bootstrapStorage proposes the initial members of the storage group, if it has
--- a/controlnode/node.go
+++ b/controlnode/node.go
@@ -64,6 +64,23 @@
 	// upstreamsUnsaved is set when an upstream was added or left, or changed its
 	// phase, start time or address, since upstreams was written to disk.
 	upstreamsUnsaved bool
+	// relayed holds the upstreams whose latest heartbeat came from another replica,
+	// silent the sorted IDs of those that missed several heartbeats. upstreamLock
+	// guards both.
+	relayed map[string]bool
+	silent  []string
+
+	// directoryLock guards the daemons that subscribe to this replica, those that any
+	// replica knows, and the addresses of control replicas.
+	directoryLock sync.Mutex
+	ownDaemons    *directory
+	allDaemons    *directory
+	control       []string
+
+	// routingLock guards routingSince, the time at which this replica applied the
+	// routing table.
+	routingLock  sync.Mutex
+	routingSince time.Time
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -81,6 +98,9 @@
 		identity:           settings.Identity(),
 		view:               node.NewView(),
 		upstreams:          fleet.NewTable(),
+		relayed:            make(map[string]bool),
+		ownDaemons:         newDirectory(),
+		allDaemons:         newDirectory(),
 		ctx:                ctx,
 		cancel:             cancel,
 	}
@@ -132,7 +152,7 @@
 	}
 	n.listener = listener
 	n.server = transport.NewServer(n.identity, n.serveStream)
-	n.follower = node.NewFollower(n.transport, n.view, n.settings.Self(n.identity), n.settings.Seeds, n.logger, func(node.ViewChanges) {})
+	n.follower = node.NewFollower(n.transport, n.view, n.settings.Self(n.identity), n.settings.Seeds, n.logger, n.applyRelayed)
 	n.tasks.Go(func() {
 		if err := n.server.Serve(listener); err != nil {
 			n.ReportFatal(err)
@@ -140,6 +160,7 @@
 	})
 	n.tasks.Go(func() { n.follower.Run(n.ctx) })
 	n.tasks.Go(n.runMaintenance)
+	n.tasks.Go(n.runDirectory)
 	return nil
 }
 
@@ -190,6 +211,7 @@
 func (n *Node) onApply(index uint64, command *pb.Command, _ *pb.CommandResult) {
 	switch op := command.GetOp().(type) {
 	case *pb.Command_RoutingReplace:
+		n.recordRoutingChange(time.Now())
 		n.logger.Info(eventlog.RoutingAccepted, "version", op.RoutingReplace.GetVersion(), "index", index)
 	case *pb.Command_StorageFound:
 		n.logger.Info(eventlog.StorageFounded, "members", len(op.StorageFound.GetMembers()), "index", index)
@@ -201,6 +223,27 @@
 	n.subscribers.notify()
 }
 
+// recordRoutingChange records the time at which the routing table was replaced.
+func (n *Node) recordRoutingChange(now time.Time) {
+	n.routingLock.Lock()
+	defer n.routingLock.Unlock()
+	n.routingSince = now
+}
+
+// routingChangedAt returns the time at which this replica applied the routing table.
+func (n *Node) routingChangedAt() time.Time {
+	n.routingLock.Lock()
+	defer n.routingLock.Unlock()
+	return n.routingSince
+}
+
+// inContactWithMajority reports whether this replica leads its group or hears from
+// the leader.
+func (n *Node) inContactWithMajority() bool {
+	leader, _, _ := n.replica.Leader()
+	return leader != ""
+}
+
 func (n *Node) onLeadershipChange(term uint64, leading bool) {
 	n.logger.Info(eventlog.LeaderChanged, "group", "control", "term", term, "leading", leading)
 }
--- a/controlnode/subscribers.go
+++ b/controlnode/subscribers.go
@@ -7,15 +7,25 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/briarcross/briarcross/fleet"
 	"github.com/briarcross/briarcross/node"
 	"github.com/briarcross/briarcross/pb"
 	"github.com/briarcross/briarcross/transport"
 )
 
-// minUpdateInterval is the shortest time between two updates to one subscriber. It
-// limits the message rate of a control replica, and is far below the time within
-// which a change must take effect.
-const minUpdateInterval = 20 * time.Millisecond
+const (
+	// minUpdateInterval is the shortest time between two updates to one subscriber. It
+	// limits the message rate of a control replica, and is far below the time within
+	// which a change must take effect.
+	minUpdateInterval = 20 * time.Millisecond
+	// remoteRoutingDelay is the time for which a routing table is held back from the
+	// subscribers in other data centres. They mostly have it from the replica in their
+	// own by then, and say so.
+	remoteRoutingDelay = 150 * time.Millisecond
+	// directoryInterval is the shortest time between two changes of the directory.
+	// Many daemons that start together then cause few updates.
+	directoryInterval = 100 * time.Millisecond
+)
 
 // subscribers holds the daemons that subscribe to the updates of this replica.
 type subscribers struct {
@@ -25,38 +35,47 @@
 	changeCount uint64
 }
 
-// subscriber is one subscription and what has been sent to it.
+// subscriber is one subscription and what has been sent to it. Only the goroutine
+// that serves it uses it, except for routingVersion.
 type subscriber struct {
+	self        *pb.Daemon
+	incremental bool
 	// wake requests an update before the next regular one.
-	wake           chan struct{}
+	wake chan struct{}
+
+	mu             sync.Mutex
 	routingVersion uint64
+
 	// upstreamsChange is a change number of the table of upstreams, daemonsChange
-	// one of subscribers.
+	// one of a directory.
 	upstreamsChange uint64
 	daemonsChange   uint64
 	placement       *pb.DeploymentRecord
+	control         []string
+	silent          []string
+	silentSent      bool
 }
 
 func newSubscribers() *subscribers {
 	return &subscribers{daemons: make(map[*subscriber]*pb.Daemon)}
 }
 
-func (s *subscribers) add(self *pb.Daemon, routing uint64) *subscriber {
-	added := &subscriber{wake: make(chan struct{}, 1), routingVersion: routing}
+func (s *subscribers) add(watch *pb.FleetWatch) *subscriber {
+	added := &subscriber{
+		self: watch.GetSelf(), incremental: watch.GetIncremental(), wake: make(chan struct{}, 1), routingVersion: watch.GetRoutingVersion(),
+	}
 	s.mu.Lock()
-	s.daemons[added] = self
+	defer s.mu.Unlock()
+	s.daemons[added] = watch.GetSelf()
 	s.changeCount++
-	s.mu.Unlock()
-	s.notify()
 	return added
 }
 
 func (s *subscribers) remove(removed *subscriber) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	delete(s.daemons, removed)
 	s.changeCount++
-	s.mu.Unlock()
-	s.notify()
 }
 
 // notify triggers an update to each subscriber. It never blocks.
@@ -83,21 +102,37 @@
 	return node.UniqueDaemons(daemons), s.changeCount
 }
 
+func (s *subscriber) setRoutingVersion(version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.routingVersion = max(s.routingVersion, version)
+}
+
+func (s *subscriber) knownRoutingVersion() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.routingVersion
+}
+
 // serveWatch sends updates to a subscriber until its stream ends.
 func (n *Node) serveWatch(stream *transport.Stream, watch *pb.FleetWatch) {
-	subscriber := n.subscribers.add(watch.GetSelf(), watch.GetRoutingVersion())
+	subscriber := n.subscribers.add(watch)
 	defer n.subscribers.remove(subscriber)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		// A subscriber sends nothing more, so Receive returns when the stream
-		// ends.
-		_, _ = stream.Receive()
+		for {
+			envelope, err := stream.Receive()
+			if err != nil || envelope.GetFleetWatch() == nil {
+				return
+			}
+			subscriber.setRoutingVersion(envelope.GetFleetWatch().GetRoutingVersion())
+		}
 	}()
 	ticker := time.NewTicker(node.UpdateInterval)
 	defer ticker.Stop()
 	for {
-		update := n.nextUpdate(subscriber)
+		update := n.nextUpdate(time.Now(), subscriber)
 		if err := stream.Send(&pb.Envelope{Body: &pb.Envelope_FleetUpdate{FleetUpdate: update}}); err != nil {
 			return
 		}
@@ -115,44 +150,134 @@
 
 // nextUpdate returns the changes that have not been sent to a subscriber, and
 // records them as sent.
-func (n *Node) nextUpdate(subscriber *subscriber) *pb.FleetUpdate {
-	update := &pb.FleetUpdate{}
-	if routing := n.routing(); routing.GetVersion() > subscriber.routingVersion {
-		update.RoutingVersion, update.RoutingDocument = routing.GetVersion(), routing.GetDocument()
-		subscriber.routingVersion = routing.GetVersion()
+func (n *Node) nextUpdate(now time.Time, s *subscriber) *pb.FleetUpdate {
+	update := &pb.FleetUpdate{Current: n.inContactWithMajority()}
+	n.addRouting(now, s, update)
+	n.addUpstreams(now, s, update)
+	n.addDaemons(s, update)
+	return update
+}
+
+// addRouting adds the routing table unless the subscriber has it.
+func (n *Node) addRouting(now time.Time, s *subscriber, update *pb.FleetUpdate) {
+	routing, acceptedAt := n.routing(), n.routingChangedAt()
+	if routing.GetVersion() <= s.knownRoutingVersion() {
+		return
+	}
+	if delay := remoteRoutingDelay - now.Sub(acceptedAt); delay > 0 && s.incremental && s.self.GetDataCentre() != n.settings.DataCentre {
+		time.AfterFunc(delay, func() {
+			select {
+			case s.wake <- struct{}{}:
+			default:
+			}
+		})
+		return
 	}
-	now := time.Now()
+	update.RoutingVersion, update.RoutingDocument = routing.GetVersion(), routing.GetDocument()
+	s.setRoutingVersion(routing.GetVersion())
+}
+
+// addUpstreams adds the changed upstreams. A control replica gets each heartbeat
+// that this one received itself, at first all upstreams; other daemons get changes
+// and the list of silent upstreams.
+func (n *Node) addUpstreams(now time.Time, s *subscriber, update *pb.FleetUpdate) {
 	n.upstreamLock.Lock()
-	for _, u := range n.upstreams.ChangedSince(subscriber.upstreamsChange) {
-		update.Upstreams = append(update.Upstreams, node.EncodeHeartbeat(now, u))
+	defer n.upstreamLock.Unlock()
+	toReplica := s.self.GetRole() == node.RoleControl
+	var changed []fleet.Upstream
+	if toReplica || !s.incremental {
+		changed = n.upstreams.RenewedSince(s.upstreamsChange)
+	} else {
+		changed = n.upstreams.ChangedSince(s.upstreamsChange)
+	}
+	for _, u := range changed {
+		if !toReplica || s.upstreamsChange == 0 || !n.relayed[u.ID] {
+			update.Upstreams = append(update.Upstreams, node.EncodeHeartbeat(now, u))
+		}
+	}
+	s.upstreamsChange = n.upstreams.LastChange()
+	if !toReplica && s.incremental && (!s.silentSent || !slices.Equal(s.silent, n.silent)) {
+		s.silent, s.silentSent = n.silent, true
+		update.Silent = &pb.SilentUpstreams{Ids: n.silent}
 	}
-	subscriber.upstreamsChange = n.upstreams.LastChange()
-	n.upstreamLock.Unlock()
+}
 
-	daemons, daemonsChange := n.subscribers.list()
+// addDaemons adds the changed daemons and the placement of the storage group. A
+// control replica gets the subscribers of this one, other daemons all that this
+// replica knows.
+func (n *Node) addDaemons(s *subscriber, update *pb.FleetUpdate) {
+	n.directoryLock.Lock()
+	defer n.directoryLock.Unlock()
+	source := n.allDaemons
+	if s.self.GetRole() == node.RoleControl {
+		source = n.ownDaemons
+	}
+	if s.daemonsChange != source.changes {
+		changes := source.since(s.daemonsChange)
+		if s.incremental {
+			update.DaemonChanges = changes
+		} else {
+			update.Daemons = source.list()
+		}
+		s.daemonsChange = source.changes
+	}
 	placement := n.placement()
-	if daemonsChange != subscriber.daemonsChange || !proto.Equal(placement, subscriber.placement) {
-		subscriber.daemonsChange, subscriber.placement = daemonsChange, placement
-		update.Daemons = append(daemons, n.settings.Self(n.identity))
-		update.Control = n.controlAddresses(daemons)
+	if !proto.Equal(placement, s.placement) || !slices.Equal(s.control, n.control) {
+		s.placement, s.control = placement, n.control
+		update.Control = n.control
 		update.Storage = placement.GetStorage()
 		update.Retiring = placement.GetRetiring()
 	}
-	return update
+}
+
+// runDirectory updates the directories until the context ends.
+func (n *Node) runDirectory() {
+	ticker := time.NewTicker(directoryInterval)
+	defer ticker.Stop()
+	ownChange, viewVersion := uint64(0), uint64(0)
+	for {
+		select {
+		case <-n.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		own, change := n.subscribers.list()
+		version := n.view.DaemonsVersion()
+		control := n.controlAddresses()
+		n.directoryLock.Lock()
+		changed := !slices.Equal(control, n.control)
+		n.control = control
+		if change != ownChange || version != viewVersion || n.allDaemons.changes == 0 {
+			ownChange, viewVersion = change, version
+			own = node.UniqueDaemons(append(own, n.settings.Self(n.identity)))
+			n.ownDaemons.update(own)
+			everything := append(n.view.Daemons(node.RoleEntry, node.RoleStore, node.RoleControl), own...)
+			changed = n.allDaemons.update(node.UniqueDaemons(everything)) || changed
+		}
+		n.directoryLock.Unlock()
+		if changed {
+			n.subscribers.notify()
+		}
+	}
 }
 
 // controlAddresses lists the addresses of the group's members and of the control
 // daemons that may join it.
-func (n *Node) controlAddresses(daemons []*pb.Daemon) []string {
+func (n *Node) controlAddresses() []string {
 	addresses := []string{n.settings.Address}
 	for _, r := range n.members() {
 		addresses = append(addresses, r.GetAddress())
 	}
-	for _, d := range daemons {
-		if d.GetRole() == node.RoleControl {
-			addresses = append(addresses, d.GetAddress())
-		}
+	for _, d := range n.daemonsOf(node.RoleControl) {
+		addresses = append(addresses, d.GetAddress())
 	}
 	slices.Sort(addresses)
 	return slices.Compact(addresses)
 }
+
+// daemonsOf lists the daemons with a role that this or another replica knows.
+func (n *Node) daemonsOf(role string) []*pb.Daemon {
+	own, _ := n.subscribers.list()
+	daemons := append(n.view.Daemons(role), own...)
+	return node.UniqueDaemons(slices.DeleteFunc(daemons, func(d *pb.Daemon) bool { return d.GetRole() != role }))
+}
--- /dev/null
+++ b/controlnode/subscribers_test.go
@@ -0,0 +1,114 @@
+package controlnode
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/briarcross/briarcross/fleet"
+	"github.com/briarcross/briarcross/node"
+	"github.com/briarcross/briarcross/pb"
+)
+
+func testDaemon(address string, incarnation uint64) *pb.Daemon {
+	return &pb.Daemon{Id: address, Role: node.RoleEntry, Address: address, Incarnation: incarnation}
+}
+
+func newSubscriberOf(role string) *subscriber {
+	return &subscriber{self: &pb.Daemon{Role: role, DataCentre: "d"}, incremental: true, wake: make(chan struct{}, 1)}
+}
+
+// 298 daemons that start together subscribe one after the other. A list of all of them
+// for each subscriber after each change was most of the traffic of a start.
+func TestDaemonIsSentOnceToEachSubscriber(t *testing.T) {
+	expect := NewWithT(t)
+	d := newDirectory()
+	sent, change := 0, uint64(0)
+	var daemons []*pb.Daemon
+	for i := range 298 {
+		daemons = append(daemons, testDaemon(fmt.Sprintf("d%03d", i), 1))
+		expect.Expect(d.update(daemons)).To(BeTrue())
+		sent += len(d.since(change).GetAdded())
+		change = d.changes
+	}
+	expect.Expect(sent).To(Equal(298))
+	expect.Expect(d.update(daemons)).To(BeFalse())
+	expect.Expect(d.since(change)).To(BeNil())
+}
+
+func TestDirectorySendsRestartsAndRemovals(t *testing.T) {
+	expect := NewWithT(t)
+	d := newDirectory()
+	d.update([]*pb.Daemon{testDaemon("a", 1), testDaemon("b", 1)})
+	change := d.changes
+	d.update([]*pb.Daemon{testDaemon("b", 2)})
+	changes := d.since(change)
+	expect.Expect(changes.GetRemoved()).To(Equal([]string{"a"}))
+	expect.Expect(changes.GetAdded()).To(HaveLen(1))
+	expect.Expect(changes.GetAdded()[0].GetIncarnation()).To(BeEquivalentTo(2))
+	expect.Expect(d.since(0).GetRemoved()).To(BeEmpty())
+	expect.Expect(d.list()).To(HaveLen(1))
+}
+
+// The heartbeats of 160 engines, sent on to 293 daemons by each replica, grew with
+// the square of the fleet.
+func TestRenewedHeartbeatsGoToControlReplicasOnly(t *testing.T) {
+	expect := NewWithT(t)
+	n := newUnstartedNode(t.TempDir())
+	entry, replica := newSubscriberOf(node.RoleEntry), newSubscriberOf(node.RoleControl)
+	updatesOf := func(s *subscriber) int {
+		update := &pb.FleetUpdate{}
+		n.addUpstreams(time.Now(), s, update)
+		return len(update.GetUpstreams())
+	}
+	heartbeat := fleet.Upstream{ID: "a", StartUnixMs: 1, Sequence: 1, Address: "a:1", Phase: fleet.Ready}
+	n.RecordHeartbeat(heartbeat)
+	expect.Expect(updatesOf(entry)).To(Equal(1))
+	expect.Expect(updatesOf(replica)).To(Equal(1))
+	heartbeat.Sequence = 2
+	n.RecordHeartbeat(heartbeat)
+	expect.Expect(updatesOf(entry)).To(BeZero())
+	expect.Expect(updatesOf(replica)).To(Equal(1))
+	heartbeat.Sequence, heartbeat.Phase = 3, fleet.Draining
+	n.RecordHeartbeat(heartbeat)
+	expect.Expect(updatesOf(entry)).To(Equal(1))
+}
+
+// A replica that sent relayed heartbeats on would send them round in circles.
+func TestRelayedHeartbeatIsNotRelayedAgain(t *testing.T) {
+	expect := NewWithT(t)
+	n := newUnstartedNode(t.TempDir())
+	replica := newSubscriberOf(node.RoleControl)
+	n.RecordHeartbeat(fleet.Upstream{ID: "own", StartUnixMs: 1, Sequence: 1, Address: "own:1", Phase: fleet.Ready})
+	n.addUpstreams(time.Now(), replica, &pb.FleetUpdate{})
+	n.applyRelayed(node.ViewChanges{Renewed: []fleet.Upstream{{ID: "other", StartUnixMs: 1, Sequence: 1, Address: "other:1", Phase: fleet.Ready, LastHeartbeat: time.Now()}}})
+	update := &pb.FleetUpdate{}
+	n.addUpstreams(time.Now(), replica, update)
+	expect.Expect(update.GetUpstreams()).To(BeEmpty())
+	entry := newSubscriberOf(node.RoleEntry)
+	n.addUpstreams(time.Now(), entry, update)
+	expect.Expect(update.GetUpstreams()).To(HaveLen(2))
+}
+
+func TestSilentUpstreamsAreSentWhenTheyChange(t *testing.T) {
+	expect := NewWithT(t)
+	n := newUnstartedNode(t.TempDir())
+	entry := newSubscriberOf(node.RoleEntry)
+	n.applyRelayed(node.ViewChanges{Renewed: []fleet.Upstream{{
+		ID: "a", StartUnixMs: 1, Sequence: 1, Address: "a:1", Phase: fleet.Ready, LastHeartbeat: time.Now().Add(-time.Minute),
+	}}})
+	silentIn := func() *pb.SilentUpstreams {
+		n.expireUpstreams()
+		update := &pb.FleetUpdate{}
+		n.addUpstreams(time.Now(), entry, update)
+		return update.GetSilent()
+	}
+	expect.Expect(silentIn().GetIds()).To(Equal([]string{"a"}))
+	expect.Expect(silentIn()).To(BeNil())
+	n.RecordHeartbeat(fleet.Upstream{ID: "a", StartUnixMs: 1, Sequence: 2, Address: "a:1", Phase: fleet.Ready})
+	silent := silentIn()
+	expect.Expect(silent).NotTo(BeNil())
+	expect.Expect(silent.GetIds()).To(BeEmpty())
+}
--- a/controlnode/upstreams_test.go
+++ b/controlnode/upstreams_test.go
@@ -19,6 +19,7 @@
 		settings:    &node.Settings{DataDir: folder, HeartbeatInterval: time.Second},
 		logger:      log.New(io.Discard),
 		upstreams:   fleet.NewTable(),
+		relayed:     make(map[string]bool),
 		subscribers: newSubscribers(),
 	}
 	n.metrics = newMetrics(n)
--- a/dispatch/health_test.go
+++ b/dispatch/health_test.go
@@ -26,7 +26,7 @@
 	expect := NewWithT(t)
 	var pools []*Pool
 	for d := range daemons {
-		p := New(Options{DataCentre: "near", Seed: uint64(d + 1), PeerTimeout: time.Second, HeartbeatTimeout: time.Hour})
+		p := New(Options{DataCentre: "near", Seed: uint64(d + 1), PeerTimeout: time.Second})
 		for i := range failing {
 			p.UpdateUpstream(readyUpstream("bad"+strconv.Itoa(i), "near", 8))
 		}
--- a/dispatch/overload_test.go
+++ b/dispatch/overload_test.go
@@ -38,7 +38,7 @@
 		slotsEach = 8
 		retryFlag = uint64(1) << 32
 	)
-	p := New(Options{DataCentre: "near", Seed: 1, BatchReserve: 1, PeerTimeout: time.Second, HeartbeatTimeout: time.Hour})
+	p := New(Options{DataCentre: "near", Seed: 1, BatchReserve: 1, PeerTimeout: time.Second})
 	for i := range upstreams {
 		p.UpdateUpstream(readyUpstream("u"+strconv.Itoa(i), "near", slotsEach))
 	}
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -16,7 +16,8 @@
 	Failures int
 }
 
-// LoadReport is the load report of another daemon.
+// LoadReport is the load report of another daemon, or the sum of the reports of
+// all daemons of another data centre.
 type LoadReport struct {
 	Peer string
 	// Incarnation identifies a start of the daemon. Sequence increases with each
@@ -24,7 +25,9 @@
 	Incarnation uint64
 	Sequence    uint64
 	DataCentre  string
-	Loads       []UpstreamLoad
+	// Summary is set for the sum of the reports of all daemons of DataCentre.
+	Summary bool
+	Loads   []UpstreamLoad
 }
 
 // peerReport is the latest load report of another daemon with its arrival time.
@@ -33,6 +36,15 @@
 	received time.Time
 }
 
+func (r *LoadReport) suspects() bool {
+	for _, load := range r.Loads {
+		if load.SuspectFor > 0 || load.Failures > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // ApplyLoadReport stores the load report of another daemon, unless it is older
 // than the stored one. It then grants queued requests.
 func (p *Pool) ApplyLoadReport(now time.Time, report LoadReport) {
@@ -40,11 +52,40 @@
 	if known && report.Incarnation == stored.Incarnation && report.Sequence <= stored.Sequence {
 		return
 	}
+	if !p.dropCovered(now, report) {
+		return
+	}
 	p.peerReports[report.Peer] = peerReport{report, now}
-	p.applyPeerReports()
+	if stored.suspects() || report.suspects() {
+		p.applyPeerReports()
+	} else {
+		p.addPeerGrants(stored.Loads, -1)
+		p.addPeerGrants(report.Loads, 1)
+	}
 	p.grantQueued(now)
 }
 
+// dropCovered keeps the loads of a data centre from counting twice, in a summary
+// and in the reports of its daemons: a summary replaces the reports of the data
+// centre, and these are ignored while the summary is recent. It reports whether the
+// new report counts.
+func (p *Pool) dropCovered(now time.Time, report LoadReport) bool {
+	if report.DataCentre == p.options.DataCentre {
+		return true
+	}
+	for peer, stored := range p.peerReports {
+		if stored.DataCentre != report.DataCentre || stored.Summary == report.Summary {
+			continue
+		}
+		if stored.Summary && now.Sub(stored.received) < p.options.SummaryTimeout {
+			return false
+		}
+		delete(p.peerReports, peer)
+		p.addPeerGrants(stored.Loads, -1)
+	}
+	return true
+}
+
 // expirePeers drops reports older than PeerTimeout.
 func (p *Pool) expirePeers(now time.Time) {
 	dropped := false
@@ -68,21 +109,29 @@
 		u.peerSuspectUntil, u.peerFailures = time.Time{}, 0
 	}
 	for _, report := range p.peerReports {
-		trusted := report.DataCentre == p.options.DataCentre && p.plausibleSuspicions(report.Loads)
+		p.addPeerGrants(report.Loads, 1)
+		if report.DataCentre != p.options.DataCentre || !p.plausibleSuspicions(report.Loads) {
+			continue
+		}
 		for _, load := range report.Loads {
-			u, known := p.upstreams[load.Upstream]
-			if !known {
-				continue
-			}
-			u.peerGrants[Online] += load.Online
-			u.peerGrants[Batch] += load.Batch
-			if trusted {
+			if u, known := p.upstreams[load.Upstream]; known {
 				u.applyPeerLoad(report.received, load)
 			}
 		}
 	}
 }
 
+// addPeerGrants adds the loads of another daemon to the peer grants, or subtracts
+// them if sign is -1.
+func (p *Pool) addPeerGrants(loads []UpstreamLoad, sign int) {
+	for _, load := range loads {
+		if u, known := p.upstreams[load.Upstream]; known {
+			u.peerGrants[Online] += sign * load.Online
+			u.peerGrants[Batch] += sign * load.Batch
+		}
+	}
+}
+
 // Loads returns this pool's requests in flight and failures by upstream, for the
 // load report to other daemons.
 func (p *Pool) Loads(now time.Time) []UpstreamLoad {
@@ -95,3 +144,31 @@
 	}
 	return loads
 }
+
+// DataCentreLoads returns the requests in flight of all daemons of this data centre
+// by upstream, for the summary to other data centres. It has no failures: these are
+// shared within a data centre only.
+func (p *Pool) DataCentreLoads() []UpstreamLoad {
+	sums := make(map[string][numClasses]int)
+	for _, report := range p.peerReports {
+		if report.DataCentre != p.options.DataCentre {
+			continue
+		}
+		for _, load := range report.Loads {
+			sum := sums[load.Upstream]
+			sum[Online] += load.Online
+			sum[Batch] += load.Batch
+			sums[load.Upstream] = sum
+		}
+	}
+	var loads []UpstreamLoad
+	for _, u := range p.sortedUpstreams {
+		sum := sums[u.ID]
+		sum[Online] += u.ownGrants[Online]
+		sum[Batch] += u.ownGrants[Batch]
+		if sum != [numClasses]int{} {
+			loads = append(loads, UpstreamLoad{Upstream: u.ID, Online: sum[Online], Batch: sum[Batch]})
+		}
+	}
+	return loads
+}
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -22,7 +22,7 @@
 	// localPreempting has no free slot, but runs batch that can be preempted.
 	localPreempting
 	remotePreempting
-	// lastResort is suspect, or its last heartbeat is too old.
+	// lastResort is suspect, or its heartbeats are missing.
 	lastResort
 	unusable
 )
@@ -104,7 +104,7 @@
 
 func (p *Pool) tier(now time.Time, u *upstreamState, request SlotRequest) tier {
 	local := u.DataCentre == p.options.DataCentre
-	unhealthy := u.isSuspect(now) || now.Sub(u.LastHeartbeat) > p.options.HeartbeatTimeout
+	unhealthy := u.isSuspect(now) || u.Silent
 	if request.Class == Batch {
 		return batchTier(u, local, unhealthy, p.options.BatchReserve)
 	}
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -32,9 +32,9 @@
 	BatchReserve int
 	// PeerTimeout is the age at which another daemon's load report is dropped.
 	PeerTimeout time.Duration
-	// HeartbeatTimeout is the age of the last heartbeat beyond which an upstream is
-	// used only if no other is free.
-	HeartbeatTimeout time.Duration
+	// SummaryTimeout is the age up to which the summary of another data centre is
+	// preferred to the reports of that data centre's daemons.
+	SummaryTimeout time.Duration
 }
 
 // SlotRequest is a request for a slot of an upstream.
--- a/dispatch/pool_test.go
+++ b/dispatch/pool_test.go
@@ -16,7 +16,7 @@
 func timeAt(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 
 func newPool(upstreams ...fleet.Upstream) *Pool {
-	p := New(Options{DataCentre: "near", Seed: 1, BatchReserve: 1, PeerTimeout: time.Second, HeartbeatTimeout: time.Hour})
+	p := New(Options{DataCentre: "near", Seed: 1, BatchReserve: 1, PeerTimeout: time.Second})
 	for _, u := range upstreams {
 		p.UpdateUpstream(u)
 	}
@@ -65,7 +65,7 @@
 	expect := NewWithT(t)
 	chosen := make(map[string]int)
 	for daemon := range 40 {
-		p := New(Options{Seed: uint64(daemon + 1), DataCentre: "near", PeerTimeout: time.Second, HeartbeatTimeout: time.Hour})
+		p := New(Options{Seed: uint64(daemon + 1), DataCentre: "near", PeerTimeout: time.Second})
 		for i := range 10 {
 			p.UpdateUpstream(readyUpstream("u"+strconv.Itoa(i), "near", 8))
 		}
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -36,9 +36,21 @@
 	ColdUntil time.Time
 	// LastHeartbeat is the time of the latest heartbeat.
 	LastHeartbeat time.Time
+	// Silent is set while heartbeats are missing. The upstream is then used only if
+	// no other is free.
+	Silent bool
 
-	// change is the table's change number at the latest change of the record.
-	change uint64
+	// change is the table's change number at the latest change of the record, and
+	// renewal at the latest heartbeat or change.
+	change  uint64
+	renewal uint64
+}
+
+// renews reports whether a heartbeat only shows that the upstream of the previous
+// one is still there. The remaining cold time follows from the first heartbeat.
+func (u *Upstream) renews(previous *Upstream) bool {
+	return u.StartUnixMs == previous.StartUnixMs && u.Service == previous.Service && u.Address == previous.Address &&
+		u.DataCentre == previous.DataCentre && u.Slots == previous.Slots && u.Phase == previous.Phase
 }
 
 // upstreamRetention is the time for which an upstream is kept after its last
@@ -52,8 +64,10 @@
 	// atAddress maps an address to the ID of the upstream that started there
 	// last.
 	atAddress map[string]string
-	// changes is the number of changes of the table so far.
-	changes uint64
+	// changes is the number of changes and renewals so far, lastChange the number of
+	// the latest change.
+	changes    uint64
+	lastChange uint64
 }
 
 // NewTable returns an empty table.
@@ -80,6 +94,13 @@
 	if stored.Phase != Gone {
 		t.atAddress[stored.Address] = stored.ID
 	}
+	if known && stored.renews(held) {
+		stored.Silent = held.Silent
+		stored.change = held.change
+		t.changes++
+		stored.renewal = t.changes
+		return true
+	}
 	t.recordChange(&stored)
 	return true
 }
@@ -120,7 +141,39 @@
 
 func (t *Table) recordChange(u *Upstream) {
 	t.changes++
-	u.change = t.changes
+	t.lastChange = t.changes
+	u.change, u.renewal = t.changes, t.changes
+}
+
+// SetSilent records whether heartbeats of an upstream are missing.
+func (t *Table) SetSilent(id string, silent bool) {
+	if u, known := t.upstreams[id]; known && u.Silent != silent {
+		u.Silent = silent
+		t.recordChange(u)
+	}
+}
+
+// ConfirmHeard records at now a heartbeat of each upstream that is neither Gone nor
+// silent, for a table that is told of missing heartbeats only.
+func (t *Table) ConfirmHeard(now time.Time) {
+	for _, u := range t.upstreams {
+		if u.Phase != Gone && !u.Silent {
+			u.LastHeartbeat = now
+		}
+	}
+}
+
+// SilentSince returns the sorted IDs of the upstreams whose last heartbeat is older
+// than a time and that are not Gone.
+func (t *Table) SilentSince(since time.Time) []string {
+	var silent []string
+	for id, u := range t.upstreams {
+		if u.Phase != Gone && u.LastHeartbeat.Before(since) {
+			silent = append(silent, id)
+		}
+	}
+	slices.Sort(silent)
+	return silent
 }
 
 // Get returns an upstream by its ID.
@@ -132,25 +185,41 @@
 	return *u, true
 }
 
-// LastChange returns the number of the latest change of the table.
+// LastChange returns the number of the latest change or renewal.
 func (t *Table) LastChange() uint64 {
 	return t.changes
 }
 
+// LastSignificantChange returns the number of the latest change that is no renewal.
+func (t *Table) LastSignificantChange() uint64 {
+	return t.lastChange
+}
+
 // ChangedSince returns the upstreams that changed after a change number, ordered
-// by their latest change.
-func (t *Table) ChangedSince(change uint64) []Upstream {
-	if change >= t.changes {
+// by their latest change. A heartbeat that only renews the previous one is no
+// change.
+func (t *Table) ChangedSince(number uint64) []Upstream {
+	return t.since(number, func(u *Upstream) uint64 { return u.change })
+}
+
+// RenewedSince returns the upstreams that changed or whose heartbeat was renewed
+// after a change number, ordered by their latest heartbeat or change.
+func (t *Table) RenewedSince(number uint64) []Upstream {
+	return t.since(number, func(u *Upstream) uint64 { return u.renewal })
+}
+
+func (t *Table) since(number uint64, numberOf func(*Upstream) uint64) []Upstream {
+	if number >= t.changes {
 		return nil
 	}
-	var changed []Upstream
+	var found []Upstream
 	for _, u := range t.upstreams {
-		if u.change > change {
-			changed = append(changed, *u)
+		if numberOf(u) > number {
+			found = append(found, *u)
 		}
 	}
-	slices.SortFunc(changed, func(a, b Upstream) int { return cmp.Compare(a.change, b.change) })
-	return changed
+	slices.SortFunc(found, func(a, b Upstream) int { return cmp.Compare(numberOf(&a), numberOf(&b)) })
+	return found
 }
 
 // All returns all upstreams, sorted by ID.
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -23,7 +23,7 @@
 	// free for online requests that arrive before batch runs can be preempted.
 	batchReserve = 1
 	// MaxMissedHeartbeats is the number of missed heartbeats after which an
-	// upstream is used only if no other is available.
+	// upstream is silent: it is used only if no other is available.
 	MaxMissedHeartbeats = 4
 	// storageRefreshInterval is the interval at which the addresses of the storage
 	// replicas are refreshed.
@@ -75,18 +75,19 @@
 	d.Transport = transport.NewClient(d.Identity, nil)
 	d.Storage = client.NewReplicaClient(d.Transport, nil)
 	d.Slots = NewSlotPool(dispatch.Options{
-		DataCentre:       settings.DataCentre,
-		Seed:             d.Identity.Incarnation,
-		BatchReserve:     batchReserve,
-		PeerTimeout:      PeerTimeout,
-		HeartbeatTimeout: MaxMissedHeartbeats * settings.HeartbeatInterval,
+		DataCentre:     settings.DataCentre,
+		Seed:           d.Identity.Incarnation,
+		BatchReserve:   batchReserve,
+		PeerTimeout:    PeerTimeout,
+		SummaryTimeout: SummaryTimeout,
 	}, func() { d.loadReporter.LoadsChanged() }, d.logHealthChange)
+	d.loadReporter = NewLoadReporter(d.Identity, d.View, settings, d.Slots)
 	datagrams, err := transport.ListenDatagrams(d.Identity, settings.ListenAddress(), d.handleDatagram)
 	if err != nil {
 		return nil, err
 	}
 	d.datagrams = datagrams
-	d.loadReporter = NewLoadReporter(datagrams, d.View, settings, d.Slots.Loads)
+	d.loadReporter.SetSocket(datagrams)
 	d.follower = NewFollower(d.Transport, d.View, settings.Self(d.Identity), settings.Seeds, logger, d.applyViewChanges)
 	return d, nil
 }
@@ -117,6 +118,11 @@
 	d.follower.SetSeeds(seeds)
 }
 
+// SetRunsBatch records whether this daemon runs batch items and reports its loads.
+func (d *Dispatcher) SetRunsBatch(runsBatch bool) {
+	d.loadReporter.SetRunsBatch(runsBatch)
+}
+
 // Table returns the routing table in force, or nil before the first one.
 func (d *Dispatcher) Table() *routing.Table {
 	return d.table.Load()
@@ -124,7 +130,7 @@
 
 func (d *Dispatcher) handleDatagram(e *pb.Envelope) {
 	if report := e.GetLoadReport(); report != nil {
-		d.Slots.ApplyLoadReport(DecodeLoadReport(e.GetHeader(), report))
+		d.loadReporter.HandleReport(e.GetHeader(), report)
 	}
 }
 
@@ -170,18 +176,26 @@
 
 // refreshStorageAddresses keeps the addresses of the storage replicas up to date.
 func (d *Dispatcher) refreshStorageAddresses(ctx context.Context) {
+	version := uint64(0)
 	for ctx.Err() == nil {
-		var addresses []string
-		for _, store := range d.View.Daemons(RoleStore) {
-			addresses = append(addresses, store.GetAddress())
-		}
-		if len(addresses) > 0 {
-			d.Storage.SetAddresses(addresses)
+		if current := d.View.DaemonsVersion(); current != version {
+			version = current
+			d.setStorageAddresses()
 		}
 		sleep(ctx, storageRefreshInterval)
 	}
 }
 
+func (d *Dispatcher) setStorageAddresses() {
+	var addresses []string
+	for _, store := range d.View.Daemons(RoleStore) {
+		addresses = append(addresses, store.GetAddress())
+	}
+	if len(addresses) > 0 {
+		d.Storage.SetAddresses(addresses)
+	}
+}
+
 // expireUpstreams removes the upstreams that left or fell silent long ago.
 func (d *Dispatcher) expireUpstreams(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/node/follower.go
+++ b/node/follower.go
@@ -1,11 +1,13 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
 
 	"github.com/briarcross/briarcross/eventlog"
@@ -34,10 +36,19 @@
 	// forgetReplicaAfter is the time without contact after which a control replica
 	// that is not a seed is forgotten.
 	forgetReplicaAfter = 30 * time.Second
+	// connectGrace is the time for which a new subscription counts as working
+	// before its first update.
+	connectGrace = 500 * time.Millisecond
+	// outdatedGrace is the time for which a replica counts as working without contact
+	// with the majority. An election takes less.
+	outdatedGrace = 2 * time.Second
+	// wantedReplicas is the number of working subscriptions that a daemon keeps. Two
+	// of them may fail at once without an interruption.
+	wantedReplicas = 3
 )
 
-// Follower keeps a subscription to each control replica and merges the updates
-// into a View.
+// Follower keeps subscriptions to some control replicas and merges the updates
+// into a View. A control replica follows all others.
 type Follower struct {
 	transport *transport.Client
 	view      *View
@@ -47,11 +58,27 @@
 
 	mu            sync.Mutex
 	seeds         []string
-	subscriptions map[string]context.CancelFunc
+	subscriptions map[string]*subscription
 	lastContact   map[string]time.Time
 	tasks         sync.WaitGroup
 }
 
+// subscription is the state of the subscription to one control replica.
+type subscription struct {
+	cancel   context.CancelFunc
+	openedAt time.Time
+	// connected is set while updates arrive. currentAt is when the replica was last in
+	// contact with the majority of its group.
+	connected bool
+	currentAt time.Time
+	// stream is nil while there is no connection.
+	stream *transport.Stream
+}
+
+func (s *subscription) working(now time.Time) bool {
+	return s.connected && now.Sub(s.currentAt) < outdatedGrace || now.Sub(s.openedAt) < connectGrace
+}
+
 // NewFollower returns a follower. onChange is called for each update, possibly
 // from several goroutines at once.
 func NewFollower(t *transport.Client, view *View, self *pb.Daemon, seeds []string, logger *log.Logger, onChange func(ViewChanges)) *Follower {
@@ -62,7 +89,7 @@
 		logger:        logger,
 		onChange:      onChange,
 		seeds:         seeds,
-		subscriptions: make(map[string]context.CancelFunc),
+		subscriptions: make(map[string]*subscription),
 		lastContact:   make(map[string]time.Time),
 	}
 }
@@ -89,38 +116,82 @@
 	}
 }
 
-// discover opens subscriptions to new replicas, and cancels those to replicas that
+// discover opens and cancels subscriptions, so that those to the replicas of
+// highest preference stay, up to wantedReplicas that work. It forgets replicas that
 // are no seeds and had no contact for forgetReplicaAfter.
 func (f *Follower) discover(ctx context.Context) {
 	discovered := f.view.ControlAddresses()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	for _, address := range slices.Concat(f.seeds, discovered) {
-		if _, known := f.subscriptions[address]; known || address == f.self.GetAddress() {
-			continue
+	working := 0
+	wanted := make(map[string]bool)
+	for _, address := range f.byPreference(now, slices.Concat(f.seeds, discovered)) {
+		if working == wantedReplicas && f.self.GetRole() != RoleControl {
+			break
+		}
+		wanted[address] = true
+		if f.subscriptions[address] == nil {
+			f.open(ctx, now, address)
+		}
+		if f.subscriptions[address].working(now) {
+			working++
 		}
-		if contact, known := f.lastContact[address]; known && now.Sub(contact) > forgetReplicaAfter && !slices.Contains(f.seeds, address) {
+	}
+	for address, s := range f.subscriptions {
+		if wanted[address] {
 			continue
 		}
-		f.lastContact[address] = now
-		subscribed, cancel := context.WithCancel(ctx)
-		f.subscriptions[address] = cancel
-		f.tasks.Go(func() { f.follow(subscribed, address) })
+		s.cancel()
+		delete(f.subscriptions, address)
+		if now.Sub(f.lastContact[address]) <= forgetReplicaAfter {
+			delete(f.lastContact, address)
+		}
 	}
-	for address, cancel := range f.subscriptions {
-		if now.Sub(f.lastContact[address]) > forgetReplicaAfter && !slices.Contains(f.seeds, address) {
-			cancel()
-			delete(f.subscriptions, address)
+}
+
+// byPreference orders the addresses of other replicas: those of this data centre
+// first, the others in an order of this daemon's own, which spreads the daemons
+// over the replicas.
+func (f *Follower) byPreference(now time.Time, addresses []string) []string {
+	slices.Sort(addresses)
+	addresses = slices.DeleteFunc(slices.Compact(addresses), func(address string) bool {
+		contact, known := f.lastContact[address]
+		forgotten := known && now.Sub(contact) > forgetReplicaAfter && !slices.Contains(f.seeds, address)
+		return address == f.self.GetAddress() || forgotten
+	})
+	local := make(map[string]bool)
+	for _, d := range f.view.Daemons(RoleControl) {
+		local[d.GetAddress()] = d.GetDataCentre() == f.self.GetDataCentre()
+	}
+	rank := func(address string) uint64 { return xxhash.Sum64String(f.self.GetAddress() + " " + address) }
+	slices.SortFunc(addresses, func(a, b string) int {
+		if local[a] != local[b] {
+			if local[a] {
+				return -1
+			}
+			return 1
 		}
+		return cmp.Compare(rank(a), rank(b))
+	})
+	return addresses
+}
+
+// open opens the subscription to a replica. The caller must hold mu.
+func (f *Follower) open(ctx context.Context, now time.Time, address string) {
+	if _, known := f.lastContact[address]; !known {
+		f.lastContact[address] = now
 	}
+	subscribed, cancel := context.WithCancel(ctx)
+	s := &subscription{cancel: cancel, openedAt: now}
+	f.subscriptions[address] = s
+	f.tasks.Go(func() { f.follow(subscribed, address, s) })
 }
 
-func (f *Follower) follow(ctx context.Context, address string) {
+func (f *Follower) follow(ctx context.Context, address string, s *subscription) {
 	timeout := openTimeout
 	for ctx.Err() == nil {
-		connected := false
-		err := f.subscribe(ctx, address, timeout, &connected)
+		connected, err := f.subscribe(ctx, address, timeout, s)
 		if connected && ctx.Err() == nil {
 			f.logger.Warn(eventlog.DependencyLost, "dependency", "control", "address", address, "error", err)
 		}
@@ -128,48 +199,81 @@
 		if connected {
 			timeout = openTimeout
 		}
-		f.view.RemoveDaemonsFrom(address)
+		f.mu.Lock()
+		s.connected, s.stream = false, nil
+		// After a change of preference, a later subscription may be open already.
+		if current := f.subscriptions[address]; current == s || current == nil {
+			f.view.RemoveReplica(address)
+		}
+		f.mu.Unlock()
 		sleep(ctx, retryInterval)
 	}
 }
 
 // subscribe opens a subscription and applies its updates until it fails or no
-// update arrives within updateTimeout. It sets *connected on the first update.
-func (f *Follower) subscribe(ctx context.Context, address string, timeout time.Duration, connected *bool) error {
+// update arrives within updateTimeout. It reports whether any arrived.
+func (f *Follower) subscribe(ctx context.Context, address string, timeout time.Duration, s *subscription) (connected bool, err error) {
 	openCtx, cancel := context.WithTimeout(ctx, timeout)
 	stream, err := f.transport.Open(openCtx, transport.Control, address)
 	cancel()
 	if err != nil {
-		return err
+		return false, err
 	}
 	silenceTimer := time.AfterFunc(updateTimeout, func() { f.transport.CloseConnection(transport.Control, address) })
 	defer silenceTimer.Stop()
 	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
 	defer stop()
 	defer func() { _ = stream.Close() }()
-	watch := &pb.FleetWatch{Self: f.self, RoutingVersion: f.view.RoutingVersion()}
-	if err := stream.Send(&pb.Envelope{Body: &pb.Envelope_FleetWatch{FleetWatch: watch}}); err != nil {
-		return err
+	if err := f.watch(stream, f.view.RoutingVersion()); err != nil {
+		return false, err
 	}
 	for {
 		envelope, err := stream.Receive()
 		if err != nil {
-			return err
+			return connected, err
 		}
 		silenceTimer.Reset(updateTimeout)
-		f.recordContact(address)
-		if !*connected {
-			*connected = true
+		update := envelope.GetFleetUpdate()
+		f.recordUpdate(address, s, stream, update)
+		if !connected {
+			connected = true
 			f.logger.Info(eventlog.DependencyFound, "dependency", "control", "address", address)
 		}
-		f.onChange(f.view.Merge(time.Now(), address, envelope.GetFleetUpdate()))
+		changes := f.view.Merge(time.Now(), address, update)
+		if changes.Routing != nil {
+			f.announceRouting(s, changes.Routing.Version)
+		}
+		f.onChange(changes)
+	}
+}
+
+// announceRouting tells the other replicas which routing table this daemon has, so
+// that they need not send it.
+func (f *Follower) announceRouting(from *subscription, version uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.subscriptions {
+		if stream := s.stream; s != from && stream != nil {
+			// A failed send ends the subscription's Receive as well.
+			f.tasks.Go(func() { _ = f.watch(stream, version) })
+		}
 	}
 }
 
-func (f *Follower) recordContact(address string) {
+func (f *Follower) watch(stream *transport.Stream, version uint64) error {
+	watch := &pb.FleetWatch{Self: f.self, RoutingVersion: version, Incremental: true}
+	return stream.Send(&pb.Envelope{Body: &pb.Envelope_FleetWatch{FleetWatch: watch}})
+}
+
+func (f *Follower) recordUpdate(address string, s *subscription, stream *transport.Stream, update *pb.FleetUpdate) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.lastContact[address] = time.Now()
+	now := time.Now()
+	f.lastContact[address] = now
+	s.connected, s.stream = true, stream
+	if update.GetCurrent() {
+		s.currentAt = now
+	}
 }
 
 // sleep waits for d or until the context ends.
--- a/node/load_reporter.go
+++ b/node/load_reporter.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/briarcross/briarcross/dispatch"
 	"github.com/briarcross/briarcross/pb"
 	"github.com/briarcross/briarcross/transport"
 )
@@ -13,34 +14,67 @@
 	// minReportInterval is the minimum time between two load reports. It limits the
 	// rate of datagrams of a daemon under load.
 	minReportInterval = 20 * time.Millisecond
-	// maxReportInterval is the maximum time between two load reports.
-	maxReportInterval = 250 * time.Millisecond
+	// maxReportInterval is the maximum time between two load reports. Without a change
+	// for steadyAfter, it is steadyReportInterval.
+	maxReportInterval    = 250 * time.Millisecond
+	steadyReportInterval = time.Second
+	steadyAfter          = time.Second
+	// summaryInterval is the time between two summaries of a data centre.
+	summaryInterval = 100 * time.Millisecond
+	// SummaryTimeout is the age at which the summary of a data centre no longer
+	// replaces the reports of its daemons.
+	SummaryTimeout = 2 * steadyReportInterval
 	// PeerTimeout is the age at which a load report is discarded. If a VM loses
 	// power, its runs continue at the engines until they end, and nothing can stop
 	// them; batch items take several seconds.
 	PeerTimeout = 5 * time.Second
+	// planInterval is the interval at which the recipients of reports are determined.
+	// They follow a change of the known daemons at once.
+	planInterval = time.Second
 )
 
 // LoadReporter sends load reports to the other daemons that use the same
 // upstreams.
 type LoadReporter struct {
 	datagrams    *transport.DatagramSocket
+	identity     *transport.Identity
 	view         *View
-	selfAddress  string
-	dataCentre   string
-	loads        func() []dispatch.UpstreamLoad
+	settings     *Settings
+	slots        *SlotPool
 	loadsChanged chan struct{}
-	// sequence is the number of the last report; only Run uses it.
-	sequence uint64
+	// runsBatch is set while this daemon runs batch items.
+	runsBatch atomic.Bool
+
+	mu       sync.Mutex
+	exchange *loadExchange
+	plan     exchangePlan
+	// planOutdated is set when a daemon has begun to run batch items.
+	planOutdated bool
+
+	// The remaining fields are used by Run only. sequence is the number of the last
+	// report, summarySequence that of the last summary.
+	sequence        uint64
+	summarySequence uint64
+	planAt          time.Time
+	daemonsVersion  uint64
+	summaryAt       time.Time
+	activeAt        time.Time
 }
 
-// NewLoadReporter returns a reporter that sends the current result of loads.
-func NewLoadReporter(d *transport.DatagramSocket, view *View, settings *Settings, loads func() []dispatch.UpstreamLoad) *LoadReporter {
+// NewLoadReporter returns a reporter of the loads of slots. It needs SetSocket
+// before Run.
+func NewLoadReporter(identity *transport.Identity, view *View, settings *Settings, slots *SlotPool) *LoadReporter {
 	return &LoadReporter{
-		datagrams: d, view: view, selfAddress: settings.Address, dataCentre: settings.DataCentre, loads: loads, loadsChanged: make(chan struct{}, 1),
+		identity: identity, view: view, settings: settings, slots: slots, loadsChanged: make(chan struct{}, 1),
+		exchange: newLoadExchange(settings.Address, settings.DataCentre),
 	}
 }
 
+// SetSocket sets the socket for reports.
+func (r *LoadReporter) SetSocket(datagrams *transport.DatagramSocket) {
+	r.datagrams = datagrams
+}
+
 // LoadsChanged makes Run send a report soon. It never blocks.
 func (r *LoadReporter) LoadsChanged() {
 	select {
@@ -49,60 +83,107 @@
 	}
 }
 
+// SetRunsBatch records whether this daemon runs batch items. A storage daemon that
+// does not run any takes no part in the exchange.
+func (r *LoadReporter) SetRunsBatch(runsBatch bool) {
+	r.runsBatch.Store(runsBatch)
+	r.LoadsChanged()
+}
+
 // Run sends reports until the context ends: after each change, and at least
-// every maxReportInterval.
+// every maxReportInterval, or steadyReportInterval if nothing changes.
 func (r *LoadReporter) Run(ctx context.Context) {
-	idle := time.NewTicker(maxReportInterval)
+	idle := time.NewTimer(maxReportInterval)
 	defer idle.Stop()
+	changedAt := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-idle.C:
 		case <-r.loadsChanged:
+			changedAt = time.Now()
 		}
-		r.send()
-		sleep(ctx, minReportInterval)
+		now := time.Now()
+		recipients := r.send(now)
+		interval := maxReportInterval
+		if now.Sub(changedAt) > steadyAfter {
+			interval = steadyReportInterval
+		}
+		idle.Reset(interval)
+		sleep(ctx, reportInterval(recipients))
 	}
 }
 
-func (r *LoadReporter) send() {
+// send sends the reports that are due, and returns the number of recipients of the
+// daemon's own report.
+func (r *LoadReporter) send(now time.Time) int {
+	loads := r.slots.Loads()
+	var batchRunners []string
+	if r.settings.Role == RoleStore {
+		if r.runsBatch.Load() || len(loads) > 0 {
+			r.activeAt = now
+		}
+		// The report that the last run has ended may be lost.
+		if now.Sub(r.activeAt) > steadyAfter {
+			return 0
+		}
+		batchRunners = []string{r.settings.Address}
+	}
+	plan := r.currentPlan(now, batchRunners)
 	r.sequence++
-	report := &pb.LoadReport{Sequence: r.sequence, DataCentre: r.dataCentre}
-	for _, load := range r.loads() {
-		report.Loads = append(report.Loads, &pb.UpstreamLoad{
-			Id:        load.Upstream,
-			Online:    uint32(load.Online),
-			Batch:     uint32(load.Batch),
-			SuspectMs: uint32(load.SuspectFor.Milliseconds()),
-			Failures:  uint32(load.Failures),
+	r.sendReport(plan.reports, &pb.LoadReport{
+		Sequence: r.sequence, DataCentre: r.settings.DataCentre, Loads: encodeLoads(loads), BatchRunners: batchRunners,
+	})
+	if len(plan.summaries) > 0 && now.Sub(r.summaryAt) >= summaryInterval {
+		r.summaryAt = now
+		r.summarySequence++
+		r.sendReport(plan.summaries, &pb.LoadReport{
+			Sequence:         r.summarySequence,
+			DataCentre:       r.settings.DataCentre,
+			Relay:            r.identity.ID,
+			RelayIncarnation: r.identity.Incarnation,
+			Loads:            encodeLoads(r.slots.DataCentreLoads()),
+			BatchRunners:     plan.batchRunners,
 		})
 	}
-	for _, peer := range r.view.Daemons(RoleEntry, RoleStore) {
-		if peer.GetAddress() == r.selfAddress {
-			continue
-		}
-		// A failed send is ignored: the next report replaces a lost one.
-		_ = r.datagrams.Send(peer.GetAddress(), &pb.Envelope{Body: &pb.Envelope_LoadReport{LoadReport: report}})
+	return len(plan.reports)
+}
+
+// currentPlan returns the recipients of reports. It determines them anew each
+// planInterval, and when daemons join or leave. batchRunners is the daemon itself if
+// it runs batch items.
+func (r *LoadReporter) currentPlan(now time.Time, batchRunners []string) exchangePlan {
+	version := r.view.DaemonsVersion()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	joined := r.exchange.recordBatchRunners(now, batchRunners)
+	if joined || r.planOutdated || version != r.daemonsVersion || now.Sub(r.planAt) >= planInterval {
+		r.planAt, r.daemonsVersion, r.planOutdated = now, version, false
+		r.plan = r.exchange.plan(now, r.view.Daemons(RoleEntry, RoleStore))
 	}
+	return r.plan
+}
+
+// sendReport sends a report to each address. A failed send is ignored: the next
+// report replaces a lost one.
+func (r *LoadReporter) sendReport(addresses []string, report *pb.LoadReport) {
+	_ = r.datagrams.SendAll(addresses, &pb.Envelope{Body: &pb.Envelope_LoadReport{LoadReport: report}})
 }
 
-// DecodeLoadReport decodes the load report of another daemon.
-func DecodeLoadReport(header *pb.Header, report *pb.LoadReport) dispatch.LoadReport {
-	decoded := dispatch.LoadReport{
-		Peer:        header.GetSender(),
-		Incarnation: header.GetIncarnation(),
-		Sequence:    report.GetSequence(),
-		DataCentre:  report.GetDataCentre(),
+// HandleReport applies a received report and, on a relay, forwards a summary that
+// comes from another data centre.
+func (r *LoadReporter) HandleReport(header *pb.Header, report *pb.LoadReport) {
+	r.mu.Lock()
+	if r.exchange.recordBatchRunners(time.Now(), report.GetBatchRunners()) {
+		r.planOutdated = true
+		r.LoadsChanged()
 	}
-	for _, load := range report.GetLoads() {
-		decoded.Loads = append(decoded.Loads, dispatch.UpstreamLoad{
-			Upstream:   load.GetId(),
-			Online:     int(load.GetOnline()),
-			Batch:      int(load.GetBatch()),
-			SuspectFor: time.Duration(load.GetSuspectMs()) * time.Millisecond,
-			Failures:   int(load.GetFailures()),
-		})
+	forwards := r.plan.forwards
+	r.mu.Unlock()
+	r.slots.ApplyLoadReport(DecodeLoadReport(header, report))
+	isFirstHop := report.GetRelay() != "" && header.GetSender() == report.GetRelay()
+	if isFirstHop && len(forwards) > 0 {
+		r.sendReport(forwards, report)
 	}
-	return decoded
 }
--- a/node/slot_pool.go
+++ b/node/slot_pool.go
@@ -9,17 +9,23 @@
 	"github.com/briarcross/briarcross/fleet"
 )
 
-// tickInterval is the interval at which queued requests are checked for timeout.
-// It bounds how late a wait ends.
-const tickInterval = 10 * time.Millisecond
+const (
+	// tickInterval is the interval at which queued requests are checked for timeout.
+	// It bounds how late a wait ends.
+	tickInterval = 10 * time.Millisecond
+	// idleTickInterval is the interval without queued requests.
+	idleTickInterval = 100 * time.Millisecond
+)
 
 // SlotPool is a dispatch.Pool for concurrent use. Each request for a slot waits on
 // a channel of its own.
 type SlotPool struct {
-	mu             sync.Mutex
-	pool           *dispatch.Pool
-	lastID         uint64
-	pending        map[uint64]chan slotResponse
+	mu      sync.Mutex
+	pool    *dispatch.Pool
+	lastID  uint64
+	pending map[uint64]chan slotResponse
+	// queued is signalled when a request is queued.
+	queued         chan struct{}
 	onLoadChange   func()
 	onHealthChange func(dispatch.HealthChange)
 }
@@ -36,6 +42,7 @@
 	return &SlotPool{
 		pool:           dispatch.New(options),
 		pending:        make(map[uint64]chan slotResponse),
+		queued:         make(chan struct{}, 1),
 		onLoadChange:   onLoadChange,
 		onHealthChange: onHealthChange,
 	}
@@ -51,7 +58,14 @@
 	s.pending[request.ID] = responses
 	s.pool.Request(time.Now(), request)
 	s.deliverResponses()
+	waiting := s.pool.QueueLength() > 0
 	s.mu.Unlock()
+	if waiting {
+		select {
+		case s.queued <- struct{}{}:
+		default:
+		}
+	}
 	select {
 	case response := <-responses:
 		return response.grant, response.refusal
@@ -123,6 +137,14 @@
 	return s.pool.Loads(time.Now())
 }
 
+// DataCentreLoads returns the granted slots of all daemons of this data centre at
+// each upstream, for the summary to other data centres.
+func (s *SlotPool) DataCentreLoads() []dispatch.UpstreamLoad {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool.DataCentreLoads()
+}
+
 // BatchPreemptions returns the number of batch runs to preempt by upstream ID.
 func (s *SlotPool) BatchPreemptions() map[string]int {
 	s.mu.Lock()
@@ -154,18 +176,26 @@
 
 // Run times out queued requests until the context ends.
 func (s *SlotPool) Run(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(idleTickInterval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
+		case <-s.queued:
+			sleep(ctx, tickInterval)
 		}
 		s.mu.Lock()
 		s.pool.Tick(time.Now())
 		s.deliverResponses()
+		waiting := s.pool.QueueLength() > 0
 		s.mu.Unlock()
+		if waiting {
+			timer.Reset(tickInterval)
+		} else {
+			timer.Reset(idleTickInterval)
+		}
 	}
 }
 
--- a/node/view.go
+++ b/node/view.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -22,12 +23,20 @@
 	upstreams *fleet.Table
 	// lastPhases holds the last reported phase of each upstream by its ID.
 	lastPhases map[string]instancePhase
-	// daemons holds the daemons last reported by each control replica, by the
+	// daemons holds the daemons that each control replica reports by their address,
+	// and silent the upstreams whose heartbeats it misses. Both are keyed by the
 	// address of the replica.
-	daemons  map[string][]*pb.Daemon
-	control  []string
-	storage  []*pb.Replica
-	retiring []string
+	daemons map[string]map[string]*pb.Daemon
+	silent  map[string][]string
+	// uniqueDaemons is the union of daemons, nil if it is outdated. daemonsVersion
+	// counts the changes of daemons.
+	uniqueDaemons  []*pb.Daemon
+	daemonsVersion uint64
+	// silentOutdated is set when silent has changed since markSilent.
+	silentOutdated bool
+	control        []string
+	storage        []*pb.Replica
+	retiring       []string
 }
 
 // instancePhase is the phase of one instance of an upstream, which its start time
@@ -39,14 +48,17 @@
 
 // NewView returns an empty view.
 func NewView() *View {
-	return &View{upstreams: fleet.NewTable(), lastPhases: make(map[string]instancePhase), daemons: make(map[string][]*pb.Daemon)}
+	return &View{upstreams: fleet.NewTable(), lastPhases: make(map[string]instancePhase), daemons: make(map[string]map[string]*pb.Daemon), silent: make(map[string][]string)}
 }
 
 // ViewChanges lists the changes that an update made to a view.
 type ViewChanges struct {
 	// Routing is set if the update had a routing table with a higher version.
-	Routing   *Routing
+	Routing *Routing
+	// Upstreams lists the upstreams that changed, Renewed also those with a later
+	// heartbeat only.
 	Upstreams []fleet.Upstream
+	Renewed   []fleet.Upstream
 	// PhaseChanges lists those of Upstreams that joined, began to drain or are
 	// gone.
 	PhaseChanges    []fleet.Upstream
@@ -67,20 +79,69 @@
 	for _, heartbeat := range u.GetUpstreams() {
 		v.upstreams.Apply(DecodeHeartbeat(now, heartbeat))
 	}
+	if u.GetSilent() != nil {
+		v.silent[from] = u.GetSilent().GetIds()
+		v.silentOutdated = true
+	}
+	if v.silentOutdated || len(u.GetUpstreams()) > 0 {
+		v.markSilent()
+	}
 	changes.Upstreams = v.upstreams.ChangedSince(before)
+	changes.Renewed = v.upstreams.RenewedSince(before)
 	changes.PhaseChanges = v.updatePhases(changes.Upstreams)
 	if len(u.GetStorage()) > 0 {
 		v.storage = u.GetStorage()
-	}
-	if len(u.GetDaemons()) > 0 {
-		v.daemons[from] = u.GetDaemons()
-		v.control = mergeAddresses(v.control, u.GetControl())
 		v.retiring = u.GetRetiring()
-		changes.DaemonsReported = true
 	}
+	v.control = mergeAddresses(v.control, u.GetControl())
+	changes.DaemonsReported = v.mergeDaemons(from, u)
 	return changes
 }
 
+// mergeDaemons applies the daemons of an update: the whole list, or its changes.
+func (v *View) mergeDaemons(from string, u *pb.FleetUpdate) (reported bool) {
+	if len(u.GetDaemons()) > 0 {
+		v.daemons[from] = make(map[string]*pb.Daemon)
+	}
+	if v.daemons[from] == nil {
+		v.daemons[from] = make(map[string]*pb.Daemon)
+	}
+	for _, address := range u.GetDaemonChanges().GetRemoved() {
+		delete(v.daemons[from], address)
+	}
+	for _, d := range slices.Concat(u.GetDaemons(), u.GetDaemonChanges().GetAdded()) {
+		v.daemons[from][d.GetAddress()] = d
+	}
+	reported = len(u.GetDaemons()) > 0 || u.GetDaemonChanges() != nil
+	if reported {
+		v.daemonsChanged()
+	}
+	return reported
+}
+
+func (v *View) daemonsChanged() {
+	v.uniqueDaemons = nil
+	v.daemonsVersion++
+}
+
+// markSilent marks the upstreams that all control replicas miss. One that a replica
+// hears is there: the others may be cut off from it.
+func (v *View) markSilent() {
+	v.silentOutdated = false
+	if len(v.silent) == 0 {
+		return
+	}
+	missedBy := make(map[string]int)
+	for _, ids := range v.silent {
+		for _, id := range ids {
+			missedBy[id]++
+		}
+	}
+	for _, u := range v.upstreams.All() {
+		v.upstreams.SetSilent(u.ID, missedBy[u.ID] == len(v.silent))
+	}
+}
+
 // updatePhases records the phases of the changed upstreams and returns those whose
 // phase or start differs from the recorded one.
 func (v *View) updatePhases(changed []fleet.Upstream) []fleet.Upstream {
@@ -95,12 +156,15 @@
 	return phaseChanges
 }
 
-// RemoveDaemonsFrom removes the daemons reported by the control replica at the
-// address from.
-func (v *View) RemoveDaemonsFrom(from string) {
+// RemoveReplica removes the daemons and the silent upstreams reported by the
+// control replica at the address from.
+func (v *View) RemoveReplica(from string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	delete(v.daemons, from)
+	v.daemonsChanged()
+	delete(v.silent, from)
+	v.silentOutdated = true
 }
 
 // RoutingVersion returns the highest version of the routing table received.
@@ -115,15 +179,27 @@
 func (v *View) Daemons(roles ...string) []*pb.Daemon {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if v.uniqueDaemons == nil {
+		var all []*pb.Daemon
+		for _, daemons := range v.daemons {
+			all = slices.AppendSeq(all, maps.Values(daemons))
+		}
+		v.uniqueDaemons = UniqueDaemons(all)
+	}
 	var found []*pb.Daemon
-	for _, daemons := range v.daemons {
-		for _, d := range daemons {
-			if slices.Contains(roles, d.GetRole()) {
-				found = append(found, d)
-			}
+	for _, d := range v.uniqueDaemons {
+		if slices.Contains(roles, d.GetRole()) {
+			found = append(found, d)
 		}
 	}
-	return UniqueDaemons(found)
+	return found
+}
+
+// DaemonsVersion returns a number that increases when the daemons change.
+func (v *View) DaemonsVersion() uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.daemonsVersion
 }
 
 // ControlAddresses returns the sorted addresses of the control replicas.
@@ -153,6 +229,9 @@
 func (v *View) ExpireUpstreams(now time.Time) []string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if len(v.silent) > 0 {
+		v.upstreams.ConfirmHeard(now)
+	}
 	expired := v.upstreams.Expire(now)
 	for _, id := range expired {
 		delete(v.lastPhases, id)
--- a/node/view_test.go
+++ b/node/view_test.go
@@ -75,7 +75,7 @@
 	expect.Expect(found[1].GetIncarnation()).To(BeEquivalentTo(2))
 	expect.Expect(v.Daemons(RoleEntry)).To(BeEmpty())
 	expect.Expect(v.ControlAddresses()).To(Equal([]string{"a", "b", "c"}))
-	v.RemoveDaemonsFrom("b")
+	v.RemoveReplica("b")
 	expect.Expect(v.Daemons(RoleStore)).To(HaveLen(2))
 }
 
@@ -89,7 +89,7 @@
 }
 
 func newTestSlotPool(slots int) *SlotPool {
-	s := NewSlotPool(dispatch.Options{DataCentre: "d", Seed: 1, PeerTimeout: time.Hour, HeartbeatTimeout: time.Hour}, func() {}, func(dispatch.HealthChange) {})
+	s := NewSlotPool(dispatch.Options{DataCentre: "d", Seed: 1, PeerTimeout: time.Hour}, func() {}, func(dispatch.HealthChange) {})
 	s.UpdateUpstreams([]fleet.Upstream{{ID: "u", Service: "s", DataCentre: "d", Slots: slots, Phase: fleet.Ready, LastHeartbeat: time.Now()}})
 	return s
 }
@@ -137,3 +137,83 @@
 	}
 	expect.Expect((&Settings{}).RepairAfter()).To(BeNumerically(">", 0))
 }
+
+// A replica that is cut off from an upstream misses its heartbeats while another one
+// gets them.
+func TestUpstreamIsSilentIfAllReplicasMissIt(t *testing.T) {
+	expect := NewWithT(t)
+	v := NewView()
+	beat := &pb.UpstreamBeat{Id: "u", BornUnixMs: 1, Sequence: 1, Address: "u:1", Slots: 8, Phase: pb.UpstreamPhase_UPSTREAM_READY}
+	v.Merge(now, "a", &pb.FleetUpdate{Upstreams: []*pb.UpstreamBeat{beat}, Silent: &pb.SilentUpstreams{}})
+	v.Merge(now, "b", &pb.FleetUpdate{Silent: &pb.SilentUpstreams{Ids: []string{"u"}}})
+	expect.Expect(v.Upstreams()[0].Silent).To(BeFalse())
+	changes := v.Merge(now, "a", &pb.FleetUpdate{Silent: &pb.SilentUpstreams{Ids: []string{"u"}}})
+	expect.Expect(changes.Upstreams).To(HaveLen(1))
+	expect.Expect(changes.Upstreams[0].Silent).To(BeTrue())
+	expect.Expect(changes.PhaseChanges).To(BeEmpty())
+	v.Merge(now, "b", &pb.FleetUpdate{Silent: &pb.SilentUpstreams{}})
+	expect.Expect(v.Upstreams()[0].Silent).To(BeFalse())
+	v.RemoveReplica("b")
+	changes = v.Merge(now, "a", &pb.FleetUpdate{})
+	expect.Expect(changes.Upstreams).To(HaveLen(1))
+	expect.Expect(v.Upstreams()[0].Silent).To(BeTrue())
+}
+
+// Renewed heartbeats are not sent to entries. An upstream must not expire for that.
+func TestUpstreamThatIsNotSilentDoesNotExpire(t *testing.T) {
+	expect := NewWithT(t)
+	v := NewView()
+	for _, id := range []string{"heard", "silent"} {
+		v.Merge(now, "a", &pb.FleetUpdate{Upstreams: []*pb.UpstreamBeat{{Id: id, BornUnixMs: 1, Sequence: 1, Address: id, Phase: pb.UpstreamPhase_UPSTREAM_READY}}})
+	}
+	v.Merge(now, "a", &pb.FleetUpdate{Silent: &pb.SilentUpstreams{Ids: []string{"silent"}}})
+	expect.Expect(v.ExpireUpstreams(now.Add(time.Hour))).To(Equal([]string{"silent"}))
+	expect.Expect(v.Upstreams()).To(HaveLen(1))
+}
+
+func TestDaemonChangesAreMerged(t *testing.T) {
+	expect := NewWithT(t)
+	v := NewView()
+	daemon := func(address string) *pb.Daemon {
+		return &pb.Daemon{Id: address, Role: RoleStore, Address: address, Incarnation: 1}
+	}
+	v.Merge(now, "a", &pb.FleetUpdate{DaemonChanges: &pb.DaemonChanges{Added: []*pb.Daemon{daemon("s1"), daemon("s2")}}})
+	version := v.DaemonsVersion()
+	v.Merge(now, "a", &pb.FleetUpdate{})
+	expect.Expect(v.DaemonsVersion()).To(Equal(version))
+	v.Merge(now, "a", &pb.FleetUpdate{DaemonChanges: &pb.DaemonChanges{Added: []*pb.Daemon{daemon("s3")}, Removed: []string{"s1"}}})
+	expect.Expect(v.DaemonsVersion()).To(BeNumerically(">", version))
+	found := v.Daemons(RoleStore)
+	expect.Expect(found).To(HaveLen(2))
+	expect.Expect(found[0].GetAddress()).To(Equal("s2"))
+}
+
+func newTestFollower(role string) *Follower {
+	self := &pb.Daemon{Address: "self", Role: role, DataCentre: "dc0"}
+	return NewFollower(nil, NewView(), self, []string{"c1", "c2", "c3"}, nil, func(ViewChanges) {})
+}
+
+// Each daemon that subscribes to each replica costs both as much as there are
+// replicas, and each heartbeat between data centres as often.
+func TestReplicaOfOwnDataCentreIsPreferred(t *testing.T) {
+	expect := NewWithT(t)
+	f := newTestFollower(RoleEntry)
+	f.view.Merge(now, "c1", &pb.FleetUpdate{Daemons: []*pb.Daemon{
+		{Address: "c5", Role: RoleControl, DataCentre: "dc0"}, {Address: "c1", Role: RoleControl, DataCentre: "dc1"},
+	}, Control: []string{"c1", "c2", "c3", "c4", "c5", "self"}})
+	order := f.byPreference(now, []string{"c1", "c2", "c3", "c4", "c5", "self"})
+	expect.Expect(order).To(HaveLen(5))
+	expect.Expect(order[0]).To(Equal("c5"))
+}
+
+// A replica without a majority may lack the latest routing table and must not be the
+// only source; an election must not make all daemons subscribe anew.
+func TestReplicaWithoutMajorityStopsWorkingAfterGrace(t *testing.T) {
+	expect := NewWithT(t)
+	s := &subscription{openedAt: now.Add(-time.Minute), connected: true, currentAt: now}
+	expect.Expect(s.working(now.Add(outdatedGrace / 2))).To(BeTrue())
+	expect.Expect(s.working(now.Add(outdatedGrace))).To(BeFalse())
+	s.currentAt, s.connected = now, false
+	expect.Expect(s.working(now)).To(BeFalse())
+	expect.Expect((&subscription{openedAt: now}).working(now)).To(BeTrue())
+}
--- a/storenode/runner.go
+++ b/storenode/runner.go
@@ -20,6 +20,8 @@
 	// tickInterval is the interval at which the runner starts runnable items and
 	// preempts runs.
 	tickInterval = 20 * time.Millisecond
+	// standbyInterval is the interval while this replica does not run items.
+	standbyInterval = 100 * time.Millisecond
 	// takeoverDelay is the time between an election and the first run that a new
 	// leader starts; by then the previous leader has stopped its runs.
 	takeoverDelay = 600 * time.Millisecond
@@ -84,6 +86,7 @@
 	defer r.mu.Unlock()
 	r.leading = leading
 	r.leadershipChangedAt = time.Now()
+	r.node.SetRunsBatch(leading)
 	r.cancel()
 	r.ctx, r.cancel = context.WithCancel(r.node.ctx)
 	r.scheduler = jobpages.NewScheduler()
@@ -118,20 +121,22 @@
 }
 
 func (r *runner) loop(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(tickInterval)
+	defer timer.Stop()
 	expireAt := time.Now().Add(expireInterval)
 	saveAt := time.Now().Add(saveInterval)
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		case <-r.wakeup:
 		}
 		if !r.mayRunItems() {
+			timer.Reset(standbyInterval)
 			continue
 		}
+		timer.Reset(tickInterval)
 		r.preemptRuns()
 		r.startItems()
 		if time.Now().After(saveAt) {
--- a/transport/datagram.go
+++ b/transport/datagram.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -94,6 +95,12 @@
 
 // Send sends one envelope. An error means that nothing was sent.
 func (d *DatagramSocket) Send(address string, e *pb.Envelope) error {
+	return d.SendAll([]string{address}, e)
+}
+
+// SendAll sends one envelope to each address. It returns the errors of the sends
+// that failed.
+func (d *DatagramSocket) SendAll(addresses []string, e *pb.Envelope) error {
 	if e.Header == nil {
 		e.Header = d.identity.Header("", 0)
 	}
@@ -102,12 +109,16 @@
 	if err != nil {
 		return eris.Wrap(err, "encode datagram")
 	}
-	to, err := d.resolve(address)
-	if err != nil {
-		return err
+	var failed []error
+	for _, address := range addresses {
+		to, err := d.resolve(address)
+		if err == nil {
+			_, err = d.sender.WriteToUDP(data, to)
+			err = eris.Wrapf(err, "send datagram to %s", address)
+		}
+		failed = append(failed, err)
 	}
-	_, err = d.sender.WriteToUDP(data, to)
-	return eris.Wrapf(err, "send datagram to %s", address)
+	return errors.Join(failed...)
 }
 
 func (d *DatagramSocket) resolve(address string) (*net.UDPAddr, error) {
