Find the leader of the storage group without asking its spares

Change: a spare refuses at once; the daemon that runs batch items, known from load reports, is tried before the replicas in turn.

--- a/client/replica_client.go
+++ b/client/replica_client.go
@@ -33,6 +33,9 @@
 	// leaderAddress is the address that a response named as the leader's; empty if
 	// unknown.
 	leaderAddress string
+	// suggestedLeader is tried before the replicas in turn while the leader is
+	// unknown. It is cleared when an attempt there fails.
+	suggestedLeader string
 	// nextIndex modulo the number of addresses is the index of the replica that is
 	// tried while the leader is unknown.
 	nextIndex int
@@ -116,6 +119,9 @@
 	if c.leaderAddress != "" {
 		return c.leaderAddress
 	}
+	if c.suggestedLeader != "" {
+		return c.suggestedLeader
+	}
 	if len(c.addresses) == 0 {
 		return ""
 	}
@@ -127,10 +133,21 @@
 func (c *ReplicaClient) SetLeaderAddress(address string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.leaderAddress = address
 	if address == "" {
-		c.nextIndex++
+		if c.leaderAddress == "" && c.suggestedLeader == "" {
+			c.nextIndex++
+		}
+		c.suggestedLeader = ""
 	}
+	c.leaderAddress = address
+}
+
+// SuggestLeader names a replica that probably leads. With many spares beside the
+// members of a group, trying them in turn takes long.
+func (c *ReplicaClient) SuggestLeader(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.suggestedLeader = address
 }
 
 func (c *ReplicaClient) callWithRetry(ctx context.Context, class transport.Class, request *pb.ControlRequest) (*pb.ControlResponse, *pb.ControlError) {
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -81,7 +81,7 @@
 		PeerTimeout:    PeerTimeout,
 		SummaryTimeout: SummaryTimeout,
 	}, func() { d.loadReporter.LoadsChanged() }, d.logHealthChange)
-	d.loadReporter = NewLoadReporter(d.Identity, d.View, settings, d.Slots)
+	d.loadReporter = NewLoadReporter(d.Identity, d.View, settings, d.Slots, d.Storage.SuggestLeader)
 	datagrams, err := transport.ListenDatagrams(d.Identity, settings.ListenAddress(), d.handleDatagram)
 	if err != nil {
 		return nil, err
--- a/node/load_reporter.go
+++ b/node/load_reporter.go
@@ -42,6 +42,9 @@
 	settings     *Settings
 	slots        *SlotPool
 	loadsChanged chan struct{}
+	// onBatchRunner is called with the address of a daemon that runs batch items: the
+	// leader of the storage group.
+	onBatchRunner func(address string)
 	// runsBatch is set while this daemon runs batch items.
 	runsBatch atomic.Bool
 
@@ -63,10 +66,10 @@
 
 // NewLoadReporter returns a reporter of the loads of slots. It needs SetSocket
 // before Run.
-func NewLoadReporter(identity *transport.Identity, view *View, settings *Settings, slots *SlotPool) *LoadReporter {
+func NewLoadReporter(identity *transport.Identity, view *View, settings *Settings, slots *SlotPool, onBatchRunner func(address string)) *LoadReporter {
 	return &LoadReporter{
 		identity: identity, view: view, settings: settings, slots: slots, loadsChanged: make(chan struct{}, 1),
-		exchange: newLoadExchange(settings.Address, settings.DataCentre),
+		onBatchRunner: onBatchRunner, exchange: newLoadExchange(settings.Address, settings.DataCentre),
 	}
 }
 
@@ -181,6 +184,9 @@
 	}
 	forwards := r.plan.forwards
 	r.mu.Unlock()
+	for _, address := range report.GetBatchRunners() {
+		r.onBatchRunner(address)
+	}
 	r.slots.ApplyLoadReport(DecodeLoadReport(header, report))
 	isFirstHop := report.GetRelay() != "" && header.GetSender() == report.GetRelay()
 	if isFirstHop && len(forwards) > 0 {
--- a/storenode/streams.go
+++ b/storenode/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -44,6 +45,9 @@
 	if r == nil {
 		return errorResponse(&pb.ControlError{Code: pb.ControlError_NOT_LEADER, Reason: "the replica is not open yet"})
 	}
+	if !isMember(r.Status(), n.settings.Address) {
+		return errorResponse(&pb.ControlError{Code: pb.ControlError_NOT_LEADER, Reason: "not a member of the storage group"})
+	}
 	ctx, cancel := context.WithTimeout(n.ctx, requestTimeout)
 	defer cancel()
 	switch body := request.GetRequest().(type) {
@@ -62,6 +66,12 @@
 	return errorResponse(&pb.ControlError{Code: pb.ControlError_INVALID, Reason: "request without a body"})
 }
 
+// isMember reports whether the group has a replica at an address. A spare must not
+// wait for a leader that it may never hear of.
+func isMember(status *pb.StatusAnswer, address string) bool {
+	return slices.ContainsFunc(status.GetReplicas(), func(r *pb.ReplicaStatus) bool { return r.GetReplica().GetAddress() == address })
+}
+
 func errorResponse(controlErr *pb.ControlError) *pb.ControlResponse {
 	return &pb.ControlResponse{Response: &pb.ControlResponse_Error{Error: controlErr}}
 }
