Place bursts over data centres by chance where loads are known from summaries

Of those placed in another data centre with one or two slots believed free, 43 and 48 in 100 were; single engines had 20 requests for 7 slots while others were free: all daemons of the other four data centres chose the emptiest engine of a summary that was up to 100 ms old.

Change: another data centre known from a summary needs four free slots to come before the last local one, and its engines are drawn by their free slots. Reports within a data centre go out every 10 ms instead of 20.

--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -56,6 +56,9 @@
 		return
 	}
 	p.peerReports[report.Peer] = peerReport{report, now}
+	if report.Summary {
+		p.summarized[report.DataCentre] = true
+	}
 	if stored.suspects() || report.suspects() {
 		p.applyPeerReports()
 	} else {
@@ -80,18 +83,25 @@
 		if stored.Summary && now.Sub(stored.received) < p.options.SummaryTimeout {
 			return false
 		}
-		delete(p.peerReports, peer)
+		p.dropReport(peer, stored)
 		p.addPeerGrants(stored.Loads, -1)
 	}
 	return true
 }
 
+func (p *Pool) dropReport(peer string, report peerReport) {
+	delete(p.peerReports, peer)
+	if report.Summary {
+		delete(p.summarized, report.DataCentre)
+	}
+}
+
 // expirePeers drops reports older than PeerTimeout.
 func (p *Pool) expirePeers(now time.Time) {
 	dropped := false
 	for peer, report := range p.peerReports {
 		if now.Sub(report.received) > p.options.PeerTimeout {
-			delete(p.peerReports, peer)
+			p.dropReport(peer, report)
 			dropped = true
 		}
 	}
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -14,7 +14,8 @@
 	// localSpare has at least spareThreshold free slots and is in the pool's data
 	// centre. A request that another daemon sends at the same time also fits.
 	localSpare tier = iota
-	// remoteSpare is the same in another data centre.
+	// remoteSpare is the same in another data centre, and with coarseSpareThreshold
+	// free slots if only a summary of its loads is known.
 	remoteSpare
 	// localFree has one free slot or, for batch, more than BatchReserve.
 	localFree
@@ -32,9 +33,15 @@
 // load reports.
 const spareThreshold = 2
 
+// coarseSpareThreshold is the spareThreshold of a data centre whose loads are known
+// from a summary. Many daemons place requests there before the next one.
+const coarseSpareThreshold = 4
+
 // pick returns the upstream of the best tier with the most free slots, or nil if
 // none is usable. Ties are broken by a random order that differs between pools,
-// so that daemons deciding at the same time choose different upstreams.
+// so that daemons deciding at the same time choose different upstreams. Upstreams
+// known from a summary are drawn at random by their free slots, for the same reason:
+// the one with the most free slots would be chosen by all until the next summary.
 func (p *Pool) pick(now time.Time, request SlotRequest) *upstreamState {
 	if request.Class == Batch && !request.Urgent && p.totals(request.Service).batch >= p.BatchCapacity(request.Service) {
 		return nil
@@ -54,9 +61,13 @@
 			continue
 		}
 		t := p.tier(now, u, request)
-		best.consider(u, t)
+		draw := 0.0
+		if t <= remotePreempting && p.isCoarse(u) {
+			draw = p.rand.Float64()
+		}
+		best.consider(u, t, draw)
 		if !u.ejected(now, request.Class) {
-			bestNotEjected.consider(u, t)
+			bestNotEjected.consider(u, t, draw)
 		}
 	}
 	if ejectFailing(failing, ready) {
@@ -69,16 +80,38 @@
 type bestCandidate struct {
 	upstream *upstreamState
 	tier     tier
+	// drawnFree is the number of free slots of all candidates of the tier that are
+	// drawn at random.
+	drawnFree int
 }
 
-func (c *bestCandidate) consider(u *upstreamState, t tier) {
-	switch {
-	case t == unusable || c.upstream != nil && t > c.tier:
-	case c.upstream == nil || t < c.tier || better(u, c.upstream):
-		c.upstream, c.tier = u, t
+// consider replaces the candidate by a better one. A draw above zero, uniform up to
+// one, makes it a random choice in which each free slot has the same chance.
+func (c *bestCandidate) consider(u *upstreamState, t tier, draw float64) {
+	if t == unusable || c.upstream != nil && t > c.tier {
+		return
+	}
+	if c.upstream == nil || t < c.tier {
+		c.upstream, c.tier, c.drawnFree = u, t, max(1, u.free())
+		return
+	}
+	if draw == 0 {
+		if better(u, c.upstream) {
+			c.upstream = u
+		}
+		return
+	}
+	weight := max(1, u.free())
+	c.drawnFree += weight
+	if draw*float64(c.drawnFree) < float64(weight) {
+		c.upstream = u
 	}
 }
 
+// isCoarse reports whether only a summary of the loads of an upstream's data centre
+// is known.
+func (p *Pool) isCoarse(u *upstreamState) bool { return p.summarized[u.DataCentre] }
+
 // mustAvoid reports whether the upstreams in request.Avoid are skipped. Online
 // requests always skip them. Batch uses them if the service has no other ready
 // upstream, as it would otherwise wait forever.
@@ -115,7 +148,7 @@
 		return lastResort
 	case u.free() >= spareThreshold && local:
 		return localSpare
-	case u.free() >= spareThreshold:
+	case u.free() >= p.remoteSpareThreshold(u):
 		return remoteSpare
 	case u.free() > 0 && local:
 		return localFree
@@ -127,6 +160,13 @@
 	return remotePreempting
 }
 
+func (p *Pool) remoteSpareThreshold(u *upstreamState) int {
+	if p.isCoarse(u) {
+		return coarseSpareThreshold
+	}
+	return spareThreshold
+}
+
 func batchTier(u *upstreamState, local, unhealthy bool, reserve int) tier {
 	switch {
 	case unhealthy || u.free() <= reserve:
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -150,6 +150,8 @@
 	sortedUpstreams []*upstreamState
 	// peerReports is keyed by LoadReport.Peer.
 	peerReports map[string]peerReport
+	// summarized holds the data centres with a summary in peerReports.
+	summarized map[string]bool
 	// queue is ordered by class and priority; see before.
 	queue []queuedRequest
 	// serviceStats, onlinePeaks and expectedRetries are keyed by service.
@@ -174,6 +176,7 @@
 		rand:              core.NewRand(options.Seed),
 		upstreams:         make(map[string]*upstreamState),
 		peerReports:       make(map[string]peerReport),
+		summarized:        make(map[string]bool),
 		serviceStats:      make(map[string]*serviceStats),
 		onlinePeaks:       make(map[string]*slidingMax),
 		expectedRetries:   make(map[string]*expectedRetries),
--- a/node/load_exchange.go
+++ b/node/load_exchange.go
@@ -17,7 +17,7 @@
 	relaysPerDataCentre = 2
 	// maxReportsPerSecond limits the datagrams that a daemon sends in large data
 	// centres.
-	maxReportsPerSecond = 1000
+	maxReportsPerSecond = 2000
 )
 
 // loadExchange decides which daemons exchange load reports. A small fleet is a
--- a/node/load_reporter.go
+++ b/node/load_reporter.go
@@ -12,8 +12,10 @@
 
 const (
 	// minReportInterval is the minimum time between two load reports. It limits the
-	// rate of datagrams of a daemon under load.
-	minReportInterval = 20 * time.Millisecond
+	// rate of datagrams of a daemon under load. Batch items change the loads of their
+	// daemon more often, but hold a slot for longer.
+	minReportInterval      = 10 * time.Millisecond
+	minBatchReportInterval = 20 * time.Millisecond
 	// maxReportInterval is the maximum time between two load reports. Without a change
 	// for steadyAfter, it is steadyReportInterval.
 	maxReportInterval    = 250 * time.Millisecond
@@ -42,6 +44,7 @@
 	settings     *Settings
 	slots        *SlotPool
 	loadsChanged chan struct{}
+	minInterval  time.Duration
 	// onBatchRunner is called with the address of a daemon that runs batch items: the
 	// leader of the storage group.
 	onBatchRunner func(address string)
@@ -67,8 +70,12 @@
 // NewLoadReporter returns a reporter of the loads of slots. It needs SetSocket
 // before Run.
 func NewLoadReporter(identity *transport.Identity, view *View, settings *Settings, slots *SlotPool, onBatchRunner func(address string)) *LoadReporter {
+	minInterval := minReportInterval
+	if settings.Role == RoleStore {
+		minInterval = minBatchReportInterval
+	}
 	return &LoadReporter{
-		identity: identity, view: view, settings: settings, slots: slots, loadsChanged: make(chan struct{}, 1),
+		minInterval: minInterval, identity: identity, view: view, settings: settings, slots: slots, loadsChanged: make(chan struct{}, 1),
 		onBatchRunner: onBatchRunner, exchange: newLoadExchange(settings.Address, settings.DataCentre),
 	}
 }
@@ -114,7 +121,7 @@
 			interval = steadyReportInterval
 		}
 		idle.Reset(interval)
-		sleep(ctx, reportInterval(recipients))
+		sleep(ctx, max(r.minInterval, reportInterval(recipients)))
 	}
 }
 
