Run items on storage daemons beside their engines; ask for preemption directly

Cause: the leader of the storage group read the output of all runs.

A later term ends the runs of an earlier leader. Where load reports come as summaries, an entry that places a request behind batch asks the leader to preempt with a datagram of its own.

Also: the scheduler counts the time in which an item is preempted when it judges whether the item can be in time.

--- a/dispatch/peers_test.go
+++ b/dispatch/peers_test.go
@@ -83,3 +83,24 @@
 	g, _ = requestSlot(p, start, batchRequest(3))
 	expect.Expect(g).To(BeNil())
 }
+
+// The summary with the load of a burst reaches the daemon that runs batch items after
+// 100 ms; until then, online requests queue behind batch items at the upstreams.
+func TestOnlineGrantBehindBatchOfPeerRequestsPreemption(t *testing.T) {
+	expect := NewWithT(t)
+	entry, runner := newPool(readyUpstream("a", "near", 4)), newPool(readyUpstream("a", "near", 4))
+	for i := range 3 {
+		_, _ = requestSlot(runner, start, batchRequest(uint64(i)))
+	}
+	entry.ApplyLoadReport(start, LoadReport{Peer: "runner", Sequence: 1, DataCentre: "far", Loads: runner.Loads(start)})
+	for i := range 3 {
+		_, _ = requestSlot(entry, start, onlineRequest(uint64(i), 0))
+	}
+	requests := entry.PreemptionRequests()
+	expect.Expect(requests).To(Equal([]PreemptionRequest{{"a", 2}, {"a", 3}}))
+	expect.Expect(entry.PreemptionRequests()).To(BeEmpty())
+	expect.Expect(runner.RequestedPreemptions(requests[0])).To(Equal(1))
+	expect.Expect(runner.RequestedPreemptions(requests[1])).To(Equal(2))
+	expect.Expect(runner.RequestedPreemptions(PreemptionRequest{"unknown", 9})).To(BeZero())
+	expect.Expect(runner.BatchPreemptions()).To(BeEmpty())
+}
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -193,3 +193,28 @@
 	}
 	return preemptions
 }
+
+// PreemptionRequest reports an online grant at an upstream whose slots are held by
+// batch items of another daemon. Load reports tell the same, but later.
+type PreemptionRequest struct {
+	Upstream string
+	// Online is the number of online requests in flight at the upstream.
+	Online int
+}
+
+// PreemptionRequests returns the preemption requests since the last call.
+func (p *Pool) PreemptionRequests() []PreemptionRequest {
+	requests := p.preemptionRequests
+	p.preemptionRequests = nil
+	return requests
+}
+
+// RequestedPreemptions returns the number of this pool's batch grants to preempt for a
+// request of another daemon. It is zero once so many have been preempted.
+func (p *Pool) RequestedPreemptions(request PreemptionRequest) int {
+	u, known := p.upstreams[request.Upstream]
+	if !known {
+		return 0
+	}
+	return max(0, min(request.Online+u.batch()-u.Slots, u.ownGrants[Batch]))
+}
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -69,8 +69,9 @@
 	SlotRequestID uint64
 	Service       string
 	Upstream      string
-	// Address is the network address of the upstream.
-	Address   string
+	// Address is the network address of the upstream, DataCentre its data centre.
+	Address    string
+	DataCentre string
 	Class     Class
 	GrantedAt time.Time
 	// Waited is the time between the slot request and the grant.
@@ -167,6 +168,8 @@
 	grants        []Grant
 	refusals      []Refusal
 	healthChanges []HealthChange
+	// preemptionRequests is returned by PreemptionRequests.
+	preemptionRequests []PreemptionRequest
 }
 
 // New returns a pool without upstreams.
@@ -372,11 +375,15 @@
 	if queued.slotRequest.Class == Online {
 		p.statsOf(queued.slotRequest.Service).inFlight++
 	}
+	if queued.slotRequest.Class == Online && u.free() < 0 && u.peerGrants[Batch] > 0 {
+		p.preemptionRequests = append(p.preemptionRequests, PreemptionRequest{u.ID, u.online()})
+	}
 	p.grants = append(p.grants, Grant{
 		SlotRequestID: queued.slotRequest.ID,
 		Service:       queued.slotRequest.Service,
 		Upstream:      u.ID,
 		Address:       u.Address,
+		DataCentre:    u.DataCentre,
 		Class:         queued.slotRequest.Class,
 		GrantedAt:     now,
 		Waited:        now.Sub(queued.queuedAt),
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -107,7 +107,7 @@
 		cancel:             cancel,
 	}
 	n.upstreamClient = upstream.NewClient(codec, n.metrics.connections.Inc)
-	dispatcher, err := node.NewDispatcher(settings, logger, codec.ParseTable, n.upstreamGone)
+	dispatcher, err := node.NewDispatcher(settings, logger, codec.ParseTable, n.upstreamGone, nil)
 	if err != nil {
 		cancel()
 		return nil, err
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -51,6 +51,9 @@
 	table        atomic.Pointer[routing.Table]
 	tableLock    sync.Mutex
 	onNotReady   func(fleet.Upstream)
+	// onPreemption is called for each preemption request of another daemon; nil on
+	// daemons that run no batch items.
+	onPreemption func(dispatch.PreemptionRequest)
 	// suspicions counts the failures that were counted against upstreams.
 	suspicions prometheus.Counter
 	tasks      sync.WaitGroup
@@ -59,15 +62,17 @@
 
 // NewDispatcher returns a dispatcher, which does nothing until Run. decodeTable
 // decodes a routing document; onNotReady is called for an upstream that is
-// draining or gone and accepts no new requests.
-func NewDispatcher(settings *Settings, logger *log.Logger, decodeTable func([]byte) (*routing.Table, error), onNotReady func(fleet.Upstream)) (*Dispatcher, error) {
+// draining or gone and accepts no new requests, onPreemption, which may be nil, for
+// each preemption request of another daemon.
+func NewDispatcher(settings *Settings, logger *log.Logger, decodeTable func([]byte) (*routing.Table, error), onNotReady func(fleet.Upstream), onPreemption func(dispatch.PreemptionRequest)) (*Dispatcher, error) {
 	d := &Dispatcher{
-		Settings:    settings,
-		Logger:      logger,
-		Identity:    settings.Identity(),
-		View:        NewView(),
-		decodeTable: decodeTable,
-		onNotReady:  onNotReady,
+		Settings:     settings,
+		Logger:       logger,
+		Identity:     settings.Identity(),
+		View:         NewView(),
+		decodeTable:  decodeTable,
+		onNotReady:   onNotReady,
+		onPreemption: onPreemption,
 		suspicions: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "briarcross_upstream_suspicions_total", Help: "Failures that had requests kept away from an upstream.",
 		}),
@@ -80,7 +85,7 @@
 		BatchReserve:   batchReserve,
 		PeerTimeout:    PeerTimeout,
 		SummaryTimeout: SummaryTimeout,
-	}, func() { d.loadReporter.LoadsChanged() }, d.logHealthChange)
+	}, func() { d.loadReporter.LoadsChanged() }, d.logHealthChange, func(r dispatch.PreemptionRequest) { d.loadReporter.RequestPreemption(r) })
 	d.loadReporter = NewLoadReporter(d.Identity, d.View, settings, d.Slots, d.Storage.SuggestLeader)
 	datagrams, err := transport.ListenDatagrams(d.Identity, settings.ListenAddress(), d.handleDatagram)
 	if err != nil {
@@ -96,6 +101,7 @@
 func (d *Dispatcher) Run(ctx context.Context) {
 	d.tasks.Go(func() { d.follower.Run(ctx) })
 	d.tasks.Go(func() { d.loadReporter.Run(ctx) })
+	d.tasks.Go(func() { d.loadReporter.sendPreemptions(ctx) })
 	d.tasks.Go(func() { d.Slots.Run(ctx) })
 	d.tasks.Go(func() { d.refreshStorageAddresses(ctx) })
 	d.tasks.Go(func() { d.expireUpstreams(ctx) })
@@ -132,6 +138,9 @@
 	if report := e.GetLoadReport(); report != nil {
 		d.loadReporter.HandleReport(e.GetHeader(), report)
 	}
+	if request := e.GetPreemptionRequest(); request != nil && d.onPreemption != nil {
+		d.onPreemption(dispatch.PreemptionRequest{Upstream: request.GetUpstream(), Online: int(request.GetOnline())})
+	}
 }
 
 func (d *Dispatcher) applyViewChanges(changes ViewChanges) {
--- a/node/load_exchange.go
+++ b/node/load_exchange.go
@@ -17,14 +17,14 @@
 	relaysPerDataCentre = 2
 	// maxReportsPerSecond limits the datagrams that a daemon sends in large data
 	// centres.
-	maxReportsPerSecond = 2000
+	maxReportsPerSecond = 1500
 )
 
 // loadExchange decides which daemons exchange load reports. A small fleet is a
 // mesh. In a larger one, the daemons of a data centre form a mesh, and two relays of
-// each data centre send its summary to the relays of the others, which forward it.
-// All daemons send their reports to those that run batch items, which must preempt
-// these as soon as a slot is missing.
+// each data centre send its summary to the relays of the others, which forward it. A
+// summary is too late for preempting batch items: requests for that go directly to the
+// daemons that run these.
 type loadExchange struct {
 	selfAddress string
 	dataCentre  string
@@ -65,8 +65,10 @@
 	// forwards get the summaries that arrive from other data centres. Empty unless
 	// the daemon is a relay.
 	forwards []string
-	// batchRunners are the storage daemons of this data centre that run batch items.
+	// batchRunners are the storage daemons that run batch items, localRunners those of
+	// this data centre.
 	batchRunners []string
+	localRunners []string
 }
 
 // plan decides over the known entries and storage daemons, which must be sorted by
@@ -74,7 +76,7 @@
 func (x *loadExchange) plan(now time.Time, daemons []*pb.Daemon) exchangePlan {
 	entries := make(map[string][]string)
 	entryCount := 0
-	var local, others, runners []string
+	var local, others []string
 	var plan exchangePlan
 	for _, d := range daemons {
 		isEntry := d.GetRole() == RoleEntry
@@ -87,19 +89,21 @@
 			entryCount++
 			entries[d.GetDataCentre()] = append(entries[d.GetDataCentre()], address)
 		case isLocal:
-			plan.batchRunners = append(plan.batchRunners, address)
+			plan.localRunners = append(plan.localRunners, address)
 		}
 		switch {
 		case address == x.selfAddress:
+			continue
 		case isLocal:
 			local = append(local, address)
-		case isEntry:
-			others = append(others, address)
 		default:
-			runners = append(runners, address)
+			others = append(others, address)
+		}
+		if !isEntry {
+			plan.batchRunners = append(plan.batchRunners, address)
 		}
 	}
-	plan.reports = slices.Concat(local, runners)
+	plan.reports = local
 	if entryCount <= maxMeshDaemons {
 		plan.reports = append(plan.reports, others...)
 		return plan
@@ -108,7 +112,7 @@
 	if index < 0 || index >= relaysPerDataCentre {
 		return plan
 	}
-	plan.forwards = slices.DeleteFunc(slices.Clone(entries[x.dataCentre]), func(address string) bool { return address == x.selfAddress })
+	plan.forwards = local
 	for dataCentre, relays := range entries {
 		if dataCentre != x.dataCentre {
 			plan.summaries = append(plan.summaries, relays[min(index, len(relays)-1)])
--- a/node/load_reporter.go
+++ b/node/load_reporter.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/briarcross/briarcross/dispatch"
 	"github.com/briarcross/briarcross/pb"
 	"github.com/briarcross/briarcross/transport"
 )
@@ -30,6 +31,8 @@
 	// power, its runs continue at the engines until they end, and nothing can stop
 	// them; batch items take several seconds.
 	PeerTimeout = 5 * time.Second
+	// maxQueuedPreemptions bounds the preemption requests that wait to be sent.
+	maxQueuedPreemptions = 64
 	// planInterval is the interval at which the recipients of reports are determined.
 	// They follow a change of the known daemons at once.
 	planInterval = time.Second
@@ -44,6 +47,7 @@
 	settings     *Settings
 	slots        *SlotPool
 	loadsChanged chan struct{}
+	preemptions  chan dispatch.PreemptionRequest
 	minInterval  time.Duration
 	// onBatchRunner is called with the address of a daemon that runs batch items: the
 	// leader of the storage group.
@@ -76,6 +80,7 @@
 	}
 	return &LoadReporter{
 		minInterval: minInterval, identity: identity, view: view, settings: settings, slots: slots, loadsChanged: make(chan struct{}, 1),
+		preemptions:   make(chan dispatch.PreemptionRequest, maxQueuedPreemptions),
 		onBatchRunner: onBatchRunner, exchange: newLoadExchange(settings.Address, settings.DataCentre),
 	}
 }
@@ -154,7 +159,7 @@
 			Relay:            r.identity.ID,
 			RelayIncarnation: r.identity.Incarnation,
 			Loads:            encodeLoads(r.slots.DataCentreLoads()),
-			BatchRunners:     plan.batchRunners,
+			BatchRunners:     plan.localRunners,
 		})
 	}
 	return len(plan.reports)
@@ -181,6 +186,33 @@
 	_ = r.datagrams.SendAll(addresses, &pb.Envelope{Body: &pb.Envelope_LoadReport{LoadReport: report}})
 }
 
+// RequestPreemption asks the daemons that run batch items to free a slot. It does not
+// block.
+func (r *LoadReporter) RequestPreemption(request dispatch.PreemptionRequest) {
+	select {
+	case r.preemptions <- request:
+	default:
+		// The next load report tells the same.
+	}
+}
+
+// sendPreemptions sends preemption requests until the context ends.
+func (r *LoadReporter) sendPreemptions(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case request := <-r.preemptions:
+			r.mu.Lock()
+			runners := r.plan.batchRunners
+			r.mu.Unlock()
+			message := &pb.PreemptionRequest{Upstream: request.Upstream, Online: uint32(request.Online)}
+			// A lost request is replaced by the next load report.
+			_ = r.datagrams.SendAll(runners, &pb.Envelope{Body: &pb.Envelope_PreemptionRequest{PreemptionRequest: message}})
+		}
+	}
+}
+
 // HandleReport applies a received report and, on a relay, forwards a summary that
 // comes from another data centre.
 func (r *LoadReporter) HandleReport(header *pb.Header, report *pb.LoadReport) {
--- a/node/slot_pool.go
+++ b/node/slot_pool.go
@@ -28,6 +28,8 @@
 	queued         chan struct{}
 	onLoadChange   func()
 	onHealthChange func(dispatch.HealthChange)
+	// onPreemption is called with the preemption requests to other daemons.
+	onPreemption func(dispatch.PreemptionRequest)
 }
 
 type slotResponse struct {
@@ -36,15 +38,17 @@
 }
 
 // NewSlotPool returns a pool that calls onLoadChange after each grant and release,
-// and onHealthChange when its view of an upstream's health changes. Both are
-// called with the pool locked and must not block.
-func NewSlotPool(options dispatch.Options, onLoadChange func(), onHealthChange func(dispatch.HealthChange)) *SlotPool {
+// onHealthChange when its view of an upstream's health changes, and onPreemption when
+// another daemon should preempt a batch item. All are called with the pool locked and
+// must not block.
+func NewSlotPool(options dispatch.Options, onLoadChange func(), onHealthChange func(dispatch.HealthChange), onPreemption func(dispatch.PreemptionRequest)) *SlotPool {
 	return &SlotPool{
 		pool:           dispatch.New(options),
 		pending:        make(map[uint64]chan slotResponse),
 		queued:         make(chan struct{}, 1),
 		onLoadChange:   onLoadChange,
 		onHealthChange: onHealthChange,
+		onPreemption:   onPreemption,
 	}
 }
 
@@ -152,6 +156,14 @@
 	return s.pool.BatchPreemptions()
 }
 
+// RequestedPreemptions returns the number of batch runs to preempt for a request of
+// another daemon.
+func (s *SlotPool) RequestedPreemptions(request dispatch.PreemptionRequest) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool.RequestedPreemptions(request)
+}
+
 // BatchCapacity returns the number of slots of a service that batch work may use
 // while leaving enough for a burst of online requests.
 func (s *SlotPool) BatchCapacity(service string) int {
@@ -214,6 +226,9 @@
 	for _, change := range s.pool.HealthChanges() {
 		s.onHealthChange(change)
 	}
+	for _, request := range s.pool.PreemptionRequests() {
+		s.onPreemption(request)
+	}
 	if len(granted) > 0 {
 		s.onLoadChange()
 	}
--- a/storenode/item.go
+++ b/storenode/item.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -46,7 +44,7 @@
 	outcome, status, reason := x.execute(ctx)
 	switch {
 	case reason == "" && status == http.StatusOK:
-		x.runner.observeRun(x.progress.EventCount, x.progress.EventCount-eventsBefore, time.Since(startedAt))
+		x.runner.observeRun(x.progress, x.progress.EventCount-eventsBefore, time.Since(startedAt))
 		x.runner.settleOutput(x.key, x.progress)
 		x.removeItem()
 		return
@@ -91,116 +89,37 @@
 	return x.scheduler.RecordEnd(time.Now(), x.key, outcome)
 }
 
-// execute sends the item to the upstream and reads its output. An empty reason
+// execute runs the item at the upstream, on this daemon or a worker. An empty reason
 // and the status 200 mean that the output is complete.
 func (x *itemRun) execute(parent context.Context) (outcome jobpages.RunOutcome, status int, reason string) {
-	slotOutcome := dispatch.Inconclusive
-	defer func() {
-		if parent.Err() != nil {
-			// The runner cancelled this run; that is no evidence about the upstream.
-			slotOutcome = dispatch.Inconclusive
-		}
-		x.runner.node.Slots.Release(x.grant, slotOutcome)
-	}()
-	ctx, cancel := context.WithCancel(parent)
-	defer cancel()
-	idleTimer := time.AfterFunc(idleTimeout, cancel)
-	defer idleTimer.Stop()
-	response, err := x.runner.engines.Do(ctx, x.request())
-	if err != nil {
-		if x.preempted.Load() {
-			return jobpages.Preempted, 0, "yielded"
-		}
-		slotOutcome = dispatch.Failed
-		if upstream.ExecutionStateOf(err) == upstream.NotSent {
-			return jobpages.NotRun, 0, "unreachable"
-		}
-		return jobpages.Interrupted, 0, "no_answer"
+	end, ranOnWorker := x.runner.workers.run(parent, x)
+	if !ranOnWorker {
+		end = runAtUpstream(parent, x.runner.engines, x.request(), x.addOutput)
 	}
-	defer response.Close()
-	switch {
-	case response.OtherInstance:
-		slotOutcome = dispatch.OtherInstance
-		return jobpages.NotRun, response.Status, "other_instance"
-	case response.NotRun:
-		slotOutcome = dispatch.Rejected
-		return jobpages.NotRun, response.Status, "refused"
-	case !response.Genuine:
-		slotOutcome = dispatch.Failed
-		return jobpages.Interrupted, 0, "not_genuine"
-	case response.Status == http.StatusUnprocessableEntity || response.Status == http.StatusInternalServerError:
-		slotOutcome = dispatch.Served
-		if response.Status == http.StatusInternalServerError {
-			slotOutcome = dispatch.Failed
-		}
-		// The body of an error response is discarded; reading it keeps the
-		// connection reusable.
-		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, itemBufferBytes))
-		return jobpages.Failed, response.Status, "engine_failed"
-	case response.Status != http.StatusOK:
-		slotOutcome = dispatch.Failed
-		return jobpages.Interrupted, 0, "unexpected_status"
+	if parent.Err() != nil {
+		// The runner cancelled this run; that is no evidence about the upstream.
+		end.slotOutcome = dispatch.Inconclusive
 	}
-	reason = x.readEvents(response, idleTimer)
-	switch {
-	case reason == "":
-		slotOutcome = dispatch.Served
-		return 0, http.StatusOK, ""
-	case x.preempted.Load():
+	x.runner.node.Slots.Release(x.grant, end.slotOutcome)
+	complete := end.reason == "" && end.status == http.StatusOK
+	if x.preempted.Load() && !complete && end.outcome != jobpages.Failed {
 		return jobpages.Preempted, 0, "yielded"
 	}
-	slotOutcome = dispatch.Failed
-	return jobpages.Interrupted, 0, reason
+	return end.outcome, end.status, end.reason
 }
 
 func (x *itemRun) request() *upstream.Request {
-	header := make(http.Header)
-	for _, field := range x.item.GetHeaders() {
-		header.Set(field.GetName(), field.GetValue())
-	}
-	return &upstream.Request{
-		Address:          x.grant.Address,
-		ExpectedInstance: x.grant.Upstream,
-		ID:               x.item.GetId(),
-		Method:           http.MethodPost,
-		Target:           x.item.GetPath(),
-		Host:             x.job.GetHost(),
-		Header:           header,
-		Body:             x.item.GetBody(),
-		ResumeAfter:      x.progress.LastEventID,
-	}
+	return itemRequest(x.item, x.job.GetHost(), x.grant.Address, x.grant.Upstream, x.progress.LastEventID)
 }
 
-// readEvents adds the complete events of a response to the item's progress. It
-// returns why the output is incomplete, or "" if it is complete.
-func (x *itemRun) readEvents(response *upstream.Response, idleTimer *time.Timer) string {
-	events := upstream.EventSplitter{LastID: x.progress.LastEventID}
-	events.OnData = func(data []byte) {
-		x.runner.mu.Lock()
-		defer x.runner.mu.Unlock()
-		if x.progress.EventCount > 0 {
-			x.progress.Text = append(x.progress.Text, '\n')
-		}
-		x.progress.Text = append(x.progress.Text, data...)
-		x.progress.EventCount++
-		x.progress.LastEventID = events.LastID
-	}
-	buffer := make([]byte, itemBufferBytes)
-	for {
-		count, err := response.Body.Read(buffer)
-		if count > 0 {
-			idleTimer.Reset(idleTimeout)
-			if _, pushErr := events.Push(buffer[:count]); pushErr != nil {
-				return "malformed"
-			}
-		}
-		switch {
-		case errors.Is(err, io.EOF) && events.PendingBytes() == 0:
-			return ""
-		case errors.Is(err, io.EOF):
-			return "event_cut"
-		case err != nil:
-			return "broke_off"
-		}
+// addOutput adds the data of events, separated by line feeds, to the item's progress.
+func (x *itemRun) addOutput(data []byte, events int, lastEventID string) {
+	x.runner.mu.Lock()
+	defer x.runner.mu.Unlock()
+	if x.progress.EventCount > 0 {
+		x.progress.Text = append(x.progress.Text, '\n')
 	}
+	x.progress.Text = append(x.progress.Text, data...)
+	x.progress.EventCount += events
+	x.progress.LastEventID = lastEventID
 }
--- a/storenode/node.go
+++ b/storenode/node.go
@@ -54,6 +54,7 @@
 	peers    *peering.Sender
 	control  *client.ReplicaClient
 	runner   *runner
+	worker   *workerService
 	notifier *jobNotifier
 	metrics  *metrics
 	exporter *node.MetricsServer
@@ -84,12 +85,14 @@
 	}
 	n.listener = listener
 	n.runner = newRunner(n, codec)
-	n.Dispatcher, err = node.NewDispatcher(settings, logger, codec.ParseTable, func(u fleet.Upstream) { n.runner.engines.ClosePool(u.Address) })
+	n.worker = &workerService{ctx: ctx, engines: n.runner.engines}
+	n.Dispatcher, err = node.NewDispatcher(settings, logger, codec.ParseTable, func(u fleet.Upstream) { n.runner.engines.ClosePool(u.Address) }, n.runner.requestPreemption)
 	if err != nil {
 		cancel()
 		_ = listener.Close()
 		return nil, err
 	}
+	n.runner.start()
 	n.metrics = newMetrics(n)
 	n.exporter, err = node.ServeMetrics(settings.MetricsAddress, n.metrics.registry, n.ReportFatal)
 	if err != nil {
@@ -110,6 +113,19 @@
 	return n, nil
 }
 
+// workersIn lists the storage daemons of a data centre that are no members of the
+// group. Members are busy with its log.
+func (n *Node) workersIn(dataCentre string) []string {
+	status := n.replica.Load().Status()
+	var addresses []string
+	for _, d := range n.View.Daemons(node.RoleStore) {
+		if d.GetDataCentre() == dataCentre && !isMember(status, d.GetAddress()) {
+			addresses = append(addresses, d.GetAddress())
+		}
+	}
+	return addresses
+}
+
 func (n *Node) replicaFolder() string {
 	return filepath.Join(n.settings.DataDir, "storage")
 }
@@ -232,13 +248,13 @@
 
 func (n *Node) onLeadershipChange(term uint64, leading bool) {
 	n.logger.Info(eventlog.LeaderChanged, "group", "storage", "term", term, "leading", leading)
-	n.runner.setLeading(leading)
+	n.runner.setLeading(term, leading)
 }
 
 // Stop stops the replica. A leader first transfers its leadership.
 func (n *Node) Stop() error {
 	n.logger.Info(eventlog.Stopping)
-	n.runner.setLeading(false)
+	n.runner.setLeading(0, false)
 	var err error
 	if r := n.replica.Load(); r != nil {
 		err = r.Close()
@@ -248,6 +264,7 @@
 	n.exporter.Close()
 	n.server.Close()
 	n.runner.close()
+	n.worker.tasks.Wait()
 	n.Close()
 	n.peers.Wait()
 	n.tasks.Wait()
--- a/storenode/runner.go
+++ b/storenode/runner.go
@@ -31,6 +31,8 @@
 	// saveInterval is the interval at which the output of running items is
 	// saved; a new leader repeats at most that much of it.
 	saveInterval = time.Second
+	// maxQueuedPreemptions bounds the preemption requests that wait to be handled.
+	maxQueuedPreemptions = 1024
 	// maxStartsPerTick bounds the number of items that start in one tick.
 	maxStartsPerTick = 16
 	// dueMargin is how long before its due time an item should be completed. It
@@ -42,8 +44,11 @@
 type runner struct {
 	node    *Node
 	engines *upstream.Client
+	workers *workers
 	// wakeup requests a tick before the next regular one.
 	wakeup chan struct{}
+	// preemptions queues the preemption requests of other daemons.
+	preemptions chan dispatch.PreemptionRequest
 
 	mu                  sync.Mutex
 	leading             bool
@@ -67,21 +72,30 @@
 
 func newRunner(n *Node, codec upstream.HeaderCodec) *runner {
 	r := &runner{
-		node:      n,
-		engines:   upstream.NewClient(codec, nil),
-		wakeup:    make(chan struct{}, 1),
-		scheduler: jobpages.NewScheduler(),
-		runs:      make(map[jobpages.ItemKey]runHandle),
-		estimator: jobpages.NewRunTimeEstimator(),
+		node:        n,
+		engines:     upstream.NewClient(codec, nil),
+		wakeup:      make(chan struct{}, 1),
+		preemptions: make(chan dispatch.PreemptionRequest, maxQueuedPreemptions),
+		scheduler:   jobpages.NewScheduler(),
+		runs:        make(map[jobpages.ItemKey]runHandle),
+		estimator:   jobpages.NewRunTimeEstimator(),
 	}
 	r.ctx, r.cancel = context.WithCancel(n.ctx)
-	r.tasks.Go(func() { r.loop(n.ctx) })
 	return r
 }
 
-// setLeading records whether this replica leads. It cancels all runs and resets
-// the scheduler.
-func (r *runner) setLeading(leading bool) {
+// start starts the runner once the node is complete.
+func (r *runner) start() {
+	r.workers = newWorkers(r.node.Transport, r.node.logger, r.node.workersIn)
+	r.tasks.Go(func() { r.loop(r.node.ctx) })
+}
+
+// setLeading records whether this replica leads, and in which term. It cancels all
+// runs and resets the scheduler.
+func (r *runner) setLeading(term uint64, leading bool) {
+	if leading {
+		r.workers.setTerm(term)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.leading = leading
@@ -107,6 +121,7 @@
 	r.cancel()
 	r.mu.Unlock()
 	r.tasks.Wait()
+	r.workers.close()
 }
 
 // cancelRuns cancels the runs of a job.
@@ -129,6 +144,9 @@
 		select {
 		case <-ctx.Done():
 			return
+		case request := <-r.preemptions:
+			r.preempt(request.Upstream, r.node.Slots.RequestedPreemptions(request))
+			continue
 		case <-timer.C:
 		case <-r.wakeup:
 		}
@@ -162,13 +180,31 @@
 // together exceed the slots.
 func (r *runner) preemptRuns() {
 	for upstreamID, count := range r.node.Slots.BatchPreemptions() {
-		r.mu.Lock()
-		for _, key := range r.scheduler.PreemptionVictims(time.Now(), upstreamID, count, r.estimator) {
-			if run, running := r.runs[key]; running && run.preempted.CompareAndSwap(false, true) {
-				run.cancel()
-			}
+		r.preempt(upstreamID, count)
+	}
+}
+
+// requestPreemption queues a preemption request of another daemon. It never blocks:
+// load reports tell the same, only later.
+func (r *runner) requestPreemption(request dispatch.PreemptionRequest) {
+	select {
+	case r.preemptions <- request:
+	default:
+	}
+}
+
+// preempt cancels a number of runs at an upstream. Runs that are being cancelled
+// count.
+func (r *runner) preempt(upstreamID string, count int) {
+	if count <= 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, key := range r.scheduler.PreemptionVictims(time.Now(), upstreamID, count, r.estimator) {
+		if run, running := r.runs[key]; running && run.preempted.CompareAndSwap(false, true) {
+			run.cancel()
 		}
-		r.mu.Unlock()
 	}
 }
 
@@ -234,7 +270,7 @@
 	ctx, cancel := context.WithCancel(parent)
 	preempted := &atomic.Bool{}
 	r.mu.Lock()
-	progress := r.scheduler.RecordStart(key, grant.Upstream, time.UnixMilli(int64(job.GetDueUnixMs())))
+	progress := r.scheduler.RecordStart(time.Now(), key, grant.Upstream, time.UnixMilli(int64(job.GetDueUnixMs())))
 	r.runs[key] = runHandle{cancel, preempted}
 	scheduler := r.scheduler
 	r.mu.Unlock()
@@ -246,13 +282,13 @@
 }
 
 // observeRun records the last run of a completed item in the metrics and the
-// estimator: the number of events in all runs, the number in the last run, and
-// the duration of the last run.
-func (r *runner) observeRun(itemEvents, runEvents int, runTime time.Duration) {
+// estimator: the number of events in the last run, and the duration of that run.
+func (r *runner) observeRun(progress *jobpages.ItemProgress, runEvents int, runTime time.Duration) {
 	r.node.metrics.runTime.Observe(runTime.Seconds())
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.estimator.Observe(itemEvents, runEvents, runTime)
+	r.estimator.Observe(progress.EventCount, runEvents, runTime)
+	r.estimator.ObserveCompletion(time.Now(), progress)
 }
 
 // saveProgress saves the output that running items have generated since the last
--- a/storenode/streams.go
+++ b/storenode/streams.go
@@ -34,6 +34,9 @@
 			if stream.Send(&pb.Envelope{Body: &pb.Envelope_ControlResponse{ControlResponse: response}}) != nil {
 				return
 			}
+		case *pb.Envelope_ItemRun:
+			n.worker.serve(stream, body.ItemRun)
+			return
 		default:
 			return
 		}
--- /dev/null
+++ b/storenode/upstream_run.go
@@ -0,0 +1,110 @@
+package storenode
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/briarcross/briarcross/dispatch"
+	"github.com/briarcross/briarcross/jobpages"
+	"github.com/briarcross/briarcross/pb"
+	"github.com/briarcross/briarcross/upstream"
+)
+
+// runEnd is how a run of an item ended at its upstream. An empty reason and the status
+// 200 mean that the output is complete.
+type runEnd struct {
+	outcome     jobpages.RunOutcome
+	slotOutcome dispatch.Outcome
+	status      int
+	reason      string
+}
+
+// outputFunc receives the data of events, separated by line feeds, their number and
+// the ID of the last one.
+type outputFunc func(data []byte, events int, lastEventID string)
+
+func itemRequest(item *pb.PageItem, host, address, upstreamID, resumeAfter string) *upstream.Request {
+	header := make(http.Header)
+	for _, field := range item.GetHeaders() {
+		header.Set(field.GetName(), field.GetValue())
+	}
+	return &upstream.Request{
+		Address:          address,
+		ExpectedInstance: upstreamID,
+		ID:               item.GetId(),
+		Method:           http.MethodPost,
+		Target:           item.GetPath(),
+		Host:             host,
+		Header:           header,
+		Body:             item.GetBody(),
+		ResumeAfter:      resumeAfter,
+	}
+}
+
+// runAtUpstream sends a request to its upstream and reads the output, until the
+// context ends or the upstream is silent for idleTimeout.
+func runAtUpstream(parent context.Context, engines *upstream.Client, request *upstream.Request, output outputFunc) runEnd {
+	ctx, cancel := context.WithCancel(parent)
+	defer cancel()
+	idleTimer := time.AfterFunc(idleTimeout, cancel)
+	defer idleTimer.Stop()
+	response, err := engines.Do(ctx, request)
+	if err != nil {
+		if upstream.ExecutionStateOf(err) == upstream.NotSent {
+			return runEnd{jobpages.NotRun, dispatch.Failed, 0, "unreachable"}
+		}
+		return runEnd{jobpages.Interrupted, dispatch.Failed, 0, "no_answer"}
+	}
+	defer response.Close()
+	switch {
+	case response.OtherInstance:
+		return runEnd{jobpages.NotRun, dispatch.OtherInstance, response.Status, "other_instance"}
+	case response.NotRun:
+		return runEnd{jobpages.NotRun, dispatch.Rejected, response.Status, "refused"}
+	case !response.Genuine:
+		return runEnd{jobpages.Interrupted, dispatch.Failed, 0, "not_genuine"}
+	case response.Status == http.StatusUnprocessableEntity || response.Status == http.StatusInternalServerError:
+		slotOutcome := dispatch.Served
+		if response.Status == http.StatusInternalServerError {
+			slotOutcome = dispatch.Failed
+		}
+		// The body of an error response is discarded; reading it keeps the
+		// connection reusable.
+		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, itemBufferBytes))
+		return runEnd{jobpages.Failed, slotOutcome, response.Status, "engine_failed"}
+	case response.Status != http.StatusOK:
+		return runEnd{jobpages.Interrupted, dispatch.Failed, 0, "unexpected_status"}
+	}
+	if reason := readEvents(response, request.ResumeAfter, idleTimer, output); reason != "" {
+		return runEnd{jobpages.Interrupted, dispatch.Failed, 0, reason}
+	}
+	return runEnd{status: http.StatusOK, slotOutcome: dispatch.Served}
+}
+
+// readEvents passes the data of the complete events of a response on. It returns why
+// the output is incomplete, or "" if it is complete.
+func readEvents(response *upstream.Response, resumeAfter string, idleTimer *time.Timer, output outputFunc) string {
+	events := upstream.EventSplitter{LastID: resumeAfter}
+	events.OnData = func(data []byte) { output(data, 1, events.LastID) }
+	buffer := make([]byte, itemBufferBytes)
+	for {
+		count, err := response.Body.Read(buffer)
+		if count > 0 {
+			idleTimer.Reset(idleTimeout)
+			if _, pushErr := events.Push(buffer[:count]); pushErr != nil {
+				return "malformed"
+			}
+		}
+		switch {
+		case errors.Is(err, io.EOF) && events.PendingBytes() == 0:
+			return ""
+		case errors.Is(err, io.EOF):
+			return "event_cut"
+		case err != nil:
+			return "broke_off"
+		}
+	}
+}
