Refuse a stale response whose body is longer than the limit

Cause: eris.Wrap of a nil error is nil, so a body of 256 KiB or more counted as discarded, and the next head was read from inside it: a caller could be given bytes of another's answer. The test fails before (forged head of the same ID is returned for bodies of the limit and more).

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -245,7 +245,11 @@
 	if response.httpResponse.Close {
 		return eris.New("connection ends with that response")
 	}
-	if _, err := io.CopyN(io.Discard, response.Body, maxStaleBodyBytes); !errors.Is(err, io.EOF) {
+	switch _, err := io.CopyN(io.Discard, response.Body, maxStaleBodyBytes); {
+	case err == nil:
+		// The next response cannot be found without reading the rest.
+		return eris.Errorf("its body has %d bytes or more", maxStaleBodyBytes)
+	case !errors.Is(err, io.EOF):
 		return eris.Wrap(err, "read body")
 	}
 	return nil
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -124,6 +125,21 @@
 
 // A late response to an earlier request arrives on a connection before the response
 // to the current one.
+// The body of a stale response is skipped up to a limit. The rest of a longer one must
+// not be read as the next response: it may look like one.
+func TestLongStaleResponseIsNotReadAsNextResponse(t *testing.T) {
+	expect := NewWithT(t)
+	forged := "HTTP/1.1 200 OK\r\nMark: m\r\nId: 1\r\nContent-Length: 6\r\n\r\nforged"
+	for _, skipped := range []int{maxStaleBodyBytes - 1, maxStaleBodyBytes, maxStaleBodyBytes + 1} {
+		body := strings.Repeat("x", skipped) + forged
+		stale := fmt.Sprintf("HTTP/1.1 200 OK\r\nMark: m\r\nId: 0\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		address, _ := scriptedEngine(t, stale+"<close>")
+		c := NewClient(testCodec{}, nil)
+		_, err := c.Do(context.Background(), newRequest(address, "1"))
+		expect.Expect(err).To(HaveOccurred())
+	}
+}
+
 func TestStaleResponseIsSkipped(t *testing.T) {
 	g := NewWithT(t)
 	stale := "HTTP/1.1 200 OK\r\nMark: m\r\nId: 0\r\nContent-Length: 5\r\n\r\nstale"
