--- a/dispatch/fleet_replay_test.go
+++ b/dispatch/fleet_replay_test.go
@@ -213,3 +213,23 @@
 	expect.Expect(float64(total.misplaced) / float64(total.requests)).To(BeNumerically("<", 0.075))
 	expect.Expect(float64(total.refused) / float64(total.requests)).To(BeNumerically("<", 0.005))
 }
+
+// When bursts exceed what all data centres can serve, a slot that a summary shows as free
+// is taken by a daemon nearby first. Requests sent there wait for longer than callers who
+// are refused at once and return when the burst is over. The last free slots of a nearly
+// full data centre made 10% of the requests late.
+func TestBurstsBeyondCapacityAreNotSentToNearlyFullDataCentres(t *testing.T) {
+	expect := NewWithT(t)
+	load := squareWave()
+	load.burstFactor = 5.6
+	var total fleetResult
+	for seed := range uint64(2) {
+		result := load.simulate(seed)
+		total.requests += result.requests
+		total.late += result.late
+		total.refused += result.refused
+	}
+	t.Logf("%+v", total)
+	expect.Expect(float64(total.late) / float64(total.requests)).To(BeNumerically("<", 0.05))
+	expect.Expect(float64(total.late+total.refused) / float64(total.requests)).To(BeNumerically("<", 0.12))
+}
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/briarcross/briarcross/fleet"
+)
 
 // UpstreamLoad is the load of one daemon on an upstream, and its view of the
 // upstream's health.
@@ -65,6 +69,9 @@
 		p.addPeerGrants(stored.Loads, -1)
 		p.addPeerGrants(report.Loads, 1)
 	}
+	if report.Summary {
+		p.spareShare[report.DataCentre] = p.freeShare(report.DataCentre)
+	}
 	p.grantQueued(now)
 }
 
@@ -89,6 +96,18 @@
 	return true
 }
 
+// freeShare returns the share of free slots of the ready upstreams of a data centre.
+func (p *Pool) freeShare(dataCentre string) float64 {
+	slots, free := 0, 0
+	for _, u := range p.sortedUpstreams {
+		if u.DataCentre == dataCentre && u.Phase == fleet.Ready {
+			slots += u.Slots
+			free += max(0, u.Slots-u.online())
+		}
+	}
+	return float64(free) / float64(max(1, slots))
+}
+
 func (p *Pool) dropReport(peer string, report peerReport) {
 	delete(p.peerReports, peer)
 	if report.Summary {
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -37,6 +37,11 @@
 // from a summary. Many daemons place requests there before the next one.
 const coarseSpareThreshold = 4
 
+// minSpareShare is the share of free slots of a data centre known from a summary below
+// which its last slots are left to its own daemons. They take them before a request
+// from elsewhere arrives, which then waits there.
+const minSpareShare = 0.04
+
 // pick returns the upstream of the best tier with the most free slots, or nil if
 // none is usable. Ties are broken by a random order that differs between pools,
 // so that daemons deciding at the same time choose different upstreams. Upstreams
@@ -152,6 +157,8 @@
 		return remoteSpare
 	case u.free() > 0 && local:
 		return localFree
+	case !local && p.isCoarse(u) && p.spareShare[u.DataCentre] < minSpareShare:
+		return unusable
 	case u.free() > 0:
 		return remoteFree
 	case local:
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -72,8 +72,8 @@
 	// Address is the network address of the upstream, DataCentre its data centre.
 	Address    string
 	DataCentre string
-	Class     Class
-	GrantedAt time.Time
+	Class      Class
+	GrantedAt  time.Time
 	// Waited is the time between the slot request and the grant.
 	Waited time.Duration
 	// Retrying is set if the caller was refused or failed before.
@@ -151,8 +151,10 @@
 	sortedUpstreams []*upstreamState
 	// peerReports is keyed by LoadReport.Peer.
 	peerReports map[string]peerReport
-	// summarized holds the data centres with a summary in peerReports.
+	// summarized holds the data centres with a summary in peerReports, spareShare their
+	// share of free slots at the latest summary.
 	summarized map[string]bool
+	spareShare map[string]float64
 	// queue is ordered by class and priority; see before.
 	queue []queuedRequest
 	// serviceStats, onlinePeaks and expectedRetries are keyed by service.
@@ -180,6 +182,7 @@
 		upstreams:         make(map[string]*upstreamState),
 		peerReports:       make(map[string]peerReport),
 		summarized:        make(map[string]bool),
+		spareShare:        make(map[string]float64),
 		serviceStats:      make(map[string]*serviceStats),
 		onlinePeaks:       make(map[string]*slidingMax),
 		expectedRetries:   make(map[string]*expectedRetries),
