Count load datagrams and runs of workers on the metrics address

briarcross_load_datagrams_sent_total by kind and briarcross_item_worker_runs_total by result: what grows with the fleet, and what a lost worker costs, without a log.

--- a/node/load_reporter.go
+++ b/node/load_reporter.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/briarcross/briarcross/dispatch"
 	"github.com/briarcross/briarcross/pb"
 	"github.com/briarcross/briarcross/transport"
@@ -52,6 +54,8 @@
 	// onBatchRunner is called with the address of a daemon that runs batch items: the
 	// leader of the storage group.
 	onBatchRunner func(address string)
+	// sent counts the datagrams by kind.
+	sent *prometheus.CounterVec
 	// runsBatch is set while this daemon runs batch items.
 	runsBatch atomic.Bool
 
@@ -74,12 +78,15 @@
 // NewLoadReporter returns a reporter of the loads of slots. It needs SetSocket
 // before Run.
 func NewLoadReporter(identity *transport.Identity, view *View, settings *Settings, slots *SlotPool, onBatchRunner func(address string)) *LoadReporter {
+	sent := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "briarcross_load_datagrams_sent_total", Help: "Datagrams sent about the load of upstreams, by kind: report, summary, forward, preemption.",
+	}, []string{"kind"})
 	minInterval := minReportInterval
 	if settings.Role == RoleStore {
 		minInterval = minBatchReportInterval
 	}
 	return &LoadReporter{
-		minInterval: minInterval, identity: identity, view: view, settings: settings, slots: slots, loadsChanged: make(chan struct{}, 1),
+		sent: sent, minInterval: minInterval, identity: identity, view: view, settings: settings, slots: slots, loadsChanged: make(chan struct{}, 1),
 		preemptions:   make(chan dispatch.PreemptionRequest, maxQueuedPreemptions),
 		onBatchRunner: onBatchRunner, exchange: newLoadExchange(settings.Address, settings.DataCentre),
 	}
@@ -147,13 +154,13 @@
 	}
 	plan := r.currentPlan(now, batchRunners)
 	r.sequence++
-	r.sendReport(plan.reports, &pb.LoadReport{
+	r.sendReport("report", plan.reports, &pb.LoadReport{
 		Sequence: r.sequence, DataCentre: r.settings.DataCentre, Loads: encodeLoads(loads), BatchRunners: batchRunners,
 	})
 	if len(plan.summaries) > 0 && now.Sub(r.summaryAt) >= summaryInterval {
 		r.summaryAt = now
 		r.summarySequence++
-		r.sendReport(plan.summaries, &pb.LoadReport{
+		r.sendReport("summary", plan.summaries, &pb.LoadReport{
 			Sequence:         r.summarySequence,
 			DataCentre:       r.settings.DataCentre,
 			Relay:            r.identity.ID,
@@ -182,7 +189,8 @@
 
 // sendReport sends a report to each address. A failed send is ignored: the next
 // report replaces a lost one.
-func (r *LoadReporter) sendReport(addresses []string, report *pb.LoadReport) {
+func (r *LoadReporter) sendReport(kind string, addresses []string, report *pb.LoadReport) {
+	r.sent.WithLabelValues(kind).Add(float64(len(addresses)))
 	_ = r.datagrams.SendAll(addresses, &pb.Envelope{Body: &pb.Envelope_LoadReport{LoadReport: report}})
 }
 
@@ -207,6 +215,7 @@
 			runners := r.plan.batchRunners
 			r.mu.Unlock()
 			message := &pb.PreemptionRequest{Upstream: request.Upstream, Online: uint32(request.Online)}
+			r.sent.WithLabelValues("preemption").Add(float64(len(runners)))
 			// A lost request is replaced by the next load report.
 			_ = r.datagrams.SendAll(runners, &pb.Envelope{Body: &pb.Envelope_PreemptionRequest{PreemptionRequest: message}})
 		}
@@ -229,6 +238,6 @@
 	r.slots.ApplyLoadReport(DecodeLoadReport(header, report))
 	isFirstHop := report.GetRelay() != "" && header.GetSender() == report.GetRelay()
 	if isFirstHop && len(forwards) > 0 {
-		r.sendReport(forwards, report)
+		r.sendReport("forward", forwards, report)
 	}
 }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -81,6 +81,7 @@
 			return oldest.Seconds()
 		}),
 		d.suspicions,
+		d.loadReporter.sent,
 		Gauge("briarcross_upstreams_suspect", "Upstreams that failed requests and that others are kept away from.", func() float64 {
 			return float64(d.Slots.SuspectCount())
 		}),
--- a/storenode/metrics.go
+++ b/storenode/metrics.go
@@ -29,7 +29,7 @@
 			Name: "briarcross_item_run_seconds", Help: "Time of the last run of an item.", Buckets: runTimeBuckets,
 		}),
 	}
-	m.registry.MustRegister(m.settled, m.stopped, m.runTime,
+	m.registry.MustRegister(m.settled, m.stopped, m.runTime, n.runner.workers.results,
 		node.Gauge("briarcross_open_items", "Items without a result.", func() float64 {
 			return float64(len(n.state.OpenItems()))
 		}),
--- a/storenode/workers.go
+++ b/storenode/workers.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rotisserie/eris"
 
 	"github.com/briarcross/briarcross/dispatch"
@@ -36,6 +37,8 @@
 type workers struct {
 	transport *transport.Client
 	logger    *log.Logger
+	// results counts the runs by what became of them at a worker.
+	results *prometheus.CounterVec
 	// candidates lists the addresses of the workers in a data centre.
 	candidates func(dataCentre string) []string
 
@@ -74,6 +77,9 @@
 func newWorkers(t *transport.Client, logger *log.Logger, candidates func(dataCentre string) []string) *workers {
 	return &workers{
 		transport: t, logger: logger, candidates: candidates,
+		results: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "briarcross_item_worker_runs_total", Help: "Runs of items by what became of them at a worker: ended, lost, not_sent, no_worker.",
+		}, []string{"result"}),
 		sessions: make(map[string]*workerSession), lostAt: make(map[string]time.Time),
 	}
 }
@@ -90,6 +96,7 @@
 func (w *workers) run(ctx context.Context, x *itemRun) (runEnd, bool) {
 	session := w.assign(time.Now(), x.grant.DataCentre)
 	if session == nil {
+		w.results.WithLabelValues("no_worker").Inc()
 		return runEnd{}, false
 	}
 	run := &remoteRun{output: x.addOutput, ended: make(chan runEnd, 1)}
@@ -98,12 +105,24 @@
 	if err := w.send(ctx, session, message); err != nil {
 		w.logger.Warn(eventlog.DependencyLost, "dependency", "worker", "address", session.address, "error", err)
 		w.drop(session)
+		w.results.WithLabelValues("not_sent").Inc()
 		return runEnd{}, false
 	}
+	end := w.await(ctx, session, id, run)
+	result := "ended"
+	if end == workerLost {
+		result = "lost"
+	}
+	w.results.WithLabelValues(result).Inc()
+	return end, true
+}
+
+// await waits for the end of a run, and cancels it when the context ends.
+func (w *workers) await(ctx context.Context, session *workerSession, id uint64, run *remoteRun) runEnd {
 	run.silent.Reset(workerSilence)
 	select {
 	case end := <-run.ended:
-		return end, true
+		return end
 	case <-ctx.Done():
 	}
 	cancelRun := &pb.ItemRunCancel{Run: id}
@@ -114,9 +133,9 @@
 	defer timer.Stop()
 	select {
 	case end := <-run.ended:
-		return end, true
+		return end
 	case <-timer.C:
-		return workerLost, true
+		return workerLost
 	}
 }
 
