--- a/node/load_reporter.go
+++ b/node/load_reporter.go
@@ -79,7 +79,7 @@
 // before Run.
 func NewLoadReporter(identity *transport.Identity, view *View, settings *Settings, slots *SlotPool, onBatchRunner func(address string)) *LoadReporter {
 	sent := prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "briarcross_load_datagrams_sent_total", Help: "Datagrams sent about the load of upstreams, by kind: report, summary, forward, preemption.",
+		Name: "briarcross_load_datagrams_sent_total", Help: "Datagrams sent about the load of upstreams, by kind: report, summary, forward, preemption; failed counts those to all their recipients together.",
 	}, []string{"kind"})
 	minInterval := minReportInterval
 	if settings.Role == RoleStore {
@@ -187,11 +187,13 @@
 	return r.plan
 }
 
-// sendReport sends a report to each address. A failed send is ignored: the next
+// sendReport sends a report to each address. A failed send is only counted: the next
 // report replaces a lost one.
 func (r *LoadReporter) sendReport(kind string, addresses []string, report *pb.LoadReport) {
 	r.sent.WithLabelValues(kind).Add(float64(len(addresses)))
-	_ = r.datagrams.SendAll(addresses, &pb.Envelope{Body: &pb.Envelope_LoadReport{LoadReport: report}})
+	if err := r.datagrams.SendAll(addresses, &pb.Envelope{Body: &pb.Envelope_LoadReport{LoadReport: report}}); err != nil {
+		r.sent.WithLabelValues("failed").Inc()
+	}
 }
 
 // RequestPreemption asks the daemons that run batch items to free a slot. It does not
@@ -217,7 +219,9 @@
 			message := &pb.PreemptionRequest{Upstream: request.Upstream, Online: uint32(request.Online)}
 			r.sent.WithLabelValues("preemption").Add(float64(len(runners)))
 			// A lost request is replaced by the next load report.
-			_ = r.datagrams.SendAll(runners, &pb.Envelope{Body: &pb.Envelope_PreemptionRequest{PreemptionRequest: message}})
+			if err := r.datagrams.SendAll(runners, &pb.Envelope{Body: &pb.Envelope_PreemptionRequest{PreemptionRequest: message}}); err != nil {
+				r.sent.WithLabelValues("failed").Inc()
+			}
 		}
 	}
 }
