Judge by the time with interruptions whether an item can be in time

Change: the estimate counts the share of time in which completed items were preempted, and a margin of 1.15.

--- a/jobpages/run_time_estimator.go
+++ b/jobpages/run_time_estimator.go
@@ -13,13 +13,22 @@
 	// minRemainingShare is the share of the average item that is assumed to
 	// remain once an item approaches or exceeds the average number of events.
 	minRemainingShare = 0.1
+	// maxInterruptedShare bounds the observed share of time in which an item was
+	// preempted, so that an overload of seconds does not make all items seem late.
+	maxInterruptedShare = 0.6
+	// elapsedTimeMargin allows for items that are longer or preempted more often than the
+	// average.
+	elapsedTimeMargin = 1.15
 )
 
-// RunTimeEstimator estimates the remaining run time of items from the completed
-// ones. It keeps exponentially weighted moving averages.
+// RunTimeEstimator estimates the remaining time of items from the completed ones.
+// It keeps exponentially weighted moving averages.
 type RunTimeEstimator struct {
 	meanEvents    float64       // events per item
 	meanEventTime time.Duration // run time per event
+	// interruptedShare is the share of the time between the first start of an item and
+	// its completion in which the item was preempted.
+	interruptedShare float64
 }
 
 // NewRunTimeEstimator returns an estimator with the initial averages.
@@ -42,3 +51,20 @@
 	eventsLeft := max(e.meanEvents-float64(eventsDone), minRemainingShare*e.meanEvents)
 	return time.Duration(eventsLeft * float64(e.meanEventTime))
 }
+
+// ObserveCompletion adds the time between the first start of a completed item and
+// now to the averages. It must follow Observe.
+func (e *RunTimeEstimator) ObserveCompletion(now time.Time, progress *ItemProgress) {
+	elapsed := now.Sub(progress.FirstStartedAt)
+	if progress.FirstStartedAt.IsZero() || elapsed <= 0 {
+		return
+	}
+	share := 1 - min(1, float64(progress.EventCount)*float64(e.meanEventTime)/float64(elapsed))
+	e.interruptedShare += (min(share, maxInterruptedShare) - e.interruptedShare) / averagedItems
+}
+
+// RemainingElapsedTime estimates the time until an item completes after eventsDone
+// events if it starts now, including the time in which it will be preempted.
+func (e *RunTimeEstimator) RemainingElapsedTime(eventsDone int) time.Duration {
+	return time.Duration(elapsedTimeMargin * float64(e.RemainingTime(eventsDone)) / (1 - e.interruptedShare))
+}
--- a/jobpages/scheduler.go
+++ b/jobpages/scheduler.go
@@ -38,6 +38,8 @@
 	AvoidUpstream string
 	// DueAt is the time by which the item should be completed; set by RecordStart.
 	DueAt time.Time
+	// FirstStartedAt is the time of the first run, zero if it was under another leader.
+	FirstStartedAt time.Time
 }
 
 const (
@@ -83,7 +85,7 @@
 		if known {
 			eventsDone = progress.EventCount
 		}
-		expectedEnd := now.Add(estimator.RemainingTime(eventsDone))
+		expectedEnd := now.Add(estimator.RemainingElapsedTime(eventsDone))
 		switch {
 		case expectedEnd.Add(abandonMargin).After(time.UnixMilli(int64(item.AbandonUnixMs))):
 			nearAbandon = append(nearAbandon, key)
@@ -97,10 +99,10 @@
 }
 
 // RecordStart marks an item as running at an upstream and returns its progress.
-func (s *Scheduler) RecordStart(key ItemKey, upstream string, dueAt time.Time) *ItemProgress {
+func (s *Scheduler) RecordStart(now time.Time, key ItemKey, upstream string, dueAt time.Time) *ItemProgress {
 	progress, known := s.progress[key]
 	if !known {
-		progress = &ItemProgress{}
+		progress = &ItemProgress{FirstStartedAt: now}
 		s.progress[key] = progress
 	}
 	progress.Upstream = upstream
--- a/storenode/item.go
+++ b/storenode/item.go
@@ -44,7 +44,7 @@
 	outcome, status, reason := x.execute(ctx)
 	switch {
 	case reason == "" && status == http.StatusOK:
-		x.runner.observeRun(x.progress.EventCount, x.progress.EventCount-eventsBefore, time.Since(startedAt))
+		x.runner.observeRun(x.progress, x.progress.EventCount-eventsBefore, time.Since(startedAt))
 		x.runner.settleOutput(x.key, x.progress)
 		x.removeItem()
 		return
--- a/storenode/runner.go
+++ b/storenode/runner.go
@@ -270,7 +270,7 @@
 	ctx, cancel := context.WithCancel(parent)
 	preempted := &atomic.Bool{}
 	r.mu.Lock()
-	progress := r.scheduler.RecordStart(key, grant.Upstream, time.UnixMilli(int64(job.GetDueUnixMs())))
+	progress := r.scheduler.RecordStart(time.Now(), key, grant.Upstream, time.UnixMilli(int64(job.GetDueUnixMs())))
 	r.runs[key] = runHandle{cancel, preempted}
 	scheduler := r.scheduler
 	r.mu.Unlock()
@@ -282,13 +282,14 @@
 }
 
 // observeRun records the last run of a completed item in the metrics and the
-// estimator: the number of events in all runs, the number in the last run, and
-// the duration of the last run.
-func (r *runner) observeRun(itemEvents, runEvents int, runTime time.Duration) {
+// estimator: the progress of the item, the number of events in the last run, and the
+// duration of the last run.
+func (r *runner) observeRun(progress *jobpages.ItemProgress, runEvents int, runTime time.Duration) {
 	r.node.metrics.runTime.Observe(runTime.Seconds())
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.estimator.Observe(itemEvents, runEvents, runTime)
+	r.estimator.Observe(progress.EventCount, runEvents, runTime)
+	r.estimator.ObserveCompletion(time.Now(), progress)
 }
 
 // saveProgress saves the output that running items have generated since the last
