--- a/controlnode/subscribers.go
+++ b/controlnode/subscribers.go
@@ -164,7 +164,7 @@
 	if routing.GetVersion() <= s.knownRoutingVersion() {
 		return
 	}
-	if delay := remoteRoutingDelay - now.Sub(acceptedAt); delay > 0 && s.incremental && s.self.GetDataCentre() != n.settings.DataCentre {
+	if delay := s.routingDelay(now, acceptedAt, n.settings.DataCentre); delay > 0 {
 		time.AfterFunc(delay, func() {
 			select {
 			case s.wake <- struct{}{}:
@@ -177,6 +177,15 @@
 	s.setRoutingVersion(routing.GetVersion())
 }
 
+// routingDelay returns the time for which a routing table that was accepted at a time
+// is held back from the subscriber by a replica of a data centre.
+func (s *subscriber) routingDelay(now, acceptedAt time.Time, dataCentre string) time.Duration {
+	if !s.incremental || s.self.GetDataCentre() == dataCentre {
+		return 0
+	}
+	return max(0, remoteRoutingDelay-now.Sub(acceptedAt))
+}
+
 // addUpstreams adds the changed upstreams. A control replica gets each heartbeat
 // that this one received itself, at first all upstreams; other daemons get changes
 // and the list of silent upstreams.
--- a/controlnode/subscribers_test.go
+++ b/controlnode/subscribers_test.go
@@ -112,3 +112,20 @@
 	expect.Expect(silent).NotTo(BeNil())
 	expect.Expect(silent.GetIds()).To(BeEmpty())
 }
+
+// A routing table of 1,500 routes sent by each replica to each daemon crosses data
+// centres 3 times for each of 293 daemons.
+func TestRoutingTableIsHeldBackFromOtherDataCentres(t *testing.T) {
+	expect := NewWithT(t)
+	accepted := time.UnixMilli(1_000_000)
+	s := newSubscriberOf(node.RoleEntry)
+	expect.Expect(s.routingDelay(accepted, accepted, "d")).To(BeZero())
+	expect.Expect(s.routingDelay(accepted, accepted, "other")).To(Equal(remoteRoutingDelay))
+	expect.Expect(s.routingDelay(accepted.Add(remoteRoutingDelay), accepted, "other")).To(BeZero())
+	expect.Expect(s.routingDelay(accepted, time.Time{}, "other")).To(BeZero())
+	s.incremental = false
+	expect.Expect(s.routingDelay(accepted, accepted, "other")).To(BeZero())
+	s.setRoutingVersion(4)
+	s.setRoutingVersion(3)
+	expect.Expect(s.knownRoutingVersion()).To(BeEquivalentTo(4))
+}
--- a/node/view.go
+++ b/node/view.go
@@ -61,8 +61,7 @@
 	Renewed   []fleet.Upstream
 	// PhaseChanges lists those of Upstreams that joined, began to drain or are
 	// gone.
-	PhaseChanges    []fleet.Upstream
-	DaemonsReported bool
+	PhaseChanges []fleet.Upstream
 }
 
 // Merge applies an update from the control replica at the address from.
@@ -94,12 +93,12 @@
 		v.retiring = u.GetRetiring()
 	}
 	v.control = mergeAddresses(v.control, u.GetControl())
-	changes.DaemonsReported = v.mergeDaemons(from, u)
+	v.mergeDaemons(from, u)
 	return changes
 }
 
 // mergeDaemons applies the daemons of an update: the whole list, or its changes.
-func (v *View) mergeDaemons(from string, u *pb.FleetUpdate) (reported bool) {
+func (v *View) mergeDaemons(from string, u *pb.FleetUpdate) {
 	if len(u.GetDaemons()) > 0 {
 		v.daemons[from] = make(map[string]*pb.Daemon)
 	}
@@ -112,11 +111,9 @@
 	for _, d := range slices.Concat(u.GetDaemons(), u.GetDaemonChanges().GetAdded()) {
 		v.daemons[from][d.GetAddress()] = d
 	}
-	reported = len(u.GetDaemons()) > 0 || u.GetDaemonChanges() != nil
-	if reported {
+	if len(u.GetDaemons()) > 0 || u.GetDaemonChanges() != nil {
 		v.daemonsChanged()
 	}
-	return reported
 }
 
 func (v *View) daemonsChanged() {
