--- a/cmd/briarcross-lab/capacity.go
+++ b/cmd/briarcross-lab/capacity.go
@@ -16,7 +16,7 @@
 func capacityCommand() *ffcli.Command {
 	fs := flag.NewFlagSet("capacity", flag.ContinueOnError)
 	seed := fs.Uint64("seed", 1, "random seed of all measurements")
-	output := fs.String("output", "docs/CAPACITY.md", "file to which the capacity page is written")
+	output := fs.String("output", "docs/capacity-cores.md", "file to which the capacity page is written")
 	return &ffcli.Command{
 		Name:       "capacity",
 		ShortUsage: "briarcross-lab capacity [flags]",
--- a/lab/capacity/doc.go
+++ b/lab/capacity/doc.go
@@ -3,5 +3,5 @@
 //
 // Each CostSeries is measured with the real cores at three or more sizes, in
 // virtual time, and a line is fitted to it. WritePage writes the lines and the
-// requirements to docs/CAPACITY.md.
+// requirements to docs/capacity-cores.md.
 package capacity
--- a/lab/capacity/page.go
+++ b/lab/capacity/page.go
@@ -10,7 +10,7 @@
 // of each role, and the measured costs.
 func WritePage(w io.Writer, seed uint64, costs []CostSeries) error {
 	p := &pageWriter{}
-	p.writeLine("# Capacity at the size to design for")
+	p.writeLine("# Cost of the cores at the size to design for")
 	p.writeLine("")
 	p.writeLine("Written by `make capacity` (`briarcross-lab capacity -seed %d`); do not edit. Processor times", seed)
 	p.writeLine("are those of the machine that ran it, garbage collection included, with Go on one processor.")
