Log why an upstream counts as gone

A line upstream_changed with phase 3 did not tell a deregistration from an upstream whose address another one took, nor what taught the replica so: a heartbeat, another replica or the saved table. Control now logs each upstream that a heartbeat changed, also the one that lost its address, which it did not log at all. A rejected heartbeat shows the phase that is held against it.

--- a/controlnode/api.go
+++ b/controlnode/api.go
@@ -86,50 +86,44 @@
 // RecordHeartbeat applies a heartbeat of an upstream, unless a newer one is known.
 func (n *Node) RecordHeartbeat(heartbeat fleet.Upstream) {
 	heartbeat.LastHeartbeat = time.Now()
-	previous, current, applied, changed := n.applyHeartbeat(heartbeat, false)
+	previous, changed, applied := n.applyHeartbeat(heartbeat, false)
 	if !applied {
 		n.metrics.heartbeats.WithLabelValues("late").Inc()
 		n.logger.Info(eventlog.HeartbeatRejected, "upstream", heartbeat.ID, "born", heartbeat.StartUnixMs, "sequence", heartbeat.Sequence,
-			"held_born", previous.StartUnixMs, "held_sequence", previous.Sequence)
+			"held_born", previous.StartUnixMs, "held_sequence", previous.Sequence, "held_phase", int(previous.Phase), "replaced_by", previous.ReplacedBy)
 		return
 	}
 	n.metrics.heartbeats.WithLabelValues("applied").Inc()
-	if changed {
-		n.logUpstream(current)
-		n.subscribers.notify()
-	}
+	n.announceUpstreams(changed, sourceHeartbeat)
 }
 
 // applyHeartbeat merges a heartbeat that this replica received itself, or relayed by
-// another one.
-func (n *Node) applyHeartbeat(heartbeat fleet.Upstream, relayed bool) (previous, current fleet.Upstream, applied, changed bool) {
+// another one. It returns the previous record of its sender and all upstreams that
+// changed.
+func (n *Node) applyHeartbeat(heartbeat fleet.Upstream, relayed bool) (previous fleet.Upstream, changed []fleet.Upstream, applied bool) {
 	n.upstreamLock.Lock()
 	defer n.upstreamLock.Unlock()
-	before := n.upstreams.LastSignificantChange()
+	before, significantBefore := n.upstreams.LastChange(), n.upstreams.LastSignificantChange()
 	previous, _ = n.upstreams.Get(heartbeat.ID)
 	applied = n.upstreams.Apply(heartbeat)
-	current, _ = n.upstreams.Get(heartbeat.ID)
-	changed = n.upstreams.LastSignificantChange() != before
-	n.upstreamsUnsaved = n.upstreamsUnsaved || changed
+	if n.upstreams.LastSignificantChange() != significantBefore {
+		changed = n.upstreams.ChangedSince(before)
+		n.upstreamsUnsaved = true
+	}
 	if applied {
 		n.relayed[heartbeat.ID] = relayed
 	}
-	return previous, current, applied, changed
+	return previous, changed, applied
 }
 
 // applyRelayed applies the heartbeats that another replica has received.
 func (n *Node) applyRelayed(changes node.ViewChanges) {
-	notify := false
+	var changed []fleet.Upstream
 	for _, u := range changes.Renewed {
-		_, current, _, changed := n.applyHeartbeat(u, true)
-		if changed {
-			n.logUpstream(current)
-			notify = true
-		}
-	}
-	if notify {
-		n.subscribers.notify()
+		_, changedByHeartbeat, _ := n.applyHeartbeat(u, true)
+		changed = append(changed, changedByHeartbeat...)
 	}
+	n.announceUpstreams(changed, sourceReplica)
 }
 
 // Deregister records that an upstream has left the deployment.
@@ -139,13 +133,31 @@
 	current, _ := n.upstreams.Get(id)
 	n.upstreamsUnsaved = true
 	n.upstreamLock.Unlock()
-	n.logUpstream(current)
+	n.announceUpstreams([]fleet.Upstream{current}, sourceDeregistration)
+}
+
+// Sources of a change of an upstream, in log lines.
+const (
+	sourceHeartbeat      = "heartbeat"
+	sourceDeregistration = "deregistration"
+	sourceReplica        = "replica"
+	sourceSaved          = "saved"
+)
+
+// announceUpstreams logs changed upstreams and sends them to the subscribers.
+func (n *Node) announceUpstreams(changed []fleet.Upstream, source string) {
+	if len(changed) == 0 {
+		return
+	}
+	for _, u := range changed {
+		n.logUpstream(u, source)
+	}
 	n.subscribers.notify()
 }
 
-func (n *Node) logUpstream(u fleet.Upstream) {
+func (n *Node) logUpstream(u fleet.Upstream, source string) {
 	n.logger.Info(eventlog.UpstreamChanged, "upstream", u.ID, "phase", int(u.Phase), "address", u.Address,
-		"service", u.Service, "born", u.StartUnixMs, "sequence", u.Sequence)
+		"service", u.Service, "born", u.StartUnixMs, "sequence", u.Sequence, "source", source, "replaced_by", u.ReplacedBy)
 }
 
 // RetireStorage starts the removal of a storage replica from its group.
--- a/controlnode/upstreams.go
+++ b/controlnode/upstreams.go
@@ -53,6 +53,9 @@
 		heartbeat.AgeMs = uint32((node.MaxMissedHeartbeats * n.settings.HeartbeatInterval).Milliseconds())
 		n.upstreams.Apply(node.DecodeHeartbeat(now, heartbeat))
 	}
+	for _, u := range n.upstreams.All() {
+		n.logUpstream(u, sourceSaved)
+	}
 }
 
 // saveUpstreams writes the table to disk if it has unsaved changes.
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -39,6 +39,9 @@
 	// Silent is set while heartbeats are missing. The upstream is then used only if
 	// no other is free.
 	Silent bool
+	// ReplacedBy is the ID of the upstream that took the address of this one, if the
+	// table inferred from that that it is gone.
+	ReplacedBy string
 
 	// change is the table's change number at the latest change of the record, and
 	// renewal at the latest heartbeat or change.
@@ -83,9 +86,9 @@
 	}
 	if other := t.otherAtAddress(&heartbeat); other != nil {
 		if other.StartUnixMs > heartbeat.StartUnixMs {
-			heartbeat.Phase = Gone
+			heartbeat.Phase, heartbeat.ReplacedBy = Gone, other.ID
 		} else if other.Phase != Gone {
-			other.Phase = Gone
+			other.Phase, other.ReplacedBy = Gone, heartbeat.ID
 			t.recordChange(other)
 		}
 	}
