--- a/controlnode/upstreams_test.go
+++ b/controlnode/upstreams_test.go
@@ -50,6 +50,36 @@
 	expect.Expect(time.Since(a.LastHeartbeat)).To(BeNumerically(">=", node.MaxMissedHeartbeats*time.Second))
 }
 
+// Engines of this platform have a new ID at each start, and report no start time. The
+// saved table lists them by ID, so a former upstream may follow the present one of its
+// address.
+func TestRestartKeepsUpstreamsAtReusedAddresses(t *testing.T) {
+	expect := NewWithT(t)
+	folder := t.TempDir()
+	before := newUnstartedNode(folder)
+	heartbeat := func(id string, sequence uint64) fleet.Upstream {
+		return fleet.Upstream{ID: id, Sequence: sequence, Service: "s", Address: "10.0.0.1:80", Slots: 8, Phase: fleet.Ready}
+	}
+	before.RecordHeartbeat(heartbeat("former-crashed", 9))
+	before.RecordHeartbeat(heartbeat("former-left", 5))
+	before.Deregister("former-left")
+	before.RecordHeartbeat(heartbeat("current", 1))
+	before.saveUpstreams()
+
+	after := newUnstartedNode(folder)
+	after.loadUpstreams()
+	u, _ := after.upstreams.Get("current")
+	expect.Expect(u.Phase).To(Equal(fleet.Ready))
+	after.RecordHeartbeat(heartbeat("current", 2))
+	u, _ = after.upstreams.Get("current")
+	expect.Expect(u.Phase).To(Equal(fleet.Ready))
+	expect.Expect(u.Sequence).To(BeEquivalentTo(2))
+	for _, id := range []string{"former-crashed", "former-left"} {
+		former, _ := after.upstreams.Get(id)
+		expect.Expect(former.Phase).NotTo(Equal(fleet.Ready), id)
+	}
+}
+
 func TestDamagedUpstreamsFileIsIgnored(t *testing.T) {
 	expect := NewWithT(t)
 	n := newUnstartedNode(t.TempDir())
--- a/fleet/table_test.go
+++ b/fleet/table_test.go
@@ -68,6 +68,34 @@
 	expect.Expect(current.Phase).To(Equal(Ready))
 }
 
+// Another control replica reports late that the former upstream of an address is gone.
+func TestAGoneUpstreamDoesNotReplaceItsSuccessor(t *testing.T) {
+	for _, startUnixMs := range []uint64{0, 5} {
+		expect := NewWithT(t)
+		table := NewTable()
+		table.Apply(newHeartbeat("current", startUnixMs, 1, Ready))
+		table.Apply(newHeartbeat("former", startUnixMs, 9, Gone))
+		expect.Expect(table.Apply(newHeartbeat("current", startUnixMs, 2, Ready))).To(BeTrue())
+		current, _ := table.Get("current")
+		expect.Expect(current.Phase).To(Equal(Ready))
+	}
+}
+
+// Start times are unknown, and this replica has not heard of the former upstream of an
+// address when a delayed heartbeat of it arrives.
+func TestADelayedHeartbeatReplacesASuccessorOnlyUntilItIsHeardAgain(t *testing.T) {
+	expect := NewWithT(t)
+	table := NewTable()
+	table.Apply(newHeartbeat("current", 0, 3, Ready))
+	table.Apply(newHeartbeat("former", 0, 9, Ready))
+	expect.Expect(table.Apply(newHeartbeat("current", 0, 4, Ready))).To(BeTrue())
+	current, _ := table.Get("current")
+	expect.Expect(current.Phase).To(Equal(Ready))
+	former, _ := table.Get("former")
+	expect.Expect(former.Phase).NotTo(Equal(Ready))
+	expect.Expect(table.Apply(newHeartbeat("former", 0, 9, Ready))).To(BeFalse())
+}
+
 func TestChangedSinceReturnsTheChangedUpstreams(t *testing.T) {
 	expect := NewWithT(t)
 	table := NewTable()
