Keep a running engine whose address a gone one had before

Cause: a record of a gone upstream competed for its former address like a heartbeat. Heartbeats of this platform carry no start time, so the record that is applied last wins. A control replica saves its table and loads it in the order of IDs after a restart: each engine whose ID sorts before that of a former one at its address ended. Gone is final, and replicas relay it, so one restarted replica is enough to lose an engine for the whole fleet. The same came from a late report of another replica.

Ruled out: the state of the jobs (they can be read, and new ones do not run either), the routing table (applied at 93.55 s).

Now only an upstream that is not gone takes an address.

--- a/fleet/table.go
+++ b/fleet/table.go
@@ -84,7 +84,7 @@
 	if known && !supersedes(&heartbeat, held) {
 		return false
 	}
-	if other := t.otherAtAddress(&heartbeat); other != nil {
+	if other := t.otherAtAddress(&heartbeat); other != nil && heartbeat.Phase != Gone {
 		if other.StartUnixMs > heartbeat.StartUnixMs {
 			heartbeat.Phase, heartbeat.ReplacedBy = Gone, other.ID
 		} else if other.Phase != Gone {
