Let a running engine take its address back when it is heard again

A delayed heartbeat of a crashed engine, at a control replica that did not know it, ended the engine that had its address by then, for the whole fleet and for good: start times are unknown on this platform, and what was inferred from the order of arrival was kept as Gone, which only the engine itself may say.

An upstream that lost its address this way is Replaced now, and its next heartbeat ends that. Where start times are known, the later start has the address as before, and the earlier one is Gone.

--- a/fleet/table.go
+++ b/fleet/table.go
@@ -14,10 +14,19 @@
 	Ready Phase = iota + 1
 	// Draining upstreams finish their running requests and accept no new ones.
 	Draining
-	// Gone upstreams have deregistered or were replaced at their address.
+	// Gone upstreams have deregistered, or a later start took their address.
 	Gone
+	// Replaced upstreams have lost their address to another upstream that was heard
+	// later. Start times do not tell which of the two started later, so an upstream
+	// that is heard again takes its address back.
+	Replaced
 )
 
+// isPresent reports whether an upstream in this phase still has its address.
+func (p Phase) isPresent() bool {
+	return p == Ready || p == Draining
+}
+
 // Upstream is the latest heartbeat of one upstream.
 type Upstream struct {
 	ID string
@@ -84,17 +93,17 @@
 	if known && !supersedes(&heartbeat, held) {
 		return false
 	}
-	if other := t.otherAtAddress(&heartbeat); other != nil && heartbeat.Phase != Gone {
-		if other.StartUnixMs > heartbeat.StartUnixMs {
+	if other := t.otherAtAddress(&heartbeat); other != nil && heartbeat.Phase.isPresent() {
+		switch {
+		case other.StartUnixMs > heartbeat.StartUnixMs:
 			heartbeat.Phase, heartbeat.ReplacedBy = Gone, other.ID
-		} else if other.Phase != Gone {
-			other.Phase, other.ReplacedBy = Gone, heartbeat.ID
-			t.recordChange(other)
+		case other.Phase.isPresent():
+			t.replace(other, &heartbeat)
 		}
 	}
 	stored := heartbeat
 	t.upstreams[heartbeat.ID] = &stored
-	if stored.Phase != Gone {
+	if stored.Phase.isPresent() {
 		t.atAddress[stored.Address] = stored.ID
 	}
 	if known && stored.renews(held) {
@@ -108,15 +117,29 @@
 	return true
 }
 
+// replace ends an upstream whose address another one has taken.
+func (t *Table) replace(former, successor *Upstream) {
+	former.Phase, former.ReplacedBy = Replaced, successor.ID
+	if successor.StartUnixMs > former.StartUnixMs {
+		former.Phase = Gone
+	}
+	t.recordChange(former)
+}
+
 // supersedes reports whether a heartbeat is newer than the stored one.
 func supersedes(heartbeat, held *Upstream) bool {
 	if heartbeat.StartUnixMs != held.StartUnixMs {
 		return heartbeat.StartUnixMs > held.StartUnixMs
 	}
-	if held.Phase == Gone {
+	switch {
+	case held.Phase == Gone:
 		return false
+	case heartbeat.Phase == Gone:
+		return true
+	case heartbeat.Phase == Replaced && held.Phase != Replaced:
+		return heartbeat.Sequence >= held.Sequence
 	}
-	return heartbeat.Phase == Gone || heartbeat.Sequence > held.Sequence
+	return heartbeat.Sequence > held.Sequence
 }
 
 // otherAtAddress returns the other upstream that is known at the address of a
@@ -156,22 +179,22 @@
 	}
 }
 
-// ConfirmHeard records at now a heartbeat of each upstream that is neither Gone nor
+// ConfirmHeard records at now a heartbeat of each present upstream that is not
 // silent, for a table that is told of missing heartbeats only.
 func (t *Table) ConfirmHeard(now time.Time) {
 	for _, u := range t.upstreams {
-		if u.Phase != Gone && !u.Silent {
+		if u.Phase.isPresent() && !u.Silent {
 			u.LastHeartbeat = now
 		}
 	}
 }
 
-// SilentSince returns the sorted IDs of the upstreams whose last heartbeat is older
-// than a time and that are not Gone.
+// SilentSince returns the sorted IDs of the present upstreams whose last heartbeat is
+// older than a time.
 func (t *Table) SilentSince(since time.Time) []string {
 	var silent []string
 	for id, u := range t.upstreams {
-		if u.Phase != Gone && u.LastHeartbeat.Before(since) {
+		if u.Phase.isPresent() && u.LastHeartbeat.Before(since) {
 			silent = append(silent, id)
 		}
 	}
@@ -235,9 +258,9 @@
 	return all
 }
 
-// Expire removes upstreams that have been Gone for upstreamRetention, and those
-// whose last heartbeat is that much older than the latest heartbeat of any
-// upstream, and returns their IDs. An upstream that is not Gone is not compared
+// Expire removes upstreams that are not present and have not been heard for
+// upstreamRetention, and those whose last heartbeat is that much older than the latest
+// heartbeat of any upstream, and returns their IDs. A present upstream is not compared
 // with now: if no heartbeat arrives from any upstream, control is unavailable and
 // the upstreams still run.
 func (t *Table) Expire(now time.Time) []string {
@@ -250,7 +273,7 @@
 	var expired []string
 	for id, u := range t.upstreams {
 		until := latest
-		if u.Phase == Gone {
+		if !u.Phase.isPresent() {
 			until = now
 		}
 		if until.Sub(u.LastHeartbeat) < upstreamRetention {
--- a/fleet/table_test.go
+++ b/fleet/table_test.go
@@ -157,3 +157,62 @@
 		}
 	})
 }
+
+// Upstreams follow each other at one address. Their heartbeats and deregistrations reach
+// any replica, late and in any order; replicas send each other their tables, and restart
+// with them. After that, one heartbeat of the last upstream that reaches all replicas is
+// enough for all to use it, and no other.
+func TestReplicasAgreeOnTheUpstreamAtAReusedAddress(t *testing.T) {
+	const upstreams, replicas = 4, 3
+	rapid.Check(t, func(t *rapid.T) {
+		startsKnown := rapid.Bool().Draw(t, "startsKnown")
+		ids := rapid.Permutation([]string{"a", "b", "c", "d"}).Draw(t, "ids")
+		newOf := func(upstream int, sequence uint64) Upstream {
+			startUnixMs := uint64(0)
+			if startsKnown {
+				startUnixMs = uint64(upstream + 1)
+			}
+			return newHeartbeat(ids[upstream], startUnixMs, sequence, Ready)
+		}
+		tables := make([]*Table, replicas)
+		for i := range tables {
+			tables[i] = NewTable()
+		}
+		copyRecords := func(to *Table, from *Table) {
+			for _, u := range rapid.Permutation(from.All()).Draw(t, "records") {
+				to.Apply(u)
+			}
+		}
+		sequences := make([]uint64, upstreams)
+		for range rapid.IntRange(0, 30).Draw(t, "steps") {
+			to := rapid.IntRange(0, replicas-1).Draw(t, "replica")
+			upstream := rapid.IntRange(0, upstreams-1).Draw(t, "upstream")
+			switch rapid.SampledFrom([]string{"heartbeat", "heartbeat", "deregister", "relay", "restart"}).Draw(t, "step") {
+			case "heartbeat":
+				sequences[upstream]++
+				tables[to].Apply(newOf(upstream, sequences[upstream]))
+			case "deregister":
+				if _, known := tables[to].Get(ids[upstream]); known && upstream != upstreams-1 {
+					tables[to].Deregister(ids[upstream], start)
+				}
+			case "relay":
+				copyRecords(tables[to], tables[rapid.IntRange(0, replicas-1).Draw(t, "from")])
+			case "restart":
+				restarted := NewTable()
+				for _, u := range tables[to].All() {
+					restarted.Apply(u)
+				}
+				tables[to] = restarted
+			}
+		}
+		sequences[upstreams-1]++
+		for i, table := range tables {
+			table.Apply(newOf(upstreams-1, sequences[upstreams-1]))
+			for _, u := range table.All() {
+				if (u.Phase == Ready) != (u.ID == ids[upstreams-1]) {
+					t.Fatalf("replica %d has upstream %s in phase %d; the last upstream of the address is %s", i, u.ID, u.Phase, ids[upstreams-1])
+				}
+			}
+		}
+	})
+}
