Log the software version of engines and the streams that callers take up

Heartbeats carry the version of the engine's software, and a caller that takes a stream up names the request that began it. Decisions are as before.

--- a/controlnode/api.go
+++ b/controlnode/api.go
@@ -157,7 +157,7 @@
 
 func (n *Node) logUpstream(u fleet.Upstream, source string) {
 	n.logger.Info(eventlog.UpstreamChanged, "upstream", u.ID, "phase", int(u.Phase), "address", u.Address,
-		"service", u.Service, "born", u.StartUnixMs, "sequence", u.Sequence, "source", source, "replaced_by", u.ReplacedBy)
+		"service", u.Service, "born", u.StartUnixMs, "sequence", u.Sequence, "source", source, "replaced_by", u.ReplacedBy, "version", u.SoftwareVersion)
 }
 
 // RetireStorage starts the removal of a storage replica from its group.
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -72,8 +72,10 @@
 	// Address is the network address of the upstream, DataCentre its data centre.
 	Address    string
 	DataCentre string
-	Class      Class
-	GrantedAt  time.Time
+	// SoftwareVersion is the software version of the upstream.
+	SoftwareVersion string
+	Class           Class
+	GrantedAt       time.Time
 	// Waited is the time between the slot request and the grant.
 	Waited time.Duration
 	// Retrying is set if the caller was refused or failed before.
@@ -382,16 +384,17 @@
 		p.preemptionRequests = append(p.preemptionRequests, PreemptionRequest{u.ID, u.online()})
 	}
 	p.grants = append(p.grants, Grant{
-		SlotRequestID: queued.slotRequest.ID,
-		Service:       queued.slotRequest.Service,
-		Upstream:      u.ID,
-		Address:       u.Address,
-		DataCentre:    u.DataCentre,
-		Class:         queued.slotRequest.Class,
-		GrantedAt:     now,
-		Waited:        now.Sub(queued.queuedAt),
-		Retrying:      queued.retrying,
-		FreeSlots:     u.free(),
+		SlotRequestID:   queued.slotRequest.ID,
+		Service:         queued.slotRequest.Service,
+		Upstream:        u.ID,
+		Address:         u.Address,
+		DataCentre:      u.DataCentre,
+		SoftwareVersion: u.SoftwareVersion,
+		Class:           queued.slotRequest.Class,
+		GrantedAt:       now,
+		Waited:          now.Sub(queued.queuedAt),
+		Retrying:        queued.retrying,
+		FreeSlots:       u.free(),
 	})
 	return true
 }
--- a/entrynode/exchange.go
+++ b/entrynode/exchange.go
@@ -59,8 +59,10 @@
 	// notRunCount those that certainly have not.
 	mayHaveRunCount int
 	notRunCount     int
-	// upstream is the ID of the upstream of the last attempt.
-	upstream string
+	// upstream is the ID of the upstream of the last attempt, upstreamVersion its
+	// software version.
+	upstream        string
+	upstreamVersion string
 	// headSent is set once the head of a response has been sent to the caller.
 	headSent bool
 	events   upstream.EventSplitter
@@ -218,10 +220,11 @@
 	defer func() { x.node.Slots.Release(grant, outcome) }()
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
-	x.upstream = grant.Upstream
+	x.upstream, x.upstreamVersion = grant.Upstream, grant.SoftwareVersion
 	x.node.logger.Info(eventlog.RequestPlaced, "request", x.headers.ID, "route", x.route.Name, "routing", x.table.Version,
 		"upstream", grant.Upstream, "address", grant.Address, "waited_ms", grant.Waited.Milliseconds(), "free", grant.FreeSlots, "ran", x.mayHaveRunCount,
-		"left_ms", (x.timeout - x.elapsed()).Milliseconds(), "returned", grant.Retrying)
+		"left_ms", (x.timeout - x.elapsed()).Milliseconds(), "returned", grant.Retrying,
+		"version", grant.SoftwareVersion, "resumes", x.headers.ResumedID)
 	response, err := x.node.upstreamClient.Do(ctx, x.upstreamRequest(grant))
 	if err != nil {
 		if x.ctx.Err() == nil {
@@ -325,7 +328,7 @@
 		x.flush()
 	} else {
 		x.node.logger.Info(eventlog.RequestResumed, "request", x.headers.ID, "after", x.events.LastID, "events", x.events.Count,
-			"elapsed_ms", x.elapsed().Milliseconds())
+			"elapsed_ms", x.elapsed().Milliseconds(), "upstream", x.upstream, "version", x.upstreamVersion)
 	}
 	buffer := make([]byte, relayBufferBytes)
 	for {
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -41,6 +41,9 @@
 	TimeToDeadline time.Duration
 	// ResumeAfter is the ID of the last event that the caller has received.
 	ResumeAfter string
+	// ResumedID is the ID of the caller's request that began the stream; empty for a
+	// new stream.
+	ResumedID string
 }
 
 // Job is a batch job submitted by a caller.
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -40,6 +40,8 @@
 	DataCentre string
 	Slots      int
 	Phase      Phase
+	// SoftwareVersion is the version of the engine's software; empty if unknown.
+	SoftwareVersion string
 	// ColdUntil is the end of the period after a start in which the upstream is
 	// slow.
 	ColdUntil time.Time
@@ -62,7 +64,8 @@
 // one is still there. The remaining cold time follows from the first heartbeat.
 func (u *Upstream) renews(previous *Upstream) bool {
 	return u.StartUnixMs == previous.StartUnixMs && u.Service == previous.Service && u.Address == previous.Address &&
-		u.DataCentre == previous.DataCentre && u.Slots == previous.Slots && u.Phase == previous.Phase
+		u.DataCentre == previous.DataCentre && u.Slots == previous.Slots && u.Phase == previous.Phase &&
+		u.SoftwareVersion == previous.SoftwareVersion
 }
 
 // upstreamRetention is the time for which an upstream is kept after its last
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -149,7 +149,7 @@
 	}
 	for _, u := range changes.PhaseChanges {
 		d.Logger.Info(eventlog.UpstreamChanged, "upstream", u.ID, "phase", int(u.Phase), "address", u.Address,
-			"service", u.Service, "born", u.StartUnixMs, "sequence", u.Sequence, "replaced_by", u.ReplacedBy)
+			"service", u.Service, "born", u.StartUnixMs, "sequence", u.Sequence, "replaced_by", u.ReplacedBy, "version", u.SoftwareVersion)
 		if u.Phase != fleet.Ready {
 			d.onNotReady(u)
 		}
--- a/node/view.go
+++ b/node/view.go
@@ -246,32 +246,34 @@
 func DecodeHeartbeat(now time.Time, heartbeat *pb.UpstreamBeat) fleet.Upstream {
 	heard := now.Add(-time.Duration(heartbeat.GetAgeMs()) * time.Millisecond)
 	return fleet.Upstream{
-		ID:            heartbeat.GetId(),
-		StartUnixMs:   heartbeat.GetBornUnixMs(),
-		Sequence:      heartbeat.GetSequence(),
-		Service:       heartbeat.GetService(),
-		Address:       heartbeat.GetAddress(),
-		DataCentre:    heartbeat.GetDataCentre(),
-		Slots:         int(heartbeat.GetSlots()),
-		Phase:         fleet.Phase(heartbeat.GetPhase()),
-		ColdUntil:     heard.Add(time.Duration(heartbeat.GetColdMs()) * time.Millisecond),
-		LastHeartbeat: heard,
+		ID:              heartbeat.GetId(),
+		StartUnixMs:     heartbeat.GetBornUnixMs(),
+		Sequence:        heartbeat.GetSequence(),
+		Service:         heartbeat.GetService(),
+		Address:         heartbeat.GetAddress(),
+		DataCentre:      heartbeat.GetDataCentre(),
+		Slots:           int(heartbeat.GetSlots()),
+		Phase:           fleet.Phase(heartbeat.GetPhase()),
+		ColdUntil:       heard.Add(time.Duration(heartbeat.GetColdMs()) * time.Millisecond),
+		LastHeartbeat:   heard,
+		SoftwareVersion: heartbeat.GetSoftwareVersion(),
 	}
 }
 
 // EncodeHeartbeat encodes the last heartbeat of an upstream for a fleet update.
 func EncodeHeartbeat(now time.Time, u fleet.Upstream) *pb.UpstreamBeat {
 	return &pb.UpstreamBeat{
-		Id:         u.ID,
-		BornUnixMs: u.StartUnixMs,
-		Sequence:   u.Sequence,
-		Service:    u.Service,
-		Address:    u.Address,
-		DataCentre: u.DataCentre,
-		Slots:      uint32(u.Slots),
-		Phase:      pb.UpstreamPhase(u.Phase),
-		ColdMs:     milliseconds(u.ColdUntil.Sub(u.LastHeartbeat)),
-		AgeMs:      milliseconds(now.Sub(u.LastHeartbeat)),
+		Id:              u.ID,
+		BornUnixMs:      u.StartUnixMs,
+		Sequence:        u.Sequence,
+		Service:         u.Service,
+		Address:         u.Address,
+		DataCentre:      u.DataCentre,
+		Slots:           uint32(u.Slots),
+		Phase:           pb.UpstreamPhase(u.Phase),
+		ColdMs:          milliseconds(u.ColdUntil.Sub(u.LastHeartbeat)),
+		AgeMs:           milliseconds(now.Sub(u.LastHeartbeat)),
+		SoftwareVersion: u.SoftwareVersion,
 	}
 }
 
--- a/storenode/item.go
+++ b/storenode/item.go
@@ -39,7 +39,7 @@
 func (x *itemRun) run(ctx context.Context) {
 	n := x.runner.node
 	n.logger.Info(eventlog.ItemPlaced, "request", x.item.GetId(), "job", x.key.JobID, "item", x.key.Index,
-		"upstream", x.grant.Upstream, "after", x.progress.LastEventID)
+		"upstream", x.grant.Upstream, "after", x.progress.LastEventID, "version", x.grant.SoftwareVersion)
 	startedAt, eventsBefore := time.Now(), x.progress.EventCount
 	outcome, status, reason := x.execute(ctx)
 	switch {
