--- a/entrynode/node_test.go
+++ b/entrynode/node_test.go
@@ -51,7 +51,7 @@
 	if err != nil {
 		ms = 0
 	}
-	return RequestHeaders{ID: r.Header.Get("Id"), TimeToDeadline: time.Duration(ms) * time.Millisecond, ResumeAfter: r.Header.Get("After")}
+	return RequestHeaders{ID: r.Header.Get("Id"), TimeToDeadline: time.Duration(ms) * time.Millisecond, ResumeAfter: r.Header.Get("After"), ResumedID: r.Header.Get("Resumes")}
 }
 
 func (testCodec) ParseJob([]byte) (Job, error) { return Job{}, nil }
@@ -78,7 +78,11 @@
 // engine is a test server that sends scripted responses. Its scripts must not
 // depend on which engine gets a request.
 type engine struct {
-	address      string
+	address string
+	// version is the software version that heartbeats report.
+	version string
+	// slots is the number of slots that heartbeats report.
+	slots        int
 	received     chan *http.Request
 	requestCount atomic.Int32
 }
@@ -92,7 +96,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = listener.Close() })
-	e := &engine{address: listener.Addr().String(), received: make(chan *http.Request, 64)}
+	e := &engine{address: listener.Addr().String(), slots: 4, received: make(chan *http.Request, 64)}
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -148,14 +152,25 @@
 // startEntry starts an entry with a fake control replica that reports the engines
 // as its upstreams.
 func startEntry(t *testing.T, engines ...*engine) (url string, n *Node) {
+	t.Helper()
+	address := freeAddress(t)
+	return startEntryAt(t, address, []string{address}, engines...)
+}
+
+// startEntryAt starts an entry at an address. Its control replica reports the engines
+// and the entries at some addresses.
+func startEntryAt(t *testing.T, address string, entries []string, engines ...*engine) (url string, n *Node) {
 	t.Helper()
 	update := &pb.FleetUpdate{RoutingVersion: 4, RoutingDocument: []byte("table")}
 	for i, e := range engines {
 		update.Upstreams = append(update.Upstreams, &pb.UpstreamBeat{
 			Id: fmt.Sprintf("i-%d", i), BornUnixMs: 1, Sequence: 1, Service: "s", Address: e.address,
-			DataCentre: "d", Slots: 4, Phase: pb.UpstreamPhase_UPSTREAM_READY,
+			DataCentre: "d", Slots: uint32(e.slots), Phase: pb.UpstreamPhase_UPSTREAM_READY, SoftwareVersion: e.version,
 		})
 	}
+	for _, entry := range entries {
+		update.Daemons = append(update.Daemons, &pb.Daemon{Id: entry, Role: node.RoleEntry, DataCentre: "d", Address: entry, Incarnation: 1})
+	}
 	control, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -169,7 +184,7 @@
 	})
 	go func() { _ = server.Serve(control) }()
 	settings := &node.Settings{
-		ID: "entry", Role: node.RoleEntry, DataCentre: "d", Address: freeAddress(t), Seeds: []string{control.Addr().String()},
+		ID: "entry", Role: node.RoleEntry, DataCentre: "d", Address: address, Seeds: []string{control.Addr().String()},
 		CallersAddress: freeAddress(t), ReadyAddress: freeAddress(t), HeartbeatInterval: time.Hour, GracePeriod: 4 * time.Second,
 	}
 	n, err = Start(settings, testCodec{}, log.New(io.Discard), func(n *Node) Handlers {
@@ -211,6 +226,12 @@
 }
 
 func send(t *testing.T, url, path string) callerResponse {
+	t.Helper()
+	return sendWith(t, url, path, nil)
+}
+
+// sendWith sends a request with more headers, which may replace its ID.
+func sendWith(t *testing.T, url, path string, headers map[string]string) callerResponse {
 	t.Helper()
 	r, err := http.NewRequest(http.MethodPost, url+path, strings.NewReader("body"))
 	if err != nil {
@@ -219,6 +240,9 @@
 	r.Host = "h"
 	r.Header.Set("Id", "r1")
 	r.Header.Set("Timeout-Ms", "2500")
+	for name, value := range headers {
+		r.Header.Set(name, value)
+	}
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(r)
 	if err != nil {
@@ -389,7 +413,7 @@
 		_, _ = reader.ReadByte()
 		close(ended)
 	}()
-	url, _ := startEntry(t, &engine{address: listener.Addr().String()})
+	url, _ := startEntry(t, &engine{address: listener.Addr().String(), slots: 4})
 	conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
 	expect.Expect(err).NotTo(HaveOccurred())
 	_, err = io.WriteString(conn, "POST /stream/x HTTP/1.1\r\nHost: h\r\nId: r1\r\nContent-Length: 4\r\n\r\nbody")
--- /dev/null
+++ b/entrynode/version_test.go
@@ -0,0 +1,103 @@
+package entrynode
+
+import (
+	"net/http"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+// startVersion starts an engine of a software version that sends a stream whole, or
+// from the event on that the request asks for.
+func startVersion(t *testing.T, version string) *engine {
+	t.Helper()
+	e := startEngine(t, func(_ int, r *http.Request) string {
+		if r.Header.Get("After") != "" {
+			return chunked(r.Header.Get("Id"), events(4, 6))
+		}
+		return chunked(r.Header.Get("Id"), events(1, 6))
+	})
+	e.version = version
+	return e
+}
+
+// startBrokenVersion starts an engine of a software version that breaks off each
+// stream after three events.
+func startBrokenVersion(t *testing.T, version string) *engine {
+	t.Helper()
+	e := startEngine(t, func(_ int, r *http.Request) string { return chunked(r.Header.Get("Id"), events(1, 3)+"<cut>") })
+	e.version = version
+	return e
+}
+
+// What two software versions write does not fit together.
+func TestInterruptedStreamMixesNoVersions(t *testing.T) {
+	for range 10 {
+		expect := NewWithT(t)
+		broken, same := startBrokenVersion(t, "1"), startVersion(t, "1")
+		other, another := startVersion(t, "2"), startVersion(t, "2")
+		url, _ := startEntry(t, broken, same, other, another)
+		for broken.requestCount.Load() == 0 {
+			got := send(t, url, "/resume/x")
+			expect.Expect(got.err).NotTo(HaveOccurred())
+			expect.Expect(got.body).To(Equal(events(1, 6)))
+		}
+		for _, e := range []*engine{other, another} {
+			for len(e.received) > 0 {
+				expect.Expect((<-e.received).Header.Get("After")).To(BeEmpty())
+			}
+		}
+	}
+}
+
+// No engine of the version that began the stream is left.
+func TestInterruptedStreamIsCutWithoutItsVersion(t *testing.T) {
+	expect := NewWithT(t)
+	broken, other := startBrokenVersion(t, "1"), startVersion(t, "2")
+	url, _ := startEntry(t, broken, other)
+	for broken.requestCount.Load() == 0 {
+		got := send(t, url, "/resume/x")
+		if broken.requestCount.Load() > 0 {
+			expect.Expect(got.err).To(HaveOccurred())
+			expect.Expect(got.body).To(Equal(events(1, 3)))
+		}
+	}
+	for len(other.received) > 0 {
+		expect.Expect((<-other.received).Header.Get("After")).To(BeEmpty())
+	}
+}
+
+// The entry that began a stream is gone, and its caller takes the stream up at another
+// entry, which places new streams at the other version.
+func TestStreamTakenUpAtAnotherEntryMixesNoVersions(t *testing.T) {
+	expect := NewWithT(t)
+	origin, other := startVersion(t, "1"), startVersion(t, "2")
+	addresses := []string{freeAddress(t), freeAddress(t)}
+	origin.slots, other.slots = 8, 4
+	url, n := startEntryAt(t, addresses[0], addresses, origin, other)
+	origin.slots, other.slots = 4, 8
+	otherURL, _ := startEntryAt(t, addresses[1], addresses, origin, other)
+	expect.Expect(sendWith(t, url, "/resume/x", map[string]string{"Id": "begun"}).body).To(Equal(events(1, 6)))
+	expect.Expect(origin.requestCount.Load()).To(BeEquivalentTo(1))
+	n.cancel()
+	got := sendWith(t, otherURL, "/resume/x", map[string]string{"Id": "taken-up", "After": "3", "Resumes": "begun"})
+	expect.Expect(got.body).To(Equal(events(4, 6)))
+	expect.Expect(origin.requestCount.Load()).To(BeEquivalentTo(2))
+}
+
+// Several versions serve, and no entry knows which of them began the stream.
+func TestStreamOfUnknownVersionIsRefused(t *testing.T) {
+	expect := NewWithT(t)
+	url, _ := startEntry(t, startVersion(t, "1"), startVersion(t, "2"))
+	got := sendWith(t, url, "/resume/x", map[string]string{"Id": "r2", "After": "3", "Resumes": "unheard"})
+	expect.Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+	expect.Expect(got.retryAfter).NotTo(BeEmpty())
+}
+
+// A service of one version needs no record of where a stream began.
+func TestStreamOfTheOnlyVersionGoesOn(t *testing.T) {
+	expect := NewWithT(t)
+	url, _ := startEntry(t, startVersion(t, "1"), startVersion(t, "1"))
+	got := sendWith(t, url, "/resume/x", map[string]string{"Id": "r2", "After": "3", "Resumes": "unheard"})
+	expect.Expect(got.body).To(Equal(events(4, 6)))
+}
