Grant slots of one software version to requests that are bound to it

A stream that has begun may go on only at the software version that began it. A slot request can be bound to a version now: only upstreams of it fit, it goes before others of its class and priority, since few upstreams can serve it, and a waiting one delays no request that others can serve. If its only upstream has failed it, that one is tried again: the alternative is to cut the stream. Nothing binds requests yet.

--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/briarcross/briarcross/fleet"
 )
 
 // tier ranks the upstreams for a slot request. Lower is better.
@@ -55,7 +54,7 @@
 	var best, bestNotEjected bestCandidate
 	ready, failing := 0, 0
 	for _, u := range p.sortedUpstreams {
-		if u.Service != request.Service || u.Phase != fleet.Ready {
+		if !request.fits(u) {
 			continue
 		}
 		ready++
@@ -117,15 +116,15 @@
 // is known.
 func (p *Pool) isCoarse(u *upstreamState) bool { return p.summarized[u.DataCentre] }
 
-// mustAvoid reports whether the upstreams in request.Avoid are skipped. Online
-// requests always skip them. Batch uses them if the service has no other ready
-// upstream, as it would otherwise wait forever.
+// mustAvoid reports whether the upstreams in request.Avoid are skipped. Unbound
+// online requests always skip them. Others use them if no other upstream fits: batch
+// would otherwise wait forever, and a stream that has begun would be cut.
 func (p *Pool) mustAvoid(request SlotRequest) bool {
-	if request.Class == Online {
+	if request.Class == Online && !request.Bound {
 		return true
 	}
 	for _, u := range p.sortedUpstreams {
-		if u.Service == request.Service && u.Phase == fleet.Ready && !slices.Contains(request.Avoid, u.ID) {
+		if request.fits(u) && !slices.Contains(request.Avoid, u.ID) {
 			return true
 		}
 	}
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -45,6 +45,10 @@
 	Class   Class
 	// Priority orders the requests of a class. Zero is served first.
 	Priority int
+	// Bound is set for a stream or item that has output. Only upstreams of
+	// SoftwareVersion may go on with it.
+	Bound           bool
+	SoftwareVersion string
 	// Avoid lists the IDs of upstreams that have already failed the request.
 	Avoid []string
 	// Urgent lets a batch item that would otherwise be late use the slots kept free
@@ -108,6 +112,17 @@
 	WaitTimeout Reason = "wait_over"
 )
 
+// fits reports whether an upstream may run the request.
+func (r *SlotRequest) fits(u *upstreamState) bool {
+	return u.Service == r.Service && u.Phase == fleet.Ready && (!r.Bound || u.SoftwareVersion == r.SoftwareVersion)
+}
+
+// competesWith reports whether the request may take the slot that another one waits
+// for.
+func (r *SlotRequest) competesWith(other *SlotRequest) bool {
+	return r.Service == other.Service && (!r.Bound || !other.Bound || r.SoftwareVersion == other.SoftwareVersion)
+}
+
 type queuedRequest struct {
 	slotRequest SlotRequest
 	queuedAt    time.Time
@@ -157,7 +172,7 @@
 	// share of free slots at the latest summary.
 	summarized map[string]bool
 	spareShare map[string]float64
-	// queue is ordered by class and priority; see before.
+	// queue is ordered by class, priority and whether requests are bound; see before.
 	queue []queuedRequest
 	// serviceStats, onlinePeaks and expectedRetries are keyed by service.
 	// onlinePeaks holds the peaks of the number of online requests in flight.
@@ -234,45 +249,57 @@
 	if request.Class == Online {
 		p.statsOf(request.Service).recordArrival(now)
 	}
-	index, ahead := p.queuePosition(now, queued)
+	index, ahead, yielding := p.queuePosition(now, queued)
 	if ahead == 0 && p.tryGrant(now, queued) {
 		return
 	}
-	p.enqueue(now, queued, index, ahead)
+	p.enqueue(now, queued, index, ahead+yielding)
 }
 
 // queuePosition returns the index in the queue at which to insert a request, and
-// the number of requests for its service ahead of it.
-func (p *Pool) queuePosition(now time.Time, queued queuedRequest) (index, ahead int) {
+// the number of requests ahead of it that compete for its slots. Of these, yielding
+// counts the bound ones that an unbound request need not wait for: they wait for
+// slots of their version, and a free one would have been granted to them.
+func (p *Pool) queuePosition(now time.Time, queued queuedRequest) (index, ahead, yielding int) {
 	index = len(p.queue)
 	retriesFirst := p.retriesFit(now, queued.slotRequest.Service)
 	for i, other := range p.queue {
-		if before(queued, other, retriesFirst) {
+		switch {
+		case before(queued, other, retriesFirst):
 			index = min(index, i)
-			continue
-		}
-		if other.slotRequest.Service == queued.slotRequest.Service {
+		case !queued.slotRequest.competesWith(&other.slotRequest):
+		case other.slotRequest.Bound && !queued.slotRequest.Bound:
+			yielding++
+		default:
 			ahead++
 		}
 	}
-	return index, ahead
+	return index, ahead, yielding
 }
 
-// before reports whether a is served before b: by class, then by priority and,
-// with retriesFirst, retrying callers before new ones.
+// before reports whether a is served before b: by class, then by priority, then
+// bound requests, which few upstreams can serve, and, with retriesFirst, retrying
+// callers before new ones.
 func before(a, b queuedRequest, retriesFirst bool) bool {
 	order := cmp.Or(cmp.Compare(a.slotRequest.Class, b.slotRequest.Class), cmp.Compare(a.slotRequest.Priority, b.slotRequest.Priority))
-	return order < 0 || order == 0 && retriesFirst && a.retrying && !b.retrying
+	switch {
+	case order != 0:
+		return order < 0
+	case a.slotRequest.Bound != b.slotRequest.Bound:
+		return a.slotRequest.Bound
+	}
+	return retriesFirst && a.retrying && !b.retrying
 }
 
 // enqueue inserts a request into the queue, or refuses it if the expected wait
 // exceeds its MaxWait.
 func (p *Pool) enqueue(now time.Time, queued queuedRequest, index, ahead int) {
-	if !p.hasReadyUpstream(queued.slotRequest.Service) {
+	share := p.usableSlotShare(&queued.slotRequest)
+	if share == 0 {
 		p.refuse(now, queued, NoUpstream)
 		return
 	}
-	expectedWait := p.timeUntilFree(now, queued.slotRequest.Service, ahead+1)
+	expectedWait := time.Duration(float64(p.timeUntilFree(now, queued.slotRequest.Service, ahead+1)) / share)
 	if expectedWait > queued.slotRequest.MaxWait || queued.slotRequest.MaxWait <= 0 {
 		p.refuse(now, queued, QueueFull)
 		return
@@ -280,13 +307,23 @@
 	p.queue = slices.Insert(p.queue, index, queued)
 }
 
-func (p *Pool) hasReadyUpstream(service string) bool {
+// usableSlotShare returns the share of the slots of a service's ready upstreams that a
+// request may use.
+func (p *Pool) usableSlotShare(request *SlotRequest) float64 {
+	usable, all := 0, 0
 	for _, u := range p.sortedUpstreams {
-		if u.Service == service && u.Phase == fleet.Ready {
-			return true
+		if u.Service != request.Service || u.Phase != fleet.Ready {
+			continue
 		}
+		all += u.Slots
+		if request.fits(u) {
+			usable += u.Slots
+		}
+	}
+	if usable == 0 {
+		return 0
 	}
-	return false
+	return float64(usable) / float64(all)
 }
 
 func (p *Pool) refuse(now time.Time, queued queuedRequest, reason Reason) {
