Let a stream go on only at the software version that began it

Cause: the version of an engine was no part of the decision where a stream goes on. An entry that resumed a stream within its answer took any engine, and an entry at which a caller took a stream up did not know which engine began it; the entry that knew may be gone.

Now a stream is bound to the version of its first event. The entry that passes on that event records the origin, before the caller gets the event, at itself and, if several versions or services are possible, at four entries chosen by rendezvous hashing; entries at which callers return look there, by datagrams that are repeated for 100 ms. While a service has engines of one version, nothing is sent; when a second one joins, the origins of the last 30 s are. A stream whose origin is unknown, or whose version or service is gone, is refused at once, or cut if its answer has begun.

Ruled out: engines that change their version under one ID (each start has a new one). Considered: records at control (all streams of a fleet at three replicas), at all entries of the data centre (grows with the square), and in the answer (nothing that callers send back may be changed).

--- a/entrynode/exchange.go
+++ b/entrynode/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/briarcross/briarcross/dispatch"
 	"github.com/briarcross/briarcross/eventlog"
 	"github.com/briarcross/briarcross/internal/fields"
+	"github.com/briarcross/briarcross/origins"
 	"github.com/briarcross/briarcross/routing"
 	"github.com/briarcross/briarcross/upstream"
 )
@@ -34,6 +35,13 @@
 	// maxBufferedBytes limits a response that is read completely before it is
 	// relayed, so that the request can be retried if the response is interrupted.
 	maxBufferedBytes = 1 << 20
+	// maxResumeWait is how long a stream that has begun may wait for a slot. Only
+	// engines of one software version can go on with it, and its caller has a part of
+	// it already.
+	maxResumeWait = time.Second
+	// unknownOriginRetryAfter is the time after which a caller may ask again for a
+	// stream whose origin no entry in reach knows.
+	unknownOriginRetryAfter = 500 * time.Millisecond
 )
 
 // exchange handles one request of a caller: it sends it to upstreams until one
@@ -63,6 +71,9 @@
 	// software version.
 	upstream        string
 	upstreamVersion string
+	// origin is set once the stream has events, also from an earlier request of the
+	// caller. Only engines of its software version may go on with it.
+	origin *origins.Origin
 	// headSent is set once the head of a response has been sent to the caller.
 	headSent bool
 	events   upstream.EventSplitter
@@ -100,6 +111,10 @@
 	ctx, cancel := context.WithDeadline(x.request.Context(), x.arrivedAt.Add(x.timeout))
 	defer cancel()
 	x.ctx = ctx
+	if refused := x.findOrigin(); refused != nil {
+		x.node.refuse(x.w, x.headers.ID, *refused)
+		return
+	}
 	reason := ""
 	for x.canAttempt() {
 		grant, refused := x.node.Slots.Acquire(ctx, x.slotRequest())
@@ -126,6 +141,44 @@
 	x.fail(reason)
 }
 
+// findOrigin finds where a stream that the caller takes up began. It returns a refusal
+// if the stream cannot go on.
+func (x *exchange) findOrigin() *refusal {
+	if !x.route.Resumable || x.headers.ResumeAfter == "" {
+		return nil
+	}
+	services := x.route.Services()
+	origin, known := x.node.StreamOrigins.Find(x.ctx, x.headers.ResumedID, services)
+	refused := refusal{
+		reason: "origin_unknown", retryAfter: unknownOriginRetryAfter, route: x.route.Name, routingVersion: x.table.Version,
+		elapsed: x.elapsed(), timeToDeadline: x.timeout - x.elapsed(),
+	}
+	switch {
+	case !known:
+		return &refused
+	case !slices.Contains(services, origin.Service):
+		refused.reason = "origin_not_routed"
+		return &refused
+	}
+	x.origin, x.service = &origin, origin.Service
+	return nil
+}
+
+// recordOrigin records where the stream began, at its first event.
+func (x *exchange) recordOrigin() {
+	if !x.route.Resumable {
+		return
+	}
+	if x.origin == nil {
+		x.origin = &origins.Origin{Service: x.service, SoftwareVersion: x.upstreamVersion}
+	}
+	id := x.headers.ID
+	if x.headers.ResumeAfter != "" {
+		id = x.headers.ResumedID
+	}
+	x.node.StreamOrigins.Record(id, *x.origin, x.route.Services())
+}
+
 func (x *exchange) elapsed() time.Duration { return time.Since(x.arrivedAt) }
 
 // canAttempt reports whether the request may be sent to an upstream (again).
@@ -144,7 +197,7 @@
 	if x.mayHaveRunCount > 0 {
 		maxWait = x.route.LatencyObjective
 	}
-	return dispatch.SlotRequest{
+	request := dispatch.SlotRequest{
 		Service:        x.service,
 		Class:          dispatch.Online,
 		Priority:       x.route.Priority,
@@ -154,6 +207,11 @@
 		TimeToDeadline: max(0, x.headers.TimeToDeadline-x.elapsed()),
 		RetryMaxWait:   max(0, min(x.route.LatencyObjective, time.Duration(retryMaxWaitShare*float64(remaining)))),
 	}
+	if x.origin != nil {
+		request.Bound, request.SoftwareVersion = true, x.origin.SoftwareVersion
+		request.MaxWait = max(0, min(maxResumeWait, remaining))
+	}
+	return request
 }
 
 // handleSlotRefusal ends a request that gets no slot.
@@ -360,6 +418,7 @@
 		return nil
 	}
 	if first {
+		x.recordOrigin()
 		x.timeToFirstEvent = x.elapsed()
 		x.node.metrics.firstByte.WithLabelValues(x.route.Name).Observe(x.timeToFirstEvent.Seconds())
 	}
--- a/entrynode/version_test.go
+++ b/entrynode/version_test.go
@@ -22,49 +22,43 @@
 }
 
 // startBrokenVersion starts an engine of a software version that breaks off each
-// stream after three events.
+// stream after three events, and after one more when it is asked to go on.
 func startBrokenVersion(t *testing.T, version string) *engine {
 	t.Helper()
-	e := startEngine(t, func(_ int, r *http.Request) string { return chunked(r.Header.Get("Id"), events(1, 3)+"<cut>") })
+	e := startEngine(t, func(_ int, r *http.Request) string {
+		if r.Header.Get("After") != "" {
+			return chunked(r.Header.Get("Id"), events(4, 4)+"<cut>")
+		}
+		return chunked(r.Header.Get("Id"), events(1, 3)+"<cut>")
+	})
 	e.version = version
 	return e
 }
 
 // What two software versions write does not fit together.
 func TestInterruptedStreamMixesNoVersions(t *testing.T) {
-	for range 10 {
-		expect := NewWithT(t)
-		broken, same := startBrokenVersion(t, "1"), startVersion(t, "1")
-		other, another := startVersion(t, "2"), startVersion(t, "2")
-		url, _ := startEntry(t, broken, same, other, another)
-		for broken.requestCount.Load() == 0 {
-			got := send(t, url, "/resume/x")
-			expect.Expect(got.err).NotTo(HaveOccurred())
-			expect.Expect(got.body).To(Equal(events(1, 6)))
-		}
-		for _, e := range []*engine{other, another} {
-			for len(e.received) > 0 {
-				expect.Expect((<-e.received).Header.Get("After")).To(BeEmpty())
-			}
-		}
-	}
+	expect := NewWithT(t)
+	broken, same := startBrokenVersion(t, "1"), startVersion(t, "1")
+	other, another := startVersion(t, "2"), startVersion(t, "2")
+	broken.slots, other.slots, another.slots = 10, 8, 8
+	url, _ := startEntry(t, broken, same, other, another)
+	got := send(t, url, "/resume/x")
+	expect.Expect(got.err).NotTo(HaveOccurred())
+	expect.Expect(got.body).To(Equal(events(1, 6)))
+	expect.Expect(broken.requestCount.Load()).To(BeEquivalentTo(1))
+	expect.Expect(same.requestCount.Load()).To(BeEquivalentTo(1))
 }
 
-// No engine of the version that began the stream is left.
+// Only the engine that broke the stream off has its version.
 func TestInterruptedStreamIsCutWithoutItsVersion(t *testing.T) {
 	expect := NewWithT(t)
 	broken, other := startBrokenVersion(t, "1"), startVersion(t, "2")
+	broken.slots = 8
 	url, _ := startEntry(t, broken, other)
-	for broken.requestCount.Load() == 0 {
-		got := send(t, url, "/resume/x")
-		if broken.requestCount.Load() > 0 {
-			expect.Expect(got.err).To(HaveOccurred())
-			expect.Expect(got.body).To(Equal(events(1, 3)))
-		}
-	}
-	for len(other.received) > 0 {
-		expect.Expect((<-other.received).Header.Get("After")).To(BeEmpty())
-	}
+	got := send(t, url, "/resume/x")
+	expect.Expect(got.err).To(HaveOccurred())
+	expect.Expect(got.body).To(Equal(events(1, 4)))
+	expect.Expect(other.requestCount.Load()).To(BeZero())
 }
 
 // The entry that began a stream is gone, and its caller takes the stream up at another
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -121,7 +121,9 @@
 var reasonTexts = map[string]string{
 	"no_routing_table":        "the entry had just started and had not received a routing table from a control replica",
 	"no_route":                "the routing table of this version has no route for the host and path",
-	"no_upstream":             "no upstream of the service was known",
+	"no_upstream":             "no upstream of the service, or for a stream that goes on of its software version, was known",
+	"origin_unknown":          "the caller took a stream up, and no entry in reach knew which software version began it",
+	"origin_not_routed":       "the caller took a stream up, and the route no longer leads to the service that began it",
 	"queue_full":              "more requests were waiting for a slot than could get one within the time that the route allows",
 	"wait_over":               "no slot became free within the share of the latency objective for which a request may wait",
 	"unreachable":             "none of the upstreams tried could be reached",
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -43,6 +43,8 @@
 	Slots     *SlotPool
 	// Storage is the client of the storage group.
 	Storage *client.ReplicaClient
+	// StreamOrigins knows which engines began the streams of callers.
+	StreamOrigins *StreamOrigins
 
 	follower     *Follower
 	loadReporter *LoadReporter
@@ -77,6 +79,7 @@
 			Name: "briarcross_upstream_suspicions_total", Help: "Failures that had requests kept away from an upstream.",
 		}),
 	}
+	d.StreamOrigins = newStreamOrigins(settings.Address, d.View, func(address string, e *pb.Envelope) error { return d.datagrams.Send(address, e) })
 	d.Transport = transport.NewClient(d.Identity, nil)
 	d.Storage = client.NewReplicaClient(d.Transport, nil)
 	d.Slots = NewSlotPool(dispatch.Options{
@@ -141,6 +144,7 @@
 	if request := e.GetPreemptionRequest(); request != nil && d.onPreemption != nil {
 		d.onPreemption(dispatch.PreemptionRequest{Upstream: request.GetUpstream(), Online: int(request.GetOnline())})
 	}
+	d.StreamOrigins.handle(e)
 }
 
 func (d *Dispatcher) applyViewChanges(changes ViewChanges) {
@@ -155,6 +159,13 @@
 		}
 	}
 	d.Slots.UpdateUpstreams(changes.Upstreams)
+	services := make(map[string]bool)
+	for _, u := range changes.PhaseChanges {
+		services[u.Service] = true
+	}
+	for service := range services {
+		d.StreamOrigins.VersionsChanged(service)
+	}
 }
 
 // logHealthChange logs a change of an upstream's health in this daemon's view, and
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -82,6 +82,8 @@
 		}),
 		d.suspicions,
 		d.loadReporter.sent,
+		d.StreamOrigins.sent,
+		d.StreamOrigins.found,
 		Gauge("briarcross_upstreams_suspect", "Upstreams that failed requests and that others are kept away from.", func() float64 {
 			return float64(d.Slots.SuspectCount())
 		}),
--- /dev/null
+++ b/node/stream_origins.go
@@ -0,0 +1,258 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/briarcross/briarcross/origins"
+	"github.com/briarcross/briarcross/pb"
+)
+
+const (
+	// originQueryTimeout limits the search for an origin at other entries. It is far
+	// below the pause that callers accept in a stream.
+	originQueryTimeout = 100 * time.Millisecond
+	// originQueryInterval is the interval at which a query is repeated: datagrams may
+	// be lost.
+	originQueryInterval = 25 * time.Millisecond
+	// maxOriginsPerDatagram keeps a datagram below the packet size of most networks.
+	maxOriginsPerDatagram = 16
+)
+
+// StreamOrigins records where streams began, and finds it for callers that take a
+// stream up. While a stream can have only one origin, nothing is sent.
+type StreamOrigins struct {
+	selfAddress string
+	view        *View
+	send        func(address string, e *pb.Envelope) error
+	// sent counts the datagrams by kind, found the searches by result.
+	sent  *prometheus.CounterVec
+	found *prometheus.CounterVec
+
+	mu    sync.Mutex
+	table *origins.Table
+	// mixed holds the services that have had several versions since the last change of
+	// their engines.
+	mixed map[string]bool
+	// queries holds the searches in progress by the number of their query.
+	queries   map[uint64]chan originReply
+	lastQuery uint64
+}
+
+func newStreamOrigins(selfAddress string, view *View, send func(address string, e *pb.Envelope) error) *StreamOrigins {
+	return &StreamOrigins{
+		selfAddress: selfAddress, view: view, send: send,
+		sent: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "briarcross_stream_origin_datagrams_total", Help: "Datagrams about the origins of streams, by kind: record, query, reply, failed.",
+		}, []string{"kind"}),
+		found: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "briarcross_stream_origin_searches_total", Help: "Streams that callers took up, by how their origin was found: own, entry, only_origin, unknown.",
+		}, []string{"result"}),
+		table:   origins.NewTable(),
+		mixed:   make(map[string]bool),
+		queries: make(map[uint64]chan originReply),
+	}
+}
+
+// Record records the origin of a stream that may be run by some services. It must be
+// called before the caller gets the first event.
+func (o *StreamOrigins) Record(requestID string, origin origins.Origin, services []string) {
+	record := origins.Record{RequestID: requestID, Origin: origin}
+	o.mu.Lock()
+	o.table.Add(time.Now(), record)
+	o.mu.Unlock()
+	if _, certain := o.onlyOrigin(services); !certain {
+		o.sendRecords(o.homes(requestID), []origins.Record{record})
+	}
+}
+
+// onlyOrigin returns the origin of all streams of some services if there is only one:
+// one service with engines of one version.
+func (o *StreamOrigins) onlyOrigin(services []string) (origin origins.Origin, certain bool) {
+	if len(services) != 1 {
+		return origins.Origin{}, false
+	}
+	versions := o.view.SoftwareVersions(services[0])
+	if len(versions) != 1 {
+		return origins.Origin{}, false
+	}
+	return origins.Origin{Service: services[0], SoftwareVersion: versions[0]}, true
+}
+
+// Find returns the origin of the stream that a request began and that some services
+// may run. It is unknown if several are possible and no entry has a record.
+func (o *StreamOrigins) Find(ctx context.Context, requestID string, services []string) (origins.Origin, bool) {
+	origin, result := o.find(ctx, requestID, services)
+	o.found.WithLabelValues(result).Inc()
+	return origin, result != "unknown"
+}
+
+func (o *StreamOrigins) find(ctx context.Context, requestID string, services []string) (origin origins.Origin, result string) {
+	o.mu.Lock()
+	origin, known := o.table.Find(time.Now(), requestID)
+	o.mu.Unlock()
+	if known {
+		return origin, "own"
+	}
+	if origin, known = o.onlyOrigin(services); known {
+		return origin, "only_origin"
+	}
+	if origin, known = o.ask(ctx, requestID); known {
+		return origin, "entry"
+	}
+	return origins.Origin{}, "unknown"
+}
+
+// ask queries the homes of an origin, until one of them knows it or none does.
+func (o *StreamOrigins) ask(ctx context.Context, requestID string) (origins.Origin, bool) {
+	homes := o.homes(requestID)
+	if requestID == "" || len(homes) == 0 {
+		return origins.Origin{}, false
+	}
+	number, replies := o.openQuery()
+	defer o.closeQuery(number)
+	ctx, cancel := context.WithTimeout(ctx, originQueryTimeout)
+	defer cancel()
+	repeat := time.NewTicker(originQueryInterval)
+	defer repeat.Stop()
+	query := &pb.StreamOriginQuery{RequestId: requestID, Query: number}
+	o.sendAll("query", homes, &pb.Envelope{Body: &pb.Envelope_StreamOriginQuery{StreamOriginQuery: query}})
+	unknownAt := make(map[string]bool)
+	for len(unknownAt) < len(homes) {
+		select {
+		case reply := <-replies:
+			if reply.known {
+				return reply.origin, true
+			}
+			unknownAt[reply.from] = true
+		case <-repeat.C:
+			o.sendAll("query", homes, &pb.Envelope{Body: &pb.Envelope_StreamOriginQuery{StreamOriginQuery: query}})
+		case <-ctx.Done():
+			return origins.Origin{}, false
+		}
+	}
+	return origins.Origin{}, false
+}
+
+// originReply is the reply of one entry to a query.
+type originReply struct {
+	from   string
+	origin origins.Origin
+	known  bool
+}
+
+// maxReplies bounds the replies to one query that wait to be read; each home may
+// reply to each repetition.
+const maxReplies = origins.HomeCount * int(originQueryTimeout/originQueryInterval)
+
+func (o *StreamOrigins) openQuery() (uint64, <-chan originReply) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.lastQuery++
+	replies := make(chan originReply, maxReplies)
+	o.queries[o.lastQuery] = replies
+	return o.lastQuery, replies
+}
+
+func (o *StreamOrigins) closeQuery(number uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.queries, number)
+}
+
+// homes lists the other entries that keep the origin of a stream.
+func (o *StreamOrigins) homes(requestID string) []string {
+	var entries []string
+	for _, d := range o.view.Daemons(RoleEntry) {
+		entries = append(entries, d.GetAddress())
+	}
+	return slices.DeleteFunc(origins.Homes(requestID, entries), func(address string) bool { return address == o.selfAddress })
+}
+
+// VersionsChanged sends the records of a service to their homes once it has engines
+// of several versions. The streams in progress began while it had one.
+func (o *StreamOrigins) VersionsChanged(service string) {
+	mixed := len(o.view.SoftwareVersions(service)) > 1
+	o.mu.Lock()
+	var records []origins.Record
+	if mixed && !o.mixed[service] {
+		records = o.table.OfService(time.Now(), service)
+	}
+	o.mixed[service] = mixed
+	o.mu.Unlock()
+	byHome := make(map[string][]origins.Record)
+	for _, record := range records {
+		for _, home := range o.homes(record.RequestID) {
+			byHome[home] = append(byHome[home], record)
+		}
+	}
+	for home, records := range byHome {
+		o.sendRecords([]string{home}, records)
+	}
+}
+
+func (o *StreamOrigins) sendRecords(addresses []string, records []origins.Record) {
+	for part := range slices.Chunk(records, maxOriginsPerDatagram) {
+		message := &pb.StreamOrigins{}
+		for _, r := range part {
+			message.Origins = append(message.Origins, encodeOrigin(r))
+		}
+		o.sendAll("record", addresses, &pb.Envelope{Body: &pb.Envelope_StreamOrigins{StreamOrigins: message}})
+	}
+}
+
+// sendAll sends a datagram to each address. A failed send is only counted: other
+// homes have the record too, and queries are repeated.
+func (o *StreamOrigins) sendAll(kind string, addresses []string, e *pb.Envelope) {
+	for _, address := range addresses {
+		o.sent.WithLabelValues(kind).Inc()
+		if err := o.send(address, e); err != nil {
+			o.sent.WithLabelValues("failed").Inc()
+		}
+	}
+}
+
+// handle handles a datagram about origins.
+func (o *StreamOrigins) handle(e *pb.Envelope) {
+	switch body := e.GetBody().(type) {
+	case *pb.Envelope_StreamOrigins:
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		for _, r := range body.StreamOrigins.GetOrigins() {
+			o.table.Add(time.Now(), origins.Record{
+				RequestID: r.GetRequestId(), Origin: origins.Origin{Service: r.GetService(), SoftwareVersion: r.GetSoftwareVersion()},
+			})
+		}
+	case *pb.Envelope_StreamOriginQuery:
+		reply := &pb.StreamOriginReply{Query: body.StreamOriginQuery.GetQuery()}
+		id := body.StreamOriginQuery.GetRequestId()
+		o.mu.Lock()
+		origin, known := o.table.Find(time.Now(), id)
+		o.mu.Unlock()
+		if known {
+			reply.Origin = encodeOrigin(origins.Record{RequestID: id, Origin: origin})
+		}
+		o.sendAll("reply", []string{e.GetHeader().GetReplyAddress()}, &pb.Envelope{Body: &pb.Envelope_StreamOriginReply{StreamOriginReply: reply}})
+	case *pb.Envelope_StreamOriginReply:
+		origin := body.StreamOriginReply.GetOrigin()
+		reply := originReply{
+			from: e.GetHeader().GetReplyAddress(), known: origin != nil,
+			origin: origins.Origin{Service: origin.GetService(), SoftwareVersion: origin.GetSoftwareVersion()},
+		}
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		select {
+		case o.queries[body.StreamOriginReply.GetQuery()] <- reply:
+		default:
+			// The search has ended.
+		}
+	}
+}
+
+func encodeOrigin(r origins.Record) *pb.StreamOrigin {
+	return &pb.StreamOrigin{RequestId: r.RequestID, Service: r.Origin.Service, SoftwareVersion: r.Origin.SoftwareVersion}
+}
--- a/node/view.go
+++ b/node/view.go
@@ -21,6 +21,9 @@
 	mu        sync.Mutex
 	routing   Routing
 	upstreams *fleet.Table
+	// softwareVersions lists the software versions of each service's upstreams, nil if
+	// it is outdated.
+	softwareVersions map[string][]string
 	// lastPhases holds the last reported phase of each upstream by its ID.
 	lastPhases map[string]instancePhase
 	// daemons holds the daemons that each control replica reports by their address,
@@ -88,6 +91,9 @@
 	changes.Upstreams = v.upstreams.ChangedSince(before)
 	changes.Renewed = v.upstreams.RenewedSince(before)
 	changes.PhaseChanges = v.updatePhases(changes.Upstreams)
+	if len(changes.Upstreams) > 0 {
+		v.softwareVersions = nil
+	}
 	if len(u.GetStorage()) > 0 {
 		v.storage = u.GetStorage()
 		v.retiring = u.GetRetiring()
@@ -221,6 +227,22 @@
 	return v.upstreams.All()
 }
 
+// SoftwareVersions lists the software versions of the upstreams of a service,
+// including those that have left in the last minutes: streams that they began may go on.
+func (v *View) SoftwareVersions(service string) []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.softwareVersions == nil {
+		v.softwareVersions = make(map[string][]string)
+		for _, u := range v.upstreams.All() {
+			if versions := v.softwareVersions[u.Service]; !slices.Contains(versions, u.SoftwareVersion) {
+				v.softwareVersions[u.Service] = append(versions, u.SoftwareVersion)
+			}
+		}
+	}
+	return v.softwareVersions[service]
+}
+
 // ExpireUpstreams removes the upstreams that left or fell silent long ago, and
 // returns their IDs.
 func (v *View) ExpireUpstreams(now time.Time) []string {
@@ -232,6 +254,7 @@
 	expired := v.upstreams.Expire(now)
 	for _, id := range expired {
 		delete(v.lastPhases, id)
+		v.softwareVersions = nil
 	}
 	return expired
 }
--- /dev/null
+++ b/origins/origins_test.go
@@ -0,0 +1,80 @@
+package origins
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+var start = time.UnixMilli(1_000_000)
+
+func newRecord(id, version string) Record { return Record{id, Origin{"s", version}} }
+
+func TestTheFirstOriginOfAStreamStays(t *testing.T) {
+	expect := NewWithT(t)
+	table := NewTable()
+	table.Add(start, newRecord("a", "1"))
+	table.Add(start, newRecord("a", "2"))
+	origin, known := table.Find(start, "a")
+	expect.Expect(known).To(BeTrue())
+	expect.Expect(origin.SoftwareVersion).To(Equal("1"))
+}
+
+func TestOriginsExpire(t *testing.T) {
+	expect := NewWithT(t)
+	table := NewTable()
+	table.Add(start, newRecord("a", "1"))
+	table.Add(start.Add(time.Second), newRecord("b", "1"))
+	_, known := table.Find(start.Add(Retention), "a")
+	expect.Expect(known).To(BeFalse())
+	expect.Expect(table.OfService(start.Add(Retention), "s")).To(Equal([]Record{newRecord("b", "1")}))
+	expect.Expect(table.OfService(start.Add(Retention), "other")).To(BeEmpty())
+}
+
+func TestTheTableIsBounded(t *testing.T) {
+	expect := NewWithT(t)
+	table := NewTable()
+	for i := range maxRecords + 10 {
+		table.Add(start, newRecord(fmt.Sprint(i), "1"))
+	}
+	expect.Expect(table.origins).To(HaveLen(maxRecords))
+	_, known := table.Find(start, "9")
+	expect.Expect(known).To(BeFalse())
+	_, known = table.Find(start, "10")
+	expect.Expect(known).To(BeTrue())
+}
+
+// A request without an ID cannot be taken up.
+func TestAnEmptyIDIsNotRecorded(t *testing.T) {
+	table := NewTable()
+	table.Add(start, newRecord("", "1"))
+	_, known := table.Find(start, "")
+	NewWithT(t).Expect(known).To(BeFalse())
+}
+
+func TestHomesChangeLittleWhenADaemonLeaves(t *testing.T) {
+	expect := NewWithT(t)
+	var addresses []string
+	for i := range 20 {
+		addresses = append(addresses, fmt.Sprintf("10.0.0.%d:1", i))
+	}
+	counts := make(map[string]int)
+	for i := range 1000 {
+		id := fmt.Sprint("stream-", i)
+		homes := Homes(id, addresses)
+		expect.Expect(homes).To(HaveLen(HomeCount))
+		for _, home := range homes {
+			counts[home]++
+			remaining := slices.DeleteFunc(slices.Clone(addresses), func(a string) bool { return a == home })
+			moved := slices.DeleteFunc(Homes(id, remaining), func(a string) bool { return slices.Contains(homes, a) })
+			expect.Expect(moved).To(HaveLen(1))
+		}
+	}
+	for _, address := range addresses {
+		expect.Expect(counts[address]).To(BeNumerically("~", 1000*HomeCount/20, 80), address)
+	}
+	expect.Expect(Homes("a", addresses[:2])).To(ConsistOf(addresses[0], addresses[1]))
+}
--- a/routing/table.go
+++ b/routing/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"strings"
 	"time"
 
@@ -65,6 +66,17 @@
 	return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable
 }
 
+// Services lists the services to which the route leads.
+func (r *Route) Services() []string {
+	var services []string
+	for _, s := range r.Splits {
+		if s.Weight > 0 && !slices.Contains(services, s.Service) {
+			services = append(services, s.Service)
+		}
+	}
+	return services
+}
+
 // PickService maps a random number to a service, in proportion to the weights.
 func (r *Route) PickService(random uint64) string {
 	totalWeight := 0
