Soak streams that break off while two software versions serve

The engines of the fault soak have two software versions, which their events name. Engines break streams off for a while, and callers take cut streams up at another entry; no stream may hold events of two versions, and one that goes on must be whole.

--- a/e2e/platform_engine_test.go
+++ b/e2e/platform_engine_test.go
@@ -24,6 +24,7 @@
 	headerStamp          = "Briarcross-Response-Stamp"
 	headerNotExecuted    = "Briarcross-Not-Executed"
 	headerLastEventID    = "Last-Event-Id"
+	headerResumes        = "Resumes"
 	headerDeadlineMs     = "Briarcross-Deadline-Ms"
 	pathHeartbeat        = "/Instances.Heartbeat/"
 	pathDeregister       = "/Instances.Deregister/"
@@ -33,6 +34,10 @@
 	serviceName          = "summaries"
 )
 
+// cutAfterEvents is the number of events after which an engine breaks off a stream
+// while it does so.
+const cutAfterEvents = 3
+
 // eventCount returns the number of events in the complete response to a request,
 // derived from its ID.
 func eventCount(id string) int {
@@ -76,6 +81,7 @@
 // fakeEngine is a fake of an engine of the platform, in the test process.
 type fakeEngine struct {
 	id               string
+	version          string
 	zone             string
 	address          string
 	startUnixMs      int64
@@ -87,6 +93,8 @@
 	running  atomic.Int32
 	sequence atomic.Int64
 	draining atomic.Bool
+	// cutsStreams is set while the engine breaks off each stream after some events.
+	cutsStreams atomic.Bool
 	// drainAckUnixMs is the time of the first acknowledged heartbeat that reported
 	// draining; zero before.
 	drainAckUnixMs atomic.Int64
@@ -97,7 +105,7 @@
 	goroutines   sync.WaitGroup
 }
 
-func startFakeEngine(t *testing.T, id, zone, ip string, control []string, ledger *runLedger) *fakeEngine {
+func startFakeEngine(t *testing.T, id, version, zone, ip string, control []string, ledger *runLedger) *fakeEngine {
 	t.Helper()
 	listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	if err != nil {
@@ -105,7 +113,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &fakeEngine{
-		id: id, zone: zone, address: listener.Addr().String(), startUnixMs: time.Now().UnixMilli(), ledger: ledger,
+		id: id, version: version, zone: zone, address: listener.Addr().String(), startUnixMs: time.Now().UnixMilli(), ledger: ledger,
 		controlAddresses: control, cancel: cancel,
 		client: &http.Client{Timeout: time.Second, Transport: &http.Transport{}},
 	}
@@ -144,7 +152,7 @@
 		state = "draining"
 	}
 	body, err := json.Marshal(map[string]any{
-		"Service": serviceName, "Addr": e.address, "Zone": e.zone, "Slots": engineSlots,
+		"Service": serviceName, "Addr": e.address, "Zone": e.zone, "Version": e.version, "Slots": engineSlots,
 		"State": state, "Seq": e.sequence.Add(1), "born": e.startUnixMs, "ColdLeftMs": 0,
 	})
 	if err != nil {
@@ -207,21 +215,29 @@
 	if err != nil {
 		lastID = 0
 	}
+	// A stream that its caller takes up is that of the request that began it.
+	contentID := id
+	if resumed := r.Header.Get(headerResumes); resumed != "" {
+		contentID = resumed
+	}
 	w.Header().Set(headerStamp, e.id+"."+id)
 	w.Header().Set("Content-Type", "text/event-stream")
 	ticker := time.NewTicker(eventInterval)
 	defer ticker.Stop()
-	for n := lastID + 1; n <= eventCount(id); n++ {
+	for n := lastID + 1; n <= eventCount(contentID); n++ {
 		select {
 		case <-r.Context().Done():
 			return
 		case <-ticker.C:
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, eventText(id, n)); err != nil {
+		if _, err := fmt.Fprintf(w, "id: %d\nevent: %s\ndata: %s\n\n", n, e.version, eventText(contentID, n)); err != nil {
 			return
 		}
 		if http.NewResponseController(w).Flush() != nil {
 			return
 		}
+		if e.cutsStreams.Load() && n >= lastID+cutAfterEvents {
+			panic(http.ErrAbortHandler)
+		}
 	}
 }
--- a/e2e/platform_fleet_test.go
+++ b/e2e/platform_fleet_test.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -98,7 +100,7 @@
 		f.startNode(n, true)
 	}
 	for i := range engines {
-		f.engines = append(f.engines, startFakeEngine(t, fmt.Sprintf("i-%d", i), zoneName(i), f.hostIP(100+i), f.operatorsAddresses(), &f.ledger))
+		f.engines = append(f.engines, startFakeEngine(t, fmt.Sprintf("i-%d", i), engineVersion(i, engines), zoneName(i), f.hostIP(100+i), f.operatorsAddresses(), &f.ledger))
 	}
 	f.replaceConfiguration()
 	f.await("every entry completes a request", func() bool {
@@ -255,7 +257,10 @@
 	status   int
 	complete bool
 	stamp    string
-	body     string
+	// body is the response without the lines that name versions.
+	body string
+	// versions lists the software versions that wrote the events.
+	versions []string
 	err      error
 }
 
@@ -280,10 +285,35 @@
 	raw, err := io.ReadAll(response.Body)
 	return streamResponse{
 		status: response.StatusCode, complete: err == nil && response.StatusCode == http.StatusOK,
-		stamp: response.Header.Get(headerStamp), body: string(raw), err: err,
+		stamp: response.Header.Get(headerStamp), body: versionLine.ReplaceAllString(string(raw), ""), err: err,
+		versions: versionsIn(string(raw)),
 	}
 }
 
+// versionLine matches the line of an event that names the software version of its
+// engine.
+var versionLine = regexp.MustCompile(`(?m)^event: (.*)\n`)
+
+// versionsIn lists the software versions that wrote the events of a stream.
+func versionsIn(stream string) []string {
+	var versions []string
+	for _, match := range versionLine.FindAllStringSubmatch(stream, -1) {
+		if !slices.Contains(versions, match[1]) {
+			versions = append(versions, match[1])
+		}
+	}
+	return versions
+}
+
+// engineVersion returns the software version of the engine with a number: half of
+// four or more engines have another one than the rest.
+func engineVersion(i, engines int) string {
+	if engines >= 4 && i >= engines/2 {
+		return "v2"
+	}
+	return "v1"
+}
+
 // expectedStream returns the body of the complete response to a request.
 func expectedStream(id string) string {
 	var b bytes.Buffer
--- a/e2e/platform_soak_test.go
+++ b/e2e/platform_soak_test.go
@@ -78,6 +78,10 @@
 	jobDeletedAt map[string]time.Time
 	ackedVersion int64
 	servedCount  int
+	// takenUpCount counts the cut streams that callers took up, wentOnCount those that
+	// were then completed.
+	takenUpCount int
+	wentOnCount  int
 }
 
 func runSoak(t *testing.T, seed uint64, duration time.Duration) {
@@ -122,11 +126,52 @@
 		request.Host = routeHost
 		request.Header.Set(headerID, id)
 		request.Header.Set(headerDeadlineMs, "4000")
-		s.checkResponse(id, prefix, s.doRequest(client, request))
+		got := s.doRequest(client, request)
+		s.checkResponse(id, prefix, got)
+		if prefix == "/resumable/" && !got.complete && len(got.versions) > 0 {
+			s.takeUpStream(client, id, got, s.entries[(caller+i/20+1)%len(s.entries)])
+		}
 		sleepContext(ctx, 20*time.Millisecond)
 	}
 }
 
+// takeUpStream takes a stream that was cut up at another entry. What it gets must
+// follow what it has, from the same software version.
+func (s *soakRun) takeUpStream(client *http.Client, id string, cut streamResponse, n *platformNode) {
+	received := strings.Count(cut.body, "\n\n")
+	request, err := http.NewRequest(http.MethodPost, "http://"+n.callersAddress()+"/resumable/x", strings.NewReader("prompt"))
+	if err != nil {
+		s.t.Error(err)
+		return
+	}
+	request.Host = routeHost
+	request.Header.Set(headerID, "again-"+id)
+	request.Header.Set(headerDeadlineMs, "3000")
+	request.Header.Set(headerLastEventID, strconv.Itoa(received))
+	request.Header.Set(headerResumes, id)
+	got := s.doRequest(client, request)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.takenUpCount++
+	if got.status == http.StatusServiceUnavailable {
+		s.notRunIDs = append(s.notRunIDs, "again-"+id)
+	}
+	if got.status != http.StatusOK {
+		return
+	}
+	whole := streamResponse{body: cut.body[:strings.LastIndex(cut.body, "\n\n")+2] + got.body, versions: slices.Compact(slices.Concat(cut.versions, got.versions))}
+	if len(whole.versions) > 1 {
+		s.t.Errorf("stream %s holds events of the versions %v", id, whole.versions)
+	}
+	if !got.complete {
+		return
+	}
+	s.wentOnCount++
+	if whole.body != expectedStream(id) {
+		s.t.Errorf("stream %s, taken up after %d events: wrong content %q", id, received, whole.body)
+	}
+}
+
 // checkResponse checks a response and records the guarantees that checkFinalState
 // verifies.
 func (s *soakRun) checkResponse(id, prefix string, got streamResponse) {
@@ -135,6 +180,9 @@
 	if prefix == "/once/" {
 		s.onceIDs = append(s.onceIDs, id)
 	}
+	if len(got.versions) > 1 {
+		s.t.Errorf("request %s: the response holds events of the versions %v", id, got.versions)
+	}
 	switch {
 	case got.complete:
 		s.servedCount++
@@ -304,6 +352,12 @@
 		n.proxy.setMode(forwardAll)
 		n.proxy.closeConnections()
 	}},
+	{"break off the streams of an engine", func(s *soakRun, ctx context.Context) {
+		e := s.engines[s.rand.IntN(len(s.engines))]
+		e.cutsStreams.Store(true)
+		s.pauseRandom(ctx, 1500)
+		e.cutsStreams.Store(false)
+	}},
 	{"close the connections of a daemon", func(s *soakRun, _ context.Context) {
 		s.pickNode(s.nodes()).proxy.closeConnections()
 	}},
@@ -402,6 +456,7 @@
 			s.t.Errorf("request %s may run at most once, but has run %d times", id, len(runs))
 		}
 	}
+	s.t.Logf("%d cut streams taken up, %d completed", s.takenUpCount, s.wentOnCount)
 	s.t.Logf("%d requests served, %d refused as not run, %d jobs, version %d", s.servedCount, len(s.notRunIDs), len(s.jobResults), s.ackedVersion)
 	if s.servedCount == 0 {
 		s.t.Error("no request was served")
