--- /dev/null
+++ b/node/review_expiry_test.go
@@ -0,0 +1,94 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/briarcross/briarcross/fleet"
+	"github.com/briarcross/briarcross/pb"
+)
+
+// reviewControl is the table of a control replica, and what it has sent to a daemon.
+type reviewControl struct {
+	*fleet.Table
+	sent uint64
+}
+
+func (c *reviewControl) update(now time.Time, silent ...string) *pb.FleetUpdate {
+	update := &pb.FleetUpdate{Silent: &pb.SilentUpstreams{Ids: silent}}
+	for _, u := range c.ChangedSince(c.sent) {
+		update.Upstreams = append(update.Upstreams, EncodeHeartbeat(now, u))
+	}
+	c.sent = c.LastChange()
+	return update
+}
+
+func reviewHeard(id string, sequence uint64, at time.Time) fleet.Upstream {
+	return fleet.Upstream{ID: id, Sequence: sequence, Service: "s", Address: id + ":80", Slots: 8, Phase: fleet.Ready, LastHeartbeat: at}
+}
+
+func reviewPhase(v *View, id string) fleet.Phase {
+	for _, u := range v.Upstreams() {
+		if u.ID == id {
+			return u.Phase
+		}
+	}
+	return 0
+}
+
+// Control replicas drop expired upstreams every 100 ms, daemons every 10 s. An upstream that
+// was wrongly taken for gone is heard again as soon as control has dropped it.
+func TestADaemonHearsOfAnUpstreamThatControlDroppedFirst(t *testing.T) {
+	expect := NewWithT(t)
+	at := func(seconds int) time.Time { return now.Add(time.Duration(seconds) * time.Second) }
+	control, daemon := &reviewControl{Table: fleet.NewTable()}, NewView()
+	gone := reviewHeard("u", 4, at(0))
+	gone.Phase = fleet.Gone
+	control.Apply(gone)
+	daemon.Merge(at(0), "a", control.update(at(0)))
+	expect.Expect(control.Expire(at(120))).To(Equal([]string{"u"}))
+	control.Apply(reviewHeard("u", 200, at(121)))
+	daemon.Merge(at(121), "a", control.update(at(121)))
+	daemon.ExpireUpstreams(at(129))
+	for second := 122; second < 180; second++ {
+		control.Apply(reviewHeard("u", uint64(second+80), at(second)))
+		daemon.Merge(at(second), "a", control.update(at(second)))
+	}
+	expect.Expect(reviewPhase(daemon, "u")).To(Equal(fleet.Ready))
+}
+
+// An upstream is cut off from control for just under the time after which control drops
+// it; the daemon drops it before that.
+func TestADaemonKeepsASilentUpstreamAsLongAsControl(t *testing.T) {
+	expect := NewWithT(t)
+	at := func(seconds int) time.Time { return now.Add(time.Duration(seconds) * time.Second) }
+	control, daemon := &reviewControl{Table: fleet.NewTable()}, NewView()
+	sequence := uint64(0)
+	for second := range 150 {
+		sequence++
+		control.Apply(reviewHeard("other", sequence, at(second)))
+		if second <= 4 || second >= 122 {
+			control.Apply(reviewHeard("u", sequence, at(second)))
+		}
+		expect.Expect(control.Expire(at(second))).To(BeEmpty())
+		daemon.Merge(at(second), "a", control.update(at(second), control.SilentSince(at(second-4))...))
+		if second%10 == 0 {
+			daemon.ExpireUpstreams(at(second))
+		}
+	}
+	expect.Expect(reviewPhase(daemon, "u")).To(Equal(fleet.Ready))
+}
+
+// A control replica that lags, or is cut off from its group, does not know yet that a
+// storage replica is being retired. No replica ever ends a retirement.
+func TestALaggingControlReplicaDoesNotEndARetirement(t *testing.T) {
+	expect := NewWithT(t)
+	v := NewView()
+	founders := []*pb.Replica{{Id: "s1:1", Address: "s1:1"}}
+	v.Merge(now, "a", &pb.FleetUpdate{Storage: founders, Retiring: []string{"s1:1"}})
+	v.Merge(now, "b", &pb.FleetUpdate{Storage: founders})
+	_, retiring := v.StorageMembers()
+	expect.Expect(retiring).To(Equal([]string{"s1:1"}))
+}
