Store only what upstreams said, and derive who has an address

What a table inferred from the order in which records arrived was stored as the phase Replaced and sent to others like a statement of the engine. A daemon hears of changes only, so that nothing corrected it there. A deregistration of an unknown ID was given a start time, which was later than any other at the address; an unknown start time counted as the earliest; an upstream was looked up at an address that it had left.

The phase Replaced is gone, also from the wire. A table keeps what an upstream said, and Gone where both start times are known. All upstreams that claim an address stay present; the one with the latest heartbeat has it (ages are transmitted, so relayed and saved records compare by them), and SilentSince lists the others, so that daemons use them last, and batch not at all. A deregistration of an unknown ID has its own field (deregistered_unix_ms), which ends only starts of that ID. A restart keeps the age of a saved record; the time while the process was down is unknown and not added. Control logs why an upstream is silent: upstream_silent, with replaced_by.

Replicas of build in the same group send phase 4; such records are ignored.

--- a/controlnode/maintenance.go
+++ b/controlnode/maintenance.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/briarcross/briarcross/eventlog"
+	"github.com/briarcross/briarcross/fleet"
 	"github.com/briarcross/briarcross/node"
 	"github.com/briarcross/briarcross/pb"
 )
@@ -51,7 +52,7 @@
 }
 
 // expireUpstreams removes the upstreams that left or fell silent long ago, and lists
-// those that have missed several heartbeats.
+// those that have missed several heartbeats or lost their address.
 func (n *Node) expireUpstreams() {
 	now := time.Now()
 	n.upstreamLock.Lock()
@@ -60,13 +61,41 @@
 	}
 	silent := n.upstreams.SilentSince(now.Add(-node.MaxMissedHeartbeats * n.settings.HeartbeatInterval))
 	changed := !slices.Equal(silent, n.silent)
+	var lines []silentUpstream
+	for _, id := range silent {
+		if _, listed := slices.BinarySearch(n.silent, id); !listed {
+			lines = append(lines, n.describeSilent(id))
+		}
+	}
 	n.silent = silent
 	n.upstreamLock.Unlock()
+	for _, line := range lines {
+		n.logger.Info(eventlog.UpstreamSilent, "upstream", line.ID, "address", line.Address, "replaced_by", line.replacedBy,
+			"heard_ms", now.Sub(line.LastHeartbeat).Milliseconds())
+	}
 	if changed {
 		n.subscribers.notify()
 	}
 }
 
+// silentUpstream is a silent upstream and the ID of the other one that has its
+// address, if any.
+type silentUpstream struct {
+	fleet.Upstream
+	replacedBy string
+}
+
+// describeSilent returns what is logged of a silent upstream. The caller must hold
+// upstreamLock.
+func (n *Node) describeSilent(id string) silentUpstream {
+	u, _ := n.upstreams.Get(id)
+	described := silentUpstream{Upstream: u}
+	if holder, ok := n.upstreams.Holder(u.Address); ok && holder.ID != id {
+		described.replacedBy = holder.ID
+	}
+	return described
+}
+
 // bootstrapStorage proposes the initial members of the storage group, if it has
 // none. It waits for a full group unless timedOut is set.
 func (n *Node) bootstrapStorage(storeDaemons []*pb.Daemon, timedOut bool) {
--- a/controlnode/upstreams.go
+++ b/controlnode/upstreams.go
@@ -48,9 +48,9 @@
 	}
 	now := time.Now()
 	for _, heartbeat := range saved.GetUpstreams() {
-		// With this age, an upstream is used only if no other is left, until its
-		// next heartbeat.
-		heartbeat.AgeMs = uint32((node.MaxMissedHeartbeats * n.settings.HeartbeatInterval).Milliseconds())
+		// With at least this age, an upstream is used only if no other is left,
+		// until its next heartbeat. The time since the table was saved is unknown.
+		heartbeat.AgeMs = max(heartbeat.GetAgeMs(), uint32((node.MaxMissedHeartbeats * n.settings.HeartbeatInterval).Milliseconds()))
 		n.upstreams.Apply(node.DecodeHeartbeat(now, heartbeat))
 	}
 	for _, u := range n.upstreams.All() {
--- a/eventlog/logger.go
+++ b/eventlog/logger.go
@@ -34,6 +34,7 @@
 	RequestFinished    = "request_finished"
 	RequestCut         = "request_cut"
 	UpstreamChanged    = "upstream_changed"
+	UpstreamSilent     = "upstream_silent"
 	UpstreamJudged     = "upstream_judged"
 	HeartbeatRejected  = "heartbeat_rejected"
 	RoutingApplied     = "routing_applied"
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -14,14 +14,15 @@
 	Ready Phase = iota + 1
 	// Draining upstreams finish their running requests and accept no new ones.
 	Draining
-	// Gone upstreams have deregistered, or a later start took their address.
+	// Gone upstreams have deregistered, or their start time is earlier than that of
+	// another upstream at their address.
 	Gone
-	// Replaced upstreams have lost their address to another upstream that was heard
-	// later. Start times do not tell which of the two started later, so an upstream
-	// that is heard again takes its address back.
-	Replaced
 )
 
+func (p Phase) isKnown() bool {
+	return p == Ready || p == Draining || p == Gone
+}
+
 // isPresent reports whether an upstream in this phase still has its address.
 func (p Phase) isPresent() bool {
 	return p == Ready || p == Draining
@@ -50,8 +51,11 @@
 	// Silent is set while heartbeats are missing. The upstream is then used only if
 	// no other is free.
 	Silent bool
-	// ReplacedBy is the ID of the upstream that took the address of this one, if the
-	// table inferred from that that it is gone.
+	// DeregisteredUnixMs is set for an upstream that deregistered where it was not
+	// known: its starts up to this time are gone.
+	DeregisteredUnixMs uint64
+	// ReplacedBy is the ID of the upstream with a later start at the address of this
+	// one, if this one is gone for that.
 	ReplacedBy string
 
 	// change is the table's change number at the latest change of the record, and
@@ -65,7 +69,19 @@
 func (u *Upstream) renews(previous *Upstream) bool {
 	return u.StartUnixMs == previous.StartUnixMs && u.Service == previous.Service && u.Address == previous.Address &&
 		u.DataCentre == previous.DataCentre && u.Slots == previous.Slots && u.Phase == previous.Phase &&
-		u.SoftwareVersion == previous.SoftwareVersion
+		u.SoftwareVersion == previous.SoftwareVersion && u.DeregisteredUnixMs == previous.DeregisteredUnixMs
+}
+
+// includes reports whether the start of an upstream is among those that left with
+// this one.
+func (u *Upstream) includes(other *Upstream) bool {
+	return u.Phase == Gone && (other.StartUnixMs == u.StartUnixMs || other.StartUnixMs <= u.DeregisteredUnixMs)
+}
+
+// startedBefore reports whether the start times prove that an upstream started
+// before another one.
+func (u *Upstream) startedBefore(other *Upstream) bool {
+	return u.StartUnixMs > 0 && u.StartUnixMs < other.StartUnixMs
 }
 
 // upstreamRetention is the time for which an upstream is kept after its last
@@ -76,9 +92,8 @@
 // Table merges heartbeats. The zero value is not usable; call NewTable.
 type Table struct {
 	upstreams map[string]*Upstream
-	// atAddress maps an address to the ID of the upstream that started there
-	// last.
-	atAddress map[string]string
+	// atAddress holds the present upstreams of each address by their ID.
+	atAddress map[string]map[string]*Upstream
 	// changes is the number of changes and renewals so far, lastChange the number of
 	// the latest change.
 	changes    uint64
@@ -87,28 +102,23 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{upstreams: make(map[string]*Upstream), atAddress: make(map[string]string)}
+	return &Table{upstreams: make(map[string]*Upstream), atAddress: make(map[string]map[string]*Upstream)}
 }
 
 // Apply merges a heartbeat and reports whether it was newer than the stored one.
 func (t *Table) Apply(heartbeat Upstream) bool {
 	held, known := t.upstreams[heartbeat.ID]
-	if known && !supersedes(&heartbeat, held) {
+	if !heartbeat.Phase.isKnown() || known && !supersedes(&heartbeat, held) {
 		return false
 	}
-	if other := t.otherAtAddress(&heartbeat); other != nil && heartbeat.Phase.isPresent() {
-		switch {
-		case other.StartUnixMs > heartbeat.StartUnixMs:
-			heartbeat.Phase, heartbeat.ReplacedBy = Gone, other.ID
-		case other.Phase.isPresent():
-			t.replace(other, &heartbeat)
-		}
-	}
 	stored := heartbeat
-	t.upstreams[heartbeat.ID] = &stored
-	if stored.Phase.isPresent() {
-		t.atAddress[stored.Address] = stored.ID
+	if known && stored.Phase == Gone && stored.Address == "" {
+		// It deregistered where only its ID was known.
+		stored = *held
+		stored.Phase, stored.DeregisteredUnixMs, stored.LastHeartbeat = Gone, heartbeat.DeregisteredUnixMs, heartbeat.LastHeartbeat
 	}
+	t.endEarlierStarts(&stored)
+	t.store(&stored)
 	if known && stored.renews(held) {
 		stored.Silent = held.Silent
 		stored.change = held.change
@@ -120,50 +130,74 @@
 	return true
 }
 
-// replace ends an upstream whose address another one has taken.
-func (t *Table) replace(former, successor *Upstream) {
-	former.Phase, former.ReplacedBy = Replaced, successor.ID
-	if successor.StartUnixMs > former.StartUnixMs {
-		former.Phase = Gone
+// endEarlierStarts marks a present upstream and the others at its address as Gone where
+// the start times prove it.
+func (t *Table) endEarlierStarts(u *Upstream) {
+	if !u.Phase.isPresent() {
+		return
+	}
+	for _, other := range t.atAddress[u.Address] {
+		switch {
+		case other.ID == u.ID:
+		case u.startedBefore(other):
+			u.Phase, u.ReplacedBy = Gone, other.ID
+			return
+		case other.startedBefore(u):
+			other.Phase, other.ReplacedBy = Gone, u.ID
+			t.leaveAddress(other)
+			t.recordChange(other)
+		}
+	}
+}
+
+// store replaces the record of an upstream.
+func (t *Table) store(u *Upstream) {
+	if held, known := t.upstreams[u.ID]; known {
+		t.leaveAddress(held)
+	}
+	t.upstreams[u.ID] = u
+	if !u.Phase.isPresent() {
+		return
+	}
+	if t.atAddress[u.Address] == nil {
+		t.atAddress[u.Address] = make(map[string]*Upstream)
+	}
+	t.atAddress[u.Address][u.ID] = u
+}
+
+func (t *Table) leaveAddress(u *Upstream) {
+	delete(t.atAddress[u.Address], u.ID)
+	if len(t.atAddress[u.Address]) == 0 {
+		delete(t.atAddress, u.Address)
 	}
-	t.recordChange(former)
 }
 
 // supersedes reports whether a heartbeat is newer than the stored one.
 func supersedes(heartbeat, held *Upstream) bool {
-	if heartbeat.StartUnixMs != held.StartUnixMs {
-		return heartbeat.StartUnixMs > held.StartUnixMs
-	}
 	switch {
-	case held.Phase == Gone:
-		return false
-	case heartbeat.Phase == Gone:
+	case held.includes(heartbeat):
+		return heartbeat.Phase == Gone && heartbeat.DeregisteredUnixMs > held.DeregisteredUnixMs
+	case heartbeat.includes(held):
 		return true
-	case heartbeat.Phase == Replaced && held.Phase != Replaced:
-		return heartbeat.Sequence >= held.Sequence
+	case heartbeat.StartUnixMs != held.StartUnixMs:
+		return heartbeat.StartUnixMs > held.StartUnixMs
 	}
 	return heartbeat.Sequence > held.Sequence
 }
 
-// otherAtAddress returns the other upstream that is known at the address of a
-// heartbeat, or nil.
-func (t *Table) otherAtAddress(heartbeat *Upstream) *Upstream {
-	id, ok := t.atAddress[heartbeat.Address]
-	if !ok || id == heartbeat.ID {
-		return nil
-	}
-	return t.upstreams[id]
-}
-
 // Deregister marks the latest known start of an upstream as Gone. For an unknown
 // upstream it marks every start before now.
 func (t *Table) Deregister(id string, now time.Time) {
 	held, known := t.upstreams[id]
 	if !known {
-		held = &Upstream{ID: id, StartUnixMs: uint64(now.UnixMilli())}
+		held = &Upstream{ID: id}
 		t.upstreams[id] = held
 	}
+	if !known || held.DeregisteredUnixMs > 0 {
+		held.DeregisteredUnixMs = uint64(now.UnixMilli())
+	}
 	held.Phase = Gone
+	t.leaveAddress(held)
 	held.LastHeartbeat = now
 	t.recordChange(held)
 }
@@ -193,18 +227,42 @@
 }
 
 // SilentSince returns the sorted IDs of the present upstreams whose last heartbeat is
-// older than a time.
+// older than a time, and of those that do not have their address: see Holder.
 func (t *Table) SilentSince(since time.Time) []string {
 	var silent []string
-	for id, u := range t.upstreams {
-		if u.Phase.isPresent() && u.LastHeartbeat.Before(since) {
-			silent = append(silent, id)
+	for _, upstreams := range t.atAddress {
+		holder := latestHeard(upstreams)
+		for id, u := range upstreams {
+			if u != holder || u.LastHeartbeat.Before(since) {
+				silent = append(silent, id)
+			}
 		}
 	}
 	slices.Sort(silent)
 	return silent
 }
 
+// Holder returns the upstream that has an address: of the present ones there, the one
+// that was heard last.
+func (t *Table) Holder(address string) (Upstream, bool) {
+	holder := latestHeard(t.atAddress[address])
+	if holder == nil {
+		return Upstream{}, false
+	}
+	return *holder, true
+}
+
+func latestHeard(upstreams map[string]*Upstream) *Upstream {
+	var latest *Upstream
+	for id, u := range upstreams {
+		if latest == nil || u.LastHeartbeat.After(latest.LastHeartbeat) ||
+			u.LastHeartbeat.Equal(latest.LastHeartbeat) && id < latest.ID {
+			latest = u
+		}
+	}
+	return latest
+}
+
 // Get returns an upstream by its ID.
 func (t *Table) Get(id string) (Upstream, bool) {
 	u, ok := t.upstreams[id]
@@ -283,9 +341,7 @@
 			continue
 		}
 		delete(t.upstreams, id)
-		if t.atAddress[u.Address] == id {
-			delete(t.atAddress, u.Address)
-		}
+		t.leaveAddress(u)
 		expired = append(expired, id)
 	}
 	return expired
--- a/node/view.go
+++ b/node/view.go
@@ -257,6 +257,8 @@
 		ColdUntil:       heard.Add(time.Duration(heartbeat.GetColdMs()) * time.Millisecond),
 		LastHeartbeat:   heard,
 		SoftwareVersion: heartbeat.GetSoftwareVersion(),
+
+		DeregisteredUnixMs: heartbeat.GetDeregisteredUnixMs(),
 	}
 }
 
@@ -274,6 +276,8 @@
 		ColdMs:          milliseconds(u.ColdUntil.Sub(u.LastHeartbeat)),
 		AgeMs:           milliseconds(now.Sub(u.LastHeartbeat)),
 		SoftwareVersion: u.SoftwareVersion,
+
+		DeregisteredUnixMs: u.DeregisteredUnixMs,
 	}
 }
 
