Apply the changes of the view to the pool in the order in which they were made

Callers would have seen an engine that runs unused, or requests sent to one that had left, until its next change, which may never come: daemons hear of changes only.

Cause: each subscription merged its update and then handed the changes to the pool; between the two another subscription could do both. The removal of expired upstreams was open to the same. Class: the order of arrival at the pool was taken for the order of the changes.

MergeAndApply and ExpireAndApply hold one lock over both steps. What runs under it logs into a buffer, closes idle connections and decodes a routing table; it locks the pool, which never locks the view.

--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -208,9 +208,11 @@
 // expireUpstreams removes the upstreams that left or fell silent long ago.
 func (d *Dispatcher) expireUpstreams(ctx context.Context) {
 	for ctx.Err() == nil {
-		for _, id := range d.View.ExpireUpstreams(time.Now()) {
-			d.Slots.RemoveUpstream(id)
-		}
+		d.View.ExpireAndApply(time.Now(), func(ids []string) {
+			for _, id := range ids {
+				d.Slots.RemoveUpstream(id)
+			}
+		})
 		sleep(ctx, expireInterval)
 	}
 }
--- a/node/follower.go
+++ b/node/follower.go
@@ -79,8 +79,8 @@
 	return s.connected && now.Sub(s.currentAt) < outdatedGrace || now.Sub(s.openedAt) < connectGrace
 }
 
-// NewFollower returns a follower. onChange is called for each update, possibly
-// from several goroutines at once.
+// NewFollower returns a follower. onChange is called for each update, one call after
+// the other in the order of the changes, and must not block.
 func NewFollower(t *transport.Client, view *View, self *pb.Daemon, seeds []string, logger *log.Logger, onChange func(ViewChanges)) *Follower {
 	return &Follower{
 		transport:     t,
@@ -239,11 +239,10 @@
 			connected = true
 			f.logger.Info(eventlog.DependencyFound, "dependency", "control", "address", address)
 		}
-		changes := f.view.Merge(time.Now(), address, update)
+		changes := f.view.MergeAndApply(time.Now(), address, update, f.onChange)
 		if changes.Routing != nil {
 			f.announceRouting(s, changes.Routing.Version)
 		}
-		f.onChange(changes)
 	}
 }
 
--- a/node/view.go
+++ b/node/view.go
@@ -18,6 +18,10 @@
 
 // View merges the updates of all control replicas. It is safe for concurrent use.
 type View struct {
+	// applying is held while a change is made and applied, so that changes are
+	// applied in the order in which they were made. It is locked before mu.
+	applying sync.Mutex
+
 	mu        sync.Mutex
 	routing   Routing
 	upstreams *fleet.Table
@@ -64,6 +68,16 @@
 	PhaseChanges []fleet.Upstream
 }
 
+// MergeAndApply merges an update and passes its changes to apply. Calls of
+// MergeAndApply and ExpireAndApply run one after the other.
+func (v *View) MergeAndApply(now time.Time, from string, u *pb.FleetUpdate, apply func(ViewChanges)) ViewChanges {
+	v.applying.Lock()
+	defer v.applying.Unlock()
+	changes := v.Merge(now, from, u)
+	apply(changes)
+	return changes
+}
+
 // Merge applies an update from the control replica at the address from.
 func (v *View) Merge(now time.Time, from string, u *pb.FleetUpdate) ViewChanges {
 	v.mu.Lock()
@@ -221,6 +235,14 @@
 	return v.upstreams.All()
 }
 
+// ExpireAndApply removes the upstreams that left or fell silent long ago, and passes
+// their IDs to apply.
+func (v *View) ExpireAndApply(now time.Time, apply func(ids []string)) {
+	v.applying.Lock()
+	defer v.applying.Unlock()
+	apply(v.ExpireUpstreams(now))
+}
+
 // ExpireUpstreams removes the upstreams that left or fell silent long ago, and
 // returns their IDs.
 func (v *View) ExpireUpstreams(now time.Time) []string {
