Tell daemons of upstreams that are heard again after a silence

Callers would have seen an engine unused by some entries for as long as it runs, after two minutes in which control heard nothing of it or had wrongly taken it for gone; or an engine that crashed used by a daemon like a running one from the time at which control dropped it.

Cause: a daemon hears of changes only, and dropped upstreams on a clock of its own. One that it dropped first was missing, as control took the next heartbeat for a renewal; one that control dropped first was no longer listed as silent, which the daemon took for heard.

Control now reports an upstream that falls silent, or is heard again, as changed (Table.MarkSilent), and a daemon drops it after half the time after which control does: always before the list ends. It does not add one at its subscription that it would drop at once. A heartbeat a table's retention after a deregistration disproves that one, in either order of arrival, so that a daemon does not refuse an upstream that control has dropped and heard again.

Keeping upstreams longer at daemons (twice the time) was tried and ruled out: it makes the second fault certain.

--- a/controlnode/maintenance.go
+++ b/controlnode/maintenance.go
@@ -59,7 +59,7 @@
 	for _, id := range n.upstreams.Expire(now) {
 		delete(n.relayed, id)
 	}
-	silent := n.upstreams.SilentSince(now.Add(-node.MaxMissedHeartbeats * n.settings.HeartbeatInterval))
+	silent := n.upstreams.MarkSilent(now.Add(-node.MaxMissedHeartbeats * n.settings.HeartbeatInterval))
 	changed := !slices.Equal(silent, n.silent)
 	var lines []silentUpstream
 	for _, id := range silent {
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -84,14 +84,22 @@
 	return u.StartUnixMs > 0 && u.StartUnixMs < other.StartUnixMs
 }
 
-// upstreamRetention is the time for which an upstream is kept after its last
-// heartbeat or its deregistration, so that a delayed heartbeat does not add it
+// upstreamRetention is the time for which a control replica keeps an upstream after its
+// last heartbeat or its deregistration, so that a delayed heartbeat does not add it
 // again.
 const upstreamRetention = 2 * time.Minute
 
-// Table merges heartbeats. The zero value is not usable; call NewTable.
+// followerRetention is the retention of a table that hears only of the changes of others.
+// It drops an upstream before they stop to report it as silent, and learns of it again
+// when they hear it: see MarkSilent.
+const followerRetention = upstreamRetention / 2
+
+// Table merges heartbeats. The zero value is not usable; call NewTable or
+// NewFollowerTable.
 type Table struct {
 	upstreams map[string]*Upstream
+	// retention is the time after which upstreams expire.
+	retention time.Duration
 	// atAddress holds the present upstreams of each address by their ID.
 	atAddress map[string]map[string]*Upstream
 	// changes is the number of changes and renewals so far, lastChange the number of
@@ -102,13 +110,27 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{upstreams: make(map[string]*Upstream), atAddress: make(map[string]map[string]*Upstream)}
+	return newTable(upstreamRetention)
+}
+
+// NewFollowerTable returns an empty table for a daemon that hears of the changes of
+// other tables only.
+func NewFollowerTable() *Table {
+	return newTable(followerRetention)
+}
+
+func newTable(retention time.Duration) *Table {
+	return &Table{
+		upstreams: make(map[string]*Upstream),
+		atAddress: make(map[string]map[string]*Upstream),
+		retention: retention,
+	}
 }
 
 // Apply merges a heartbeat and reports whether it was newer than the stored one.
 func (t *Table) Apply(heartbeat Upstream) bool {
 	held, known := t.upstreams[heartbeat.ID]
-	if !heartbeat.Phase.isKnown() || known && !supersedes(&heartbeat, held) {
+	if !heartbeat.Phase.isKnown() || known && !t.supersedes(&heartbeat, held) {
 		return false
 	}
 	stored := heartbeat
@@ -130,6 +152,32 @@
 	return true
 }
 
+// ApplyCurrent merges the heartbeats of an update, except those of upstreams that are not
+// known and would expire at once.
+func (t *Table) ApplyCurrent(heartbeats []Upstream) {
+	latest := t.latestHeartbeat()
+	for _, heartbeat := range heartbeats {
+		if heartbeat.LastHeartbeat.After(latest) {
+			latest = heartbeat.LastHeartbeat
+		}
+	}
+	for _, heartbeat := range heartbeats {
+		if _, known := t.upstreams[heartbeat.ID]; known || latest.Sub(heartbeat.LastHeartbeat) < t.retention {
+			t.Apply(heartbeat)
+		}
+	}
+}
+
+func (t *Table) latestHeartbeat() time.Time {
+	var latest time.Time
+	for _, u := range t.upstreams {
+		if u.LastHeartbeat.After(latest) {
+			latest = u.LastHeartbeat
+		}
+	}
+	return latest
+}
+
 // endEarlierStarts marks a present upstream and the others at its address as Gone where
 // the start times prove it.
 func (t *Table) endEarlierStarts(u *Upstream) {
@@ -173,18 +221,24 @@
 }
 
 // supersedes reports whether a heartbeat is newer than the stored one.
-func supersedes(heartbeat, held *Upstream) bool {
+func (t *Table) supersedes(heartbeat, held *Upstream) bool {
 	switch {
 	case held.includes(heartbeat):
-		return heartbeat.Phase == Gone && heartbeat.DeregisteredUnixMs > held.DeregisteredUnixMs
+		return heartbeat.Phase == Gone && heartbeat.DeregisteredUnixMs > held.DeregisteredUnixMs || t.disproves(heartbeat, held)
 	case heartbeat.includes(held):
-		return true
+		return !t.disproves(held, heartbeat)
 	case heartbeat.StartUnixMs != held.StartUnixMs:
 		return heartbeat.StartUnixMs > held.StartUnixMs
 	}
 	return heartbeat.Sequence > held.Sequence
 }
 
+// disproves reports whether an upstream was heard so long after a deregistration that
+// this cannot have been its own.
+func (t *Table) disproves(heard, deregistered *Upstream) bool {
+	return heard.Phase.isPresent() && heard.LastHeartbeat.Sub(deregistered.LastHeartbeat) >= t.retention
+}
+
 // Deregister marks the latest known start of an upstream as Gone. For an unknown
 // upstream it marks every start before now.
 func (t *Table) Deregister(id string, now time.Time) {
@@ -242,6 +296,19 @@
 	return silent
 }
 
+// MarkSilent sets Silent of each upstream as SilentSince lists it, and returns that list.
+// An upstream that is heard again after a silence has changed: a table that follows this
+// one may have dropped it.
+func (t *Table) MarkSilent(since time.Time) []string {
+	silent := t.SilentSince(since)
+	for id, u := range t.upstreams {
+		if _, listed := slices.BinarySearch(silent, id); listed != u.Silent {
+			t.SetSilent(id, listed)
+		}
+	}
+	return silent
+}
+
 // Holder returns the upstream that has an address: of the present ones there, the one
 // that was heard last.
 func (t *Table) Holder(address string) (Upstream, bool) {
@@ -319,25 +386,20 @@
 	return all
 }
 
-// Expire removes upstreams that are not present and have not been heard for
-// upstreamRetention, and those whose last heartbeat is that much older than the latest
+// Expire removes upstreams that are not present and have not been heard for the
+// table's retention, and those whose last heartbeat is that much older than the latest
 // heartbeat of any upstream, and returns their IDs. A present upstream is not compared
 // with now: if no heartbeat arrives from any upstream, control is unavailable and
 // the upstreams still run.
 func (t *Table) Expire(now time.Time) []string {
-	var latest time.Time
-	for _, u := range t.upstreams {
-		if u.LastHeartbeat.After(latest) {
-			latest = u.LastHeartbeat
-		}
-	}
+	latest := t.latestHeartbeat()
 	var expired []string
 	for id, u := range t.upstreams {
 		until := latest
 		if !u.Phase.isPresent() {
 			until = now
 		}
-		if until.Sub(u.LastHeartbeat) < upstreamRetention {
+		if until.Sub(u.LastHeartbeat) < t.retention {
 			continue
 		}
 		delete(t.upstreams, id)
--- a/fleet/table_test.go
+++ b/fleet/table_test.go
@@ -249,6 +249,33 @@
 	expect.Expect(table.Expire(start.Add(upstreamRetention))).To(Equal([]string{"a"}))
 }
 
+// A control replica that was cut off still reports a deregistration, or a record of the time
+// before, when the upstream has been heard for long.
+func TestAnOldDeregistrationDoesNotEndAnUpstreamHeardSince(t *testing.T) {
+	expect := NewWithT(t)
+	gone := newHeartbeat("a", 0, 4, Gone)
+	heard := heardAt(start.Add(upstreamRetention), newHeartbeat("a", 0, 200, Ready))
+	for _, order := range [][]Upstream{{gone, heard}, {heard, gone}} {
+		for _, table := range []*Table{NewTable(), NewFollowerTable()} {
+			for _, u := range order {
+				table.Apply(u)
+			}
+			held, _ := table.Get("a")
+			expect.Expect(held.Phase).To(Equal(Ready))
+		}
+	}
+}
+
+// A heartbeat that a partition delayed arrives seconds after the deregistration.
+func TestADelayedHeartbeatDoesNotEndADeregistration(t *testing.T) {
+	expect := NewWithT(t)
+	for _, table := range []*Table{NewTable(), NewFollowerTable()} {
+		table.Apply(newHeartbeat("a", 0, 4, Ready))
+		table.Deregister("a", start.Add(time.Second))
+		expect.Expect(table.Apply(heardAt(start.Add(30*time.Second), newHeartbeat("a", 0, 5, Ready)))).To(BeFalse())
+	}
+}
+
 // The table holds the same record for every order in which the heartbeats of one
 // upstream arrive.
 func TestMergeDoesNotDependOnTheOrder(t *testing.T) {
--- a/node/view.go
+++ b/node/view.go
@@ -52,7 +52,7 @@
 
 // NewView returns an empty view.
 func NewView() *View {
-	return &View{upstreams: fleet.NewTable(), lastPhases: make(map[string]instancePhase), daemons: make(map[string]map[string]*pb.Daemon), silent: make(map[string][]string)}
+	return &View{upstreams: fleet.NewFollowerTable(), lastPhases: make(map[string]instancePhase), daemons: make(map[string]map[string]*pb.Daemon), silent: make(map[string][]string)}
 }
 
 // ViewChanges lists the changes that an update made to a view.
@@ -89,9 +89,11 @@
 		changes.Routing = &copied
 	}
 	before := v.upstreams.LastChange()
+	var heartbeats []fleet.Upstream
 	for _, heartbeat := range u.GetUpstreams() {
-		v.upstreams.Apply(DecodeHeartbeat(now, heartbeat))
+		heartbeats = append(heartbeats, DecodeHeartbeat(now, heartbeat))
 	}
+	v.applyHeartbeats(heartbeats, u.GetSilent() != nil)
 	if u.GetSilent() != nil {
 		v.silent[from] = u.GetSilent().GetIds()
 		v.silentOutdated = true
@@ -111,6 +113,18 @@
 	return changes
 }
 
+// applyHeartbeats merges heartbeats. With expiring set, it leaves out those of upstreams
+// that the sender is about to drop, and then no longer lists as silent.
+func (v *View) applyHeartbeats(heartbeats []fleet.Upstream, expiring bool) {
+	if expiring {
+		v.upstreams.ApplyCurrent(heartbeats)
+		return
+	}
+	for _, heartbeat := range heartbeats {
+		v.upstreams.Apply(heartbeat)
+	}
+}
+
 // mergeDaemons applies the daemons of an update: the whole list, or its changes.
 func (v *View) mergeDaemons(from string, u *pb.FleetUpdate) {
 	if len(u.GetDaemons()) > 0 {
