Ignore another instance's response at an upstream's former address

Callers would have been refused, or waited, while an upstream that had moved was not used until its next change: a request sent to its former address got the response of another instance, and the pool took the upstream for gone at its present one.

A grant has the address that it was for; the response counts only if the upstream is still there. TestAnotherInstanceAtAFormerAddressDoesNotEndAnUpstream failed before. It stands in package dispatch now and also checks that such a response at the present address does end the upstream.

--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -338,7 +338,9 @@
 	case Served:
 		p.statsOf(u.Service).recordCompletion(now, grant)
 	case OtherInstance:
-		u.Phase = fleet.Gone
+		if grant.Address == u.Address {
+			u.Phase = fleet.Gone
+		}
 	case Inconclusive, Rejected, Failed:
 	}
 	p.grantQueued(now)
--- a/dispatch/pool_test.go
+++ b/dispatch/pool_test.go
@@ -405,3 +405,20 @@
 		})
 	}
 }
+
+// A response of another instance at an upstream's former address says nothing about the
+// upstream at its present one.
+func TestAnotherInstanceAtAFormerAddressDoesNotEndAnUpstream(t *testing.T) {
+	expect := NewWithT(t)
+	u := readyUpstream("u", "near", 8)
+	p := newPool(u)
+	g, _ := requestSlot(p, start, onlineRequest(1, 0))
+	u.Sequence, u.Address = 2, "10.0.0.2:80"
+	p.UpdateUpstream(u)
+	p.Release(start, *g, OtherInstance)
+	g, _ = requestSlot(p, timeAt(1000), onlineRequest(2, 0))
+	expect.Expect(g).NotTo(BeNil())
+	p.Release(timeAt(1000), *g, OtherInstance)
+	g, _ = requestSlot(p, timeAt(2000), onlineRequest(3, 0))
+	expect.Expect(g).To(BeNil())
+}
