Keep a retirement that a lagging control replica does not know

A storage replica that is being emptied could have been told by a control replica that lags, or is cut off from its group, that it is not: the daemon took the list of the update that arrived last. Its emptying then stops until another update, which control sends only when something changes.

The list of retirements only grows (deployment keeps retired replicas in it), so the view now joins the lists. TestALaggingControlReplicaDoesNotEndARetirement failed before.

--- a/node/view.go
+++ b/node/view.go
@@ -106,7 +106,8 @@
 	changes.PhaseChanges = v.updatePhases(changes.Upstreams)
 	if len(u.GetStorage()) > 0 {
 		v.storage = u.GetStorage()
-		v.retiring = u.GetRetiring()
+		// No retirement ends, but a replica that lags may not know of one yet.
+		v.retiring = mergeAddresses(v.retiring, u.GetRetiring())
 	}
 	v.control = mergeAddresses(v.control, u.GetControl())
 	v.mergeDaemons(from, u)
--- a/node/view_test.go
+++ b/node/view_test.go
@@ -188,6 +188,18 @@
 	expect.Expect(found[0].GetAddress()).To(Equal("s2"))
 }
 
+// A control replica that lags, or is cut off from its group, does not know yet that a
+// storage replica is being retired. No replica ever ends a retirement.
+func TestALaggingControlReplicaDoesNotEndARetirement(t *testing.T) {
+	expect := NewWithT(t)
+	v := NewView()
+	founders := []*pb.Replica{{Id: "s1:1", Address: "s1:1"}}
+	v.Merge(now, "a", &pb.FleetUpdate{Storage: founders, Retiring: []string{"s1:1"}})
+	v.Merge(now, "b", &pb.FleetUpdate{Storage: founders})
+	_, retiring := v.StorageMembers()
+	expect.Expect(retiring).To(Equal([]string{"s1:1"}))
+}
+
 func newTestFollower(role string) *Follower {
 	self := &pb.Daemon{Address: "self", Role: role, DataCentre: "dc0"}
 	return NewFollower(nil, NewView(), self, []string{"c1", "c2", "c3"}, nil, func(ViewChanges) {})
