Relay a deregistration of an upstream whose heartbeats went to another replica

Entries that follow only the other control replicas would have sent requests to an engine after it had left, until it counted as silent.

Cause: a record whose latest heartbeat another replica had sent counted as relayed, also after the engine deregistered here, and relayed records are not sent on.

--- a/controlnode/api.go
+++ b/controlnode/api.go
@@ -131,6 +131,7 @@
 	n.upstreamLock.Lock()
 	n.upstreams.Deregister(id, time.Now())
 	current, _ := n.upstreams.Get(id)
+	n.relayed[id] = false
 	n.upstreamsUnsaved = true
 	n.upstreamLock.Unlock()
 	n.announceUpstreams([]fleet.Upstream{current}, sourceDeregistration)
--- a/controlnode/reused_address_test.go
+++ b/controlnode/reused_address_test.go
@@ -135,3 +135,20 @@
 	}
 	expect.Expect(isUsableIn(daemon, "current")).To(BeTrue())
 }
+
+// An engine leaves through a replica that knows it from another one. The other replica
+// must hear of that.
+func TestADeregistrationIsRelayedAlsoIfTheHeartbeatWasRelayed(t *testing.T) {
+	expect := NewWithT(t)
+	a, b := newTestReplica(t, "a"), newTestReplica(t, "b")
+	aToB, bToA := newSubscriberOf(node.RoleControl), newSubscriberOf(node.RoleControl)
+	a.send(aToB, b)
+	b.send(bToA, a)
+	a.RecordHeartbeat(addressHeartbeat("u", 1))
+	a.send(aToB, b)
+	b.send(bToA, a)
+	b.Deregister("u")
+	b.send(bToA, a)
+	u, _ := a.upstreams.Get("u")
+	expect.Expect(u.Phase).To(Equal(fleet.Gone))
+}
