--- /dev/null
+++ b/controlnode/reused_address_test.go
@@ -0,0 +1,154 @@
+package controlnode
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/briarcross/briarcross/fleet"
+	"github.com/briarcross/briarcross/node"
+	"github.com/briarcross/briarcross/pb"
+)
+
+// testReplica is a control replica with the view that merges what the others send it.
+type testReplica struct {
+	*Node
+	address string
+}
+
+func newTestReplica(t *testing.T, address string) testReplica {
+	n := newUnstartedNode(t.TempDir())
+	n.view = node.NewView()
+	return testReplica{n, address}
+}
+
+// update returns what the replica sends to a subscriber next.
+func (r testReplica) update(s *subscriber) *pb.FleetUpdate {
+	update := &pb.FleetUpdate{}
+	r.expireUpstreams()
+	r.addUpstreams(time.Now(), s, update)
+	return update
+}
+
+// send sends the next update to another replica.
+func (r testReplica) send(s *subscriber, to testReplica) {
+	to.applyRelayed(to.view.Merge(time.Now(), r.address, r.update(s)))
+}
+
+func addressHeartbeat(id string, sequence uint64) fleet.Upstream {
+	return fleet.Upstream{ID: id, Sequence: sequence, Service: "s", Address: "10.0.0.1:80", Slots: 8, Phase: fleet.Ready}
+}
+
+// isUsableIn reports whether a daemon uses an upstream before others are unavailable.
+func isUsableIn(v *node.View, id string) bool {
+	for _, u := range v.Upstreams() {
+		if u.ID == id {
+			return u.Phase == fleet.Ready && !u.Silent
+		}
+	}
+	return false
+}
+
+// isUsable reports whether a replica has an upstream as Ready and not silent.
+func (r testReplica) isUsable(id string) bool {
+	r.expireUpstreams()
+	u, known := r.upstreams.Get(id)
+	return known && u.Phase == fleet.Ready && !slices.Contains(r.silent, id)
+}
+
+// Replica b is back with a saved table that has only the former engine of an address; a
+// knows the present one. A daemon subscribes to both; b hears of the present engine from
+// a before a subscribes to b. The present engine sends on heartbeats to a.
+func TestADaemonHearsAgainOfAnEngineThatItsViewReplaced(t *testing.T) {
+	expect := NewWithT(t)
+	a, b := newTestReplica(t, "a"), newTestReplica(t, "b")
+	b.RecordHeartbeat(addressHeartbeat("former", 9))
+	a.RecordHeartbeat(addressHeartbeat("current", 1))
+	daemon := node.NewView()
+	aToDaemon, bToDaemon := newSubscriberOf(node.RoleEntry), newSubscriberOf(node.RoleEntry)
+	aToB, bToA := newSubscriberOf(node.RoleControl), newSubscriberOf(node.RoleControl)
+	exchange := func() {
+		daemon.Merge(time.Now(), "a", a.update(aToDaemon))
+		daemon.Merge(time.Now(), "b", b.update(bToDaemon))
+		a.send(aToB, b)
+		b.send(bToA, a)
+	}
+	exchange()
+	for sequence := uint64(2); sequence < 20; sequence++ {
+		exchange()
+		a.RecordHeartbeat(addressHeartbeat("current", sequence))
+	}
+	exchange()
+	for _, r := range []testReplica{a, b} {
+		expect.Expect(r.isUsable("current")).To(BeTrue(), r.address)
+	}
+	expect.Expect(isUsableIn(daemon, "former")).To(BeFalse())
+	expect.Expect(isUsableIn(daemon, "current")).To(BeTrue())
+}
+
+// Replica b is cut off from a, and has only the former engine, which crashed. A daemon
+// that reaches both subscribes to b after a.
+func TestAReplicaThatIsCutOffDoesNotReplaceAnEngineAtADaemon(t *testing.T) {
+	expect := NewWithT(t)
+	a, b := newTestReplica(t, "a"), newTestReplica(t, "b")
+	b.RecordHeartbeat(addressHeartbeat("former", 9))
+	a.RecordHeartbeat(addressHeartbeat("former", 8))
+	a.RecordHeartbeat(addressHeartbeat("current", 1))
+	daemon := node.NewView()
+	aToDaemon, bToDaemon := newSubscriberOf(node.RoleEntry), newSubscriberOf(node.RoleEntry)
+	daemon.Merge(time.Now(), "a", a.update(aToDaemon))
+	daemon.Merge(time.Now(), "b", b.update(bToDaemon))
+	for sequence := uint64(2); sequence < 100; sequence++ {
+		a.RecordHeartbeat(addressHeartbeat("current", sequence))
+		daemon.Merge(time.Now(), "a", a.update(aToDaemon))
+		daemon.Merge(time.Now(), "b", b.update(bToDaemon))
+	}
+	expect.Expect(isUsableIn(daemon, "current")).To(BeTrue())
+}
+
+// An engine leaves through a replica that does not know it, and another starts at its
+// address.
+func TestADeregistrationAtAReplicaWithAnEmptyDiskLeavesTheNextEngine(t *testing.T) {
+	expect := NewWithT(t)
+	a, b := newTestReplica(t, "a"), newTestReplica(t, "b")
+	daemon := node.NewView()
+	aToDaemon, bToDaemon := newSubscriberOf(node.RoleEntry), newSubscriberOf(node.RoleEntry)
+	aToB, bToA := newSubscriberOf(node.RoleControl), newSubscriberOf(node.RoleControl)
+	a.RecordHeartbeat(addressHeartbeat("former", 9))
+	daemon.Merge(time.Now(), "a", a.update(aToDaemon))
+	b.Deregister("former")
+	exchange := func() {
+		a.send(aToB, b)
+		b.send(bToA, a)
+		daemon.Merge(time.Now(), "a", a.update(aToDaemon))
+		daemon.Merge(time.Now(), "b", b.update(bToDaemon))
+	}
+	exchange()
+	for sequence := uint64(1); sequence < 20; sequence++ {
+		b.RecordHeartbeat(addressHeartbeat("current", sequence))
+		exchange()
+	}
+	for _, r := range []testReplica{a, b} {
+		expect.Expect(r.isUsable("current")).To(BeTrue(), r.address)
+	}
+	expect.Expect(isUsableIn(daemon, "current")).To(BeTrue())
+}
+
+// An engine leaves through a replica that knows it from another one. The other replica
+// must hear of that.
+func TestADeregistrationIsRelayedAlsoIfTheHeartbeatWasRelayed(t *testing.T) {
+	expect := NewWithT(t)
+	a, b := newTestReplica(t, "a"), newTestReplica(t, "b")
+	aToB, bToA := newSubscriberOf(node.RoleControl), newSubscriberOf(node.RoleControl)
+	a.send(aToB, b)
+	b.send(bToA, a)
+	a.RecordHeartbeat(addressHeartbeat("u", 1))
+	a.send(aToB, b)
+	b.send(bToA, a)
+	b.Deregister("u")
+	b.send(bToA, a)
+	u, _ := a.upstreams.Get("u")
+	expect.Expect(u.Phase).To(Equal(fleet.Gone))
+}
--- a/node/view.go
+++ b/node/view.go
@@ -18,6 +18,10 @@
 
 // View merges the updates of all control replicas. It is safe for concurrent use.
 type View struct {
+	// applying is held while a change is made and applied, so that changes are
+	// applied in the order in which they were made. It is locked before mu.
+	applying sync.Mutex
+
 	mu        sync.Mutex
 	routing   Routing
 	upstreams *fleet.Table
@@ -51,7 +55,7 @@
 
 // NewView returns an empty view.
 func NewView() *View {
-	return &View{upstreams: fleet.NewTable(), lastPhases: make(map[string]instancePhase), daemons: make(map[string]map[string]*pb.Daemon), silent: make(map[string][]string)}
+	return &View{upstreams: fleet.NewFollowerTable(), lastPhases: make(map[string]instancePhase), daemons: make(map[string]map[string]*pb.Daemon), silent: make(map[string][]string)}
 }
 
 // ViewChanges lists the changes that an update made to a view.
@@ -67,6 +71,16 @@
 	PhaseChanges []fleet.Upstream
 }
 
+// MergeAndApply merges an update and passes its changes to apply. Calls of
+// MergeAndApply and ExpireAndApply run one after the other.
+func (v *View) MergeAndApply(now time.Time, from string, u *pb.FleetUpdate, apply func(ViewChanges)) ViewChanges {
+	v.applying.Lock()
+	defer v.applying.Unlock()
+	changes := v.Merge(now, from, u)
+	apply(changes)
+	return changes
+}
+
 // Merge applies an update from the control replica at the address from.
 func (v *View) Merge(now time.Time, from string, u *pb.FleetUpdate) ViewChanges {
 	v.mu.Lock()
@@ -78,9 +92,11 @@
 		changes.Routing = &copied
 	}
 	before := v.upstreams.LastChange()
+	var heartbeats []fleet.Upstream
 	for _, heartbeat := range u.GetUpstreams() {
-		v.upstreams.Apply(DecodeHeartbeat(now, heartbeat))
+		heartbeats = append(heartbeats, DecodeHeartbeat(now, heartbeat))
 	}
+	v.applyHeartbeats(heartbeats, u.GetSilent() != nil)
 	if u.GetSilent() != nil {
 		v.silent[from] = u.GetSilent().GetIds()
 		v.silentOutdated = true
@@ -96,13 +112,26 @@
 	}
 	if len(u.GetStorage()) > 0 {
 		v.storage = u.GetStorage()
-		v.retiring = u.GetRetiring()
+		// No retirement ends, but a replica that lags may not know of one yet.
+		v.retiring = mergeAddresses(v.retiring, u.GetRetiring())
 	}
 	v.control = mergeAddresses(v.control, u.GetControl())
 	v.mergeDaemons(from, u)
 	return changes
 }
 
+// applyHeartbeats merges heartbeats. With expiring set, it leaves out those of upstreams
+// that the sender is about to drop, and then no longer lists as silent.
+func (v *View) applyHeartbeats(heartbeats []fleet.Upstream, expiring bool) {
+	if expiring {
+		v.upstreams.ApplyCurrent(heartbeats)
+		return
+	}
+	for _, heartbeat := range heartbeats {
+		v.upstreams.Apply(heartbeat)
+	}
+}
+
 // mergeDaemons applies the daemons of an update: the whole list, or its changes.
 func (v *View) mergeDaemons(from string, u *pb.FleetUpdate) {
 	if len(u.GetDaemons()) > 0 {
@@ -228,7 +257,7 @@
 }
 
 // SoftwareVersions lists the software versions of the upstreams of a service,
-// including those that have left in the last minutes: streams that they began may go on.
+// including those that left not long ago: streams that they began may go on.
 func (v *View) SoftwareVersions(service string) []string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -243,6 +272,14 @@
 	return v.softwareVersions[service]
 }
 
+// ExpireAndApply removes the upstreams that left or fell silent long ago, and passes
+// their IDs to apply.
+func (v *View) ExpireAndApply(now time.Time, apply func(ids []string)) {
+	v.applying.Lock()
+	defer v.applying.Unlock()
+	apply(v.ExpireUpstreams(now))
+}
+
 // ExpireUpstreams removes the upstreams that left or fell silent long ago, and
 // returns their IDs.
 func (v *View) ExpireUpstreams(now time.Time) []string {
@@ -280,6 +317,8 @@
 		ColdUntil:       heard.Add(time.Duration(heartbeat.GetColdMs()) * time.Millisecond),
 		LastHeartbeat:   heard,
 		SoftwareVersion: heartbeat.GetSoftwareVersion(),
+
+		DeregisteredUnixMs: heartbeat.GetDeregisteredUnixMs(),
 	}
 }
 
@@ -297,6 +336,8 @@
 		ColdMs:          milliseconds(u.ColdUntil.Sub(u.LastHeartbeat)),
 		AgeMs:           milliseconds(now.Sub(u.LastHeartbeat)),
 		SoftwareVersion: u.SoftwareVersion,
+
+		DeregisteredUnixMs: u.DeregisteredUnixMs,
 	}
 }
 
