Know the upstreams before the routing table makes an entry ready

An entry that had just received its first update answered ready, and refused requests with no_upstream, for a moment: the routing table was put in force before the upstreams of the same update.

--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -148,9 +148,6 @@
 }
 
 func (d *Dispatcher) applyViewChanges(changes ViewChanges) {
-	if changes.Routing != nil {
-		d.applyRouting(changes.Routing)
-	}
 	for _, u := range changes.PhaseChanges {
 		d.Logger.Info(eventlog.UpstreamChanged, "upstream", u.ID, "phase", int(u.Phase), "address", u.Address,
 			"service", u.Service, "born", u.StartUnixMs, "sequence", u.Sequence, "replaced_by", u.ReplacedBy, "version", u.SoftwareVersion)
@@ -166,6 +163,10 @@
 	for service := range services {
 		d.StreamOrigins.VersionsChanged(service)
 	}
+	// A daemon with a routing table is ready, and refuses requests without upstreams.
+	if changes.Routing != nil {
+		d.applyRouting(changes.Routing)
+	}
 }
 
 // logHealthChange logs a change of an upstream's health in this daemon's view, and
