Count no slots of silent upstreams as capacity for batch

Batch uses no silent upstream, but its capacity counted their slots: after crashes, and at addresses that are used again, batch took slots that the last burst of online requests needed. The new test failed before.

--- a/dispatch/pool_test.go
+++ b/dispatch/pool_test.go
@@ -422,3 +422,13 @@
 	g, _ = requestSlot(p, timeAt(2000), onlineRequest(3, 0))
 	expect.Expect(g).To(BeNil())
 }
+
+// A crashed upstream, or one whose address another has now, is ready but silent. Batch
+// does not use it.
+func TestSilentUpstreamsAddNoBatchCapacity(t *testing.T) {
+	expect := NewWithT(t)
+	former := readyUpstream("former", "near", 8)
+	former.Silent = true
+	p := newPool(readyUpstream("current", "near", 8), former)
+	expect.Expect(p.BatchCapacity("s")).To(Equal(7))
+}
--- a/dispatch/slidingmax.go
+++ b/dispatch/slidingmax.go
@@ -34,7 +34,7 @@
 func (m *slidingMax) highest() int { return max(m.current, m.previous) }
 
 // serviceTotals sums the slots and the requests in flight over the ready
-// upstreams of a service.
+// upstreams of a service that batch may use.
 type serviceTotals struct {
 	slots, online, batch, upstreams int
 }
@@ -42,7 +42,7 @@
 func (p *Pool) totals(service string) serviceTotals {
 	var t serviceTotals
 	for _, u := range p.sortedUpstreams {
-		if u.Service != service || u.Phase != fleet.Ready {
+		if u.Service != service || u.Phase != fleet.Ready || u.Silent {
 			continue
 		}
 		t.slots += u.Slots
