Refuse commands at a leader before its first commit; use the time before a deadline

Callers saw: a job submitted while the storage group formed was answered with 504 after 3 s (outcome unknown, "no answer in time").

Cause, two parts: - A replica that had won its election appended commands at once, behind the first entry of its term. While the disks were slow to sync that entry, each attempt waited its whole second there, and its outcome was unknown, as an appended command may be committed later. The logs name the replica as leader only when that entry is applied, so it looked like a member without a leader. A member that really has none answered NOT_LEADER in 0 to 7 ms in all trials. - The client slept its whole backoff, up to 500 ms, even past the deadline, so that a leader that was ready shortly before it was not asked. It also waited the backoff before it followed a redirect.

Fix: a leader appends no commands until it has committed an entry of its own term, as it already does for reads and membership changes. It refuses them with NOT_LEADER; they are certainly in no log. The client follows a redirect at once, but not two in a row, and shortens its last delay so that 200 ms are left for an attempt; it starts none later, as that would turn a certain refusal into an unknown outcome. With less time left it returns at once.

--- a/client/replica_client.go
+++ b/client/replica_client.go
@@ -19,12 +19,16 @@
 	initialBackoff        = 20 * time.Millisecond
 	maxBackoff            = 500 * time.Millisecond
 	defaultAttemptTimeout = 3 * time.Second
+	// minAttemptTime is the time that a repeated attempt has at least. One that ends
+	// without a response makes the outcome of a refused command unknown.
+	minAttemptTime = 200 * time.Millisecond
 )
 
 // ReplicaClient sends requests to a group of replicas. It is safe for concurrent
 // use.
 type ReplicaClient struct {
-	transport *transport.Client
+	// call is the Call method of the transport client.
+	call func(context.Context, transport.Class, string, *pb.Envelope) (*pb.Envelope, bool, error)
 	// attemptTimeout bounds one attempt at one replica.
 	attemptTimeout time.Duration
 
@@ -43,7 +47,7 @@
 
 // NewReplicaClient returns a client of the replicas at the given addresses.
 func NewReplicaClient(t *transport.Client, addresses []string) *ReplicaClient {
-	return &ReplicaClient{transport: t, addresses: addresses, attemptTimeout: defaultAttemptTimeout}
+	return &ReplicaClient{call: t.Call, addresses: addresses, attemptTimeout: defaultAttemptTimeout}
 }
 
 // SetAttemptTimeout sets the time limit of one attempt at one replica. It must be
@@ -53,9 +57,9 @@
 }
 
 // Propose sends a command to the leader, which executes it. It repeats the
-// command until a response arrives or the context ends. An error with code
-// UNKNOWN means that the command may have been executed; every other code means
-// that it was not.
+// command until a response arrives or too little time is left for another attempt.
+// An error with code UNKNOWN means that the command may have been executed; every
+// other code means that it was not.
 func (c *ReplicaClient) Propose(ctx context.Context, class transport.Class, command *pb.Command) (*pb.CommandResult, *pb.ControlError) {
 	request := &pb.ControlRequest{Request: &pb.ControlRequest_Propose{Propose: command}}
 	response, controlErr := c.callWithRetry(ctx, class, request)
@@ -154,8 +158,11 @@
 	lastErr := &pb.ControlError{Code: pb.ControlError_OVERLOADED, Reason: "no control replica answered"}
 	outcomeUnknown := false
 	backoff := initialBackoff
+	redirected := false
 	for {
-		response, sent, err := c.attempt(ctx, class, c.LeaderAddress(), request)
+		address := c.LeaderAddress()
+		redirect := false
+		response, sent, err := c.attempt(ctx, class, address, request)
 		switch {
 		case err != nil:
 			outcomeUnknown = outcomeUnknown || sent
@@ -169,9 +176,20 @@
 				return nil, lastErr
 			}
 			outcomeUnknown = outcomeUnknown || lastErr.GetCode() == pb.ControlError_UNKNOWN
-			c.SetLeaderAddress(lastErr.GetLeaderAddress())
+			leader := lastErr.GetLeaderAddress()
+			c.SetLeaderAddress(leader)
+			// Two replicas may name each other.
+			redirect = !redirected && leader != "" && leader != address
 		}
-		if !sleep(ctx, backoff) {
+		delay, ok := retryDelay(ctx, backoff)
+		if !ok {
+			return nil, finalError(lastErr, outcomeUnknown)
+		}
+		redirected = redirect
+		if redirect {
+			continue
+		}
+		if !sleep(ctx, delay) {
 			return nil, finalError(lastErr, outcomeUnknown)
 		}
 		backoff = min(2*backoff, maxBackoff)
@@ -189,6 +207,17 @@
 	return lastErr
 }
 
+// retryDelay returns the delay before the next attempt, which is at most backoff and
+// leaves minAttemptTime for the attempt. It returns false if too little time is left.
+func retryDelay(ctx context.Context, backoff time.Duration) (time.Duration, bool) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return backoff, true
+	}
+	delay := min(backoff, time.Until(deadline)-minAttemptTime)
+	return delay, delay >= initialBackoff
+}
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -209,7 +238,7 @@
 	ctx, cancel := context.WithTimeout(ctx, c.attemptTimeout)
 	defer cancel()
 	envelope := &pb.Envelope{Body: &pb.Envelope_ControlRequest{ControlRequest: request}}
-	reply, sent, err := c.transport.Call(ctx, class, address, envelope)
+	reply, sent, err := c.call(ctx, class, address, envelope)
 	if err != nil {
 		return nil, sent, err
 	}
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -241,11 +241,13 @@
 
 // propose appends commands to the log and sends them to the peers. It refuses
 // them if this replica does not lead or is transferring its leadership, or if
-// more than maxUncommittedBytes are uncommitted.
+// more than maxUncommittedBytes are uncommitted. A leader also refuses them until
+// it has committed an entry of its own term: appended commands can no longer be
+// refused, and it may never commit them.
 func (c *Core) propose(proposals []Proposal) {
 	accepted := false
 	for _, p := range proposals {
-		if c.role != leader || c.transfer.active() {
+		if c.role != leader || c.commitIndex < c.barrierIndex || c.transfer.active() {
 			c.out.Put(ProposalRefused{p.ID, RefusedNotLeader})
 			continue
 		}
--- a/quorum/core_test.go
+++ b/quorum/core_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/briarcross/briarcross/pb"
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 )
 
@@ -78,6 +79,48 @@
 	g.Expect(c.Status().Term).To(Equal(uint64(1)))
 }
 
+// electMember makes replica a the leader of term 1 by the votes of replica b. It
+// returns the outputs of its last step.
+func electMember(c *Core) []Output {
+	for range 2 * DefaultElectionTicks {
+		c.Tick(time.Time{})
+	}
+	reply := &pb.QuorumMessage{From: "b", To: "a", FromIdentity: 2, ToIdentity: 1, Term: 1}
+	preVote, vote := proto.CloneOf(reply), proto.CloneOf(reply)
+	preVote.Kind, vote.Kind = pb.QuorumKind_QUORUM_PRE_VOTE_REPLY, pb.QuorumKind_QUORUM_VOTE_REPLY
+	c.Step(time.Time{}, MessageReceived{preVote})
+	c.Drain()
+	c.Step(time.Time{}, MessageReceived{vote})
+	return c.Drain()
+}
+
+// While the first entry of a leader waited for slow disks, callers waited for their
+// commands behind it, at a replica that did not lead yet for anyone else.
+func TestLeaderRefusesProposalsBeforeItsFirstCommit(t *testing.T) {
+	g := NewWithT(t)
+	c := newMemberCore(Stored{})
+	var ticket uint64
+	for _, out := range electMember(c) {
+		if save, ok := out.(Save); ok {
+			ticket = save.Ticket
+		}
+	}
+	g.Expect(c.Status().Leading).To(BeTrue())
+	lastIndex := c.Status().LastIndex
+	c.Step(time.Time{}, Propose{[]Proposal{{ID: 7}}})
+	g.Expect(c.Drain()).To(Equal([]Output{ProposalRefused{7, RefusedNotLeader}}))
+	g.Expect(c.Status().LastIndex).To(Equal(lastIndex))
+
+	c.Step(time.Time{}, Saved{ticket})
+	c.Step(time.Time{}, MessageReceived{&pb.QuorumMessage{
+		Kind: pb.QuorumKind_QUORUM_APPEND_REPLY, From: "b", To: "a", FromIdentity: 2, ToIdentity: 1, Term: 1, LogIndex: lastIndex,
+	}})
+	g.Expect(c.Status().CommitIndex).To(Equal(lastIndex))
+	c.Drain()
+	c.Step(time.Time{}, Propose{[]Proposal{{ID: 8}}})
+	g.Expect(c.Drain()).To(ContainElement(ProposalAppended{8, lastIndex + 1, 1}))
+}
+
 func TestMessageOfAnotherGroupIsDropped(t *testing.T) {
 	g := NewWithT(t)
 	c := newMemberCore(Stored{})
--- a/quorum/output.go
+++ b/quorum/output.go
@@ -56,7 +56,8 @@
 
 // Reasons of a refusal.
 const (
-	// RefusedNotLeader also covers a leader that is transferring its leadership.
+	// RefusedNotLeader also covers a leader that is transferring its leadership or
+	// has not committed an entry of its own term.
 	RefusedNotLeader RefusalReason = iota
 	// RefusedOverloaded means that too many bytes of the log are uncommitted.
 	RefusedOverloaded
--- a/replica/fault_test.go
+++ b/replica/fault_test.go
@@ -30,14 +30,16 @@
 	expect := NewWithT(t)
 	store := &failingStore{MemoryStore: kv.NewMemoryStore()}
 	storageErrors := make(chan error, 2)
+	ready := make(chan struct{})
 	options := Options{
 		ID: "a", Bootstrap: replicaList("a"), TickInterval: testTick, StateMachine: claimStateMachine{},
 		Send: func(*pb.QuorumMessage) {}, OnStorageError: func(err error) { storageErrors <- err },
+		OnLeadershipChange: func(uint64, bool) { close(ready) },
 	}
 	expect.Expect(options.validateAndSetDefaults()).To(Succeed())
 	r, err := start(options, store, 1)
 	expect.Expect(err).NotTo(HaveOccurred())
-	expect.Eventually(func() bool { _, _, self := r.Leader(); return self }, testTimeout, testTick).Should(BeTrue())
+	expect.Eventually(ready, testTimeout, testTick).Should(BeClosed())
 
 	store.failing.Store(true)
 	_, failed := r.Propose(context.Background(), claimCommand("key", "value"))
--- a/replica/group_test.go
+++ b/replica/group_test.go
@@ -43,6 +43,8 @@
 	lock        sync.Mutex
 	replicas    map[string]*Replica
 	partitioned map[string]bool
+	// dropsAppendReplies drops the acknowledgements of log entries.
+	dropsAppendReplies bool
 }
 
 func newGroup(t testing.TB) *group {
@@ -52,7 +54,7 @@
 func (g *group) send(m *pb.QuorumMessage) {
 	g.lock.Lock()
 	target := g.replicas[m.To]
-	blocked := g.partitioned[m.To] || g.partitioned[m.From]
+	blocked := g.partitioned[m.To] || g.partitioned[m.From] || g.dropsAppendReplies && m.Kind == pb.QuorumKind_QUORUM_APPEND_REPLY
 	g.lock.Unlock()
 	if target != nil && !blocked {
 		target.Receive(m)
@@ -110,6 +112,12 @@
 	g.partitioned[id] = partitioned
 }
 
+func (g *group) setDropsAppendReplies(drops bool) {
+	g.lock.Lock()
+	defer g.lock.Unlock()
+	g.dropsAppendReplies = drops
+}
+
 func (g *group) leader() *Replica {
 	g.lock.Lock()
 	defer g.lock.Unlock()
@@ -202,3 +210,26 @@
 		NewWithT(t).Expect(readKey(r, "key")).To(Equal("499"))
 	}
 }
+
+// A job submitted while its group formed waited all of its time at an elected member
+// whose first entry was not committed, and its outcome was unknown in the end.
+func TestCommandBeforeFirstCommitOfLeaderIsRefusedAtOnce(t *testing.T) {
+	expect := NewWithT(t)
+	g := newGroup(t)
+	g.setDropsAppendReplies(true)
+	openThreeReplicas(g, memoryFolder)
+	defer g.closeAll()
+	var elected *Replica
+	expect.Eventually(func() *Replica {
+		elected = g.leader()
+		return elected
+	}, testTimeout, testTick).ShouldNot(BeNil())
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_, err := elected.Propose(ctx, claimCommand("key", "value"))
+	expect.Expect(err.GetCode()).To(Equal(pb.ControlError_NOT_LEADER))
+	expect.Expect(ctx.Err()).NotTo(HaveOccurred())
+
+	g.setDropsAppendReplies(false)
+	g.propose(claimCommand("key", "value"))
+}
