--- a/replica/fault_test.go
+++ b/replica/fault_test.go
@@ -31,10 +31,11 @@
 	store := &failingStore{MemoryStore: kv.NewMemoryStore()}
 	storageErrors := make(chan error, 2)
 	ready := make(chan struct{})
+	reportReady := sync.OnceFunc(func() { close(ready) })
 	options := Options{
 		ID: "a", Bootstrap: replicaList("a"), TickInterval: testTick, StateMachine: claimStateMachine{},
 		Send: func(*pb.QuorumMessage) {}, OnStorageError: func(err error) { storageErrors <- err },
-		OnLeadershipChange: func(uint64, bool) { close(ready) },
+		OnLeadershipChange: func(uint64, bool) { reportReady() },
 	}
 	expect.Expect(options.validateAndSetDefaults()).To(Succeed())
 	r, err := start(options, store, 1)
