--- a/dispatch/bound_test.go
+++ b/dispatch/bound_test.go
@@ -92,3 +92,20 @@
 	_, refused = requestSlot(p, timeAt(600), boundRequest(41, "1", 300*time.Millisecond))
 	expect.Expect(refused.Reason).To(Equal(QueueFull))
 }
+
+// An item that is bound to a busy version starts again at another one if that has slots.
+func TestHasSlotTellsWhetherARequestWouldBeGranted(t *testing.T) {
+	expect := NewWithT(t)
+	p := newPool(versionedUpstream("a", "1", 2), versionedUpstream("b", "2", 3))
+	request := batchRequest(1)
+	request.Bound, request.SoftwareVersion = true, "1"
+	g, _ := requestSlot(p, start, request)
+	expect.Expect(g.Upstream).To(Equal("a"))
+	expect.Expect(p.HasSlot(start, request)).To(BeFalse())
+	for id := range uint64(2) {
+		expect.Expect(p.HasSlot(start, batchRequest(0))).To(BeTrue())
+		g, _ = requestSlot(p, start, batchRequest(id+2))
+		expect.Expect(g.Upstream).To(Equal("b"))
+	}
+	expect.Expect(p.HasSlot(start, batchRequest(0))).To(BeFalse())
+}
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -359,6 +359,11 @@
 	OtherInstance
 )
 
+// HasSlot reports whether an upstream has a slot for a request.
+func (p *Pool) HasSlot(now time.Time, request SlotRequest) bool {
+	return p.pick(now, request) != nil
+}
+
 // Release ends a grant, records the outcome and grants queued requests.
 func (p *Pool) Release(now time.Time, grant Grant, outcome Outcome) {
 	if grant.Class == Online {
--- a/node/slot_pool.go
+++ b/node/slot_pool.go
@@ -95,6 +95,13 @@
 	return dispatch.Grant{}, &dispatch.Refusal{}
 }
 
+// HasSlot reports whether an upstream has a slot for a request.
+func (s *SlotPool) HasSlot(request dispatch.SlotRequest) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool.HasSlot(time.Now(), request)
+}
+
 // Release returns a granted slot and records the outcome of its use.
 func (s *SlotPool) Release(grant dispatch.Grant, outcome dispatch.Outcome) {
 	s.mu.Lock()
