Run a batch item on only at the software version that began it

A result could hold the first events of one software version and the last of another, which do not fit together.

Cause: an item that was preempted or broke off went on after its last event at any engine, and a new leader went on with saved output at any. If the first save of a run from the beginning was lost, its next saves and its result were added to what an earlier run had saved.

Now an item with output is bound to the service and software version of its first event, and what is saved carries both. If no upstream of the version is ready, or the item has waited 2 s while other versions of its service had slots, it starts from the beginning at any. Its output is discarded only when another version has granted a slot, so that nothing is lost while no slot is free at all. Items that wait hold up no others; one refusal per tick answers for all items of a version. Saved parts and results that continue them must have the origin of the saved part.

Service and version: a route can lead to several services, and the same name of a version at another one says nothing. Wait: it begins when another version has a slot, not when the run ends, because a burst of online requests can take the slots of all versions for longer. Runs without output do not prolong it: an engine that is cut off would hold its items.

Mixed builds: leaders of older builds save no origin. Their output is applied as before by replicas of both builds, which must not differ, and counts as of unknown version: it is discarded once a run starts at an engine that reports one. Once output was discarded, the result is recorded with its whole text, so that a replica of an older build, which does not check origins, does not join parts of two runs either.

The log of an ended run read progress that the next run may change, and settling read the saved length twice beside saveProgress; both take the lock now.

--- a/eventlog/logger.go
+++ b/eventlog/logger.go
@@ -50,6 +50,7 @@
 	ItemPlaced         = "item_placed"
 	ItemYielded        = "item_yielded"
 	ItemRetried        = "item_retried"
+	ItemRestarted      = "item_restarted"
 	ItemSettled        = "item_settled"
 	ReadRefused        = "read_refused"
 	UpstreamsNotLoaded = "upstreams_not_loaded"
--- a/jobpages/query.go
+++ b/jobpages/query.go
@@ -66,13 +66,20 @@
 }
 
 // SavedProgress returns the saved progress of an item, with all parts of its text
-// joined. The text is empty if no progress is saved.
+// joined. The text is empty if no progress is saved; service and software version are
+// empty if those of a part are unknown.
 func SavedProgress(r kv.Reader, jobID string, index uint32) *pb.PageProgress {
 	saved := &pb.PageProgress{JobId: jobID, Item: index}
 	prefix := recordPrefix(kindProgress, progressOwnerID(jobID, index))
 	r.Scan(prefix, kv.PrefixEnd(prefix), func(_, value []byte) bool {
 		part := &pb.PageProgress{}
 		record.Decode(value, part)
+		switch {
+		case part.GetBase() == 0:
+			saved.Service, saved.SoftwareVersion = part.GetService(), part.GetSoftwareVersion()
+		case part.GetService() != saved.GetService() || part.GetSoftwareVersion() != saved.GetSoftwareVersion():
+			saved.Service, saved.SoftwareVersion = "", ""
+		}
 		saved.Text = append(saved.Text, part.GetText()...)
 		saved.Events, saved.LastEvent = part.GetEvents(), part.GetLastEvent()
 		return true
--- a/jobpages/scheduler.go
+++ b/jobpages/scheduler.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/briarcross/briarcross/origins"
 	"github.com/briarcross/briarcross/pb"
 )
 
@@ -24,9 +25,20 @@
 	// LastEventID is the ID of the last event in Text; a resumed run continues
 	// after it.
 	LastEventID string
+	// Origin is that of the first event in Text. Only engines of its service and
+	// software version may go on with the output. It is zero if there is no output, or
+	// if a leader that did not save origins saved it.
+	origins.Origin
 	// SavedBytes is the number of bytes of Text that were restored, or that
 	// TakeUnsaved has returned for saving.
 	SavedBytes int
+	// Restarted is set once output was discarded. What is saved may be of an earlier
+	// run then.
+	Restarted bool
+	// versionBusySince is the time since which the item has waited for a slot of its
+	// version although others had one; zero if it has not. Only output and preemption end
+	// the wait: the slot of an engine that sends nothing is of no use.
+	versionBusySince time.Time
 	// Failures is the number of runs that ended as Failed.
 	Failures int
 	// NotBefore is the earliest time of the next run.
@@ -139,6 +151,8 @@
 	}
 	progress.AvoidUpstream = ""
 	switch outcome {
+	case Preempted:
+		progress.versionBusySince = time.Time{}
 	case Interrupted:
 		progress.NotBefore = now.Add(restartDelay)
 		progress.AvoidUpstream = progress.Upstream
@@ -147,7 +161,7 @@
 		progress.NotBefore = now.Add(min(baseBackoff<<min(progress.Failures, 8), maxBackoff))
 		progress.AvoidUpstream = progress.Upstream
 		// The next run does not resume a failed one: it starts from the beginning.
-		progress.Text, progress.EventCount, progress.LastEventID, progress.SavedBytes = nil, 0, "", 0
+		progress.discardOutput()
 	case NotRun:
 		progress.NotBefore = now.Add(restartDelay)
 	}
@@ -163,6 +177,7 @@
 	}
 	s.progress[key] = &ItemProgress{
 		Text: saved.GetText(), EventCount: int(saved.GetEvents()), LastEventID: saved.GetLastEvent(), SavedBytes: len(saved.GetText()),
+		Origin: origins.Origin{Service: saved.GetService(), SoftwareVersion: saved.GetSoftwareVersion()},
 	}
 }
 
@@ -177,6 +192,7 @@
 		unsaved = append(unsaved, &pb.PageProgress{
 			JobId: key.JobID, Item: key.Index, Base: uint32(progress.SavedBytes), Text: slices.Clone(progress.Text[progress.SavedBytes:]),
 			Events: uint32(progress.EventCount), LastEvent: progress.LastEventID,
+			Service: progress.Service, SoftwareVersion: progress.SoftwareVersion,
 		})
 		progress.SavedBytes = len(progress.Text)
 	}
--- a/jobpages/state.go
+++ b/jobpages/state.go
@@ -106,7 +106,8 @@
 
 // settleItem appends the result of an item at the next position of its job. It
 // returns false, and changes nothing, if the item already has a result, is not
-// open, or lacks the saved progress that the result continues.
+// open, or lacks the saved progress that the result continues, or that is of another
+// software version.
 func (s *State) settleItem(batch kv.Batch, result *pb.PageResult) bool {
 	job, ok := s.openJobs[result.GetJobId()]
 	if !ok || result.GetItem() >= job.record.GetItems() || job.settled[result.GetItem()] {
@@ -119,7 +120,7 @@
 	text := result.GetText()
 	if result.GetBase() > 0 {
 		saved := SavedProgress(batch, result.GetJobId(), result.GetItem())
-		if len(saved.GetText()) < int(result.GetBase()) {
+		if len(saved.GetText()) < int(result.GetBase()) || !fitsSaved(saved, result) {
 			return false
 		}
 		text = append(saved.GetText()[:result.GetBase():result.GetBase()], text...)
@@ -139,8 +140,8 @@
 }
 
 // saveProgress stores output that an item has generated. Output that continues
-// the saved part is added to it, output of a run from the beginning replaces it,
-// and any other belongs to a different run and is ignored.
+// the saved part at the same software version is added to it, output of a run from the
+// beginning replaces it, and any other belongs to a different run and is ignored.
 func (s *State) saveProgress(batch kv.Batch, progress *pb.PageProgress) {
 	job, ok := s.openJobs[progress.GetJobId()]
 	if !ok || int(progress.GetItem()) >= len(job.settled) || job.settled[progress.GetItem()] {
@@ -149,12 +150,26 @@
 	ownerID := progressOwnerID(progress.GetJobId(), progress.GetItem())
 	if progress.GetBase() == 0 {
 		deleteRecords(batch, kindProgress, ownerID)
-	} else if len(SavedProgress(batch, progress.GetJobId(), progress.GetItem()).GetText()) != int(progress.GetBase()) {
+	} else if saved := SavedProgress(batch, progress.GetJobId(), progress.GetItem()); len(saved.GetText()) != int(progress.GetBase()) || !fitsSaved(saved, progress) {
 		return
 	}
 	record.Set(batch, recordKey(kindProgress, ownerID, progress.GetBase()), progress)
 }
 
+// output is a part of the output of an item.
+type output interface {
+	GetService() string
+	GetSoftwareVersion() string
+}
+
+// fitsSaved reports whether a part of an item's output may continue the saved part.
+// Leaders of older builds send no origin. Their output always fits, as it does at
+// replicas of those builds: replicas of both must apply it alike.
+func fitsSaved(saved *pb.PageProgress, part output) bool {
+	unknown := part.GetService() == "" && part.GetSoftwareVersion() == ""
+	return unknown || part.GetService() == saved.GetService() && part.GetSoftwareVersion() == saved.GetSoftwareVersion()
+}
+
 // expireJob deletes a closed job whose retention has ended.
 func (s *State) expireJob(batch kv.Batch, nowMs uint64, jobID string) {
 	job, known := readJob(batch, jobID)
--- a/storenode/item.go
+++ b/storenode/item.go
@@ -53,7 +53,8 @@
 		x.removeItem()
 		return
 	}
-	if failures := x.recordEnd(outcome); outcome == jobpages.Failed && failures >= int(x.job.GetAttempts()) {
+	progress := x.recordEnd(outcome)
+	if outcome == jobpages.Failed && progress.Failures >= int(x.job.GetAttempts()) {
 		x.runner.settle(x.key, &pb.PageResult{Failed: true, Reason: "attempts_exhausted", Status: uint32(status)})
 		x.removeItem()
 		return
@@ -64,7 +65,7 @@
 		event = eventlog.ItemYielded
 	}
 	n.logger.Info(event, "request", x.item.GetId(), "job", x.key.JobID, "item", x.key.Index, "upstream", x.grant.Upstream,
-		"reason", reason, "status", status, "events", x.progress.EventCount, "last_event", x.progress.LastEventID)
+		"reason", reason, "status", status, "events", progress.EventCount, "last_event", progress.LastEventID)
 	x.runner.wake()
 }
 
@@ -78,15 +79,16 @@
 	}
 }
 
-// recordEnd marks the item as waiting for another run. It returns the item's
-// number of failures.
-func (x *itemRun) recordEnd(outcome jobpages.RunOutcome) int {
+// recordEnd marks the item as waiting for another run, which may start at once. It
+// returns a copy of the item's progress.
+func (x *itemRun) recordEnd(outcome jobpages.RunOutcome) jobpages.ItemProgress {
 	x.runner.mu.Lock()
 	defer x.runner.mu.Unlock()
 	if x.runner.scheduler == x.scheduler {
 		delete(x.runner.runs, x.key)
 	}
-	return x.scheduler.RecordEnd(time.Now(), x.key, outcome)
+	x.scheduler.RecordEnd(time.Now(), x.key, outcome)
+	return *x.progress
 }
 
 // execute runs the item at the upstream, on this daemon or a worker. An empty reason
@@ -116,10 +118,5 @@
 func (x *itemRun) addOutput(data []byte, events int, lastEventID string) {
 	x.runner.mu.Lock()
 	defer x.runner.mu.Unlock()
-	if x.progress.EventCount > 0 {
-		x.progress.Text = append(x.progress.Text, '\n')
-	}
-	x.progress.Text = append(x.progress.Text, data...)
-	x.progress.EventCount += events
-	x.progress.LastEventID = lastEventID
+	x.progress.AddOutput(originOf(x.grant), data, events, lastEventID)
 }
--- a/storenode/metrics.go
+++ b/storenode/metrics.go
@@ -7,10 +7,11 @@
 )
 
 type metrics struct {
-	registry *prometheus.Registry
-	settled  *prometheus.CounterVec
-	stopped  *prometheus.CounterVec
-	runTime  prometheus.Histogram
+	registry  *prometheus.Registry
+	settled   *prometheus.CounterVec
+	stopped   *prometheus.CounterVec
+	restarted *prometheus.CounterVec
+	runTime   prometheus.Histogram
 }
 
 // runTimeBuckets spans the usual run times of items, in seconds.
@@ -25,11 +26,14 @@
 		stopped: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "briarcross_item_runs_stopped_total", Help: "Runs of items that ended without a result, by reason.",
 		}, []string{"reason"}),
+		restarted: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "briarcross_items_restarted_total", Help: "Items whose output was discarded because another software version runs them now, by reason.",
+		}, []string{"reason"}),
 		runTime: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "briarcross_item_run_seconds", Help: "Time of the last run of an item.", Buckets: runTimeBuckets,
 		}),
 	}
-	m.registry.MustRegister(m.settled, m.stopped, m.runTime, n.runner.workers.results,
+	m.registry.MustRegister(m.settled, m.stopped, m.restarted, m.runTime, n.runner.workers.results,
 		node.Gauge("briarcross_open_items", "Items without a result.", func() float64 {
 			return float64(len(n.state.OpenItems()))
 		}),
--- a/storenode/runner.go
+++ b/storenode/runner.go
@@ -12,7 +12,9 @@
 	"github.com/briarcross/briarcross/eventlog"
 	"github.com/briarcross/briarcross/jobpages"
 	"github.com/briarcross/briarcross/kv"
+	"github.com/briarcross/briarcross/origins"
 	"github.com/briarcross/briarcross/pb"
+	"github.com/briarcross/briarcross/routing"
 	"github.com/briarcross/briarcross/upstream"
 )
 
@@ -208,24 +210,68 @@
 	}
 }
 
+// startResult is the result of an attempt to start an item.
+type startResult int
+
+const (
+	// handled: the item runs, has failed, or cannot run yet.
+	handled startResult = iota
+	// versionBusy: no slot of the software version to which the item is bound is free.
+	versionBusy
+	// noSlot: no slot is free.
+	noSlot
+)
+
+// startRound is one search for items that can start.
+type startRound struct {
+	*jobpages.StartRound
+	// unbound holds, by service, a request that was refused, without its version.
+	unbound map[string]dispatch.SlotRequest
+}
+
 // startItems starts runnable items while slots are free, up to maxStartsPerTick.
 func (r *runner) startItems() {
 	open := r.node.state.OpenItems()
 	r.mu.Lock()
 	runnable := r.scheduler.RunnableItems(time.Now(), open, r.estimator)
-	running := len(r.runs)
+	openCount := len(r.runs) + len(runnable)
 	r.mu.Unlock()
-	for i, key := range runnable {
-		if i == maxStartsPerTick || !r.startItem(key, running+len(runnable)) {
-			return
+	r.startAll(runnable, func(key jobpages.ItemKey, round *startRound) startResult { return r.startItem(key, openCount, round) })
+}
+
+// startAll starts items in order until no slot is free or maxStartsPerTick are handled.
+// Items that wait for a slot of their software version do not hold up others.
+func (r *runner) startAll(runnable []jobpages.ItemKey, start func(jobpages.ItemKey, *startRound) startResult) {
+	r.mu.Lock()
+	round := &startRound{r.scheduler.NewStartRound(time.Now()), make(map[string]dispatch.SlotRequest)}
+	r.mu.Unlock()
+	handledCount := 0
+	for _, key := range runnable {
+		if r.mustWait(key, round) {
+			continue
+		}
+		result := start(key, round)
+		if result == handled {
+			handledCount++
+		}
+		if result == noSlot || handledCount == maxStartsPerTick {
+			break
 		}
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	round.End(func(service string) bool { return r.node.Slots.HasSlot(round.unbound[service]) })
+}
+
+func (r *runner) mustWait(key jobpages.ItemKey, round *startRound) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return round.MustWait(key)
 }
 
 // startItem starts a run of an item, or records the item as failed if it is not
-// eligible. It returns false if no slot was granted. openCount is the number of
-// running and runnable items.
-func (r *runner) startItem(key jobpages.ItemKey, openCount int) bool {
+// eligible. openCount is the number of running and runnable items.
+func (r *runner) startItem(key jobpages.ItemKey, openCount int, round *startRound) startResult {
 	replica := r.node.replica.Load()
 	var job *pb.PageJob
 	var item *pb.PageItem
@@ -236,39 +282,101 @@
 		saved = jobpages.SavedProgress(reader, key.JobID, key.Index)
 	})
 	if !found {
-		return true
+		return handled
 	}
 	table := r.node.Table()
 	route, matched := table.Match(job.GetHost(), item.GetPath())
 	switch eligibility := jobpages.CheckEligibility(job, time.Now(), table.Version, matched); eligibility {
 	case jobpages.Eligible:
 	case jobpages.RoutingBehind:
-		return true
+		return handled
 	default:
 		r.settle(key, &pb.PageResult{Failed: true, Reason: string(eligibility)})
-		return true
+		return handled
 	}
-	slotRequest := dispatch.SlotRequest{Service: route.PickService(rand.Uint64()), Class: dispatch.Batch}
-	due := time.UnixMilli(int64(job.GetDueUnixMs()))
 	r.mu.Lock()
 	r.scheduler.RestoreProgress(key, saved)
-	slotRequest.Urgent = jobpages.IsUrgent(time.Until(due)-dueMargin, r.estimator.RemainingTime(0), openCount, r.node.Slots.BatchCapacity(slotRequest.Service))
-	if progress := r.scheduler.Progress(key); progress != nil && progress.AvoidUpstream != "" {
-		slotRequest.Avoid = []string{progress.AvoidUpstream}
-	}
 	parent := r.ctx
 	r.mu.Unlock()
-	grant, refused := r.node.Slots.Acquire(parent, slotRequest)
+	grant, reason, result := r.acquireSlot(parent, key, job, route, openCount, round)
+	if result == handled {
+		r.startRun(parent, key, job, item, grant, reason)
+	}
+	return result
+}
+
+// acquireSlot acquires a slot for an item. An item with output gets one of the software
+// version that began it, unless there is a reason to restart the item.
+func (r *runner) acquireSlot(ctx context.Context, key jobpages.ItemKey, job *pb.PageJob, route *routing.Route, openCount int, round *startRound) (dispatch.Grant, jobpages.RestartReason, startResult) {
+	r.mu.Lock()
+	origin, bound, reason := r.scheduler.BoundTo(time.Now(), key, route.Services())
+	r.mu.Unlock()
+	if bound {
+		request := r.slotRequest(key, job, origin.Service, openCount)
+		request.Bound, request.SoftwareVersion = true, origin.SoftwareVersion
+		grant, refused := r.node.Slots.Acquire(ctx, request)
+		if refused == nil {
+			return grant, "", handled
+		}
+		if refused.Reason != dispatch.NoUpstream {
+			round.RecordBusy(origin, key)
+			request.Bound = false
+			round.unbound[origin.Service] = request
+			return dispatch.Grant{}, "", versionBusy
+		}
+		reason = jobpages.VersionGone
+	}
+	service := origin.Service
+	if reason != jobpages.VersionBusy {
+		service = route.PickService(rand.Uint64())
+	}
+	grant, refused := r.node.Slots.Acquire(ctx, r.slotRequest(key, job, service, openCount))
 	if refused != nil {
-		return false
+		return dispatch.Grant{}, "", noSlot
+	}
+	round.RecordStart(originOf(grant))
+	return grant, reason, handled
+}
+
+func (r *runner) slotRequest(key jobpages.ItemKey, job *pb.PageJob, service string, openCount int) dispatch.SlotRequest {
+	request := dispatch.SlotRequest{Service: service, Class: dispatch.Batch}
+	timeToDue := time.Until(time.UnixMilli(int64(job.GetDueUnixMs()))) - dueMargin
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	request.Urgent = jobpages.IsUrgent(timeToDue, r.estimator.RemainingTime(0), openCount, r.node.Slots.BatchCapacity(service))
+	if progress := r.scheduler.Progress(key); progress != nil && progress.AvoidUpstream != "" {
+		request.Avoid = []string{progress.AvoidUpstream}
+	}
+	return request
+}
+
+func originOf(grant dispatch.Grant) origins.Origin {
+	return origins.Origin{Service: grant.Service, SoftwareVersion: grant.SoftwareVersion}
+}
+
+// discardOtherOutput discards the output of an item if the upstream of its next run
+// cannot go on with it.
+func (r *runner) discardOtherOutput(key jobpages.ItemKey, item *pb.PageItem, grant dispatch.Grant, reason jobpages.RestartReason) {
+	began := ""
+	r.mu.Lock()
+	if progress := r.scheduler.Progress(key); progress != nil {
+		began = progress.SoftwareVersion
+	}
+	events := r.scheduler.DiscardOtherOutput(key, originOf(grant))
+	r.mu.Unlock()
+	if events == 0 {
+		return
 	}
-	r.startRun(parent, key, job, item, grant)
-	return true
+	r.node.metrics.restarted.WithLabelValues(string(reason)).Inc()
+	r.node.logger.Info(eventlog.ItemRestarted, "request", item.GetId(), "job", key.JobID, "item", key.Index, "upstream", grant.Upstream,
+		"version", grant.SoftwareVersion, "reason", string(reason), "began", began, "events", events)
 }
 
-func (r *runner) startRun(parent context.Context, key jobpages.ItemKey, job *pb.PageJob, item *pb.PageItem, grant dispatch.Grant) {
+// startRun starts a run in a slot that acquireSlot returned.
+func (r *runner) startRun(parent context.Context, key jobpages.ItemKey, job *pb.PageJob, item *pb.PageItem, grant dispatch.Grant, reason jobpages.RestartReason) {
 	ctx, cancel := context.WithCancel(parent)
 	preempted := &atomic.Bool{}
+	r.discardOtherOutput(key, item, grant, reason)
 	r.mu.Lock()
 	progress := r.scheduler.RecordStart(time.Now(), key, grant.Upstream, time.UnixMilli(int64(job.GetDueUnixMs())))
 	r.runs[key] = runHandle{cancel, preempted}
@@ -315,7 +423,10 @@
 // settleOutput records the output of a completed item: the part that is not saved
 // yet, or the whole output if the saved part is missing.
 func (r *runner) settleOutput(key jobpages.ItemKey, progress *jobpages.ItemProgress) {
-	unsavedPart := &pb.PageResult{Base: uint32(progress.SavedBytes), Text: progress.Text[progress.SavedBytes:], Status: http.StatusOK}
+	r.mu.Lock()
+	base, text := progress.UnsavedPart()
+	r.mu.Unlock()
+	unsavedPart := &pb.PageResult{Base: uint32(base), Text: text, Status: http.StatusOK, Service: progress.Service, SoftwareVersion: progress.SoftwareVersion}
 	if r.settle(key, unsavedPart) || !r.node.state.IsItemOpen(key.JobID, key.Index) {
 		return
 	}
