--- a/replica/fault_test.go
+++ b/replica/fault_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"testing"
 
