Send no requests to an engine that says in an answer that it leaves

An engine that leaves says so in all its answers.

Cause: the header was relayed like any other and told the entry nothing.

The entry marks that start of the engine in its pool before it relays the answer, whatever its status, unless another instance answered, the answer belongs to another request, or no engine sent it. No slot of that start is granted from then on: not to new, queued, retried or resumed requests, nor to a stream that would go back to the only engine of its version. No heartbeat of the same start takes the mark back, as the pool checks the mark and the phase separately. A new start and another engine at the address are used. If no other engine is left, requests are refused at once, also queued ones. Running requests go on.

--- /dev/null
+++ b/dispatch/leaving.go
@@ -0,0 +1,107 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/briarcross/briarcross/fleet"
+)
+
+// leavingShareTime is the time for which load reports carry a notice that an upstream
+// leaves. It spans several reports, as each may be lost.
+const leavingShareTime = 10 * time.Second
+
+// LeavingSource is how a daemon learned that an upstream leaves.
+type LeavingSource string
+
+// The sources of leaving notices.
+const (
+	// LeavingAnswer is an answer that this daemon received from the upstream.
+	LeavingAnswer LeavingSource = "answer"
+	// LeavingWorker is an answer that a worker of this daemon received.
+	LeavingWorker LeavingSource = "worker"
+	// LeavingReport is the load report of another daemon.
+	LeavingReport LeavingSource = "report"
+)
+
+// LeavingNotice says that an upstream leaves, as it stated in an answer. It concerns
+// one start of the upstream only.
+type LeavingNotice struct {
+	Upstream    string
+	StartUnixMs uint64
+	// Request is the ID of the answered request; empty in a notice from a load report.
+	Request string
+	Source  LeavingSource
+}
+
+// LeavingChange reports that a pool has learned that an upstream leaves.
+type LeavingChange struct {
+	LeavingNotice
+	// Latest is the latest heartbeat of the upstream; zero if it is unknown.
+	Latest fleet.Upstream
+}
+
+// leavingMark is the stored notice about the latest start of an upstream.
+type leavingMark struct {
+	startUnixMs uint64
+	// shareUntil is the time until which load reports carry the notice. It is zero for
+	// one that came from a load report, which its sender repeats.
+	shareUntil time.Time
+}
+
+// MarkLeaving stops the granting of slots of an upstream that leaves, whatever later
+// heartbeats of the same start say. Queued requests that no other upstream can serve
+// are refused.
+func (p *Pool) MarkLeaving(now time.Time, notice LeavingNotice) {
+	u, known := p.upstreams[notice.Upstream]
+	if known && u.StartUnixMs > notice.StartUnixMs {
+		return
+	}
+	if mark, marked := p.leaving[notice.Upstream]; marked && mark.startUnixMs >= notice.StartUnixMs {
+		return
+	}
+	mark := leavingMark{startUnixMs: notice.StartUnixMs}
+	if notice.Source != LeavingReport {
+		mark.shareUntil = now.Add(leavingShareTime)
+	}
+	p.leaving[notice.Upstream] = mark
+	change := LeavingChange{LeavingNotice: notice}
+	if known {
+		change.Latest = u.Upstream
+		u.leaving = p.IsLeaving(u.ID, u.StartUnixMs)
+		p.refuseUnservable(now)
+	}
+	p.leavingChanges = append(p.leavingChanges, change)
+}
+
+// IsLeaving reports whether a start of an upstream has been marked as leaving.
+func (p *Pool) IsLeaving(id string, startUnixMs uint64) bool {
+	mark, marked := p.leaving[id]
+	return marked && mark.startUnixMs == startUnixMs
+}
+
+// LeavingChanges returns the upstreams that were marked as leaving since the last call.
+func (p *Pool) LeavingChanges() []LeavingChange {
+	changes := p.leavingChanges
+	p.leavingChanges = nil
+	return changes
+}
+
+// applyLeavingNotices applies the notices in a load report. One about an unknown
+// upstream is ignored: the report is repeated.
+func (p *Pool) applyLeavingNotices(now time.Time, report LoadReport) {
+	for _, load := range report.Loads {
+		if _, known := p.upstreams[load.Upstream]; known && load.LeavingStartUnixMs != 0 {
+			p.MarkLeaving(now, LeavingNotice{Upstream: load.Upstream, StartUnixMs: load.LeavingStartUnixMs, Source: LeavingReport})
+		}
+	}
+}
+
+// sharedLeavingStart returns the start time of an upstream that leaves, for the load
+// report to other daemons. It is zero if the upstream stays, or if the other daemons have
+// been told.
+func (p *Pool) sharedLeavingStart(now time.Time, u *upstreamState) uint64 {
+	if !u.leaving || !now.Before(p.leaving[u.ID].shareUntil) {
+		return 0
+	}
+	return u.StartUnixMs
+}
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -1,10 +1,6 @@
 package dispatch
 
-import (
-	"time"
-
-	"github.com/briarcross/briarcross/fleet"
-)
+import "time"
 
 // UpstreamLoad is the load of one daemon on an upstream, and its view of the
 // upstream's health.
@@ -18,6 +14,9 @@
 	SuspectFor time.Duration
 	// Failures is the daemon's failure count of the upstream.
 	Failures int
+	// LeavingStartUnixMs is the start time of an upstream that told the daemon that it
+	// leaves, else zero.
+	LeavingStartUnixMs uint64
 }
 
 // LoadReport is the load report of another daemon, or the sum of the reports of
@@ -52,6 +51,7 @@
 // ApplyLoadReport stores the load report of another daemon, unless it is older
 // than the stored one. It then grants queued requests.
 func (p *Pool) ApplyLoadReport(now time.Time, report LoadReport) {
+	p.applyLeavingNotices(now, report)
 	stored, known := p.peerReports[report.Peer]
 	if known && report.Incarnation == stored.Incarnation && report.Sequence <= stored.Sequence {
 		return
@@ -100,7 +100,7 @@
 func (p *Pool) freeShare(dataCentre string) float64 {
 	slots, free := 0, 0
 	for _, u := range p.sortedUpstreams {
-		if u.DataCentre == dataCentre && u.Phase == fleet.Ready {
+		if u.DataCentre == dataCentre && u.accepts() {
 			slots += u.Slots
 			free += max(0, u.Slots-u.online())
 		}
@@ -167,8 +167,9 @@
 	var loads []UpstreamLoad
 	for _, u := range p.sortedUpstreams {
 		suspectFor, ownFailures := u.ownSuspicion(now)
-		if u.ownGrants != [numClasses]int{} || ownFailures > 0 {
-			loads = append(loads, UpstreamLoad{u.ID, u.ownGrants[Online], u.ownGrants[Batch], suspectFor, ownFailures})
+		leavingStart := p.sharedLeavingStart(now, u)
+		if u.ownGrants != [numClasses]int{} || ownFailures > 0 || leavingStart != 0 {
+			loads = append(loads, UpstreamLoad{u.ID, u.ownGrants[Online], u.ownGrants[Batch], suspectFor, ownFailures, leavingStart})
 		}
 	}
 	return loads
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 	"time"
-
 )
 
 // tier ranks the upstreams for a slot request. Lower is better.
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -76,7 +76,9 @@
 	// Address is the network address of the upstream, DataCentre its data centre.
 	Address    string
 	DataCentre string
-	// SoftwareVersion is the software version of the upstream.
+	// StartUnixMs is the start time of the upstream, SoftwareVersion its software
+	// version.
+	StartUnixMs     uint64
 	SoftwareVersion string
 	Class           Class
 	GrantedAt       time.Time
@@ -114,7 +116,7 @@
 
 // fits reports whether an upstream may run the request.
 func (r *SlotRequest) fits(u *upstreamState) bool {
-	return u.Service == r.Service && u.Phase == fleet.Ready && (!r.Bound || u.SoftwareVersion == r.SoftwareVersion)
+	return u.Service == r.Service && u.accepts() && (!r.Bound || u.SoftwareVersion == r.SoftwareVersion)
 }
 
 // competesWith reports whether the request may take the slot that another one waits
@@ -148,10 +150,15 @@
 	ownGrants  [numClasses]int
 	peerGrants [numClasses]int
 	health
+	// leaving is set once the upstream has said in an answer that it leaves.
+	leaving bool
 	// tieBreak is a random number. Of equal upstreams, pick takes the highest.
 	tieBreak uint64
 }
 
+// accepts reports whether the upstream accepts new requests.
+func (u *upstreamState) accepts() bool { return u.Phase == fleet.Ready && !u.leaving }
+
 func (u *upstreamState) online() int { return u.ownGrants[Online] + u.peerGrants[Online] }
 
 func (u *upstreamState) batch() int { return u.ownGrants[Batch] + u.peerGrants[Batch] }
@@ -183,10 +190,15 @@
 	// milliseconds. Routes without requests were last dropped at routesExpiredAt.
 	maxTimeToDeadline map[string]*slidingMax
 	routesExpiredAt   time.Time
-	// grants and refusals are returned by Drain, healthChanges by HealthChanges.
-	grants        []Grant
-	refusals      []Refusal
-	healthChanges []HealthChange
+	// leaving holds the marks of upstreams that leave, by ID. A mark outlives a
+	// removal of the upstream for missing heartbeats, after which it may be heard again.
+	leaving map[string]leavingMark
+	// grants and refusals are returned by Drain, healthChanges by HealthChanges and
+	// leavingChanges by LeavingChanges.
+	grants         []Grant
+	refusals       []Refusal
+	healthChanges  []HealthChange
+	leavingChanges []LeavingChange
 	// preemptionRequests is returned by PreemptionRequests.
 	preemptionRequests []PreemptionRequest
 }
@@ -204,6 +216,7 @@
 		onlinePeaks:       make(map[string]*slidingMax),
 		expectedRetries:   make(map[string]*expectedRetries),
 		maxTimeToDeadline: make(map[string]*slidingMax),
+		leaving:           make(map[string]leavingMark),
 	}
 }
 
@@ -221,6 +234,7 @@
 		state.health = health{}
 	}
 	state.Upstream = u
+	state.leaving = p.IsLeaving(u.ID, u.StartUnixMs)
 	if !known {
 		p.applyPeerReports()
 	}
@@ -231,9 +245,13 @@
 // RemoveUpstream removes an upstream. Release records no outcome for its remaining
 // grants.
 func (p *Pool) RemoveUpstream(id string) {
-	if _, known := p.upstreams[id]; !known {
+	u, known := p.upstreams[id]
+	if !known {
 		return
 	}
+	if u.Phase == fleet.Gone {
+		delete(p.leaving, id)
+	}
 	delete(p.upstreams, id)
 	index, _ := slices.BinarySearchFunc(p.sortedUpstreams, id, byID)
 	p.sortedUpstreams = slices.Delete(p.sortedUpstreams, index, index+1)
@@ -312,7 +330,7 @@
 func (p *Pool) usableSlotShare(request *SlotRequest) float64 {
 	usable, all := 0, 0
 	for _, u := range p.sortedUpstreams {
-		if u.Service != request.Service || u.Phase != fleet.Ready {
+		if u.Service != request.Service || !u.accepts() {
 			continue
 		}
 		all += u.Slots
@@ -326,6 +344,17 @@
 	return float64(usable) / float64(all)
 }
 
+// refuseUnservable refuses the queued requests for which there is no upstream left.
+func (p *Pool) refuseUnservable(now time.Time) {
+	p.queue = slices.DeleteFunc(p.queue, func(queued queuedRequest) bool {
+		if p.usableSlotShare(&queued.slotRequest) > 0 {
+			return false
+		}
+		p.refuse(now, queued, NoUpstream)
+		return true
+	})
+}
+
 func (p *Pool) refuse(now time.Time, queued queuedRequest, reason Reason) {
 	retryAfter := p.retryAfter(now, queued.slotRequest, reason)
 	if queued.slotRequest.Class == Online {
@@ -426,6 +455,7 @@
 		Upstream:        u.ID,
 		Address:         u.Address,
 		DataCentre:      u.DataCentre,
+		StartUnixMs:     u.StartUnixMs,
 		SoftwareVersion: u.SoftwareVersion,
 		Class:           queued.slotRequest.Class,
 		GrantedAt:       now,
--- a/dispatch/slidingmax.go
+++ b/dispatch/slidingmax.go
@@ -1,10 +1,6 @@
 package dispatch
 
-import (
-	"time"
-
-	"github.com/briarcross/briarcross/fleet"
-)
+import "time"
 
 // peakWindow is the window of a slidingMax. It is longer than the usual pause
 // between two bursts of online requests, so that the last burst still counts.
@@ -42,7 +38,7 @@
 func (p *Pool) totals(service string) serviceTotals {
 	var t serviceTotals
 	for _, u := range p.sortedUpstreams {
-		if u.Service != service || u.Phase != fleet.Ready {
+		if u.Service != service || !u.accepts() {
 			continue
 		}
 		t.slots += u.Slots
--- a/entrynode/exchange.go
+++ b/entrynode/exchange.go
@@ -296,6 +296,11 @@
 		return mayHaveRun, "no_answer"
 	}
 	defer response.Close()
+	if response.EngineLeaves() {
+		x.node.Slots.MarkLeaving(dispatch.LeavingNotice{
+			Upstream: grant.Upstream, StartUnixMs: grant.StartUnixMs, Request: x.headers.ID, Source: dispatch.LeavingAnswer,
+		})
+	}
 	if response.NotRun || response.OtherInstance {
 		outcome = dispatch.Rejected
 		if response.OtherInstance {
--- a/entrynode/node_test.go
+++ b/entrynode/node_test.go
@@ -42,7 +42,7 @@
 func (testCodec) Decode(status int, header http.Header) upstream.ResponseHead {
 	return upstream.ResponseHead{
 		RequestID: header.Get("Id"), NotRun: header.Get("Not-Run") != "",
-		OtherInstance: status == http.StatusMisdirectedRequest, Genuine: header.Get("Mark") != "",
+		OtherInstance: status == http.StatusMisdirectedRequest, Genuine: header.Get("Mark") != "", Leaving: header.Get("Leaving") != "",
 	}
 }
 
--- a/eventlog/logger.go
+++ b/eventlog/logger.go
@@ -35,6 +35,7 @@
 	RequestCut         = "request_cut"
 	UpstreamChanged    = "upstream_changed"
 	UpstreamJudged     = "upstream_judged"
+	UpstreamLeaving    = "upstream_leaving"
 	HeartbeatRejected  = "heartbeat_rejected"
 	RoutingApplied     = "routing_applied"
 	RoutingRejected    = "routing_rejected"
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -58,13 +58,15 @@
 	onPreemption func(dispatch.PreemptionRequest)
 	// suspicions counts the failures that were counted against upstreams.
 	suspicions prometheus.Counter
-	tasks      sync.WaitGroup
-	closeOnce  sync.Once
+	// leaving counts the upstreams that were marked as leaving, by source.
+	leaving   *prometheus.CounterVec
+	tasks     sync.WaitGroup
+	closeOnce sync.Once
 }
 
 // NewDispatcher returns a dispatcher, which does nothing until Run. decodeTable
-// decodes a routing document; onNotReady is called for an upstream that is
-// draining or gone and accepts no new requests, onPreemption, which may be nil, for
+// decodes a routing document; onNotReady is called for an upstream that is draining,
+// leaving or gone and accepts no new requests, and must not block; onPreemption, which may be nil, for
 // each preemption request of another daemon.
 func NewDispatcher(settings *Settings, logger *log.Logger, decodeTable func([]byte) (*routing.Table, error), onNotReady func(fleet.Upstream), onPreemption func(dispatch.PreemptionRequest)) (*Dispatcher, error) {
 	d := &Dispatcher{
@@ -78,6 +80,9 @@
 		suspicions: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "briarcross_upstream_suspicions_total", Help: "Failures that had requests kept away from an upstream.",
 		}),
+		leaving: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "briarcross_upstreams_leaving_total", Help: "Upstreams that said in an answer that they leave, by how this daemon learned it first: answer, worker, report.",
+		}, []string{"source"}),
 	}
 	d.StreamOrigins = newStreamOrigins(settings.Address, d.View, func(address string, e *pb.Envelope) error { return d.datagrams.Send(address, e) })
 	d.Transport = transport.NewClient(d.Identity, nil)
@@ -88,7 +93,7 @@
 		BatchReserve:   batchReserve,
 		PeerTimeout:    PeerTimeout,
 		SummaryTimeout: SummaryTimeout,
-	}, func() { d.loadReporter.LoadsChanged() }, d.logHealthChange, func(r dispatch.PreemptionRequest) { d.loadReporter.RequestPreemption(r) })
+	}, func() { d.loadReporter.LoadsChanged() }, d.logHealthChange, d.upstreamLeaving, func(r dispatch.PreemptionRequest) { d.loadReporter.RequestPreemption(r) })
 	d.loadReporter = NewLoadReporter(d.Identity, d.View, settings, d.Slots, d.Storage.SuggestLeader)
 	datagrams, err := transport.ListenDatagrams(d.Identity, settings.ListenAddress(), d.handleDatagram)
 	if err != nil {
@@ -177,6 +182,17 @@
 	d.Logger.Info(eventlog.UpstreamJudged, "upstream", change.Upstream, "failures", change.Failures, "suspect_ms", change.SuspectFor.Milliseconds())
 }
 
+// upstreamLeaving records that an upstream said in an answer that it leaves.
+func (d *Dispatcher) upstreamLeaving(change dispatch.LeavingChange) {
+	d.leaving.WithLabelValues(string(change.Source)).Inc()
+	fields := []any{"upstream", change.Upstream, "born", change.StartUnixMs, "request", change.Request, "source", string(change.Source)}
+	if change.Latest.ID != "" {
+		fields = append(fields, "phase", int(change.Latest.Phase), "phase_age_ms", time.Since(change.Latest.LastHeartbeat).Milliseconds())
+	}
+	d.Logger.Info(eventlog.UpstreamLeaving, fields...)
+	d.onNotReady(change.Latest)
+}
+
 // applyRouting puts a routing table in force unless the current one has the same
 // or a higher version. A table that cannot be decoded is logged and ignored.
 func (d *Dispatcher) applyRouting(r *Routing) {
--- a/node/load_exchange.go
+++ b/node/load_exchange.go
@@ -132,11 +132,12 @@
 	encoded := make([]*pb.UpstreamLoad, 0, len(loads))
 	for _, load := range loads {
 		encoded = append(encoded, &pb.UpstreamLoad{
-			Id:        load.Upstream,
-			Online:    uint32(load.Online),
-			Batch:     uint32(load.Batch),
-			SuspectMs: uint32(load.SuspectFor.Milliseconds()),
-			Failures:  uint32(load.Failures),
+			Id:                load.Upstream,
+			Online:            uint32(load.Online),
+			Batch:             uint32(load.Batch),
+			SuspectMs:         uint32(load.SuspectFor.Milliseconds()),
+			Failures:          uint32(load.Failures),
+			LeavingBornUnixMs: load.LeavingStartUnixMs,
 		})
 	}
 	return encoded
@@ -158,11 +159,12 @@
 	}
 	for _, load := range report.GetLoads() {
 		decoded.Loads = append(decoded.Loads, dispatch.UpstreamLoad{
-			Upstream:   load.GetId(),
-			Online:     int(load.GetOnline()),
-			Batch:      int(load.GetBatch()),
-			SuspectFor: time.Duration(load.GetSuspectMs()) * time.Millisecond,
-			Failures:   int(load.GetFailures()),
+			Upstream:           load.GetId(),
+			Online:             int(load.GetOnline()),
+			Batch:              int(load.GetBatch()),
+			SuspectFor:         time.Duration(load.GetSuspectMs()) * time.Millisecond,
+			Failures:           int(load.GetFailures()),
+			LeavingStartUnixMs: load.GetLeavingBornUnixMs(),
 		})
 	}
 	return decoded
--- a/node/load_reporter.go
+++ b/node/load_reporter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -143,7 +144,7 @@
 	loads := r.slots.Loads()
 	var batchRunners []string
 	if r.settings.Role == RoleStore {
-		if r.runsBatch.Load() || len(loads) > 0 {
+		if r.runsBatch.Load() || slices.ContainsFunc(loads, func(l dispatch.UpstreamLoad) bool { return l.Online+l.Batch+l.Failures > 0 }) {
 			r.activeAt = now
 		}
 		// The report that the last run has ended may be lost.
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -81,6 +81,7 @@
 			return oldest.Seconds()
 		}),
 		d.suspicions,
+		d.leaving,
 		d.loadReporter.sent,
 		d.StreamOrigins.sent,
 		d.StreamOrigins.found,
--- a/node/slot_pool.go
+++ b/node/slot_pool.go
@@ -28,6 +28,7 @@
 	queued         chan struct{}
 	onLoadChange   func()
 	onHealthChange func(dispatch.HealthChange)
+	onLeaving      func(dispatch.LeavingChange)
 	// onPreemption is called with the preemption requests to other daemons.
 	onPreemption func(dispatch.PreemptionRequest)
 }
@@ -38,16 +39,17 @@
 }
 
 // NewSlotPool returns a pool that calls onLoadChange after each grant and release,
-// onHealthChange when its view of an upstream's health changes, and onPreemption when
-// another daemon should preempt a batch item. All are called with the pool locked and
-// must not block.
-func NewSlotPool(options dispatch.Options, onLoadChange func(), onHealthChange func(dispatch.HealthChange), onPreemption func(dispatch.PreemptionRequest)) *SlotPool {
+// onHealthChange when its view of an upstream's health changes, onLeaving when an upstream
+// has been marked as leaving, and onPreemption when another daemon should preempt a batch
+// item. All are called with the pool locked and must not block.
+func NewSlotPool(options dispatch.Options, onLoadChange func(), onHealthChange func(dispatch.HealthChange), onLeaving func(dispatch.LeavingChange), onPreemption func(dispatch.PreemptionRequest)) *SlotPool {
 	return &SlotPool{
 		pool:           dispatch.New(options),
 		pending:        make(map[uint64]chan slotResponse),
 		queued:         make(chan struct{}, 1),
 		onLoadChange:   onLoadChange,
 		onHealthChange: onHealthChange,
+		onLeaving:      onLeaving,
 		onPreemption:   onPreemption,
 	}
 }
@@ -125,6 +127,21 @@
 	s.pool.RemoveUpstream(id)
 }
 
+// MarkLeaving stops the granting of slots of an upstream that leaves.
+func (s *SlotPool) MarkLeaving(notice dispatch.LeavingNotice) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pool.MarkLeaving(time.Now(), notice)
+	s.deliverResponses()
+}
+
+// IsLeaving reports whether a start of an upstream has been marked as leaving.
+func (s *SlotPool) IsLeaving(id string, startUnixMs uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool.IsLeaving(id, startUnixMs)
+}
+
 // ApplyLoadReport applies the load report of another daemon.
 func (s *SlotPool) ApplyLoadReport(report dispatch.LoadReport) {
 	s.mu.Lock()
@@ -211,7 +228,7 @@
 	}
 }
 
-// deliverResponses passes the grants, refusals and health changes of the pool on.
+// deliverResponses passes the grants, refusals and changes of the pool on.
 // The caller must hold mu.
 func (s *SlotPool) deliverResponses() {
 	granted, refused := s.pool.Drain()
@@ -226,10 +243,14 @@
 	for _, change := range s.pool.HealthChanges() {
 		s.onHealthChange(change)
 	}
+	leaving := s.pool.LeavingChanges()
+	for _, change := range leaving {
+		s.onLeaving(change)
+	}
 	for _, request := range s.pool.PreemptionRequests() {
 		s.onPreemption(request)
 	}
-	if len(granted) > 0 {
+	if len(granted) > 0 || len(leaving) > 0 {
 		s.onLoadChange()
 	}
 }
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -65,6 +65,14 @@
 	OtherInstance bool
 	// Genuine is set when the response carries the header that only engines set.
 	Genuine bool
+	// Leaving is set when the response states that its sender leaves; see
+	// EngineLeaves.
+	Leaving bool
+}
+
+// EngineLeaves reports whether the expected engine responded and stated that it leaves.
+func (h *ResponseHead) EngineLeaves() bool {
+	return h.Leaving && !h.OtherInstance && (h.Genuine || h.NotRun)
 }
 
 // HeaderCodec encodes and decodes the headers that the platform defines.
