Run no items at an engine that says in an answer that it leaves

Cause: what a run learned from the head of an answer was dropped, both on the leader and on a worker.

Now the leader marks the engine at the head of an answer, as an entry does. A worker reports it at once, not with the end of the run, which takes seconds; the leader applies it before the end in the same report, so the slot isn't granted anew. The worker also keeps the mark, by the start that the leader names, and refuses a run of a leader that was elected since, which learns it from the refusal. The run that got the answer goes on.

--- a/storenode/item.go
+++ b/storenode/item.go
@@ -94,7 +94,7 @@
 func (x *itemRun) execute(parent context.Context) (outcome jobpages.RunOutcome, status int, reason string) {
 	end, ranOnWorker := x.runner.workers.run(parent, x)
 	if !ranOnWorker {
-		end = runAtUpstream(parent, x.runner.engines, x.request(), x.addOutput)
+		end = runAtUpstream(parent, x.runner.engines, x.request(), func() { x.markLeaving(dispatch.LeavingAnswer) }, x.addOutput)
 	}
 	if parent.Err() != nil {
 		// The runner cancelled this run; that is no evidence about the upstream.
@@ -108,6 +108,13 @@
 	return end.outcome, end.status, end.reason
 }
 
+// markLeaving keeps further requests away from the upstream, which leaves.
+func (x *itemRun) markLeaving(source dispatch.LeavingSource) {
+	x.runner.node.Slots.MarkLeaving(dispatch.LeavingNotice{
+		Upstream: x.grant.Upstream, StartUnixMs: x.grant.StartUnixMs, Request: x.item.GetId(), Source: source,
+	})
+}
+
 func (x *itemRun) request() *upstream.Request {
 	return itemRequest(x.item, x.job.GetHost(), x.grant.Address, x.grant.Upstream, x.progress.LastEventID)
 }
--- a/storenode/node.go
+++ b/storenode/node.go
@@ -85,13 +85,13 @@
 	}
 	n.listener = listener
 	n.runner = newRunner(n, codec)
-	n.worker = &workerService{ctx: ctx, engines: n.runner.engines}
 	n.Dispatcher, err = node.NewDispatcher(settings, logger, codec.ParseTable, func(u fleet.Upstream) { n.runner.engines.ClosePool(u.Address) }, n.runner.requestPreemption)
 	if err != nil {
 		cancel()
 		_ = listener.Close()
 		return nil, err
 	}
+	n.worker = &workerService{ctx: ctx, engines: n.runner.engines, slots: n.Slots}
 	n.runner.start()
 	n.metrics = newMetrics(n)
 	n.exporter, err = node.ServeMetrics(settings.MetricsAddress, n.metrics.registry, n.ReportFatal)
--- a/storenode/upstream_run.go
+++ b/storenode/upstream_run.go
@@ -45,8 +45,9 @@
 }
 
 // runAtUpstream sends a request to its upstream and reads the output, until the
-// context ends or the upstream is silent for idleTimeout.
-func runAtUpstream(parent context.Context, engines *upstream.Client, request *upstream.Request, output outputFunc) runEnd {
+// context ends or the upstream is silent for idleTimeout. It calls onLeaving before it
+// reads the output if the upstream says that it leaves.
+func runAtUpstream(parent context.Context, engines *upstream.Client, request *upstream.Request, onLeaving func(), output outputFunc) runEnd {
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
 	idleTimer := time.AfterFunc(idleTimeout, cancel)
@@ -59,6 +60,9 @@
 		return runEnd{jobpages.Interrupted, dispatch.Failed, 0, "no_answer"}
 	}
 	defer response.Close()
+	if response.EngineLeaves() {
+		onLeaving()
+	}
 	switch {
 	case response.OtherInstance:
 		return runEnd{jobpages.NotRun, dispatch.OtherInstance, response.Status, "other_instance"}
--- a/storenode/worker.go
+++ b/storenode/worker.go
@@ -5,20 +5,25 @@
 	"sync"
 	"time"
 
+	"github.com/briarcross/briarcross/dispatch"
+	"github.com/briarcross/briarcross/jobpages"
+	"github.com/briarcross/briarcross/node"
 	"github.com/briarcross/briarcross/pb"
 	"github.com/briarcross/briarcross/transport"
 	"github.com/briarcross/briarcross/upstream"
 )
 
-// workerReportInterval is the interval of the reports of a worker. The end of a run is
-// reported at once.
+// workerReportInterval is the interval of the reports of a worker. The end of a run and an
+// upstream that leaves are reported at once.
 const workerReportInterval = 200 * time.Millisecond
 
 // workerService runs items for the leader of the storage group.
 type workerService struct {
 	ctx     context.Context
 	engines *upstream.Client
-	tasks   sync.WaitGroup
+	// slots knows the upstreams that leave. A worker grants none of them.
+	slots *node.SlotPool
+	tasks sync.WaitGroup
 
 	mu sync.Mutex
 	// term is the highest term of a leader; serving is the session of that leader.
@@ -30,7 +35,8 @@
 type servedRuns struct {
 	service *workerService
 	stream  *transport.Stream
-	ended   chan struct{}
+	// urgent is signalled when a run has something to report at once.
+	urgent chan struct{}
 
 	mu   sync.Mutex
 	runs map[uint64]*servedRun
@@ -45,7 +51,7 @@
 // serve runs the items that arrive on a stream until it ends. A leader of an earlier
 // term is refused, and the runs of an earlier leader end.
 func (s *workerService) serve(stream *transport.Stream, first *pb.ItemRun) {
-	runs := &servedRuns{service: s, stream: stream, ended: make(chan struct{}, 1), runs: make(map[uint64]*servedRun)}
+	runs := &servedRuns{service: s, stream: stream, urgent: make(chan struct{}, 1), runs: make(map[uint64]*servedRun)}
 	if !s.begin(runs, first.GetTerm()) {
 		return
 	}
@@ -83,17 +89,31 @@
 	return true
 }
 
-// start starts a run. It ends with the context or when it is cancelled.
+// start starts a run. It ends with the context or when it is cancelled. An upstream that
+// leaves gets no run: a leader that was elected since may not know that it leaves.
 func (r *servedRuns) start(parent context.Context, message *pb.ItemRun) {
 	ctx, cancel := context.WithCancel(parent)
 	id := message.GetRun()
 	r.mu.Lock()
 	r.runs[id] = &servedRun{cancel: cancel, progress: &pb.ItemRunProgress{Run: id}}
 	r.mu.Unlock()
+	notice := dispatch.LeavingNotice{
+		Upstream: message.GetUpstream(), StartUnixMs: message.GetBornUnixMs(), Request: message.GetItem().GetId(), Source: dispatch.LeavingAnswer,
+	}
+	if r.service.slots.IsLeaving(notice.Upstream, notice.StartUnixMs) {
+		cancel()
+		r.reportLeaving(id)
+		r.finish(id, runEnd{jobpages.NotRun, dispatch.Inconclusive, 0, "leaving"})
+		return
+	}
+	onLeaving := func() {
+		r.service.slots.MarkLeaving(notice)
+		r.reportLeaving(id)
+	}
 	request := itemRequest(message.GetItem(), message.GetHost(), message.GetAddress(), message.GetUpstream(), message.GetResumeAfter())
 	r.service.tasks.Go(func() {
 		defer cancel()
-		end := runAtUpstream(ctx, r.service.engines, request, func(data []byte, events int, lastEventID string) {
+		end := runAtUpstream(ctx, r.service.engines, request, onLeaving, func(data []byte, events int, lastEventID string) {
 			r.addOutput(id, data, events, lastEventID)
 		})
 		r.finish(id, end)
@@ -120,16 +140,29 @@
 	progress.LastEvent = lastEventID
 }
 
+// reportLeaving reports at once that the upstream of a run leaves.
+func (r *servedRuns) reportLeaving(id uint64) {
+	r.mu.Lock()
+	r.runs[id].progress.Leaving = true
+	r.mu.Unlock()
+	r.reportSoon()
+}
+
+// reportSoon makes report send a report without waiting for the next regular one.
+func (r *servedRuns) reportSoon() {
+	select {
+	case r.urgent <- struct{}{}:
+	default:
+	}
+}
+
 func (r *servedRuns) finish(id uint64, end runEnd) {
 	r.mu.Lock()
 	r.runs[id].progress.End = &pb.ItemRunEnd{
 		Outcome: uint32(end.outcome), SlotOutcome: uint32(end.slotOutcome), Status: uint32(end.status), Reason: end.reason,
 	}
 	r.mu.Unlock()
-	select {
-	case r.ended <- struct{}{}:
-	default:
-	}
+	r.reportSoon()
 }
 
 // report sends the output of the runs until the context ends.
@@ -141,7 +174,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-		case <-r.ended:
+		case <-r.urgent:
 		}
 		report := r.takeReport()
 		if len(report.GetRuns()) == 0 {
@@ -161,7 +194,7 @@
 	defer r.mu.Unlock()
 	report := &pb.ItemRunReport{}
 	for id, run := range r.runs {
-		if run.progress.Events == 0 && run.progress.End == nil {
+		if run.progress.Events == 0 && run.progress.End == nil && !run.progress.Leaving {
 			continue
 		}
 		report.Runs = append(report.Runs, run.progress)
--- a/storenode/workers.go
+++ b/storenode/workers.go
@@ -68,6 +68,9 @@
 	// ended receives the end of the run, once.
 	ended chan runEnd
 
+	// onLeaving is called when the worker reports that the upstream leaves.
+	onLeaving func()
+
 	mu sync.Mutex
 	// output is nil once the run is over for the leader: output that arrives later may
 	// have been repeated by another run.
@@ -99,7 +102,7 @@
 		w.results.WithLabelValues("no_worker").Inc()
 		return runEnd{}, false
 	}
-	run := &remoteRun{output: x.addOutput, ended: make(chan runEnd, 1)}
+	run := &remoteRun{output: x.addOutput, onLeaving: func() { x.markLeaving(dispatch.LeavingWorker) }, ended: make(chan runEnd, 1)}
 	id, message := w.add(session, run, x)
 	defer w.remove(session, id)
 	if err := w.send(ctx, session, message); err != nil {
@@ -180,7 +183,7 @@
 	run.silent = time.AfterFunc(workerOpenTimeout+workerSilence, func() { w.endSilent(session, run) })
 	return id, &pb.ItemRun{
 		Run: id, Address: x.grant.Address, Upstream: x.grant.Upstream, Item: x.item, Host: x.job.GetHost(),
-		ResumeAfter: x.progress.LastEventID, Term: w.term,
+		ResumeAfter: x.progress.LastEventID, Term: w.term, BornUnixMs: x.grant.StartUnixMs,
 	}
 }
 
@@ -253,6 +256,9 @@
 		return
 	}
 	run.silent.Reset(workerSilence)
+	if progress.GetLeaving() {
+		run.onLeaving()
+	}
 	run.mu.Lock()
 	if progress.GetEvents() > 0 && run.output != nil {
 		run.output(progress.GetText(), int(progress.GetEvents()), progress.GetLastEvent())
--- a/storenode/workers_test.go
+++ b/storenode/workers_test.go
@@ -32,12 +32,14 @@
 }
 
 func (testCodec) Decode(_ int, header http.Header) upstream.ResponseHead {
-	return upstream.ResponseHead{RequestID: header.Get("Id"), Genuine: true}
+	return upstream.ResponseHead{RequestID: header.Get("Id"), Genuine: true, Leaving: header.Get("Leaving") != ""}
 }
 
 // testEngine streams events until gate closes, then ends the stream.
 type testEngine struct {
 	address string
+	// leaving is set before the first request if the engine says that it leaves.
+	leaving bool
 	gate    chan struct{}
 	left    chan struct{}
 	after   chan string
@@ -73,7 +75,11 @@
 	_, _ = io.ReadAll(request.Body)
 	e.after <- request.Header.Get("After")
 	chunk := func(text string) { _, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n", len(text), text) }
-	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n", request.Header.Get("Id"))
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n", request.Header.Get("Id"))
+	if e.leaving {
+		_, _ = io.WriteString(conn, "Leaving: 1\r\n")
+	}
+	_, _ = io.WriteString(conn, "\r\n")
 	chunk("id: 1\ndata: one\n\n")
 	chunk("id: 2\ndata: two\n\n")
 	closed := make(chan struct{})
@@ -104,7 +110,7 @@
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	w := &testWorker{address: listener.Addr().String(), service: &workerService{ctx: ctx, engines: upstream.NewClient(testCodec{}, nil)}}
+	w := &testWorker{address: listener.Addr().String(), service: &workerService{ctx: ctx, engines: upstream.NewClient(testCodec{}, nil), slots: newTestSlots()}}
 	w.server = transport.NewServer(&transport.Identity{ID: "worker"}, func(_ transport.Class, stream *transport.Stream) {
 		envelope, err := stream.Receive()
 		if err == nil {
