--- a/eventlog/logger.go
+++ b/eventlog/logger.go
@@ -36,6 +36,7 @@
 	UpstreamChanged    = "upstream_changed"
 	UpstreamSilent     = "upstream_silent"
 	UpstreamJudged     = "upstream_judged"
+	UpstreamLeaving    = "upstream_leaving"
 	HeartbeatRejected  = "heartbeat_rejected"
 	RoutingApplied     = "routing_applied"
 	RoutingRejected    = "routing_rejected"
