--- a/node/view_order_test.go
+++ b/node/view_order_test.go
@@ -41,7 +41,7 @@
 }
 
 func newPoolOfView() *SlotPool {
-	return NewSlotPool(dispatch.Options{}, func() {}, func(dispatch.HealthChange) {}, func(dispatch.PreemptionRequest) {})
+	return NewSlotPool(dispatch.Options{}, func() {}, func(dispatch.HealthChange) {}, func(dispatch.LeavingChange) {}, func(dispatch.PreemptionRequest) {})
 }
 
 func oneBeat(sequence uint64, phase pb.UpstreamPhase) *pb.FleetUpdate {
