Tell other daemons of a leaving engine whose start time is unknown

A load report said by the start time of an engine that it leaves. Engines of this platform report none, so that the notice was never sent: the other daemons of a data centre went on placing requests there until control told them. The notice is a field of its own now. Found by reading; the test covers a start time of zero now, and was not run against the code before, whose fields differ.

--- a/dispatch/leaving.go
+++ b/dispatch/leaving.go
@@ -90,18 +90,13 @@
 // upstream is ignored: the report is repeated.
 func (p *Pool) applyLeavingNotices(now time.Time, report LoadReport) {
 	for _, load := range report.Loads {
-		if _, known := p.upstreams[load.Upstream]; known && load.LeavingStartUnixMs != 0 {
+		if _, known := p.upstreams[load.Upstream]; known && load.Leaving {
 			p.MarkLeaving(now, LeavingNotice{Upstream: load.Upstream, StartUnixMs: load.LeavingStartUnixMs, Source: LeavingReport})
 		}
 	}
 }
 
-// sharedLeavingStart returns the start time of an upstream that leaves, for the load
-// report to other daemons. It is zero if the upstream stays, or if the other daemons have
-// been told.
-func (p *Pool) sharedLeavingStart(now time.Time, u *upstreamState) uint64 {
-	if !u.leaving || !now.Before(p.leaving[u.ID].shareUntil) {
-		return 0
-	}
-	return u.StartUnixMs
+// sharesLeaving reports whether load reports tell other daemons that an upstream leaves.
+func (p *Pool) sharesLeaving(now time.Time, u *upstreamState) bool {
+	return u.leaving && now.Before(p.leaving[u.ID].shareUntil)
 }
--- a/dispatch/leaving_test.go
+++ b/dispatch/leaving_test.go
@@ -125,21 +125,24 @@
 	expect.Expect(p.QueueLength()).To(BeZero())
 }
 
+// Engines of this platform report no start time; each start has a new ID.
 func TestPeerOfADaemonUsesALeavingUpstream(t *testing.T) {
-	expect := NewWithT(t)
-	told := newPool(startedUpstream("a", 7))
-	told.MarkLeaving(start, leavingNotice("a", 7))
-	loads := told.Loads(start)
-	expect.Expect(loads).To(Equal([]UpstreamLoad{{Upstream: "a", LeavingStartUnixMs: 7}}))
-	expect.Expect(told.Loads(start.Add(leavingShareTime))).To(BeEmpty())
-	p := newPool(startedUpstream("a", 7))
-	p.ApplyLoadReport(start, LoadReport{Peer: "told", Sequence: 1, DataCentre: "near", Loads: loads})
-	_, refused := requestSlot(p, start, onlineRequest(1, 0))
-	expect.Expect(refused.Reason).To(Equal(NoUpstream))
-	expect.Expect(p.LeavingChanges()[0].Source).To(Equal(LeavingReport))
-	expect.Expect(p.Loads(start)).To(BeEmpty())
-	p = newPool(startedUpstream("a", 8))
-	p.ApplyLoadReport(start, LoadReport{Peer: "told", Sequence: 1, DataCentre: "near", Loads: loads})
-	g, _ := requestSlot(p, start, onlineRequest(1, 0))
-	expect.Expect(g.Upstream).To(Equal("a"))
+	for _, startUnixMs := range []uint64{0, 7} {
+		expect := NewWithT(t)
+		told := newPool(startedUpstream("a", startUnixMs))
+		told.MarkLeaving(start, leavingNotice("a", startUnixMs))
+		loads := told.Loads(start)
+		expect.Expect(loads).To(Equal([]UpstreamLoad{{Upstream: "a", Leaving: true, LeavingStartUnixMs: startUnixMs}}))
+		expect.Expect(told.Loads(start.Add(leavingShareTime))).To(BeEmpty())
+		p := newPool(startedUpstream("a", startUnixMs))
+		p.ApplyLoadReport(start, LoadReport{Peer: "told", Sequence: 1, DataCentre: "near", Loads: loads})
+		_, refused := requestSlot(p, start, onlineRequest(1, 0))
+		expect.Expect(refused.Reason).To(Equal(NoUpstream))
+		expect.Expect(p.LeavingChanges()[0].Source).To(Equal(LeavingReport))
+		expect.Expect(p.Loads(start)).To(BeEmpty())
+		p = newPool(startedUpstream("a", 8))
+		p.ApplyLoadReport(start, LoadReport{Peer: "told", Sequence: 1, DataCentre: "near", Loads: loads})
+		g, _ := requestSlot(p, start, onlineRequest(1, 0))
+		expect.Expect(g.Upstream).To(Equal("a"))
+	}
 }
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -14,8 +14,9 @@
 	SuspectFor time.Duration
 	// Failures is the daemon's failure count of the upstream.
 	Failures int
-	// LeavingStartUnixMs is the start time of an upstream that told the daemon that it
-	// leaves, else zero.
+	// Leaving is set if the upstream told the daemon in an answer that it leaves,
+	// LeavingStartUnixMs is its start time then, zero if unknown.
+	Leaving            bool
 	LeavingStartUnixMs uint64
 }
 
@@ -167,9 +168,12 @@
 	var loads []UpstreamLoad
 	for _, u := range p.sortedUpstreams {
 		suspectFor, ownFailures := u.ownSuspicion(now)
-		leavingStart := p.sharedLeavingStart(now, u)
-		if u.ownGrants != [numClasses]int{} || ownFailures > 0 || leavingStart != 0 {
-			loads = append(loads, UpstreamLoad{u.ID, u.ownGrants[Online], u.ownGrants[Batch], suspectFor, ownFailures, leavingStart})
+		load := UpstreamLoad{Upstream: u.ID, Online: u.ownGrants[Online], Batch: u.ownGrants[Batch], SuspectFor: suspectFor, Failures: ownFailures}
+		if p.sharesLeaving(now, u) {
+			load.Leaving, load.LeavingStartUnixMs = true, u.StartUnixMs
+		}
+		if u.ownGrants != [numClasses]int{} || ownFailures > 0 || load.Leaving {
+			loads = append(loads, load)
 		}
 	}
 	return loads
--- a/node/load_exchange.go
+++ b/node/load_exchange.go
@@ -137,6 +137,7 @@
 			Batch:             uint32(load.Batch),
 			SuspectMs:         uint32(load.SuspectFor.Milliseconds()),
 			Failures:          uint32(load.Failures),
+			Leaving:           load.Leaving,
 			LeavingBornUnixMs: load.LeavingStartUnixMs,
 		})
 	}
@@ -164,6 +165,7 @@
 			Batch:              int(load.GetBatch()),
 			SuspectFor:         time.Duration(load.GetSuspectMs()) * time.Millisecond,
 			Failures:           int(load.GetFailures()),
+			Leaving:            load.GetLeaving(),
 			LeavingStartUnixMs: load.GetLeavingBornUnixMs(),
 		})
 	}
