--- /dev/null
+++ b/node/stream_origins_review_test.go
@@ -0,0 +1,176 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/briarcross/briarcross/origins"
+	"github.com/briarcross/briarcross/pb"
+	"github.com/briarcross/briarcross/routing"
+)
+
+// viewOf replaces the view of an entry by one that knows only some versions, like that
+// of an entry cut off from control or just started from an incomplete update.
+func (n *originNetwork) viewOf(address string, versions ...string) {
+	view := NewView()
+	update := &pb.FleetUpdate{}
+	for a := range n.entries {
+		update.Daemons = append(update.Daemons, &pb.Daemon{Id: a, Role: RoleEntry, Address: a, Incarnation: 1})
+	}
+	view.Merge(now, "control", update)
+	n.entries[address].view = view
+	for _, version := range versions {
+		view.Merge(now, "control", &pb.FleetUpdate{Upstreams: []*pb.UpstreamBeat{{
+			Id: "of-" + version, Sequence: 1, Service: "s", Address: "of-" + version + ":1", Slots: 1,
+			Phase: pb.UpstreamPhase_UPSTREAM_READY, SoftwareVersion: version,
+		}}})
+	}
+}
+
+// An entry cut off from control, or just restarted, sees one version. Others see two,
+// and the stream's homes, which it reaches, have its record.
+func TestReviewAStaleViewDoesNotDecideAnOrigin(t *testing.T) {
+	for name, seen := range map[string]string{"sees only the old version": "1", "sees only the new version": "2"} {
+		t.Run(name, func(t *testing.T) {
+			expect := NewWithT(t)
+			network := newOriginNetwork(sixEntries, "1", "2")
+			other := map[string]string{"1": "2", "2": "1"}[seen]
+			origin := origins.Origin{Service: "s", SoftwareVersion: other}
+			id := idWithoutHome("e2:1")
+			network.viewOf("e2:1", seen)
+			network.entries["e1:1"].Record(id, origin, []string{"s"})
+			network.remove("e1:1")
+			got, known := network.entries["e2:1"].Find(context.Background(), id, []string{"s"})
+			expect.Expect(known && got != origin).To(BeFalse(), "stream of version %s goes on at %v", other, got)
+		})
+	}
+}
+
+// idWithoutHome returns the ID of a stream that has no home at an address.
+func idWithoutHome(address string) string {
+	for c := 'a'; ; c++ {
+		found := false
+		for _, home := range origins.Homes(string(c), sixEntries) {
+			found = found || home == address
+		}
+		if !found {
+			return string(c)
+		}
+	}
+}
+
+// The first of two versions expires; no other engine changes before a third joins.
+func TestReviewOriginsAreSentWhenAThirdVersionJoinsAfterAnExpiry(t *testing.T) {
+	expect := NewWithT(t)
+	network := newOriginNetwork(sixEntries, "1", "2")
+	for _, address := range sixEntries {
+		entry := network.entries[address]
+		entry.view.Merge(now, "control", &pb.FleetUpdate{Upstreams: []*pb.UpstreamBeat{{
+			Id: "a", Sequence: 2, Service: "s", Address: "a:1", Slots: 1, Phase: pb.UpstreamPhase_UPSTREAM_GONE, SoftwareVersion: "1",
+		}}})
+		entry.VersionsChanged("s")
+		expect.Expect(entry.view.ExpireUpstreams(now.Add(3 * time.Minute))).To(ContainElement("a"))
+	}
+	began := origins.Origin{Service: "s", SoftwareVersion: "2"}
+	id := idWithoutHome("e2:1")
+	network.entries["e1:1"].Record(id, began, []string{"s"})
+	for _, address := range sixEntries {
+		entry := network.entries[address]
+		entry.view.Merge(now, "control", &pb.FleetUpdate{Upstreams: []*pb.UpstreamBeat{{
+			Id: "c", Sequence: 1, Service: "s", Address: "c:1", Slots: 1, Phase: pb.UpstreamPhase_UPSTREAM_READY, SoftwareVersion: "3",
+		}}})
+		entry.VersionsChanged("s")
+	}
+	network.remove("e1:1")
+	got, known := network.entries["e2:1"].Find(context.Background(), id, []string{"s"})
+	expect.Expect(known).To(BeTrue())
+	expect.Expect(got).To(Equal(began))
+}
+
+// A configuration splits the route while a stream is in progress. One version serves.
+func TestReviewAStreamIsFoundAfterItsRouteWasSplit(t *testing.T) {
+	expect := NewWithT(t)
+	network := newOriginNetwork(sixEntries, "1")
+	network.entries["e1:1"].Record("r", began, []string{"s"})
+	network.remove("e1:1")
+	_, known := network.entries["e2:1"].Find(context.Background(), "r", []string{"s", "other"})
+	expect.Expect(known).To(BeTrue())
+}
+
+// A configuration moves the route to a service of one version while a stream is in
+// progress. An entry other than the first takes the new service for the origin.
+func TestReviewAMovedRouteDoesNotDecideAnOrigin(t *testing.T) {
+	expect := NewWithT(t)
+	network := newOriginNetwork(sixEntries, "1")
+	for _, address := range sixEntries {
+		network.entries[address].view.Merge(now, "control", &pb.FleetUpdate{Upstreams: []*pb.UpstreamBeat{{
+			Id: "z", Sequence: 1, Service: "former", Address: "z:1", Slots: 1, Phase: pb.UpstreamPhase_UPSTREAM_READY, SoftwareVersion: "0",
+		}}})
+	}
+	began := origins.Origin{Service: "former", SoftwareVersion: "0"}
+	network.entries["e1:1"].Record("r", began, []string{"former"})
+	got, known := network.entries["e2:1"].Find(context.Background(), "r", []string{"s"})
+	expect.Expect(known && got != began).To(BeFalse(), "stream of %v goes on at %v", began, got)
+}
+
+// Engines whose versions are unknown may differ.
+func TestReviewUnknownVersionsAreNotOneVersion(t *testing.T) {
+	expect := NewWithT(t)
+	network := newOriginNetwork(sixEntries, "", "")
+	_, known := network.entries["e2:1"].Find(context.Background(), "unheard", []string{"s"})
+	expect.Expect(known).To(BeFalse())
+}
+
+// A reply to a query of the incarnation before arrives late: it has the number of a
+// query for another stream.
+func TestReviewAReplyForAnotherStreamIsIgnored(t *testing.T) {
+	expect := NewWithT(t)
+	network := newOriginNetwork(sixEntries, "1", "2")
+	entry := network.entries["e2:1"]
+	entry.send = func(string, *pb.Envelope) error {
+		go entry.handle(&pb.Envelope{Header: &pb.Header{ReplyAddress: "e3:1"}, Body: &pb.Envelope_StreamOriginReply{StreamOriginReply: &pb.StreamOriginReply{
+			Query: 1, Origin: encodeOrigin(origins.Record{RequestID: "of another stream", Origin: began}),
+		}}})
+		return nil
+	}
+	_, known := entry.Find(context.Background(), "unheard", []string{"s"})
+	expect.Expect(known).To(BeFalse())
+}
+
+// An entry that restarts is asked for origins before its socket is stored. Without
+// -race, the query has to arrive within the window for a panic.
+func TestReviewAQueryAtTheStartOfADispatcher(t *testing.T) {
+	expect := NewWithT(t)
+	const address = "127.78.9.1:18000"
+	sender, err := net.Dial("udp", address)
+	expect.Expect(err).NotTo(HaveOccurred())
+	query, err := proto.Marshal(&pb.Envelope{Header: &pb.Header{ReplyAddress: "127.78.9.2:18000"}, Body: &pb.Envelope_StreamOriginQuery{
+		StreamOriginQuery: &pb.StreamOriginQuery{RequestId: "r", Query: 1}}})
+	expect.Expect(err).NotTo(HaveOccurred())
+	ended := make(chan struct{})
+	defer close(ended)
+	go func() {
+		for {
+			select {
+			case <-ended:
+				return
+			default:
+				// Refused while nothing listens.
+				_, _ = sender.Write(query)
+			}
+		}
+	}()
+	settings := &Settings{ID: "e", Role: RoleEntry, DataCentre: "d", Address: address}
+	for range 20 {
+		d, err := NewDispatcher(settings, log.New(io.Discard), func([]byte) (*routing.Table, error) { return nil, nil }, nil, nil)
+		expect.Expect(err).NotTo(HaveOccurred())
+		d.Close()
+	}
+}
