Let a bound request wait for MaxWait instead of refusing it by an estimate

Cause: enqueue divided the expected wait, from the completions of this daemon only, by the share of the slots of the version. Other daemons use these slots too, so that the wait for the few slots of a version was overestimated by the number of daemons.

Now a bound request is queued for MaxWait if an upstream of its version is ready, and refused with WaitTimeout after it. Without MaxWait (batch items) it is refused at once as before; so it is, with NoUpstream, without an upstream of the version.

Since more bound requests wait, an unbound one would be refused for those that wait for slots which it doesn't need. expectedWait counts the bound requests of a version with no more than the version's share of the slots that become free. For unbound requests alone the estimate is as before.

--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -108,7 +110,8 @@
 const (
 	// NoUpstream means that the service has no ready upstream.
 	NoUpstream Reason = "no_upstream"
-	// QueueFull means that the expected wait exceeds MaxWait.
+	// QueueFull means that the expected wait exceeds MaxWait, or that a bound request
+	// may not wait.
 	QueueFull Reason = "queue_full"
 	// WaitTimeout means that no slot became free within MaxWait.
 	WaitTimeout Reason = "wait_over"
@@ -267,18 +270,18 @@
 	if request.Class == Online {
 		p.statsOf(request.Service).recordArrival(now)
 	}
-	index, ahead, yielding := p.queuePosition(now, queued)
+	index, ahead, boundAhead := p.queuePosition(now, queued)
 	if ahead == 0 && p.tryGrant(now, queued) {
 		return
 	}
-	p.enqueue(now, queued, index, ahead+yielding)
+	p.enqueue(now, queued, index, ahead, boundAhead)
 }
 
 // queuePosition returns the index in the queue at which to insert a request, and
-// the number of requests ahead of it that compete for its slots. Of these, yielding
-// counts the bound ones that an unbound request need not wait for: they wait for
-// slots of their version, and a free one would have been granted to them.
-func (p *Pool) queuePosition(now time.Time, queued queuedRequest) (index, ahead, yielding int) {
+// the number of requests ahead of it that compete for its slots. The bound ones that
+// an unbound request need not wait for are counted in boundAhead instead, by version:
+// they wait for slots of their version only.
+func (p *Pool) queuePosition(now time.Time, queued queuedRequest) (index, ahead int, boundAhead map[string]int) {
 	index = len(p.queue)
 	retriesFirst := p.retriesFit(now, queued.slotRequest.Service)
 	for i, other := range p.queue {
@@ -287,12 +290,15 @@
 			index = min(index, i)
 		case !queued.slotRequest.competesWith(&other.slotRequest):
 		case other.slotRequest.Bound && !queued.slotRequest.Bound:
-			yielding++
+			if boundAhead == nil {
+				boundAhead = make(map[string]int)
+			}
+			boundAhead[other.slotRequest.SoftwareVersion]++
 		default:
 			ahead++
 		}
 	}
-	return index, ahead, yielding
+	return index, ahead, boundAhead
 }
 
 // before reports whether a is served before b: by class, then by priority, then
@@ -309,45 +315,76 @@
 	return retriesFirst && a.retrying && !b.retrying
 }
 
-// enqueue inserts a request into the queue, or refuses it if the expected wait
-// exceeds its MaxWait.
-func (p *Pool) enqueue(now time.Time, queued queuedRequest, index, ahead int) {
-	share := p.usableSlotShare(&queued.slotRequest)
-	if share == 0 {
+// enqueue inserts a request into the queue, or refuses it if it cannot wait or the
+// expected wait exceeds its MaxWait. A bound request may wait for MaxWait in any case:
+// the completions of this daemon say little about the few slots of one version, which
+// other daemons use too, and its caller has a part of the response already.
+func (p *Pool) enqueue(now time.Time, queued queuedRequest, index, ahead int, boundAhead map[string]int) {
+	request := &queued.slotRequest
+	if !p.hasUpstream(request) {
 		p.refuse(now, queued, NoUpstream)
 		return
 	}
-	expectedWait := time.Duration(float64(p.timeUntilFree(now, queued.slotRequest.Service, ahead+1)) / share)
-	if expectedWait > queued.slotRequest.MaxWait || queued.slotRequest.MaxWait <= 0 {
+	if request.MaxWait <= 0 || !request.Bound && p.expectedWait(now, request.Service, ahead, boundAhead) > request.MaxWait {
 		p.refuse(now, queued, QueueFull)
 		return
 	}
 	p.queue = slices.Insert(p.queue, index, queued)
 }
 
-// usableSlotShare returns the share of the slots of a service's ready upstreams that a
-// request may use.
-func (p *Pool) usableSlotShare(request *SlotRequest) float64 {
-	usable, all := 0, 0
+// expectedWait estimates how long an unbound request waits for a slot. The bound
+// requests ahead of it delay it by their number, but take no more than the share of
+// their version of the slots that become free.
+func (p *Pool) expectedWait(now time.Time, service string, ahead int, boundAhead map[string]int) time.Duration {
+	slots, all := p.slotsByVersion(service)
+	versions := slices.SortedFunc(maps.Keys(boundAhead), func(a, b string) int {
+		return cmp.Or(cmp.Compare(boundAhead[a]*slots[b], boundAhead[b]*slots[a]), cmp.Compare(a, b))
+	})
+	usable := all
+	for _, version := range versions {
+		usable -= slots[version]
+	}
+	// The versions are added in the order in which their requests will all have slots.
+	wait := p.shareOfWait(now, service, ahead+1, usable, all)
+	for _, version := range versions {
+		ahead += boundAhead[version]
+		usable += slots[version]
+		wait = min(wait, p.shareOfWait(now, service, ahead+1, usable, all))
+	}
+	return wait
+}
+
+// shareOfWait estimates the time until a number of slots become free on upstreams with
+// the given part of all slots.
+func (p *Pool) shareOfWait(now time.Time, service string, freed, usable, all int) time.Duration {
+	if usable <= 0 {
+		return math.MaxInt64
+	}
+	return time.Duration(float64(p.timeUntilFree(now, service, freed)) * float64(all) / float64(usable))
+}
+
+// slotsByVersion returns the slots of a service's ready upstreams, by software version
+// and in total.
+func (p *Pool) slotsByVersion(service string) (slots map[string]int, all int) {
+	slots = make(map[string]int)
 	for _, u := range p.sortedUpstreams {
-		if u.Service != request.Service || !u.accepts() {
-			continue
-		}
-		all += u.Slots
-		if request.fits(u) {
-			usable += u.Slots
+		if u.Service == service && u.accepts() {
+			slots[u.SoftwareVersion] += u.Slots
+			all += u.Slots
 		}
 	}
-	if usable == 0 {
-		return 0
-	}
-	return float64(usable) / float64(all)
+	return slots, all
+}
+
+// hasUpstream reports whether a ready upstream with slots may run a request.
+func (p *Pool) hasUpstream(request *SlotRequest) bool {
+	return slices.ContainsFunc(p.sortedUpstreams, func(u *upstreamState) bool { return u.Slots > 0 && request.fits(u) })
 }
 
 // refuseUnservable refuses the queued requests for which there is no upstream left.
 func (p *Pool) refuseUnservable(now time.Time) {
 	p.queue = slices.DeleteFunc(p.queue, func(queued queuedRequest) bool {
-		if p.usableSlotShare(&queued.slotRequest) > 0 {
+		if p.hasUpstream(&queued.slotRequest) {
 			return false
 		}
 		p.refuse(now, queued, NoUpstream)
