Let a stream that has begun wait for a full or dead engine

If the only other engine of its version was full for 200 ms, a stream that broke off was cut after 4 ms; a stream that a caller took up was sent five times in 2 ms to the only engine of its version and refused with 503. The same happened while that engine accepted no connections. Such a stream may wait a second.

Cause: without another upstream of the version, mustAvoid lets a bound request use those in Avoid, also one that had failed or rejected it just now, and the exchange then ended at maxNotRunAttempts.

Now an upstream in Avoid is used again only when it is not suspect, and until then the request waits in the queue. The exchange passes NotBefore, so that an engine that did not run the stream gets it again after minResendDelay at the earliest. An engine that rejected it once is not in Avoid: it is preferred to one that broke the stream off, which would cost one of MaxAttempts. Attempts that were not run don't end a bound request before maxResumeWait; they count against that time, which begins when the stream arrives or breaks off. After it, the limit of four holds, and nothing waits. Unbound requests are handled as before.

New: TestATakenUpStreamOutlastsADeadEngine, TestAStreamThatWaitsForAFullEngineEndsAtTheDeadline (it ends at a deadline of 300 ms with 503), TestRejectionsDoNotAddToTheEnginesThatRunAStream (two rejections, and no more runs than MaxAttempts), and in dispatch TestABoundRequestReturnsToAnUpstreamOnceItIsNotSuspect and TestARequestIsNotGrantedAnUpstreamBeforeItsTime.

--- a/dispatch/bound_test.go
+++ b/dispatch/bound_test.go
@@ -73,6 +73,48 @@
 	expect.Expect(g.Upstream).To(Equal("c"))
 }
 
+// The only upstream of the version has just failed the stream. To send it there again
+// at once would fail again, and others of its version do not wait for it.
+func TestABoundRequestReturnsToAnUpstreamOnceItIsNotSuspect(t *testing.T) {
+	expect := NewWithT(t)
+	p := newPool(versionedUpstream("a", "1", 2), versionedUpstream("b", "2", 2))
+	failing, _ := requestSlot(p, start, boundRequest(1, "1", time.Second))
+	p.Release(start, *failing, Failed)
+	again := boundRequest(2, "1", time.Second)
+	again.Avoid = []string{"a"}
+	g, refused := requestSlot(p, start, again)
+	expect.Expect(g).To(BeNil())
+	expect.Expect(refused).To(BeNil())
+	p.Tick(start.Add(initialSuspicion - time.Millisecond))
+	granted, refusals := p.Drain()
+	expect.Expect(granted).To(BeEmpty())
+	expect.Expect(refusals).To(BeEmpty())
+	p.Tick(start.Add(initialSuspicion))
+	granted, _ = p.Drain()
+	expect.Expect(granted).To(HaveLen(1))
+	expect.Expect(granted[0].SlotRequestID).To(BeEquivalentTo(2))
+	expect.Expect(granted[0].Upstream).To(Equal("a"))
+}
+
+func TestARequestIsNotGrantedAnUpstreamBeforeItsTime(t *testing.T) {
+	expect := NewWithT(t)
+	p := newPool(versionedUpstream("a", "1", 8), versionedUpstream("b", "1", 2))
+	request := boundRequest(1, "1", time.Second)
+	request.NotBefore = map[string]time.Time{"a": timeAt(300)}
+	g, _ := requestSlot(p, start, request)
+	expect.Expect(g.Upstream).To(Equal("b"))
+	request.ID, request.Avoid = 2, []string{"b"}
+	g, _ = requestSlot(p, start, request)
+	expect.Expect(g).To(BeNil())
+	p.Tick(timeAt(299))
+	granted, _ := p.Drain()
+	expect.Expect(granted).To(BeEmpty())
+	p.Tick(timeAt(300))
+	granted, _ = p.Drain()
+	expect.Expect(granted).To(HaveLen(1))
+	expect.Expect(granted[0].Upstream).To(Equal("a"))
+}
+
 // busyVersions returns a pool whose one slot of version 1 and nine slots of version 2
 // are taken, and the grants by upstream. A slot has become free every 50 ms.
 func busyVersions(t *testing.T) (p *Pool, running map[string][]*Grant) {
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -60,7 +60,8 @@
 		if !u.belowFailureLimit(now) {
 			failing++
 		}
-		if skipAvoided && slices.Contains(request.Avoid, u.ID) {
+		avoided := slices.Contains(request.Avoid, u.ID) && (skipAvoided || u.isSuspect(now))
+		if avoided || now.Before(request.NotBefore[u.ID]) {
 			continue
 		}
 		t := p.tier(now, u, request)
@@ -116,8 +117,9 @@
 func (p *Pool) isCoarse(u *upstreamState) bool { return p.summarized[u.DataCentre] }
 
 // mustAvoid reports whether the upstreams in request.Avoid are skipped. Unbound
-// online requests always skip them. Others use them if no other upstream fits: batch
-// would otherwise wait forever, and a stream that has begun would be cut.
+// online requests always skip them. Others use them, once they are not suspect, if no
+// other upstream fits: batch would otherwise wait forever, and a stream that has begun
+// would be cut.
 func (p *Pool) mustAvoid(request SlotRequest) bool {
 	if request.Class == Online && !request.Bound {
 		return true
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -53,6 +53,8 @@
 	SoftwareVersion string
 	// Avoid lists the IDs of upstreams that have already failed the request.
 	Avoid []string
+	// NotBefore holds, by ID, upstreams that get the request again only from a time on.
+	NotBefore map[string]time.Time
 	// Urgent lets a batch item that would otherwise be late use the slots kept free
 	// for the next burst of online requests.
 	Urgent bool
--- a/entrynode/exchange.go
+++ b/entrynode/exchange.go
@@ -27,17 +27,21 @@
 	// caller may wait; the rest is enough for one more retry.
 	retryMaxWaitShare = 0.5
 	// maxNotRunAttempts bounds the attempts that upstreams have certainly not run.
-	// With one more, the request fails.
+	// With one more, the request fails, unless it is a stream that may still wait for
+	// maxResumeWait.
 	maxNotRunAttempts = 4
+	// minResendDelay is the time after which a stream that has begun may be sent again
+	// to an upstream that has not run it.
+	minResendDelay = 600 * time.Millisecond
 	// relayBufferBytes is the size of a read buffer, enough for several events of a
 	// stream.
 	relayBufferBytes = 8 << 10
 	// maxBufferedBytes limits a response that is read completely before it is
 	// relayed, so that the request can be retried if the response is interrupted.
 	maxBufferedBytes = 1 << 20
-	// maxResumeWait is how long a stream that has begun may wait for a slot. Only
-	// engines of one software version can go on with it, and its caller has a part of
-	// it already.
+	// maxResumeWait is how long a stream that has begun may wait for a slot, with the
+	// attempts that upstreams have not run. Only engines of one software version can go
+	// on with it, and its caller has a part of it already.
 	maxResumeWait = time.Second
 	// unknownOriginRetryAfter is the time after which a caller may ask again for a
 	// stream whose origin no entry in reach knows.
@@ -61,8 +65,14 @@
 	timeout time.Duration
 
 	ctx context.Context
-	// avoid lists the IDs of upstreams that have failed or refused the request.
+	// avoid lists the IDs of upstreams that have failed or refused the request. For a
+	// stream that has begun, one that refused it once is not among them.
 	avoid []string
+	// resendAt holds, by ID, the time from which an upstream that has not run a stream
+	// that has begun may get it again.
+	resendAt map[string]time.Time
+	// interruptedAt is the time since which no upstream has run the request.
+	interruptedAt time.Time
 	// mayHaveRunCount counts the attempts that may have run the request,
 	// notRunCount those that certainly have not.
 	mayHaveRunCount int
@@ -86,9 +96,10 @@
 	if headers.TimeToDeadline > 0 {
 		timeout = min(timeout, headers.TimeToDeadline)
 	}
+	arrivedAt := time.Now()
 	return &exchange{
 		node: n, w: w, request: r, headers: headers, route: route, table: table, body: body,
-		service: route.PickService(rand.Uint64()), arrivedAt: time.Now(), timeout: timeout,
+		service: route.PickService(rand.Uint64()), arrivedAt: arrivedAt, interruptedAt: arrivedAt, timeout: timeout,
 		events: upstream.EventSplitter{LastID: headers.ResumeAfter},
 	}
 }
@@ -101,6 +112,8 @@
 	completed attemptResult = iota
 	// notRun means that the upstream certainly has not run the request.
 	notRun
+	// rejected means the same of an upstream that has answered that it is busy.
+	rejected
 	// mayHaveRun means that the attempt failed and the upstream may have run the
 	// request.
 	mayHaveRun
@@ -128,9 +141,7 @@
 		if result == completed {
 			return
 		}
-		if !slices.Contains(x.avoid, grant.Upstream) {
-			x.avoid = append(x.avoid, grant.Upstream)
-		}
+		x.avoidUpstream(grant.Upstream, result)
 		x.node.metrics.retries.WithLabelValues(reason).Inc()
 		x.node.logger.Info(eventlog.RequestRetried, "request", x.headers.ID, "upstream", grant.Upstream, "reason", reason,
 			"ran", x.mayHaveRunCount, "unrun", x.notRunCount, "events", x.events.Count, "last_event", x.events.LastID, "elapsed_ms", x.elapsed().Milliseconds())
@@ -141,6 +152,26 @@
 	x.fail(reason)
 }
 
+// avoidUpstream records the result of an attempt at an upstream for the choice of the
+// next one.
+func (x *exchange) avoidUpstream(id string, result attemptResult) {
+	if result == mayHaveRun {
+		x.interruptedAt = time.Now()
+	} else if x.origin != nil {
+		_, again := x.resendAt[id]
+		if x.resendAt == nil {
+			x.resendAt = make(map[string]time.Time)
+		}
+		x.resendAt[id] = time.Now().Add(minResendDelay)
+		if result == rejected && !again {
+			return
+		}
+	}
+	if !slices.Contains(x.avoid, id) {
+		x.avoid = append(x.avoid, id)
+	}
+}
+
 // findOrigin finds where a stream that the caller takes up began. It returns a refusal
 // if the stream cannot go on.
 func (x *exchange) findOrigin() *refusal {
@@ -183,7 +214,7 @@
 
 // canAttempt reports whether the request may be sent to an upstream (again).
 func (x *exchange) canAttempt() bool {
-	if x.notRunCount > maxNotRunAttempts {
+	if x.notRunCount > maxNotRunAttempts && (x.origin == nil || time.Since(x.interruptedAt) >= maxResumeWait) {
 		return false
 	}
 	return x.mayHaveRunCount == 0 || x.route.Repeatable() && x.mayHaveRunCount < max(1, x.route.MaxAttempts)
@@ -209,7 +240,10 @@
 	}
 	if x.origin != nil {
 		request.Bound, request.SoftwareVersion = true, x.origin.SoftwareVersion
-		request.MaxWait = max(0, min(maxResumeWait, remaining))
+		waited := time.Since(x.interruptedAt)
+		request.NotBefore = x.resendAt
+		request.MaxWait = max(0, min(maxResumeWait-waited, remaining))
+		request.RetryMaxWait = max(0, request.RetryMaxWait-waited)
 	}
 	return request
 }
@@ -309,7 +343,11 @@
 		// The body of a refusal is not used; reading it allows reuse of the connection.
 		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, relayBufferBytes))
 		x.notRunCount++
-		return notRun, "refused_" + strconv.Itoa(response.Status)
+		reason := "refused_" + strconv.Itoa(response.Status)
+		if response.OtherInstance {
+			return notRun, reason
+		}
+		return rejected, reason
 	}
 	x.mayHaveRunCount++
 	if !response.Genuine {
--- a/entrynode/version_test.go
+++ b/entrynode/version_test.go
@@ -1,8 +1,12 @@
 package entrynode
 
 import (
+	"io"
+	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 )
@@ -95,3 +99,109 @@
 	got := sendWith(t, url, "/resume/x", map[string]string{"Id": "r2", "After": "3", "Resumes": "unheard"})
 	expect.Expect(got.body).To(Equal(events(4, 6)))
 }
+
+const fullEngine = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+
+// The only other engine of the version is full for 200 ms. A stream may wait a second
+// for a slot; its caller accepts the pause.
+func TestABoundStreamOutlastsAFullEngine(t *testing.T) {
+	expect := NewWithT(t)
+	broken := startBrokenVersion(t, "1")
+	var firstAt atomic.Int64
+	full := startEngine(t, func(_ int, r *http.Request) string {
+		firstAt.CompareAndSwap(0, time.Now().UnixNano())
+		if time.Since(time.Unix(0, firstAt.Load())) < 200*time.Millisecond {
+			return fullEngine
+		}
+		return chunked(r.Header.Get("Id"), events(4, 6))
+	})
+	full.version = "1"
+	other := startVersion(t, "2")
+	broken.slots, full.slots, other.slots = 10, 8, 8
+	url, _ := startEntry(t, broken, full, other)
+	began := time.Now()
+	got := send(t, url, "/resume/x")
+	t.Logf("requests at the engine that broke off %d, at the full one %d, after %v: %v", broken.requestCount.Load(), full.requestCount.Load(), time.Since(began), got.err)
+	expect.Expect(got.err).NotTo(HaveOccurred())
+	expect.Expect(got.body).To(Equal(events(1, 6)))
+}
+
+// A caller takes a stream up, and the only engine of its version is full for 200 ms.
+func TestATakenUpStreamDoesNotHammerAFullEngine(t *testing.T) {
+	expect := NewWithT(t)
+	full := startEngine(t, func(int, *http.Request) string { return fullEngine })
+	full.version = "1"
+	url, _ := startEntry(t, full)
+	began := time.Now()
+	got := sendWith(t, url, "/resume/x", map[string]string{"Id": "r2", "After": "3", "Resumes": "r1"})
+	t.Logf("status %d after %v", got.status, time.Since(began))
+	expect.Expect(full.requestCount.Load()).To(BeNumerically("<=", 2))
+}
+
+// The only engine of the version accepts no connections for 200 ms.
+func TestATakenUpStreamOutlastsADeadEngine(t *testing.T) {
+	expect := NewWithT(t)
+	e := startVersion(t, "1")
+	working := e.address
+	reserved, err := net.Listen("tcp", "127.0.0.1:0")
+	expect.Expect(err).NotTo(HaveOccurred())
+	e.address = reserved.Addr().String()
+	expect.Expect(reserved.Close()).To(Succeed())
+	url, _ := startEntry(t, e)
+	time.AfterFunc(200*time.Millisecond, func() { forward(t, e.address, working) })
+	got := sendWith(t, url, "/resume/x", map[string]string{"Id": "r2", "After": "3", "Resumes": "r1"})
+	expect.Expect(got.status).To(Equal(http.StatusOK))
+	expect.Expect(got.body).To(Equal(events(4, 6)))
+}
+
+// forward passes one connection to an address on to another.
+func forward(t *testing.T, from, to string) {
+	listener, err := net.Listen("tcp", from)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	defer func() { _ = listener.Close() }()
+	caller, err := listener.Accept()
+	if err != nil {
+		return
+	}
+	engine, err := net.Dial("tcp", to)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	go func() { _, _ = io.Copy(engine, caller) }()
+	_, _ = io.Copy(caller, engine)
+}
+
+// The time for which a stream may wait does not go beyond the caller's deadline.
+func TestAStreamThatWaitsForAFullEngineEndsAtTheDeadline(t *testing.T) {
+	expect := NewWithT(t)
+	full := startEngine(t, func(int, *http.Request) string { return fullEngine })
+	full.version = "1"
+	url, _ := startEntry(t, full)
+	began := time.Now()
+	got := sendWith(t, url, "/resume/x", map[string]string{"Id": "r2", "After": "3", "Resumes": "r1", "Timeout-Ms": "300"})
+	expect.Expect(time.Since(began)).To(BeNumerically("<", 450*time.Millisecond))
+	expect.Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+	expect.Expect(full.requestCount.Load()).To(BeEquivalentTo(1))
+}
+
+// The other engine of the version stays full, so that the stream goes back to the one
+// that broke it off, which runs it no more often than the route allows.
+func TestRejectionsDoNotAddToTheEnginesThatRunAStream(t *testing.T) {
+	expect := NewWithT(t)
+	broken := startBrokenVersion(t, "1")
+	full := startEngine(t, func(int, *http.Request) string { return fullEngine })
+	full.version = "1"
+	other := startVersion(t, "2")
+	broken.slots, full.slots, other.slots = 10, 8, 8
+	url, _ := startEntry(t, broken, full, other)
+	got := send(t, url, "/resume/x")
+	expect.Expect(got.err).To(HaveOccurred())
+	expect.Expect(got.body).To(Equal(events(1, 4)))
+	expect.Expect(broken.requestCount.Load()).To(BeEquivalentTo(2))
+	expect.Expect(full.requestCount.Load()).To(BeEquivalentTo(2))
+	expect.Expect(other.requestCount.Load()).To(BeZero())
+}
