--- a/dispatch/bound_fleet_test.go
+++ b/dispatch/bound_fleet_test.go
@@ -171,6 +171,7 @@
 	for _, newRate := range []float64{64, 72, 78, 84, 92} {
 		for seed := range uint64(3) {
 			t.Run(fmt.Sprint("rate ", newRate, " seed ", seed), func(t *testing.T) {
+				t.Parallel()
 				fleet := versionFleet{daemons: 20, firstVersion: 2, newRate: newRate, takenUpRate: 3}
 				result := fleet.play(seed)
 				t.Log(result)
@@ -186,6 +187,7 @@
 	for _, firstVersion := range []int{2, 10, 18} {
 		for seed := range uint64(3) {
 			t.Run(fmt.Sprint(firstVersion, " upstreams seed ", seed), func(t *testing.T) {
+				t.Parallel()
 				expect := NewWithT(t)
 				fleet := versionFleet{daemons: 20, firstVersion: firstVersion, newRate: 64, killed: 10}
 				alone := fleet.play(seed)
