Keep a starting dispatcher from answering without a socket

What callers saw: an entry or storage replica that starts could crash, and the requests at it with it: the event loop handles datagrams before ListenDatagrams has returned. A query for the origin of a stream that came then was answered through d.datagrams, which was still nil.

Why it works: the socket is an atomic pointer, and without it the reply is dropped and counted as failed. The entry that asked repeats its query.

--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,6 +33,9 @@
 	expireInterval = 10 * time.Second
 )
 
+// errStarting is the error of a send before the socket is open.
+var errStarting = errors.New("daemon is starting")
+
 // Dispatcher is the part that entries and storage replicas have in common: it
 // follows the control replicas and assigns slots of upstreams to requests.
 type Dispatcher struct {
@@ -48,11 +52,12 @@
 
 	follower     *Follower
 	loadReporter *LoadReporter
-	datagrams    *transport.DatagramSocket
-	decodeTable  func([]byte) (*routing.Table, error)
-	table        atomic.Pointer[routing.Table]
-	tableLock    sync.Mutex
-	onNotReady   func(fleet.Upstream)
+	// datagrams is nil until the socket is open. Datagrams may arrive before.
+	datagrams   atomic.Pointer[transport.DatagramSocket]
+	decodeTable func([]byte) (*routing.Table, error)
+	table       atomic.Pointer[routing.Table]
+	tableLock   sync.Mutex
+	onNotReady  func(fleet.Upstream)
 	// onPreemption is called for each preemption request of another daemon; nil on
 	// daemons that run no batch items.
 	onPreemption func(dispatch.PreemptionRequest)
@@ -84,7 +89,7 @@
 			Name: "briarcross_upstreams_leaving_total", Help: "Upstreams that said in an answer that they leave, by how this daemon learned it first: answer, worker, report.",
 		}, []string{"source"}),
 	}
-	d.StreamOrigins = newStreamOrigins(settings.Address, d.View, func(address string, e *pb.Envelope) error { return d.datagrams.Send(address, e) })
+	d.StreamOrigins = newStreamOrigins(settings.Address, d.View, d.sendDatagram)
 	d.Transport = transport.NewClient(d.Identity, nil)
 	d.Storage = client.NewReplicaClient(d.Transport, nil)
 	d.Slots = NewSlotPool(dispatch.Options{
@@ -99,7 +104,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d.datagrams = datagrams
+	d.datagrams.Store(datagrams)
 	d.loadReporter.SetSocket(datagrams)
 	d.follower = NewFollower(d.Transport, d.View, settings.Self(d.Identity), settings.Seeds, logger, d.applyViewChanges)
 	return d, nil
@@ -120,7 +125,7 @@
 func (d *Dispatcher) Close() {
 	d.closeOnce.Do(func() {
 		d.tasks.Wait()
-		if err := d.datagrams.Close(); err != nil {
+		if err := d.datagrams.Load().Close(); err != nil {
 			d.Logger.Warn(eventlog.Stopping, "error", err)
 		}
 		d.Transport.Close()
@@ -142,6 +147,15 @@
 	return d.table.Load()
 }
 
+// sendDatagram sends a datagram, or returns an error while the socket is not open.
+func (d *Dispatcher) sendDatagram(address string, e *pb.Envelope) error {
+	datagrams := d.datagrams.Load()
+	if datagrams == nil {
+		return errStarting
+	}
+	return datagrams.Send(address, e)
+}
+
 func (d *Dispatcher) handleDatagram(e *pb.Envelope) {
 	if report := e.GetLoadReport(); report != nil {
 		d.loadReporter.HandleReport(e.GetHeader(), report)
--- a/node/dispatcher_test.go
+++ b/node/dispatcher_test.go
@@ -3,14 +3,18 @@
 import (
 	"context"
 	"io"
+	"net"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/charmbracelet/log"
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/briarcross/briarcross/dispatch"
 	"github.com/briarcross/briarcross/fleet"
+	"github.com/briarcross/briarcross/pb"
 	"github.com/briarcross/briarcross/routing"
 )
 
@@ -34,3 +38,37 @@
 	expect.Expect(d.Table()).NotTo(BeNil())
 	expect.Expect(granted).To(BeTrue())
 }
+
+// An entry that restarts is asked for origins before its socket is stored. Without
+// -race, the query has to arrive within the window for a panic.
+func TestAQueryAtTheStartOfADispatcher(t *testing.T) {
+	expect := NewWithT(t)
+	const startCount = 2
+	const address = "127.78.9.1:18000"
+	sender, err := net.Dial("udp", address)
+	expect.Expect(err).NotTo(HaveOccurred())
+	query, err := proto.Marshal(&pb.Envelope{Header: &pb.Header{ReplyAddress: "127.78.9.2:18000"}, Body: &pb.Envelope_StreamOriginQuery{
+		StreamOriginQuery: &pb.StreamOriginQuery{RequestId: "r", Query: 1}}})
+	expect.Expect(err).NotTo(HaveOccurred())
+	ended := make(chan struct{})
+	var sending sync.WaitGroup
+	defer sending.Wait()
+	defer close(ended)
+	sending.Go(func() {
+		for {
+			select {
+			case <-ended:
+				return
+			default:
+				// Refused while nothing listens.
+				_, _ = sender.Write(query)
+			}
+		}
+	})
+	settings := &Settings{ID: "e", Role: RoleEntry, DataCentre: "d", Address: address}
+	for range startCount {
+		d, err := NewDispatcher(settings, log.New(io.Discard), func([]byte) (*routing.Table, error) { return nil, nil }, nil, nil)
+		expect.Expect(err).NotTo(HaveOccurred())
+		d.Close()
+	}
+}
