Ask other entries before a stream goes on at the only version

An entry that was cut off from control, or had just started, knew engines of one version only, took that version for the origin of each stream that callers took up, and asked no other entry.

Cause: a view that lacks engines counted as a proof that there is one version.

Why it works: without a record of its own, an entry asks the homes of the stream. A home without a record replies which versions it knows. The only version is the origin only if all homes that reply know the same one; if none replies, only if a control replica has been current for a second. Nothing is sent when a stream begins at the only version.

TestNothingIsSentWhileAServiceHasOneVersion demanded that the search sends nothing, which is the fault. Its successor demands this of the beginning of a stream only. The fake control replica of the entry tests now goes on with updates and says that it is current; tests of streams taken up at the only entry wait for that.

--- a/entrynode/node_test.go
+++ b/entrynode/node_test.go
@@ -161,15 +161,15 @@
 // and the entries at some addresses.
 func startEntryAt(t *testing.T, address string, entries []string, engines ...*engine) (url string, n *Node) {
 	t.Helper()
-	update := &pb.FleetUpdate{RoutingVersion: 4, RoutingDocument: []byte("table")}
+	first := &pb.FleetUpdate{RoutingVersion: 4, RoutingDocument: []byte("table"), Current: true}
 	for i, e := range engines {
-		update.Upstreams = append(update.Upstreams, &pb.UpstreamBeat{
+		first.Upstreams = append(first.Upstreams, &pb.UpstreamBeat{
 			Id: fmt.Sprintf("i-%d", i), BornUnixMs: 1, Sequence: 1, Service: "s", Address: e.address,
 			DataCentre: "d", Slots: uint32(e.slots), Phase: pb.UpstreamPhase_UPSTREAM_READY, SoftwareVersion: e.version,
 		})
 	}
 	for _, entry := range entries {
-		update.Daemons = append(update.Daemons, &pb.Daemon{Id: entry, Role: node.RoleEntry, DataCentre: "d", Address: entry, Incarnation: 1})
+		first.Daemons = append(first.Daemons, &pb.Daemon{Id: entry, Role: node.RoleEntry, DataCentre: "d", Address: entry, Incarnation: 1})
 	}
 	control, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -179,8 +179,24 @@
 		if _, err := stream.Receive(); err != nil {
 			return
 		}
-		_ = stream.Send(&pb.Envelope{Body: &pb.Envelope_FleetUpdate{FleetUpdate: update}})
-		_, _ = stream.Receive()
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			for {
+				if _, err := stream.Receive(); err != nil {
+					return
+				}
+			}
+		}()
+		update := first
+		for stream.Send(&pb.Envelope{Body: &pb.Envelope_FleetUpdate{FleetUpdate: update}}) == nil {
+			update = &pb.FleetUpdate{Current: true}
+			select {
+			case <-ended:
+				return
+			case <-time.After(node.UpdateInterval):
+			}
+		}
 	})
 	go func() { _ = server.Serve(control) }()
 	settings := &node.Settings{
@@ -206,6 +222,12 @@
 	return "http://" + settings.CallersAddress, n
 }
 
+// awaitCurrent waits until the view of an entry counts as current.
+func awaitCurrent(t *testing.T, n *Node) {
+	t.Helper()
+	NewWithT(t).Eventually(func() bool { return n.View.Current(time.Now()) }, testTimeout, pollInterval).Should(BeTrue())
+}
+
 // lastHost is the number of the last loopback address that a test of this package
 // uses.
 var lastHost atomic.Int32
--- a/entrynode/version_review_test.go
+++ b/entrynode/version_review_test.go
@@ -40,7 +40,8 @@
 	expect := NewWithT(t)
 	full := startEngine(t, func(int, *http.Request) string { return fullEngine })
 	full.version = "1"
-	url, _ := startEntry(t, full)
+	url, n := startEntry(t, full)
+	awaitCurrent(t, n)
 	began := time.Now()
 	got := sendWith(t, url, "/resume/x", map[string]string{"Id": "r2", "After": "3", "Resumes": "r1"})
 	t.Logf("status %d after %v", got.status, time.Since(began))
--- a/entrynode/version_test.go
+++ b/entrynode/version_test.go
@@ -91,7 +91,8 @@
 // A service of one version needs no record of where a stream began.
 func TestStreamOfTheOnlyVersionGoesOn(t *testing.T) {
 	expect := NewWithT(t)
-	url, _ := startEntry(t, startVersion(t, "1"), startVersion(t, "1"))
+	url, n := startEntry(t, startVersion(t, "1"), startVersion(t, "1"))
+	awaitCurrent(t, n)
 	got := sendWith(t, url, "/resume/x", map[string]string{"Id": "r2", "After": "3", "Resumes": "unheard"})
 	expect.Expect(got.body).To(Equal(events(4, 6)))
 }
--- a/node/stream_origins.go
+++ b/node/stream_origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"iter"
 	"slices"
 	"sync"
 	"time"
@@ -65,26 +66,31 @@
 	o.mu.Lock()
 	o.table.Add(time.Now(), record)
 	o.mu.Unlock()
-	if _, certain := o.onlyOrigin(services); !certain {
+	if len(o.possibleOrigins(services)) != 1 {
 		o.sendRecords(o.homes(requestID), []origins.Record{record})
 	}
 }
 
-// onlyOrigin returns the origin of all streams of some services if there is only one:
-// one service with engines of one version.
-func (o *StreamOrigins) onlyOrigin(services []string) (origin origins.Origin, certain bool) {
-	if len(services) != 1 {
-		return origins.Origin{}, false
-	}
-	versions := o.view.SoftwareVersions(services[0])
-	if len(versions) != 1 {
-		return origins.Origin{}, false
+// possibleOrigins lists where a stream that some services may run can have begun, as
+// far as this daemon knows: each service with each version of its engines. It is empty
+// if no engine of one of the services is known.
+func (o *StreamOrigins) possibleOrigins(services []string) []origins.Origin {
+	var possible []origins.Origin
+	for _, service := range services {
+		versions := o.view.SoftwareVersions(service)
+		if len(versions) == 0 {
+			return nil
+		}
+		for _, version := range versions {
+			possible = append(possible, origins.Origin{Service: service, SoftwareVersion: version})
+		}
 	}
-	return origins.Origin{Service: services[0], SoftwareVersion: versions[0]}, true
+	return possible
 }
 
 // Find returns the origin of the stream that a request began and that some services
-// may run. It is unknown if several are possible and no entry has a record.
+// may run. If no entry has a record, it is the only possible one, of which other entries
+// know too; the view of this daemon may be outdated.
 func (o *StreamOrigins) Find(ctx context.Context, requestID string, services []string) (origins.Origin, bool) {
 	origin, result := o.find(ctx, requestID, services)
 	o.found.WithLabelValues(result).Inc()
@@ -98,44 +104,60 @@
 	if known {
 		return origin, "own"
 	}
-	if origin, known = o.onlyOrigin(services); known {
-		return origin, "only_origin"
+	possible := o.possibleOrigins(services)
+	if requestID == "" && len(possible) != 1 {
+		return origins.Origin{}, "unknown"
 	}
-	if origin, known = o.ask(ctx, requestID); known {
-		return origin, "entry"
+	answers := 0
+	for reply := range o.ask(ctx, requestID, services) {
+		if reply.known {
+			return reply.origin, "entry"
+		}
+		answers++
+		if !slices.Equal(reply.possible, possible) {
+			possible = nil
+		}
+	}
+	if len(possible) == 1 && (answers > 0 || o.view.Current(time.Now())) {
+		return possible[0], "only_origin"
 	}
 	return origins.Origin{}, "unknown"
 }
 
-// ask queries the homes of an origin, until one of them knows it or none does.
-func (o *StreamOrigins) ask(ctx context.Context, requestID string) (origins.Origin, bool) {
-	homes := o.homes(requestID)
-	if requestID == "" || len(homes) == 0 {
-		return origins.Origin{}, false
-	}
-	number, replies := o.openQuery()
-	defer o.closeQuery(number)
-	ctx, cancel := context.WithTimeout(ctx, originQueryTimeout)
-	defer cancel()
-	repeat := time.NewTicker(originQueryInterval)
-	defer repeat.Stop()
-	query := &pb.StreamOriginQuery{RequestId: requestID, Query: number}
-	o.sendAll("query", homes, &pb.Envelope{Body: &pb.Envelope_StreamOriginQuery{StreamOriginQuery: query}})
-	unknownAt := make(map[string]bool)
-	for len(unknownAt) < len(homes) {
-		select {
-		case reply := <-replies:
-			if reply.known {
-				return reply.origin, true
+// ask queries the homes of an origin and yields one reply of each, until all have
+// replied or originQueryTimeout has passed.
+func (o *StreamOrigins) ask(ctx context.Context, requestID string, services []string) iter.Seq[originReply] {
+	return func(yield func(originReply) bool) {
+		remaining := o.homes(requestID)
+		if len(remaining) == 0 {
+			return
+		}
+		number, replies := o.openQuery()
+		defer o.closeQuery(number)
+		ctx, cancel := context.WithTimeout(ctx, originQueryTimeout)
+		defer cancel()
+		repeat := time.NewTicker(originQueryInterval)
+		defer repeat.Stop()
+		query := &pb.StreamOriginQuery{RequestId: requestID, Query: number, Services: services}
+		o.sendAll("query", remaining, &pb.Envelope{Body: &pb.Envelope_StreamOriginQuery{StreamOriginQuery: query}})
+		for len(remaining) > 0 {
+			select {
+			case reply := <-replies:
+				i := slices.Index(remaining, reply.from)
+				if i < 0 {
+					continue
+				}
+				remaining = slices.Delete(remaining, i, i+1)
+				if !yield(reply) {
+					return
+				}
+			case <-repeat.C:
+				o.sendAll("query", remaining, &pb.Envelope{Body: &pb.Envelope_StreamOriginQuery{StreamOriginQuery: query}})
+			case <-ctx.Done():
+				return
 			}
-			unknownAt[reply.from] = true
-		case <-repeat.C:
-			o.sendAll("query", homes, &pb.Envelope{Body: &pb.Envelope_StreamOriginQuery{StreamOriginQuery: query}})
-		case <-ctx.Done():
-			return origins.Origin{}, false
 		}
 	}
-	return origins.Origin{}, false
 }
 
 // originReply is the reply of one entry to a query.
@@ -143,6 +165,8 @@
 	from   string
 	origin origins.Origin
 	known  bool
+	// possible lists where the stream may have begun, if it is not known.
+	possible []origins.Origin
 }
 
 // maxReplies bounds the replies to one query that wait to be read; each home may
@@ -235,6 +259,8 @@
 		o.mu.Unlock()
 		if known {
 			reply.Origin = encodeOrigin(origins.Record{RequestID: id, Origin: origin})
+		} else {
+			reply.Possible = encodePossible(o.possibleOrigins(body.StreamOriginQuery.GetServices()))
 		}
 		o.sendAll("reply", []string{e.GetHeader().GetReplyAddress()}, &pb.Envelope{Body: &pb.Envelope_StreamOriginReply{StreamOriginReply: reply}})
 	case *pb.Envelope_StreamOriginReply:
@@ -243,6 +269,9 @@
 			from: e.GetHeader().GetReplyAddress(), known: origin != nil,
 			origin: origins.Origin{Service: origin.GetService(), SoftwareVersion: origin.GetSoftwareVersion()},
 		}
+		for _, p := range body.StreamOriginReply.GetPossible() {
+			reply.possible = append(reply.possible, origins.Origin{Service: p.GetService(), SoftwareVersion: p.GetSoftwareVersion()})
+		}
 		o.mu.Lock()
 		defer o.mu.Unlock()
 		select {
@@ -256,3 +285,12 @@
 func encodeOrigin(r origins.Record) *pb.StreamOrigin {
 	return &pb.StreamOrigin{RequestId: r.RequestID, Service: r.Origin.Service, SoftwareVersion: r.Origin.SoftwareVersion}
 }
+
+func encodePossible(possible []origins.Origin) []*pb.ServiceVersion {
+	var encoded []*pb.ServiceVersion
+	// More would not change the decision.
+	for _, origin := range possible[:min(maxOriginsPerDatagram, len(possible))] {
+		encoded = append(encoded, &pb.ServiceVersion{Service: origin.Service, SoftwareVersion: origin.SoftwareVersion})
+	}
+	return encoded
+}
--- a/node/stream_origins_review_test.go
+++ b/node/stream_origins_review_test.go
@@ -11,56 +11,6 @@
 	"github.com/briarcross/briarcross/pb"
 )
 
-// viewOf replaces the view of an entry by one that knows only some versions, like that
-// of an entry cut off from control or just started from an incomplete update.
-func (n *originNetwork) viewOf(address string, versions ...string) {
-	view := NewView()
-	update := &pb.FleetUpdate{}
-	for a := range n.entries {
-		update.Daemons = append(update.Daemons, &pb.Daemon{Id: a, Role: RoleEntry, Address: a, Incarnation: 1})
-	}
-	view.Merge(now, "control", update)
-	n.entries[address].view = view
-	for _, version := range versions {
-		view.Merge(now, "control", &pb.FleetUpdate{Upstreams: []*pb.UpstreamBeat{{
-			Id: "of-" + version, Sequence: 1, Service: "s", Address: "of-" + version + ":1", Slots: 1,
-			Phase: pb.UpstreamPhase_UPSTREAM_READY, SoftwareVersion: version,
-		}}})
-	}
-}
-
-// An entry cut off from control, or just restarted, sees one version. Others see two,
-// and the stream's homes, which it reaches, have its record.
-func TestReviewAStaleViewDoesNotDecideAnOrigin(t *testing.T) {
-	for name, seen := range map[string]string{"sees only the old version": "1", "sees only the new version": "2"} {
-		t.Run(name, func(t *testing.T) {
-			expect := NewWithT(t)
-			network := newOriginNetwork(sixEntries, "1", "2")
-			other := map[string]string{"1": "2", "2": "1"}[seen]
-			origin := origins.Origin{Service: "s", SoftwareVersion: other}
-			id := idWithoutHome("e2:1")
-			network.viewOf("e2:1", seen)
-			network.entries["e1:1"].Record(id, origin, []string{"s"})
-			network.remove("e1:1")
-			got, known := network.entries["e2:1"].Find(context.Background(), id, []string{"s"})
-			expect.Expect(known && got != origin).To(BeFalse(), "stream of version %s goes on at %v", other, got)
-		})
-	}
-}
-
-// idWithoutHome returns the ID of a stream that has no home at an address.
-func idWithoutHome(address string) string {
-	for c := 'a'; ; c++ {
-		found := false
-		for _, home := range origins.Homes(string(c), sixEntries) {
-			found = found || home == address
-		}
-		if !found {
-			return string(c)
-		}
-	}
-}
-
 // The first of two versions expires; no other engine changes before a third joins.
 func TestReviewOriginsAreSentWhenAThirdVersionJoinsAfterAnExpiry(t *testing.T) {
 	expect := NewWithT(t)
--- a/node/stream_origins_test.go
+++ b/node/stream_origins_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -95,14 +97,15 @@
 	expect.Expect(known).To(BeFalse())
 }
 
-func TestNothingIsSentWhileAServiceHasOneVersion(t *testing.T) {
+// The search for the origin asks other entries: the view of its own may be outdated.
+func TestNothingIsSentAtTheBeginningWhileAServiceHasOneVersion(t *testing.T) {
 	expect := NewWithT(t)
 	network := newOriginNetwork(sixEntries, "1", "1")
 	network.entries["e1:1"].Record("r", began, []string{"s"})
+	expect.Expect(network.sent).To(BeZero())
 	origin, known := network.entries["e2:1"].Find(context.Background(), "r", []string{"s"})
 	expect.Expect(known).To(BeTrue())
 	expect.Expect(origin).To(Equal(began))
-	expect.Expect(network.sent).To(BeZero())
 }
 
 // A second version begins to serve while a stream is in progress.
@@ -144,3 +147,140 @@
 	_, known = network.entries["e2:1"].Find(context.Background(), "unheard", []string{"other", "s"})
 	expect.Expect(known).To(BeFalse())
 }
+
+// viewOf replaces the view of an entry by one that knows only some versions, like that
+// of an entry cut off from control or just started from an incomplete update.
+func (n *originNetwork) viewOf(address string, versions ...string) {
+	view := NewView()
+	update := &pb.FleetUpdate{}
+	for a := range n.entries {
+		update.Daemons = append(update.Daemons, &pb.Daemon{Id: a, Role: RoleEntry, Address: a, Incarnation: 1})
+	}
+	view.Merge(now, "control", update)
+	n.entries[address].view = view
+	for _, version := range versions {
+		view.Merge(now, "control", &pb.FleetUpdate{Upstreams: []*pb.UpstreamBeat{{
+			Id: "of-" + version, Sequence: 1, Service: "s", Address: "of-" + version + ":1", Slots: 1,
+			Phase: pb.UpstreamPhase_UPSTREAM_READY, SoftwareVersion: version,
+		}}})
+	}
+}
+
+// An entry cut off from control, or just restarted, sees one version. Others see two,
+// and the stream's homes, which it reaches, have its record.
+func TestAStaleViewDoesNotDecideAnOrigin(t *testing.T) {
+	for name, seen := range map[string]string{"sees only the old version": "1", "sees only the new version": "2"} {
+		t.Run(name, func(t *testing.T) {
+			expect := NewWithT(t)
+			network := newOriginNetwork(sixEntries, "1", "2")
+			other := map[string]string{"1": "2", "2": "1"}[seen]
+			origin := origins.Origin{Service: "s", SoftwareVersion: other}
+			id := idWithoutHome("e2:1")
+			network.viewOf("e2:1", seen)
+			network.entries["e1:1"].Record(id, origin, []string{"s"})
+			network.remove("e1:1")
+			got, known := network.entries["e2:1"].Find(context.Background(), id, []string{"s"})
+			expect.Expect(known && got != origin).To(BeFalse(), "stream of version %s goes on at %v", other, got)
+		})
+	}
+}
+
+// idWithoutHome returns the ID of a stream that has no home at an address.
+func idWithoutHome(address string) string {
+	for c := 'a'; ; c++ {
+		found := false
+		for _, home := range origins.Homes(string(c), sixEntries) {
+			found = found || home == address
+		}
+		if !found {
+			return string(c)
+		}
+	}
+}
+
+// No entry has a record of the stream. One home knows of a second version.
+func TestAnotherEntryKnowsOfASecondVersion(t *testing.T) {
+	expect := NewWithT(t)
+	network := newOriginNetwork(sixEntries, "1")
+	_, known := network.entries["e1:1"].Find(context.Background(), "a", []string{"s"})
+	expect.Expect(known).To(BeTrue())
+	home := otherHomes("a", "e1:1")[0]
+	network.setVersions(home, "1", "2")
+	_, known = network.entries["e1:1"].Find(context.Background(), "a", []string{"s"})
+	expect.Expect(known).To(BeFalse())
+}
+
+// A home that has just started knows no engines.
+func TestAHomeWithoutEnginesConfirmsNoOrigin(t *testing.T) {
+	expect := NewWithT(t)
+	network := newOriginNetwork(sixEntries, "1")
+	network.viewOf(otherHomes("a", "e1:1")[0])
+	_, known := network.entries["e1:1"].Find(context.Background(), "a", []string{"s"})
+	expect.Expect(known).To(BeFalse())
+}
+
+func otherHomes(id, address string) []string {
+	return slices.DeleteFunc(origins.Homes(id, sixEntries), func(home string) bool { return home == address })
+}
+
+// Homes that do not answer delay a search, but do not end it.
+func TestOneAnswerConfirmsTheOnlyOrigin(t *testing.T) {
+	expect := NewWithT(t)
+	network := newOriginNetwork(sixEntries, "1")
+	for _, home := range otherHomes("a", "e1:1")[1:] {
+		network.remove(home)
+	}
+	origin, known := network.entries["e1:1"].Find(context.Background(), "a", []string{"s"})
+	expect.Expect(known).To(BeTrue())
+	expect.Expect(origin).To(Equal(began))
+}
+
+func TestWithoutAnswersTheOnlyOriginNeedsACurrentView(t *testing.T) {
+	for name, addresses := range map[string][]string{"the only entry": sixEntries[:1], "all others are down": sixEntries} {
+		t.Run(name, func(t *testing.T) {
+			expect := NewWithT(t)
+			network := newOriginNetwork(addresses, "1")
+			for _, address := range addresses[1:] {
+				network.remove(address)
+			}
+			entry := network.entries["e1:1"]
+			find := func() bool {
+				_, known := entry.Find(context.Background(), "a", []string{"s"})
+				return known
+			}
+			expect.Expect(find()).To(BeFalse())
+			at := time.Now()
+			for _, age := range []time.Duration{2 * maxUpdateAge, maxUpdateAge, 0} {
+				entry.view.Merge(at.Add(-age), "control", &pb.FleetUpdate{Current: true})
+			}
+			expect.Expect(find()).To(BeTrue())
+			entry.view.Merge(time.Now(), "control", &pb.FleetUpdate{})
+			expect.Expect(find()).To(BeFalse())
+		})
+	}
+}
+
+func TestAViewIsCurrentWhileAReplicaSaysSo(t *testing.T) {
+	expect := NewWithT(t)
+	view := NewView()
+	update := &pb.FleetUpdate{Current: true}
+	at := now
+	view.Merge(at, "a", update)
+	expect.Expect(view.Current(at)).To(BeFalse())
+	for range 3 {
+		at = at.Add(maxUpdateAge)
+		view.Merge(at, "a", update)
+	}
+	expect.Expect(view.Current(at)).To(BeTrue())
+	expect.Expect(view.Current(at.Add(maxUpdateAge + 1))).To(BeFalse())
+	// Updates have been missing.
+	at = at.Add(2 * maxUpdateAge)
+	view.Merge(at, "a", update)
+	expect.Expect(view.Current(at)).To(BeFalse())
+	for range 3 {
+		at = at.Add(maxUpdateAge)
+		view.Merge(at, "a", update)
+	}
+	view.RemoveReplica("a")
+	expect.Expect(view.Current(at)).To(BeFalse())
+}
--- a/node/view.go
+++ b/node/view.go
@@ -41,9 +41,12 @@
 	daemonsVersion uint64
 	// silentOutdated is set when silent has changed since markSilent.
 	silentOutdated bool
-	control        []string
-	storage        []*pb.Replica
-	retiring       []string
+	// currentReplicas holds the control replicas that are in contact with the majority
+	// of their group, by their address.
+	currentReplicas map[string]currentReplica
+	control         []string
+	storage         []*pb.Replica
+	retiring        []string
 }
 
 // instancePhase is the phase of one instance of an upstream, which its start time
@@ -53,9 +56,26 @@
 	phase       fleet.Phase
 }
 
+// currentReplica is a control replica that said with each update since a time that it
+// is current.
+type currentReplica struct {
+	since, last time.Time
+}
+
+const (
+	// currentAfter is the time for which a control replica has to be current before its
+	// updates count as complete: it may have just joined its group.
+	currentAfter = time.Second
+	// maxUpdateAge is the age of the last update at which a view may be outdated.
+	maxUpdateAge = 2 * UpdateInterval
+)
+
 // NewView returns an empty view.
 func NewView() *View {
-	return &View{upstreams: fleet.NewFollowerTable(), lastPhases: make(map[string]instancePhase), daemons: make(map[string]map[string]*pb.Daemon), silent: make(map[string][]string)}
+	return &View{
+		upstreams: fleet.NewFollowerTable(), lastPhases: make(map[string]instancePhase), daemons: make(map[string]map[string]*pb.Daemon),
+		silent: make(map[string][]string), currentReplicas: make(map[string]currentReplica),
+	}
 }
 
 // ViewChanges lists the changes that an update made to a view.
@@ -117,9 +137,36 @@
 	}
 	v.control = mergeAddresses(v.control, u.GetControl())
 	v.mergeDaemons(from, u)
+	v.recordCurrent(now, from, u.GetCurrent())
 	return changes
 }
 
+func (v *View) recordCurrent(now time.Time, from string, current bool) {
+	if !current {
+		delete(v.currentReplicas, from)
+		return
+	}
+	replica, known := v.currentReplicas[from]
+	if !known || now.Sub(replica.last) > maxUpdateAge {
+		replica.since = now
+	}
+	replica.last = now
+	v.currentReplicas[from] = replica
+}
+
+// Current reports whether a control replica has been in contact with the majority of
+// its group for some time, and still is.
+func (v *View) Current(now time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, replica := range v.currentReplicas {
+		if replica.last.Sub(replica.since) > currentAfter && now.Sub(replica.last) <= maxUpdateAge {
+			return true
+		}
+	}
+	return false
+}
+
 // applyHeartbeats merges heartbeats. With expiring set, it leaves out those of upstreams
 // that the sender is about to drop, and then no longer lists as silent.
 func (v *View) applyHeartbeats(heartbeats []fleet.Upstream, expiring bool) {
@@ -197,6 +244,7 @@
 	v.daemonsChanged()
 	delete(v.silent, from)
 	v.silentOutdated = true
+	delete(v.currentReplicas, from)
 }
 
 // RoutingVersion returns the highest version of the routing table received.
