Do not take an unknown software version for the origin of a stream

What callers saw: a stream that began at an engine without a reported version could be taken up at another engine without one, while engines of the service do report versions. Those two may differ.

Cause: the empty version was compared like any other.

Evidence: TestUnknownVersionsAreOneVersionOnlyIfNoneIsReported.

Why it works: an origin with the empty version is refused as unknown if the entry knows an engine of the service that reports a version. Where no engine reports one, all count as one version, and streams go on.

--- a/node/stream_origins.go
+++ b/node/stream_origins.go
@@ -88,6 +88,13 @@
 	return possible
 }
 
+// isAmbiguous reports whether an origin stands for several versions: engines that report
+// no version have one version only if no engine of their service reports any.
+func (o *StreamOrigins) isAmbiguous(origin origins.Origin) bool {
+	return origin.SoftwareVersion == "" &&
+		slices.ContainsFunc(o.view.SoftwareVersions(origin.Service), func(version string) bool { return version != "" })
+}
+
 // Find returns the origin of the stream that a request began and that some services
 // may run. If no entry has a record, it is the only possible one, of which other entries
 // know too; the view of this daemon may be outdated.
@@ -101,6 +108,9 @@
 	o.mu.Lock()
 	origin, known := o.table.Find(time.Now(), requestID)
 	o.mu.Unlock()
+	if known && o.isAmbiguous(origin) {
+		return origins.Origin{}, "unknown"
+	}
 	if known {
 		return origin, "own"
 	}
@@ -110,6 +120,9 @@
 	}
 	answers := 0
 	for reply := range o.ask(ctx, requestID, services) {
+		if reply.known && o.isAmbiguous(reply.origin) {
+			return origins.Origin{}, "unknown"
+		}
 		if reply.known {
 			return reply.origin, "entry"
 		}
--- a/node/stream_origins_test.go
+++ b/node/stream_origins_test.go
@@ -284,3 +284,28 @@
 	view.RemoveReplica("a")
 	expect.Expect(view.Current(at)).To(BeFalse())
 }
+
+// Engines whose versions are unknown may differ, unless no engine reports a version.
+func TestUnknownVersionsAreOneVersionOnlyIfNoneIsReported(t *testing.T) {
+	for name, test := range map[string]struct {
+		versions []string
+		known    bool
+	}{
+		"no engine reports a version": {[]string{"", ""}, true},
+		"one engine reports none":     {[]string{"", "1"}, false},
+		"one engine reports one":      {[]string{"1", "", ""}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			expect := NewWithT(t)
+			network := newOriginNetwork(sixEntries, test.versions...)
+			id := idWithoutHome("e2:1")
+			_, known := network.entries["e2:1"].Find(context.Background(), id, []string{"s"})
+			expect.Expect(known).To(Equal(test.known))
+			network.entries["e1:1"].Record(id, origins.Origin{Service: "s"}, []string{"s"})
+			for _, address := range sixEntries[:2] {
+				_, known = network.entries[address].Find(context.Background(), id, []string{"s"})
+				expect.Expect(known).To(Equal(test.known), address)
+			}
+		})
+	}
+}
