Send the origins of streams at each change of versions and routes

What callers saw: streams in progress were refused as of unknown origin, or went on at another service, after a change: a third version joined after the first of two had expired; an upstream changed its version without a change of its phase; a configuration split a route or moved it to another service.

Cause: StreamOrigins remembered only whether a service had several versions, learned of phases only, and not of routes at all. After a move, the new service with one version counted as the origin of older streams.

TestADispatcherSendsOriginsOnChanges is new: it fails with VersionsChanged for changes of phases only, and without RoutesChanged.

Why it works: the versions of each service are compared with those at the last change, also when upstreams expire. Records are sent by tasks of their own, not by the follower's receive loop.

--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -125,6 +125,7 @@
 func (d *Dispatcher) Close() {
 	d.closeOnce.Do(func() {
 		d.tasks.Wait()
+		d.StreamOrigins.Wait()
 		if err := d.datagrams.Load().Close(); err != nil {
 			d.Logger.Warn(eventlog.Stopping, "error", err)
 		}
@@ -175,12 +176,8 @@
 		}
 	}
 	d.Slots.UpdateUpstreams(changes.Upstreams)
-	services := make(map[string]bool)
-	for _, u := range changes.PhaseChanges {
-		services[u.Service] = true
-	}
-	for service := range services {
-		d.StreamOrigins.VersionsChanged(service)
+	if len(changes.Upstreams) > 0 {
+		d.StreamOrigins.VersionsChanged()
 	}
 	// A daemon with a routing table is ready, and refuses requests without upstreams.
 	if changes.Routing != nil {
@@ -221,6 +218,7 @@
 		d.Logger.Error(eventlog.RoutingRejected, "version", r.Version, "error", err)
 		return
 	}
+	d.StreamOrigins.RoutesChanged(d.table.Load(), table)
 	d.table.Store(table)
 	d.Logger.Info(eventlog.RoutingApplied, "version", r.Version, "routes", len(table.Routes), "services", len(table.Services))
 }
@@ -254,6 +252,9 @@
 			for _, id := range ids {
 				d.Slots.RemoveUpstream(id)
 			}
+			if len(ids) > 0 {
+				d.StreamOrigins.VersionsChanged()
+			}
 		})
 		sleep(ctx, expireInterval)
 	}
--- a/node/dispatcher_test.go
+++ b/node/dispatcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -14,6 +15,7 @@
 
 	"github.com/briarcross/briarcross/dispatch"
 	"github.com/briarcross/briarcross/fleet"
+	"github.com/briarcross/briarcross/origins"
 	"github.com/briarcross/briarcross/pb"
 	"github.com/briarcross/briarcross/routing"
 )
@@ -72,3 +74,52 @@
 		d.Close()
 	}
 }
+
+// Streams in progress may have begun at the service that leaves the route, or while the
+// only engine had another version.
+func TestADispatcherSendsOriginsOnChanges(t *testing.T) {
+	expect := NewWithT(t)
+	settings := &Settings{ID: "entry", Role: RoleEntry, Address: "127.79.250.2:18001", HeartbeatInterval: time.Second}
+	tables := []*routing.Table{newRouteTable([]string{"s"}), newRouteTable([]string{"s", "other"})}
+	decodeTable := func([]byte) (*routing.Table, error) {
+		table := tables[0]
+		tables = tables[1:]
+		table.Version = uint64(2 - len(tables))
+		return table, nil
+	}
+	d, err := NewDispatcher(settings, log.New(io.Discard), decodeTable, func(fleet.Upstream) {}, nil)
+	expect.Expect(err).NotTo(HaveOccurred())
+	defer d.Close()
+	sent := make(chan *pb.Envelope, 8)
+	d.StreamOrigins.send = func(_ string, e *pb.Envelope) error {
+		sent <- e
+		return nil
+	}
+	merge := func(update *pb.FleetUpdate) { d.View.MergeAndApply(time.Now(), "control", update, d.applyViewChanges) }
+	merge(&pb.FleetUpdate{
+		Daemons:        []*pb.Daemon{{Role: RoleEntry, Address: "home:1", Incarnation: 1}},
+		Upstreams:      []*pb.UpstreamBeat{upstreamOfVersion(1, "1")},
+		RoutingVersion: 1, RoutingDocument: []byte("table"),
+	})
+	d.StreamOrigins.Record("r", origins.Origin{Service: "s", SoftwareVersion: "1"}, []string{"s"})
+	d.StreamOrigins.Wait()
+	expect.Expect(sent).NotTo(Receive())
+	// The upstream has another version without a change of its phase.
+	merge(&pb.FleetUpdate{Upstreams: []*pb.UpstreamBeat{upstreamOfVersion(1, "1"), upstreamOfVersion(2, "2")}})
+	changed := upstreamOfVersion(2, "3")
+	changed.Sequence++
+	d.StreamOrigins.Wait()
+	expect.Expect(sent).To(Receive())
+	merge(&pb.FleetUpdate{Upstreams: []*pb.UpstreamBeat{changed}})
+	d.StreamOrigins.Wait()
+	expect.Expect(sent).To(Receive())
+	merge(&pb.FleetUpdate{RoutingVersion: 2, RoutingDocument: []byte("table")})
+	d.StreamOrigins.Wait()
+	expect.Expect(sent).To(Receive())
+	expect.Expect(sent).NotTo(Receive())
+}
+
+func upstreamOfVersion(number int, version string) *pb.UpstreamBeat {
+	id := fmt.Sprint("u", number)
+	return &pb.UpstreamBeat{Id: id, BornUnixMs: 1, Sequence: 1, Service: "s", Address: id + ":1", Slots: 1, Phase: pb.UpstreamPhase_UPSTREAM_READY, SoftwareVersion: version}
+}
--- a/node/stream_origins.go
+++ b/node/stream_origins.go
@@ -11,6 +11,7 @@
 
 	"github.com/briarcross/briarcross/origins"
 	"github.com/briarcross/briarcross/pb"
+	"github.com/briarcross/briarcross/routing"
 )
 
 const (
@@ -36,12 +37,17 @@
 
 	mu    sync.Mutex
 	table *origins.Table
-	// mixed holds the services that have had several versions since the last change of
-	// their engines.
-	mixed map[string]bool
+	// versions holds the software versions of each service when VersionsChanged was
+	// called last.
+	versions map[string][]string
+	// related holds, for each service, the services that led with it to streams of one
+	// route before or after a change of that route, and until when these may be taken up.
+	related map[string]map[string]time.Time
 	// queries holds the searches in progress by the number of their query.
 	queries   map[uint64]chan originReply
 	lastQuery uint64
+	// sending counts the tasks that send records.
+	sending sync.WaitGroup
 }
 
 func newStreamOrigins(selfAddress string, view *View, send func(address string, e *pb.Envelope) error) *StreamOrigins {
@@ -54,7 +60,7 @@
 			Name: "briarcross_stream_origin_searches_total", Help: "Streams that callers took up, by how their origin was found: own, entry, only_origin, unknown.",
 		}, []string{"result"}),
 		table:   origins.NewTable(),
-		mixed:   make(map[string]bool),
+		related: make(map[string]map[string]time.Time),
 		queries: make(map[uint64]chan originReply),
 	}
 }
@@ -72,11 +78,12 @@
 }
 
 // possibleOrigins lists where a stream that some services may run can have begun, as
-// far as this daemon knows: each service with each version of its engines. It is empty
-// if no engine of one of the services is known.
+// far as this daemon knows: each service with each version of its engines, including
+// services that shared a route with these lately. It is empty if no engine of one of the
+// services is known.
 func (o *StreamOrigins) possibleOrigins(services []string) []origins.Origin {
 	var possible []origins.Origin
-	for _, service := range services {
+	for _, service := range o.withRelated(time.Now(), services) {
 		versions := o.view.SoftwareVersions(service)
 		if len(versions) == 0 {
 			return nil
@@ -88,6 +95,22 @@
 	return possible
 }
 
+func (o *StreamOrigins) withRelated(now time.Time, services []string) []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	all := slices.Clone(services)
+	for _, service := range services {
+		for related, until := range o.related[service] {
+			if !now.Before(until) {
+				delete(o.related[service], related)
+			} else if !slices.Contains(all, related) {
+				all = append(all, related)
+			}
+		}
+	}
+	return all
+}
+
 // isAmbiguous reports whether an origin stands for several versions: engines that report
 // no version have one version only if no engine of their service reports any.
 func (o *StreamOrigins) isAmbiguous(origin origins.Origin) bool {
@@ -210,16 +233,75 @@
 	return slices.DeleteFunc(origins.Homes(requestID, entries), func(address string) bool { return address == o.selfAddress })
 }
 
-// VersionsChanged sends the records of a service to their homes once it has engines
-// of several versions. The streams in progress began while it had one.
-func (o *StreamOrigins) VersionsChanged(service string) {
-	mixed := len(o.view.SoftwareVersions(service)) > 1
+// VersionsChanged sends the records of each service that has engines of several versions
+// if one of them has joined since the last call. The homes may have no record of the
+// streams in progress: there may have been one version when they began.
+func (o *StreamOrigins) VersionsChanged() {
+	current := o.view.AllSoftwareVersions()
 	o.mu.Lock()
-	var records []origins.Record
-	if mixed && !o.mixed[service] {
-		records = o.table.OfService(time.Now(), service)
+	defer o.mu.Unlock()
+	for service, versions := range current {
+		joined := slices.ContainsFunc(versions, func(version string) bool { return !slices.Contains(o.versions[service], version) })
+		if joined && len(versions) > 1 {
+			o.sending.Go(func() { o.sendRecordsOf(service) })
+		}
+	}
+	o.versions = current
+}
+
+// RoutesChanged records that a routing table is about to replace another one, nil at
+// first. A stream of a route whose services change may have begun at any of the former
+// and the new ones, and its record is sent.
+func (o *StreamOrigins) RoutesChanged(former, current *routing.Table) {
+	if former == nil {
+		return
 	}
-	o.mixed[service] = mixed
+	until := time.Now().Add(origins.Retention)
+	changed := make(map[string]bool)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, route := range slices.Concat(former.Routes, current.Routes) {
+		before, after := servicesOf(former, route), servicesOf(current, route)
+		if slices.Equal(before, after) {
+			continue
+		}
+		all := slices.Concat(before, after)
+		for _, service := range all {
+			changed[service] = true
+			o.relate(service, all, until)
+		}
+	}
+	for service := range changed {
+		o.sending.Go(func() { o.sendRecordsOf(service) })
+	}
+}
+
+// servicesOf lists the services that run the requests of a route of this or another
+// table, sorted.
+func servicesOf(table *routing.Table, route routing.Route) []string {
+	found, ok := table.Match(route.Host, route.PathPrefix)
+	if !ok {
+		return nil
+	}
+	return slices.Sorted(slices.Values(found.Services()))
+}
+
+// relate records services related to one. The caller must hold mu.
+func (o *StreamOrigins) relate(service string, others []string, until time.Time) {
+	if o.related[service] == nil {
+		o.related[service] = make(map[string]time.Time)
+	}
+	for _, other := range others {
+		if other != service {
+			o.related[service][other] = until
+		}
+	}
+}
+
+// sendRecordsOf sends the records of a service to their homes.
+func (o *StreamOrigins) sendRecordsOf(service string) {
+	o.mu.Lock()
+	records := o.table.OfService(time.Now(), service)
 	o.mu.Unlock()
 	byHome := make(map[string][]origins.Record)
 	for _, record := range records {
@@ -232,6 +314,11 @@
 	}
 }
 
+// Wait waits until the records of the changes so far are sent.
+func (o *StreamOrigins) Wait() {
+	o.sending.Wait()
+}
+
 func (o *StreamOrigins) sendRecords(addresses []string, records []origins.Record) {
 	for part := range slices.Chunk(records, maxOriginsPerDatagram) {
 		message := &pb.StreamOrigins{}
--- a/node/stream_origins_test.go
+++ b/node/stream_origins_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/briarcross/briarcross/origins"
 	"github.com/briarcross/briarcross/pb"
+	"github.com/briarcross/briarcross/routing"
 )
 
 // originNetwork connects entries by their addresses. Datagrams to entries that are
@@ -48,7 +49,8 @@
 			Id: id, Sequence: 1, Service: "s", Address: id + ":1", Slots: 1, Phase: pb.UpstreamPhase_UPSTREAM_READY, SoftwareVersion: version,
 		}}})
 	}
-	entry.VersionsChanged("s")
+	entry.VersionsChanged()
+	entry.Wait()
 }
 
 func (n *originNetwork) deliver(to string, e *pb.Envelope) {
@@ -131,7 +133,8 @@
 	entry.view.Merge(now, "control", &pb.FleetUpdate{Upstreams: []*pb.UpstreamBeat{{
 		Id: "a", Sequence: 2, Service: "s", Address: "a:1", Slots: 1, Phase: pb.UpstreamPhase_UPSTREAM_GONE, SoftwareVersion: "1",
 	}}})
-	entry.VersionsChanged("s")
+	entry.VersionsChanged()
+	entry.Wait()
 	_, known := entry.Find(context.Background(), "unheard", []string{"s"})
 	expect.Expect(known).To(BeFalse())
 }
@@ -309,3 +312,113 @@
 		})
 	}
 }
+
+// The first of two versions expires; no other engine changes before a third joins.
+func TestOriginsAreSentWhenAThirdVersionJoinsAfterAnExpiry(t *testing.T) {
+	expect := NewWithT(t)
+	network := newOriginNetwork(sixEntries, "1", "2")
+	for _, address := range sixEntries {
+		entry := network.entries[address]
+		entry.view.Merge(now, "control", &pb.FleetUpdate{Upstreams: []*pb.UpstreamBeat{{
+			Id: "a", Sequence: 2, Service: "s", Address: "a:1", Slots: 1, Phase: pb.UpstreamPhase_UPSTREAM_GONE, SoftwareVersion: "1",
+		}}})
+		entry.VersionsChanged()
+		entry.Wait()
+		expect.Expect(entry.view.ExpireUpstreams(now.Add(3 * time.Minute))).To(ContainElement("a"))
+		entry.VersionsChanged()
+	}
+	began := origins.Origin{Service: "s", SoftwareVersion: "2"}
+	id := idWithoutHome("e2:1")
+	network.entries["e1:1"].Record(id, began, []string{"s"})
+	for _, address := range sixEntries {
+		entry := network.entries[address]
+		entry.view.Merge(now, "control", &pb.FleetUpdate{Upstreams: []*pb.UpstreamBeat{{
+			Id: "c", Sequence: 1, Service: "s", Address: "c:1", Slots: 1, Phase: pb.UpstreamPhase_UPSTREAM_READY, SoftwareVersion: "3",
+		}}})
+		entry.VersionsChanged()
+		entry.Wait()
+	}
+	network.remove("e1:1")
+	got, known := network.entries["e2:1"].Find(context.Background(), id, []string{"s"})
+	expect.Expect(known).To(BeTrue())
+	expect.Expect(got).To(Equal(began))
+}
+
+func newRouteTable(services []string) *routing.Table {
+	route := routing.Route{Name: "r", Host: "h", PathPrefix: "/", Kind: routing.Streaming, Resumable: true, Timeout: time.Second}
+	table := &routing.Table{}
+	for _, service := range services {
+		route.Splits = append(route.Splits, routing.Split{Service: service, Weight: 1})
+		table.Services = append(table.Services, routing.Service{Name: service})
+	}
+	table.Routes = []routing.Route{route}
+	if err := table.Build(); err != nil {
+		panic(err)
+	}
+	return table
+}
+
+// changeRoutes has all entries change the services of their route.
+func (n *originNetwork) changeRoutes(former, current []string) {
+	for _, entry := range n.entries {
+		entry.RoutesChanged(newRouteTable(former), newRouteTable(current))
+		entry.Wait()
+	}
+}
+
+// A configuration splits the route while a stream is in progress. One version serves.
+func TestAStreamIsFoundAfterItsRouteWasSplit(t *testing.T) {
+	expect := NewWithT(t)
+	network := newOriginNetwork(sixEntries, "1")
+	network.entries["e1:1"].Record("r", began, []string{"s"})
+	network.changeRoutes([]string{"s"}, []string{"s", "other"})
+	network.remove("e1:1")
+	origin, known := network.entries["e2:1"].Find(context.Background(), "r", []string{"s", "other"})
+	expect.Expect(known).To(BeTrue())
+	expect.Expect(origin).To(Equal(began))
+}
+
+// A configuration moves the route to a service of one version while a stream is in
+// progress. An entry other than the first takes the new service for the origin.
+func TestAMovedRouteDoesNotDecideAnOrigin(t *testing.T) {
+	expect := NewWithT(t)
+	network := newOriginNetwork(sixEntries, "1")
+	for _, address := range sixEntries {
+		network.entries[address].view.Merge(now, "control", &pb.FleetUpdate{Upstreams: []*pb.UpstreamBeat{{
+			Id: "z", Sequence: 1, Service: "former", Address: "z:1", Slots: 1, Phase: pb.UpstreamPhase_UPSTREAM_READY, SoftwareVersion: "0",
+		}}})
+	}
+	began := origins.Origin{Service: "former", SoftwareVersion: "0"}
+	network.entries["e1:1"].Record("r", began, []string{"former"})
+	network.changeRoutes([]string{"former"}, []string{"s"})
+	got, known := network.entries["e2:1"].Find(context.Background(), "r", []string{"s"})
+	expect.Expect(known).To(BeTrue())
+	expect.Expect(got).To(Equal(began))
+	// Its record is lost.
+	got, known = network.entries["e2:1"].Find(context.Background(), "unheard", []string{"s"})
+	expect.Expect(known && got != began).To(BeFalse(), "stream of %v goes on at %v", began, got)
+}
+
+// An entry has the table of before. Streams may have begun at the new service already.
+func TestAHomeKnowsOfAMovedRoute(t *testing.T) {
+	expect := NewWithT(t)
+	network := newOriginNetwork(sixEntries, "1")
+	for _, home := range otherHomes("a", "e1:1") {
+		network.entries[home].RoutesChanged(newRouteTable([]string{"s"}), newRouteTable([]string{"new"}))
+	}
+	_, known := network.entries["e1:1"].Find(context.Background(), "a", []string{"s"})
+	expect.Expect(known).To(BeFalse())
+}
+
+func TestRelatedServicesExpire(t *testing.T) {
+	expect := NewWithT(t)
+	entry := newOriginNetwork(sixEntries, "1").entries["e1:1"]
+	entry.RoutesChanged(nil, newRouteTable([]string{"a"}))
+	entry.RoutesChanged(newRouteTable([]string{"a"}), newRouteTable([]string{"a"}))
+	at := time.Now()
+	expect.Expect(entry.withRelated(at, []string{"a"})).To(Equal([]string{"a"}))
+	entry.RoutesChanged(newRouteTable([]string{"a"}), newRouteTable([]string{"b", "c"}))
+	expect.Expect(entry.withRelated(at, []string{"b", "c"})).To(ConsistOf("a", "b", "c"))
+	expect.Expect(entry.withRelated(at, []string{"a"})).To(ConsistOf("a", "b", "c"))
+	expect.Expect(entry.withRelated(at.Add(origins.Retention+time.Minute), []string{"b", "c"})).To(Equal([]string{"b", "c"}))
+}
--- a/node/view.go
+++ b/node/view.go
@@ -309,6 +309,18 @@
 func (v *View) SoftwareVersions(service string) []string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	return v.allSoftwareVersions()[service]
+}
+
+// AllSoftwareVersions lists the software versions of each service: see
+// SoftwareVersions. The caller must not change them.
+func (v *View) AllSoftwareVersions() map[string][]string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.allSoftwareVersions()
+}
+
+func (v *View) allSoftwareVersions() map[string][]string {
 	if v.softwareVersions == nil {
 		v.softwareVersions = make(map[string][]string)
 		for _, u := range v.upstreams.All() {
@@ -317,7 +329,7 @@
 			}
 		}
 	}
-	return v.softwareVersions[service]
+	return v.softwareVersions
 }
 
 // ExpireAndApply removes the upstreams that left or fell silent long ago, and passes
