Match replies about origins by the request as well

What callers saw: after a restart of an entry, a late reply to a query of its incarnation before could answer the query for another stream: that stream went on where the other one began.

Cause: replies were matched by the number of the query only, and the numbers of each incarnation started at one.

Why it works: a reply has the request ID of its query and is ignored for any other; the numbers start at a random value.

--- a/node/stream_origins.go
+++ b/node/stream_origins.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"iter"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -44,7 +45,7 @@
 	// route before or after a change of that route, and until when these may be taken up.
 	related map[string]map[string]time.Time
 	// queries holds the searches in progress by the number of their query.
-	queries   map[uint64]chan originReply
+	queries   map[uint64]originQuery
 	lastQuery uint64
 	// sending counts the tasks that send records.
 	sending sync.WaitGroup
@@ -61,7 +62,9 @@
 		}, []string{"result"}),
 		table:   origins.NewTable(),
 		related: make(map[string]map[string]time.Time),
-		queries: make(map[uint64]chan originReply),
+		queries: make(map[uint64]originQuery),
+		// Replies to queries of an earlier incarnation may arrive.
+		lastQuery: rand.Uint64(),
 	}
 }
 
@@ -168,7 +171,7 @@
 		if len(remaining) == 0 {
 			return
 		}
-		number, replies := o.openQuery()
+		number, replies := o.openQuery(requestID)
 		defer o.closeQuery(number)
 		ctx, cancel := context.WithTimeout(ctx, originQueryTimeout)
 		defer cancel()
@@ -196,6 +199,12 @@
 	}
 }
 
+// originQuery is a search in progress.
+type originQuery struct {
+	requestID string
+	replies   chan originReply
+}
+
 // originReply is the reply of one entry to a query.
 type originReply struct {
 	from   string
@@ -209,12 +218,12 @@
 // reply to each repetition.
 const maxReplies = origins.HomeCount * int(originQueryTimeout/originQueryInterval)
 
-func (o *StreamOrigins) openQuery() (uint64, <-chan originReply) {
+func (o *StreamOrigins) openQuery(requestID string) (uint64, <-chan originReply) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.lastQuery++
 	replies := make(chan originReply, maxReplies)
-	o.queries[o.lastQuery] = replies
+	o.queries[o.lastQuery] = originQuery{requestID, replies}
 	return o.lastQuery, replies
 }
 
@@ -352,8 +361,8 @@
 			})
 		}
 	case *pb.Envelope_StreamOriginQuery:
-		reply := &pb.StreamOriginReply{Query: body.StreamOriginQuery.GetQuery()}
 		id := body.StreamOriginQuery.GetRequestId()
+		reply := &pb.StreamOriginReply{Query: body.StreamOriginQuery.GetQuery(), RequestId: id}
 		o.mu.Lock()
 		origin, known := o.table.Find(time.Now(), id)
 		o.mu.Unlock()
@@ -374,8 +383,16 @@
 		}
 		o.mu.Lock()
 		defer o.mu.Unlock()
+		query := o.queries[body.StreamOriginReply.GetQuery()]
+		id := body.StreamOriginReply.GetRequestId()
+		if origin != nil {
+			id = origin.GetRequestId()
+		}
+		if id != query.requestID {
+			return
+		}
 		select {
-		case o.queries[body.StreamOriginReply.GetQuery()] <- reply:
+		case query.replies <- reply:
 		default:
 			// The search has ended.
 		}
--- a/node/stream_origins_test.go
+++ b/node/stream_origins_test.go
@@ -422,3 +422,21 @@
 	expect.Expect(entry.withRelated(at, []string{"a"})).To(ConsistOf("a", "b", "c"))
 	expect.Expect(entry.withRelated(at.Add(origins.Retention+time.Minute), []string{"b", "c"})).To(Equal([]string{"b", "c"}))
 }
+
+// A reply to a query of the incarnation before arrives late: it has the number of a
+// query for another stream.
+func TestAReplyForAnotherStreamIsIgnored(t *testing.T) {
+	expect := NewWithT(t)
+	network := newOriginNetwork(sixEntries, "1", "2")
+	entry := network.entries["e2:1"]
+	entry.send = func(home string, e *pb.Envelope) error {
+		go entry.handle(&pb.Envelope{Header: &pb.Header{ReplyAddress: home}, Body: &pb.Envelope_StreamOriginReply{StreamOriginReply: &pb.StreamOriginReply{
+			Query: e.GetStreamOriginQuery().GetQuery(), Origin: encodeOrigin(origins.Record{RequestID: "of another stream", Origin: began}),
+		}}})
+		return nil
+	}
+	_, known := entry.Find(context.Background(), "unheard", []string{"s"})
+	expect.Expect(known).To(BeFalse())
+	// The first numbers of two incarnations differ.
+	expect.Expect(entry.lastQuery).NotTo(Equal(network.entries["e3:1"].lastQuery + 1))
+}
