Bind streams taken up on routes that are no longer resumable

What callers saw: a stream of one version went on at another after a configuration had made its route one whose streams cannot be resumed.

Cause: the origin was looked up only while the route is resumable. The request goes on after the last event of the caller nevertheless.

Why it works: the origin is found whenever the caller names its last event. What such a route may repeat stays as it was: TestStreamTakenUpOnARouteNotResumableRunsOnce.

--- a/entrynode/exchange.go
+++ b/entrynode/exchange.go
@@ -144,7 +144,8 @@
 // findOrigin finds where a stream that the caller takes up began. It returns a refusal
 // if the stream cannot go on.
 func (x *exchange) findOrigin() *refusal {
-	if !x.route.Resumable || x.headers.ResumeAfter == "" {
+	// The route may have been resumable when the stream began.
+	if x.headers.ResumeAfter == "" {
 		return nil
 	}
 	services := x.route.Services()
--- a/entrynode/version_test.go
+++ b/entrynode/version_test.go
@@ -96,3 +96,27 @@
 	got := sendWith(t, url, "/resume/x", map[string]string{"Id": "r2", "After": "3", "Resumes": "unheard"})
 	expect.Expect(got.body).To(Equal(events(4, 6)))
 }
+
+// A configuration may have made the route one whose streams cannot be resumed since
+// the stream began.
+func TestAStreamOfARouteNoLongerResumableMixesNoVersions(t *testing.T) {
+	expect := NewWithT(t)
+	a, b := startVersion(t, "1"), startVersion(t, "2")
+	url, _ := startEntry(t, a, b)
+	got := sendWith(t, url, "/stream/x", map[string]string{"Id": "r2", "After": "3", "Resumes": "unheard"})
+	expect.Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+	expect.Expect(a.requestCount.Load() + b.requestCount.Load()).To(BeZero())
+}
+
+// A route that is not resumable goes on to run each request at most once.
+func TestStreamTakenUpOnARouteNotResumableRunsOnce(t *testing.T) {
+	expect := NewWithT(t)
+	broken, same := startBrokenVersion(t, "1"), startVersion(t, "1")
+	broken.slots = 8
+	url, n := startEntry(t, broken, same)
+	awaitCurrent(t, n)
+	got := sendWith(t, url, "/stream/x", map[string]string{"Id": "r2", "After": "3", "Resumes": "unheard"})
+	expect.Expect(got.body).To(Equal(events(4, 4)))
+	expect.Expect(broken.requestCount.Load()).To(BeEquivalentTo(1))
+	expect.Expect(same.requestCount.Load()).To(BeZero())
+}
