Keep the versions of services and the entries' addresses up to date

What callers saw: nothing yet. Each change of one of 10,000 upstreams made the next event or query list, sort and scan all of them, with the view locked; each record and query listed and sorted all entries.

Why it works: the view counts the upstreams of each service and version, and lists the versions anew only when a count begins or ends. The addresses of entries are listed when the daemons change. TestSoftwareVersionsFollowTheUpstreams, TestHomesHaveTheHighestScores and TestHomesFollowTheEntries check that the results are the same.

--- a/node/stream_origins.go
+++ b/node/stream_origins.go
@@ -44,6 +44,9 @@
 	// related holds, for each service, the services that led with it to streams of one
 	// route before or after a change of that route, and until when these may be taken up.
 	related map[string]map[string]time.Time
+	// entries holds the addresses of all entries at a DaemonsVersion of the view.
+	entries        []string
+	entriesVersion uint64
 	// queries holds the searches in progress by the number of their query.
 	queries   map[uint64]originQuery
 	lastQuery uint64
@@ -235,11 +238,21 @@
 
 // homes lists the other entries that keep the origin of a stream.
 func (o *StreamOrigins) homes(requestID string) []string {
-	var entries []string
-	for _, d := range o.view.Daemons(RoleEntry) {
-		entries = append(entries, d.GetAddress())
+	return slices.DeleteFunc(origins.Homes(requestID, o.entryAddresses()), func(address string) bool { return address == o.selfAddress })
+}
+
+// entryAddresses lists the addresses of all entries. The caller must not change it.
+func (o *StreamOrigins) entryAddresses() []string {
+	version := o.view.DaemonsVersion()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.entries == nil || o.entriesVersion != version {
+		o.entries, o.entriesVersion = []string{}, version
+		for _, d := range o.view.Daemons(RoleEntry) {
+			o.entries = append(o.entries, d.GetAddress())
+		}
 	}
-	return slices.DeleteFunc(origins.Homes(requestID, entries), func(address string) bool { return address == o.selfAddress })
+	return o.entries
 }
 
 // VersionsChanged sends the records of each service that has engines of several versions
--- a/node/stream_origins_test.go
+++ b/node/stream_origins_test.go
@@ -440,3 +440,13 @@
 	// The first numbers of two incarnations differ.
 	expect.Expect(entry.lastQuery).NotTo(Equal(network.entries["e3:1"].lastQuery + 1))
 }
+
+func TestHomesFollowTheEntries(t *testing.T) {
+	expect := NewWithT(t)
+	entry := newOriginNetwork(sixEntries[:2], "1").entries["e1:1"]
+	expect.Expect(entry.homes("a")).To(ConsistOf("e2:1"))
+	entry.view.Merge(now, "control", &pb.FleetUpdate{DaemonChanges: &pb.DaemonChanges{
+		Added: []*pb.Daemon{{Role: RoleEntry, Address: "e3:1", Incarnation: 1}}, Removed: []string{"e2:1"},
+	}})
+	expect.Expect(entry.homes("a")).To(ConsistOf("e3:1"))
+}
--- a/node/view.go
+++ b/node/view.go
@@ -25,8 +25,11 @@
 	mu        sync.Mutex
 	routing   Routing
 	upstreams *fleet.Table
-	// softwareVersions lists the software versions of each service's upstreams, nil if
-	// it is outdated.
+	// software holds the service and version of each upstream by its ID, and
+	// softwareCounts their numbers. softwareVersions lists the versions of each service,
+	// nil if it is outdated; it is replaced, not changed.
+	software         map[string]software
+	softwareCounts   map[software]int
 	softwareVersions map[string][]string
 	// lastPhases holds the last reported phase of each upstream by its ID.
 	lastPhases map[string]instancePhase
@@ -70,11 +73,17 @@
 	maxUpdateAge = 2 * UpdateInterval
 )
 
+// software is what an upstream runs.
+type software struct {
+	service, version string
+}
+
 // NewView returns an empty view.
 func NewView() *View {
 	return &View{
 		upstreams: fleet.NewFollowerTable(), lastPhases: make(map[string]instancePhase), daemons: make(map[string]map[string]*pb.Daemon),
 		silent: make(map[string][]string), currentReplicas: make(map[string]currentReplica),
+		software: make(map[string]software), softwareCounts: make(map[software]int),
 	}
 }
 
@@ -127,8 +136,8 @@
 	changes.Upstreams = v.upstreams.ChangedSince(before)
 	changes.Renewed = v.upstreams.RenewedSince(before)
 	changes.PhaseChanges = v.updatePhases(changes.Upstreams)
-	if len(changes.Upstreams) > 0 {
-		v.softwareVersions = nil
+	for _, u := range changes.Upstreams {
+		v.setSoftware(u.ID, software{u.Service, u.SoftwareVersion})
 	}
 	if len(u.GetStorage()) > 0 {
 		v.storage = u.GetStorage()
@@ -323,15 +332,38 @@
 func (v *View) allSoftwareVersions() map[string][]string {
 	if v.softwareVersions == nil {
 		v.softwareVersions = make(map[string][]string)
-		for _, u := range v.upstreams.All() {
-			if versions := v.softwareVersions[u.Service]; !slices.Contains(versions, u.SoftwareVersion) {
-				v.softwareVersions[u.Service] = append(versions, u.SoftwareVersion)
-			}
+		for s := range v.softwareCounts {
+			v.softwareVersions[s.service] = append(v.softwareVersions[s.service], s.version)
 		}
 	}
 	return v.softwareVersions
 }
 
+func (v *View) setSoftware(id string, s software) {
+	if current, known := v.software[id]; known && current == s {
+		return
+	}
+	v.removeSoftware(id)
+	v.software[id] = s
+	v.softwareCounts[s]++
+	if v.softwareCounts[s] == 1 {
+		v.softwareVersions = nil
+	}
+}
+
+func (v *View) removeSoftware(id string) {
+	s, known := v.software[id]
+	if !known {
+		return
+	}
+	delete(v.software, id)
+	v.softwareCounts[s]--
+	if v.softwareCounts[s] == 0 {
+		delete(v.softwareCounts, s)
+		v.softwareVersions = nil
+	}
+}
+
 // ExpireAndApply removes the upstreams that left or fell silent long ago, and passes
 // their IDs to apply.
 func (v *View) ExpireAndApply(now time.Time, apply func(ids []string)) {
@@ -351,7 +383,7 @@
 	expired := v.upstreams.Expire(now)
 	for _, id := range expired {
 		delete(v.lastPhases, id)
-		v.softwareVersions = nil
+		v.removeSoftware(id)
 	}
 	return expired
 }
--- a/node/view_test.go
+++ b/node/view_test.go
@@ -229,3 +229,46 @@
 	expect.Expect(s.working(now)).To(BeFalse())
 	expect.Expect((&subscription{openedAt: now}).working(now)).To(BeTrue())
 }
+
+func TestSoftwareVersionsFollowTheUpstreams(t *testing.T) {
+	expect := NewWithT(t)
+	view := NewView()
+	merge := func(at time.Time, upstreams ...*pb.UpstreamBeat) {
+		view.Merge(at, "control", &pb.FleetUpdate{Upstreams: upstreams})
+	}
+	merge(now, upstreamOfVersion(1, "1"), upstreamOfVersion(2, "1"), upstreamOfVersion(3, ""))
+	expect.Expect(view.SoftwareVersions("s")).To(ConsistOf("1", ""))
+	changed := upstreamOfVersion(1, "2")
+	changed.Sequence++
+	merge(now, changed)
+	expect.Expect(view.SoftwareVersions("s")).To(ConsistOf("1", "2", ""))
+	moved := upstreamOfVersion(3, "")
+	moved.Sequence, moved.Service = 2, "other"
+	merge(now, moved)
+	expect.Expect(view.SoftwareVersions("s")).To(ConsistOf("1", "2"))
+	expect.Expect(view.AllSoftwareVersions()).To(HaveKeyWithValue("other", []string{""}))
+	// An upstream that left counts until it expires.
+	left := upstreamOfVersion(2, "1")
+	left.Sequence, left.Phase = 2, pb.UpstreamPhase_UPSTREAM_GONE
+	merge(now, left)
+	expect.Expect(view.SoftwareVersions("s")).To(ConsistOf("1", "2"))
+	view.ExpireUpstreams(now.Add(time.Hour))
+	expect.Expect(view.SoftwareVersions("s")).To(ConsistOf("2"))
+}
+
+// Upstreams change their phases all the time in a large fleet.
+func BenchmarkSoftwareVersionsAfterAChange(b *testing.B) {
+	view := NewView()
+	update := &pb.FleetUpdate{}
+	for i := range 10_000 {
+		update.Upstreams = append(update.Upstreams, upstreamOfVersion(i, "1"))
+	}
+	view.Merge(now, "control", update)
+	u := upstreamOfVersion(0, "1")
+	for b.Loop() {
+		u.Sequence++
+		u.Slots = 3 - u.Slots
+		view.Merge(now, "control", &pb.FleetUpdate{Upstreams: []*pb.UpstreamBeat{u}})
+		view.SoftwareVersions("s")
+	}
+}
--- a/origins/homes.go
+++ b/origins/homes.go
@@ -19,16 +19,22 @@
 		address string
 		score   uint64
 	}
-	candidates := make([]scored, len(addresses))
-	for i, address := range addresses {
-		candidates[i] = scored{address, xxhash.Sum64String(requestID + "\x00" + address)}
+	// The homes so far, the best first.
+	homes := make([]scored, 0, HomeCount+1)
+	for _, address := range addresses {
+		candidate := scored{address, xxhash.Sum64String(requestID + "\x00" + address)}
+		i, _ := slices.BinarySearchFunc(homes, candidate, func(a, b scored) int {
+			return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.address, b.address))
+		})
+		if i == HomeCount {
+			continue
+		}
+		homes = slices.Insert(homes, i, candidate)
+		homes = homes[:min(HomeCount, len(homes))]
 	}
-	slices.SortFunc(candidates, func(a, b scored) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.address, b.address))
-	})
-	var homes []string
-	for _, c := range candidates[:min(HomeCount, len(candidates))] {
-		homes = append(homes, c.address)
+	found := make([]string, len(homes))
+	for i, home := range homes {
+		found[i] = home.address
 	}
-	return homes
+	return found
 }
--- a/origins/origins_test.go
+++ b/origins/origins_test.go
@@ -1,11 +1,13 @@
 package origins
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	. "github.com/onsi/gomega"
 )
 
@@ -78,3 +80,29 @@
 	}
 	expect.Expect(Homes("a", addresses[:2])).To(ConsistOf(addresses[0], addresses[1]))
 }
+
+func TestHomesHaveTheHighestScores(t *testing.T) {
+	expect := NewWithT(t)
+	var addresses []string
+	for i := range 50 {
+		addresses = append(addresses, fmt.Sprintf("10.0.0.%d:1", i))
+	}
+	for i := range 100 {
+		id := fmt.Sprint("stream-", i)
+		byScore := slices.SortedFunc(slices.Values(addresses), func(a, b string) int {
+			return cmp.Compare(xxhash.Sum64String(id+"\x00"+b), xxhash.Sum64String(id+"\x00"+a))
+		})
+		expect.Expect(Homes(id, addresses)).To(Equal(byScore[:HomeCount]))
+	}
+	expect.Expect(Homes("a", nil)).To(BeEmpty())
+}
+
+func BenchmarkHomes(b *testing.B) {
+	var addresses []string
+	for i := range 1000 {
+		addresses = append(addresses, fmt.Sprintf("10.0.%d.%d:1", i/250, i%250))
+	}
+	for b.Loop() {
+		Homes("stream", addresses)
+	}
+}
