--- a/entrynode/version_test.go
+++ b/entrynode/version_test.go
@@ -95,7 +95,8 @@
 // A service of one version needs no record of where a stream began.
 func TestStreamOfTheOnlyVersionGoesOn(t *testing.T) {
 	expect := NewWithT(t)
-	url, _ := startEntry(t, startVersion(t, "1"), startVersion(t, "1"))
+	url, n := startEntry(t, startVersion(t, "1"), startVersion(t, "1"))
+	awaitCurrent(t, n)
 	got := sendWith(t, url, "/resume/x", map[string]string{"Id": "r2", "After": "3", "Resumes": "unheard"})
 	expect.Expect(got.body).To(Equal(events(4, 6)))
 }
@@ -131,7 +132,8 @@
 	expect := NewWithT(t)
 	full := startEngine(t, func(int, *http.Request) string { return fullEngine })
 	full.version = "1"
-	url, _ := startEntry(t, full)
+	url, n := startEntry(t, full)
+	awaitCurrent(t, n)
 	began := time.Now()
 	got := sendWith(t, url, "/resume/x", map[string]string{"Id": "r2", "After": "3", "Resumes": "r1"})
 	t.Logf("status %d after %v", got.status, time.Since(began))
@@ -147,7 +149,8 @@
 	expect.Expect(err).NotTo(HaveOccurred())
 	e.address = reserved.Addr().String()
 	expect.Expect(reserved.Close()).To(Succeed())
-	url, _ := startEntry(t, e)
+	url, n := startEntry(t, e)
+	awaitCurrent(t, n)
 	time.AfterFunc(200*time.Millisecond, func() { forward(t, e.address, working) })
 	got := sendWith(t, url, "/resume/x", map[string]string{"Id": "r2", "After": "3", "Resumes": "r1"})
 	expect.Expect(got.status).To(Equal(http.StatusOK))
@@ -180,7 +183,8 @@
 	expect := NewWithT(t)
 	full := startEngine(t, func(int, *http.Request) string { return fullEngine })
 	full.version = "1"
-	url, _ := startEntry(t, full)
+	url, n := startEntry(t, full)
+	awaitCurrent(t, n)
 	began := time.Now()
 	got := sendWith(t, url, "/resume/x", map[string]string{"Id": "r2", "After": "3", "Resumes": "r1", "Timeout-Ms": "300"})
 	expect.Expect(time.Since(began)).To(BeNumerically("<", 450*time.Millisecond))
@@ -205,3 +209,41 @@
 	expect.Expect(full.requestCount.Load()).To(BeEquivalentTo(2))
 	expect.Expect(other.requestCount.Load()).To(BeZero())
 }
+
+// A configuration may have made the route one whose streams cannot be resumed since
+// the stream began.
+func TestAStreamOfARouteNoLongerResumableMixesNoVersions(t *testing.T) {
+	expect := NewWithT(t)
+	a, b := startVersion(t, "1"), startVersion(t, "2")
+	url, _ := startEntry(t, a, b)
+	got := sendWith(t, url, "/stream/x", map[string]string{"Id": "r2", "After": "3", "Resumes": "unheard"})
+	expect.Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+	expect.Expect(a.requestCount.Load() + b.requestCount.Load()).To(BeZero())
+}
+
+// A route that is not resumable goes on to run each request at most once.
+func TestStreamTakenUpOnARouteNotResumableRunsOnce(t *testing.T) {
+	expect := NewWithT(t)
+	broken, same := startBrokenVersion(t, "1"), startVersion(t, "1")
+	broken.slots = 8
+	url, n := startEntry(t, broken, same)
+	awaitCurrent(t, n)
+	got := sendWith(t, url, "/stream/x", map[string]string{"Id": "r2", "After": "3", "Resumes": "unheard"})
+	expect.Expect(got.body).To(Equal(events(4, 4)))
+	expect.Expect(broken.requestCount.Load()).To(BeEquivalentTo(1))
+	expect.Expect(same.requestCount.Load()).To(BeZero())
+}
+
+// Events without data do not end the first part of a stream.
+func TestCommentsBeforeTheFirstEventBindTheStream(t *testing.T) {
+	expect := NewWithT(t)
+	broken := startEngine(t, func(_ int, r *http.Request) string {
+		return chunked(r.Header.Get("Id"), ": hello\n\n<cut>")
+	})
+	broken.version = "1"
+	other := startVersion(t, "2")
+	broken.slots = 8
+	url, _ := startEntry(t, broken, other)
+	send(t, url, "/resume/x")
+	expect.Expect(other.requestCount.Load()).To(BeZero())
+}
--- a/node/stream_origins.go
+++ b/node/stream_origins.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"iter"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -10,6 +12,7 @@
 
 	"github.com/briarcross/briarcross/origins"
 	"github.com/briarcross/briarcross/pb"
+	"github.com/briarcross/briarcross/routing"
 )
 
 const (
@@ -35,12 +38,20 @@
 
 	mu    sync.Mutex
 	table *origins.Table
-	// mixed holds the services that have had several versions since the last change of
-	// their engines.
-	mixed map[string]bool
+	// versions holds the software versions of each service when VersionsChanged was
+	// called last.
+	versions map[string][]string
+	// related holds, for each service, the services that led with it to streams of one
+	// route before or after a change of that route, and until when these may be taken up.
+	related map[string]map[string]time.Time
+	// entries holds the addresses of all entries at a DaemonsVersion of the view.
+	entries        []string
+	entriesVersion uint64
 	// queries holds the searches in progress by the number of their query.
-	queries   map[uint64]chan originReply
+	queries   map[uint64]originQuery
 	lastQuery uint64
+	// sending counts the tasks that send records.
+	sending sync.WaitGroup
 }
 
 func newStreamOrigins(selfAddress string, view *View, send func(address string, e *pb.Envelope) error) *StreamOrigins {
@@ -53,8 +64,10 @@
 			Name: "briarcross_stream_origin_searches_total", Help: "Streams that callers took up, by how their origin was found: own, entry, only_origin, unknown.",
 		}, []string{"result"}),
 		table:   origins.NewTable(),
-		mixed:   make(map[string]bool),
-		queries: make(map[uint64]chan originReply),
+		related: make(map[string]map[string]time.Time),
+		queries: make(map[uint64]originQuery),
+		// Replies to queries of an earlier incarnation may arrive.
+		lastQuery: rand.Uint64(),
 	}
 }
 
@@ -65,26 +78,55 @@
 	o.mu.Lock()
 	o.table.Add(time.Now(), record)
 	o.mu.Unlock()
-	if _, certain := o.onlyOrigin(services); !certain {
+	if len(o.possibleOrigins(services)) != 1 {
 		o.sendRecords(o.homes(requestID), []origins.Record{record})
 	}
 }
 
-// onlyOrigin returns the origin of all streams of some services if there is only one:
-// one service with engines of one version.
-func (o *StreamOrigins) onlyOrigin(services []string) (origin origins.Origin, certain bool) {
-	if len(services) != 1 {
-		return origins.Origin{}, false
+// possibleOrigins lists where a stream that some services may run can have begun, as
+// far as this daemon knows: each service with each version of its engines, including
+// services that shared a route with these lately. It is empty if no engine of one of the
+// services is known.
+func (o *StreamOrigins) possibleOrigins(services []string) []origins.Origin {
+	var possible []origins.Origin
+	for _, service := range o.withRelated(time.Now(), services) {
+		versions := o.view.SoftwareVersions(service)
+		if len(versions) == 0 {
+			return nil
+		}
+		for _, version := range versions {
+			possible = append(possible, origins.Origin{Service: service, SoftwareVersion: version})
+		}
 	}
-	versions := o.view.SoftwareVersions(services[0])
-	if len(versions) != 1 {
-		return origins.Origin{}, false
+	return possible
+}
+
+func (o *StreamOrigins) withRelated(now time.Time, services []string) []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	all := slices.Clone(services)
+	for _, service := range services {
+		for related, until := range o.related[service] {
+			if !now.Before(until) {
+				delete(o.related[service], related)
+			} else if !slices.Contains(all, related) {
+				all = append(all, related)
+			}
+		}
 	}
-	return origins.Origin{Service: services[0], SoftwareVersion: versions[0]}, true
+	return all
+}
+
+// isAmbiguous reports whether an origin stands for several versions: engines that report
+// no version have one version only if no engine of their service reports any.
+func (o *StreamOrigins) isAmbiguous(origin origins.Origin) bool {
+	return origin.SoftwareVersion == "" &&
+		slices.ContainsFunc(o.view.SoftwareVersions(origin.Service), func(version string) bool { return version != "" })
 }
 
 // Find returns the origin of the stream that a request began and that some services
-// may run. It is unknown if several are possible and no entry has a record.
+// may run. If no entry has a record, it is the only possible one, of which other entries
+// know too; the view of this daemon may be outdated.
 func (o *StreamOrigins) Find(ctx context.Context, requestID string, services []string) (origins.Origin, bool) {
 	origin, result := o.find(ctx, requestID, services)
 	o.found.WithLabelValues(result).Inc()
@@ -95,47 +137,75 @@
 	o.mu.Lock()
 	origin, known := o.table.Find(time.Now(), requestID)
 	o.mu.Unlock()
+	if known && o.isAmbiguous(origin) {
+		return origins.Origin{}, "unknown"
+	}
 	if known {
 		return origin, "own"
 	}
-	if origin, known = o.onlyOrigin(services); known {
-		return origin, "only_origin"
+	possible := o.possibleOrigins(services)
+	if requestID == "" && len(possible) != 1 {
+		return origins.Origin{}, "unknown"
+	}
+	answers := 0
+	for reply := range o.ask(ctx, requestID, services) {
+		if reply.known && o.isAmbiguous(reply.origin) {
+			return origins.Origin{}, "unknown"
+		}
+		if reply.known {
+			return reply.origin, "entry"
+		}
+		answers++
+		if !slices.Equal(reply.possible, possible) {
+			possible = nil
+		}
 	}
-	if origin, known = o.ask(ctx, requestID); known {
-		return origin, "entry"
+	if len(possible) == 1 && (answers > 0 || o.view.Current(time.Now())) {
+		return possible[0], "only_origin"
 	}
 	return origins.Origin{}, "unknown"
 }
 
-// ask queries the homes of an origin, until one of them knows it or none does.
-func (o *StreamOrigins) ask(ctx context.Context, requestID string) (origins.Origin, bool) {
-	homes := o.homes(requestID)
-	if requestID == "" || len(homes) == 0 {
-		return origins.Origin{}, false
-	}
-	number, replies := o.openQuery()
-	defer o.closeQuery(number)
-	ctx, cancel := context.WithTimeout(ctx, originQueryTimeout)
-	defer cancel()
-	repeat := time.NewTicker(originQueryInterval)
-	defer repeat.Stop()
-	query := &pb.StreamOriginQuery{RequestId: requestID, Query: number}
-	o.sendAll("query", homes, &pb.Envelope{Body: &pb.Envelope_StreamOriginQuery{StreamOriginQuery: query}})
-	unknownAt := make(map[string]bool)
-	for len(unknownAt) < len(homes) {
-		select {
-		case reply := <-replies:
-			if reply.known {
-				return reply.origin, true
+// ask queries the homes of an origin and yields one reply of each, until all have
+// replied or originQueryTimeout has passed.
+func (o *StreamOrigins) ask(ctx context.Context, requestID string, services []string) iter.Seq[originReply] {
+	return func(yield func(originReply) bool) {
+		remaining := o.homes(requestID)
+		if len(remaining) == 0 {
+			return
+		}
+		number, replies := o.openQuery(requestID)
+		defer o.closeQuery(number)
+		ctx, cancel := context.WithTimeout(ctx, originQueryTimeout)
+		defer cancel()
+		repeat := time.NewTicker(originQueryInterval)
+		defer repeat.Stop()
+		query := &pb.StreamOriginQuery{RequestId: requestID, Query: number, Services: services}
+		o.sendAll("query", remaining, &pb.Envelope{Body: &pb.Envelope_StreamOriginQuery{StreamOriginQuery: query}})
+		for len(remaining) > 0 {
+			select {
+			case reply := <-replies:
+				i := slices.Index(remaining, reply.from)
+				if i < 0 {
+					continue
+				}
+				remaining = slices.Delete(remaining, i, i+1)
+				if !yield(reply) {
+					return
+				}
+			case <-repeat.C:
+				o.sendAll("query", remaining, &pb.Envelope{Body: &pb.Envelope_StreamOriginQuery{StreamOriginQuery: query}})
+			case <-ctx.Done():
+				return
 			}
-			unknownAt[reply.from] = true
-		case <-repeat.C:
-			o.sendAll("query", homes, &pb.Envelope{Body: &pb.Envelope_StreamOriginQuery{StreamOriginQuery: query}})
-		case <-ctx.Done():
-			return origins.Origin{}, false
 		}
 	}
-	return origins.Origin{}, false
+}
+
+// originQuery is a search in progress.
+type originQuery struct {
+	requestID string
+	replies   chan originReply
 }
 
 // originReply is the reply of one entry to a query.
@@ -143,18 +213,20 @@
 	from   string
 	origin origins.Origin
 	known  bool
+	// possible lists where the stream may have begun, if it is not known.
+	possible []origins.Origin
 }
 
 // maxReplies bounds the replies to one query that wait to be read; each home may
 // reply to each repetition.
 const maxReplies = origins.HomeCount * int(originQueryTimeout/originQueryInterval)
 
-func (o *StreamOrigins) openQuery() (uint64, <-chan originReply) {
+func (o *StreamOrigins) openQuery(requestID string) (uint64, <-chan originReply) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.lastQuery++
 	replies := make(chan originReply, maxReplies)
-	o.queries[o.lastQuery] = replies
+	o.queries[o.lastQuery] = originQuery{requestID, replies}
 	return o.lastQuery, replies
 }
 
@@ -166,23 +238,92 @@
 
 // homes lists the other entries that keep the origin of a stream.
 func (o *StreamOrigins) homes(requestID string) []string {
-	var entries []string
-	for _, d := range o.view.Daemons(RoleEntry) {
-		entries = append(entries, d.GetAddress())
+	return slices.DeleteFunc(origins.Homes(requestID, o.entryAddresses()), func(address string) bool { return address == o.selfAddress })
+}
+
+// entryAddresses lists the addresses of all entries. The caller must not change it.
+func (o *StreamOrigins) entryAddresses() []string {
+	version := o.view.DaemonsVersion()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.entries == nil || o.entriesVersion != version {
+		o.entries, o.entriesVersion = []string{}, version
+		for _, d := range o.view.Daemons(RoleEntry) {
+			o.entries = append(o.entries, d.GetAddress())
+		}
 	}
-	return slices.DeleteFunc(origins.Homes(requestID, entries), func(address string) bool { return address == o.selfAddress })
+	return o.entries
 }
 
-// VersionsChanged sends the records of a service to their homes once it has engines
-// of several versions. The streams in progress began while it had one.
-func (o *StreamOrigins) VersionsChanged(service string) {
-	mixed := len(o.view.SoftwareVersions(service)) > 1
+// VersionsChanged sends the records of each service that has engines of several versions
+// if one of them has joined since the last call. The homes may have no record of the
+// streams in progress: there may have been one version when they began.
+func (o *StreamOrigins) VersionsChanged() {
+	current := o.view.AllSoftwareVersions()
 	o.mu.Lock()
-	var records []origins.Record
-	if mixed && !o.mixed[service] {
-		records = o.table.OfService(time.Now(), service)
+	defer o.mu.Unlock()
+	for service, versions := range current {
+		joined := slices.ContainsFunc(versions, func(version string) bool { return !slices.Contains(o.versions[service], version) })
+		if joined && len(versions) > 1 {
+			o.sending.Go(func() { o.sendRecordsOf(service) })
+		}
 	}
-	o.mixed[service] = mixed
+	o.versions = current
+}
+
+// RoutesChanged records that a routing table is about to replace another one, nil at
+// first. A stream of a route whose services change may have begun at any of the former
+// and the new ones, and its record is sent.
+func (o *StreamOrigins) RoutesChanged(former, current *routing.Table) {
+	if former == nil {
+		return
+	}
+	until := time.Now().Add(origins.Retention)
+	changed := make(map[string]bool)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, route := range slices.Concat(former.Routes, current.Routes) {
+		before, after := servicesOf(former, route), servicesOf(current, route)
+		if slices.Equal(before, after) {
+			continue
+		}
+		all := slices.Concat(before, after)
+		for _, service := range all {
+			changed[service] = true
+			o.relate(service, all, until)
+		}
+	}
+	for service := range changed {
+		o.sending.Go(func() { o.sendRecordsOf(service) })
+	}
+}
+
+// servicesOf lists the services that run the requests of a route of this or another
+// table, sorted.
+func servicesOf(table *routing.Table, route routing.Route) []string {
+	found, ok := table.Match(route.Host, route.PathPrefix)
+	if !ok {
+		return nil
+	}
+	return slices.Sorted(slices.Values(found.Services()))
+}
+
+// relate records services related to one. The caller must hold mu.
+func (o *StreamOrigins) relate(service string, others []string, until time.Time) {
+	if o.related[service] == nil {
+		o.related[service] = make(map[string]time.Time)
+	}
+	for _, other := range others {
+		if other != service {
+			o.related[service][other] = until
+		}
+	}
+}
+
+// sendRecordsOf sends the records of a service to their homes.
+func (o *StreamOrigins) sendRecordsOf(service string) {
+	o.mu.Lock()
+	records := o.table.OfService(time.Now(), service)
 	o.mu.Unlock()
 	byHome := make(map[string][]origins.Record)
 	for _, record := range records {
@@ -195,6 +336,11 @@
 	}
 }
 
+// Wait waits until the records of the changes so far are sent.
+func (o *StreamOrigins) Wait() {
+	o.sending.Wait()
+}
+
 func (o *StreamOrigins) sendRecords(addresses []string, records []origins.Record) {
 	for part := range slices.Chunk(records, maxOriginsPerDatagram) {
 		message := &pb.StreamOrigins{}
@@ -228,13 +374,15 @@
 			})
 		}
 	case *pb.Envelope_StreamOriginQuery:
-		reply := &pb.StreamOriginReply{Query: body.StreamOriginQuery.GetQuery()}
 		id := body.StreamOriginQuery.GetRequestId()
+		reply := &pb.StreamOriginReply{Query: body.StreamOriginQuery.GetQuery(), RequestId: id}
 		o.mu.Lock()
 		origin, known := o.table.Find(time.Now(), id)
 		o.mu.Unlock()
 		if known {
 			reply.Origin = encodeOrigin(origins.Record{RequestID: id, Origin: origin})
+		} else {
+			reply.Possible = encodePossible(o.possibleOrigins(body.StreamOriginQuery.GetServices()))
 		}
 		o.sendAll("reply", []string{e.GetHeader().GetReplyAddress()}, &pb.Envelope{Body: &pb.Envelope_StreamOriginReply{StreamOriginReply: reply}})
 	case *pb.Envelope_StreamOriginReply:
@@ -243,10 +391,21 @@
 			from: e.GetHeader().GetReplyAddress(), known: origin != nil,
 			origin: origins.Origin{Service: origin.GetService(), SoftwareVersion: origin.GetSoftwareVersion()},
 		}
+		for _, p := range body.StreamOriginReply.GetPossible() {
+			reply.possible = append(reply.possible, origins.Origin{Service: p.GetService(), SoftwareVersion: p.GetSoftwareVersion()})
+		}
 		o.mu.Lock()
 		defer o.mu.Unlock()
+		query := o.queries[body.StreamOriginReply.GetQuery()]
+		id := body.StreamOriginReply.GetRequestId()
+		if origin != nil {
+			id = origin.GetRequestId()
+		}
+		if id != query.requestID {
+			return
+		}
 		select {
-		case o.queries[body.StreamOriginReply.GetQuery()] <- reply:
+		case query.replies <- reply:
 		default:
 			// The search has ended.
 		}
@@ -256,3 +415,12 @@
 func encodeOrigin(r origins.Record) *pb.StreamOrigin {
 	return &pb.StreamOrigin{RequestId: r.RequestID, Service: r.Origin.Service, SoftwareVersion: r.Origin.SoftwareVersion}
 }
+
+func encodePossible(possible []origins.Origin) []*pb.ServiceVersion {
+	var encoded []*pb.ServiceVersion
+	// More would not change the decision.
+	for _, origin := range possible[:min(maxOriginsPerDatagram, len(possible))] {
+		encoded = append(encoded, &pb.ServiceVersion{Service: origin.Service, SoftwareVersion: origin.SoftwareVersion})
+	}
+	return encoded
+}
--- a/node/view.go
+++ b/node/view.go
@@ -25,8 +25,11 @@
 	mu        sync.Mutex
 	routing   Routing
 	upstreams *fleet.Table
-	// softwareVersions lists the software versions of each service's upstreams, nil if
-	// it is outdated.
+	// software holds the service and version of each upstream by its ID, and
+	// softwareCounts their numbers. softwareVersions lists the versions of each service,
+	// nil if it is outdated; it is replaced, not changed.
+	software         map[string]software
+	softwareCounts   map[software]int
 	softwareVersions map[string][]string
 	// lastPhases holds the last reported phase of each upstream by its ID.
 	lastPhases map[string]instancePhase
@@ -41,9 +44,12 @@
 	daemonsVersion uint64
 	// silentOutdated is set when silent has changed since markSilent.
 	silentOutdated bool
-	control        []string
-	storage        []*pb.Replica
-	retiring       []string
+	// currentReplicas holds the control replicas that are in contact with the majority
+	// of their group, by their address.
+	currentReplicas map[string]currentReplica
+	control         []string
+	storage         []*pb.Replica
+	retiring        []string
 }
 
 // instancePhase is the phase of one instance of an upstream, which its start time
@@ -53,9 +59,32 @@
 	phase       fleet.Phase
 }
 
+// currentReplica is a control replica that said with each update since a time that it
+// is current.
+type currentReplica struct {
+	since, last time.Time
+}
+
+const (
+	// currentAfter is the time for which a control replica has to be current before its
+	// updates count as complete: it may have just joined its group.
+	currentAfter = time.Second
+	// maxUpdateAge is the age of the last update at which a view may be outdated.
+	maxUpdateAge = 2 * UpdateInterval
+)
+
+// software is what an upstream runs.
+type software struct {
+	service, version string
+}
+
 // NewView returns an empty view.
 func NewView() *View {
-	return &View{upstreams: fleet.NewFollowerTable(), lastPhases: make(map[string]instancePhase), daemons: make(map[string]map[string]*pb.Daemon), silent: make(map[string][]string)}
+	return &View{
+		upstreams: fleet.NewFollowerTable(), lastPhases: make(map[string]instancePhase), daemons: make(map[string]map[string]*pb.Daemon),
+		silent: make(map[string][]string), currentReplicas: make(map[string]currentReplica),
+		software: make(map[string]software), softwareCounts: make(map[software]int),
+	}
 }
 
 // ViewChanges lists the changes that an update made to a view.
@@ -107,8 +136,8 @@
 	changes.Upstreams = v.upstreams.ChangedSince(before)
 	changes.Renewed = v.upstreams.RenewedSince(before)
 	changes.PhaseChanges = v.updatePhases(changes.Upstreams)
-	if len(changes.Upstreams) > 0 {
-		v.softwareVersions = nil
+	for _, u := range changes.Upstreams {
+		v.setSoftware(u.ID, software{u.Service, u.SoftwareVersion})
 	}
 	if len(u.GetStorage()) > 0 {
 		v.storage = u.GetStorage()
@@ -117,9 +146,36 @@
 	}
 	v.control = mergeAddresses(v.control, u.GetControl())
 	v.mergeDaemons(from, u)
+	v.recordCurrent(now, from, u.GetCurrent())
 	return changes
 }
 
+func (v *View) recordCurrent(now time.Time, from string, current bool) {
+	if !current {
+		delete(v.currentReplicas, from)
+		return
+	}
+	replica, known := v.currentReplicas[from]
+	if !known || now.Sub(replica.last) > maxUpdateAge {
+		replica.since = now
+	}
+	replica.last = now
+	v.currentReplicas[from] = replica
+}
+
+// Current reports whether a control replica has been in contact with the majority of
+// its group for some time, and still is.
+func (v *View) Current(now time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, replica := range v.currentReplicas {
+		if replica.last.Sub(replica.since) > currentAfter && now.Sub(replica.last) <= maxUpdateAge {
+			return true
+		}
+	}
+	return false
+}
+
 // applyHeartbeats merges heartbeats. With expiring set, it leaves out those of upstreams
 // that the sender is about to drop, and then no longer lists as silent.
 func (v *View) applyHeartbeats(heartbeats []fleet.Upstream, expiring bool) {
@@ -197,6 +253,7 @@
 	v.daemonsChanged()
 	delete(v.silent, from)
 	v.silentOutdated = true
+	delete(v.currentReplicas, from)
 }
 
 // RoutingVersion returns the highest version of the routing table received.
@@ -261,15 +318,50 @@
 func (v *View) SoftwareVersions(service string) []string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	return v.allSoftwareVersions()[service]
+}
+
+// AllSoftwareVersions lists the software versions of each service: see
+// SoftwareVersions. The caller must not change them.
+func (v *View) AllSoftwareVersions() map[string][]string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.allSoftwareVersions()
+}
+
+func (v *View) allSoftwareVersions() map[string][]string {
 	if v.softwareVersions == nil {
 		v.softwareVersions = make(map[string][]string)
-		for _, u := range v.upstreams.All() {
-			if versions := v.softwareVersions[u.Service]; !slices.Contains(versions, u.SoftwareVersion) {
-				v.softwareVersions[u.Service] = append(versions, u.SoftwareVersion)
-			}
+		for s := range v.softwareCounts {
+			v.softwareVersions[s.service] = append(v.softwareVersions[s.service], s.version)
 		}
 	}
-	return v.softwareVersions[service]
+	return v.softwareVersions
+}
+
+func (v *View) setSoftware(id string, s software) {
+	if current, known := v.software[id]; known && current == s {
+		return
+	}
+	v.removeSoftware(id)
+	v.software[id] = s
+	v.softwareCounts[s]++
+	if v.softwareCounts[s] == 1 {
+		v.softwareVersions = nil
+	}
+}
+
+func (v *View) removeSoftware(id string) {
+	s, known := v.software[id]
+	if !known {
+		return
+	}
+	delete(v.software, id)
+	v.softwareCounts[s]--
+	if v.softwareCounts[s] == 0 {
+		delete(v.softwareCounts, s)
+		v.softwareVersions = nil
+	}
 }
 
 // ExpireAndApply removes the upstreams that left or fell silent long ago, and passes
@@ -291,7 +383,7 @@
 	expired := v.upstreams.Expire(now)
 	for _, id := range expired {
 		delete(v.lastPhases, id)
-		v.softwareVersions = nil
+		v.removeSoftware(id)
 	}
 	return expired
 }
