Let entry tests reserve their loopback networks

Two runs of the package on one machine used the same addresses, and failed with "address already in use". Each test process now holds a port for as long as it uses a network, as the fleets in e2e do.

--- a/entrynode/node_test.go
+++ b/entrynode/node_test.go
@@ -8,12 +8,14 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/charmbracelet/log"
 	. "github.com/onsi/gomega"
+	"github.com/rotisserie/eris"
 
 	"github.com/briarcross/briarcross/node"
 	"github.com/briarcross/briarcross/pb"
@@ -206,15 +208,64 @@
 	return "http://" + settings.CallersAddress, n
 }
 
-// lastHost is the number of the last loopback address that a test of this package
-// uses.
-var lastHost atomic.Int32
+// networkLockPort is the port on which a test process listens until it ends, to
+// reserve a loopback network.
+const networkLockPort = 17701
 
-// freeAddress returns an address that no other test uses.
+// hostsPerNetwork is the number of hosts in a network that tests use.
+const hostsPerNetwork = 200
+
+// testHosts holds the loopback network that this process has reserved last, and the
+// number of its hosts that tests use. No host is used twice.
+var testHosts struct {
+	sync.Mutex
+	network, used int
+	locks         []net.Listener
+}
+
+// reserveNetwork returns the number of a loopback network that no other test process
+// on the machine uses, and the listener that reserves it.
+func reserveNetwork() (int, net.Listener, error) {
+	for network := range 250 {
+		lock, err := net.Listen("tcp", fmt.Sprintf("127.79.%d.1:%d", network, networkLockPort))
+		if err == nil {
+			return network, lock, nil
+		}
+	}
+	return 0, nil, eris.New("all loopback networks 127.79.0.0 to 127.79.249.0 are in use")
+}
+
+// freeAddress returns an address that no other test of this or another process uses.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	n := lastHost.Add(1)
-	return fmt.Sprintf("127.79.%d.%d:18000", n/200, 1+n%200)
+	testHosts.Lock()
+	defer testHosts.Unlock()
+	if len(testHosts.locks) == 0 || testHosts.used == hostsPerNetwork {
+		network, lock, err := reserveNetwork()
+		if err != nil {
+			t.Fatal(err)
+		}
+		testHosts.network, testHosts.used = network, 0
+		testHosts.locks = append(testHosts.locks, lock)
+	}
+	testHosts.used++
+	return fmt.Sprintf("127.79.%d.%d:18000", testHosts.network, testHosts.used)
+}
+
+// Two test processes on one machine must not use the same addresses.
+func TestProcessesReserveDistinctNetworks(t *testing.T) {
+	var networks []int
+	for range 2 {
+		network, lock, err := reserveNetwork()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = lock.Close() }()
+		networks = append(networks, network)
+	}
+	if networks[0] == networks[1] {
+		t.Fatalf("network %d was reserved twice", networks[0])
+	}
 }
 
 type callerResponse struct {
