Test in separate processes that an engine that leaves gets nothing new

The fake engine can say in its responses that it leaves, while its heartbeats end or go on to report that it is ready. It tells its daemons apart by the process at the other end of a connection, as they bind no address and send no name. Reporting draining stays apart from it, so that the test of draining still tests what control does.

--- a/e2e/platform_engine_test.go
+++ b/e2e/platform_engine_test.go
@@ -23,6 +23,7 @@
 	headerExpectInstance = "Briarcross-Expect-Instance"
 	headerStamp          = "Briarcross-Response-Stamp"
 	headerNotExecuted    = "Briarcross-Not-Executed"
+	headerLeaving        = "Server-Leaving"
 	headerLastEventID    = "Last-Event-Id"
 	headerResumes        = "Resumes"
 	headerDeadlineMs     = "Briarcross-Deadline-Ms"
@@ -84,15 +85,24 @@
 	version          string
 	zone             string
 	address          string
-	startUnixMs      int64
+	startUnixMs      atomic.Int64
 	ledger           *runLedger
 	controlAddresses []string
 	client           *http.Client
 	server           *http.Server
 
-	running  atomic.Int32
+	running atomic.Int32
+	// runCount is the number of requests that the engine has begun to run.
+	runCount atomic.Int32
 	sequence atomic.Int64
+	// draining is set while heartbeats report draining.
 	draining atomic.Bool
+	// leaving is set while all responses say that the engine leaves.
+	leaving atomic.Bool
+	// silent is set while the engine sends no heartbeats.
+	silent atomic.Bool
+	// notices records the responses with which the engine said that it leaves.
+	notices leavingLedger
 	// cutsStreams is set while the engine breaks off each stream after some events.
 	cutsStreams atomic.Bool
 	// drainAckUnixMs is the time of the first acknowledged heartbeat that reported
@@ -105,7 +115,7 @@
 	goroutines   sync.WaitGroup
 }
 
-func startFakeEngine(t *testing.T, id, version, zone, ip string, control []string, ledger *runLedger) *fakeEngine {
+func startFakeEngine(t *testing.T, id, version, zone, ip string, control []string, ledger *runLedger, daemons *daemonTable) *fakeEngine {
 	t.Helper()
 	listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	if err != nil {
@@ -113,11 +123,12 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &fakeEngine{
-		id: id, version: version, zone: zone, address: listener.Addr().String(), startUnixMs: time.Now().UnixMilli(), ledger: ledger,
+		id: id, version: version, zone: zone, address: listener.Addr().String(), ledger: ledger,
 		controlAddresses: control, cancel: cancel,
 		client: &http.Client{Timeout: time.Second, Transport: &http.Transport{}},
 	}
-	e.server = &http.Server{Handler: http.HandlerFunc(e.serve)}
+	e.startUnixMs.Store(time.Now().UnixMilli())
+	e.server = &http.Server{Handler: http.HandlerFunc(e.serve), ConnContext: daemons.identify}
 	e.goroutines.Go(func() { _ = e.server.Serve(listener) })
 	e.goroutines.Go(func() { e.sendHeartbeats(ctx) })
 	t.Cleanup(e.stop)
@@ -137,7 +148,9 @@
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
 	for next := 0; ; next++ {
-		e.sendHeartbeat(next)
+		if !e.silent.Load() {
+			e.sendHeartbeat(next)
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -153,7 +166,7 @@
 	}
 	body, err := json.Marshal(map[string]any{
 		"Service": serviceName, "Addr": e.address, "Zone": e.zone, "Version": e.version, "Slots": engineSlots,
-		"State": state, "Seq": e.sequence.Add(1), "born": e.startUnixMs, "ColdLeftMs": 0,
+		"State": state, "Seq": e.sequence.Add(1), "born": e.startUnixMs.Load(), "ColdLeftMs": 0,
 	})
 	if err != nil {
 		panic(err)
@@ -191,6 +204,21 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if !e.leaving.Load() {
+		e.answer(w, r, id, body)
+		return
+	}
+	start, run := e.startUnixMs.Load(), callingRun(r)
+	e.notices.checkRequest(start, run, id)
+	w.Header().Set(headerLeaving, "1")
+	e.answer(w, r, id, body)
+	if r.Context().Err() == nil {
+		e.notices.recordAnswer(start, run)
+	}
+}
+
+// answer responds to a request that is meant for the engine.
+func (e *fakeEngine) answer(w http.ResponseWriter, r *http.Request, id string, body []byte) {
 	if at := e.drainAckUnixMs.Load(); at > 0 && time.Since(time.UnixMilli(at)) > drainTimeout {
 		e.lateRequests.Add(1)
 	}
@@ -202,6 +230,7 @@
 	}
 	defer e.running.Add(-1)
 	e.ledger.record(id)
+	e.runCount.Add(1)
 	if bytes.Contains(body, []byte("impossible")) {
 		w.Header().Set(headerStamp, e.id)
 		w.WriteHeader(http.StatusUnprocessableEntity)
--- a/e2e/platform_fleet_test.go
+++ b/e2e/platform_fleet_test.go
@@ -70,6 +70,7 @@
 	entries       []*platformNode
 	engines       []*fakeEngine
 	ledger        runLedger
+	daemons       daemonTable
 	configVersion atomic.Int64
 	client        *http.Client
 }
@@ -100,7 +101,7 @@
 		f.startNode(n, true)
 	}
 	for i := range engines {
-		f.engines = append(f.engines, startFakeEngine(t, fmt.Sprintf("i-%d", i), engineVersion(i, engines), zoneName(i), f.hostIP(100+i), f.operatorsAddresses(), &f.ledger))
+		f.engines = append(f.engines, startFakeEngine(t, fmt.Sprintf("i-%d", i), engineVersion(i, engines), zoneName(i), f.hostIP(100+i), f.operatorsAddresses(), &f.ledger, &f.daemons))
 	}
 	f.replaceConfiguration()
 	f.await("every entry completes a request", func() bool {
@@ -143,6 +144,7 @@
 		args = append(args, "-listen", n.proxy.target)
 	}
 	n.process = startDaemonWithEnv(f.t, f.dir, n.name, []string{"BRIARCROSS_NODE_FILE=" + settingsPath}, args...)
+	f.daemons.add(n.process)
 }
 
 func (n *platformNode) internalAddress() string {
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -45,6 +45,8 @@
 	// frozen is set while the process is stopped by SIGSTOP. Helpers send it no
 	// requests then, as they would block.
 	frozen atomic.Bool
+	// freezeChanges counts the beginnings and ends of freezes.
+	freezeChanges atomic.Int32
 }
 
 func startDaemon(t *testing.T, dir, name string, args ...string) *process {
@@ -96,12 +98,14 @@
 // freeze suspends the process by SIGSTOP; its connections stay open.
 func (p *process) freeze() {
 	p.frozen.Store(true)
+	p.freezeChanges.Add(1)
 	_ = p.command.Process.Signal(syscall.SIGSTOP)
 }
 
 func (p *process) resume() {
 	_ = p.command.Process.Signal(syscall.SIGCONT)
 	p.frozen.Store(false)
+	p.freezeChanges.Add(1)
 }
 
 // requestStop begins a planned stop by SIGTERM.
