Check in the fault soak that engines that leave get nothing new

An engine leaves beside the other faults, without heartbeats or with such that report that it is ready, for longer than the two seconds that a daemon has, and then appears as a new start. One engine leaves at a time. Each engine notes which daemons it has told, and the requests that these send too late; a freeze or a restart of the daemon excuses it.

--- a/e2e/platform_leaving_test.go
+++ b/e2e/platform_leaving_test.go
@@ -172,6 +172,13 @@
 	e.leaving.Store(true)
 }
 
+// startAgain lets the engine appear as a new start that stays.
+func (e *fakeEngine) startAgain() {
+	e.leaving.Store(false)
+	e.startUnixMs.Store(time.Now().UnixMilli())
+	e.silent.Store(false)
+}
+
 // cutOffControl cuts all other daemons off from control. Engines still reach it.
 func (f *platformFleet) cutOffControl() {
 	for _, n := range f.controls {
--- a/e2e/platform_soak_test.go
+++ b/e2e/platform_soak_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -65,6 +66,10 @@
 type soakRun struct {
 	*platformFleet
 	rand *rand.Rand
+	// leavingEngine is set while an engine leaves, which lasts beyond the fault. The
+	// other engines stay meanwhile.
+	leavingEngine atomic.Bool
+	leaves        sync.WaitGroup
 
 	mu sync.Mutex
 	// notRunIDs holds the IDs of the requests that were refused with the guarantee
@@ -102,6 +107,7 @@
 	clients.Go(func() { s.runOperator(ctx) })
 	s.injectFaults(ctx)
 	clients.Wait()
+	s.leaves.Wait()
 	s.endFaults()
 	s.checkFinalState()
 }
@@ -358,6 +364,8 @@
 		s.pauseRandom(ctx, 1500)
 		e.cutsStreams.Store(false)
 	}},
+	{"an engine leaves without heartbeats", func(s *soakRun, ctx context.Context) { s.leaveAtEngine(ctx, true) }},
+	{"an engine leaves and reports that it is ready", func(s *soakRun, ctx context.Context) { s.leaveAtEngine(ctx, false) }},
 	{"close the connections of a daemon", func(s *soakRun, _ context.Context) {
 		s.pickNode(s.nodes()).proxy.closeConnections()
 	}},
@@ -392,6 +400,21 @@
 	}},
 }
 
+// leaveAtEngine lets an engine leave while other faults follow. After a time that is
+// longer than drainTimeout, it appears as a new start. Only one engine leaves at a time.
+func (s *soakRun) leaveAtEngine(ctx context.Context, silent bool) {
+	e, pause := s.engines[s.rand.IntN(len(s.engines))], time.Duration(s.rand.IntN(3000))*time.Millisecond
+	if !s.leavingEngine.CompareAndSwap(false, true) {
+		return
+	}
+	e.leave(silent)
+	s.leaves.Go(func() {
+		sleepContext(ctx, drainTimeout+time.Second+pause)
+		e.startAgain()
+		s.leavingEngine.Store(false)
+	})
+}
+
 func (s *soakRun) pickNode(nodes []*platformNode) *platformNode {
 	return nodes[s.rand.IntN(len(nodes))]
 }
@@ -425,7 +448,8 @@
 
 // checkFinalState checks the guarantees over the whole run: accepted jobs are
 // completed, deleted jobs stop running, the replicas serve the configuration,
-// refused requests have not run, and others have run at most once where required.
+// refused requests have not run, others have run at most once where required, and
+// daemons sent nothing new to engines that had told them that they leave.
 func (s *soakRun) checkFinalState() {
 	for job := range s.resultCounts() {
 		if _, ended := s.jobDeletedAt[job]; !ended {
@@ -456,6 +480,14 @@
 			s.t.Errorf("request %s may run at most once, but has run %d times", id, len(runs))
 		}
 	}
+	told := 0
+	for _, e := range s.engines {
+		told += e.notices.toldRuns("")
+		for _, late := range e.notices.lateRequests() {
+			s.t.Errorf("engine %s leaves, but got the request %s it had said so", e.id, late)
+		}
+	}
+	s.t.Logf("%d daemons told by engines that they leave", told)
 	s.t.Logf("%d cut streams taken up, %d completed", s.takenUpCount, s.wentOnCount)
 	s.t.Logf("%d requests served, %d refused as not run, %d jobs, version %d", s.servedCount, len(s.notRunIDs), len(s.jobResults), s.ackedVersion)
 	if s.servedCount == 0 {
