--- a/e2e/platform_soak_test.go
+++ b/e2e/platform_soak_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -400,17 +401,22 @@
 	}},
 }
 
-// leaveAtEngine lets an engine leave while other faults follow. After a time that is
-// longer than drainTimeout, it appears as a new start. Only one engine leaves at a time.
+// leaveAtEngine lets the busiest engine leave while other faults follow. After a time
+// that is longer than drainTimeout, it appears as a new start. Only one engine leaves at
+// a time.
 func (s *soakRun) leaveAtEngine(ctx context.Context, silent bool) {
-	e, pause := s.engines[s.rand.IntN(len(s.engines))], time.Duration(s.rand.IntN(3000))*time.Millisecond
+	pause := time.Duration(s.rand.IntN(3000)) * time.Millisecond
 	if !s.leavingEngine.CompareAndSwap(false, true) {
 		return
 	}
+	e := slices.MaxFunc(s.engines, func(a, b *fakeEngine) int { return cmp.Compare(a.runCount.Load(), b.runCount.Load()) })
 	e.leave(silent)
 	s.leaves.Go(func() {
 		sleepContext(ctx, drainTimeout+time.Second+pause)
 		e.startAgain()
+		for _, e := range s.engines {
+			e.runCount.Store(0)
+		}
 		s.leavingEngine.Store(false)
 	})
 }
@@ -426,8 +432,11 @@
 }
 
 // injectFaults injects one random fault after another until the context ends. It
-// pauses after two of three faults on average, so that some follow at once.
+// pauses after two of three faults on average, so that some follow at once. In each run
+// an engine leaves while its callers are in touch with control.
 func (s *soakRun) injectFaults(ctx context.Context) {
+	sleepContext(ctx, 500*time.Millisecond)
+	s.leaveAtEngine(ctx, false)
 	for ctx.Err() == nil {
 		f := soakFaults[s.rand.IntN(len(soakFaults))]
 		s.t.Logf("%s: %s", time.Now().Format("15:04:05.000"), f.name)
