Show in explain that a request was kept away from an upstream that leaves

The lines of a request now include those about upstreams of the same service that its daemon knew, from answers and not from control, to leave when it placed the request. The cause names them.

On a scratch copy, the test of the lines fails without the insertion, and each condition that is taken out makes the case that it guards fail.

--- a/explain/explain.go
+++ b/explain/explain.go
@@ -33,31 +33,35 @@
 // of an item's request or of a job; "version:N" selects a version of the routing
 // table. Text before the JSON object of a line, as log collectors add it, is
 // ignored. If the daemon of a request in progress restarted, its next start is the
-// last line.
+// last line. Lines about upstreams that leave are added to a request that was kept away
+// from them.
 func Find(source io.Reader, id string) ([]Line, error) {
 	scanner := bufio.NewScanner(source)
 	scanner.Buffer(nil, maxLineBytes)
-	idBytes, startedEvent := []byte(strings.TrimPrefix(id, versionPrefix)), []byte(`"`+eventlog.Started+`"`)
-	var found, starts []Line
+	idBytes := []byte(strings.TrimPrefix(id, versionPrefix))
+	var found []Line
+	var past history
 	for scanner.Scan() {
 		mentionsID := bytes.Contains(scanner.Bytes(), idBytes)
-		if !mentionsID && !bytes.Contains(scanner.Bytes(), startedEvent) {
+		if !mentionsID && !mentionsHistory(scanner.Bytes()) {
 			continue
 		}
 		line, ok := parseLine(scanner.Text())
-		switch {
-		case ok && mentionsID && line.concerns(id):
+		if !ok {
+			continue
+		}
+		if mentionsID && line.concerns(id) {
 			found = append(found, line)
-		case ok && line.Event == eventlog.Started:
-			starts = append(starts, line)
 		}
+		past.add(line)
 	}
-	byTime := func(a, b Line) int { return a.Time.Compare(b.Time) }
 	slices.SortStableFunc(found, byTime)
-	slices.SortStableFunc(starts, byTime)
-	return appendRestart(found, starts), eris.Wrap(scanner.Err(), "read log")
+	past.sort()
+	return appendRestart(past.insertLeaving(found), past.starts), eris.Wrap(scanner.Err(), "read log")
 }
 
+func byTime(a, b Line) int { return a.Time.Compare(b.Time) }
+
 // appendRestart appends the next start of the daemon if the last event shows a
 // request in progress, so that its end was never logged.
 func appendRestart(lines, starts []Line) []Line {
@@ -177,5 +181,5 @@
 			cause = fmt.Sprintf("%s at %s %s", l.Event, l.Daemon, reasonText)
 		}
 	}
-	return strings.TrimSpace(cause)
+	return strings.TrimSpace(cause) + leavingCause(lines)
 }
