--- a/e2e/platform_leaving_test.go
+++ b/e2e/platform_leaving_test.go
@@ -116,6 +116,8 @@
 	// toldAt holds the time of the first such response of a start of the engine.
 	toldAt map[int64]map[daemonRun]time.Time
 	late   []string
+	// unknownCount counts the requests of unknown daemons.
+	unknownCount int
 }
 
 // recordAnswer records a complete response that says that the engine leaves.
@@ -138,6 +140,9 @@
 func (l *leavingLedger) checkRequest(startUnixMs int64, run daemonRun, id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if run.process == nil {
+		l.unknownCount++
+	}
 	if at, told := l.toldAt[startUnixMs][run]; told && time.Since(at) > drainTimeout {
 		l.late = append(l.late, fmt.Sprintf("%s from %s, %v after", id, run.process.name, time.Since(at).Round(time.Millisecond)))
 	}
@@ -159,6 +164,12 @@
 	return count
 }
 
+func (l *leavingLedger) unknownRequests() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.unknownCount
+}
+
 func (l *leavingLedger) lateRequests() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/e2e/platform_soak_test.go
+++ b/e2e/platform_soak_test.go
@@ -489,14 +489,15 @@
 			s.t.Errorf("request %s may run at most once, but has run %d times", id, len(runs))
 		}
 	}
-	told := 0
+	told, unknown := 0, 0
 	for _, e := range s.engines {
 		told += e.notices.toldRuns("")
+		unknown += e.notices.unknownRequests()
 		for _, late := range e.notices.lateRequests() {
 			s.t.Errorf("engine %s leaves, but got the request %s it had said so", e.id, late)
 		}
 	}
-	s.t.Logf("%d daemons told by engines that they leave", told)
+	s.t.Logf("%d daemons told by engines that they leave, %d requests of unknown daemons at these", told, unknown)
 	s.t.Logf("%d cut streams taken up, %d completed", s.takenUpCount, s.wentOnCount)
 	s.t.Logf("%d requests served, %d refused as not run, %d jobs, version %d", s.servedCount, len(s.notRunIDs), len(s.jobResults), s.ackedVersion)
 	if s.servedCount == 0 {
