Cut storage off from control in the test of an engine that leaves

The comment said that a storage daemon that is cut off soon runs nothing at a silent engine; that was wrong.

--- a/e2e/platform_leaving_test.go
+++ b/e2e/platform_leaving_test.go
@@ -220,12 +220,10 @@
 	g.Expect(leaves.notices.lateRequests()).To(BeEmpty())
 }
 
-// A storage daemon that is cut off from control soon runs no items at an engine, as it
-// hears no heartbeats. This one hears that the engine is ready.
-func TestStorageSendsNothingToAnEngineThatLeaves(t *testing.T) {
+func TestStorageCutOffFromControlSendsNothingToAnEngineThatLeaves(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
-	f := startPlatformFleet(t, 1, 3, false)
+	f := startPlatformFleet(t, 1, 3, true)
 	const items = 6
 	jobs := 0
 	submit := func() {
@@ -243,7 +241,8 @@
 	}
 	f.awaitResults("job-"+strconv.Itoa(jobs), items)
 	leaves := slices.MaxFunc(f.engines, func(a, b *fakeEngine) int { return cmp.Compare(a.runCount.Load(), b.runCount.Load()) })
-	leaves.leave(false)
+	f.cutOffControl()
+	leaves.leave(true)
 	f.await("a storage daemon gets a response that says that the engine leaves", func() bool {
 		submit()
 		return leaves.notices.toldRuns("store-") > 0
