--- a/node/dispatcher_test.go
+++ b/node/dispatcher_test.go
@@ -24,7 +24,7 @@
 // entry that has the table takes requests.
 func TestUpstreamsAreUsableBeforeTheRoutingTable(t *testing.T) {
 	expect := NewWithT(t)
-	settings := &Settings{ID: "entry", Role: RoleEntry, Address: "127.79.250.1:18001", HeartbeatInterval: time.Second}
+	settings := &Settings{ID: "entry", Role: RoleEntry, Address: freeDatagramAddress(t), HeartbeatInterval: time.Second}
 	granted := false
 	var d *Dispatcher
 	decodeTable := func([]byte) (*routing.Table, error) {
@@ -79,7 +79,7 @@
 // only engine had another version.
 func TestADispatcherSendsOriginsOnChanges(t *testing.T) {
 	expect := NewWithT(t)
-	settings := &Settings{ID: "entry", Role: RoleEntry, Address: "127.79.250.2:18001", HeartbeatInterval: time.Second}
+	settings := &Settings{ID: "entry", Role: RoleEntry, Address: freeDatagramAddress(t), HeartbeatInterval: time.Second}
 	tables := []*routing.Table{newRouteTable([]string{"s"}), newRouteTable([]string{"s", "other"})}
 	decodeTable := func([]byte) (*routing.Table, error) {
 		table := tables[0]
@@ -123,3 +123,14 @@
 	id := fmt.Sprint("u", number)
 	return &pb.UpstreamBeat{Id: id, BornUnixMs: 1, Sequence: 1, Service: "s", Address: id + ":1", Slots: 1, Phase: pb.UpstreamPhase_UPSTREAM_READY, SoftwareVersion: version}
 }
+
+// freeDatagramAddress returns a loopback address that no other process uses.
+func freeDatagramAddress(t *testing.T) string {
+	t.Helper()
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	return conn.LocalAddr().String()
+}
