--- a/entrynode/exchange.go
+++ b/entrynode/exchange.go
@@ -112,7 +112,7 @@
 	completed attemptResult = iota
 	// notRun means that the upstream certainly has not run the request.
 	notRun
-	// rejected means the same of an upstream that has answered that it is busy.
+	// rejected means that the upstream has refused the request, and has not run it.
 	rejected
 	// mayHaveRun means that the attempt failed and the upstream may have run the
 	// request.
--- a/node/stream_origins.go
+++ b/node/stream_origins.go
@@ -27,7 +27,8 @@
 )
 
 // StreamOrigins records where streams began, and finds it for callers that take a
-// stream up. While a stream can have only one origin, nothing is sent.
+// stream up. Nothing is sent when a stream begins that can have only one origin; a
+// search asks other entries unless this one has the record.
 type StreamOrigins struct {
 	selfAddress string
 	view        *View
