--- a/entrynode/exchange.go
+++ b/entrynode/exchange.go
@@ -51,15 +51,17 @@
 // exchange handles one request of a caller: it sends it to upstreams until one
 // responds, and relays the response.
 type exchange struct {
-	node      *Node
-	w         http.ResponseWriter
-	request   *http.Request
-	headers   RequestHeaders
-	route     *routing.Route
-	table     *routing.Table
-	service   string
-	body      []byte
-	arrivedAt time.Time
+	node    *Node
+	w       http.ResponseWriter
+	request *http.Request
+	headers RequestHeaders
+	route   *routing.Route
+	table   *routing.Table
+	service string
+	body    []byte
+	// promptParts are the IDs of the parts of the prompt that other requests may share.
+	promptParts []string
+	arrivedAt   time.Time
 	// timeout is the total time that the caller and the route allow, counted from
 	// arrivedAt.
 	timeout time.Duration
@@ -99,7 +101,8 @@
 	arrivedAt := time.Now()
 	return &exchange{
 		node: n, w: w, request: r, headers: headers, route: route, table: table, body: body,
-		service: route.PickService(rand.Uint64()), arrivedAt: arrivedAt, interruptedAt: arrivedAt, timeout: timeout,
+		promptParts: n.codec.SharedPromptParts(r.Header),
+		service:     route.PickService(rand.Uint64()), arrivedAt: arrivedAt, interruptedAt: arrivedAt, timeout: timeout,
 		events: upstream.EventSplitter{LastID: headers.ResumeAfter},
 	}
 }
@@ -328,6 +331,7 @@
 			return notRun, "unreachable"
 		}
 		x.mayHaveRunCount++
+		x.recordInterruption(grant, "no_answer", false, 0)
 		return mayHaveRun, "no_answer"
 	}
 	defer response.Close()
@@ -355,7 +359,11 @@
 		outcome = dispatch.Failed
 		return mayHaveRun, "not_genuine"
 	}
+	eventsBefore := x.events.Count
 	result, reason := x.relay(response)
+	if result == mayHaveRun && response.Status/100 == 2 {
+		x.recordInterruption(grant, reason, true, x.events.Count-eventsBefore)
+	}
 	switch {
 	case result == completed && response.Status/100 == 5 && response.Status != http.StatusGatewayTimeout:
 		outcome = dispatch.Failed
@@ -367,6 +375,16 @@
 	return result, reason
 }
 
+// recordInterruption logs that the connection to an upstream broke before the response
+// was complete. events is the number of events of this attempt.
+func (x *exchange) recordInterruption(grant dispatch.Grant, reason string, answering bool, events int) {
+	if x.ctx.Err() != nil {
+		return
+	}
+	x.node.logger.Info(eventlog.AttemptInterrupted, "request", x.headers.ID, "upstream", grant.Upstream, "born", grant.StartUnixMs,
+		"reason", reason, "answering", answering, "events", events, "parts", x.promptParts)
+}
+
 func (x *exchange) upstreamRequest(grant dispatch.Grant) *upstream.Request {
 	return &upstream.Request{
 		Address:          grant.Address,
--- a/entrynode/node_test.go
+++ b/entrynode/node_test.go
@@ -41,6 +41,8 @@
 	}
 }
 
+func (testCodec) SharedPromptParts(header http.Header) []string { return header["Test-Prompt-Part"] }
+
 func (testCodec) Decode(status int, header http.Header) upstream.ResponseHead {
 	return upstream.ResponseHead{
 		RequestID: header.Get("Id"), NotRun: header.Get("Not-Run") != "",
--- a/eventlog/logger.go
+++ b/eventlog/logger.go
@@ -30,6 +30,7 @@
 	RequestRefused     = "request_refused"
 	RequestPlaced      = "request_placed"
 	RequestRetried     = "request_retried"
+	AttemptInterrupted = "attempt_interrupted"
 	RequestResumed     = "request_resumed"
 	RequestFinished    = "request_finished"
 	RequestCut         = "request_cut"
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -80,7 +80,7 @@
 // inProgress reports whether the request is still in progress after the event.
 func (l Line) inProgress() bool {
 	switch l.Event {
-	case eventlog.RequestPlaced, eventlog.RequestRetried, eventlog.RequestResumed:
+	case eventlog.RequestPlaced, eventlog.RequestRetried, eventlog.AttemptInterrupted, eventlog.RequestResumed:
 		return true
 	}
 	return false
@@ -167,7 +167,7 @@
 			}
 		case eventlog.RequestCut:
 			cause = fmt.Sprintf("response aborted by %s after %s events and %s ms, last upstream %s; %s", l.Daemon, l.name("events"), l.name("elapsed_ms"), l.name("upstream"), reasonText)
-		case eventlog.RequestPlaced, eventlog.RequestRetried, eventlog.RequestResumed:
+		case eventlog.RequestPlaced, eventlog.RequestRetried, eventlog.AttemptInterrupted, eventlog.RequestResumed:
 			cause = fmt.Sprintf("in progress at %s, which logged no end of it", l.Daemon)
 		case eventlog.Started:
 			cause += fmt.Sprintf(" and restarted at %s: its requests in progress were lost", l.Time.Format(time.TimeOnly))
--- a/storenode/item.go
+++ b/storenode/item.go
@@ -94,10 +94,15 @@
 // execute runs the item at the upstream, on this daemon or a worker. An empty reason
 // and the status 200 mean that the output is complete.
 func (x *itemRun) execute(parent context.Context) (outcome jobpages.RunOutcome, status int, reason string) {
+	eventsBefore := x.eventCount()
 	end, ranOnWorker := x.runner.workers.run(parent, x)
 	if !ranOnWorker {
 		end = runAtUpstream(parent, x.runner.engines, x.request(), func() { x.markLeaving(dispatch.LeavingAnswer) }, x.addOutput)
 	}
+	if end.interrupted() && parent.Err() == nil {
+		x.runner.node.logger.Info(eventlog.AttemptInterrupted, "request", x.item.GetId(), "upstream", x.grant.Upstream, "born", x.grant.StartUnixMs,
+			"reason", end.reason, "answering", end.reason != noAnswer, "events", x.eventCount()-eventsBefore, "parts", x.promptParts())
+	}
 	if parent.Err() != nil {
 		// The runner cancelled this run; that is no evidence about the upstream.
 		end.slotOutcome = dispatch.Inconclusive
@@ -117,6 +122,18 @@
 	})
 }
 
+// promptParts returns the IDs of the parts of the prompt that other requests may share.
+func (x *itemRun) promptParts() []string {
+	return x.runner.codec.SharedPromptParts(itemHeader(x.item))
+}
+
+// eventCount returns the number of events of the item so far.
+func (x *itemRun) eventCount() int {
+	x.runner.mu.Lock()
+	defer x.runner.mu.Unlock()
+	return x.progress.EventCount
+}
+
 func (x *itemRun) request() *upstream.Request {
 	return itemRequest(x.item, x.job.GetHost(), x.grant.Address, x.grant.Upstream, x.progress.LastEventID)
 }
--- a/storenode/runner.go
+++ b/storenode/runner.go
@@ -46,6 +46,7 @@
 type runner struct {
 	node    *Node
 	engines *upstream.Client
+	codec   upstream.HeaderCodec
 	workers *workers
 	// wakeup requests a tick before the next regular one.
 	wakeup chan struct{}
@@ -76,6 +77,7 @@
 	r := &runner{
 		node:        n,
 		engines:     upstream.NewClient(codec, nil),
+		codec:       codec,
 		wakeup:      make(chan struct{}, 1),
 		preemptions: make(chan dispatch.PreemptionRequest, maxQueuedPreemptions),
 		scheduler:   jobpages.NewScheduler(),
--- a/storenode/upstream_run.go
+++ b/storenode/upstream_run.go
@@ -26,11 +26,27 @@
 // the ID of the last one.
 type outputFunc func(data []byte, events int, lastEventID string)
 
-func itemRequest(item *pb.PageItem, host, address, upstreamID, resumeAfter string) *upstream.Request {
+// Reasons of runs that ended because the connection to the upstream broke.
+const (
+	noAnswer = "no_answer"
+	brokeOff = "broke_off"
+	eventCut = "event_cut"
+)
+
+// interrupted reports whether the connection to the upstream broke during the run.
+func (e runEnd) interrupted() bool {
+	return e.reason == noAnswer || e.reason == brokeOff || e.reason == eventCut
+}
+
+func itemHeader(item *pb.PageItem) http.Header {
 	header := make(http.Header)
 	for _, field := range item.GetHeaders() {
 		header.Set(field.GetName(), field.GetValue())
 	}
+	return header
+}
+
+func itemRequest(item *pb.PageItem, host, address, upstreamID, resumeAfter string) *upstream.Request {
 	return &upstream.Request{
 		Address:          address,
 		ExpectedInstance: upstreamID,
@@ -38,7 +54,7 @@
 		Method:           http.MethodPost,
 		Target:           item.GetPath(),
 		Host:             host,
-		Header:           header,
+		Header:           itemHeader(item),
 		Body:             item.GetBody(),
 		ResumeAfter:      resumeAfter,
 	}
@@ -57,7 +73,7 @@
 		if upstream.ExecutionStateOf(err) == upstream.NotSent {
 			return runEnd{jobpages.NotRun, dispatch.Failed, 0, "unreachable"}
 		}
-		return runEnd{jobpages.Interrupted, dispatch.Failed, 0, "no_answer"}
+		return runEnd{jobpages.Interrupted, dispatch.Failed, 0, noAnswer}
 	}
 	defer response.Close()
 	if response.EngineLeaves() {
@@ -106,9 +122,9 @@
 		case errors.Is(err, io.EOF) && events.PendingBytes() == 0:
 			return ""
 		case errors.Is(err, io.EOF):
-			return "event_cut"
+			return eventCut
 		case err != nil:
-			return "broke_off"
+			return brokeOff
 		}
 	}
 }
--- a/storenode/workers_test.go
+++ b/storenode/workers_test.go
@@ -31,6 +31,8 @@
 	header.Set("After", request.ResumeAfter)
 }
 
+func (testCodec) SharedPromptParts(header http.Header) []string { return header["Test-Prompt-Part"] }
+
 func (testCodec) Decode(_ int, header http.Header) upstream.ResponseHead {
 	return upstream.ResponseHead{RequestID: header.Get("Id"), Genuine: true, Leaving: header.Get("Leaving") != ""}
 }
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -81,6 +81,9 @@
 	Encode(header http.Header, request *Request)
 	// Decode interprets the status and headers of a response.
 	Decode(status int, header http.Header) ResponseHead
+	// SharedPromptParts returns the IDs of the parts of a request's prompt that other
+	// requests may share.
+	SharedPromptParts(header http.Header) []string
 }
 
 // ExecutionState is what is known about the execution of a request after a failed
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -23,6 +23,8 @@
 	header.Set("Expect-Engine", request.ExpectedInstance)
 }
 
+func (testCodec) SharedPromptParts(header http.Header) []string { return header["Test-Prompt-Part"] }
+
 func (testCodec) Decode(status int, header http.Header) ResponseHead {
 	return ResponseHead{
 		RequestID: header.Get("Id"), NotRun: header.Get("Not-Run") != "",
