--- a/entrynode/node_test.go
+++ b/entrynode/node_test.go
@@ -318,6 +318,11 @@
 	for name, value := range headers {
 		r.Header.Set(name, value)
 	}
+	return do(r)
+}
+
+// do sends a request on a connection of its own.
+func do(r *http.Request) callerResponse {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(r)
 	if err != nil {
--- /dev/null
+++ b/entrynode/poison_test.go
@@ -0,0 +1,73 @@
+package entrynode
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// promptPart is the header of testCodec that lists the shared parts of a prompt.
+const promptPart = "Test-Prompt-Part"
+
+// crashInterval is the time between crashes that counts them apart.
+const crashInterval = 30 * time.Millisecond
+
+// crashHead is the head of a response whose engine crashes before the first event.
+const crashHead = "HTTP/1.1 200 OK\r\nMark: m\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n<cut>"
+
+// startCrashing starts engines that crash when they begin to answer a request with the
+// part "deadly". It returns the number of such requests that they received.
+func startCrashing(t *testing.T, count int) (engines []*engine, crashes *atomic.Int32) {
+	t.Helper()
+	crashes = &atomic.Int32{}
+	for range count {
+		engines = append(engines, startEngine(t, func(_ int, r *http.Request) string {
+			if slices.Contains(r.Header[promptPart], "deadly") {
+				crashes.Add(1)
+				return crashHead
+			}
+			return chunked("r1", events(1, 6))
+		}))
+	}
+	return engines, crashes
+}
+
+// sendPrompt sends a request for a stream whose prompt has shared parts.
+func sendPrompt(t *testing.T, url string, parts ...string) callerResponse {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodPost, url+"/resume/x", strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "h"
+	r.Header.Set("Id", "r1")
+	r.Header.Set("Timeout-Ms", "2500")
+	r.Header[promptPart] = parts
+	return do(r)
+}
+
+// Requests with one part of a prompt crash engine after engine. Nothing that the entry
+// knew outlived a request, so each of them crashed as many engines as it had attempts.
+func TestPromptPartCrashesOneEngineAfterAnother(t *testing.T) {
+	expect := NewWithT(t)
+	engines, crashes := startCrashing(t, 12)
+	url, _ := startEntry(t, engines...)
+	expect.Expect(sendPrompt(t, url, "shared").status).To(Equal(http.StatusOK))
+	var refused callerResponse
+	expect.Eventually(func() int {
+		refused = sendPrompt(t, url, "shared", "deadly")
+		return refused.status
+	}, time.Second, 2*crashInterval).Should(Equal(http.StatusServiceUnavailable))
+	expect.Expect(crashes.Load()).To(BeNumerically("<=", 5))
+	expect.Expect(refused.retryAfter).NotTo(BeEmpty())
+	received := crashes.Load()
+	expect.Expect(sendPrompt(t, url, "deadly", "other").status).To(Equal(http.StatusServiceUnavailable))
+	expect.Expect(crashes.Load()).To(Equal(received))
+	expect.Expect(sendPrompt(t, url, "shared").body).To(Equal(events(1, 6)))
+	expect.Expect(sendPrompt(t, url, "shared", "other").body).To(Equal(events(1, 6)))
+}
