Keep prompts with a part that crashes engines away from the engines that are left

Cause: a daemon handled each request by itself. What it learned from an engine that crashed on a prompt ended with the request, or was held against the engine; the next request with the same part took the next engine, and each retry one more. Class: a fault of the input is attributed to the server, and each process learns by itself.

Change: package quarantine finds, from crashes at the beginning of answers and from parts that engines answer with, the parts that explain the crashes. Evidence goes to the control replicas with the subscription and from there to all daemons. Entries refuse such requests at once (503, Retry-After), storage daemons keep back such items.

--- a/controlnode/metrics.go
+++ b/controlnode/metrics.go
@@ -22,7 +22,7 @@
 			Name: "briarcross_heartbeats_total", Help: "Heartbeats of upstreams by what became of them.",
 		}, []string{"outcome"}),
 	}
-	m.registry.MustRegister(m.calls, m.heartbeats,
+	m.registry.MustRegister(m.calls, m.heartbeats, n.quarantine.Collector(),
 		node.Gauge("briarcross_routing_version", "Version of the routing table that this replica has applied.", func() float64 {
 			return float64(n.routing().GetVersion())
 		}),
--- a/controlnode/node.go
+++ b/controlnode/node.go
@@ -54,8 +54,11 @@
 	view           *node.View
 	follower       *node.Follower
 	subscribers    *subscribers
-	metrics        *metrics
-	exporter       *node.MetricsServer
+	// quarantine holds the evidence of all daemons about parts of prompts that crash
+	// engines.
+	quarantine *node.Quarantine
+	metrics    *metrics
+	exporter   *node.MetricsServer
 
 	// upstreamLock guards upstreams, the latest heartbeats that this replica has
 	// received, and upstreamsUnsaved.
@@ -109,6 +112,7 @@
 	n.leaderClient = client.NewReplicaClient(n.transport, nil)
 	n.leaderClient.SetAttemptTimeout(forwardTimeout)
 	n.subscribers = newSubscribers()
+	n.quarantine = node.NewQuarantine(logger, n.subscribers.notify)
 	n.metrics = newMetrics(n)
 	n.peers = peering.NewSender(ctx, n.transport, node.ReplicaAddress, func() {})
 	if err := n.open(); err != nil {
@@ -152,7 +156,7 @@
 	}
 	n.listener = listener
 	n.server = transport.NewServer(n.identity, n.serveStream)
-	n.follower = node.NewFollower(n.transport, n.view, n.settings.Self(n.identity), n.settings.Seeds, n.logger, n.applyRelayed)
+	n.follower = node.NewFollower(n.transport, n.view, n.quarantine, n.settings.Self(n.identity), n.settings.Seeds, n.logger, n.applyRelayed)
 	n.tasks.Go(func() {
 		if err := n.server.Serve(listener); err != nil {
 			n.ReportFatal(err)
--- a/controlnode/subscribers.go
+++ b/controlnode/subscribers.go
@@ -54,6 +54,8 @@
 	control         []string
 	silent          []string
 	silentSent      bool
+	// evidenceChange is a change number of the quarantine.
+	evidenceChange uint64
 }
 
 func newSubscribers() *subscribers {
@@ -116,6 +118,7 @@
 
 // serveWatch sends updates to a subscriber until its stream ends.
 func (n *Node) serveWatch(stream *transport.Stream, watch *pb.FleetWatch) {
+	n.quarantine.Merge(watch.GetEvidence())
 	subscriber := n.subscribers.add(watch)
 	defer n.subscribers.remove(subscriber)
 	ended := make(chan struct{})
@@ -127,6 +130,7 @@
 				return
 			}
 			subscriber.setRoutingVersion(envelope.GetFleetWatch().GetRoutingVersion())
+			n.quarantine.Merge(envelope.GetFleetWatch().GetEvidence())
 		}
 	}()
 	ticker := time.NewTicker(node.UpdateInterval)
@@ -155,6 +159,7 @@
 	n.addRouting(now, s, update)
 	n.addUpstreams(now, s, update)
 	n.addDaemons(s, update)
+	update.Evidence, s.evidenceChange = n.quarantine.Since(s.evidenceChange)
 	return update
 }
 
--- a/controlnode/upstreams_test.go
+++ b/controlnode/upstreams_test.go
@@ -25,6 +25,7 @@
 		upstreams:   fleet.NewTable(),
 		relayed:     make(map[string]bool),
 		subscribers: newSubscribers(),
+		quarantine:  node.NewQuarantine(log.New(io.Discard), func() {}),
 	}
 	n.metrics = newMetrics(n)
 	return n
--- a/e2e/platform_engine_test.go
+++ b/e2e/platform_engine_test.go
@@ -27,6 +27,7 @@
 	headerLastEventID    = "Last-Event-Id"
 	headerResumes        = "Resumes"
 	headerDeadlineMs     = "Briarcross-Deadline-Ms"
+	headerPromptParts    = "Briarcross-Prompt-Prefix"
 	pathHeartbeat        = "/Instances.Heartbeat/"
 	pathDeregister       = "/Instances.Deregister/"
 	engineSlots          = 8
@@ -39,6 +40,9 @@
 // while it does so.
 const cutAfterEvents = 3
 
+// deadlyPart is a part of prompts on which each engine crashes when it begins to answer.
+const deadlyPart = "dead1"
+
 // eventCount returns the number of events in the complete response to a request,
 // derived from its ID.
 func eventCount(id string) int {
@@ -105,6 +109,9 @@
 	notices leavingLedger
 	// cutsStreams is set while the engine breaks off each stream after some events.
 	cutsStreams atomic.Bool
+	// crashes counts the requests on whose prompt the engine crashed. It is then a new
+	// start at once.
+	crashes atomic.Int32
 	// drainAckUnixMs is the time of the first acknowledged heartbeat that reported
 	// draining; zero before.
 	drainAckUnixMs atomic.Int64
@@ -251,6 +258,13 @@
 	}
 	w.Header().Set(headerStamp, e.id+"."+id)
 	w.Header().Set("Content-Type", "text/event-stream")
+	if strings.Contains(r.Header.Get(headerPromptParts), deadlyPart) {
+		e.startUnixMs.Store(time.Now().UnixMilli())
+		e.crashes.Add(1)
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	crashes := e.crashes.Load()
 	ticker := time.NewTicker(eventInterval)
 	defer ticker.Stop()
 	for n := lastID + 1; n <= eventCount(contentID); n++ {
@@ -265,7 +279,7 @@
 		if http.NewResponseController(w).Flush() != nil {
 			return
 		}
-		if e.cutsStreams.Load() && n >= lastID+cutAfterEvents {
+		if e.crashes.Load() != crashes || e.cutsStreams.Load() && n >= lastID+cutAfterEvents {
 			panic(http.ErrAbortHandler)
 		}
 	}
--- a/e2e/platform_jobs_test.go
+++ b/e2e/platform_jobs_test.go
@@ -22,24 +22,35 @@
 
 func itemID(job string, i int) string { return fmt.Sprintf("%s-item-%d", job, i) }
 
+// jobItem is one item of a job as callers submit it.
+type jobItem struct {
+	ID      string `json:"Id"`
+	Path    string
+	Headers map[string]string
+	// Body is in base64.
+	Body string
+}
+
+func newJobItem(job string, i int, body string) jobItem {
+	return jobItem{itemID(job, i), "/jobs/1/x", map[string]string{}, base64.StdEncoding.EncodeToString([]byte(body))}
+}
+
 // submitJob submits a job and returns the HTTP status, or zero without a response.
 // The engines reject the last item of each job as impossible.
 func (f *platformFleet) submitJob(n *platformNode, job string, items int) int {
-	type item struct {
-		ID      string `json:"Id"`
-		Path    string
-		Headers map[string]string
-		Body    string
-	}
-	var requests []item
+	var requests []jobItem
 	for i := range items {
 		body := "record"
 		if i == items-1 {
 			body = "impossible"
 		}
-		requests = append(requests, item{itemID(job, i), "/jobs/1/x", map[string]string{}, base64.StdEncoding.EncodeToString([]byte(body))})
+		requests = append(requests, newJobItem(job, i, body))
 	}
-	body, err := json.Marshal(map[string]any{"Requests": requests})
+	return f.submitItems(n, job, requests)
+}
+
+func (f *platformFleet) submitItems(n *platformNode, job string, items []jobItem) int {
+	body, err := json.Marshal(map[string]any{"Requests": items})
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- /dev/null
+++ b/e2e/platform_poison_test.go
@@ -0,0 +1,96 @@
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+const (
+	// maxDeadlyRuns is the number of crashes after which no request with the part that
+	// causes them may reach an engine.
+	maxDeadlyRuns = 5
+	deadlyPrompt  = "5a:100," + deadlyPart + ":50,e1:10"
+	soundPrompt   = "5a:100,e2:10"
+)
+
+// sendPrompt sends a request for a stream with a prompt to an entry.
+func (f *platformFleet) sendPrompt(n *platformNode, prompt, id string) streamResponse {
+	request, err := http.NewRequest(http.MethodPost, "http://"+n.callersAddress()+"/resumable/x", strings.NewReader("prompt"))
+	if err != nil {
+		return streamResponse{err: err}
+	}
+	request.Host = routeHost
+	request.Header.Set(headerID, id)
+	request.Header.Set(headerDeadlineMs, "3500")
+	request.Header.Set(headerPromptParts, prompt)
+	return f.doRequest(f.client, request)
+}
+
+// deadlyRuns returns the number of crashes of all engines.
+func (f *platformFleet) deadlyRuns() int {
+	count := 0
+	for _, e := range f.engines {
+		count += int(e.crashes.Load())
+	}
+	return count
+}
+
+// awaitQuarantine sends requests with the deadly part to an entry, with time for the
+// daemons to learn of each crash, until it refuses one.
+func (f *platformFleet) awaitQuarantine(n *platformNode, name string) {
+	f.t.Helper()
+	sent := 0
+	NewWithT(f.t).Eventually(func() int {
+		sent++
+		return f.sendPrompt(n, deadlyPrompt, fmt.Sprintf("%s-%s-%d", name, n.name, sent)).status
+	}, 5*time.Second, 150*time.Millisecond).Should(Equal(http.StatusServiceUnavailable), n.name)
+}
+
+// Each entry and the leader of the storage group had to find out for themselves that
+// engines crash on a part of a prompt, and forgot it when they ended.
+func TestPromptPartCrashesEnginesForEachDaemonAnew(t *testing.T) {
+	t.Parallel()
+	expect := NewWithT(t)
+	f := startPlatformFleet(t, 2, 6, false)
+	f.awaitQuarantine(f.entries[0], "first")
+	f.awaitQuarantine(f.entries[1], "second")
+
+	items := []jobItem{newJobItem("tainted", 0, "record"), newJobItem("tainted", 1, "record")}
+	items[0].Headers[headerPromptParts] = deadlyPrompt
+	items[1].Headers[headerPromptParts] = soundPrompt
+	f.await("the job is accepted", func() bool { return f.submitItems(f.entries[1], "tainted", items) == http.StatusAccepted })
+	f.await("its sound item is done", func() bool {
+		_, page := f.readJobPage(f.entries[0], "tainted", 0)
+		return len(page.Results) == 1 && page.Results[0].ID == itemID("tainted", 1)
+	})
+
+	n := f.entries[0]
+	n.kill()
+	f.startNode(n, false)
+	f.await("a restarted entry completes a sound request", func() bool { return f.sendPrompt(n, soundPrompt, "sound-1").complete })
+	f.awaitQuarantine(n, "restarted")
+
+	for _, control := range f.controls {
+		control.kill()
+	}
+	for _, control := range f.controls {
+		f.startNode(control, false)
+	}
+	for _, control := range f.controls {
+		f.await(control.name+" returns the configuration", func() bool {
+			status, _ := f.readConfiguration(control)
+			return status == http.StatusOK
+		})
+	}
+	n.kill()
+	f.startNode(n, false)
+	f.await("the entry completes a sound request from new control replicas", func() bool { return f.sendPrompt(n, soundPrompt, "sound-2").complete })
+	f.awaitQuarantine(n, "all restarted")
+	expect.Expect(f.deadlyRuns()).To(BeNumerically("<=", maxDeadlyRuns))
+	expect.Expect(f.ledger.runTimes(itemID("tainted", 0))).To(BeEmpty())
+}
--- a/entrynode/exchange.go
+++ b/entrynode/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/briarcross/briarcross/eventlog"
 	"github.com/briarcross/briarcross/internal/fields"
 	"github.com/briarcross/briarcross/origins"
+	"github.com/briarcross/briarcross/quarantine"
 	"github.com/briarcross/briarcross/routing"
 	"github.com/briarcross/briarcross/upstream"
 )
@@ -46,6 +47,9 @@
 	// unknownOriginRetryAfter is the time after which a caller may ask again for a
 	// stream whose origin no entry in reach knows.
 	unknownOriginRetryAfter = 500 * time.Millisecond
+	// promptQuarantined is the reason of the refusal of requests on whose prompt engines
+	// crash.
+	promptQuarantined = "prompt_quarantined"
 )
 
 // exchange handles one request of a caller: it sends it to upstreams until one
@@ -127,18 +131,28 @@
 	ctx, cancel := context.WithDeadline(x.request.Context(), x.arrivedAt.Add(x.timeout))
 	defer cancel()
 	x.ctx = ctx
+	if x.endIfQuarantined() {
+		return
+	}
 	if refused := x.findOrigin(); refused != nil {
 		x.node.refuse(x.w, x.headers.ID, *refused)
 		return
 	}
 	reason := ""
 	for x.canAttempt() {
+		if x.endIfQuarantined() {
+			return
+		}
 		grant, refused := x.node.Slots.Acquire(ctx, x.slotRequest())
 		if refused != nil {
 			x.handleSlotRefusal(refused)
 			return
 		}
 		x.node.metrics.slotWait.Observe(grant.Waited.Seconds())
+		if _, quarantined := x.node.Quarantine.Check(x.promptParts); quarantined {
+			x.node.Slots.Release(grant, dispatch.Inconclusive)
+			continue
+		}
 		var result attemptResult
 		result, reason = x.attempt(grant)
 		if result == completed {
@@ -155,6 +169,23 @@
 	x.fail(reason)
 }
 
+// endIfQuarantined ends a request on whose prompt engines crash.
+func (x *exchange) endIfQuarantined() bool {
+	remaining, quarantined := x.node.Quarantine.Check(x.promptParts)
+	if !quarantined {
+		return false
+	}
+	if x.mayHaveRunCount > 0 {
+		x.fail(promptQuarantined)
+		return true
+	}
+	x.node.refuse(x.w, x.headers.ID, refusal{
+		reason: promptQuarantined, retryAfter: remaining, route: x.route.Name, routingVersion: x.table.Version, elapsed: x.elapsed(),
+		timeToDeadline: x.timeout - x.elapsed(),
+	})
+	return true
+}
+
 // avoidUpstream records the result of an attempt at an upstream for the choice of the
 // next one.
 func (x *exchange) avoidUpstream(id string, result attemptResult) {
@@ -364,6 +395,9 @@
 	if result == mayHaveRun && response.Status/100 == 2 {
 		x.recordInterruption(grant, reason, true, x.events.Count-eventsBefore)
 	}
+	if result == completed && response.Status/100 == 2 {
+		x.node.Quarantine.RecordServed(x.promptParts)
+	}
 	switch {
 	case result == completed && response.Status/100 == 5 && response.Status != http.StatusGatewayTimeout:
 		outcome = dispatch.Failed
@@ -376,13 +410,17 @@
 }
 
 // recordInterruption logs that the connection to an upstream broke before the response
-// was complete. events is the number of events of this attempt.
+// was complete. events is the number of events of this attempt. An engine that had just
+// begun to answer may have crashed on the prompt.
 func (x *exchange) recordInterruption(grant dispatch.Grant, reason string, answering bool, events int) {
 	if x.ctx.Err() != nil {
 		return
 	}
 	x.node.logger.Info(eventlog.AttemptInterrupted, "request", x.headers.ID, "upstream", grant.Upstream, "born", grant.StartUnixMs,
 		"reason", reason, "answering", answering, "events", events, "parts", x.promptParts)
+	if answering && events < quarantine.MinServedEvents {
+		x.node.Quarantine.RecordCrash(grant, x.promptParts)
+	}
 }
 
 func (x *exchange) upstreamRequest(grant dispatch.Grant) *upstream.Request {
@@ -451,12 +489,17 @@
 			"elapsed_ms", x.elapsed().Milliseconds(), "upstream", x.upstream, "version", x.upstreamVersion)
 	}
 	buffer := make([]byte, relayBufferBytes)
+	eventsBefore := x.events.Count
 	for {
 		size, err := response.Body.Read(buffer)
 		if size > 0 {
+			before := x.events.Count - eventsBefore
 			if failed := x.relayChunk(buffer[:size]); failed != nil {
 				return mayHaveRun, "malformed"
 			}
+			if before < quarantine.MinServedEvents && x.events.Count-eventsBefore >= quarantine.MinServedEvents {
+				x.node.Quarantine.RecordServed(x.promptParts)
+			}
 		}
 		switch {
 		case errors.Is(err, io.EOF) && x.events.PendingBytes() == 0:
--- a/entrynode/poison_test.go
+++ b/entrynode/poison_test.go
@@ -9,14 +9,13 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/briarcross/briarcross/dispatch"
 )
 
 // promptPart is the header of testCodec that lists the shared parts of a prompt.
 const promptPart = "Test-Prompt-Part"
 
-// crashInterval is the time between crashes that counts them apart.
-const crashInterval = 30 * time.Millisecond
-
 // crashHead is the head of a response whose engine crashes before the first event.
 const crashHead = "HTTP/1.1 200 OK\r\nMark: m\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n<cut>"
 
@@ -62,7 +61,7 @@
 	expect.Eventually(func() int {
 		refused = sendPrompt(t, url, "shared", "deadly")
 		return refused.status
-	}, time.Second, 2*crashInterval).Should(Equal(http.StatusServiceUnavailable))
+	}, time.Second, pollInterval).Should(Equal(http.StatusServiceUnavailable))
 	expect.Expect(crashes.Load()).To(BeNumerically("<=", 5))
 	expect.Expect(refused.retryAfter).NotTo(BeEmpty())
 	received := crashes.Load()
@@ -71,3 +70,33 @@
 	expect.Expect(sendPrompt(t, url, "shared").body).To(Equal(events(1, 6)))
 	expect.Expect(sendPrompt(t, url, "shared", "other").body).To(Equal(events(1, 6)))
 }
+
+// A request that has been sent to an engine may have run. The caller is not told that it
+// has not when its prompt comes into quarantine.
+func TestRequestThatCrashedAnEngineIsNotReportedAsNotRun(t *testing.T) {
+	expect := NewWithT(t)
+	engines, crashes := startCrashing(t, 12)
+	url, n := startEntry(t, engines...)
+	for i := range 2 {
+		n.Quarantine.RecordCrash(dispatch.Grant{Upstream: string(rune('a' + i)), GrantedAt: time.Now()}, []string{"deadly"})
+	}
+	got := sendPrompt(t, url, "deadly")
+	expect.Expect(got.status).To(Equal(http.StatusOK))
+	expect.Expect(got.err).To(HaveOccurred())
+	expect.Expect(crashes.Load()).To(BeEquivalentTo(1))
+}
+
+// An interruption after some events says nothing about the prompt.
+func TestInterruptedAnswersAccuseNoPrompt(t *testing.T) {
+	expect := NewWithT(t)
+	var engines []*engine
+	for range 8 {
+		engines = append(engines, startEngine(t, func(int, *http.Request) string { return chunked("r1", events(1, 3)+"<cut>") }))
+	}
+	url, n := startEntry(t, engines...)
+	for range 6 {
+		expect.Expect(sendPrompt(t, url, "part").status).To(Equal(http.StatusOK))
+	}
+	_, quarantined := n.Quarantine.Check([]string{"part"})
+	expect.Expect(quarantined).To(BeFalse())
+}
--- a/jobpages/scheduler.go
+++ b/jobpages/scheduler.go
@@ -122,6 +122,16 @@
 	return progress
 }
 
+// Postpone keeps a waiting item from running before a time.
+func (s *Scheduler) Postpone(key ItemKey, notBefore time.Time) {
+	progress, known := s.progress[key]
+	if !known {
+		progress = &ItemProgress{}
+		s.progress[key] = progress
+	}
+	progress.NotBefore = notBefore
+}
+
 // Progress returns the progress of an item, or nil if the scheduler has none.
 func (s *Scheduler) Progress(key ItemKey) *ItemProgress {
 	return s.progress[key]
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -47,6 +47,8 @@
 	Slots     *SlotPool
 	// Storage is the client of the storage group.
 	Storage *client.ReplicaClient
+	// Quarantine knows the parts of prompts that crash engines.
+	Quarantine *Quarantine
 	// StreamOrigins knows which engines began the streams of callers.
 	StreamOrigins *StreamOrigins
 
@@ -89,6 +91,7 @@
 			Name: "briarcross_upstreams_leaving_total", Help: "Upstreams that said in an answer that they leave, by how this daemon learned it first: answer, worker, report.",
 		}, []string{"source"}),
 	}
+	d.Quarantine = NewQuarantine(logger, func() { d.follower.EvidenceChanged() })
 	d.StreamOrigins = newStreamOrigins(settings.Address, d.View, d.sendDatagram)
 	d.Transport = transport.NewClient(d.Identity, nil)
 	d.Storage = client.NewReplicaClient(d.Transport, nil)
@@ -106,7 +109,7 @@
 	}
 	d.datagrams.Store(datagrams)
 	d.loadReporter.SetSocket(datagrams)
-	d.follower = NewFollower(d.Transport, d.View, settings.Self(d.Identity), settings.Seeds, logger, d.applyViewChanges)
+	d.follower = NewFollower(d.Transport, d.View, d.Quarantine, settings.Self(d.Identity), settings.Seeds, logger, d.applyViewChanges)
 	return d, nil
 }
 
--- a/node/follower.go
+++ b/node/follower.go
@@ -42,6 +42,9 @@
 	// outdatedGrace is the time for which a replica counts as working without contact
 	// with the majority. An election takes less.
 	outdatedGrace = 2 * time.Second
+	// minEvidenceInterval is the shortest time between two messages with evidence to a
+	// replica.
+	minEvidenceInterval = 20 * time.Millisecond
 	// wantedReplicas is the number of working subscriptions that a daemon keeps. Two
 	// of them may fail at once without an interruption.
 	wantedReplicas = 3
@@ -55,6 +58,8 @@
 	self      *pb.Daemon
 	logger    *log.Logger
 	onChange  func(ViewChanges)
+	// evidence is exchanged with the replicas: each daemon sends them what it knows.
+	evidence *Quarantine
 
 	mu            sync.Mutex
 	seeds         []string
@@ -73,6 +78,8 @@
 	currentAt time.Time
 	// stream is nil while there is no connection.
 	stream *transport.Stream
+	// evidenceChanged is signalled when there is evidence to send.
+	evidenceChanged chan struct{}
 }
 
 func (s *subscription) working(now time.Time) bool {
@@ -81,8 +88,9 @@
 
 // NewFollower returns a follower. onChange is called for each update, one call after
 // the other in the order of the changes, and must not block.
-func NewFollower(t *transport.Client, view *View, self *pb.Daemon, seeds []string, logger *log.Logger, onChange func(ViewChanges)) *Follower {
+func NewFollower(t *transport.Client, view *View, evidence *Quarantine, self *pb.Daemon, seeds []string, logger *log.Logger, onChange func(ViewChanges)) *Follower {
 	return &Follower{
+		evidence:      evidence,
 		transport:     t,
 		view:          view,
 		self:          self,
@@ -183,7 +191,7 @@
 		f.lastContact[address] = now
 	}
 	subscribed, cancel := context.WithCancel(ctx)
-	s := &subscription{cancel: cancel, openedAt: now}
+	s := &subscription{cancel: cancel, openedAt: now, evidenceChanged: make(chan struct{}, 1)}
 	f.subscriptions[address] = s
 	f.tasks.Go(func() { f.follow(subscribed, address, s) })
 }
@@ -227,6 +235,9 @@
 	if err := f.watch(stream, f.view.RoutingVersion()); err != nil {
 		return false, err
 	}
+	subscribed, unsubscribe := context.WithCancel(ctx)
+	defer unsubscribe()
+	f.tasks.Go(func() { f.sendEvidence(subscribed, stream, s) })
 	for {
 		envelope, err := stream.Receive()
 		if err != nil {
@@ -239,6 +250,7 @@
 			connected = true
 			f.logger.Info(eventlog.DependencyFound, "dependency", "control", "address", address)
 		}
+		f.evidence.Merge(update.GetEvidence())
 		changes := f.view.MergeAndApply(time.Now(), address, update, f.onChange)
 		if changes.Routing != nil {
 			f.announceRouting(s, changes.Routing.Version)
@@ -259,6 +271,40 @@
 	}
 }
 
+// EvidenceChanged makes the follower send new evidence to the replicas. It never blocks.
+func (f *Follower) EvidenceChanged() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.subscriptions {
+		select {
+		case s.evidenceChanged <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// sendEvidence sends the evidence to a replica, at first all of it, until the context
+// ends or the subscription breaks.
+func (f *Follower) sendEvidence(ctx context.Context, stream *transport.Stream, s *subscription) {
+	sent := uint64(0)
+	for {
+		evidence, last := f.evidence.Since(sent)
+		if evidence != nil {
+			watch := &pb.FleetWatch{Self: f.self, RoutingVersion: f.view.RoutingVersion(), Incremental: true, Evidence: evidence}
+			if stream.Send(&pb.Envelope{Body: &pb.Envelope_FleetWatch{FleetWatch: watch}}) != nil {
+				return
+			}
+			sent = last
+		}
+		sleep(ctx, minEvidenceInterval)
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.evidenceChanged:
+		}
+	}
+}
+
 func (f *Follower) watch(stream *transport.Stream, version uint64) error {
 	watch := &pb.FleetWatch{Self: f.self, RoutingVersion: version, Incremental: true}
 	return stream.Send(&pb.Envelope{Body: &pb.Envelope_FleetWatch{FleetWatch: watch}})
--- a/node/view_test.go
+++ b/node/view_test.go
@@ -202,7 +202,7 @@
 
 func newTestFollower(role string) *Follower {
 	self := &pb.Daemon{Address: "self", Role: role, DataCentre: "dc0"}
-	return NewFollower(nil, NewView(), self, []string{"c1", "c2", "c3"}, nil, func(ViewChanges) {})
+	return NewFollower(nil, NewView(), NewQuarantine(nil, func() {}), self, []string{"c1", "c2", "c3"}, nil, func(ViewChanges) {})
 }
 
 // Each daemon that subscribes to each replica costs both as much as there are
--- /dev/null
+++ b/quarantine/doc.go
@@ -0,0 +1,17 @@
+// Package quarantine finds the parts of prompts that crash engines, so that requests
+// with such a part are kept away from the engines that are left.
+//
+// The evidence is a set of crashes and a set of served parts. A crash is the loss of one
+// start of an engine. Its suspects are the shared parts of the prompts that the engine had
+// begun to answer, without having sent more than a few events. A part is served once
+// an engine has gone beyond that with it; that clears the part of earlier crashes, and of
+// those within servedWindow after it.
+//
+// A part is quarantined while it explains at least minCrashes crashes that no other
+// part explains better. Requests that were begun beside the one that crashed the engine
+// share some of its crashes, but not all.
+//
+// Daemons exchange evidence, not verdicts. Merging is idempotent and independent of the
+// order, so daemons with the same evidence agree. A Table reads no clock and is not
+// safe for concurrent use.
+package quarantine
--- /dev/null
+++ b/quarantine/table.go
@@ -0,0 +1,250 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// MinServedEvents is the number of events of one attempt from which on the parts of its
+// prompt count as served.
+const MinServedEvents = 3
+
+const (
+	// minCrashes is the number of crashes at which a part is quarantined.
+	minCrashes = 3
+	// crashInterval is the time within which crashes count as one, unless the later
+	// engine got the prompt only after the earlier crash: engines that are lost
+	// together have a common cause outside of the requests.
+	crashInterval = 20 * time.Millisecond
+	// transferTolerance bounds the difference between the times that two messages of
+	// evidence take. Times from different messages are compared with it.
+	transferTolerance = 5 * time.Millisecond
+	// evidenceAge is the age at which a crash no longer counts. It bounds the time of a
+	// quarantine after the last crash.
+	evidenceAge = 10 * time.Minute
+	// servedWindow is the time for which a served part is not suspected.
+	servedWindow = time.Minute
+	// servedRefresh is the time by which a part has to have been served later than
+	// known to count as news. Times that daemons pass on to each other grow by the time
+	// of each transfer.
+	servedRefresh = time.Second
+	// maxCrashes and maxSuspects bound the evidence and the suspects of a crash. Beyond
+	// them, the oldest crashes are dropped and further suspects ignored.
+	maxCrashes  = 256
+	maxSuspects = 64
+)
+
+// Suspect is a part of a prompt that an engine had begun to answer when it was lost.
+type Suspect struct {
+	Part string
+	// Position is the index of the part in its prompt, the highest if there are several.
+	Position int
+	// SentAt is when the engine was sent the prompt.
+	SentAt time.Time
+}
+
+// Crash is the loss of one start of an engine.
+type Crash struct {
+	Upstream    string
+	StartUnixMs uint64
+	At          time.Time
+	Suspects    []Suspect
+}
+
+// Served is the latest time at which an engine is known to have answered with a part.
+type Served struct {
+	Part string
+	At   time.Time
+}
+
+// Evidence is what daemons tell each other.
+type Evidence struct {
+	Crashes []Crash
+	Served  []Served
+}
+
+// Verdict is a part in quarantine.
+type Verdict struct {
+	Part string
+	// Crashes is the number of crashes that the part explains.
+	Crashes int
+	// Until is the time at which the quarantine ends if no further crash is recorded.
+	Until time.Time
+}
+
+// engineStart identifies one start of an engine.
+type engineStart struct {
+	upstream    string
+	startUnixMs uint64
+}
+
+type crashRecord struct {
+	at       time.Time
+	suspects map[string]Suspect
+	// change is the number of the latest change of the record.
+	change uint64
+}
+
+type servedRecord struct {
+	at     time.Time
+	change uint64
+}
+
+// Table holds the evidence of one daemon.
+type Table struct {
+	crashes map[engineStart]*crashRecord
+	// suspectCount holds the number of crashes of which a part is suspected. Only such
+	// parts are in served.
+	suspectCount map[string]int
+	served       map[string]servedRecord
+	// recent holds the parts that this daemon has seen served.
+	recent     recentParts
+	lastChange uint64
+	// verdicts holds the parts in quarantine as of evaluatedChange, valid until
+	// validUntil.
+	verdicts        map[string]Verdict
+	evaluatedChange uint64
+	validUntil      time.Time
+}
+
+// NewTable returns a table without evidence.
+func NewTable() *Table {
+	return &Table{
+		crashes: make(map[engineStart]*crashRecord), suspectCount: make(map[string]int), served: make(map[string]servedRecord),
+	}
+}
+
+// RecordCrash records that a start of an engine was lost when it had begun to answer a
+// prompt with some shared parts, in their order, that was sent to it at a time.
+func (t *Table) RecordCrash(now time.Time, upstream string, startUnixMs uint64, parts []string, sentAt time.Time) {
+	crash := Crash{Upstream: upstream, StartUnixMs: startUnixMs, At: now}
+	for position, part := range parts {
+		crash.Suspects = append(crash.Suspects, Suspect{part, position, sentAt})
+	}
+	t.Merge(now, Evidence{Crashes: []Crash{crash}})
+}
+
+// RecordServed records that an engine answers a prompt with some shared parts.
+func (t *Table) RecordServed(now time.Time, parts []string) {
+	for _, part := range parts {
+		t.recent.add(now, part)
+		t.addServed(Served{part, now})
+	}
+}
+
+// Merge adds the evidence of another daemon.
+func (t *Table) Merge(now time.Time, evidence Evidence) {
+	t.expire(now)
+	for _, crash := range evidence.Crashes {
+		if now.Sub(crash.At) < evidenceAge {
+			t.addCrash(crash)
+		}
+	}
+	for _, served := range evidence.Served {
+		t.addServed(served)
+	}
+}
+
+func (t *Table) addCrash(crash Crash) {
+	if len(crash.Suspects) == 0 {
+		return
+	}
+	key := engineStart{crash.Upstream, crash.StartUnixMs}
+	record, known := t.crashes[key]
+	if !known {
+		if len(t.crashes) == maxCrashes {
+			t.remove(t.oldest())
+		}
+		record = &crashRecord{at: crash.At, suspects: make(map[string]Suspect)}
+		t.crashes[key] = record
+	}
+	for _, suspect := range crash.Suspects {
+		known, suspected := record.suspects[suspect.Part]
+		switch {
+		case suspected && known.Position >= suspect.Position, !suspected && len(record.suspects) == maxSuspects:
+			continue
+		case suspected:
+			// The time differs by that of a transfer, or is of another request.
+			suspect.SentAt = known.SentAt
+		default:
+			t.suspectCount[suspect.Part]++
+		}
+		record.suspects[suspect.Part] = suspect
+		t.lastChange++
+		record.change = t.lastChange
+		if served, ok := t.recent.last(suspect.Part); ok && !t.cleared(record, suspect.Part) {
+			t.addServed(Served{suspect.Part, served})
+		}
+	}
+}
+
+// addServed records when a part was served, unless it is not suspected or that is no
+// news.
+func (t *Table) addServed(served Served) {
+	known, ok := t.served[served.Part]
+	if t.suspectCount[served.Part] == 0 || ok && served.At.Sub(known.at) < servedRefresh {
+		return
+	}
+	t.lastChange++
+	t.served[served.Part] = servedRecord{served.At, t.lastChange}
+}
+
+// cleared reports whether a suspect was served after a crash, or shortly before it.
+func (t *Table) cleared(record *crashRecord, part string) bool {
+	served, ok := t.served[part]
+	return ok && record.at.Sub(served.at) < servedWindow
+}
+
+func (t *Table) oldest() engineStart {
+	return slices.MinFunc(slices.Collect(maps.Keys(t.crashes)), t.byTime)
+}
+
+func (t *Table) byTime(a, b engineStart) int {
+	return cmp.Or(t.crashes[a].at.Compare(t.crashes[b].at), cmp.Compare(a.upstream, b.upstream), cmp.Compare(a.startUnixMs, b.startUnixMs))
+}
+
+func (t *Table) remove(key engineStart) {
+	for part := range t.crashes[key].suspects {
+		t.suspectCount[part]--
+		if t.suspectCount[part] == 0 {
+			delete(t.suspectCount, part)
+			delete(t.served, part)
+		}
+	}
+	delete(t.crashes, key)
+}
+
+func (t *Table) expire(now time.Time) {
+	for key, record := range t.crashes {
+		if now.Sub(record.at) >= evidenceAge {
+			t.remove(key)
+		}
+	}
+}
+
+// LastChange returns the number of the latest change of the evidence.
+func (t *Table) LastChange() uint64 { return t.lastChange }
+
+// Since returns the evidence that changed after a change, ordered.
+func (t *Table) Since(change uint64) Evidence {
+	var evidence Evidence
+	for _, key := range slices.SortedFunc(maps.Keys(t.crashes), t.byTime) {
+		record := t.crashes[key]
+		if record.change <= change {
+			continue
+		}
+		crash := Crash{Upstream: key.upstream, StartUnixMs: key.startUnixMs, At: record.at}
+		for _, part := range slices.Sorted(maps.Keys(record.suspects)) {
+			crash.Suspects = append(crash.Suspects, record.suspects[part])
+		}
+		evidence.Crashes = append(evidence.Crashes, crash)
+	}
+	for _, part := range slices.Sorted(maps.Keys(t.served)) {
+		if record := t.served[part]; record.change > change {
+			evidence.Served = append(evidence.Served, Served{part, record.at})
+		}
+	}
+	return evidence
+}
--- a/storenode/item.go
+++ b/storenode/item.go
@@ -10,6 +10,7 @@
 	"github.com/briarcross/briarcross/eventlog"
 	"github.com/briarcross/briarcross/jobpages"
 	"github.com/briarcross/briarcross/pb"
+	"github.com/briarcross/briarcross/quarantine"
 	"github.com/briarcross/briarcross/upstream"
 )
 
@@ -34,6 +35,10 @@
 	grant     dispatch.Grant
 	progress  *jobpages.ItemProgress
 	preempted *atomic.Bool
+	// promptParts are the IDs of the parts of the prompt that other requests may share.
+	promptParts []string
+	// eventCount is the number of events of this run. The runner's mu guards it.
+	eventCount int
 }
 
 func (x *itemRun) run(ctx context.Context) {
@@ -94,21 +99,21 @@
 // execute runs the item at the upstream, on this daemon or a worker. An empty reason
 // and the status 200 mean that the output is complete.
 func (x *itemRun) execute(parent context.Context) (outcome jobpages.RunOutcome, status int, reason string) {
-	eventsBefore := x.eventCount()
 	end, ranOnWorker := x.runner.workers.run(parent, x)
 	if !ranOnWorker {
 		end = runAtUpstream(parent, x.runner.engines, x.request(), func() { x.markLeaving(dispatch.LeavingAnswer) }, x.addOutput)
 	}
-	if end.interrupted() && parent.Err() == nil {
-		x.runner.node.logger.Info(eventlog.AttemptInterrupted, "request", x.item.GetId(), "upstream", x.grant.Upstream, "born", x.grant.StartUnixMs,
-			"reason", end.reason, "answering", end.reason != noAnswer, "events", x.eventCount()-eventsBefore, "parts", x.promptParts())
-	}
-	if parent.Err() != nil {
+	complete := end.reason == "" && end.status == http.StatusOK
+	switch {
+	case parent.Err() != nil:
 		// The runner cancelled this run; that is no evidence about the upstream.
 		end.slotOutcome = dispatch.Inconclusive
+	case complete:
+		x.runner.node.Quarantine.RecordServed(x.promptParts)
+	case end.interrupted():
+		x.recordInterruption(end)
 	}
 	x.runner.node.Slots.Release(x.grant, end.slotOutcome)
-	complete := end.reason == "" && end.status == http.StatusOK
 	if x.preempted.Load() && !complete && end.outcome != jobpages.Failed {
 		return jobpages.Preempted, 0, "yielded"
 	}
@@ -122,16 +127,18 @@
 	})
 }
 
-// promptParts returns the IDs of the parts of the prompt that other requests may share.
-func (x *itemRun) promptParts() []string {
-	return x.runner.codec.SharedPromptParts(itemHeader(x.item))
-}
-
-// eventCount returns the number of events of the item so far.
-func (x *itemRun) eventCount() int {
+// recordInterruption logs that the connection to the upstream broke before the output
+// was complete. An engine that had just begun to answer may have crashed on the prompt.
+func (x *itemRun) recordInterruption(end runEnd) {
 	x.runner.mu.Lock()
-	defer x.runner.mu.Unlock()
-	return x.progress.EventCount
+	events := x.eventCount
+	x.runner.mu.Unlock()
+	answering := end.reason != noAnswer
+	x.runner.node.logger.Info(eventlog.AttemptInterrupted, "request", x.item.GetId(), "upstream", x.grant.Upstream, "born", x.grant.StartUnixMs,
+		"reason", end.reason, "answering", answering, "events", events, "parts", x.promptParts)
+	if answering && events < quarantine.MinServedEvents {
+		x.runner.node.Quarantine.RecordCrash(x.grant, x.promptParts)
+	}
 }
 
 func (x *itemRun) request() *upstream.Request {
@@ -141,6 +148,12 @@
 // addOutput adds the data of events, separated by line feeds, to the item's progress.
 func (x *itemRun) addOutput(data []byte, events int, lastEventID string) {
 	x.runner.mu.Lock()
-	defer x.runner.mu.Unlock()
+	before := x.eventCount
+	x.eventCount += events
+	after := x.eventCount
 	x.progress.AddOutput(originOf(x.grant), data, events, lastEventID)
+	x.runner.mu.Unlock()
+	if before < quarantine.MinServedEvents && after >= quarantine.MinServedEvents {
+		x.runner.node.Quarantine.RecordServed(x.promptParts)
+	}
 }
--- a/storenode/metrics.go
+++ b/storenode/metrics.go
@@ -11,6 +11,7 @@
 	settled   *prometheus.CounterVec
 	stopped   *prometheus.CounterVec
 	restarted *prometheus.CounterVec
+	postponed prometheus.Counter
 	runTime   prometheus.Histogram
 }
 
@@ -29,11 +30,14 @@
 		restarted: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "briarcross_items_restarted_total", Help: "Items whose output was discarded because another software version runs them now, by reason.",
 		}, []string{"reason"}),
+		postponed: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "briarcross_items_postponed_total", Help: "Times that an item was kept back because engines crashed on a part of its prompt.",
+		}),
 		runTime: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "briarcross_item_run_seconds", Help: "Time of the last run of an item.", Buckets: runTimeBuckets,
 		}),
 	}
-	m.registry.MustRegister(m.settled, m.stopped, m.restarted, m.runTime, n.runner.workers.results,
+	m.registry.MustRegister(m.settled, m.stopped, m.restarted, m.postponed, m.runTime, n.runner.workers.results,
 		node.Gauge("briarcross_open_items", "Items without a result.", func() float64 {
 			return float64(len(n.state.OpenItems()))
 		}),
--- a/storenode/runner.go
+++ b/storenode/runner.go
@@ -40,6 +40,9 @@
 	// dueMargin is how long before its due time an item should be completed. It
 	// leaves time for a change of leader and another run.
 	dueMargin = 6 * time.Second
+	// quarantineRecheck is the time after which an item with a part in quarantine is
+	// looked at again.
+	quarantineRecheck = 2 * time.Second
 )
 
 // runner runs the items of the open jobs while this replica leads.
@@ -300,6 +303,10 @@
 	r.scheduler.RestoreProgress(key, saved)
 	parent := r.ctx
 	r.mu.Unlock()
+	if _, quarantined := r.node.Quarantine.Check(r.promptParts(item)); quarantined {
+		r.postpone(key, item)
+		return handled
+	}
 	grant, reason, result := r.acquireSlot(parent, key, job, route, openCount, round)
 	if result == handled {
 		r.startRun(parent, key, job, item, grant, reason)
@@ -307,6 +314,23 @@
 	return result
 }
 
+// promptParts returns the IDs of the parts of an item's prompt that other requests may
+// share.
+func (r *runner) promptParts(item *pb.PageItem) []string {
+	return r.codec.SharedPromptParts(itemHeader(item))
+}
+
+// postpone keeps back an item on whose prompt engines crash. It may be held until its
+// abandon time: an engine has not failed it.
+func (r *runner) postpone(key jobpages.ItemKey, item *pb.PageItem) {
+	r.mu.Lock()
+	r.scheduler.Postpone(key, time.Now().Add(quarantineRecheck))
+	r.mu.Unlock()
+	r.node.metrics.postponed.Inc()
+	r.node.logger.Info(eventlog.ItemPostponed, "request", item.GetId(), "job", key.JobID, "item", key.Index,
+		"reason", "prompt_quarantined", "delay_ms", quarantineRecheck.Milliseconds())
+}
+
 // acquireSlot acquires a slot for an item. An item with output gets one of the software
 // version that began it, unless there is a reason to restart the item.
 func (r *runner) acquireSlot(ctx context.Context, key jobpages.ItemKey, job *pb.PageJob, route *routing.Route, openCount int, round *startRound) (dispatch.Grant, jobpages.RestartReason, startResult) {
@@ -384,7 +408,7 @@
 	r.runs[key] = runHandle{cancel, preempted}
 	scheduler := r.scheduler
 	r.mu.Unlock()
-	run := &itemRun{runner: r, scheduler: scheduler, key: key, job: job, item: item, grant: grant, progress: progress, preempted: preempted}
+	run := &itemRun{runner: r, scheduler: scheduler, key: key, job: job, item: item, grant: grant, progress: progress, preempted: preempted, promptParts: r.promptParts(item)}
 	r.tasks.Go(func() {
 		defer cancel()
 		run.run(ctx)
--- a/storenode/versions_test.go
+++ b/storenode/versions_test.go
@@ -85,11 +85,11 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	slots := node.NewSlotPool(dispatch.Options{DataCentre: "d", Seed: 1}, func() {}, func(dispatch.HealthChange) {}, func(dispatch.LeavingChange) {}, func(dispatch.PreemptionRequest) {})
-	n := &Node{Dispatcher: &node.Dispatcher{Slots: slots}, logger: log.New(io.Discard), state: jobpages.NewState(), ctx: ctx, cancel: cancel}
+	n := &Node{Dispatcher: &node.Dispatcher{Slots: slots, Quarantine: node.NewQuarantine(log.New(io.Discard), func() {})}, logger: log.New(io.Discard), state: jobpages.NewState(), ctx: ctx, cancel: cancel}
 	counter := func(label string) *prometheus.CounterVec {
 		return prometheus.NewCounterVec(prometheus.CounterOpts{Name: "test"}, []string{label})
 	}
-	n.metrics = &metrics{settled: counter("outcome"), stopped: counter("reason"), restarted: counter("reason"), runTime: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "test"})}
+	n.metrics = &metrics{settled: counter("outcome"), stopped: counter("reason"), restarted: counter("reason"), postponed: prometheus.NewCounter(prometheus.CounterOpts{Name: "test"}), runTime: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "test"})}
 	n.runner = newRunner(n, testCodec{})
 	n.runner.workers = startLeader(t, 1)
 	self := &pb.Replica{Id: "r", Address: "r"}
--- a/storenode/workers_test.go
+++ b/storenode/workers_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/briarcross/briarcross/dispatch"
 	"github.com/briarcross/briarcross/jobpages"
+	"github.com/briarcross/briarcross/node"
 	"github.com/briarcross/briarcross/pb"
 	"github.com/briarcross/briarcross/transport"
 	"github.com/briarcross/briarcross/upstream"
@@ -147,7 +148,7 @@
 }
 
 func newTestRun(e *testEngine, resumeAfter string) *testRun {
-	r := &runner{}
+	r := &runner{node: &Node{Dispatcher: &node.Dispatcher{Quarantine: node.NewQuarantine(log.New(io.Discard), func() {})}}}
 	return &testRun{item: &itemRun{
 		runner: r, job: &pb.PageJob{Host: "h"}, item: &pb.PageItem{Id: "i", Path: "/p"},
 		grant: dispatch.Grant{Address: e.address, Upstream: "u", DataCentre: "d"}, progress: &jobpages.ItemProgress{LastEventID: resumeAfter},
