Limit the head of a response from an engine

An entry or storage daemon read the head of a response without a limit, so an engine that sends a header, headers or informational responses without end filled the memory of the process until the deadline of the request.

Cause: http.ReadResponse has no limit of its own; the limit of net/http is in its Transport, which is not used here. Ruled out: bodies of streams end at 1 MiB without an event (EventSplitter), messages of our own processes have a size limit, callers' heads too.

Change: a connection counts what is read for a head and fails beyond 64 KiB, as may-have-run.

--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -25,6 +25,9 @@
 	// request.
 	IdleTime time.Duration
 
+	// readLimit is the number of bytes that Read may still return if limited is set.
+	readLimit int
+	limited   bool
 	idleSince time.Time
 	idleUntil time.Time
 }
@@ -48,6 +51,30 @@
 	return n, err
 }
 
+// ErrReadLimit means that the peer sent more bytes than LimitReads allows.
+var ErrReadLimit = eris.New("peer sent too many bytes")
+
+// LimitReads limits how many more bytes Reader may read from the peer.
+func (c *Conn) LimitReads(limit int) { c.readLimit, c.limited = limit, true }
+
+// UnlimitReads ends the limit of LimitReads.
+func (c *Conn) UnlimitReads() { c.limited = false }
+
+// limitedReader applies the limit of LimitReads.
+type limitedReader struct{ conn *Conn }
+
+func (r limitedReader) Read(p []byte) (int, error) {
+	if !r.conn.limited {
+		return r.conn.Conn.Read(p)
+	}
+	if r.conn.readLimit <= 0 {
+		return 0, ErrReadLimit
+	}
+	n, err := r.conn.Conn.Read(p[:min(len(p), r.conn.readLimit)])
+	r.conn.readLimit -= n
+	return n, err
+}
+
 // Pool keeps idle connections to one address. It is safe for concurrent use.
 type Pool struct {
 	address   string
@@ -119,7 +146,7 @@
 		return nil, eris.Wrap(err, "connect")
 	}
 	c := &Conn{Conn: raw}
-	c.Reader = bufio.NewReaderSize(raw, BufferBytes)
+	c.Reader = bufio.NewReaderSize(limitedReader{c}, BufferBytes)
 	c.Writer = bufio.NewWriterSize(countingWriter{c}, BufferBytes)
 	return c, nil
 }
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -32,6 +32,9 @@
 	maxStaleResponses = 2
 	// maxStaleBodyBytes limits how much of the body of a discarded response is read.
 	maxStaleBodyBytes = 256 << 10
+	// maxHeadBytes limits the head of a response, with the informational responses
+	// before it.
+	maxHeadBytes = 64 << 10
 )
 
 // Request is one request to an engine.
@@ -232,6 +235,8 @@
 }
 
 func (c *Client) readHead(conn *connpool.Conn, request *Request) (*Response, error) {
+	conn.LimitReads(maxHeadBytes)
+	defer conn.UnlimitReads()
 	httpResponse, err := http.ReadResponse(conn.Reader, &http.Request{Method: request.Method})
 	for err == nil && httpResponse.StatusCode/100 == 1 {
 		httpResponse, err = http.ReadResponse(conn.Reader, &http.Request{Method: request.Method})
