Give up the body of a refusal that stalls

What callers saw: an engine that refused a request and never ended the body of the refusal held the request until its deadline, though another engine was free and the request had certainly not run.

Cause: the rest of the body is read only to reuse the connection, but without a time limit of its own. The same in storage daemons for error responses.

Change: upstream.Response.Discard gives the body up after 100 ms or 8 KiB; the connection is then closed.

--- a/entrynode/exchange.go
+++ b/entrynode/exchange.go
@@ -376,8 +376,7 @@
 		if response.OtherInstance {
 			outcome = dispatch.OtherInstance
 		}
-		// The body of a refusal is not used; reading it allows reuse of the connection.
-		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, relayBufferBytes))
+		response.Discard()
 		x.notRunCount++
 		reason := "refused_" + strconv.Itoa(response.Status)
 		if response.OtherInstance {
--- a/storenode/upstream_run.go
+++ b/storenode/upstream_run.go
@@ -91,9 +91,7 @@
 		if response.Status == http.StatusInternalServerError {
 			slotOutcome = dispatch.Failed
 		}
-		// The body of an error response is discarded; reading it keeps the
-		// connection reusable.
-		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, itemBufferBytes))
+		response.Discard()
 		return runEnd{jobpages.Failed, slotOutcome, response.Status, "engine_failed"}
 	case response.Status != http.StatusOK:
 		return runEnd{jobpages.Interrupted, dispatch.Failed, 0, "unexpected_status"}
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -35,6 +35,10 @@
 	// maxHeadBytes limits the head of a response, with the informational responses
 	// before it.
 	maxHeadBytes = 64 << 10
+	// maxDiscardBytes and discardTimeout limit how much of a body is read, and for how
+	// long, only to reuse the connection.
+	maxDiscardBytes = 8 << 10
+	discardTimeout  = 100 * time.Millisecond
 )
 
 // Request is one request to an engine.
@@ -288,6 +292,15 @@
 // Complete reports whether the body has been read to its announced end.
 func (r *Response) Complete() bool { return r.bodyComplete }
 
+// Discard reads the rest of a body that is of no use, so that Close can keep the
+// connection. A body that is long or slow is given up, and with it the connection.
+func (r *Response) Discard() {
+	timer := time.AfterFunc(discardTimeout, func() { _ = r.conn.Close() })
+	defer timer.Stop()
+	// Without the end of the body, Close closes the connection.
+	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxDiscardBytes))
+}
+
 // Close ends the exchange. The connection is kept for reuse if the body has been
 // read to its end; otherwise it is closed, which makes the engine stop its work.
 func (r *Response) Close() {
