End runs of items that send no events, or too many

A run of a batch item whose engine sent a byte every two seconds held its slot and its item for ever, and one that sent events without end filled the memory of the leader.

Cause: each byte put the idle timeout off, and nothing bounded the output of a run. Ruled out: online streams end at the timeout of their route, whatever the engine sends.

Change: only whole events put the idle timeout off; a run beyond 8 MiB counts as failed, so its output is discarded and its attempts are bounded.

--- a/storenode/item.go
+++ b/storenode/item.go
@@ -21,6 +21,8 @@
 	idleTimeout = 2500 * time.Millisecond
 	// itemBufferBytes is the size of the read buffer; it holds several events.
 	itemBufferBytes = 8 << 10
+	// maxRunBytes limits the response to one run, far above the output of any item.
+	maxRunBytes = 8 << 20
 )
 
 // itemRun is one run of an item at one upstream.
--- a/storenode/upstream_run.go
+++ b/storenode/upstream_run.go
@@ -33,6 +33,9 @@
 	eventCut = "event_cut"
 )
 
+// outputTooLong is the reason of runs that exceeded maxRunBytes.
+const outputTooLong = "output_too_long"
+
 // interrupted reports whether the connection to the upstream broke during the run.
 func (e runEnd) interrupted() bool {
 	return e.reason == noAnswer || e.reason == brokeOff || e.reason == eventCut
@@ -96,25 +99,36 @@
 	case response.Status != http.StatusOK:
 		return runEnd{jobpages.Interrupted, dispatch.Failed, 0, "unexpected_status"}
 	}
-	if reason := readEvents(response, request.ResumeAfter, idleTimer, output); reason != "" {
+	onProgress := func() { idleTimer.Reset(idleTimeout) }
+	switch reason := readEvents(response, request.ResumeAfter, onProgress, output); reason {
+	case "":
+	case outputTooLong:
+		return runEnd{jobpages.Failed, dispatch.Failed, 0, reason}
+	default:
 		return runEnd{jobpages.Interrupted, dispatch.Failed, 0, reason}
 	}
 	return runEnd{status: http.StatusOK, slotOutcome: dispatch.Served}
 }
 
-// readEvents passes the data of the complete events of a response on. It returns why
-// the output is incomplete, or "" if it is complete.
-func readEvents(response *upstream.Response, resumeAfter string, idleTimer *time.Timer, output outputFunc) string {
+// readEvents passes the data of the complete events of a response on, and calls
+// onProgress after each read with some. It returns why the output is incomplete, or "" if
+// it is complete.
+func readEvents(response *upstream.Response, resumeAfter string, onProgress func(), output outputFunc) string {
 	events := upstream.EventSplitter{LastID: resumeAfter}
 	events.OnData = func(data []byte) { output(data, 1, events.LastID) }
 	buffer := make([]byte, itemBufferBytes)
+	size := 0
 	for {
 		count, err := response.Body.Read(buffer)
-		if count > 0 {
-			idleTimer.Reset(idleTimeout)
-			if _, pushErr := events.Push(buffer[:count]); pushErr != nil {
-				return "malformed"
-			}
+		if size += count; size > maxRunBytes {
+			return outputTooLong
+		}
+		before := events.Count
+		if _, pushErr := events.Push(buffer[:count]); pushErr != nil {
+			return "malformed"
+		}
+		if events.Count > before {
+			onProgress()
 		}
 		switch {
 		case errors.Is(err, io.EOF) && events.PendingBytes() == 0:
