Take a stream without a marked end and without events for broken off

An engine that crashes before its first event ends such an answer like a complete one. The caller got an empty stream that looked whole, a batch item was recorded as done without output, and the quarantine took the prompt for served.

Cause: the end of the body was taken for the end of the stream whether or not the protocol marks it. Ruled out: streams that end inside an event, and other answers without a length, were handled; tests for both are added.

Change: upstream.Response.EndMarked; without it, a stream with no event in the attempt is interrupted (no_events). An engine that closes between two events of such a stream cannot be told from a complete one.

--- a/entrynode/exchange.go
+++ b/entrynode/exchange.go
@@ -501,6 +501,8 @@
 			}
 		}
 		switch {
+		case errors.Is(err, io.EOF) && x.events.Count == eventsBefore && !response.EndMarked:
+			return mayHaveRun, "no_events"
 		case errors.Is(err, io.EOF) && x.events.PendingBytes() == 0:
 			x.finish(response.Status)
 			return completed, ""
--- a/storenode/upstream_run.go
+++ b/storenode/upstream_run.go
@@ -31,6 +31,7 @@
 	noAnswer = "no_answer"
 	brokeOff = "broke_off"
 	eventCut = "event_cut"
+	noEvents = "no_events"
 )
 
 // outputTooLong is the reason of runs that exceeded maxRunBytes.
@@ -38,7 +39,7 @@
 
 // interrupted reports whether the connection to the upstream broke during the run.
 func (e runEnd) interrupted() bool {
-	return e.reason == noAnswer || e.reason == brokeOff || e.reason == eventCut
+	return e.reason == noAnswer || e.reason == brokeOff || e.reason == eventCut || e.reason == noEvents
 }
 
 func itemHeader(item *pb.PageItem) http.Header {
@@ -131,6 +132,8 @@
 			onProgress()
 		}
 		switch {
+		case errors.Is(err, io.EOF) && events.Count == 0 && !response.EndMarked:
+			return noEvents
 		case errors.Is(err, io.EOF) && events.PendingBytes() == 0:
 			return ""
 		case errors.Is(err, io.EOF):
--- a/storenode/upstream_run_test.go
+++ b/storenode/upstream_run_test.go
@@ -25,6 +25,20 @@
 	expect.Expect(progress).To(Equal(1))
 }
 
+// An engine that crashes before its first event ends an answer without length as a
+// complete one would end. The item was recorded as done without output.
+func TestUnframedOutputWithoutEventsLooksComplete(t *testing.T) {
+	run := func(response *upstream.Response) string {
+		return readEvents(response, "", func() {}, func([]byte, int, string) {})
+	}
+	expect := NewWithT(t)
+	expect.Expect(run(&upstream.Response{Body: strings.NewReader("")})).To(Equal(noEvents))
+	expect.Expect(run(&upstream.Response{Body: strings.NewReader(""), EndMarked: true})).To(BeEmpty())
+	expect.Expect(run(&upstream.Response{Body: strings.NewReader("id: 1\ndata: x\n\n")})).To(BeEmpty())
+	expect.Expect(run(&upstream.Response{Body: strings.NewReader("id: 1\nda")})).To(Equal(noEvents))
+	expect.Expect(run(&upstream.Response{Body: strings.NewReader("id: 1\ndata: x\n\nid: 2")})).To(Equal(eventCut))
+}
+
 // An engine that sent events without end filled the memory of the leader.
 func TestEndlessOutputOfAnItemIsCutOff(t *testing.T) {
 	expect := NewWithT(t)
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -178,7 +178,10 @@
 	// ContentLength is the length of the body in bytes, or negative if it is not
 	// announced.
 	ContentLength int64
-	Body          io.Reader
+	// EndMarked is set if a length or chunks mark the end of the body. Otherwise it ends
+	// with its connection, also when the engine crashes.
+	EndMarked bool
+	Body      io.Reader
 
 	httpResponse *http.Response
 	conn         *connpool.Conn
@@ -253,6 +256,7 @@
 		Status:        httpResponse.StatusCode,
 		Header:        httpResponse.Header,
 		ContentLength: httpResponse.ContentLength,
+		EndMarked:     httpResponse.ContentLength >= 0 || len(httpResponse.TransferEncoding) > 0,
 		httpResponse:  httpResponse,
 	}
 	response.Body = eofRecorder{httpResponse.Body, &response.bodyComplete}
