Require the ID of the request on a reused connection

A server that sends a second copy of a response late, without the ID of its request, had it taken for the response to the next request on the connection.

Cause: a response without an ID was accepted on any connection. Engines echo the ID, and one that arrives on a new connection can only belong to the request that was sent; on a reused one it may not. Ruled out: copies with an ID are skipped, bytes that have arrived before the reuse keep a connection from being reused, long copies are refused.

Change: such a response fails the exchange as may-have-run. TestConnectionIsReused got the IDs that engines send; it checks as much as before. TestLateResponseWithoutIDIsTakenForTheNextOne failed before.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -231,9 +231,12 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.RequestID == "" || response.RequestID == request.ID {
+		if response.RequestID == request.ID || response.RequestID == "" && !conn.Reused {
 			return response, nil
 		}
+		if response.RequestID == "" {
+			return nil, eris.New("response without an ID may belong to an earlier request")
+		}
 		if err := discardStale(response); err != nil {
 			return nil, eris.Wrap(err, "discard response to another request")
 		}
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -112,8 +112,10 @@
 
 func TestConnectionIsReused(t *testing.T) {
 	g := NewWithT(t)
-	ok := "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\nContent-Length: 2\r\n\r\nok"
-	address, _ := scriptedEngine(t, ok, ok, ok)
+	ok := func(id string) string {
+		return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nKeep-Alive: timeout=5\r\nContent-Length: 2\r\n\r\nok"
+	}
+	address, _ := scriptedEngine(t, ok("1"), ok("2"), ok("3"))
 	dials := 0
 	client := NewClient(testCodec{}, func() { dials++ })
 	for _, id := range []string{"1", "2", "3"} {
@@ -153,6 +155,33 @@
 	g.Expect(string(body)).To(Equal("ok"))
 }
 
+// A late copy of the response to an earlier request carries no ID, and was taken for the
+// response to the next request on the connection.
+func TestLateResponseWithoutIDIsTakenForTheNextOne(t *testing.T) {
+	expect := NewWithT(t)
+	answer := "HTTP/1.1 200 OK\r\nMark: m\r\nId: 1\r\nContent-Length: 2\r\n\r\nok"
+	address, _ := scriptedEngine(t, answer, "HTTP/1.1 200 OK\r\nMark: m\r\nContent-Length: 5\r\n\r\nstale")
+	client := NewClient(testCodec{}, nil)
+	response, err := client.Do(context.Background(), newRequest(address, "1"))
+	expect.Expect(err).NotTo(HaveOccurred())
+	_, err = io.ReadAll(response.Body)
+	expect.Expect(err).NotTo(HaveOccurred())
+	response.Close()
+	_, err = client.Do(context.Background(), newRequest(address, "2"))
+	expect.Expect(err).To(HaveOccurred())
+	expect.Expect(ExecutionStateOf(err)).To(Equal(MayHaveRun))
+}
+
+// On a new connection, a response can only belong to the request that was sent.
+func TestFirstResponseOnAConnectionNeedsNoID(t *testing.T) {
+	expect := NewWithT(t)
+	address, _ := scriptedEngine(t, "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+	response, err := NewClient(testCodec{}, nil).Do(context.Background(), newRequest(address, "1"))
+	expect.Expect(err).NotTo(HaveOccurred())
+	expect.Expect(response.NotRun).To(BeTrue())
+	response.Close()
+}
+
 func TestFailedExchangeMayHaveRun(t *testing.T) {
 	stale := "HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 1\r\n\r\nx"
 	for name, script := range map[string]string{
