--- a/entrynode/version_test.go
+++ b/entrynode/version_test.go
@@ -101,7 +101,9 @@
 	expect.Expect(got.body).To(Equal(events(4, 6)))
 }
 
-const fullEngine = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+func fullEngine(r *http.Request) string {
+	return "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nId: " + r.Header.Get("Id") + "\r\nContent-Length: 0\r\n\r\n"
+}
 
 // The only other engine of the version is full for 200 ms. A stream may wait a second
 // for a slot; its caller accepts the pause.
@@ -112,7 +114,7 @@
 	full := startEngine(t, func(_ int, r *http.Request) string {
 		firstAt.CompareAndSwap(0, time.Now().UnixNano())
 		if time.Since(time.Unix(0, firstAt.Load())) < 200*time.Millisecond {
-			return fullEngine
+			return fullEngine(r)
 		}
 		return chunked(r.Header.Get("Id"), events(4, 6))
 	})
@@ -130,7 +132,7 @@
 // A caller takes a stream up, and the only engine of its version is full for 200 ms.
 func TestATakenUpStreamDoesNotHammerAFullEngine(t *testing.T) {
 	expect := NewWithT(t)
-	full := startEngine(t, func(int, *http.Request) string { return fullEngine })
+	full := startEngine(t, func(_ int, r *http.Request) string { return fullEngine(r) })
 	full.version = "1"
 	url, n := startEntry(t, full)
 	awaitCurrent(t, n)
@@ -181,7 +183,7 @@
 // The time for which a stream may wait does not go beyond the caller's deadline.
 func TestAStreamThatWaitsForAFullEngineEndsAtTheDeadline(t *testing.T) {
 	expect := NewWithT(t)
-	full := startEngine(t, func(int, *http.Request) string { return fullEngine })
+	full := startEngine(t, func(_ int, r *http.Request) string { return fullEngine(r) })
 	full.version = "1"
 	url, n := startEntry(t, full)
 	awaitCurrent(t, n)
@@ -197,7 +199,7 @@
 func TestRejectionsDoNotAddToTheEnginesThatRunAStream(t *testing.T) {
 	expect := NewWithT(t)
 	broken := startBrokenVersion(t, "1")
-	full := startEngine(t, func(int, *http.Request) string { return fullEngine })
+	full := startEngine(t, func(_ int, r *http.Request) string { return fullEngine(r) })
 	full.version = "1"
 	other := startVersion(t, "2")
 	broken.slots, full.slots, other.slots = 10, 8, 8
