End callers' connections between two requests when an entry stops

A request that an entry had just read when it stopped was cut off without a response.

Cause, in two parts: net/http drops a request that it reads after Shutdown was called (conn.serve returns once shuttingDown is set), whatever its connection did before; and the entry closed all new connections at once, also those whose request was on its way. Ruled out: requests that run are waited for, and connections got Connection: close before.

Change: the entry closes its listener, ends idle connections and those unused for a second by a read deadline, which leaves a request that has been read alone, and waits until all connections have ended. All responses of a stopping entry close their connection, also those for jobs. The bound stays the grace period less a second.

Tests: TestRequestOnANewConnectionIsCutOffByAStop failed before (unexpected EOF). TestRequestThatIsBeingReadIsCutOffByAStop and TestUnusedConnectionsEndWithAStop use the new interface.

--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -77,11 +77,12 @@
 	upstreamClient *upstream.Client
 	metrics        *metrics
 
-	callersServer *http.Server
-	unusedConns   *unusedConns
-	readyServer   *http.Server
-	metricsServer *node.MetricsServer
-	stopping      atomic.Bool
+	callersListener net.Listener
+	callersServer   *http.Server
+	callerConns     *callerConns
+	readyServer     *http.Server
+	metricsServer   *node.MetricsServer
+	stopping        atomic.Bool
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -105,7 +106,7 @@
 		logger:             logger,
 		codec:              codec,
 		metrics:            newMetrics(),
-		unusedConns:        newUnusedConns(),
+		callerConns:        newCallerConns(),
 		ctx:                ctx,
 		cancel:             cancel,
 	}
@@ -136,13 +137,14 @@
 		_ = callersListener.Close()
 		return err
 	}
+	n.callersListener = callersListener
 	n.callersServer = &http.Server{
-		Handler:           handlers.Callers,
+		Handler:           n.closeWhileStopping(handlers.Callers),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          discardLog,
-		ConnState:         n.unusedConns.track,
+		ConnState:         n.callerConns.track,
 	}
 	n.readyServer = &http.Server{Handler: handlers.Ready, ReadHeaderTimeout: headerTimeout, ErrorLog: discardLog}
 	n.metrics.registry.MustRegister(n.Collectors()...)
@@ -157,12 +159,23 @@
 
 func (n *Node) serve(server *http.Server, listener net.Listener) {
 	n.tasks.Go(func() {
-		if err := server.Serve(listener); err != http.ErrServerClosed {
+		if err := server.Serve(listener); err != http.ErrServerClosed && !n.stopping.Load() {
 			n.ReportFatal(err)
 		}
 	})
 }
 
+// closeWhileStopping ends a caller's connection with its next response while the entry
+// stops.
+func (n *Node) closeWhileStopping(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
 // Ready reports whether the load balancer may send new connections.
 func (n *Node) Ready() bool {
 	return !n.stopping.Load() && n.Table() != nil
@@ -186,8 +199,9 @@
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	n.unusedConns.close()
-	err := errors.Join(n.callersServer.Shutdown(ctx), n.callersServer.Close())
+	err := n.callersListener.Close()
+	n.callerConns.drain(ctx)
+	err = errors.Join(err, n.callersServer.Close())
 	_ = n.readyServer.Close()
 	n.metricsServer.Close()
 	n.cancel()
--- a/entrynode/serve.go
+++ b/entrynode/serve.go
@@ -22,9 +22,6 @@
 
 // Serve handles one request of a caller.
 func (n *Node) Serve(w http.ResponseWriter, r *http.Request) {
-	if n.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	headers := n.codec.ParseRequestHeaders(r)
 	table := n.Table()
 	if table == nil {
