End the session of a leader that numbers two runs alike

A worker that got two runs with one number lost track of the first; the end of the second to end dereferenced a run that was gone and ended the process, with all items that it ran.

Cause: numbers from another process were trusted to be unique. Ruled out: a cancel of an unknown run, and reports of unknown runs at the leader, are ignored.

Change: the worker ends the session, which the leader logs and counts as lost. TestRunsWithTheSameNumberEndTheWorker failed before (panic).

--- a/storenode/worker.go
+++ b/storenode/worker.go
@@ -60,15 +60,15 @@
 	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
 	defer stop()
 	s.tasks.Go(func() { runs.report(ctx) })
-	runs.start(ctx, first)
-	for {
+	ok := runs.start(ctx, first)
+	for ok {
 		envelope, err := stream.Receive()
 		if err != nil {
 			return
 		}
 		switch body := envelope.GetBody().(type) {
 		case *pb.Envelope_ItemRun:
-			runs.start(ctx, body.ItemRun)
+			ok = runs.start(ctx, body.ItemRun)
 		case *pb.Envelope_ItemRunCancel:
 			runs.cancel(body.ItemRunCancel.GetRun())
 		}
@@ -90,13 +90,21 @@
 }
 
 // start starts a run. It ends with the context or when it is cancelled. An upstream that
-// leaves gets no run: a leader that was elected since may not know that it leaves.
-func (r *servedRuns) start(parent context.Context, message *pb.ItemRun) {
+// leaves gets no run: a leader that was elected since may not know that it leaves. It
+// returns false if a run with the same number is in progress, which breaks the protocol.
+func (r *servedRuns) start(parent context.Context, message *pb.ItemRun) bool {
 	ctx, cancel := context.WithCancel(parent)
 	id := message.GetRun()
 	r.mu.Lock()
-	r.runs[id] = &servedRun{cancel: cancel, progress: &pb.ItemRunProgress{Run: id}}
+	_, duplicate := r.runs[id]
+	if !duplicate {
+		r.runs[id] = &servedRun{cancel: cancel, progress: &pb.ItemRunProgress{Run: id}}
+	}
 	r.mu.Unlock()
+	if duplicate {
+		cancel()
+		return false
+	}
 	notice := dispatch.LeavingNotice{
 		Upstream: message.GetUpstream(), StartUnixMs: message.GetBornUnixMs(), Request: message.GetItem().GetId(), Source: dispatch.LeavingAnswer,
 	}
@@ -104,7 +112,7 @@
 		cancel()
 		r.reportLeaving(id)
 		r.finish(id, runEnd{jobpages.NotRun, dispatch.Inconclusive, 0, "leaving"})
-		return
+		return true
 	}
 	onLeaving := func() {
 		r.service.slots.MarkLeaving(notice)
@@ -118,6 +126,7 @@
 		})
 		r.finish(id, end)
 	})
+	return true
 }
 
 func (r *servedRuns) cancel(id uint64) {
