Wait in a test of storage daemons until the leader accepts commands

TestPreemptedItemGoesOnAtAnotherEngineOfItsVersion failed once in 10 runs beside seven others (race detector): 'this replica does not lead'. A replica leads before it has committed an entry of its term and refuses commands until then; the test waited for the first only.

--- a/storenode/versions_test.go
+++ b/storenode/versions_test.go
@@ -93,9 +93,16 @@
 	n.runner = newRunner(n, testCodec{})
 	n.runner.workers = startLeader(t, 1)
 	self := &pb.Replica{Id: "r", Address: "r"}
+	ready := make(chan struct{})
 	group, err := replica.Open(replica.Options{
 		ID: "r", Address: "r", Group: groupID, Bootstrap: []*pb.Replica{self}, StateMachine: n.state, Send: func(*pb.QuorumMessage) {},
-		TickInterval: 5 * time.Millisecond, OnStorageError: func(err error) { t.Errorf("replica failed: %v", err) },
+		TickInterval: 5 * time.Millisecond,
+		OnLeadershipChange: func(_ uint64, leading bool) {
+			if leading {
+				close(ready)
+			}
+		},
+		OnStorageError: func(err error) { t.Errorf("replica failed: %v", err) },
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -111,7 +118,7 @@
 	})
 	l := &testLeader{n.runner, t}
 	l.setEngines(engines...)
-	NewWithT(t).Eventually(func() bool { _, _, leading := group.Leader(); return leading }, testTimeout, time.Millisecond).Should(BeTrue())
+	NewWithT(t).Eventually(ready, testTimeout, time.Millisecond).Should(BeClosed())
 	return l
 }
 
