Let prompts that crash engines come in the fault soak

Besides the other callers, one sends requests on whose prompt engines crash over open connections; once the faults have ended, every entry must refuse them and none may reach an engine. BRIARCROSS_FAULT_ENTRIES sets the number of entries, for runs with many processes.

--- a/e2e/platform_poison_test.go
+++ b/e2e/platform_poison_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -20,15 +21,23 @@
 
 // sendPrompt sends a request for a stream with a prompt to an entry.
 func (f *platformFleet) sendPrompt(n *platformNode, prompt, id string) streamResponse {
-	request, err := http.NewRequest(http.MethodPost, "http://"+n.callersAddress()+"/resumable/x", strings.NewReader("prompt"))
+	request, err := f.newPrompt(n, prompt, id)
 	if err != nil {
 		return streamResponse{err: err}
 	}
+	return f.doRequest(f.client, request)
+}
+
+func (f *platformFleet) newPrompt(n *platformNode, prompt, id string) (*http.Request, error) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+n.callersAddress()+"/resumable/x", strings.NewReader("prompt"))
+	if err != nil {
+		return nil, err
+	}
 	request.Host = routeHost
 	request.Header.Set(headerID, id)
 	request.Header.Set(headerDeadlineMs, "3500")
 	request.Header.Set(headerPromptParts, prompt)
-	return f.doRequest(f.client, request)
+	return request, nil
 }
 
 // deadlyRuns returns the number of crashes of all engines.
@@ -94,3 +103,38 @@
 	expect.Expect(f.deadlyRuns()).To(BeNumerically("<=", maxDeadlyRuns))
 	expect.Expect(f.ledger.runTimes(itemID("tainted", 0))).To(BeEmpty())
 }
+
+// runDeadlyCaller sends requests with the deadly part over persistent connections until
+// the context ends.
+func (s *soakRun) runDeadlyCaller(ctx context.Context) {
+	client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+	defer client.CloseIdleConnections()
+	for i := 0; ctx.Err() == nil; i++ {
+		request, err := s.newPrompt(s.entries[i%len(s.entries)], deadlyPrompt, fmt.Sprintf("deadly-%d", i))
+		if err != nil {
+			s.t.Error(err)
+			return
+		}
+		s.doRequest(client, request)
+		sleepContext(ctx, 300*time.Millisecond)
+	}
+}
+
+// checkQuarantine checks, once no more faults are injected, that all entries refuse
+// requests with the deadly part and that none of them reaches an engine.
+func (s *soakRun) checkQuarantine() {
+	for _, n := range s.entries {
+		s.awaitQuarantine(n, "soak")
+	}
+	before := s.deadlyRuns()
+	for _, n := range s.entries {
+		if got := s.sendPrompt(n, deadlyPrompt, "last-"+n.name); got.status != http.StatusServiceUnavailable {
+			s.t.Errorf("%s responded with %d to a request on which engines crash", n.name, got.status)
+		}
+		s.await(n.name+" completes a sound request", func() bool { return s.sendPrompt(n, soundPrompt, "sound-"+n.name).complete })
+	}
+	if after := s.deadlyRuns(); after != before {
+		s.t.Errorf("%d requests on which engines crash reached engines after all entries had refused one", after-before)
+	}
+	s.t.Logf("%d engine crashes on prompts", before)
+}
--- a/e2e/platform_soak_test.go
+++ b/e2e/platform_soak_test.go
@@ -22,6 +22,8 @@
 const (
 	faultSeedVariable    = "BRIARCROSS_FAULT_SEED"
 	faultSecondsVariable = "BRIARCROSS_FAULT_SECONDS"
+	// faultEntriesVariable sets the number of entries, for runs with many processes.
+	faultEntriesVariable = "BRIARCROSS_FAULT_ENTRIES"
 	// defaultFaultSeconds is the duration of a run in CI.
 	defaultFaultSeconds = 20
 	soakEntries         = 2
@@ -47,22 +49,31 @@
 		}
 		seeds = []uint64{seed}
 	}
-	seconds := defaultFaultSeconds
-	if text := os.Getenv(faultSecondsVariable); text != "" {
-		var err error
-		if seconds, err = strconv.Atoi(text); err != nil {
-			t.Fatal(err)
-		}
-	}
+	seconds := intVariable(t, faultSecondsVariable, defaultFaultSeconds)
+	entries := intVariable(t, faultEntriesVariable, soakEntries)
 	for _, seed := range seeds {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			t.Parallel()
 			t.Logf("replay with %s=%d %s=%d", faultSeedVariable, seed, faultSecondsVariable, seconds)
-			runSoak(t, seed, time.Duration(seconds)*time.Second)
+			runSoak(t, seed, entries, time.Duration(seconds)*time.Second)
 		})
 	}
 }
 
+// intVariable returns the value of an environment variable, or a default.
+func intVariable(t *testing.T, name string, value int) int {
+	t.Helper()
+	text := os.Getenv(name)
+	if text == "" {
+		return value
+	}
+	value, err := strconv.Atoi(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return value
+}
+
 // soakRun is the state of a run: the fleet and what its clients have observed.
 type soakRun struct {
 	*platformFleet
@@ -90,9 +101,9 @@
 	wentOnCount  int
 }
 
-func runSoak(t *testing.T, seed uint64, duration time.Duration) {
+func runSoak(t *testing.T, seed uint64, entries int, duration time.Duration) {
 	s := &soakRun{
-		platformFleet: startPlatformFleet(t, soakEntries, soakEngines, true),
+		platformFleet: startPlatformFleet(t, entries, soakEngines, true),
 		rand:          rand.New(rand.NewPCG(seed, seed)),
 		jobResults:    make(map[string][]string),
 		jobDeletedAt:  make(map[string]time.Time),
@@ -104,6 +115,7 @@
 	for i := range 6 {
 		clients.Go(func() { s.runOnlineCaller(ctx, i) })
 	}
+	clients.Go(func() { s.runDeadlyCaller(ctx) })
 	clients.Go(func() { s.runJobCaller(ctx) })
 	clients.Go(func() { s.runOperator(ctx) })
 	s.injectFaults(ctx)
@@ -489,6 +501,7 @@
 			s.t.Errorf("request %s may run at most once, but has run %d times", id, len(runs))
 		}
 	}
+	s.checkQuarantine()
 	told, unknown := 0, 0
 	for _, e := range s.engines {
 		told += e.notices.toldRuns("")
