Send no evidence about parts of prompts that are known to be served

What callers saw: nothing.

Cause: a time counted as news if it was a second later than the known one, whether or not it changes anything. Change: it is news only if it clears the part of a crash, and a daemon does not name parts as suspects that it has seen served in the last minute. The verdicts stay the same: the tests of the package pass unchanged. TestPartsInUseAreNoNews failed before.

--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -26,10 +26,6 @@
 	evidenceAge = 10 * time.Minute
 	// servedWindow is the time for which a served part is not suspected.
 	servedWindow = time.Minute
-	// servedRefresh is the time by which a part has to have been served later than
-	// known to count as news. Times that daemons pass on to each other grow by the time
-	// of each transfer.
-	servedRefresh = time.Second
 	// maxCrashes and maxSuspects bound the evidence and the suspects of a crash. Beyond
 	// them, the oldest crashes are dropped and further suspects ignored.
 	maxCrashes  = 256
@@ -95,9 +91,10 @@
 // Table holds the evidence of one daemon.
 type Table struct {
 	crashes map[engineStart]*crashRecord
-	// suspectCount holds the number of crashes of which a part is suspected. Only such
-	// parts are in served.
+	// suspectCount holds the number of crashes of which a part is suspected, accusations
+	// the number of those of which it is not cleared. Only suspects are in served.
 	suspectCount map[string]int
+	accusations  map[string]int
 	served       map[string]servedRecord
 	// recent holds the parts that this daemon has seen served.
 	recent     recentParts
@@ -112,15 +109,20 @@
 // NewTable returns a table without evidence.
 func NewTable() *Table {
 	return &Table{
-		crashes: make(map[engineStart]*crashRecord), suspectCount: make(map[string]int), served: make(map[string]servedRecord),
+		crashes: make(map[engineStart]*crashRecord), suspectCount: make(map[string]int), accusations: make(map[string]int),
+		served: make(map[string]servedRecord),
 	}
 }
 
 // RecordCrash records that a start of an engine was lost when it had begun to answer a
-// prompt with some shared parts, in their order, that was sent to it at a time.
+// prompt with some shared parts, in their order, that was sent to it at a time. Parts that
+// this daemon has seen served are no suspects.
 func (t *Table) RecordCrash(now time.Time, upstream string, startUnixMs uint64, parts []string, sentAt time.Time) {
 	crash := Crash{Upstream: upstream, StartUnixMs: startUnixMs, At: now}
 	for position, part := range parts {
+		if served, ok := t.recent.last(part); ok && clears(served, now) {
+			continue
+		}
 		crash.Suspects = append(crash.Suspects, Suspect{part, position, sentAt})
 	}
 	t.Merge(now, Evidence{Crashes: []Crash{crash}})
@@ -170,33 +172,54 @@
 			suspect.SentAt = known.SentAt
 		default:
 			t.suspectCount[suspect.Part]++
+			if !t.cleared(record, suspect.Part) {
+				t.accusations[suspect.Part]++
+			}
 		}
 		record.suspects[suspect.Part] = suspect
 		t.lastChange++
 		record.change = t.lastChange
-		if served, ok := t.recent.last(suspect.Part); ok && !t.cleared(record, suspect.Part) {
+		if served, ok := t.recent.last(suspect.Part); ok {
 			t.addServed(Served{suspect.Part, served})
 		}
 	}
 }
 
-// addServed records when a part was served, unless it is not suspected or that is no
-// news.
+// addServed records when a part was served if that clears it of a crash. Other times are
+// no news: daemons would pass them on to each other for as long as the part is in use.
 func (t *Table) addServed(served Served) {
-	known, ok := t.served[served.Part]
-	if t.suspectCount[served.Part] == 0 || ok && served.At.Sub(known.at) < servedRefresh {
+	if t.accusations[served.Part] == 0 {
+		return
+	}
+	cleared := 0
+	for _, record := range t.crashes {
+		if t.accuses(record, served.Part) && clears(served.At, record.at) {
+			cleared++
+		}
+	}
+	if cleared == 0 {
 		return
 	}
+	t.accusations[served.Part] -= cleared
 	t.lastChange++
 	t.served[served.Part] = servedRecord{served.At, t.lastChange}
 }
 
+// accuses reports whether a part is suspected of a crash and not cleared of it.
+func (t *Table) accuses(record *crashRecord, part string) bool {
+	_, suspected := record.suspects[part]
+	return suspected && !t.cleared(record, part)
+}
+
 // cleared reports whether a suspect was served after a crash, or shortly before it.
 func (t *Table) cleared(record *crashRecord, part string) bool {
 	served, ok := t.served[part]
-	return ok && record.at.Sub(served.at) < servedWindow
+	return ok && clears(served.at, record.at)
 }
 
+// clears reports whether a part that was served at a time is cleared of a crash.
+func clears(served, crash time.Time) bool { return crash.Sub(served) < servedWindow }
+
 func (t *Table) oldest() engineStart {
 	return slices.MinFunc(slices.Collect(maps.Keys(t.crashes)), t.byTime)
 }
@@ -206,10 +229,15 @@
 }
 
 func (t *Table) remove(key engineStart) {
-	for part := range t.crashes[key].suspects {
+	record := t.crashes[key]
+	for part := range record.suspects {
+		if t.accuses(record, part) {
+			t.accusations[part]--
+		}
 		t.suspectCount[part]--
 		if t.suspectCount[part] == 0 {
 			delete(t.suspectCount, part)
+			delete(t.accusations, part)
 			delete(t.served, part)
 		}
 	}
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -161,6 +161,30 @@
 	expect.Expect(quarantined(accuser, at(301))).To(BeEmpty())
 }
 
+// Parts that many requests share are in use all the time. After a crash, each answer with
+// such a part was evidence that went to all daemons.
+func TestPartsInUseAreNoNews(t *testing.T) {
+	expect := NewWithT(t)
+	accuser, witness := NewTable(), NewTable()
+	accuser.RecordServed(at(0), []string{"shared"})
+	crash(accuser, at(100), "a", 1, []string{"shared", "session"})
+	evidence := accuser.Since(0)
+	expect.Expect(evidence.Crashes).To(HaveLen(1))
+	expect.Expect(evidence.Crashes[0].Suspects).To(HaveLen(1))
+	crash(accuser, at(100), "b", 1, []string{"shared"})
+	expect.Expect(accuser.Since(0).Crashes).To(HaveLen(1))
+
+	witness.Merge(at(200), evidence)
+	witness.RecordServed(at(300), []string{"shared", "session"})
+	accuser.Merge(at(300), witness.Since(0))
+	changes := witness.LastChange() + accuser.LastChange()
+	for i := range 100 {
+		accuser.RecordServed(at(1000*i), []string{"shared", "session"})
+		witness.RecordServed(at(1000*i), []string{"shared", "session"})
+	}
+	expect.Expect(witness.LastChange() + accuser.LastChange()).To(Equal(changes))
+}
+
 func TestEvidenceIsBounded(t *testing.T) {
 	expect := NewWithT(t)
 	table := NewTable()
--- a/quarantine/verdicts.go
+++ b/quarantine/verdicts.go
@@ -46,16 +46,10 @@
 			return
 		}
 		t.verdicts[best.Part] = best
-		left = slices.DeleteFunc(left, func(key engineStart) bool { return t.suspects(t.crashes[key], best.Part) })
+		left = slices.DeleteFunc(left, func(key engineStart) bool { return t.accuses(t.crashes[key], best.Part) })
 	}
 }
 
-// suspects reports whether a part is suspected of a crash and not cleared of it.
-func (t *Table) suspects(record *crashRecord, part string) bool {
-	_, suspected := record.suspects[part]
-	return suspected && !t.cleared(record, part)
-}
-
 // explanation is what a part explains of a list of crashes.
 type explanation struct {
 	// times are those of the crashes, without those that count as one.
