Do not take answers that are no events for crashes of their engine

What callers saw: nothing; found by reading. An engine that answers with more than a MiB without an event is not lost, but the prompt was suspected, and three such answers from three engines put a part into quarantine. TestMalformedAnswersAccuseNoPrompt failed before.

--- a/entrynode/exchange.go
+++ b/entrynode/exchange.go
@@ -40,16 +40,12 @@
 	// maxBufferedBytes limits a response that is read completely before it is
 	// relayed, so that the request can be retried if the response is interrupted.
 	maxBufferedBytes = 1 << 20
+	// malformed is the reason of attempts whose response is no event stream.
+	malformed = "malformed"
 	// maxResumeWait is how long a stream that has begun may wait for a slot, with the
 	// attempts that upstreams have not run. Only engines of one software version can go
 	// on with it, and its caller has a part of it already.
 	maxResumeWait = time.Second
-	// unknownOriginRetryAfter is the time after which a caller may ask again for a
-	// stream whose origin no entry in reach knows.
-	unknownOriginRetryAfter = 500 * time.Millisecond
-	// promptQuarantined is the reason of the refusal of requests on whose prompt engines
-	// crash.
-	promptQuarantined = "prompt_quarantined"
 )
 
 // exchange handles one request of a caller: it sends it to upstreams until one
@@ -169,23 +165,6 @@
 	x.fail(reason)
 }
 
-// endIfQuarantined ends a request on whose prompt engines crash.
-func (x *exchange) endIfQuarantined() bool {
-	remaining, quarantined := x.node.Quarantine.Check(x.promptParts)
-	if !quarantined {
-		return false
-	}
-	if x.mayHaveRunCount > 0 {
-		x.fail(promptQuarantined)
-		return true
-	}
-	x.node.refuse(x.w, x.headers.ID, refusal{
-		reason: promptQuarantined, retryAfter: remaining, route: x.route.Name, routingVersion: x.table.Version, elapsed: x.elapsed(),
-		timeToDeadline: x.timeout - x.elapsed(),
-	})
-	return true
-}
-
 // avoidUpstream records the result of an attempt at an upstream for the choice of the
 // next one.
 func (x *exchange) avoidUpstream(id string, result attemptResult) {
@@ -206,45 +185,6 @@
 	}
 }
 
-// findOrigin finds where a stream that the caller takes up began. It returns a refusal
-// if the stream cannot go on.
-func (x *exchange) findOrigin() *refusal {
-	// The route may have been resumable when the stream began.
-	if x.headers.ResumeAfter == "" {
-		return nil
-	}
-	services := x.route.Services()
-	origin, known := x.node.StreamOrigins.Find(x.ctx, x.headers.ResumedID, services)
-	refused := refusal{
-		reason: "origin_unknown", retryAfter: unknownOriginRetryAfter, route: x.route.Name, routingVersion: x.table.Version,
-		elapsed: x.elapsed(), timeToDeadline: x.timeout - x.elapsed(),
-	}
-	switch {
-	case !known:
-		return &refused
-	case !slices.Contains(services, origin.Service):
-		refused.reason = "origin_not_routed"
-		return &refused
-	}
-	x.origin, x.service = &origin, origin.Service
-	return nil
-}
-
-// recordOrigin records where the stream began, at its first event.
-func (x *exchange) recordOrigin() {
-	if !x.route.Resumable {
-		return
-	}
-	if x.origin == nil {
-		x.origin = &origins.Origin{Service: x.service, SoftwareVersion: x.upstreamVersion}
-	}
-	id := x.headers.ID
-	if x.headers.ResumeAfter != "" {
-		id = x.headers.ResumedID
-	}
-	x.node.StreamOrigins.Record(id, *x.origin, x.route.Services())
-}
-
 func (x *exchange) elapsed() time.Duration { return time.Since(x.arrivedAt) }
 
 // canAttempt reports whether the request may be sent to an upstream (again).
@@ -391,7 +331,7 @@
 	}
 	eventsBefore := x.events.Count
 	result, reason := x.relay(response)
-	if result == mayHaveRun && response.Status/100 == 2 {
+	if result == mayHaveRun && response.Status/100 == 2 && reason != malformed {
 		x.recordInterruption(grant, reason, true, x.events.Count-eventsBefore)
 	}
 	if result == completed && response.Status/100 == 2 {
@@ -408,20 +348,6 @@
 	return result, reason
 }
 
-// recordInterruption logs that the connection to an upstream broke before the response
-// was complete. events is the number of events of this attempt. An engine that had just
-// begun to answer may have crashed on the prompt.
-func (x *exchange) recordInterruption(grant dispatch.Grant, reason string, answering bool, events int) {
-	if x.ctx.Err() != nil {
-		return
-	}
-	x.node.logger.Info(eventlog.AttemptInterrupted, "request", x.headers.ID, "upstream", grant.Upstream, "born", grant.StartUnixMs,
-		"reason", reason, "answering", answering, "events", events, "parts", x.promptParts)
-	if answering && events < quarantine.MinServedEvents {
-		x.node.Quarantine.RecordCrash(grant, x.promptParts)
-	}
-}
-
 func (x *exchange) upstreamRequest(grant dispatch.Grant) *upstream.Request {
 	return &upstream.Request{
 		Address:          grant.Address,
@@ -494,7 +420,7 @@
 		if size > 0 {
 			before := x.events.Count - eventsBefore
 			if failed := x.relayChunk(buffer[:size]); failed != nil {
-				return mayHaveRun, "malformed"
+				return mayHaveRun, malformed
 			}
 			if before < quarantine.MinServedEvents && x.events.Count-eventsBefore >= quarantine.MinServedEvents {
 				x.node.Quarantine.RecordServed(x.promptParts)
--- a/entrynode/poison_test.go
+++ b/entrynode/poison_test.go
@@ -100,3 +100,19 @@
 	_, quarantined := n.Quarantine.Check([]string{"part"})
 	expect.Expect(quarantined).To(BeFalse())
 }
+
+// Bytes that are no events come from an engine that runs.
+func TestMalformedAnswersAccuseNoPrompt(t *testing.T) {
+	expect := NewWithT(t)
+	var engines []*engine
+	garbage := chunked("r1", strings.Repeat("x", 3<<20))
+	for range 8 {
+		engines = append(engines, startEngine(t, func(int, *http.Request) string { return garbage }))
+	}
+	url, n := startEntry(t, engines...)
+	for range 3 {
+		expect.Expect(sendPrompt(t, url, "part").err).To(HaveOccurred())
+	}
+	_, quarantined := n.Quarantine.Check([]string{"part"})
+	expect.Expect(quarantined).To(BeFalse())
+}
--- /dev/null
+++ b/entrynode/prompt.go
@@ -0,0 +1,42 @@
+package entrynode
+
+import (
+	"github.com/briarcross/briarcross/dispatch"
+	"github.com/briarcross/briarcross/eventlog"
+	"github.com/briarcross/briarcross/quarantine"
+)
+
+// promptQuarantined is the reason of the refusal of requests on whose prompt engines
+// crash.
+const promptQuarantined = "prompt_quarantined"
+
+// endIfQuarantined ends a request on whose prompt engines crash.
+func (x *exchange) endIfQuarantined() bool {
+	remaining, quarantined := x.node.Quarantine.Check(x.promptParts)
+	if !quarantined {
+		return false
+	}
+	if x.mayHaveRunCount > 0 {
+		x.fail(promptQuarantined)
+		return true
+	}
+	x.node.refuse(x.w, x.headers.ID, refusal{
+		reason: promptQuarantined, retryAfter: remaining, route: x.route.Name, routingVersion: x.table.Version, elapsed: x.elapsed(),
+		timeToDeadline: x.timeout - x.elapsed(),
+	})
+	return true
+}
+
+// recordInterruption logs that the connection to an upstream broke before the response
+// was complete. events is the number of events of this attempt. An engine that had just
+// begun to answer may have crashed on the prompt.
+func (x *exchange) recordInterruption(grant dispatch.Grant, reason string, answering bool, events int) {
+	if x.ctx.Err() != nil {
+		return
+	}
+	x.node.logger.Info(eventlog.AttemptInterrupted, "request", x.headers.ID, "upstream", grant.Upstream, "born", grant.StartUnixMs,
+		"reason", reason, "answering", answering, "events", events, "parts", x.promptParts)
+	if answering && events < quarantine.MinServedEvents {
+		x.node.Quarantine.RecordCrash(grant, x.promptParts)
+	}
+}
