Do not take runs that a daemon ends for silence for crashes of their engine

A storage daemon ends a run whose engine sends no event for 2.5 s. Such a run counted as a connection that broke at the beginning of an answer, so slow engines could accuse the prompts of batch items; the parts that items share would be held back for ten minutes once no item had been answered for a minute.

Cause: the end of the context of a run was not told apart from the end of its connection. Change: the reason of such runs is silent, which is no interruption. TestSilentEnginesAccuseNoPrompt fails without the distinction (broke_off).

--- a/explain/explain.go
+++ b/explain/explain.go
@@ -134,6 +134,7 @@
 	"no_answer":               "the connection to an upstream failed before it responded; the request may have run",
 	"broke_off":               "the connection to an upstream failed in the middle of its response",
 	"no_events":               "an upstream closed the connection of a stream without a length before its first event",
+	"silent":                  "the upstream sent no event for some seconds, and the run was ended",
 	"output_too_long":         "the upstream sent more than any item has as output",
 	"prompt_quarantined":      "engines crashed on a part of the prompt",
 	"event_cut":               "an upstream ended its response in the middle of an event",
--- a/storenode/item.go
+++ b/storenode/item.go
@@ -103,7 +103,7 @@
 func (x *itemRun) execute(parent context.Context) (outcome jobpages.RunOutcome, status int, reason string) {
 	end, ranOnWorker := x.runner.workers.run(parent, x)
 	if !ranOnWorker {
-		end = runAtUpstream(parent, x.runner.engines, x.request(), func() { x.markLeaving(dispatch.LeavingAnswer) }, x.addOutput)
+		end = runAtUpstream(parent, x.runner.engines, x.request(), idleTimeout, func() { x.markLeaving(dispatch.LeavingAnswer) }, x.addOutput)
 	}
 	complete := end.reason == "" && end.status == http.StatusOK
 	switch {
--- a/storenode/poison_test.go
+++ b/storenode/poison_test.go
@@ -14,6 +14,25 @@
 	"github.com/briarcross/briarcross/pb"
 )
 
+// A run whose engine stays silent is ended by this daemon. Its engine is not lost, and the
+// prompts of all items would be in quarantine once engines are slow.
+func TestSilentEnginesAccuseNoPrompt(t *testing.T) {
+	expect := NewWithT(t)
+	l := startTestLeader(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}))
+	t.Cleanup(server.Close)
+	request := itemRequest(&pb.PageItem{Id: "i", Path: "/p"}, "h", server.Listener.Addr().String(), "u", "")
+	end := runAtUpstream(t.Context(), l.engines, request, 20*time.Millisecond, func() {}, func([]byte, int, string) {})
+	expect.Expect(end.reason).To(Equal(silentUpstream))
+	expect.Expect(end.outcome).To(Equal(jobpages.Interrupted))
+	expect.Expect(end.interrupted()).To(BeFalse())
+}
+
 // Items whose prompt crashes engines went from engine to engine until their job was
 // abandoned: an interrupted run is no failed attempt.
 func TestItemCrashesOneEngineAfterAnother(t *testing.T) {
--- a/storenode/upstream_run.go
+++ b/storenode/upstream_run.go
@@ -34,8 +34,12 @@
 	noEvents = "no_events"
 )
 
-// outputTooLong is the reason of runs that exceeded maxRunBytes.
-const outputTooLong = "output_too_long"
+const (
+	// outputTooLong is the reason of runs that exceeded maxRunBytes.
+	outputTooLong = "output_too_long"
+	// silentUpstream is the reason of runs that this daemon ended because no events came.
+	silentUpstream = "silent"
+)
 
 // interrupted reports whether the connection to the upstream broke during the run.
 func (e runEnd) interrupted() bool {
@@ -65,13 +69,23 @@
 }
 
 // runAtUpstream sends a request to its upstream and reads the output, until the
-// context ends or the upstream is silent for idleTimeout. It calls onLeaving before it
-// reads the output if the upstream says that it leaves.
-func runAtUpstream(parent context.Context, engines *upstream.Client, request *upstream.Request, onLeaving func(), output outputFunc) runEnd {
+// context ends or the upstream sends no event for the idle time. It calls onLeaving before
+// it reads the output if the upstream says that it leaves.
+func runAtUpstream(parent context.Context, engines *upstream.Client, request *upstream.Request, idle time.Duration, onLeaving func(), output outputFunc) runEnd {
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
-	idleTimer := time.AfterFunc(idleTimeout, cancel)
+	idleTimer := time.AfterFunc(idle, cancel)
 	defer idleTimer.Stop()
+	end := exchangeRun(ctx, engines, request, onLeaving, func() { idleTimer.Reset(idle) }, output)
+	if end.interrupted() && ctx.Err() != nil && parent.Err() == nil {
+		end.reason = silentUpstream
+	}
+	return end
+}
+
+// exchangeRun sends a request to its upstream and reads the output until the context ends.
+// It calls onProgress after each read with events.
+func exchangeRun(ctx context.Context, engines *upstream.Client, request *upstream.Request, onLeaving, onProgress func(), output outputFunc) runEnd {
 	response, err := engines.Do(ctx, request)
 	if err != nil {
 		if upstream.ExecutionStateOf(err) == upstream.NotSent {
@@ -100,7 +114,6 @@
 	case response.Status != http.StatusOK:
 		return runEnd{jobpages.Interrupted, dispatch.Failed, 0, "unexpected_status"}
 	}
-	onProgress := func() { idleTimer.Reset(idleTimeout) }
 	switch reason := readEvents(response, request.ResumeAfter, onProgress, output); reason {
 	case "":
 	case outputTooLong:
--- a/storenode/worker.go
+++ b/storenode/worker.go
@@ -121,7 +121,7 @@
 	request := itemRequest(message.GetItem(), message.GetHost(), message.GetAddress(), message.GetUpstream(), message.GetResumeAfter())
 	r.service.tasks.Go(func() {
 		defer cancel()
-		end := runAtUpstream(ctx, r.service.engines, request, onLeaving, func(data []byte, events int, lastEventID string) {
+		end := runAtUpstream(ctx, r.service.engines, request, idleTimeout, onLeaving, func(data []byte, events int, lastEventID string) {
 			r.addOutput(id, data, events, lastEventID)
 		})
 		r.finish(id, end)
