Judge repeated crashes by what their daemon knew, not by times

Cause, from its log: all daemons but the leader of the storage group had the part in quarantine 1.3 s before; the leader had the same three crashes and counted two. Crashes within 20 ms of each other counted as one, and each daemon compared the times at which it took them to have happened; evidence had taken longer to this one. Class: times of several processes compared although only the order of events in one is known.

Change: a crash is repeated if its prompt was sent by a daemon that knew of an earlier crash with the part; that daemon says so in the evidence. A part needs three crashes, one of them repeated. No verdict depends on times of different daemons any more. TestSlowTransfersChangeNoVerdict fails before (the slow daemon has no verdict); the test of engines lost together still holds.

--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -128,7 +128,7 @@
 		message := &pb.EngineCrash{Upstream: crash.Upstream, BornUnixMs: crash.StartUnixMs, AgeMs: milliseconds(now.Sub(crash.At))}
 		for _, suspect := range crash.Suspects {
 			message.Suspects = append(message.Suspects, &pb.SuspectPart{
-				Part: suspect.Part, Position: uint32(suspect.Position), SentAgeMs: milliseconds(now.Sub(suspect.SentAt)),
+				Part: suspect.Part, Position: uint32(suspect.Position), Repeated: suspect.Repeated,
 			})
 		}
 		encoded.Crashes = append(encoded.Crashes, message)
@@ -145,7 +145,7 @@
 		crash := quarantine.Crash{Upstream: message.GetUpstream(), StartUnixMs: message.GetBornUnixMs(), At: before(now, message.GetAgeMs())}
 		for _, suspect := range message.GetSuspects() {
 			crash.Suspects = append(crash.Suspects, quarantine.Suspect{
-				Part: suspect.GetPart(), Position: int(suspect.GetPosition()), SentAt: before(now, suspect.GetSentAgeMs()),
+				Part: suspect.GetPart(), Position: int(suspect.GetPosition()), Repeated: suspect.GetRepeated(),
 			})
 		}
 		decoded.Crashes = append(decoded.Crashes, crash)
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -12,15 +12,9 @@
 const MinServedEvents = 3
 
 const (
-	// minCrashes is the number of crashes at which a part is quarantined.
+	// minCrashes is the number of crashes at which a part is quarantined, if one of them
+	// is repeated.
 	minCrashes = 3
-	// crashInterval is the time within which crashes count as one, unless the later
-	// engine got the prompt only after the earlier crash: engines that are lost
-	// together have a common cause outside of the requests.
-	crashInterval = 20 * time.Millisecond
-	// transferTolerance bounds the difference between the times that two messages of
-	// evidence take. Times from different messages are compared with it.
-	transferTolerance = 5 * time.Millisecond
 	// evidenceAge is the age at which a crash no longer counts. It bounds the time of a
 	// quarantine after the last crash.
 	evidenceAge = 10 * time.Minute
@@ -37,8 +31,10 @@
 	Part string
 	// Position is the index of the part in its prompt, the highest if there are several.
 	Position int
-	// SentAt is when the engine was sent the prompt.
-	SentAt time.Time
+	// Repeated is set if the engine was sent the prompt by a daemon that knew of an
+	// earlier crash with the part. Engines that are lost together have a common cause
+	// outside of the requests; an engine that is lost later, on the same part, hardly has.
+	Repeated bool
 }
 
 // Crash is the loss of one start of an engine.
@@ -77,8 +73,10 @@
 }
 
 type crashRecord struct {
-	at       time.Time
-	suspects map[string]Suspect
+	at time.Time
+	// learnedAt is when this daemon learned of the crash.
+	learnedAt time.Time
+	suspects  map[string]Suspect
 	// change is the number of the latest change of the record.
 	change uint64
 }
@@ -123,11 +121,21 @@
 		if served, ok := t.recent.last(part); ok && clears(served, now) {
 			continue
 		}
-		crash.Suspects = append(crash.Suspects, Suspect{part, position, sentAt})
+		crash.Suspects = append(crash.Suspects, Suspect{part, position, t.crashKnown(part, sentAt)})
 	}
 	t.Merge(now, Evidence{Crashes: []Crash{crash}})
 }
 
+// crashKnown reports whether this daemon knew at a time of a crash with a part.
+func (t *Table) crashKnown(part string, at time.Time) bool {
+	for _, record := range t.crashes {
+		if t.accuses(record, part) && !record.learnedAt.After(at) {
+			return true
+		}
+	}
+	return false
+}
+
 // RecordServed records that an engine answers a prompt with some shared parts.
 func (t *Table) RecordServed(now time.Time, parts []string) {
 	for _, part := range parts {
@@ -141,7 +149,7 @@
 	t.expire(now)
 	for _, crash := range evidence.Crashes {
 		if now.Sub(crash.At) < evidenceAge {
-			t.addCrash(crash)
+			t.addCrash(now, crash)
 		}
 	}
 	for _, served := range evidence.Served {
@@ -149,7 +157,7 @@
 	}
 }
 
-func (t *Table) addCrash(crash Crash) {
+func (t *Table) addCrash(now time.Time, crash Crash) {
 	if len(crash.Suspects) == 0 {
 		return
 	}
@@ -159,17 +167,20 @@
 		if len(t.crashes) == maxCrashes {
 			t.remove(t.oldest())
 		}
-		record = &crashRecord{at: crash.At, suspects: make(map[string]Suspect)}
+		record = &crashRecord{at: crash.At, learnedAt: now, suspects: make(map[string]Suspect)}
 		t.crashes[key] = record
 	}
 	for _, suspect := range crash.Suspects {
 		known, suspected := record.suspects[suspect.Part]
 		switch {
-		case suspected && known.Position >= suspect.Position, !suspected && len(record.suspects) == maxSuspects:
-			continue
 		case suspected:
-			// The time differs by that of a transfer, or is of another request.
-			suspect.SentAt = known.SentAt
+			suspect.Position = max(suspect.Position, known.Position)
+			suspect.Repeated = suspect.Repeated || known.Repeated
+			if suspect == known {
+				continue
+			}
+		case len(record.suspects) == maxSuspects:
+			continue
 		default:
 			t.suspectCount[suspect.Part]++
 			if !t.cleared(record, suspect.Part) {
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -74,7 +74,7 @@
 }
 
 // A request that is tried again at once crashes two engines within a few milliseconds.
-func TestCrashesOfRetriesCountApart(t *testing.T) {
+func TestCrashesOfRetriesAreRepeated(t *testing.T) {
 	expect := NewWithT(t)
 	table := NewTable()
 	for i := range 3 {
@@ -185,6 +185,22 @@
 	expect.Expect(witness.LastChange() + accuser.LastChange()).To(Equal(changes))
 }
 
+// Evidence takes longer to one daemon than to another. The daemons compared the times of
+// crashes that came in different messages, and one of them counted a crash less.
+func TestSlowTransfersChangeNoVerdict(t *testing.T) {
+	expect := NewWithT(t)
+	accuser, slow := NewTable(), NewTable()
+	for i := range 3 {
+		sent := accuser.LastChange()
+		accuser.RecordCrash(at(5*i), fmt.Sprint("e", i), 1, []string{"deadly"}, at(5*i-3))
+		evidence := accuser.Since(sent)
+		evidence.Crashes[0].At = at(500 - 100*i)
+		slow.Merge(at(500+i), evidence)
+	}
+	expect.Expect(quarantined(accuser, at(20))).To(Equal([]string{"deadly"}))
+	expect.Expect(quarantined(slow, at(600))).To(Equal([]string{"deadly"}))
+}
+
 func TestEvidenceIsBounded(t *testing.T) {
 	expect := NewWithT(t)
 	table := NewTable()
@@ -214,7 +230,7 @@
 		crash := Crash{Upstream: rapid.SampledFrom([]string{"e1", "e2", "e3", "e4", "e5"}).Draw(t, "engine"), StartUnixMs: 1}
 		crash.At = at(1000 * int(crash.Upstream[1]))
 		for i, p := range rapid.SliceOfNDistinct(part, 1, 3, rapid.ID[string]).Draw(t, "parts") {
-			crash.Suspects = append(crash.Suspects, Suspect{p, i, crash.At.Add(-sendTime)})
+			crash.Suspects = append(crash.Suspects, Suspect{p, i, rapid.Bool().Draw(t, "repeated")})
 		}
 		return Evidence{Crashes: []Crash{crash}}
 	})
--- a/quarantine/verdicts.go
+++ b/quarantine/verdicts.go
@@ -52,16 +52,14 @@
 
 // explanation is what a part explains of a list of crashes.
 type explanation struct {
-	// times are those of the crashes, without those that count as one.
+	// times are those of the crashes.
 	times    []time.Time
 	position int
+	// repeated is set if one of the crashes is repeated.
+	repeated bool
 }
 
-// countsApart reports whether a crash of an engine that was sent its prompt at a time
-// counts apart from the one counted last.
-func countsApart(last, crash, sentAt time.Time) bool {
-	return crash.Sub(last) >= crashInterval || sentAt.Sub(last) > -transferTolerance
-}
+func (e *explanation) suffices() bool { return e.repeated && len(e.times) >= minCrashes }
 
 // bestExplanation returns the part that explains most of some crashes, which must be
 // ordered by time, if it explains enough of them. Of parts that explain as many, it is
@@ -80,11 +78,11 @@
 				explanations[part] = e
 			}
 			e.position = max(e.position, suspect.Position)
-			if len(e.times) == 0 || countsApart(e.times[len(e.times)-1], record.at, suspect.SentAt) {
-				e.times = append(e.times, record.at)
-			}
+			e.repeated = e.repeated || suspect.Repeated
+			e.times = append(e.times, record.at)
 		}
 	}
+	maps.DeleteFunc(explanations, func(_ string, e *explanation) bool { return !e.suffices() })
 	if len(explanations) == 0 {
 		return Verdict{}, false
 	}
@@ -93,8 +91,5 @@
 		return cmp.Or(cmp.Compare(len(y.times), len(x.times)), cmp.Compare(y.position, x.position), cmp.Compare(a, b))
 	})
 	times := explanations[part].times
-	if len(times) < minCrashes {
-		return Verdict{}, false
-	}
 	return Verdict{Part: part, Crashes: len(times), Until: times[len(times)-minCrashes].Add(evidenceAge)}, true
 }
