Let the test of slow transfers fail on the code before its fix

With times as a slow transfer makes them, it fails on (no verdict at the slow daemon) and passes now.

--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -192,12 +192,12 @@
 	accuser, slow := NewTable(), NewTable()
 	for i := range 3 {
 		sent := accuser.LastChange()
-		accuser.RecordCrash(at(5*i), fmt.Sprint("e", i), 1, []string{"deadly"}, at(5*i-3))
+		accuser.RecordCrash(at(50*i), fmt.Sprint("e", i), 1, []string{"deadly"}, at(50*i-40))
 		evidence := accuser.Since(sent)
-		evidence.Crashes[0].At = at(500 - 100*i)
+		evidence.Crashes[0].At = at(100 + i)
 		slow.Merge(at(500+i), evidence)
 	}
-	expect.Expect(quarantined(accuser, at(20))).To(Equal([]string{"deadly"}))
+	expect.Expect(quarantined(accuser, at(110))).To(Equal([]string{"deadly"}))
 	expect.Expect(quarantined(slow, at(600))).To(Equal([]string{"deadly"}))
 }
 
