Wait in a test of damaged folders until the replica accepts commands

Cause as in: a replica leads before it has committed an entry of its term and refuses commands until then, and crashedFolder waited for the first only. It waits for a confirmed read now, as the tests beside it do. No production code changes.

--- a/replica/damage_test.go
+++ b/replica/damage_test.go
@@ -18,7 +18,7 @@
 	folder = filepath.Join(t.TempDir(), "data")
 	r, err := openSingleReplica(t, "a", folder)
 	expect.Expect(err).NotTo(HaveOccurred())
-	expect.Eventually(func() bool { _, _, self := r.Leader(); return self }, testTimeout, testTick).Should(BeTrue())
+	expect.Eventually(func() string { return r.ReadBarrier(context.Background()).GetReason() }, testTimeout, testTick).Should(BeEmpty())
 	for i := range 100 {
 		_, failed := r.Propose(context.Background(), claimCommand("key", fmt.Sprint(i)))
 		expect.Expect(failed.GetReason()).To(BeEmpty())
