--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -8,8 +8,9 @@
 // those within servedWindow after it.
 //
 // A part is quarantined while it explains at least minCrashes crashes that no other
-// part explains better. Requests that were begun beside the one that crashed the engine
-// share some of its crashes, but not all.
+// part explains better, and one of them is repeated: its prompt was sent by a daemon that
+// knew of an earlier crash with the part. Requests that were begun beside the one that
+// crashed the engine share some of its crashes, but not all.
 //
 // Daemons exchange evidence, not verdicts. Merging is idempotent and independent of the
 // order, so daemons with the same evidence agree. A Table reads no clock and is not
