Rename LeavingSource to NoticeSource

Limits that engines state arrive on the same ways as the notice that they leave. No behaviour changes; the values of the label and of the log field stay.

--- a/dispatch/leaving.go
+++ b/dispatch/leaving.go
@@ -10,19 +10,6 @@
 // leaves. It spans several reports, as each may be lost.
 const leavingShareTime = 10 * time.Second
 
-// LeavingSource is how a daemon learned that an upstream leaves.
-type LeavingSource string
-
-// The sources of leaving notices.
-const (
-	// LeavingAnswer is an answer that this daemon received from the upstream.
-	LeavingAnswer LeavingSource = "answer"
-	// LeavingWorker is an answer that a worker of this daemon received.
-	LeavingWorker LeavingSource = "worker"
-	// LeavingReport is the load report of another daemon.
-	LeavingReport LeavingSource = "report"
-)
-
 // LeavingNotice says that an upstream leaves, as it stated in an answer. It concerns
 // one start of the upstream only.
 type LeavingNotice struct {
@@ -30,7 +17,7 @@
 	StartUnixMs uint64
 	// Request is the ID of the answered request; empty in a notice from a load report.
 	Request string
-	Source  LeavingSource
+	Source  NoticeSource
 }
 
 // LeavingChange reports that a pool has learned that an upstream leaves.
@@ -60,7 +47,7 @@
 		return
 	}
 	mark := leavingMark{startUnixMs: notice.StartUnixMs}
-	if notice.Source != LeavingReport {
+	if notice.Source != SourceReport {
 		mark.shareUntil = now.Add(leavingShareTime)
 	}
 	p.leaving[notice.Upstream] = mark
@@ -91,7 +78,7 @@
 func (p *Pool) applyLeavingNotices(now time.Time, report LoadReport) {
 	for _, load := range report.Loads {
 		if _, known := p.upstreams[load.Upstream]; known && load.Leaving {
-			p.MarkLeaving(now, LeavingNotice{Upstream: load.Upstream, StartUnixMs: load.LeavingStartUnixMs, Source: LeavingReport})
+			p.MarkLeaving(now, LeavingNotice{Upstream: load.Upstream, StartUnixMs: load.LeavingStartUnixMs, Source: SourceReport})
 		}
 	}
 }
--- a/dispatch/leaving_test.go
+++ b/dispatch/leaving_test.go
@@ -17,7 +17,7 @@
 }
 
 func leavingNotice(id string, startUnixMs uint64) LeavingNotice {
-	return LeavingNotice{Upstream: id, StartUnixMs: startUnixMs, Request: "r", Source: LeavingAnswer}
+	return LeavingNotice{Upstream: id, StartUnixMs: startUnixMs, Request: "r", Source: SourceAnswer}
 }
 
 func TestLeavingUpstreamGetsRequests(t *testing.T) {
@@ -138,7 +138,7 @@
 		p.ApplyLoadReport(start, LoadReport{Peer: "told", Sequence: 1, DataCentre: "near", Loads: loads})
 		_, refused := requestSlot(p, start, onlineRequest(1, 0))
 		expect.Expect(refused.Reason).To(Equal(NoUpstream))
-		expect.Expect(p.LeavingChanges()[0].Source).To(Equal(LeavingReport))
+		expect.Expect(p.LeavingChanges()[0].Source).To(Equal(SourceReport))
 		expect.Expect(p.Loads(start)).To(BeEmpty())
 		p = newPool(startedUpstream("a", 8))
 		p.ApplyLoadReport(start, LoadReport{Peer: "told", Sequence: 1, DataCentre: "near", Loads: loads})
--- a/entrynode/exchange.go
+++ b/entrynode/exchange.go
@@ -308,7 +308,7 @@
 	defer response.Close()
 	if response.EngineLeaves() {
 		x.node.Slots.MarkLeaving(dispatch.LeavingNotice{
-			Upstream: grant.Upstream, StartUnixMs: grant.StartUnixMs, Request: x.headers.ID, Source: dispatch.LeavingAnswer,
+			Upstream: grant.Upstream, StartUnixMs: grant.StartUnixMs, Request: x.headers.ID, Source: dispatch.SourceAnswer,
 		})
 	}
 	if response.NotRun || response.OtherInstance {
--- a/entrynode/leaving_test.go
+++ b/entrynode/leaving_test.go
@@ -144,7 +144,7 @@
 	got := make(chan callerResponse, 1)
 	go func() { got <- send(t, url, "/stream/x") }()
 	expect.Eventually(running, testTimeout).Should(BeClosed())
-	n.Slots.MarkLeaving(dispatch.LeavingNotice{Upstream: "i-0", StartUnixMs: 1, Source: dispatch.LeavingReport})
+	n.Slots.MarkLeaving(dispatch.LeavingNotice{Upstream: "i-0", StartUnixMs: 1, Source: dispatch.SourceReport})
 	close(release)
 	expect.Expect((<-got).body).To(Equal(events(1, 6)))
 	expect.Expect(send(t, url, "/stream/x").body).To(Equal(events(1, 6)))
--- a/storenode/item.go
+++ b/storenode/item.go
@@ -103,7 +103,7 @@
 func (x *itemRun) execute(parent context.Context) (outcome jobpages.RunOutcome, status int, reason string) {
 	end, ranOnWorker := x.runner.workers.run(parent, x)
 	if !ranOnWorker {
-		end = runAtUpstream(parent, x.runner.engines, x.request(), idleTimeout, func() { x.markLeaving(dispatch.LeavingAnswer) }, x.addOutput)
+		end = runAtUpstream(parent, x.runner.engines, x.request(), idleTimeout, func() { x.markLeaving(dispatch.SourceAnswer) }, x.addOutput)
 	}
 	complete := end.reason == "" && end.status == http.StatusOK
 	switch {
@@ -123,7 +123,7 @@
 }
 
 // markLeaving keeps further requests away from the upstream, which leaves.
-func (x *itemRun) markLeaving(source dispatch.LeavingSource) {
+func (x *itemRun) markLeaving(source dispatch.NoticeSource) {
 	x.runner.node.Slots.MarkLeaving(dispatch.LeavingNotice{
 		Upstream: x.grant.Upstream, StartUnixMs: x.grant.StartUnixMs, Request: x.item.GetId(), Source: source,
 	})
--- a/storenode/leaving_test.go
+++ b/storenode/leaving_test.go
@@ -82,7 +82,7 @@
 func TestWorkerRunsItemOfNewLeaderAtLeavingEngine(t *testing.T) {
 	expect := NewWithT(t)
 	worker := startWorker(t)
-	worker.service.slots.MarkLeaving(dispatch.LeavingNotice{Upstream: "u", StartUnixMs: 5, Source: dispatch.LeavingAnswer})
+	worker.service.slots.MarkLeaving(dispatch.LeavingNotice{Upstream: "u", StartUnixMs: 5, Source: dispatch.SourceAnswer})
 	e, run, slots := startLeavingRun(t)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
--- a/storenode/worker.go
+++ b/storenode/worker.go
@@ -106,7 +106,7 @@
 		return false
 	}
 	notice := dispatch.LeavingNotice{
-		Upstream: message.GetUpstream(), StartUnixMs: message.GetBornUnixMs(), Request: message.GetItem().GetId(), Source: dispatch.LeavingAnswer,
+		Upstream: message.GetUpstream(), StartUnixMs: message.GetBornUnixMs(), Request: message.GetItem().GetId(), Source: dispatch.SourceAnswer,
 	}
 	if r.service.slots.IsLeaving(notice.Upstream, notice.StartUnixMs) {
 		cancel()
--- a/storenode/workers.go
+++ b/storenode/workers.go
@@ -102,7 +102,7 @@
 		w.results.WithLabelValues("no_worker").Inc()
 		return runEnd{}, false
 	}
-	run := &remoteRun{output: x.addOutput, onLeaving: func() { x.markLeaving(dispatch.LeavingWorker) }, ended: make(chan runEnd, 1)}
+	run := &remoteRun{output: x.addOutput, onLeaving: func() { x.markLeaving(dispatch.SourceWorker) }, ended: make(chan runEnd, 1)}
 	id, message := w.add(session, run, x)
 	defer w.remove(session, id)
 	if err := w.send(ctx, session, message); err != nil {
