Record the rate limits that engines state in their answers

Entries, storage daemons and workers log upstream_rate_changed and count briarcross_upstream_rate_changes_total. Nothing is decided by it yet.

The callbacks of node.SlotPool are fields of SlotHooks now; there were five in a row.

--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -198,12 +198,15 @@
 	// leaving holds the marks of upstreams that leave, by ID. A mark outlives a
 	// removal of the upstream for missing heartbeats, after which it may be heard again.
 	leaving map[string]leavingMark
+	// rateLimits holds the rate limits that upstreams stated, by ID.
+	rateLimits map[string]*rateLimit
 	// grants and refusals are returned by Drain, healthChanges by HealthChanges and
-	// leavingChanges by LeavingChanges.
+	// leavingChanges by LeavingChanges, rateChanges by RateChanges.
 	grants         []Grant
 	refusals       []Refusal
 	healthChanges  []HealthChange
 	leavingChanges []LeavingChange
+	rateChanges    []RateChange
 	// preemptionRequests is returned by PreemptionRequests.
 	preemptionRequests []PreemptionRequest
 }
@@ -222,6 +225,7 @@
 		expectedRetries:   make(map[string]*expectedRetries),
 		maxTimeToDeadline: make(map[string]*slidingMax),
 		leaving:           make(map[string]leavingMark),
+		rateLimits:        make(map[string]*rateLimit),
 	}
 }
 
@@ -257,6 +261,7 @@
 	if u.Phase == fleet.Gone {
 		delete(p.leaving, id)
 	}
+	delete(p.rateLimits, id)
 	delete(p.upstreams, id)
 	index, _ := slices.BinarySearchFunc(p.sortedUpstreams, id, byID)
 	p.sortedUpstreams = slices.Delete(p.sortedUpstreams, index, index+1)
--- a/entrynode/exchange.go
+++ b/entrynode/exchange.go
@@ -311,6 +311,11 @@
 			Upstream: grant.Upstream, StartUnixMs: grant.StartUnixMs, Request: x.headers.ID, Source: dispatch.SourceAnswer,
 		})
 	}
+	if perSecond, stated := response.EngineRate(); stated {
+		x.node.Slots.RecordRate(dispatch.RateNotice{
+			Upstream: grant.Upstream, StartUnixMs: grant.StartUnixMs, PerSecond: perSecond, Request: x.headers.ID, Source: dispatch.SourceAnswer,
+		})
+	}
 	if response.NotRun || response.OtherInstance {
 		outcome = dispatch.Rejected
 		if response.OtherInstance {
--- a/eventlog/logger.go
+++ b/eventlog/logger.go
@@ -38,6 +38,7 @@
 	UpstreamSilent        = "upstream_silent"
 	UpstreamJudged        = "upstream_judged"
 	UpstreamLeaving       = "upstream_leaving"
+	UpstreamRateChanged   = "upstream_rate_changed"
 	PromptPartQuarantined = "prompt_part_quarantined"
 	PromptPartReleased    = "prompt_part_released"
 	HeartbeatRejected     = "heartbeat_rejected"
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"math"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -66,9 +68,11 @@
 	// suspicions counts the failures that were counted against upstreams.
 	suspicions prometheus.Counter
 	// leaving counts the upstreams that were marked as leaving, by source.
-	leaving   *prometheus.CounterVec
-	tasks     sync.WaitGroup
-	closeOnce sync.Once
+	leaving *prometheus.CounterVec
+	// rateChanges counts the changes of rate limits of upstreams, by source.
+	rateChanges *prometheus.CounterVec
+	tasks       sync.WaitGroup
+	closeOnce   sync.Once
 }
 
 // NewDispatcher returns a dispatcher, which does nothing until Run. decodeTable
@@ -91,6 +95,9 @@
 			Name: "briarcross_upstreams_leaving_total", Help: "Upstreams that said in an answer that they leave, by how this daemon learned it first: answer, worker, report.",
 		}, []string{"source"}),
 	}
+	d.rateChanges = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "briarcross_upstream_rate_changes_total", Help: "Rate limits of upstreams that began, changed or ended, by how this daemon learned it first: answer, worker, report.",
+	}, []string{"source"})
 	d.Quarantine = NewQuarantine(logger, func() { d.follower.EvidenceChanged() })
 	d.StreamOrigins = newStreamOrigins(settings.Address, d.View, d.sendDatagram)
 	d.Transport = transport.NewClient(d.Identity, nil)
@@ -101,7 +108,13 @@
 		BatchReserve:   batchReserve,
 		PeerTimeout:    PeerTimeout,
 		SummaryTimeout: SummaryTimeout,
-	}, func() { d.loadReporter.LoadsChanged() }, d.logHealthChange, d.upstreamLeaving, func(r dispatch.PreemptionRequest) { d.loadReporter.RequestPreemption(r) })
+	}, SlotHooks{
+		LoadChanged:         func() { d.loadReporter.LoadsChanged() },
+		HealthChanged:       d.logHealthChange,
+		Leaving:             d.upstreamLeaving,
+		RateChanged:         d.rateChanged,
+		PreemptionRequested: func(r dispatch.PreemptionRequest) { d.loadReporter.RequestPreemption(r) },
+	})
 	d.loadReporter = NewLoadReporter(d.Identity, d.View, settings, d.Slots, d.Storage.SuggestLeader)
 	datagrams, err := transport.ListenDatagrams(d.Identity, settings.ListenAddress(), d.handleDatagram)
 	if err != nil {
@@ -208,6 +221,21 @@
 	d.onNotReady(change.Latest)
 }
 
+// rateChanged records that an upstream stated another rate limit.
+func (d *Dispatcher) rateChanged(change dispatch.RateChange) {
+	d.rateChanges.WithLabelValues(string(change.Source)).Inc()
+	d.Logger.Info(eventlog.UpstreamRateChanged, "upstream", change.Upstream, "born", change.StartUnixMs, "request", change.Request,
+		"source", string(change.Source), "per_second", formatRate(change.PerSecond), "previous", formatRate(change.Previous))
+}
+
+// formatRate formats a number of requests a second.
+func formatRate(perSecond float64) string {
+	if math.IsInf(perSecond, 1) {
+		return "unlimited"
+	}
+	return strconv.FormatFloat(perSecond, 'g', -1, 64)
+}
+
 // applyRouting puts a routing table in force unless the current one has the same
 // or a higher version. A table that cannot be decoded is logged and ignored.
 func (d *Dispatcher) applyRouting(r *Routing) {
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -82,6 +82,7 @@
 		}),
 		d.suspicions,
 		d.leaving,
+		d.rateChanges,
 		d.Quarantine.Collector(),
 		d.loadReporter.sent,
 		d.StreamOrigins.sent,
--- a/node/slot_pool.go
+++ b/node/slot_pool.go
@@ -25,12 +25,23 @@
 	lastID  uint64
 	pending map[uint64]chan slotResponse
 	// queued is signalled when a request is queued.
-	queued         chan struct{}
-	onLoadChange   func()
-	onHealthChange func(dispatch.HealthChange)
-	onLeaving      func(dispatch.LeavingChange)
-	// onPreemption is called with the preemption requests to other daemons.
-	onPreemption func(dispatch.PreemptionRequest)
+	queued chan struct{}
+	hooks  SlotHooks
+}
+
+// SlotHooks are called with the pool locked and must not block.
+type SlotHooks struct {
+	// LoadChanged is called after each grant and release, and when there is something new
+	// to tell other daemons.
+	LoadChanged func()
+	// HealthChanged is called when the pool's view of an upstream's health changes.
+	HealthChanged func(dispatch.HealthChange)
+	// Leaving is called when an upstream has been marked as leaving.
+	Leaving func(dispatch.LeavingChange)
+	// RateChanged is called when an upstream has stated another rate limit.
+	RateChanged func(dispatch.RateChange)
+	// PreemptionRequested is called when another daemon should preempt a batch item.
+	PreemptionRequested func(dispatch.PreemptionRequest)
 }
 
 type slotResponse struct {
@@ -38,19 +49,13 @@
 	refusal *dispatch.Refusal
 }
 
-// NewSlotPool returns a pool that calls onLoadChange after each grant and release,
-// onHealthChange when its view of an upstream's health changes, onLeaving when an upstream
-// has been marked as leaving, and onPreemption when another daemon should preempt a batch
-// item. All are called with the pool locked and must not block.
-func NewSlotPool(options dispatch.Options, onLoadChange func(), onHealthChange func(dispatch.HealthChange), onLeaving func(dispatch.LeavingChange), onPreemption func(dispatch.PreemptionRequest)) *SlotPool {
+// NewSlotPool returns a pool without upstreams. All hooks must be set.
+func NewSlotPool(options dispatch.Options, hooks SlotHooks) *SlotPool {
 	return &SlotPool{
-		pool:           dispatch.New(options),
-		pending:        make(map[uint64]chan slotResponse),
-		queued:         make(chan struct{}, 1),
-		onLoadChange:   onLoadChange,
-		onHealthChange: onHealthChange,
-		onLeaving:      onLeaving,
-		onPreemption:   onPreemption,
+		pool:    dispatch.New(options),
+		pending: make(map[uint64]chan slotResponse),
+		queued:  make(chan struct{}, 1),
+		hooks:   hooks,
 	}
 }
 
@@ -110,7 +115,7 @@
 	defer s.mu.Unlock()
 	s.pool.Release(time.Now(), grant, outcome)
 	s.deliverResponses()
-	s.onLoadChange()
+	s.hooks.LoadChanged()
 }
 
 // UpdateUpstreams applies heartbeats of upstreams.
@@ -149,6 +154,14 @@
 	return s.pool.IsLeaving(id, startUnixMs)
 }
 
+// RecordRate records the rate of requests that an upstream accepts.
+func (s *SlotPool) RecordRate(notice dispatch.RateNotice) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pool.RecordRate(time.Now(), notice)
+	s.deliverResponses()
+}
+
 // ApplyLoadReport applies the load report of another daemon.
 func (s *SlotPool) ApplyLoadReport(report dispatch.LoadReport) {
 	s.mu.Lock()
@@ -248,16 +261,19 @@
 		delete(s.pending, r.SlotRequestID)
 	}
 	for _, change := range s.pool.HealthChanges() {
-		s.onHealthChange(change)
+		s.hooks.HealthChanged(change)
 	}
 	leaving := s.pool.LeavingChanges()
 	for _, change := range leaving {
-		s.onLeaving(change)
+		s.hooks.Leaving(change)
+	}
+	for _, change := range s.pool.RateChanges() {
+		s.hooks.RateChanged(change)
 	}
 	for _, request := range s.pool.PreemptionRequests() {
-		s.onPreemption(request)
+		s.hooks.PreemptionRequested(request)
 	}
 	if len(granted) > 0 || len(leaving) > 0 {
-		s.onLoadChange()
+		s.hooks.LoadChanged()
 	}
 }
--- a/node/view_order_test.go
+++ b/node/view_order_test.go
@@ -40,8 +40,13 @@
 	<-done
 }
 
+var noHooks = SlotHooks{
+	LoadChanged: func() {}, HealthChanged: func(dispatch.HealthChange) {}, Leaving: func(dispatch.LeavingChange) {},
+	RateChanged: func(dispatch.RateChange) {}, PreemptionRequested: func(dispatch.PreemptionRequest) {},
+}
+
 func newPoolOfView() *SlotPool {
-	return NewSlotPool(dispatch.Options{}, func() {}, func(dispatch.HealthChange) {}, func(dispatch.LeavingChange) {}, func(dispatch.PreemptionRequest) {})
+	return NewSlotPool(dispatch.Options{}, noHooks)
 }
 
 func oneBeat(sequence uint64, phase pb.UpstreamPhase) *pb.FleetUpdate {
--- a/node/view_test.go
+++ b/node/view_test.go
@@ -89,7 +89,7 @@
 }
 
 func newTestSlotPool(slots int) *SlotPool {
-	s := NewSlotPool(dispatch.Options{DataCentre: "d", Seed: 1, PeerTimeout: time.Hour}, func() {}, func(dispatch.HealthChange) {}, func(dispatch.LeavingChange) {}, func(dispatch.PreemptionRequest) {})
+	s := NewSlotPool(dispatch.Options{DataCentre: "d", Seed: 1, PeerTimeout: time.Hour}, noHooks)
 	s.UpdateUpstreams([]fleet.Upstream{{ID: "u", Service: "s", DataCentre: "d", Slots: slots, Phase: fleet.Ready, LastHeartbeat: time.Now()}})
 	return s
 }
--- a/storenode/item.go
+++ b/storenode/item.go
@@ -103,7 +103,7 @@
 func (x *itemRun) execute(parent context.Context) (outcome jobpages.RunOutcome, status int, reason string) {
 	end, ranOnWorker := x.runner.workers.run(parent, x)
 	if !ranOnWorker {
-		end = runAtUpstream(parent, x.runner.engines, x.request(), idleTimeout, func() { x.markLeaving(dispatch.SourceAnswer) }, x.addOutput)
+		end = runAtUpstream(parent, x.runner.engines, x.request(), idleTimeout, func(s engineStatement) { x.recordStatement(s, dispatch.SourceAnswer) }, x.addOutput)
 	}
 	complete := end.reason == "" && end.status == http.StatusOK
 	switch {
@@ -122,11 +122,9 @@
 	return end.outcome, end.status, end.reason
 }
 
-// markLeaving keeps further requests away from the upstream, which leaves.
-func (x *itemRun) markLeaving(source dispatch.NoticeSource) {
-	x.runner.node.Slots.MarkLeaving(dispatch.LeavingNotice{
-		Upstream: x.grant.Upstream, StartUnixMs: x.grant.StartUnixMs, Request: x.item.GetId(), Source: source,
-	})
+// recordStatement records what the upstream states.
+func (x *itemRun) recordStatement(statement engineStatement, source dispatch.NoticeSource) {
+	statement.record(x.runner.node.Slots, x.grant.Upstream, x.grant.StartUnixMs, x.item.GetId(), source)
 }
 
 // recordInterruption logs that the connection to the upstream broke before the output
--- a/storenode/leaving_test.go
+++ b/storenode/leaving_test.go
@@ -15,9 +15,13 @@
 	"github.com/briarcross/briarcross/node"
 )
 
+var noHooks = node.SlotHooks{
+	LoadChanged: func() {}, HealthChanged: func(dispatch.HealthChange) {}, Leaving: func(dispatch.LeavingChange) {},
+	RateChanged: func(dispatch.RateChange) {}, PreemptionRequested: func(dispatch.PreemptionRequest) {},
+}
+
 func newTestSlots() *node.SlotPool {
-	return node.NewSlotPool(dispatch.Options{DataCentre: "d", Seed: 1, PeerTimeout: time.Hour}, func() {}, func(dispatch.HealthChange) {},
-		func(dispatch.LeavingChange) {}, func(dispatch.PreemptionRequest) {})
+	return node.NewSlotPool(dispatch.Options{DataCentre: "d", Seed: 1, PeerTimeout: time.Hour}, noHooks)
 }
 
 // startLeavingRun returns an item with a slot of an engine that leaves, which is the only
--- a/storenode/poison_test.go
+++ b/storenode/poison_test.go
@@ -27,7 +27,7 @@
 	}))
 	t.Cleanup(server.Close)
 	request := itemRequest(&pb.PageItem{Id: "i", Path: "/p"}, "h", server.Listener.Addr().String(), "u", "")
-	end := runAtUpstream(t.Context(), l.engines, request, 20*time.Millisecond, func() {}, func([]byte, int, string) {})
+	end := runAtUpstream(t.Context(), l.engines, request, 20*time.Millisecond, func(engineStatement) {}, func([]byte, int, string) {})
 	expect.Expect(end.reason).To(Equal(silentUpstream))
 	expect.Expect(end.outcome).To(Equal(jobpages.Interrupted))
 	expect.Expect(end.interrupted()).To(BeFalse())
--- a/storenode/upstream_run.go
+++ b/storenode/upstream_run.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"time"
 
 	"github.com/briarcross/briarcross/dispatch"
 	"github.com/briarcross/briarcross/jobpages"
+	"github.com/briarcross/briarcross/node"
 	"github.com/briarcross/briarcross/pb"
 	"github.com/briarcross/briarcross/upstream"
 )
@@ -22,6 +24,38 @@
 	reason      string
 }
 
+// engineStatement is what an engine states about itself in the head of a response.
+type engineStatement struct {
+	leaving bool
+	// perSecond is the number of requests a second that it accepts from all callers
+	// together, +Inf without a limit. It counts only if rateStated is set.
+	perSecond  float64
+	rateStated bool
+}
+
+func statementOf(response *upstream.Response) engineStatement {
+	perSecond, stated := response.EngineRate()
+	return engineStatement{response.EngineLeaves(), perSecond, stated}
+}
+
+// urgent reports whether other daemons must know of the statement soon.
+func (s engineStatement) urgent() bool {
+	return s.leaving || s.rateStated && !math.IsInf(s.perSecond, 1)
+}
+
+// record records the statement of a start of an upstream in its response to a request.
+func (s engineStatement) record(slots *node.SlotPool, upstreamID string, startUnixMs uint64, requestID string, source dispatch.NoticeSource) {
+	if s.leaving {
+		slots.MarkLeaving(dispatch.LeavingNotice{Upstream: upstreamID, StartUnixMs: startUnixMs, Request: requestID, Source: source})
+	}
+	if s.rateStated {
+		slots.RecordRate(dispatch.RateNotice{Upstream: upstreamID, StartUnixMs: startUnixMs, PerSecond: s.perSecond, Request: requestID, Source: source})
+	}
+}
+
+// statementFunc receives what the upstream of a run states.
+type statementFunc func(engineStatement)
+
 // outputFunc receives the data of events, separated by line feeds, their number and
 // the ID of the last one.
 type outputFunc func(data []byte, events int, lastEventID string)
@@ -69,14 +103,14 @@
 }
 
 // runAtUpstream sends a request to its upstream and reads the output, until the
-// context ends or the upstream sends no event for the idle time. It calls onLeaving before
-// it reads the output if the upstream says that it leaves.
-func runAtUpstream(parent context.Context, engines *upstream.Client, request *upstream.Request, idle time.Duration, onLeaving func(), output outputFunc) runEnd {
+// context ends or the upstream sends no event for the idle time. It calls onStatement before
+// it reads the output.
+func runAtUpstream(parent context.Context, engines *upstream.Client, request *upstream.Request, idle time.Duration, onStatement statementFunc, output outputFunc) runEnd {
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
 	idleTimer := time.AfterFunc(idle, cancel)
 	defer idleTimer.Stop()
-	end := exchangeRun(ctx, engines, request, onLeaving, func() { idleTimer.Reset(idle) }, output)
+	end := exchangeRun(ctx, engines, request, onStatement, func() { idleTimer.Reset(idle) }, output)
 	if end.interrupted() && ctx.Err() != nil && parent.Err() == nil {
 		end.reason = silentUpstream
 	}
@@ -85,7 +119,7 @@
 
 // exchangeRun sends a request to its upstream and reads the output until the context ends.
 // It calls onProgress after each read with events.
-func exchangeRun(ctx context.Context, engines *upstream.Client, request *upstream.Request, onLeaving, onProgress func(), output outputFunc) runEnd {
+func exchangeRun(ctx context.Context, engines *upstream.Client, request *upstream.Request, onStatement statementFunc, onProgress func(), output outputFunc) runEnd {
 	response, err := engines.Do(ctx, request)
 	if err != nil {
 		if upstream.ExecutionStateOf(err) == upstream.NotSent {
@@ -94,9 +128,7 @@
 		return runEnd{jobpages.Interrupted, dispatch.Failed, 0, noAnswer}
 	}
 	defer response.Close()
-	if response.EngineLeaves() {
-		onLeaving()
-	}
+	onStatement(statementOf(response))
 	switch {
 	case response.OtherInstance:
 		return runEnd{jobpages.NotRun, dispatch.OtherInstance, response.Status, "other_instance"}
--- a/storenode/versions_test.go
+++ b/storenode/versions_test.go
@@ -84,7 +84,7 @@
 func startTestLeader(t *testing.T, engines ...*versionEngine) *testLeader {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	slots := node.NewSlotPool(dispatch.Options{DataCentre: "d", Seed: 1}, func() {}, func(dispatch.HealthChange) {}, func(dispatch.LeavingChange) {}, func(dispatch.PreemptionRequest) {})
+	slots := node.NewSlotPool(dispatch.Options{DataCentre: "d", Seed: 1}, noHooks)
 	n := &Node{Dispatcher: &node.Dispatcher{Slots: slots, Quarantine: node.NewQuarantine(log.New(io.Discard), func() {})}, logger: log.New(io.Discard), state: jobpages.NewState(), ctx: ctx, cancel: cancel}
 	counter := func(label string) *prometheus.CounterVec {
 		return prometheus.NewCounterVec(prometheus.CounterOpts{Name: "test"}, []string{label})
--- a/storenode/worker.go
+++ b/storenode/worker.go
@@ -105,23 +105,20 @@
 		cancel()
 		return false
 	}
-	notice := dispatch.LeavingNotice{
-		Upstream: message.GetUpstream(), StartUnixMs: message.GetBornUnixMs(), Request: message.GetItem().GetId(), Source: dispatch.SourceAnswer,
-	}
-	if r.service.slots.IsLeaving(notice.Upstream, notice.StartUnixMs) {
+	if r.service.slots.IsLeaving(message.GetUpstream(), message.GetBornUnixMs()) {
 		cancel()
-		r.reportLeaving(id)
+		r.reportStatement(id, engineStatement{leaving: true})
 		r.finish(id, runEnd{jobpages.NotRun, dispatch.Inconclusive, 0, "leaving"})
 		return true
 	}
-	onLeaving := func() {
-		r.service.slots.MarkLeaving(notice)
-		r.reportLeaving(id)
+	onStatement := func(s engineStatement) {
+		s.record(r.service.slots, message.GetUpstream(), message.GetBornUnixMs(), message.GetItem().GetId(), dispatch.SourceAnswer)
+		r.reportStatement(id, s)
 	}
 	request := itemRequest(message.GetItem(), message.GetHost(), message.GetAddress(), message.GetUpstream(), message.GetResumeAfter())
 	r.service.tasks.Go(func() {
 		defer cancel()
-		end := runAtUpstream(ctx, r.service.engines, request, idleTimeout, onLeaving, func(data []byte, events int, lastEventID string) {
+		end := runAtUpstream(ctx, r.service.engines, request, idleTimeout, onStatement, func(data []byte, events int, lastEventID string) {
 			r.addOutput(id, data, events, lastEventID)
 		})
 		r.finish(id, end)
@@ -149,12 +146,15 @@
 	progress.LastEvent = lastEventID
 }
 
-// reportLeaving reports at once that the upstream of a run leaves.
-func (r *servedRuns) reportLeaving(id uint64) {
+// reportStatement reports what the upstream of a run states, at once if it is urgent.
+func (r *servedRuns) reportStatement(id uint64, statement engineStatement) {
 	r.mu.Lock()
-	r.runs[id].progress.Leaving = true
+	progress := r.runs[id].progress
+	progress.Leaving, progress.AcceptedPerSecond, progress.RateStated = statement.leaving, statement.perSecond, statement.rateStated
 	r.mu.Unlock()
-	r.reportSoon()
+	if statement.urgent() {
+		r.reportSoon()
+	}
 }
 
 // reportSoon makes report send a report without waiting for the next regular one.
@@ -203,7 +203,7 @@
 	defer r.mu.Unlock()
 	report := &pb.ItemRunReport{}
 	for id, run := range r.runs {
-		if run.progress.Events == 0 && run.progress.End == nil && !run.progress.Leaving {
+		if run.progress.Events == 0 && run.progress.End == nil && !reportedStatement(run.progress).urgent() {
 			continue
 		}
 		report.Runs = append(report.Runs, run.progress)
--- a/storenode/workers.go
+++ b/storenode/workers.go
@@ -68,8 +68,8 @@
 	// ended receives the end of the run, once.
 	ended chan runEnd
 
-	// onLeaving is called when the worker reports that the upstream leaves.
-	onLeaving func()
+	// onStatement is called when the worker reports what the upstream states.
+	onStatement statementFunc
 
 	mu sync.Mutex
 	// output is nil once the run is over for the leader: output that arrives later may
@@ -102,7 +102,7 @@
 		w.results.WithLabelValues("no_worker").Inc()
 		return runEnd{}, false
 	}
-	run := &remoteRun{output: x.addOutput, onLeaving: func() { x.markLeaving(dispatch.SourceWorker) }, ended: make(chan runEnd, 1)}
+	run := &remoteRun{output: x.addOutput, onStatement: func(s engineStatement) { x.recordStatement(s, dispatch.SourceWorker) }, ended: make(chan runEnd, 1)}
 	id, message := w.add(session, run, x)
 	defer w.remove(session, id)
 	if err := w.send(ctx, session, message); err != nil {
@@ -256,9 +256,7 @@
 		return
 	}
 	run.silent.Reset(workerSilence)
-	if progress.GetLeaving() {
-		run.onLeaving()
-	}
+	run.onStatement(reportedStatement(progress))
 	run.mu.Lock()
 	if progress.GetEvents() > 0 && run.output != nil {
 		run.output(progress.GetText(), int(progress.GetEvents()), progress.GetLastEvent())
@@ -270,6 +268,11 @@
 	}
 }
 
+// reportedStatement returns what the upstream of a run states according to its worker.
+func reportedStatement(progress *pb.ItemRunProgress) engineStatement {
+	return engineStatement{progress.GetLeaving(), progress.GetAcceptedPerSecond(), progress.GetRateStated()}
+}
+
 func (r *remoteRun) finish(end runEnd) {
 	select {
 	case r.ended <- end:
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -75,6 +75,11 @@
 	// Leaving is set when the response states that its sender leaves; see
 	// EngineLeaves.
 	Leaving bool
+	// AcceptedRate is the number of requests a second that the sender accepts from all
+	// callers together, +Inf if it states no limit. RateStated is false if the limit cannot
+	// be read; see EngineRate.
+	AcceptedRate float64
+	RateStated   bool
 }
 
 // EngineLeaves reports whether the expected engine responded and stated that it leaves.
@@ -82,6 +87,12 @@
 	return h.Leaving && !h.OtherInstance && (h.Genuine || h.NotRun)
 }
 
+// EngineRate returns the AcceptedRate of the expected engine. It returns false if the
+// response says nothing about it.
+func (h *ResponseHead) EngineRate() (float64, bool) {
+	return h.AcceptedRate, h.RateStated && !h.OtherInstance && (h.Genuine || h.NotRun)
+}
+
 // HeaderCodec encodes and decodes the headers that the platform defines.
 type HeaderCodec interface {
 	// Encode sets the headers of a request.
