--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -25,6 +25,8 @@
 
 // Options configures a Pool.
 type Options struct {
+	// Daemon is the ID of the daemon, as in its load reports.
+	Daemon string
 	// DataCentre is the data centre of the daemon. Its upstreams are preferred.
 	DataCentre string
 	// Seed must differ between daemons, so that they break ties differently.
--- a/e2e/platform_engine_test.go
+++ b/e2e/platform_engine_test.go
@@ -24,6 +24,7 @@
 	headerStamp          = "Briarcross-Response-Stamp"
 	headerNotExecuted    = "Briarcross-Not-Executed"
 	headerLeaving        = "Server-Leaving"
+	headerRateLimit      = "Server-Limit"
 	headerLastEventID    = "Last-Event-Id"
 	headerResumes        = "Resumes"
 	headerDeadlineMs     = "Briarcross-Deadline-Ms"
@@ -107,6 +108,8 @@
 	silent atomic.Bool
 	// notices records the responses with which the engine said that it leaves.
 	notices leavingLedger
+	// limit records the requests that the engine gets while it states a rate limit.
+	limit limitLedger
 	// cutsStreams is set while the engine breaks off each stream after some events.
 	cutsStreams atomic.Bool
 	// crashes counts the requests on whose prompt the engine crashed. It is then a new
@@ -211,6 +214,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if perSecond := e.limit.recordRequest(callingRun(r)); perSecond > 0 {
+		w.Header().Set(headerRateLimit, strconv.FormatFloat(perSecond, 'f', -1, 64))
+	}
 	if !e.leaving.Load() {
 		e.answer(w, r, id, body)
 		return
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -103,6 +103,7 @@
 	d.Transport = transport.NewClient(d.Identity, nil)
 	d.Storage = client.NewReplicaClient(d.Transport, nil)
 	d.Slots = NewSlotPool(dispatch.Options{
+		Daemon:         d.Identity.ID,
 		DataCentre:     settings.DataCentre,
 		Seed:           d.Identity.Incarnation,
 		BatchReserve:   batchReserve,
