Keep to the rate limits that engines state, over all daemons together

Cause: nothing read Server-Limit. Requests went to the upstream with the most free slots, and a limited engine has the most. Even a daemon that had kept to the limit by itself would have broken it: nobody knew what the others sent. Ruled out: limits kept by each daemon by itself (one entry alone was above the limit for 4 s), uncounted retries (21 of 3,403 not run).

Change: dispatch estimates what a limited engine got lately from the grants of all daemons, which load reports count, and grants no more than the limit leaves room for. Ranks keep daemons from sending at once. Statements are shared in load reports, the latest one counts, and they are those of one start of the engine. Batch leaves half to online and takes limited engines first; online takes them after those with spare slots. Refusals have the reason rate_limited.

--- a/dispatch/notices.go
+++ b/dispatch/notices.go
@@ -11,4 +11,6 @@
 	SourceWorker NoticeSource = "worker"
 	// SourceReport is the load report of another daemon.
 	SourceReport NoticeSource = "report"
+	// SourceExpiry means that nothing was heard for long.
+	SourceExpiry NoticeSource = "expiry"
 )
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -18,6 +18,7 @@
 	// LeavingStartUnixMs is its start time then, zero if unknown.
 	Leaving            bool
 	LeavingStartUnixMs uint64
+	Rate               UpstreamRate
 }
 
 // LoadReport is the load report of another daemon, or the sum of the reports of
@@ -53,6 +54,7 @@
 // than the stored one. It then grants queued requests.
 func (p *Pool) ApplyLoadReport(now time.Time, report LoadReport) {
 	p.applyLeavingNotices(now, report)
+	p.applyRateNotices(now, report)
 	stored, known := p.peerReports[report.Peer]
 	if known && report.Incarnation == stored.Incarnation && report.Sequence <= stored.Sequence {
 		return
@@ -60,7 +62,11 @@
 	if !p.dropCovered(now, report) {
 		return
 	}
+	if !known {
+		p.peersChange++
+	}
 	p.peerReports[report.Peer] = peerReport{report, now}
+	p.countPeerRequests(now, report)
 	if report.Summary {
 		p.summarized[report.DataCentre] = true
 	}
@@ -111,6 +117,7 @@
 
 func (p *Pool) dropReport(peer string, report peerReport) {
 	delete(p.peerReports, peer)
+	p.peersChange++
 	if report.Summary {
 		delete(p.summarized, report.DataCentre)
 	}
@@ -168,11 +175,11 @@
 	var loads []UpstreamLoad
 	for _, u := range p.sortedUpstreams {
 		suspectFor, ownFailures := u.ownSuspicion(now)
-		load := UpstreamLoad{Upstream: u.ID, Online: u.ownGrants[Online], Batch: u.ownGrants[Batch], SuspectFor: suspectFor, Failures: ownFailures}
+		load := UpstreamLoad{Upstream: u.ID, Online: u.ownGrants[Online], Batch: u.ownGrants[Batch], SuspectFor: suspectFor, Failures: ownFailures, Rate: u.ownRate(now)}
 		if p.sharesLeaving(now, u) {
 			load.Leaving, load.LeavingStartUnixMs = true, u.StartUnixMs
 		}
-		if u.ownGrants != [numClasses]int{} || ownFailures > 0 || load.Leaving {
+		if u.ownGrants != [numClasses]int{} || ownFailures > 0 || load.Leaving || !load.Rate.empty() {
 			loads = append(loads, load)
 		}
 	}
@@ -180,9 +187,9 @@
 }
 
 // DataCentreLoads returns the requests in flight of all daemons of this data centre
-// by upstream, for the summary to other data centres. It has no failures: these are
-// shared within a data centre only.
-func (p *Pool) DataCentreLoads() []UpstreamLoad {
+// by upstream, for the summary to other data centres, and the rate limits of its upstreams.
+// It has no failures: these are shared within a data centre only.
+func (p *Pool) DataCentreLoads(now time.Time) []UpstreamLoad {
 	sums := make(map[string][numClasses]int)
 	for _, report := range p.peerReports {
 		if report.DataCentre != p.options.DataCentre {
@@ -200,8 +207,12 @@
 		sum := sums[u.ID]
 		sum[Online] += u.ownGrants[Online]
 		sum[Batch] += u.ownGrants[Batch]
-		if sum != [numClasses]int{} {
-			loads = append(loads, UpstreamLoad{Upstream: u.ID, Online: sum[Online], Batch: sum[Batch]})
+		load := UpstreamLoad{Upstream: u.ID, Online: sum[Online], Batch: sum[Batch]}
+		if u.DataCentre == p.options.DataCentre {
+			load.Rate = u.knownRate(now)
+		}
+		if sum != [numClasses]int{} || !load.Rate.empty() {
+			loads = append(loads, load)
 		}
 	}
 	return loads
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -45,7 +45,7 @@
 // so that daemons deciding at the same time choose different upstreams. Upstreams
 // known from a summary are drawn at random by their free slots, for the same reason:
 // the one with the most free slots would be chosen by all until the next summary.
-func (p *Pool) pick(now time.Time, request SlotRequest) *upstreamState {
+func (p *Pool) pick(now time.Time, request SlotRequest, waited time.Duration) *upstreamState {
 	if request.Class == Batch && !request.Urgent && p.totals(request.Service).batch >= p.BatchCapacity(request.Service) {
 		return nil
 	}
@@ -64,14 +64,21 @@
 		if avoided || now.Before(request.NotBefore[u.ID]) {
 			continue
 		}
-		t := p.tier(now, u, request)
+		room := p.rateRoom(now, u, request.Class, waited)
+		if room == 0 {
+			continue
+		}
+		free := min(u.free(), room)
+		t := p.tier(now, u, request, free)
+		// Of what a rate limit allows, long batch items make more than short online requests.
+		c := candidate{u, t, free, (request.Class == Batch) == u.rateLimited()}
 		draw := 0.0
 		if t <= remotePreempting && p.isCoarse(u) {
 			draw = p.rand.Float64()
 		}
-		best.consider(u, t, draw)
+		best.consider(c, draw)
 		if !u.ejected(now, request.Class) {
-			bestNotEjected.consider(u, t, draw)
+			bestNotEjected.consider(c, draw)
 		}
 	}
 	if ejectFailing(failing, ready) {
@@ -80,10 +87,19 @@
 	return best.upstream
 }
 
-// bestCandidate is the best upstream considered so far.
-type bestCandidate struct {
+// candidate is an upstream that a slot request may get.
+type candidate struct {
 	upstream *upstreamState
 	tier     tier
+	// free is the number of free slots, as far as the rate limit allows to use them.
+	free int
+	// preferred is set if the upstream is taken before others of its tier.
+	preferred bool
+}
+
+// bestCandidate is the best candidate considered so far.
+type bestCandidate struct {
+	candidate
 	// drawnFree is the number of free slots of all candidates of the tier that are
 	// drawn at random.
 	drawnFree int
@@ -91,24 +107,24 @@
 
 // consider replaces the candidate by a better one. A draw above zero, uniform up to
 // one, makes it a random choice in which each free slot has the same chance.
-func (c *bestCandidate) consider(u *upstreamState, t tier, draw float64) {
-	if t == unusable || c.upstream != nil && t > c.tier {
+func (best *bestCandidate) consider(c candidate, draw float64) {
+	if c.tier == unusable || best.upstream != nil && c.tier > best.tier {
 		return
 	}
-	if c.upstream == nil || t < c.tier {
-		c.upstream, c.tier, c.drawnFree = u, t, max(1, u.free())
+	if best.upstream == nil || c.tier < best.tier {
+		best.candidate, best.drawnFree = c, max(1, c.free)
 		return
 	}
 	if draw == 0 {
-		if better(u, c.upstream) {
-			c.upstream = u
+		if c.better(best.candidate) {
+			best.candidate = c
 		}
 		return
 	}
-	weight := max(1, u.free())
-	c.drawnFree += weight
-	if draw*float64(c.drawnFree) < float64(weight) {
-		c.upstream = u
+	weight := max(1, c.free)
+	best.drawnFree += weight
+	if draw*float64(best.drawnFree) < float64(weight) {
+		best.candidate = c
 	}
 }
 
@@ -132,15 +148,20 @@
 	return false
 }
 
-// better reports whether a is preferred to b within a tier.
-func better(a, b *upstreamState) bool {
-	if a.free() != b.free() {
-		return a.free() > b.free()
+// better reports whether a candidate is preferred to another one of its tier.
+func (c candidate) better(other candidate) bool {
+	switch {
+	case c.preferred != other.preferred:
+		return c.preferred
+	case c.free != other.free:
+		return c.free > other.free
 	}
-	return a.tieBreak > b.tieBreak
+	return c.upstream.tieBreak > other.upstream.tieBreak
 }
 
-func (p *Pool) tier(now time.Time, u *upstreamState, request SlotRequest) tier {
+// tier ranks an upstream of which a request may use a number of free slots. Online requests
+// may also use those of batch.
+func (p *Pool) tier(now time.Time, u *upstreamState, request SlotRequest, free int) tier {
 	local := u.DataCentre == p.options.DataCentre
 	unhealthy := u.isSuspect(now) || u.Silent
 	if request.Class == Batch {
@@ -151,15 +172,19 @@
 		return unusable
 	case unhealthy:
 		return lastResort
-	case u.free() >= spareThreshold && local:
+	case u.rateLimited() && local:
+		return localFree
+	case u.rateLimited():
+		return remoteFree
+	case free >= spareThreshold && local:
 		return localSpare
-	case u.free() >= p.remoteSpareThreshold(u):
+	case free >= p.remoteSpareThreshold(u):
 		return remoteSpare
-	case u.free() > 0 && local:
+	case free > 0 && local:
 		return localFree
 	case !local && p.isCoarse(u) && p.spareShare[u.DataCentre] < minSpareShare:
 		return unusable
-	case u.free() > 0:
+	case free > 0:
 		return remoteFree
 	case local:
 		return localPreempting
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -119,6 +119,9 @@
 	QueueFull Reason = "queue_full"
 	// WaitTimeout means that no slot became free within MaxWait.
 	WaitTimeout Reason = "wait_over"
+	// RateLimited replaces QueueFull and WaitTimeout if an upstream has a free slot, but
+	// has stated a rate limit that allows no further request now.
+	RateLimited Reason = "rate_limited"
 )
 
 // fits reports whether an upstream may run the request.
@@ -159,6 +162,8 @@
 	health
 	// leaving is set once the upstream has said in an answer that it leaves.
 	leaving bool
+	// rateLimit is nil unless the upstream has stated a rate limit lately.
+	rateLimit *rateLimit
 	// tieBreak is a random number. Of equal upstreams, pick takes the highest.
 	tieBreak uint64
 }
@@ -182,6 +187,8 @@
 	sortedUpstreams []*upstreamState
 	// peerReports is keyed by LoadReport.Peer.
 	peerReports map[string]peerReport
+	// peersChange is the number of the latest change of the keys of peerReports.
+	peersChange uint64
 	// summarized holds the data centres with a summary in peerReports, spareShare their
 	// share of free slots at the latest summary.
 	summarized map[string]bool
@@ -246,6 +253,7 @@
 	}
 	state.Upstream = u
 	state.leaving = p.IsLeaving(u.ID, u.StartUnixMs)
+	p.bindRateLimit(u.ID)
 	if !known {
 		p.applyPeerReports()
 	}
@@ -335,7 +343,7 @@
 		return
 	}
 	if request.MaxWait <= 0 || !request.Bound && p.expectedWait(now, request.Service, ahead, boundAhead) > request.MaxWait {
-		p.refuse(now, queued, QueueFull)
+		p.refuse(now, queued, p.busyReason(now, request, QueueFull))
 		return
 	}
 	p.queue = slices.Insert(p.queue, index, queued)
@@ -409,6 +417,15 @@
 	p.refusals = append(p.refusals, Refusal{queued.slotRequest.ID, reason, retryAfter, queued.retrying})
 }
 
+// busyReason returns the reason of a refusal although there are upstreams for the request:
+// the given one, unless rate limits kept free slots from it.
+func (p *Pool) busyReason(now time.Time, request *SlotRequest, reason Reason) Reason {
+	if p.rateBlocked(now, request) {
+		return RateLimited
+	}
+	return reason
+}
+
 // Cancel removes a slot request from the queue.
 func (p *Pool) Cancel(id uint64) {
 	p.queue = slices.DeleteFunc(p.queue, func(queued queuedRequest) bool { return queued.slotRequest.ID == id })
@@ -436,7 +453,7 @@
 
 // HasSlot reports whether an upstream has a slot for a request.
 func (p *Pool) HasSlot(now time.Time, request SlotRequest) bool {
-	return p.pick(now, request) != nil
+	return p.pick(now, request, 0) != nil
 }
 
 // Release ends a grant, records the outcome and grants queued requests.
@@ -467,13 +484,14 @@
 // and refuses those that have waited for MaxWait. It must be called regularly.
 func (p *Pool) Tick(now time.Time) {
 	p.expirePeers(now)
+	p.expireRateLimits(now)
 	p.recordOnlinePeaks(now)
 	p.grantQueued(now)
 	p.queue = slices.DeleteFunc(p.queue, func(queued queuedRequest) bool {
 		if now.Sub(queued.queuedAt) < queued.slotRequest.MaxWait {
 			return false
 		}
-		p.refuse(now, queued, WaitTimeout)
+		p.refuse(now, queued, p.busyReason(now, &queued.slotRequest, WaitTimeout))
 		return true
 	})
 }
@@ -491,11 +509,12 @@
 }
 
 func (p *Pool) tryGrant(now time.Time, queued queuedRequest) bool {
-	u := p.pick(now, queued.slotRequest)
+	u := p.pick(now, queued.slotRequest, now.Sub(queued.queuedAt))
 	if u == nil {
 		return false
 	}
 	u.ownGrants[queued.slotRequest.Class]++
+	u.countRateLimited(now)
 	if queued.slotRequest.Class == Online {
 		p.statsOf(queued.slotRequest.Service).inFlight++
 	}
--- a/entrynode/node_test.go
+++ b/entrynode/node_test.go
@@ -44,7 +44,9 @@
 func (testCodec) SharedPromptParts(header http.Header) []string { return header["Test-Prompt-Part"] }
 
 func (testCodec) Decode(status int, header http.Header) upstream.ResponseHead {
+	rate, err := strconv.ParseFloat(header.Get("Limit"), 64)
 	return upstream.ResponseHead{
+		AcceptedRate: rate, RateStated: err == nil,
 		RequestID: header.Get("Id"), NotRun: header.Get("Not-Run") != "",
 		OtherInstance: status == http.StatusMisdirectedRequest, Genuine: header.Get("Mark") != "", Leaving: header.Get("Leaving") != "",
 	}
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -96,7 +96,7 @@
 		}, []string{"source"}),
 	}
 	d.rateChanges = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "briarcross_upstream_rate_changes_total", Help: "Rate limits of upstreams that began, changed or ended, by how this daemon learned it first: answer, worker, report.",
+		Name: "briarcross_upstream_rate_changes_total", Help: "Rate limits of upstreams that began, changed or ended, by how this daemon learned it first: answer, worker, report, expiry.",
 	}, []string{"source"})
 	d.Quarantine = NewQuarantine(logger, func() { d.follower.EvidenceChanged() })
 	d.StreamOrigins = newStreamOrigins(settings.Address, d.View, d.sendDatagram)
--- a/node/load_exchange.go
+++ b/node/load_exchange.go
@@ -131,7 +131,7 @@
 func encodeLoads(loads []dispatch.UpstreamLoad) []*pb.UpstreamLoad {
 	encoded := make([]*pb.UpstreamLoad, 0, len(loads))
 	for _, load := range loads {
-		encoded = append(encoded, &pb.UpstreamLoad{
+		message := &pb.UpstreamLoad{
 			Id:                load.Upstream,
 			Online:            uint32(load.Online),
 			Batch:             uint32(load.Batch),
@@ -139,7 +139,13 @@
 			Failures:          uint32(load.Failures),
 			Leaving:           load.Leaving,
 			LeavingBornUnixMs: load.LeavingStartUnixMs,
-		})
+		}
+		if rate := load.Rate; rate != (dispatch.UpstreamRate{}) {
+			message.Rate = &pb.UpstreamRate{
+				BornUnixMs: rate.StartUnixMs, Stated: rate.Stated, PerSecond: rate.PerSecond, AgeMs: milliseconds(rate.Age), Sent: rate.Sent, KnownForMs: milliseconds(rate.KnownFor),
+			}
+		}
+		encoded = append(encoded, message)
 	}
 	return encoded
 }
@@ -167,7 +173,15 @@
 			Failures:           int(load.GetFailures()),
 			Leaving:            load.GetLeaving(),
 			LeavingStartUnixMs: load.GetLeavingBornUnixMs(),
+			Rate:               decodeRate(load.GetRate()),
 		})
 	}
 	return decoded
 }
+
+func decodeRate(rate *pb.UpstreamRate) dispatch.UpstreamRate {
+	return dispatch.UpstreamRate{
+		StartUnixMs: rate.GetBornUnixMs(), Stated: rate.GetStated(), PerSecond: rate.GetPerSecond(),
+		Age: time.Duration(rate.GetAgeMs()) * time.Millisecond, Sent: rate.GetSent(), KnownFor: time.Duration(rate.GetKnownForMs()) * time.Millisecond,
+	}
+}
--- a/node/load_exchange_test.go
+++ b/node/load_exchange_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/briarcross/briarcross/dispatch"
 	"github.com/briarcross/briarcross/pb"
@@ -135,3 +137,17 @@
 		Loads: []dispatch.UpstreamLoad{{Upstream: "u", Online: 2, Batch: 1}},
 	}))
 }
+
+func TestRateLimitsAreEncodedInLoadReports(t *testing.T) {
+	expect := NewWithT(t)
+	loads := []dispatch.UpstreamLoad{
+		{Upstream: "limited", Online: 1, Rate: dispatch.UpstreamRate{Stated: true, PerSecond: 2.5, Age: 30 * time.Millisecond, StartUnixMs: 7, Sent: 4, KnownFor: time.Second}},
+		{Upstream: "ended", Rate: dispatch.UpstreamRate{Stated: true, PerSecond: math.Inf(1)}},
+		{Upstream: "other", Batch: 1},
+	}
+	encoded, err := proto.Marshal(&pb.LoadReport{Loads: encodeLoads(loads)})
+	expect.Expect(err).NotTo(HaveOccurred())
+	var report pb.LoadReport
+	expect.Expect(proto.Unmarshal(encoded, &report)).To(Succeed())
+	expect.Expect(DecodeLoadReport(&pb.Header{}, &report).Loads).To(Equal(loads))
+}
--- a/node/slot_pool.go
+++ b/node/slot_pool.go
@@ -183,7 +183,7 @@
 func (s *SlotPool) DataCentreLoads() []dispatch.UpstreamLoad {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.pool.DataCentreLoads()
+	return s.pool.DataCentreLoads(time.Now())
 }
 
 // BatchPreemptions returns the number of batch runs to preempt by upstream ID.
@@ -267,13 +267,14 @@
 	for _, change := range leaving {
 		s.hooks.Leaving(change)
 	}
-	for _, change := range s.pool.RateChanges() {
+	rateChanges := s.pool.RateChanges()
+	for _, change := range rateChanges {
 		s.hooks.RateChanged(change)
 	}
 	for _, request := range s.pool.PreemptionRequests() {
 		s.hooks.PreemptionRequested(request)
 	}
-	if len(granted) > 0 || len(leaving) > 0 {
+	if len(granted)+len(leaving)+len(rateChanges) > 0 {
 		s.hooks.LoadChanged()
 	}
 }
