Log which request an engine that was lost had begun to answer

The logs did not show whether the attempts without an event, one at each lost engine, were one request that came again (hypothesis 1) or several with the same parts (2). attempt_interrupted of an entry has a digest of the content now.

--- a/entrynode/prompt.go
+++ b/entrynode/prompt.go
@@ -1,6 +1,10 @@
 package entrynode
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+
 	"github.com/briarcross/briarcross/dispatch"
 	"github.com/briarcross/briarcross/eventlog"
 	"github.com/briarcross/briarcross/quarantine"
@@ -10,6 +14,21 @@
 // crash.
 const promptQuarantined = "prompt_quarantined"
 
+// digestBytes is the length of the digest of a request.
+const digestBytes = 12
+
+// requestDigest identifies the content of a request. The same request has the same digest
+// when it comes again, at any entry.
+func (x *exchange) requestDigest() string {
+	h := sha256.New()
+	// Writes to a hash do not fail.
+	for _, field := range []string{x.request.Method, x.request.Host, x.request.RequestURI} {
+		_, _ = io.WriteString(h, field+"\n")
+	}
+	_, _ = h.Write(x.body)
+	return hex.EncodeToString(h.Sum(nil)[:digestBytes])
+}
+
 // endIfQuarantined ends a request on whose prompt engines crash.
 func (x *exchange) endIfQuarantined() bool {
 	remaining, quarantined := x.node.Quarantine.Check(x.promptParts)
@@ -35,7 +54,7 @@
 		return
 	}
 	x.node.logger.Info(eventlog.AttemptInterrupted, "request", x.headers.ID, "upstream", grant.Upstream, "born", grant.StartUnixMs,
-		"reason", reason, "answering", answering, "events", events, "parts", x.promptParts)
+		"reason", reason, "answering", answering, "events", events, "parts", x.promptParts, "content", x.requestDigest())
 	if answering && events < quarantine.MinServedEvents {
 		x.node.Quarantine.RecordCrash(grant, x.promptParts)
 	}
