--- a/e2e/platform_engine_test.go
+++ b/e2e/platform_engine_test.go
@@ -44,6 +44,9 @@
 // deadlyPart is a part of prompts on which each engine crashes when it begins to answer.
 const deadlyPart = "dead1"
 
+// deadlyBody is the body of a request on which each engine crashes when it begins to answer.
+const deadlyBody = "deadly body"
+
 // eventCount returns the number of events in the complete response to a request,
 // derived from its ID.
 func eventCount(id string) int {
@@ -249,10 +252,11 @@
 		w.WriteHeader(http.StatusUnprocessableEntity)
 		return
 	}
-	e.stream(w, r, id)
+	e.stream(w, r, id, strings.Contains(r.Header.Get(headerPromptParts), deadlyPart) || string(body) == deadlyBody)
 }
 
-func (e *fakeEngine) stream(w http.ResponseWriter, r *http.Request, id string) {
+// stream sends the events of a response, or crashes after its head.
+func (e *fakeEngine) stream(w http.ResponseWriter, r *http.Request, id string, crash bool) {
 	lastID, err := strconv.Atoi(r.Header.Get(headerLastEventID))
 	if err != nil {
 		lastID = 0
@@ -264,7 +268,7 @@
 	}
 	w.Header().Set(headerStamp, e.id+"."+id)
 	w.Header().Set("Content-Type", "text/event-stream")
-	if strings.Contains(r.Header.Get(headerPromptParts), deadlyPart) {
+	if crash {
 		e.startUnixMs.Store(time.Now().UnixMilli())
 		e.crashes.Add(1)
 		_ = http.NewResponseController(w).Flush()
--- a/e2e/platform_poison_test.go
+++ b/e2e/platform_poison_test.go
@@ -29,7 +29,11 @@
 }
 
 func (f *platformFleet) newPrompt(n *platformNode, prompt, id string) (*http.Request, error) {
-	request, err := http.NewRequest(http.MethodPost, "http://"+n.callersAddress()+"/resumable/x", strings.NewReader("prompt"))
+	return f.newPromptWithBody(n, prompt, "prompt", id)
+}
+
+func (f *platformFleet) newPromptWithBody(n *platformNode, prompt, body, id string) (*http.Request, error) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+n.callersAddress()+"/resumable/x", strings.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
@@ -138,3 +142,41 @@
 	}
 	s.t.Logf("%d engine crashes on prompts", before)
 }
+
+// sendDeadlyRequest sends one deadly request again.
+func (f *platformFleet) sendDeadlyRequest(n *platformNode, id string) streamResponse {
+	request, err := f.newPromptWithBody(n, soundPrompt, deadlyBody, id)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return f.doRequest(f.client, request)
+}
+
+// One request came again and again, at any entry. Its prompt has no part of its own that
+// others share.
+func TestRepeatedRequestCrashesEnginesForEachDaemonAnew(t *testing.T) {
+	t.Parallel()
+	expect := NewWithT(t)
+	f := startPlatformFleet(t, 2, 6, false)
+	sent := 0
+	repeat := func(n *platformNode) func() int {
+		return func() int {
+			sent++
+			return f.sendDeadlyRequest(n, fmt.Sprint("deadly-", sent)).status
+		}
+	}
+	const interval = 150 * time.Millisecond
+	for _, n := range f.entries {
+		expect.Eventually(repeat(n), 5*time.Second, interval).Should(Equal(http.StatusServiceUnavailable), n.name)
+	}
+	for _, n := range f.entries {
+		expect.Consistently(repeat(n), 10*interval, interval).Should(Equal(http.StatusServiceUnavailable), n.name)
+		f.await(n.name+" completes a sound request", func() bool { return f.sendPrompt(n, soundPrompt, "sound-"+n.name).complete })
+	}
+	n := f.entries[0]
+	n.kill()
+	f.startNode(n, false)
+	f.await("a restarted entry completes a sound request", func() bool { return f.sendPrompt(n, soundPrompt, "sound-restarted").complete })
+	expect.Eventually(repeat(n), 5*time.Second, interval).Should(Equal(http.StatusServiceUnavailable))
+	expect.Expect(f.deadlyRuns()).To(BeNumerically("<=", maxDeadlyRuns))
+}
--- a/entrynode/node_test.go
+++ b/entrynode/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -123,9 +124,11 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.ReadAll(r.Body); err != nil {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
 			return
 		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
 		e.received <- r
 		response := script(int(e.requestCount.Add(1)), r)
 		raw, cut := strings.CutSuffix(response, "<cut>")
--- a/entrynode/poison_test.go
+++ b/entrynode/poison_test.go
@@ -1,6 +1,7 @@
 package entrynode
 
 import (
+	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -116,3 +117,63 @@
 	_, quarantined := n.Quarantine.Check([]string{"part"})
 	expect.Expect(quarantined).To(BeFalse())
 }
+
+// sendBody sends a request for a stream with a body. Its prompt has a part that all requests
+// share.
+func sendBody(t *testing.T, url, path, body string) callerResponse {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodPost, url+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "h"
+	r.Header.Set("Id", "r1")
+	r.Header.Set("Timeout-Ms", "2500")
+	r.Header[promptPart] = []string{"shared"}
+	return do(r)
+}
+
+// startCrashingOn starts engines that end a connection with the given bytes when they begin to
+// run a request with the body "deadly".
+func startCrashingOn(t *testing.T, count int, end string) (engines []*engine, crashes *atomic.Int32) {
+	t.Helper()
+	crashes = &atomic.Int32{}
+	for range count {
+		engines = append(engines, startEngine(t, func(_ int, r *http.Request) string {
+			body, err := io.ReadAll(r.Body)
+			if err == nil && string(body) == "deadly" {
+				crashes.Add(1)
+				return end
+			}
+			return chunked("r1", events(1, 6))
+		}))
+	}
+	return engines, crashes
+}
+
+// One request comes again and again. Its prompt has no part of its own that others could
+// share, and the shared ones are served.
+func TestRepeatedRequestCrashesOneEngineAfterAnother(t *testing.T) {
+	for name, end := range map[string]string{"after the head": crashHead, "before the head": "<cut>"} {
+		t.Run(name, func(t *testing.T) {
+			expect := NewWithT(t)
+			engines, crashes := startCrashingOn(t, 12, end)
+			url, _ := startEntry(t, engines...)
+			expect.Expect(sendBody(t, url, "/resume/x", "sound").status).To(Equal(http.StatusOK))
+			var refused callerResponse
+			expect.Eventually(func() int {
+				refused = sendBody(t, url, "/resume/x", "deadly")
+				return refused.status
+			}, 2*time.Second, pollInterval).Should(Equal(http.StatusServiceUnavailable))
+			expect.Expect(refused.retryAfter).NotTo(BeEmpty())
+			expect.Expect(crashes.Load()).To(BeNumerically("<=", 5))
+			received := crashes.Load()
+			for range 3 {
+				expect.Expect(sendBody(t, url, "/resume/x", "deadly").status).To(Equal(http.StatusServiceUnavailable))
+			}
+			expect.Expect(crashes.Load()).To(Equal(received))
+			expect.Expect(sendBody(t, url, "/resume/x", "sound").body).To(Equal(events(1, 6)))
+			expect.Expect(sendBody(t, url, "/resume/other", "sound").body).To(Equal(events(1, 6)))
+		})
+	}
+}
