Run items whose prompt is in quarantine, one at a time

What callers saw: an item with a part in quarantine was kept back for as long as that lasts, ten minutes after the last crash, and so until its abandon time, although an item cannot be what crashes the engines: the part was accused wrongly, and nothing was left that could clear it.

Change: of the items with a part in quarantine, one is started every 15 s. Its answer releases the part, and the others run. An item whose runs are interrupted three times in a row without output waits 1 s to 8 s for the next one.

--- a/jobpages/scheduler.go
+++ b/jobpages/scheduler.go
@@ -41,6 +41,10 @@
 	versionBusySince time.Time
 	// Failures is the number of runs that ended as Failed.
 	Failures int
+	// FruitlessRuns is the number of runs in a row that were interrupted without output,
+	// eventsAtStart the value of EventCount at the start of the latest run.
+	FruitlessRuns int
+	eventsAtStart int
 	// NotBefore is the earliest time of the next run.
 	NotBefore time.Time
 	// Upstream is the ID of the upstream that runs the item; empty while it waits.
@@ -62,6 +66,12 @@
 	// restartDelay is the delay of the next run after a run that was interrupted
 	// or not run. It gives the previous engine time to stop.
 	restartDelay = 50 * time.Millisecond
+	// FruitlessLimit is the number of fruitless runs from which on each delays the next run
+	// by twice as much as the one before: from fruitlessBackoff to maxFruitlessBackoff. The
+	// engines may be lost because of the item, and its result is owed all the same.
+	FruitlessLimit      = 3
+	fruitlessBackoff    = time.Second
+	maxFruitlessBackoff = 8 * time.Second
 	// abandonMargin is the margin before its abandon time within which an item
 	// takes precedence over all others. It leaves time for a change of leader
 	// and another run.
@@ -119,6 +129,7 @@
 	}
 	progress.Upstream = upstream
 	progress.DueAt = dueAt
+	progress.eventsAtStart = progress.EventCount
 	return progress
 }
 
@@ -160,11 +171,17 @@
 		return 0
 	}
 	progress.AvoidUpstream = ""
+	if progress.EventCount > progress.eventsAtStart {
+		progress.FruitlessRuns = 0
+	}
 	switch outcome {
 	case Preempted:
 		progress.versionBusySince = time.Time{}
 	case Interrupted:
-		progress.NotBefore = now.Add(restartDelay)
+		if progress.EventCount == progress.eventsAtStart {
+			progress.FruitlessRuns++
+		}
+		progress.NotBefore = now.Add(progress.interruptionDelay())
 		progress.AvoidUpstream = progress.Upstream
 	case Failed:
 		progress.Failures++
@@ -179,6 +196,14 @@
 	return progress.Failures
 }
 
+// interruptionDelay returns the delay of the next run after an interrupted one.
+func (p *ItemProgress) interruptionDelay() time.Duration {
+	if p.FruitlessRuns < FruitlessLimit {
+		return restartDelay
+	}
+	return min(fruitlessBackoff<<min(p.FruitlessRuns-FruitlessLimit, 8), maxFruitlessBackoff)
+}
+
 // RestoreProgress sets the progress of an item to the saved one, unless the
 // scheduler has the item already or nothing is saved.
 func (s *Scheduler) RestoreProgress(key ItemKey, saved *pb.PageProgress) {
--- a/jobpages/scheduler_test.go
+++ b/jobpages/scheduler_test.go
@@ -95,3 +95,28 @@
 	expect.Expect(CheckEligibility(job, time.UnixMilli(105_000), 1, true)).To(Equal(Eligible))
 	expect.Expect(CheckEligibility(job, time.UnixMilli(111_000), 1, true)).To(Equal(KeptTooLong))
 }
+
+// Whatever interrupts the runs, an item without output must not take one engine after another,
+// and one that has output goes on at once.
+func TestFruitlessRunsFollowEachOtherAtOnce(t *testing.T) {
+	expect := NewWithT(t)
+	now := time.UnixMilli(0)
+	scheduler := NewScheduler()
+	key := ItemKey{"a", 0}
+	end := func(events int, outcome RunOutcome) time.Duration {
+		progress := scheduler.RecordStart(now, key, "u", now)
+		progress.EventCount += events
+		scheduler.RecordEnd(now, key, outcome)
+		return progress.NotBefore.Sub(now)
+	}
+	var delays []time.Duration
+	for range 8 {
+		delays = append(delays, end(0, Interrupted))
+	}
+	expect.Expect(delays).To(Equal([]time.Duration{
+		restartDelay, restartDelay, time.Second, 2 * time.Second, 4 * time.Second, 8 * time.Second, 8 * time.Second, 8 * time.Second,
+	}))
+	expect.Expect(end(0, Preempted)).To(Equal(8 * time.Second))
+	expect.Expect(end(1, Interrupted)).To(Equal(restartDelay))
+	expect.Expect(end(0, Interrupted)).To(Equal(restartDelay))
+}
--- a/storenode/item.go
+++ b/storenode/item.go
@@ -73,6 +73,9 @@
 	}
 	n.logger.Info(event, "request", x.item.GetId(), "job", x.key.JobID, "item", x.key.Index, "upstream", x.grant.Upstream,
 		"reason", reason, "status", status, "events", progress.EventCount, "last_event", progress.LastEventID)
+	if outcome == jobpages.Interrupted && progress.FruitlessRuns >= jobpages.FruitlessLimit {
+		x.runner.recordPostponed(x.key, x.item, "fruitless_runs", time.Until(progress.NotBefore))
+	}
 	x.runner.wake()
 }
 
--- a/storenode/metrics.go
+++ b/storenode/metrics.go
@@ -31,7 +31,7 @@
 			Name: "briarcross_items_restarted_total", Help: "Items whose output was discarded because another software version runs them now, by reason.",
 		}, []string{"reason"}),
 		postponed: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "briarcross_items_postponed_total", Help: "Times that an item was kept back because engines crashed on a part of its prompt.",
+			Name: "briarcross_items_postponed_total", Help: "Times that an item waited longer for a run: because engines crashed on a part of its prompt, or run after run was interrupted without output.",
 		}),
 		runTime: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "briarcross_item_run_seconds", Help: "Time of the last run of an item.", Buckets: runTimeBuckets,
--- a/storenode/runner.go
+++ b/storenode/runner.go
@@ -42,7 +42,9 @@
 	dueMargin = 6 * time.Second
 	// quarantineRecheck is the time after which an item with a part in quarantine is
 	// looked at again.
-	quarantineRecheck = 2 * time.Second
+	quarantineRecheck = 500 * time.Millisecond
+	// trialInterval is the time between two starts of items with a part in quarantine.
+	trialInterval = 15 * time.Second
 )
 
 // runner runs the items of the open jobs while this replica leads.
@@ -63,6 +65,8 @@
 	// runs holds the runs in progress.
 	runs      map[jobpages.ItemKey]runHandle
 	estimator *jobpages.RunTimeEstimator
+	// triedAt is the time of the last start of an item with a part in quarantine.
+	triedAt time.Time
 	// ctx is the parent of all runs; it is cancelled when leadership changes.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -303,32 +307,55 @@
 	r.scheduler.RestoreProgress(key, saved)
 	parent := r.ctx
 	r.mu.Unlock()
-	if _, quarantined := r.node.Quarantine.Check(r.promptParts(item)); quarantined {
+	_, quarantined := r.node.Quarantine.Check(r.promptParts(item))
+	if quarantined && !r.mayTry(time.Now()) {
 		r.postpone(key, item)
 		return handled
 	}
 	grant, reason, result := r.acquireSlot(parent, key, job, route, openCount, round)
 	if result == handled {
 		r.startRun(parent, key, job, item, grant, reason)
+		if quarantined {
+			r.setTried(time.Now())
+		}
 	}
 	return result
 }
 
-// promptParts returns the IDs of the parts of an item's prompt that other requests may
-// share.
-func (r *runner) promptParts(item *pb.PageItem) []string {
-	return r.codec.SharedPromptParts(itemHeader(item))
+// mayTry reports whether an item with a part in quarantine may start. Each item is owed its
+// result, and its answer releases the part; if engines do crash on it, they are lost one at
+// a time.
+func (r *runner) mayTry(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now.Sub(r.triedAt) >= trialInterval
 }
 
-// postpone keeps back an item on whose prompt engines crash. It may be held until its
-// abandon time: an engine has not failed it.
+func (r *runner) setTried(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.triedAt = now
+}
+
+// postpone keeps back an item with a part in quarantine while another one is tried.
 func (r *runner) postpone(key jobpages.ItemKey, item *pb.PageItem) {
 	r.mu.Lock()
 	r.scheduler.Postpone(key, time.Now().Add(quarantineRecheck))
 	r.mu.Unlock()
+	r.recordPostponed(key, item, "prompt_quarantined", quarantineRecheck)
+}
+
+// recordPostponed records that an item waits longer for its next run.
+func (r *runner) recordPostponed(key jobpages.ItemKey, item *pb.PageItem, reason string, delay time.Duration) {
 	r.node.metrics.postponed.Inc()
 	r.node.logger.Info(eventlog.ItemPostponed, "request", item.GetId(), "job", key.JobID, "item", key.Index,
-		"reason", "prompt_quarantined", "delay_ms", quarantineRecheck.Milliseconds())
+		"reason", reason, "delay_ms", delay.Milliseconds())
+}
+
+// promptParts returns the IDs of the parts of an item's prompt that other requests may
+// share.
+func (r *runner) promptParts(item *pb.PageItem) []string {
+	return r.codec.SharedPromptParts(itemHeader(item))
 }
 
 // acquireSlot acquires a slot for an item. An item with output gets one of the software
