Do not take a rate-limited engine full of batch for a free one

What callers saw: nothing; found by reading. An online request went to a rate-limited engine of its data centre whose slots were all held by batch, and had an item preempted, though another data centre had free slots.

Cause: the tier of a rate-limited engine did not look at its free slots. Change: it does. Also, a limit that differs by less than a tenth from the last reported one is no event: an engine may state a slightly different one in each answer. The bound of the level and the number of daemons that may send without waiting have names.

TestRateLimitedUpstreamFullOfBatchIsTakenForFree failed before, and TestSmallChangesOfARateLimitAreReported tests the rest.

--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -18,7 +18,8 @@
 	// LeavingStartUnixMs is its start time then, zero if unknown.
 	Leaving            bool
 	LeavingStartUnixMs uint64
-	Rate               UpstreamRate
+	// Rate is what the daemon tells of the upstream's rate limit.
+	Rate UpstreamRate
 }
 
 // LoadReport is the load report of another daemon, or the sum of the reports of
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -172,9 +172,9 @@
 		return unusable
 	case unhealthy:
 		return lastResort
-	case u.rateLimited() && local:
+	case u.rateLimited() && free > 0 && local:
 		return localFree
-	case u.rateLimited():
+	case u.rateLimited() && free > 0:
 		return remoteFree
 	case free >= spareThreshold && local:
 		return localSpare
--- a/dispatch/ratelimit.go
+++ b/dispatch/ratelimit.go
@@ -16,6 +16,14 @@
 	// rankDelay is the time for which a daemon leaves the next request of a rate-limited
 	// upstream to a daemon of better rank. It covers the way of a load report.
 	rankDelay = 50 * time.Millisecond
+	// maxLevel limits the level of an upstream, in multiples of its capacity: however many
+	// requests were sent, it gets further ones after a few rateMemory.
+	maxLevel = 4
+	// ranksPerRequest is the number of daemons that may send without waiting for each
+	// request that the limit leaves room for. Few of them have one to send at the time.
+	ranksPerRequest = 2
+	// minRateChange is the share by which a limit must change to be reported.
+	minRateChange = 0.1
 	// batchRateShare is the share of what a rate-limited upstream takes at once that batch
 	// leaves to online requests.
 	batchRateShare = 0.5
@@ -49,7 +57,8 @@
 	Source  NoticeSource
 }
 
-// RateChange reports that a pool has learned of another rate limit of an upstream.
+// RateChange reports that a pool has learned that a rate limit of an upstream began, ended
+// or changed.
 type RateChange struct {
 	RateNotice
 	// Previous is the limit that was known before, +Inf if there was none.
@@ -66,6 +75,8 @@
 	// time at which it was made.
 	perSecond float64
 	statedAt  time.Time
+	// reported is the limit as of the last RateChange.
+	reported float64
 	// heardPerSecond is the latest statement in an answer to this daemon or its workers,
 	// heardAt the time of the answer.
 	heardPerSecond float64
@@ -104,14 +115,13 @@
 	}
 }
 
-// add counts requests. However many were sent, the upstream gets further ones after a few
-// rateMemory.
+// add counts requests.
 func (l *rateLimit) add(now time.Time, requests uint32) {
 	l.decay(now)
 	l.total += requests
 	l.level += float64(requests)
 	if !l.ended() {
-		l.level = min(l.level, 4*rateCapacity(l.perSecond))
+		l.level = min(l.level, maxLevel*rateCapacity(l.perSecond))
 	}
 }
 
@@ -134,7 +144,7 @@
 			return
 		}
 		limit = &rateLimit{
-			startUnixMs: notice.StartUnixMs, perSecond: math.Inf(1), knownSince: now, peerSent: make(map[string]peerCount),
+			startUnixMs: notice.StartUnixMs, perSecond: math.Inf(1), reported: math.Inf(1), knownSince: now, peerSent: make(map[string]peerCount),
 			// What was sent before is unknown.
 			level: rateCapacity(notice.PerSecond), levelAt: now,
 		}
@@ -151,13 +161,22 @@
 		return
 	}
 	limit.statedAt = statedAt
-	if limit.perSecond != notice.PerSecond {
-		p.rateChanges = append(p.rateChanges, RateChange{notice, limit.perSecond})
-		limit.perSecond = notice.PerSecond
+	limit.perSecond = notice.PerSecond
+	if differs(limit.reported, notice.PerSecond) {
+		p.rateChanges = append(p.rateChanges, RateChange{notice, limit.reported})
+		limit.reported = notice.PerSecond
 		p.grantQueued(now)
 	}
 }
 
+// differs reports whether a limit differs from another one by minRateChange or more.
+func differs(a, b float64) bool {
+	if math.IsInf(a, 1) || math.IsInf(b, 1) {
+		return a != b
+	}
+	return math.Abs(a-b) > minRateChange*max(a, b)
+}
+
 // bindRateLimit sets the limit in the record of an upstream if it concerns its start.
 func (p *Pool) bindRateLimit(id string) {
 	u, known := p.upstreams[id]
@@ -191,7 +210,7 @@
 		p.bindRateLimit(id)
 		if !limit.ended() {
 			notice := RateNotice{Upstream: id, StartUnixMs: limit.startUnixMs, PerSecond: math.Inf(1), Source: SourceExpiry}
-			p.rateChanges = append(p.rateChanges, RateChange{notice, limit.perSecond})
+			p.rateChanges = append(p.rateChanges, RateChange{notice, limit.reported})
 		}
 	}
 }
@@ -223,7 +242,7 @@
 	// The level as of the time when a daemon of the best rank might have sent.
 	level := limit.level * math.Exp(float64(rank)*rankDelay.Seconds()/rateMemory.Seconds())
 	room := max(0, int(capacity-level))
-	if class == Online && rank > 2*room+int(waited/rankDelay) {
+	if class == Online && rank > ranksPerRequest*room+int(waited/rankDelay) {
 		return 0
 	}
 	return (room + rank) / (rank + 1)
--- a/dispatch/ratelimit_test.go
+++ b/dispatch/ratelimit_test.go
@@ -268,3 +268,26 @@
 	p.RemoveUpstream("a")
 	expect.Expect(p.rateLimits).To(BeEmpty())
 }
+
+// An upstream whose slots are all held by batch is not free, whatever its limit allows.
+func TestRateLimitedUpstreamFullOfBatchIsTakenForFree(t *testing.T) {
+	expect := NewWithT(t)
+	p := newPool(readyUpstream("a", "near", 2), readyUpstream("b", "far", 2))
+	p.RecordRate(start, rateNotice("a", 0, 9))
+	p.ApplyLoadReport(start, LoadReport{Peer: "runner", Sequence: 1, DataCentre: "near", Loads: []UpstreamLoad{{Upstream: "a", Batch: 2}, {Upstream: "b", Online: 1}}})
+	g, _ := requestSlot(p, timeAt(900), immediateRequest(1))
+	expect.Expect(g.Upstream).To(Equal("b"))
+}
+
+// Limits that are stated anew in each answer may differ a little each time.
+func TestSmallChangesOfARateLimitAreReported(t *testing.T) {
+	expect := NewWithT(t)
+	p := limitedPool(2)
+	for _, perSecond := range []float64{2.1, 1.95, 2.15} {
+		p.RecordRate(timeAt(10), rateNotice("a", 0, perSecond))
+	}
+	expect.Expect(p.RateChanges()).To(HaveLen(1))
+	expect.Expect(p.rateLimits["a"].perSecond).To(Equal(2.15))
+	p.RecordRate(timeAt(20), rateNotice("a", 0, 3))
+	expect.Expect(p.RateChanges()).To(HaveLen(1))
+}
