--- a/storenode/leaving_test.go
+++ b/storenode/leaving_test.go
@@ -55,24 +55,31 @@
 	}
 }
 
+// executeRun executes a run on its leader or on a worker. The channel receives the status with
+// which it ends.
+func executeRun(t *testing.T, run *testRun, onWorker bool) <-chan int {
+	t.Helper()
+	var workers []string
+	if onWorker {
+		workers = append(workers, startWorker(t).address)
+	}
+	run.item.runner.workers = startLeader(t, 1, workers...)
+	run.item.runner.engines = startWorker(t).service.engines
+	ended := make(chan int, 1)
+	go func() {
+		_, status, _ := run.item.execute(context.Background())
+		ended <- status
+	}()
+	return ended
+}
+
 // The engine says that it leaves at the start of a long run.
 func TestLeavingEngineGetsFurtherItems(t *testing.T) {
 	for name, runsOnWorker := range map[string]bool{"leader": false, "worker": true} {
 		t.Run(name, func(t *testing.T) {
 			expect := NewWithT(t)
 			e, run, slots := startLeavingRun(t)
-			var workers []string
-			if runsOnWorker {
-				workers = append(workers, startWorker(t).address)
-			}
-			leader := startLeader(t, 1, workers...)
-			run.item.runner.workers = leader
-			run.item.runner.engines = startWorker(t).service.engines
-			ended := make(chan int, 1)
-			go func() {
-				_, status, _ := run.item.execute(context.Background())
-				ended <- status
-			}()
+			ended := executeRun(t, run, runsOnWorker)
 			expect.Eventually(refusedReason(slots), testTimeout, time.Millisecond).Should(Equal(dispatch.NoUpstream))
 			expect.Consistently(ended, 50*time.Millisecond).ShouldNot(Receive())
 			close(e.gate)
--- a/storenode/ratelimit_test.go
+++ b/storenode/ratelimit_test.go
@@ -1,7 +1,6 @@
 package storenode
 
 import (
-	"context"
 	"net/http"
 	"testing"
 	"time"
@@ -18,18 +17,7 @@
 			expect := NewWithT(t)
 			e, run, slots := startLeavingRun(t)
 			e.leaving, e.limit = false, "0.2"
-			var workers []string
-			if runsOnWorker {
-				workers = append(workers, startWorker(t).address)
-			}
-			leader := startLeader(t, 1, workers...)
-			run.item.runner.workers = leader
-			run.item.runner.engines = startWorker(t).service.engines
-			ended := make(chan int, 1)
-			go func() {
-				_, status, _ := run.item.execute(context.Background())
-				ended <- status
-			}()
+			ended := executeRun(t, run, runsOnWorker)
 			expect.Eventually(refusedReason(slots), testTimeout, time.Millisecond).Should(Equal(dispatch.RateLimited))
 			close(e.gate)
 			expect.Eventually(ended, testTimeout).Should(Receive(Equal(http.StatusOK)))
