--- a/entrynode/exchange.go
+++ b/entrynode/exchange.go
@@ -308,16 +308,7 @@
 		return mayHaveRun, "no_answer"
 	}
 	defer response.Close()
-	if response.EngineLeaves() {
-		x.node.Slots.MarkLeaving(dispatch.LeavingNotice{
-			Upstream: grant.Upstream, StartUnixMs: grant.StartUnixMs, Request: x.headers.ID, Source: dispatch.SourceAnswer,
-		})
-	}
-	if perSecond, stated := response.EngineRate(); stated {
-		x.node.Slots.RecordRate(dispatch.RateNotice{
-			Upstream: grant.Upstream, StartUnixMs: grant.StartUnixMs, PerSecond: perSecond, Request: x.headers.ID, Source: dispatch.SourceAnswer,
-		})
-	}
+	x.recordStatements(grant, response)
 	if response.NotRun || response.OtherInstance {
 		outcome = dispatch.Rejected
 		if response.OtherInstance {
