--- a/entrynode/prompt.go
+++ b/entrynode/prompt.go
@@ -65,8 +65,9 @@
 
 // recordInterruption logs that the connection to an upstream broke before the response
 // was complete. events is the number of events of this attempt. An engine that had just
-// begun to answer may have crashed on the prompt. Without the head of a response, a stream
-// had not begun; of other requests, that says nothing, and the request itself is suspected.
+// begun to answer may have crashed on the prompt. A stream whose
+// response has no head had not begun, and is not suspected. Other requests send their head at
+// their end, so that the request itself is suspected without one.
 func (x *exchange) recordInterruption(grant dispatch.Grant, reason string, answering bool, events int) {
 	if x.ctx.Err() != nil {
 		return
--- a/storenode/poison_test.go
+++ b/storenode/poison_test.go
@@ -35,8 +35,7 @@
 	expect.Expect(end.interrupted()).To(BeFalse())
 }
 
-// crashingUpstreams returns upstreams that crash when they begin to answer, unless the
-// condition is met.
+// crashingUpstreams returns upstreams that crash when they begin to answer, until sound is set.
 func crashingUpstreams(t *testing.T, count int, sound *atomic.Bool) []fleet.Upstream {
 	t.Helper()
 	var upstreams []fleet.Upstream
@@ -100,8 +99,8 @@
 	expect.Expect(quarantined).To(BeFalse())
 }
 
-// All items with a part in quarantine were kept back for as long as it lasts, and never started
-// at once if it was accused wrongly.
+// Items with a part in quarantine were kept back until their abandon time, also if the part was
+// accused wrongly. One of them is tried at a time.
 func TestItemsWithAQuarantinedPartAreKeptBack(t *testing.T) {
 	expect := NewWithT(t)
 	r := &runner{}
