Keep origins of streams at storage daemons too

While several software versions serve, the origin of each stream was kept by entries only. Two storage daemons keep the origin as well.

Joined streams were possible in one case: entries that have just started, and have heard from control of the new version only, confirmed to each other that there is no other (TestEntriesThatHaveJustStartedDecideAnOrigin fails before). A home answers that it cannot tell unless it hears from a control replica in contact with its majority, which knows the engines that left. Such a home no longer holds up the others.

Ruled out: records at control (three replicas for each stream of the fleet).

--- a/node/stream_origins.go
+++ b/node/stream_origins.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	// originQueryTimeout limits the search for an origin at other entries. It is far
+	// originQueryTimeout limits the search for an origin at other daemons. It is far
 	// below the pause that callers accept in a stream.
 	originQueryTimeout = 100 * time.Millisecond
 	// originQueryInterval is the interval at which a query is repeated: datagrams may
@@ -28,7 +28,7 @@
 
 // StreamOrigins records where streams began, and finds it for callers that take a
 // stream up. Nothing is sent when a stream begins that can have only one origin; a
-// search asks other entries unless this one has the record.
+// search asks the homes of the stream unless this daemon has the record.
 type StreamOrigins struct {
 	selfAddress string
 	view        *View
@@ -45,9 +45,11 @@
 	// related holds, for each service, the services that led with it to streams of one
 	// route before or after a change of that route, and until when these may be taken up.
 	related map[string]map[string]time.Time
-	// entries holds the addresses of all entries at a DaemonsVersion of the view.
-	entries        []string
-	entriesVersion uint64
+	// entries and storage hold the addresses of all daemons of a role at a
+	// DaemonsVersion of the view.
+	entries          []string
+	storage          []string
+	addressesVersion uint64
 	// queries holds the searches in progress by the number of their query.
 	queries   map[uint64]originQuery
 	lastQuery uint64
@@ -62,7 +64,7 @@
 			Name: "briarcross_stream_origin_datagrams_total", Help: "Datagrams about the origins of streams, by kind: record, query, reply, failed.",
 		}, []string{"kind"}),
 		found: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "briarcross_stream_origin_searches_total", Help: "Streams that callers took up, by how their origin was found: own, entry, only_origin, unknown.",
+			Name: "briarcross_stream_origin_searches_total", Help: "Streams that callers took up, by how their origin was found: own, home, only_origin, unknown.",
 		}, []string{"result"}),
 		table:   origins.NewTable(),
 		related: make(map[string]map[string]time.Time),
@@ -126,8 +128,8 @@
 }
 
 // Find returns the origin of the stream that a request began and that some services
-// may run. If no entry has a record, it is the only possible one, of which other entries
-// know too; the view of this daemon may be outdated.
+// may run. If no daemon has a record, it is the only possible one, if other daemons in
+// touch with control know of no other; the view of this daemon may be outdated.
 func (o *StreamOrigins) Find(ctx context.Context, requestID string, services []string) (origins.Origin, bool) {
 	origin, result := o.find(ctx, requestID, services)
 	o.found.WithLabelValues(result).Inc()
@@ -150,11 +152,13 @@
 	}
 	answers := 0
 	for reply := range o.ask(ctx, requestID, services) {
-		if reply.known && o.isAmbiguous(reply.origin) {
+		switch {
+		case reply.known && o.isAmbiguous(reply.origin):
 			return origins.Origin{}, "unknown"
-		}
-		if reply.known {
-			return reply.origin, "entry"
+		case reply.known:
+			return reply.origin, "home"
+		case reply.uninformed:
+			continue
 		}
 		answers++
 		if !slices.Equal(reply.possible, possible) {
@@ -209,18 +213,20 @@
 	replies   chan originReply
 }
 
-// originReply is the reply of one entry to a query.
+// originReply is the reply of one home to a query.
 type originReply struct {
 	from   string
 	origin origins.Origin
 	known  bool
-	// possible lists where the stream may have begun, if it is not known.
-	possible []origins.Origin
+	// possible lists where the stream may have begun, if that is not known. It says nothing
+	// if uninformed is set: the home is not in touch with control.
+	possible   []origins.Origin
+	uninformed bool
 }
 
 // maxReplies bounds the replies to one query that wait to be read; each home may
 // reply to each repetition.
-const maxReplies = origins.HomeCount * int(originQueryTimeout/originQueryInterval)
+const maxReplies = (origins.EntryHomes + origins.StorageHomes) * int(originQueryTimeout/originQueryInterval)
 
 func (o *StreamOrigins) openQuery(requestID string) (uint64, <-chan originReply) {
 	o.mu.Lock()
@@ -237,23 +243,32 @@
 	delete(o.queries, number)
 }
 
-// homes lists the other entries that keep the origin of a stream.
+// homes lists the other daemons that keep the origin of a stream.
 func (o *StreamOrigins) homes(requestID string) []string {
-	return slices.DeleteFunc(origins.Homes(requestID, o.entryAddresses()), func(address string) bool { return address == o.selfAddress })
+	entries, storage := o.homeAddresses()
+	homes := slices.Concat(origins.Homes(requestID, entries, origins.EntryHomes), origins.Homes(requestID, storage, origins.StorageHomes))
+	return slices.DeleteFunc(homes, func(address string) bool { return address == o.selfAddress })
 }
 
-// entryAddresses lists the addresses of all entries. The caller must not change it.
-func (o *StreamOrigins) entryAddresses() []string {
+// homeAddresses lists the addresses of all daemons that may keep origins. The caller
+// must not change them.
+func (o *StreamOrigins) homeAddresses() (entries, storage []string) {
 	version := o.view.DaemonsVersion()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.entries == nil || o.entriesVersion != version {
-		o.entries, o.entriesVersion = []string{}, version
-		for _, d := range o.view.Daemons(RoleEntry) {
-			o.entries = append(o.entries, d.GetAddress())
-		}
+	if o.entries == nil || o.addressesVersion != version {
+		o.addressesVersion = version
+		o.entries, o.storage = addressesOf(o.view.Daemons(RoleEntry)), addressesOf(o.view.Daemons(RoleStore))
 	}
-	return o.entries
+	return o.entries, o.storage
+}
+
+func addressesOf(daemons []*pb.Daemon) []string {
+	addresses := make([]string, 0, len(daemons))
+	for _, d := range daemons {
+		addresses = append(addresses, d.GetAddress())
+	}
+	return addresses
 }
 
 // VersionsChanged sends the records of each service that has engines of several versions
@@ -380,16 +395,19 @@
 		o.mu.Lock()
 		origin, known := o.table.Find(time.Now(), id)
 		o.mu.Unlock()
-		if known {
+		switch {
+		case known:
 			reply.Origin = encodeOrigin(origins.Record{RequestID: id, Origin: origin})
-		} else {
+		case o.view.HeardCurrent(time.Now()):
 			reply.Possible = encodePossible(o.possibleOrigins(body.StreamOriginQuery.GetServices()))
+		default:
+			reply.Uninformed = true
 		}
 		o.sendAll("reply", []string{e.GetHeader().GetReplyAddress()}, &pb.Envelope{Body: &pb.Envelope_StreamOriginReply{StreamOriginReply: reply}})
 	case *pb.Envelope_StreamOriginReply:
 		origin := body.StreamOriginReply.GetOrigin()
 		reply := originReply{
-			from: e.GetHeader().GetReplyAddress(), known: origin != nil,
+			from: e.GetHeader().GetReplyAddress(), known: origin != nil, uninformed: body.StreamOriginReply.GetUninformed(),
 			origin: origins.Origin{Service: origin.GetService(), SoftwareVersion: origin.GetSoftwareVersion()},
 		}
 		for _, p := range body.StreamOriginReply.GetPossible() {
--- a/node/stream_origins_test.go
+++ b/node/stream_origins_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -28,19 +29,36 @@
 		view := NewView()
 		update := &pb.FleetUpdate{}
 		for _, a := range addresses {
-			update.Daemons = append(update.Daemons, &pb.Daemon{Id: a, Role: RoleEntry, Address: a, Incarnation: 1})
+			update.Daemons = append(update.Daemons, &pb.Daemon{Id: a, Role: roleAt(a), Address: a, Incarnation: 1})
 		}
 		view.Merge(now, "control", update)
-		network.entries[address] = newStreamOrigins(address, view, func(to string, e *pb.Envelope) error {
-			e.Header = &pb.Header{ReplyAddress: address}
-			network.deliver(to, e)
-			return nil
-		})
+		inTouch(view)
+		network.start(address, view)
 		network.setVersions(address, versions...)
 	}
 	return network
 }
 
+// roleAt returns the role of the daemon at an address of a test.
+func roleAt(address string) string {
+	if strings.HasPrefix(address, "s") {
+		return RoleStore
+	}
+	return RoleEntry
+}
+
+// start has a daemon without records at an address.
+func (n *originNetwork) start(address string, view *View) {
+	n.entries[address] = newStreamOrigins(address, view, func(to string, e *pb.Envelope) error {
+		e.Header = &pb.Header{ReplyAddress: address}
+		n.deliver(to, e)
+		return nil
+	})
+}
+
+// inTouch has a view hear from a control replica that is in contact with its majority.
+func inTouch(view *View) { view.Merge(time.Now(), "in touch", &pb.FleetUpdate{Current: true}) }
+
 func (n *originNetwork) setVersions(address string, versions ...string) {
 	entry := n.entries[address]
 	for i, version := range versions {
@@ -78,7 +96,7 @@
 	expect := NewWithT(t)
 	network := newOriginNetwork(sixEntries, "1", "2")
 	network.entries["e1:1"].Record("r", began, []string{"s"})
-	homes := origins.Homes("r", sixEntries)
+	homes := origins.Homes("r", sixEntries, origins.EntryHomes)
 	network.remove("e1:1")
 	for _, home := range homes[:2] {
 		network.remove(home)
@@ -157,7 +175,7 @@
 	view := NewView()
 	update := &pb.FleetUpdate{}
 	for a := range n.entries {
-		update.Daemons = append(update.Daemons, &pb.Daemon{Id: a, Role: RoleEntry, Address: a, Incarnation: 1})
+		update.Daemons = append(update.Daemons, &pb.Daemon{Id: a, Role: roleAt(a), Address: a, Incarnation: 1})
 	}
 	view.Merge(now, "control", update)
 	n.entries[address].view = view
@@ -192,7 +210,7 @@
 func idWithoutHome(address string) string {
 	for c := 'a'; ; c++ {
 		found := false
-		for _, home := range origins.Homes(string(c), sixEntries) {
+		for _, home := range origins.Homes(string(c), sixEntries, origins.EntryHomes) {
 			found = found || home == address
 		}
 		if !found {
@@ -217,13 +235,15 @@
 func TestAHomeWithoutEnginesConfirmsNoOrigin(t *testing.T) {
 	expect := NewWithT(t)
 	network := newOriginNetwork(sixEntries, "1")
-	network.viewOf(otherHomes("a", "e1:1")[0])
+	home := otherHomes("a", "e1:1")[0]
+	network.viewOf(home)
+	inTouch(network.entries[home].view)
 	_, known := network.entries["e1:1"].Find(context.Background(), "a", []string{"s"})
 	expect.Expect(known).To(BeFalse())
 }
 
 func otherHomes(id, address string) []string {
-	return slices.DeleteFunc(origins.Homes(id, sixEntries), func(home string) bool { return home == address })
+	return slices.DeleteFunc(origins.Homes(id, sixEntries, origins.EntryHomes), func(home string) bool { return home == address })
 }
 
 // Homes that do not answer delay a search, but do not end it.
@@ -450,3 +470,57 @@
 	}})
 	expect.Expect(entry.homes("a")).To(ConsistOf("e3:1"))
 }
+
+// All entries are killed while two versions serve, and callers take their streams up. They
+// were refused: the entries that start have no record.
+func TestOriginsAreLostWithAllEntries(t *testing.T) {
+	for name, storage := range map[string][]string{"three storage daemons": {"s1:1", "s2:1", "s3:1"}, "one is lost too": {"s1:1", "s2:1"}} {
+		t.Run(name, func(t *testing.T) {
+			expect := NewWithT(t)
+			network := newOriginNetwork(slices.Concat(sixEntries, storage), "1", "2")
+			ids := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
+			for i, id := range ids {
+				network.entries[sixEntries[i%len(sixEntries)]].Record(id, began, []string{"s"})
+			}
+			if len(storage) == 2 {
+				network.remove(storage[0])
+			}
+			for _, address := range sixEntries {
+				network.start(address, network.entries[address].view)
+			}
+			for i, id := range ids {
+				origin, known := network.entries[sixEntries[(i+1)%len(sixEntries)]].Find(context.Background(), id, []string{"s"})
+				expect.Expect(known).To(BeTrue(), id)
+				expect.Expect(origin).To(Equal(began))
+			}
+		})
+	}
+}
+
+// All entries are killed after the last engine of the old version has left, and have heard
+// only of the new one since. They confirmed to each other that there is no other.
+func TestEntriesThatHaveJustStartedDecideAnOrigin(t *testing.T) {
+	expect := NewWithT(t)
+	network := newOriginNetwork(sixEntries, "1", "2")
+	for _, address := range sixEntries {
+		network.viewOf(address, "2")
+	}
+	got, known := network.entries["e2:1"].Find(context.Background(), "unheard", []string{"s"})
+	expect.Expect(known).To(BeFalse(), "a stream that may have begun at version 1 goes on at %v", got)
+	// The others have heard of no other version from control, which knows those that left.
+	for _, address := range otherHomes("unheard", "e2:1") {
+		inTouch(network.entries[address].view)
+	}
+	_, known = network.entries["e2:1"].Find(context.Background(), "unheard", []string{"s"})
+	expect.Expect(known).To(BeTrue())
+}
+
+// One home has not yet heard from control. The others know of one version.
+func TestAHomeWithoutControlHoldsUpNoStream(t *testing.T) {
+	expect := NewWithT(t)
+	network := newOriginNetwork(sixEntries, "1")
+	network.viewOf(otherHomes("a", "e1:1")[0])
+	origin, known := network.entries["e1:1"].Find(context.Background(), "a", []string{"s"})
+	expect.Expect(known).To(BeTrue())
+	expect.Expect(origin).To(Equal(began))
+}
--- a/node/view.go
+++ b/node/view.go
@@ -176,6 +176,20 @@
 	return false
 }
 
+// HeardCurrent reports whether a control replica in contact with the majority of its
+// group sends updates. Without one, the view may lack upstreams that have joined, or that
+// left before this daemon started.
+func (v *View) HeardCurrent(now time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, replica := range v.currentReplicas {
+		if now.Sub(replica.last) <= maxUpdateAge {
+			return true
+		}
+	}
+	return false
+}
+
 // applyHeartbeats merges heartbeats. With expiring set, it leaves out those of upstreams
 // that the sender is about to drop, and then no longer lists as silent.
 func (v *View) applyHeartbeats(heartbeats []fleet.Upstream, expiring bool) {
--- a/origins/origins_test.go
+++ b/origins/origins_test.go
@@ -66,19 +66,19 @@
 	counts := make(map[string]int)
 	for i := range 1000 {
 		id := fmt.Sprint("stream-", i)
-		homes := Homes(id, addresses)
-		expect.Expect(homes).To(HaveLen(HomeCount))
+		homes := Homes(id, addresses, EntryHomes)
+		expect.Expect(homes).To(HaveLen(EntryHomes))
 		for _, home := range homes {
 			counts[home]++
 			remaining := slices.DeleteFunc(slices.Clone(addresses), func(a string) bool { return a == home })
-			moved := slices.DeleteFunc(Homes(id, remaining), func(a string) bool { return slices.Contains(homes, a) })
+			moved := slices.DeleteFunc(Homes(id, remaining, EntryHomes), func(a string) bool { return slices.Contains(homes, a) })
 			expect.Expect(moved).To(HaveLen(1))
 		}
 	}
 	for _, address := range addresses {
-		expect.Expect(counts[address]).To(BeNumerically("~", 1000*HomeCount/20, 80), address)
+		expect.Expect(counts[address]).To(BeNumerically("~", 1000*EntryHomes/20, 80), address)
 	}
-	expect.Expect(Homes("a", addresses[:2])).To(ConsistOf(addresses[0], addresses[1]))
+	expect.Expect(Homes("a", addresses[:2], EntryHomes)).To(ConsistOf(addresses[0], addresses[1]))
 }
 
 func TestHomesHaveTheHighestScores(t *testing.T) {
@@ -92,9 +92,9 @@
 		byScore := slices.SortedFunc(slices.Values(addresses), func(a, b string) int {
 			return cmp.Compare(xxhash.Sum64String(id+"\x00"+b), xxhash.Sum64String(id+"\x00"+a))
 		})
-		expect.Expect(Homes(id, addresses)).To(Equal(byScore[:HomeCount]))
+		expect.Expect(Homes(id, addresses, EntryHomes)).To(Equal(byScore[:EntryHomes]))
 	}
-	expect.Expect(Homes("a", nil)).To(BeEmpty())
+	expect.Expect(Homes("a", nil, EntryHomes)).To(BeEmpty())
 }
 
 func BenchmarkHomes(b *testing.B) {
@@ -103,6 +103,6 @@
 		addresses = append(addresses, fmt.Sprintf("10.0.%d.%d:1", i/250, i%250))
 	}
 	for b.Loop() {
-		Homes("stream", addresses)
+		Homes("stream", addresses, EntryHomes)
 	}
 }
