Refuse streams of a version that is gone for good; kill all entries in the fault soak

A caller that took up a stream whose software version has no engine left was refused with no_upstream and a time to come back, which is of no use. The reason is origin_gone now, without Retry-After, if the daemon is in touch with control (TestStreamOfAGoneVersionIsRefusedForGood fails before).

The fault soak kills all entries at once, and its callers try for 3 s to take their streams up.

--- a/e2e/platform_faults_test.go
+++ b/e2e/platform_faults_test.go
@@ -83,6 +83,15 @@
 		n.waitExit()
 		s.startNode(n, false)
 	}},
+	{"kill all entries", func(s *soakRun, ctx context.Context) {
+		for _, n := range s.entries {
+			n.kill()
+		}
+		s.pauseRandom(ctx, 500)
+		for _, n := range s.entries {
+			s.startNode(n, false)
+		}
+	}},
 	{"kill an entry", func(s *soakRun, ctx context.Context) {
 		n := s.pickNode(s.entries)
 		n.kill()
--- a/e2e/platform_soak_test.go
+++ b/e2e/platform_soak_test.go
@@ -98,9 +98,10 @@
 	ackedVersion int64
 	servedCount  int
 	// takenUpCount counts the cut streams that callers took up, wentOnCount those that
-	// were then completed.
-	takenUpCount int
-	wentOnCount  int
+	// were then completed, and refusedTakeUps those that were refused.
+	takenUpCount   int
+	wentOnCount    int
+	refusedTakeUps int
 }
 
 func runSoak(t *testing.T, seed uint64, entries int, duration time.Duration) {
@@ -151,33 +152,49 @@
 		got := s.doRequest(client, request)
 		s.checkResponse(id, prefix, got)
 		if prefix == "/resumable/" && !got.complete && len(got.versions) > 0 {
-			s.takeUpStream(client, id, got, s.entries[(caller+i/20+1)%len(s.entries)])
+			s.takeUpStream(client, id, got, caller+i/20+1)
 		}
 		sleepContext(ctx, 20*time.Millisecond)
 	}
 }
 
+// takeUpPatience is the time for which a caller tries to take a stream up: all entries may
+// be down.
+const takeUpPatience = 3 * time.Second
+
 // takeUpStream takes a stream that was cut up at another entry. What it gets must
 // follow what it has, from the same software version.
-func (s *soakRun) takeUpStream(client *http.Client, id string, cut streamResponse, n *platformNode) {
+func (s *soakRun) takeUpStream(client *http.Client, id string, cut streamResponse, entry int) {
 	received := strings.Count(cut.body, "\n\n")
-	request, err := http.NewRequest(http.MethodPost, "http://"+n.callersAddress()+"/resumable/x", strings.NewReader("prompt"))
-	if err != nil {
-		s.t.Error(err)
-		return
+	var got streamResponse
+	began := time.Now()
+	for try := 0; got.status == 0 && time.Since(began) < takeUpPatience; try++ {
+		n := s.entries[(entry+try)%len(s.entries)]
+		request, err := http.NewRequest(http.MethodPost, "http://"+n.callersAddress()+"/resumable/x", strings.NewReader("prompt"))
+		if err != nil {
+			s.t.Error(err)
+			return
+		}
+		retryID := fmt.Sprintf("again-%d-%s", try, id)
+		request.Host = routeHost
+		request.Header.Set(headerID, retryID)
+		request.Header.Set(headerDeadlineMs, "3000")
+		request.Header.Set(headerLastEventID, strconv.Itoa(received))
+		request.Header.Set(headerResumes, id)
+		got = s.doRequest(client, request)
+		if got.status == http.StatusServiceUnavailable {
+			s.mu.Lock()
+			s.notRunIDs = append(s.notRunIDs, retryID)
+			s.refusedTakeUps++
+			s.mu.Unlock()
+		}
+		if got.status == 0 {
+			time.Sleep(100 * time.Millisecond)
+		}
 	}
-	request.Host = routeHost
-	request.Header.Set(headerID, "again-"+id)
-	request.Header.Set(headerDeadlineMs, "3000")
-	request.Header.Set(headerLastEventID, strconv.Itoa(received))
-	request.Header.Set(headerResumes, id)
-	got := s.doRequest(client, request)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.takenUpCount++
-	if got.status == http.StatusServiceUnavailable {
-		s.notRunIDs = append(s.notRunIDs, "again-"+id)
-	}
 	if got.status != http.StatusOK {
 		return
 	}
@@ -413,7 +430,7 @@
 	}
 	s.t.Logf("%d daemons told by engines that they leave, %d requests of unknown daemons at these", told, unknown)
 	s.t.Logf("%d requests counted at engines that stated a rate limit", counted)
-	s.t.Logf("%d cut streams taken up, %d completed", s.takenUpCount, s.wentOnCount)
+	s.t.Logf("%d cut streams taken up, %d completed, %d refused", s.takenUpCount, s.wentOnCount, s.refusedTakeUps)
 	s.t.Logf("%d requests served, %d refused as not run, %d jobs, version %d", s.servedCount, len(s.notRunIDs), len(s.jobResults), s.ackedVersion)
 	if s.servedCount == 0 {
 		s.t.Error("no request was served")
--- a/entrynode/exchange.go
+++ b/entrynode/exchange.go
@@ -275,15 +275,20 @@
 		x.fail(string(refused.Reason))
 		return
 	}
-	reason, status := string(refused.Reason), 0
+	reason, status, retryAfter := string(refused.Reason), 0, refused.RetryAfter
 	switch refused.Reason {
 	case "":
 		reason = "deadline"
 	case dispatch.TooLarge:
 		status = http.StatusRequestEntityTooLarge
+	case dispatch.NoUpstream:
+		// Asking again is of no use, unless this daemon does not know the upstreams yet.
+		if x.origin != nil && x.node.View.Current(time.Now()) {
+			reason, retryAfter = "origin_gone", 0
+		}
 	}
 	x.refuse(refusal{
-		reason: reason, status: status, retryAfter: refused.RetryAfter, route: x.route.Name, routingVersion: x.table.Version, elapsed: x.elapsed(),
+		reason: reason, status: status, retryAfter: retryAfter, route: x.route.Name, routingVersion: x.table.Version, elapsed: x.elapsed(),
 		timeToDeadline: x.timeout - x.elapsed(), retrying: refused.Retrying,
 	})
 }
--- a/entrynode/version_test.go
+++ b/entrynode/version_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/briarcross/briarcross/origins"
 )
 
 // startVersion starts an engine of a software version that sends a stream whole, or
@@ -92,6 +94,20 @@
 	expect.Expect(got.retryAfter).NotTo(BeEmpty())
 }
 
+// The last engine of the version that began a stream has left. Its caller was asked to come
+// back, which is of no use.
+func TestStreamOfAGoneVersionIsRefusedForGood(t *testing.T) {
+	expect := NewWithT(t)
+	url, n := startEntry(t, startVersion(t, "2"))
+	awaitCurrent(t, n)
+	n.StreamOrigins.Record("begun", origins.Origin{Service: "s", SoftwareVersion: "1"}, []string{"s"})
+	began := time.Now()
+	got := sendWith(t, url, "/resume/x", map[string]string{"Id": "r2", "After": "3", "Resumes": "begun"})
+	expect.Expect(time.Since(began)).To(BeNumerically("<", maxResumeWait))
+	expect.Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+	expect.Expect(got.retryAfter).To(BeEmpty())
+}
+
 // A service of one version needs no record of where a stream began.
 func TestStreamOfTheOnlyVersionGoesOn(t *testing.T) {
 	expect := NewWithT(t)
