Wait for control before a stream is refused after a loss of everything

The search repeats for up to a second while the only daemons that answer are out of touch with control (TestATakeUpAfterALossOfEverythingIsRefused fails before).

--- a/node/stream_origins.go
+++ b/node/stream_origins.go
@@ -22,6 +22,9 @@
 	// originQueryInterval is the interval at which a query is repeated: datagrams may
 	// be lost.
 	originQueryInterval = 25 * time.Millisecond
+	// maxOriginWait limits the wait for a daemon in touch with control. Callers accept such a
+	// pause in a stream, and an election of control takes less.
+	maxOriginWait = time.Second
 	// maxOriginsPerDatagram keeps a datagram below the packet size of most networks.
 	maxOriginsPerDatagram = 16
 )
@@ -129,35 +132,57 @@
 
 // Find returns the origin of the stream that a request began and that some services
 // may run. If no daemon has a record, it is the only possible one, if other daemons in
-// touch with control know of no other; the view of this daemon may be outdated.
+// touch with control know of no other; the view of this daemon may be outdated. After a loss
+// of everything, it waits until one of them is in touch again.
 func (o *StreamOrigins) Find(ctx context.Context, requestID string, services []string) (origins.Origin, bool) {
 	origin, result := o.find(ctx, requestID, services)
-	o.found.WithLabelValues(result).Inc()
-	return origin, result != "unknown"
+	for began := time.Now(); result == searchUninformed && ctx.Err() == nil && time.Since(began) < maxOriginWait; {
+		sleep(ctx, originQueryInterval)
+		origin, result = o.find(ctx, requestID, services)
+	}
+	if result == searchUninformed {
+		result = searchUnknown
+	}
+	o.found.WithLabelValues(string(result)).Inc()
+	return origin, result != searchUnknown
 }
 
-func (o *StreamOrigins) find(ctx context.Context, requestID string, services []string) (origin origins.Origin, result string) {
+// searchResult is how the search for an origin ended.
+type searchResult string
+
+const (
+	searchOwn        searchResult = "own"
+	searchHome       searchResult = "home"
+	searchOnlyOrigin searchResult = "only_origin"
+	searchUnknown    searchResult = "unknown"
+	// searchUninformed means that there may be only one origin, but that no daemon in reach
+	// is in touch with control.
+	searchUninformed searchResult = "uninformed"
+)
+
+func (o *StreamOrigins) find(ctx context.Context, requestID string, services []string) (origin origins.Origin, result searchResult) {
 	o.mu.Lock()
 	origin, known := o.table.Find(time.Now(), requestID)
 	o.mu.Unlock()
 	if known && o.isAmbiguous(origin) {
-		return origins.Origin{}, "unknown"
+		return origins.Origin{}, searchUnknown
 	}
 	if known {
-		return origin, "own"
+		return origin, searchOwn
 	}
 	possible := o.possibleOrigins(services)
 	if requestID == "" && len(possible) != 1 {
-		return origins.Origin{}, "unknown"
+		return origins.Origin{}, searchUnknown
 	}
-	answers := 0
+	answers, uninformed := 0, 0
 	for reply := range o.ask(ctx, requestID, services) {
 		switch {
 		case reply.known && o.isAmbiguous(reply.origin):
-			return origins.Origin{}, "unknown"
+			return origins.Origin{}, searchUnknown
 		case reply.known:
-			return reply.origin, "home"
+			return reply.origin, searchHome
 		case reply.uninformed:
+			uninformed++
 			continue
 		}
 		answers++
@@ -165,10 +190,15 @@
 			possible = nil
 		}
 	}
-	if len(possible) == 1 && (answers > 0 || o.view.Current(time.Now())) {
-		return possible[0], "only_origin"
+	switch {
+	case len(possible) != 1:
+		return origins.Origin{}, searchUnknown
+	case answers > 0 || o.view.Current(time.Now()):
+		return possible[0], searchOnlyOrigin
+	case uninformed > 0:
+		return origins.Origin{}, searchUninformed
 	}
-	return origins.Origin{}, "unknown"
+	return origins.Origin{}, searchUnknown
 }
 
 // ask queries the homes of an origin and yields one reply of each, until all have
--- a/node/stream_origins_test.go
+++ b/node/stream_origins_test.go
@@ -515,6 +515,21 @@
 	expect.Expect(known).To(BeTrue())
 }
 
+// All daemons are lost at once, and a caller returns before control has a leader again. It was
+// refused.
+func TestATakeUpAfterALossOfEverythingIsRefused(t *testing.T) {
+	expect := NewWithT(t)
+	network := newOriginNetwork(sixEntries, "1")
+	for _, address := range sixEntries {
+		network.viewOf(address, "1")
+	}
+	home := network.entries[otherHomes("a", "e2:1")[0]]
+	time.AfterFunc(200*time.Millisecond, func() { inTouch(home.view) })
+	origin, known := network.entries["e2:1"].Find(context.Background(), "a", []string{"s"})
+	expect.Expect(known).To(BeTrue())
+	expect.Expect(origin).To(Equal(began))
+}
+
 // One home has not yet heard from control. The others know of one version.
 func TestAHomeWithoutControlHoldsUpNoStream(t *testing.T) {
 	expect := NewWithT(t)
