Let requests wait as long as they can still be answered in time

A request waited for a quarter of its objective (75 ms). Now it waits for the objective less twice the mean time to the first event, at most three quarters of it.

--- a/dispatch/fairness_test.go
+++ b/dispatch/fairness_test.go
@@ -119,7 +119,7 @@
 	for nowMs := 0; nowMs < load.seconds*1000; nowMs += stepMs {
 		now := timeAt(nowMs)
 		for _, id := range order {
-			engines[id].step(nowMs, 400+random.IntN(800), &engineResult)
+			engines[id].step(nowMs, 400+random.IntN(800), lateMs, &engineResult)
 		}
 		factor := load.lowFactor
 		if (nowMs+5000)%6600 < 2800 {
--- a/dispatch/fleet_replay_test.go
+++ b/dispatch/fleet_replay_test.go
@@ -21,6 +21,11 @@
 	burstFactor       float64
 	periodMs, burstMs int
 	seconds           int
+	// objective is the time within which callers want the first event. Zero counts only
+	// the waits at upstreams, as late after lateMs. Callers wait for 75 ms at most, unless
+	// patient is set.
+	objective time.Duration
+	patient   bool
 }
 
 const (
@@ -32,7 +37,7 @@
 // fleetResult counts what the callers get.
 type fleetResult struct {
 	requests, refused int
-	// late counts requests that waited for more than lateMs at their upstream.
+	// late counts requests whose first event came after the objective; see fleetLoad.
 	late int
 	// misplaced counts requests that waited at their upstream while another one of
 	// its data centre had a free slot.
@@ -40,7 +45,19 @@
 	remote    int
 }
 
-const lateMs = 200
+// plus returns the sum of two results.
+func (r fleetResult) plus(other fleetResult) fleetResult {
+	return fleetResult{
+		requests: r.requests + other.requests, refused: r.refused + other.refused, late: r.late + other.late,
+		misplaced: r.misplaced + other.misplaced, remote: r.remote + other.remote,
+	}
+}
+
+const (
+	lateMs = 200
+	// usualFirstEvent is the time between a grant and the first event.
+	usualFirstEvent = 45 * time.Millisecond
+)
 
 // simulatedEngine runs requests in order of arrival.
 type simulatedEngine struct {
@@ -56,7 +73,7 @@
 	endMs     int
 }
 
-func (e *simulatedEngine) step(nowMs, holdMs int, result *fleetResult) {
+func (e *simulatedEngine) step(nowMs, holdMs, longestWaitMs int, result *fleetResult) {
 	remaining := e.running[:0]
 	for _, r := range e.running {
 		if r.endMs > nowMs {
@@ -69,7 +86,7 @@
 	for len(e.running) < e.slots && len(e.queue) > 0 {
 		r := e.queue[0]
 		e.queue = e.queue[1:]
-		if nowMs-r.arrivedMs > lateMs {
+		if nowMs-r.arrivedMs > longestWaitMs {
 			result.late++
 		}
 		r.endMs = nowMs + holdMs
@@ -77,6 +94,14 @@
 	}
 }
 
+// longestWaitMs is the longest wait with which a request is not late.
+func (load *fleetLoad) longestWaitMs() int {
+	if load.objective == 0 {
+		return lateMs
+	}
+	return int((load.objective - usualFirstEvent).Milliseconds())
+}
+
 func (load fleetLoad) simulate(seed uint64) fleetResult {
 	engines := make(map[string]*simulatedEngine)
 	pools := make([][]*Pool, load.dataCentres)
@@ -104,7 +129,7 @@
 	for nowMs := 0; nowMs < load.seconds*1000; nowMs += replayStepMs {
 		now := timeAt(nowMs)
 		for _, id := range order {
-			engines[id].step(nowMs, load.holdMs, &result)
+			engines[id].step(nowMs, load.holdMs, load.longestWaitMs(), &result)
 		}
 		factor := 1.0
 		if nowMs%load.periodMs >= load.periodMs-load.burstMs {
@@ -113,7 +138,11 @@
 		for dc, perSecond := range load.perSecond {
 			for expected := perSecond * factor * replayStepMs / 1000; random.Float64() < expected; expected-- {
 				nextID++
-				pools[dc][random.IntN(load.daemons)].Request(now, onlineRequest(nextID, 75*time.Millisecond))
+				request := onlineRequest(nextID, 75*time.Millisecond)
+				if load.patient {
+					request.TimeToObjective = load.objective
+				}
+				pools[dc][random.IntN(load.daemons)].Request(now, request)
 				result.requests++
 			}
 		}
@@ -149,9 +178,14 @@
 			}
 		}
 	}
-	e.queue = append(e.queue, simulatedRun{pool: p, grant: g, arrivedMs: nowMs})
+	arrivedMs := nowMs
+	if load.objective > 0 {
+		arrivedMs -= int(g.Waited.Milliseconds())
+		p.RecordProgress(timeAt(nowMs), g, usualFirstEvent, 0, 0)
+	}
+	e.queue = append(e.queue, simulatedRun{pool: p, grant: g, arrivedMs: arrivedMs})
 	if len(e.running) < e.slots && len(e.queue) == 1 {
-		e.step(nowMs, load.holdMs, result)
+		e.step(nowMs, load.holdMs, load.longestWaitMs(), result)
 	}
 }
 
--- a/dispatch/hard_load_test.go
+++ b/dispatch/hard_load_test.go
@@ -63,7 +63,7 @@
 				holdMs *= max(1, load.slowFactor)
 			}
 			if !disturbed || i >= load.darkUpstreams {
-				engines[id].step(nowMs, holdMs, &engineResult)
+				engines[id].step(nowMs, holdMs, lateMs, &engineResult)
 			}
 		}
 		expected := 0.38 * perSecond * stepMs / 1000
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -70,6 +70,10 @@
 	// MaxWait limits the time in the queue. Zero refuses the request unless it can
 	// be granted immediately.
 	MaxWait time.Duration
+	// TimeToObjective is the time within which the first event should reach the caller, zero
+	// if there is no such time. An online request waits for longer than MaxWait as long as
+	// that can be met; see patience.
+	TimeToObjective time.Duration
 	// Route is the name of the route. All first requests on a route have the same
 	// time to deadline.
 	Route string
@@ -342,6 +346,7 @@
 	if request.Tokens > 0 && len(p.tokenCapacity) > 0 {
 		p.recordClaim(now, request.Service, p.slotsOf(request.Service), 1, request.Tokens)
 	}
+	request.MaxWait = p.patience(now, &request)
 	queued := queuedRequest{slotRequest: request, queuedAt: now, retrying: p.isRetrying(now, request)}
 	if queued.retrying && p.retriesFit(now, request.Service) {
 		queued.slotRequest.MaxWait = max(request.MaxWait, request.RetryMaxWait)
--- a/entrynode/exchange.go
+++ b/entrynode/exchange.go
@@ -23,8 +23,7 @@
 
 const (
 	// maxWaitShare is the part of a route's latency objective for which a request
-	// may wait for a slot. A caller refused this early can still be served on time
-	// when it retries.
+	// may wait for a slot while it is not known how long the first event takes.
 	maxWaitShare = 0.25
 	// retryMaxWaitShare is the part of its remaining time for which a retrying
 	// caller may wait; the rest is enough for one more retry.
@@ -239,15 +238,16 @@
 		maxWait = x.route.LatencyObjective
 	}
 	request := dispatch.SlotRequest{
-		Service:        x.service,
-		Class:          dispatch.Online,
-		Priority:       x.route.Priority,
-		Tokens:         x.tokens,
-		Avoid:          x.avoid,
-		MaxWait:        max(0, min(maxWait, remaining)),
-		Route:          x.route.Name,
-		TimeToDeadline: max(0, x.headers.TimeToDeadline-x.elapsed()),
-		RetryMaxWait:   max(0, min(x.route.LatencyObjective, time.Duration(retryMaxWaitShare*float64(remaining)))),
+		Service:         x.service,
+		Class:           dispatch.Online,
+		Priority:        x.route.Priority,
+		Tokens:          x.tokens,
+		Avoid:           x.avoid,
+		MaxWait:         max(0, min(maxWait, remaining)),
+		TimeToObjective: max(0, min(x.route.LatencyObjective, x.timeout)-x.elapsed()),
+		Route:           x.route.Name,
+		TimeToDeadline:  max(0, x.headers.TimeToDeadline-x.elapsed()),
+		RetryMaxWait:    max(0, min(x.route.LatencyObjective, time.Duration(retryMaxWaitShare*float64(remaining)))),
 	}
 	if x.customer != nil {
 		request.Customer = x.customer.Name
