Call homes of streams daemons in comments and pages that still say entries

Storage daemons keep origins since. Comments and pages only. The test of a home that knows no engines states that the home is in touch with control, which its fixture sets since then; one out of touch has a test of its own.

--- a/entrynode/stream_origin.go
+++ b/entrynode/stream_origin.go
@@ -8,7 +8,7 @@
 )
 
 // unknownOriginRetryAfter is the time after which a caller may ask again for a stream
-// whose origin no entry in reach knows.
+// whose origin no daemon in reach knows.
 const unknownOriginRetryAfter = 500 * time.Millisecond
 
 // findOrigin finds where a stream that the caller takes up began. It returns a refusal
--- a/node/stream_origins_test.go
+++ b/node/stream_origins_test.go
@@ -56,7 +56,7 @@
 	})
 }
 
-// inTouch has a view hear from a control replica that is in contact with its majority.
+// inTouch has a view hear, now, from a control replica that is in contact with its majority.
 func inTouch(view *View) { view.Merge(time.Now(), "in touch", &pb.FleetUpdate{Current: true}) }
 
 func (n *originNetwork) setVersions(address string, versions ...string) {
@@ -231,7 +231,7 @@
 	expect.Expect(known).To(BeFalse())
 }
 
-// A home that has just started knows no engines.
+// A home in touch with control knows no engines yet.
 func TestAHomeWithoutEnginesConfirmsNoOrigin(t *testing.T) {
 	expect := NewWithT(t)
 	network := newOriginNetwork(sixEntries, "1")
