Log and measure how late routing tables are applied, and who sent them

routing_applied did not say where a table came from, so a replica that held a table back could not be told from one that sent what it had before it knew what is committed. It now names the version before it, the replica, whether that was in contact with the majority of its group, and for how long the replica had a table that the daemon lacked; routing_accepted says whether the version in force rose. Entries and storage daemons have briarcross_routing_lag_seconds, control replicas briarcross_routing_subscriber_lag_seconds.

--- a/controlnode/metrics.go
+++ b/controlnode/metrics.go
@@ -1,6 +1,8 @@
 package controlnode
 
 import (
+	"time"
+
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/briarcross/briarcross/node"
@@ -26,6 +28,9 @@
 		node.Gauge("briarcross_routing_version", "Version of the routing table that this replica has applied.", func() float64 {
 			return float64(n.routing().GetVersion())
 		}),
+		node.Gauge("briarcross_routing_subscriber_lag_seconds", "Longest time for which a subscriber of this replica has lacked a routing table.", func() float64 {
+			return n.maxRoutingLag(time.Now()).Seconds()
+		}),
 		node.Gauge("briarcross_watchers", "Daemons that subscribe to this replica.", func() float64 {
 			daemons, _ := n.subscribers.list()
 			return float64(len(daemons))
--- a/controlnode/node.go
+++ b/controlnode/node.go
@@ -84,6 +84,8 @@
 	// routing table.
 	routingLock  sync.Mutex
 	routingSince time.Time
+	// routingHistory tells for how long a subscriber has lacked a routing table.
+	routingHistory routingHistory
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -212,11 +214,13 @@
 	n.follower.SetSeeds(seeds)
 }
 
-func (n *Node) onApply(index uint64, command *pb.Command, _ *pb.CommandResult) {
+func (n *Node) onApply(index uint64, command *pb.Command, result *pb.CommandResult) {
 	switch op := command.GetOp().(type) {
 	case *pb.Command_RoutingReplace:
 		n.recordRoutingChange(time.Now())
-		n.logger.Info(eventlog.RoutingAccepted, "version", op.RoutingReplace.GetVersion(), "index", index)
+		inForce := result.GetRouting().GetVersion()
+		changed := n.routingHistory.record(inForce, time.Now())
+		n.logger.Info(eventlog.RoutingAccepted, "version", op.RoutingReplace.GetVersion(), "in_force", inForce, "changed", changed, "index", index)
 	case *pb.Command_StorageFound:
 		n.logger.Info(eventlog.StorageFounded, "members", len(op.StorageFound.GetMembers()), "index", index)
 	case *pb.Command_StorageRetire:
--- a/controlnode/subscribers.go
+++ b/controlnode/subscribers.go
@@ -104,6 +104,26 @@
 	return node.UniqueDaemons(daemons), s.changeCount
 }
 
+// maxRoutingLag returns the longest time for which a subscriber has lacked a routing table.
+func (n *Node) maxRoutingLag(now time.Time) time.Duration {
+	longest := time.Duration(0)
+	for _, version := range n.subscribers.routingVersions() {
+		longest = max(longest, n.routingHistory.lag(version, now))
+	}
+	return longest
+}
+
+// routingVersions lists the versions of the routing table that the subscribers have.
+func (s *subscribers) routingVersions() []uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	versions := make([]uint64, 0, len(s.daemons))
+	for subscriber := range s.daemons {
+		versions = append(versions, subscriber.knownRoutingVersion())
+	}
+	return versions
+}
+
 func (s *subscriber) setRoutingVersion(version uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -179,6 +199,7 @@
 		return
 	}
 	update.RoutingVersion, update.RoutingDocument = routing.GetVersion(), routing.GetDocument()
+	update.RoutingLagMs = uint32(n.routingHistory.lag(s.knownRoutingVersion(), now).Milliseconds())
 	s.setRoutingVersion(routing.GetVersion())
 }
 
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -76,8 +76,10 @@
 	leaving *prometheus.CounterVec
 	// rateChanges counts the changes of rate limits of upstreams, by source.
 	rateChanges *prometheus.CounterVec
-	tasks       sync.WaitGroup
-	closeOnce   sync.Once
+	// routingLag measures how long after control this daemon puts a routing table in force.
+	routingLag prometheus.Histogram
+	tasks      sync.WaitGroup
+	closeOnce  sync.Once
 }
 
 // NewDispatcher returns a dispatcher, which does nothing until Run. decodeTable
@@ -103,6 +105,9 @@
 	d.rateChanges = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "briarcross_upstream_rate_changes_total", Help: "Rate limits of upstreams that began, changed or ended, by how this daemon learned it first: answer, worker, report, expiry.",
 	}, []string{"source"})
+	d.routingLag = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "briarcross_routing_lag_seconds", Help: "Time for which a control replica had a routing table that this daemon lacked, when it was applied.", Buckets: LatencyBuckets,
+	})
 	d.Quarantine = NewQuarantine(logger, func() { d.follower.EvidenceChanged() })
 	d.StreamOrigins = newStreamOrigins(settings.Address, d.View, d.sendDatagram)
 	d.Transport = transport.NewClient(d.Identity, nil)
@@ -265,7 +270,11 @@
 func (d *Dispatcher) applyRouting(r *Routing) {
 	d.tableLock.Lock()
 	defer d.tableLock.Unlock()
-	if current := d.table.Load(); current != nil && current.Version >= r.Version {
+	previous := uint64(0)
+	if current := d.table.Load(); current != nil {
+		previous = current.Version
+	}
+	if previous >= r.Version {
 		return
 	}
 	table, err := d.decodeTable(r.Document)
@@ -285,7 +294,9 @@
 		d.Slots.SetTokenCapacity(service.Name, service.TokenCapacity)
 	}
 	d.table.Store(table)
-	d.Logger.Info(eventlog.RoutingApplied, "version", r.Version, "routes", len(table.Routes), "services", len(table.Services))
+	d.routingLag.Observe(r.Lag.Seconds())
+	d.Logger.Info(eventlog.RoutingApplied, "version", r.Version, "previous", previous, "routes", len(table.Routes), "services", len(table.Services),
+		"from", r.From, "current", r.Current, "lag_ms", r.Lag.Milliseconds())
 }
 
 // refreshStorageAddresses keeps the addresses of the storage replicas up to date.
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -83,6 +83,7 @@
 		d.suspicions,
 		d.leaving,
 		d.rateChanges,
+		d.routingLag,
 		d.Quarantine.Collector(),
 		d.loadReporter.sent,
 		d.StreamOrigins.sent,
--- a/node/view.go
+++ b/node/view.go
@@ -14,6 +14,12 @@
 type Routing struct {
 	Version  uint64
 	Document []byte
+	// From is the address of the control replica that sent the table, and Current whether
+	// that replica was in contact with the majority of its group.
+	From    string
+	Current bool
+	// Lag is the time for which the replica had a table that this daemon lacked.
+	Lag time.Duration
 }
 
 // View merges the updates of all control replicas. It is safe for concurrent use.
@@ -116,7 +122,10 @@
 	defer v.mu.Unlock()
 	var changes ViewChanges
 	if u.GetRoutingVersion() > v.routing.Version && len(u.GetRoutingDocument()) > 0 {
-		v.routing = Routing{u.GetRoutingVersion(), u.GetRoutingDocument()}
+		v.routing = Routing{
+			Version: u.GetRoutingVersion(), Document: u.GetRoutingDocument(), From: from, Current: u.GetCurrent(),
+			Lag: time.Duration(u.GetRoutingLagMs()) * time.Millisecond,
+		}
 		copied := v.routing
 		changes.Routing = &copied
 	}
