Tests of late and older routing tables, which fail on this code

What callers saw: 404 for a route that was added, 200 for one that was dropped, more than 2 s after the change was confirmed. Three tests show how it comes about, two of the delay for other data centres, one of a control replica that missed changes.

The delay moves into Node.routingDelay without a change of behaviour, so that the tests outlive the fix. Daemons without a table no longer count as late.

--- a/controlnode/node.go
+++ b/controlnode/node.go
@@ -217,9 +217,8 @@
 func (n *Node) onApply(index uint64, command *pb.Command, result *pb.CommandResult) {
 	switch op := command.GetOp().(type) {
 	case *pb.Command_RoutingReplace:
-		n.recordRoutingChange(time.Now())
 		inForce := result.GetRouting().GetVersion()
-		changed := n.routingHistory.record(inForce, time.Now())
+		changed := n.recordRouting(inForce, time.Now())
 		n.logger.Info(eventlog.RoutingAccepted, "version", op.RoutingReplace.GetVersion(), "in_force", inForce, "changed", changed, "index", index)
 	case *pb.Command_StorageFound:
 		n.logger.Info(eventlog.StorageFounded, "members", len(op.StorageFound.GetMembers()), "index", index)
@@ -231,11 +230,13 @@
 	n.subscribers.notify()
 }
 
-// recordRoutingChange records the time at which the routing table was replaced.
-func (n *Node) recordRoutingChange(now time.Time) {
+// recordRouting records the time at which a version of the routing table was put in
+// force, and reports whether it is higher than the one before.
+func (n *Node) recordRouting(version uint64, now time.Time) (changed bool) {
 	n.routingLock.Lock()
 	defer n.routingLock.Unlock()
 	n.routingSince = now
+	return n.routingHistory.record(version, now)
 }
 
 // routingChangedAt returns the time at which this replica applied the routing table.
--- a/controlnode/subscribers.go
+++ b/controlnode/subscribers.go
@@ -104,11 +104,14 @@
 	return node.UniqueDaemons(daemons), s.changeCount
 }
 
-// maxRoutingLag returns the longest time for which a subscriber has lacked a routing table.
+// maxRoutingLag returns the longest time for which a subscriber with a routing table has
+// lacked a later one.
 func (n *Node) maxRoutingLag(now time.Time) time.Duration {
 	longest := time.Duration(0)
 	for _, version := range n.subscribers.routingVersions() {
-		longest = max(longest, n.routingHistory.lag(version, now))
+		if version > 0 {
+			longest = max(longest, n.routingHistory.lag(version, now))
+		}
 	}
 	return longest
 }
@@ -185,11 +188,11 @@
 
 // addRouting adds the routing table unless the subscriber has it.
 func (n *Node) addRouting(now time.Time, s *subscriber, update *pb.FleetUpdate) {
-	routing, acceptedAt := n.routing(), n.routingChangedAt()
+	routing := n.routing()
 	if routing.GetVersion() <= s.knownRoutingVersion() {
 		return
 	}
-	if delay := s.routingDelay(now, acceptedAt, n.settings.DataCentre); delay > 0 {
+	if delay := n.routingDelay(now, s); delay > 0 {
 		time.AfterFunc(delay, func() {
 			select {
 			case s.wake <- struct{}{}:
@@ -199,10 +202,17 @@
 		return
 	}
 	update.RoutingVersion, update.RoutingDocument = routing.GetVersion(), routing.GetDocument()
-	update.RoutingLagMs = uint32(n.routingHistory.lag(s.knownRoutingVersion(), now).Milliseconds())
+	if known := s.knownRoutingVersion(); known > 0 {
+		update.RoutingLagMs = uint32(n.routingHistory.lag(known, now).Milliseconds())
+	}
 	s.setRoutingVersion(routing.GetVersion())
 }
 
+// routingDelay returns the time for which the routing table is held back from a subscriber.
+func (n *Node) routingDelay(now time.Time, s *subscriber) time.Duration {
+	return s.routingDelay(now, n.routingChangedAt(), n.settings.DataCentre)
+}
+
 // routingDelay returns the time for which a routing table that was accepted at a time
 // is held back from the subscriber by a replica of a data centre.
 func (s *subscriber) routingDelay(now, acceptedAt time.Time, dataCentre string) time.Duration {
--- a/controlnode/subscribers_test.go
+++ b/controlnode/subscribers_test.go
@@ -129,3 +129,42 @@
 	s.setRoutingVersion(3)
 	expect.Expect(s.knownRoutingVersion()).To(BeEquivalentTo(4))
 }
+
+// Each change began the delay anew: with one change every 100 ms, a data centre without a
+// control replica got no routing table until the changes ended.
+func TestRoutingTableIsNotHeldBackWhileChangesGoOn(t *testing.T) {
+	for _, interval := range []time.Duration{10 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond} {
+		t.Run(interval.String(), func(t *testing.T) {
+			expect := NewWithT(t)
+			n := newUnstartedNode(t.TempDir())
+			s := newSubscriberOf(node.RoleEntry)
+			s.setRoutingVersion(1)
+			start := time.UnixMilli(1_000_000)
+			now, accepted := start, map[uint64]time.Time{}
+			for version := uint64(2); now.Sub(start) < 3*time.Second; version++ {
+				now = now.Add(interval)
+				accepted[version] = now
+				n.recordRouting(version, now)
+				if n.routingDelay(now, s) == 0 {
+					s.setRoutingVersion(version)
+				}
+				if at, missing := accepted[s.knownRoutingVersion()+1]; missing {
+					expect.Expect(now.Sub(at)).To(BeNumerically("<=", remoteRoutingDelay+interval))
+				}
+			}
+		})
+	}
+}
+
+// An operator that gets no answer sends a change again, to several replicas.
+func TestRepeatedChangeDoesNotHoldBackTheRoutingTable(t *testing.T) {
+	expect := NewWithT(t)
+	n := newUnstartedNode(t.TempDir())
+	s := newSubscriberOf(node.RoleEntry)
+	s.setRoutingVersion(1)
+	accepted := time.UnixMilli(1_000_000)
+	n.recordRouting(2, accepted)
+	expect.Expect(n.routingDelay(accepted, s)).To(Equal(remoteRoutingDelay))
+	n.recordRouting(2, accepted.Add(remoteRoutingDelay))
+	expect.Expect(n.routingDelay(accepted.Add(remoteRoutingDelay), s)).To(BeZero())
+}
--- /dev/null
+++ b/e2e/platform_config_test.go
@@ -0,0 +1,73 @@
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/briarcross/briarcross/eventlog"
+)
+
+// logContains reports whether a log line of the process has an event and a text.
+func (p *process) logContains(event, text string) bool {
+	log, err := os.ReadFile(p.logPath)
+	if err != nil {
+		return false
+	}
+	for line := range strings.Lines(string(log)) {
+		if strings.Contains(line, fmt.Sprintf(`"msg":%q`, event)) && strings.Contains(line, text) {
+			return true
+		}
+	}
+	return false
+}
+
+// A control replica that missed changes and has not heard from the others yet sent the
+// table that it had, and an entry that had just started put it in force.
+func TestPlatformEntryStartsWithNoTableOfAReplicaThatMissedChanges(t *testing.T) {
+	t.Parallel()
+	f := startPlatformFleet(t, 1, 1, false)
+	entry, behind := f.entries[0], f.controls[2]
+	if got := f.sendRequest(entry, "/odd/", "before"); got.status != http.StatusOK {
+		t.Fatalf("version 1 has the route, but got status %d", got.status)
+	}
+	behind.kill()
+	version := f.replaceConfiguration()
+	for _, n := range []*platformNode{entry, f.controls[0], f.controls[1]} {
+		n.kill()
+	}
+	if err := os.Truncate(entry.logPath, 0); err != nil {
+		t.Fatal(err)
+	}
+	f.startNode(behind, false)
+	f.startNode(entry, false)
+	requests := 0
+	expectStatus := func(allowed ...int) int {
+		requests++
+		got := f.sendRequest(entry, "/odd/", fmt.Sprintf("after-%d", requests))
+		for _, status := range allowed {
+			if got.status == status {
+				return status
+			}
+		}
+		t.Fatalf("request %d on a route that version %d dropped: status %d", requests, version, got.status)
+		return 0
+	}
+	f.await("the entry hears from the replica that is behind", func() bool {
+		if entry.logContains(eventlog.DependencyFound, behind.internalAddress()) {
+			return true
+		}
+		expectStatus(0, http.StatusServiceUnavailable)
+		return false
+	})
+	for range 20 {
+		expectStatus(http.StatusServiceUnavailable)
+	}
+	f.startNode(f.controls[0], false)
+	f.startNode(f.controls[1], false)
+	f.await("the entry has the latest table", func() bool {
+		return expectStatus(http.StatusServiceUnavailable, http.StatusNotFound) == http.StatusNotFound
+	})
+}
