Hold a routing table back from the first missing version on, not from the latest

Callers got 404 for routes that had been added, and 200 for dropped ones, more than 2 s after the change was confirmed, at daemons in a data centre without a control replica or whose replica was down.

Cause: a replica holds a table back from other data centres for 150 ms, counted from the latest change. Each change began this time anew, also one that was sent again or had been overtaken, so that changes closer than 150 ms kept the table back for as long as they went on. The delay counts now from the first version that the subscriber lacks, which no later change moves. Class: a debounce without an upper bound.

Both tests in controlnode failed before.

TestRoutingTableIsHeldBackFromOtherDataCentres asks the same of the new function: the first version, after the delay, in the replica's data centre, not incremental, and a table from before the start of the replica.

--- a/controlnode/node.go
+++ b/controlnode/node.go
@@ -80,10 +80,6 @@
 	allDaemons    *directory
 	control       []string
 
-	// routingLock guards routingSince, the time at which this replica applied the
-	// routing table.
-	routingLock  sync.Mutex
-	routingSince time.Time
 	// routingHistory tells for how long a subscriber has lacked a routing table.
 	routingHistory routingHistory
 
@@ -218,7 +214,7 @@
 	switch op := command.GetOp().(type) {
 	case *pb.Command_RoutingReplace:
 		inForce := result.GetRouting().GetVersion()
-		changed := n.recordRouting(inForce, time.Now())
+		changed := n.routingHistory.record(inForce, time.Now())
 		n.logger.Info(eventlog.RoutingAccepted, "version", op.RoutingReplace.GetVersion(), "in_force", inForce, "changed", changed, "index", index)
 	case *pb.Command_StorageFound:
 		n.logger.Info(eventlog.StorageFounded, "members", len(op.StorageFound.GetMembers()), "index", index)
@@ -230,22 +226,6 @@
 	n.subscribers.notify()
 }
 
-// recordRouting records the time at which a version of the routing table was put in
-// force, and reports whether it is higher than the one before.
-func (n *Node) recordRouting(version uint64, now time.Time) (changed bool) {
-	n.routingLock.Lock()
-	defer n.routingLock.Unlock()
-	n.routingSince = now
-	return n.routingHistory.record(version, now)
-}
-
-// routingChangedAt returns the time at which this replica applied the routing table.
-func (n *Node) routingChangedAt() time.Time {
-	n.routingLock.Lock()
-	defer n.routingLock.Unlock()
-	return n.routingSince
-}
-
 // inContactWithMajority reports whether this replica leads its group or hears from
 // the leader.
 func (n *Node) inContactWithMajority() bool {
--- a/controlnode/routing_history.go
+++ b/controlnode/routing_history.go
@@ -36,15 +36,25 @@
 	return true
 }
 
-// lag returns how long a daemon with a version has lacked a later one; zero if it lacks
-// none that was put in force since the start of this replica.
-func (h *routingHistory) lag(version uint64, now time.Time) time.Duration {
+// missingSince returns when the oldest version was put in force that a daemon with a
+// version lacks. It reports false if there is none since the start of this replica.
+func (h *routingHistory) missingSince(version uint64) (time.Time, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, change := range h.versions {
 		if change.version > version {
-			return now.Sub(change.at)
+			return change.at, true
 		}
 	}
-	return 0
+	return time.Time{}, false
+}
+
+// lag returns for how long a daemon with a version has lacked a later one; zero if it lacks
+// none that was put in force since the start of this replica.
+func (h *routingHistory) lag(version uint64, now time.Time) time.Duration {
+	since, missing := h.missingSince(version)
+	if !missing {
+		return 0
+	}
+	return now.Sub(since)
 }
--- a/controlnode/subscribers.go
+++ b/controlnode/subscribers.go
@@ -209,17 +209,17 @@
 }
 
 // routingDelay returns the time for which the routing table is held back from a subscriber.
+// It counts from the first version that the subscriber lacks, so that a series of changes
+// cannot prolong it.
 func (n *Node) routingDelay(now time.Time, s *subscriber) time.Duration {
-	return s.routingDelay(now, n.routingChangedAt(), n.settings.DataCentre)
-}
-
-// routingDelay returns the time for which a routing table that was accepted at a time
-// is held back from the subscriber by a replica of a data centre.
-func (s *subscriber) routingDelay(now, acceptedAt time.Time, dataCentre string) time.Duration {
-	if !s.incremental || s.self.GetDataCentre() == dataCentre {
+	if !s.incremental || s.self.GetDataCentre() == n.settings.DataCentre {
+		return 0
+	}
+	since, missing := n.routingHistory.missingSince(s.knownRoutingVersion())
+	if !missing {
 		return 0
 	}
-	return max(0, remoteRoutingDelay-now.Sub(acceptedAt))
+	return max(0, remoteRoutingDelay-now.Sub(since))
 }
 
 // addUpstreams adds the changed upstreams. A control replica gets each heartbeat
--- a/controlnode/subscribers_test.go
+++ b/controlnode/subscribers_test.go
@@ -118,13 +118,16 @@
 func TestRoutingTableIsHeldBackFromOtherDataCentres(t *testing.T) {
 	expect := NewWithT(t)
 	accepted := time.UnixMilli(1_000_000)
+	n := newUnstartedNode(t.TempDir())
 	s := newSubscriberOf(node.RoleEntry)
-	expect.Expect(s.routingDelay(accepted, accepted, "d")).To(BeZero())
-	expect.Expect(s.routingDelay(accepted, accepted, "other")).To(Equal(remoteRoutingDelay))
-	expect.Expect(s.routingDelay(accepted.Add(remoteRoutingDelay), accepted, "other")).To(BeZero())
-	expect.Expect(s.routingDelay(accepted, time.Time{}, "other")).To(BeZero())
-	s.incremental = false
-	expect.Expect(s.routingDelay(accepted, accepted, "other")).To(BeZero())
+	expect.Expect(n.routingDelay(accepted, s)).To(BeZero())
+	n.routingHistory.record(4, accepted)
+	expect.Expect(n.routingDelay(accepted, s)).To(Equal(remoteRoutingDelay))
+	expect.Expect(n.routingDelay(accepted.Add(remoteRoutingDelay), s)).To(BeZero())
+	n.settings.DataCentre = "d"
+	expect.Expect(n.routingDelay(accepted, s)).To(BeZero())
+	n.settings.DataCentre, s.incremental = "other", false
+	expect.Expect(n.routingDelay(accepted, s)).To(BeZero())
 	s.setRoutingVersion(4)
 	s.setRoutingVersion(3)
 	expect.Expect(s.knownRoutingVersion()).To(BeEquivalentTo(4))
@@ -144,7 +147,7 @@
 			for version := uint64(2); now.Sub(start) < 3*time.Second; version++ {
 				now = now.Add(interval)
 				accepted[version] = now
-				n.recordRouting(version, now)
+				n.routingHistory.record(version, now)
 				if n.routingDelay(now, s) == 0 {
 					s.setRoutingVersion(version)
 				}
@@ -163,8 +166,8 @@
 	s := newSubscriberOf(node.RoleEntry)
 	s.setRoutingVersion(1)
 	accepted := time.UnixMilli(1_000_000)
-	n.recordRouting(2, accepted)
+	n.routingHistory.record(2, accepted)
 	expect.Expect(n.routingDelay(accepted, s)).To(Equal(remoteRoutingDelay))
-	n.recordRouting(2, accepted.Add(remoteRoutingDelay))
+	n.routingHistory.record(2, accepted.Add(remoteRoutingDelay))
 	expect.Expect(n.routingDelay(accepted.Add(remoteRoutingDelay), s)).To(BeZero())
 }
