Send a daemon its first routing table only once it is confirmed

Callers got answers as of an older version, seconds after a later one had been confirmed, from entries that had just started: 404 for routes that had been added, 200 for dropped ones.

Cause: a control replica sent each subscriber the table that it had applied, also before it knew a leader, or while it was cut off and behind. A running daemon tells an older table by its version; one that has just started has nothing to compare with, and put it in force until the others were heard. All entries and storage daemons did so after each loss of power on all machines (0.6 to 1.0 s; version 19 after 23), and for up to 1.9 s beside a replica that had missed changes (version 20 after 52).

A replica now sends a daemon its first table once a read barrier that began after the subscription has passed, as package spread does. Every later table of the daemon is newer by its version. Class: state of a replica served without proof that it is current.

--- a/controlnode/subscribers.go
+++ b/controlnode/subscribers.go
@@ -1,6 +1,7 @@
 package controlnode
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -25,6 +26,9 @@
 	// directoryInterval is the shortest time between two changes of the directory.
 	// Many daemons that start together then cause few updates.
 	directoryInterval = 100 * time.Millisecond
+	// confirmRetryInterval is the delay before a confirmation of the routing table that
+	// failed is requested again.
+	confirmRetryInterval = 50 * time.Millisecond
 )
 
 // subscribers holds the daemons that subscribe to the updates of this replica.
@@ -36,7 +40,7 @@
 }
 
 // subscriber is one subscription and what has been sent to it. Only the goroutine
-// that serves it uses it, except for routingVersion.
+// that serves it uses it, except for the fields that mu guards.
 type subscriber struct {
 	self        *pb.Daemon
 	incremental bool
@@ -45,6 +49,9 @@
 
 	mu             sync.Mutex
 	routingVersion uint64
+	// routingConfirmed is set once this replica has every routing table that was accepted
+	// before the subscription.
+	routingConfirmed bool
 
 	// upstreamsChange is a change number of the table of upstreams, daemonsChange
 	// one of a directory.
@@ -85,10 +92,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for subscriber := range s.daemons {
-		select {
-		case subscriber.wake <- struct{}{}:
-		default:
-		}
+		subscriber.requestUpdate()
 	}
 }
 
@@ -139,11 +143,55 @@
 	return s.routingVersion
 }
 
+// mayHaveRouting reports whether the subscriber may be sent the routing table of this
+// replica. A daemon without one cannot tell an outdated table by its version, so its first
+// one has to be confirmed.
+func (s *subscriber) mayHaveRouting() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.routingVersion > 0 || s.routingConfirmed
+}
+
+func (s *subscriber) confirmRouting() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.routingConfirmed = true
+}
+
+// requestUpdate triggers an update to the subscriber. It never blocks.
+func (s *subscriber) requestUpdate() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// confirmRouting waits until this replica has every routing table that was accepted before
+// the call, and then sends the latest to the subscriber. It returns when the context ends.
+func (n *Node) confirmRouting(ctx context.Context, s *subscriber) {
+	for ctx.Err() == nil {
+		if n.replica.ReadBarrier(ctx) == nil {
+			s.confirmRouting()
+			s.requestUpdate()
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(confirmRetryInterval):
+		}
+	}
+}
+
 // serveWatch sends updates to a subscriber until its stream ends.
 func (n *Node) serveWatch(stream *transport.Stream, watch *pb.FleetWatch) {
 	n.quarantine.Merge(watch.GetEvidence())
 	subscriber := n.subscribers.add(watch)
 	defer n.subscribers.remove(subscriber)
+	subscribed, unsubscribe := context.WithCancel(n.ctx)
+	defer unsubscribe()
+	if !subscriber.mayHaveRouting() {
+		n.tasks.Go(func() { n.confirmRouting(subscribed, subscriber) })
+	}
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
@@ -188,17 +236,15 @@
 
 // addRouting adds the routing table unless the subscriber has it.
 func (n *Node) addRouting(now time.Time, s *subscriber, update *pb.FleetUpdate) {
+	if !s.mayHaveRouting() {
+		return
+	}
 	routing := n.routing()
 	if routing.GetVersion() <= s.knownRoutingVersion() {
 		return
 	}
 	if delay := n.routingDelay(now, s); delay > 0 {
-		time.AfterFunc(delay, func() {
-			select {
-			case s.wake <- struct{}{}:
-			default:
-			}
-		})
+		time.AfterFunc(delay, s.requestUpdate)
 		return
 	}
 	update.RoutingVersion, update.RoutingDocument = routing.GetVersion(), routing.GetDocument()
