Send the first routing table to daemons in other data centres at once

After a loss of power on all machines, daemons in a data centre without a control replica refused for 150 ms longer than the others: control applies its last tables when it has a leader, and holds them back from other data centres as if they were new changes. A daemon without a table cannot serve, so its first one is not held back. At the very first start of a deployment each replica sends the first table to each daemon once for this.

In TestRoutingTableIsHeldBackFromOtherDataCentres the subscriber has a table first, as the rule is now about later ones.

--- a/controlnode/subscribers.go
+++ b/controlnode/subscribers.go
@@ -256,12 +256,13 @@
 
 // routingDelay returns the time for which the routing table is held back from a subscriber.
 // It counts from the first version that the subscriber lacks, so that a series of changes
-// cannot prolong it.
+// cannot prolong it. A daemon without a table cannot serve, and gets it at once.
 func (n *Node) routingDelay(now time.Time, s *subscriber) time.Duration {
-	if !s.incremental || s.self.GetDataCentre() == n.settings.DataCentre {
+	known := s.knownRoutingVersion()
+	if !s.incremental || known == 0 || s.self.GetDataCentre() == n.settings.DataCentre {
 		return 0
 	}
-	since, missing := n.routingHistory.missingSince(s.knownRoutingVersion())
+	since, missing := n.routingHistory.missingSince(known)
 	if !missing {
 		return 0
 	}
--- a/controlnode/subscribers_test.go
+++ b/controlnode/subscribers_test.go
@@ -120,6 +120,8 @@
 	accepted := time.UnixMilli(1_000_000)
 	n := newUnstartedNode(t.TempDir())
 	s := newSubscriberOf(node.RoleEntry)
+	n.routingHistory.record(3, accepted.Add(-time.Second))
+	s.setRoutingVersion(3)
 	expect.Expect(n.routingDelay(accepted, s)).To(BeZero())
 	n.routingHistory.record(4, accepted)
 	expect.Expect(n.routingDelay(accepted, s)).To(Equal(remoteRoutingDelay))
@@ -133,6 +135,16 @@
 	expect.Expect(s.knownRoutingVersion()).To(BeEquivalentTo(4))
 }
 
+// After a loss of power on all machines control applies its last tables when it has a
+// leader: daemons in a data centre without a replica waited for them 150 ms longer.
+func TestFirstRoutingTableIsNotHeldBack(t *testing.T) {
+	expect := NewWithT(t)
+	n := newUnstartedNode(t.TempDir())
+	accepted := time.UnixMilli(1_000_000)
+	n.routingHistory.record(4, accepted)
+	expect.Expect(n.routingDelay(accepted, newSubscriberOf(node.RoleEntry))).To(BeZero())
+}
+
 // Each change began the delay anew: with one change every 100 ms, a data centre without a
 // control replica got no routing table until the changes ended.
 func TestRoutingTableIsNotHeldBackWhileChangesGoOn(t *testing.T) {
