Elect the first leader after a start sooner

Since a daemon waits for a confirmed routing table, callers are refused after a loss of power on all machines until control has a leader, which took 0.6 to 0.9 s. The first three election timeouts of a replica that has just started are now 3 to 8 ticks instead of 10 to 20, until it hears from a leader. A running leader is not disturbed: its heartbeats come every 2 ticks, and voters that hear them refuse a pre-vote.

TestReplicaThatHasJustStartedStandsForElectionSoon failed before.

--- a/quorum/core_test.go
+++ b/quorum/core_test.go
@@ -157,3 +157,38 @@
 		}
 	})
 }
+
+// A daemon that starts waits for a leader of control. After a loss of everything the first
+// election took as long as after the loss of a leader, up to twice ElectionTicks.
+func TestReplicaThatHasJustStartedStandsForElectionSoon(t *testing.T) {
+	g := NewWithT(t)
+	for seed := range uint64(50) {
+		bootstrap := &pb.Bootstrap{Decided: true, Membership: &pb.Membership{
+			Size: 2, Replicas: []*pb.Replica{{Id: "a", Identity: 1}, {Id: "b", Identity: 2}},
+		}}
+		c := New(Options{ID: "a", Identity: 1, Seed: seed, Stored: Stored{Bootstrap: bootstrap}})
+		ticks := 0
+		for ; len(drainMessages(c)) == 0; ticks++ {
+			c.Tick(time.Time{})
+		}
+		g.Expect(ticks).To(BeNumerically(">", defaultHeartbeatTicks))
+		g.Expect(ticks).To(BeNumerically("<", DefaultElectionTicks))
+	}
+}
+
+// A leader that is there must not be replaced by a replica that has just started.
+func TestHeartbeatPostponesTheFirstElection(t *testing.T) {
+	g := NewWithT(t)
+	c := newMemberCore(Stored{})
+	for range defaultHeartbeatTicks {
+		c.Tick(time.Time{})
+	}
+	c.Step(time.Time{}, MessageReceived{&pb.QuorumMessage{
+		Kind: pb.QuorumKind_QUORUM_HEARTBEAT, From: "b", To: "a", FromIdentity: 2, ToIdentity: 1, Term: 1,
+	}})
+	drainMessages(c)
+	for range DefaultElectionTicks - 1 {
+		c.Tick(time.Time{})
+	}
+	g.Expect(drainMessages(c)).To(BeEmpty())
+}
--- a/quorum/election.go
+++ b/quorum/election.go
@@ -16,11 +16,21 @@
 	return c.leaderID != "" && c.tick < c.leaderContactAt+c.options.ElectionTicks
 }
 
+// startElections is the number of election timeouts after a start that are short, so that a
+// group whose replicas all started has a leader soon.
+const startElections = 3
+
 // resetElectionTimer starts a new election timeout, drawn at random between one
-// and two times ElectionTicks.
+// and two times ElectionTicks. After a start it is shorter until a leader is known. If
+// there is one already, its heartbeats arrive within HeartbeatTicks, and the voters that
+// hear them refuse a pre-vote.
 func (c *Core) resetElectionTimer() {
-	spread := c.rand.Uint64N(c.options.ElectionTicks)
-	c.electionAt = c.tick + c.options.ElectionTicks + spread
+	shortest, spread := c.options.ElectionTicks, c.options.ElectionTicks
+	if c.startElections > 0 {
+		c.startElections--
+		shortest, spread = min(c.options.HeartbeatTicks+1, shortest), max(1, spread/2)
+	}
+	c.electionAt = c.tick + shortest + c.rand.Uint64N(spread)
 }
 
 // recordLeaderContact records a message from the leader of the current term.
@@ -33,6 +43,7 @@
 	}
 	c.leaderID = id
 	c.leaderContactAt = c.tick
+	c.startElections = 0
 	c.resetElectionTimer()
 }
 
