Send a request that was refused on a connection on another one

Reported by other operators: a faulty engine wrote an earlier refusal once more on a kept connection, and callers were told 'not run, try again' for requests that ran, or these ran at a second engine.

Here a refusal of another request is recognized by its ID and skipped. But a stream that waits for a full engine, and an item of a batch job, come to the same engine again with the same ID, and the earlier refusal then looks like one of the request that runs. Such a request is now sent on a connection on which it was not refused; a connection is closed after 64 refusals, so that few IDs are kept.

TestRepeatedRefusalOfTheSameRequestIsNotTakenForANewOne failed before: the engine ran the request that was reported as not run. That a head which stops half-way is taken for a response does not happen here: TestHeadThatStopsHalfWayIsNoResponse cuts heads after each byte and passes on the code before.

--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -5,6 +5,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,6 +26,9 @@
 	// request.
 	IdleTime time.Duration
 
+	// Refused holds the IDs of the requests that the server refused on this connection.
+	Refused map[string]struct{}
+
 	// readLimit is the number of bytes that Read may still return if limited is set.
 	readLimit int
 	limited   bool
@@ -102,8 +106,14 @@
 
 // Get returns a usable idle connection, or dials a new one.
 func (p *Pool) Get(ctx context.Context) (*Conn, error) {
+	return p.GetUnless(ctx, func(*Conn) bool { return false })
+}
+
+// GetUnless returns a usable idle connection that is not excluded, or dials a new one. The
+// excluded connections stay in the pool.
+func (p *Pool) GetUnless(ctx context.Context, excluded func(*Conn) bool) (*Conn, error) {
 	for {
-		c := p.popIdle()
+		c := p.popIdle(excluded)
 		if c == nil {
 			return p.dial(ctx)
 		}
@@ -124,17 +134,18 @@
 	return now.Before(c.idleUntil) && c.Reader.Buffered() == 0 && isReusable(c.Conn)
 }
 
-func (p *Pool) popIdle() *Conn {
+// popIdle removes the connection that was put back last from the idle ones, without the
+// excluded ones. It returns nil if there is none.
+func (p *Pool) popIdle(excluded func(*Conn) bool) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	last := len(p.idle) - 1
-	if last < 0 {
-		return nil
+	for i, c := range slices.Backward(p.idle) {
+		if !excluded(c) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
+		}
 	}
-	c := p.idle[last]
-	p.idle[last] = nil
-	p.idle = p.idle[:last]
-	return c
+	return nil
 }
 
 func (p *Pool) dial(ctx context.Context) (*Conn, error) {
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -39,6 +39,9 @@
 	// long, only to reuse the connection.
 	maxDiscardBytes = 8 << 10
 	discardTimeout  = 100 * time.Millisecond
+	// maxConnRefusals limits the requests that are refused on one connection before it is
+	// closed, and with them the IDs that are kept.
+	maxConnRefusals = 64
 )
 
 // Request is one request to an engine.
@@ -215,7 +218,12 @@
 // engine stop its work. A returned error is an *Error.
 func (c *Client) Do(ctx context.Context, request *Request) (*Response, error) {
 	pool := c.pool(request.Address)
-	conn, err := pool.Get(ctx)
+	// A faulty engine may write an earlier refusal once more. A request that was refused on a
+	// connection is sent again on another one, where its refusal cannot be an earlier one.
+	conn, err := pool.GetUnless(ctx, func(c *connpool.Conn) bool {
+		_, refused := c.Refused[request.ID]
+		return refused
+	})
 	if err != nil {
 		return nil, &Error{NotSent, err}
 	}
@@ -237,9 +245,19 @@
 		return nil, &Error{state, err}
 	}
 	response.conn, response.pool, response.stopCancel = conn, pool, stopCancel
+	if response.NotRun || response.OtherInstance {
+		recordRefusal(conn, request.ID)
+	}
 	return response, nil
 }
 
+func recordRefusal(conn *connpool.Conn, requestID string) {
+	if conn.Refused == nil {
+		conn.Refused = make(map[string]struct{})
+	}
+	conn.Refused[requestID] = struct{}{}
+}
+
 func (c *Client) exchange(conn *connpool.Conn, request *Request) (*Response, error) {
 	if err := c.writeRequest(conn, request); err != nil {
 		return nil, eris.Wrap(err, "send request")
@@ -327,10 +345,11 @@
 }
 
 // Close ends the exchange. The connection is kept for reuse if the body has been
-// read to its end; otherwise it is closed, which makes the engine stop its work.
+// read to its end and few requests were refused on it; otherwise it is closed, which
+// makes the engine stop its work.
 func (r *Response) Close() {
 	stopped := r.stopCancel()
-	if !stopped || !r.bodyComplete || r.httpResponse.Close {
+	if !stopped || !r.bodyComplete || r.httpResponse.Close || len(r.conn.Refused) >= maxConnRefusals {
 		_ = r.conn.Close()
 		return
 	}
