End a stream at text that is no event, and relay the events before it

Reported by other operators: callers found the text of an engine's error, at times its whole head, in the middle of their stream, or the stream ended as if it were complete.

The splitter now ends a stream at a line that is neither a comment nor a field with a proper name, and the request goes on at another engine after the last event.

Whole events that came in one read with such a text, or with one event that is too large, were counted but not relayed; they now are (TestEventsBeforeAnOversizedOneAreReturned failed before).

--- a/entrynode/exchange.go
+++ b/entrynode/exchange.go
@@ -505,15 +505,14 @@
 	}
 }
 
+// relayChunk relays the whole events up to the end of a chunk. It returns an error if
+// the rest is no part of a stream.
 func (x *exchange) relayChunk(chunk []byte) error {
 	before := x.events.Count
 	first := before == 0
 	complete, err := x.events.Push(chunk)
-	if err != nil {
-		return err
-	}
 	if len(complete) == 0 {
-		return nil
+		return err
 	}
 	x.progress.Record(time.Now(), x.events.Count-before)
 	if first {
@@ -526,7 +525,7 @@
 	}
 	x.flush()
 	x.progress.Relayed(time.Now())
-	return nil
+	return err
 }
 
 func (x *exchange) flush() {
--- a/upstream/event_splitter.go
+++ b/upstream/event_splitter.go
@@ -12,6 +12,9 @@
 // ErrEventTooLarge means that an incomplete event exceeds maxEventBytes.
 var ErrEventTooLarge = eris.New("server-sent event exceeds 1 MiB")
 
+// ErrNoEvent means that a part of a stream that ends like an event is none.
+var ErrNoEvent = eris.New("line is no field of a server-sent event")
+
 // EventSplitter splits a stream of server-sent events into whole events, so that
 // no part of an event is forwarded if the engine fails in the middle of it.
 type EventSplitter struct {
@@ -26,8 +29,9 @@
 	OnData func([]byte)
 }
 
-// Push appends p to the incomplete event and returns the whole events up to there.
-// The slice is valid until the next call.
+// Push appends p to the incomplete event and returns the whole events up to there, also
+// with an error. The slice is valid until the next call. After an error, no more of the
+// stream may be pushed.
 func (s *EventSplitter) Push(p []byte) ([]byte, error) {
 	s.buffer = append(s.buffer, p...)
 	end := 0
@@ -36,17 +40,40 @@
 		if size == 0 {
 			break
 		}
-		s.record(s.buffer[end : end+size])
+		event := s.buffer[end : end+size]
+		if !isEvent(event) {
+			return s.buffer[:end:end], ErrNoEvent
+		}
+		s.record(event)
 		end += size
 	}
+	events := s.buffer[:end:end]
 	if len(s.buffer)-end > maxEventBytes {
-		return nil, ErrEventTooLarge
+		return events, ErrEventTooLarge
 	}
-	events := s.buffer[:end:end]
 	s.buffer = append([]byte(nil), s.buffer[end:]...)
 	return events, nil
 }
 
+// isEvent reports whether each line is a comment or a field with a proper name. The head
+// of a response, which a faulty engine may write into a stream, has a first line that is
+// neither.
+func isEvent(p []byte) bool {
+	for line := range bytes.SplitSeq(p, []byte("\n")) {
+		name, _, _ := bytes.Cut(bytes.TrimSuffix(line, []byte("\r")), []byte(":"))
+		for _, c := range name {
+			if !isFieldNameByte(c) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func isFieldNameByte(c byte) bool {
+	return 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9' || c == '-' || c == '_' || c == '.'
+}
+
 // PendingBytes returns the size of the incomplete event.
 func (s *EventSplitter) PendingBytes() int { return len(s.buffer) }
 
--- a/upstream/event_splitter_test.go
+++ b/upstream/event_splitter_test.go
@@ -50,6 +50,30 @@
 	NewWithT(t).Expect(err).To(MatchError(ErrEventTooLarge))
 }
 
+// A faulty engine writes the head of a response, or a text, where an event is due.
+func TestTextThatIsNoEventEndsTheStream(t *testing.T) {
+	for _, text := range []string{
+		"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nfull", "out of memory\n\n", "{\"error\": 1}\n\n", "id: 2\n<html>\n\n",
+	} {
+		g := NewWithT(t)
+		splitter := EventSplitter{}
+		events, err := splitter.Push([]byte("id: 1\ndata: a b\n\n" + text))
+		g.Expect(err).To(MatchError(ErrNoEvent))
+		g.Expect(string(events)).To(Equal("id: 1\ndata: a b\n\n"))
+		g.Expect(splitter.LastID).To(Equal("1"))
+		g.Expect(splitter.Count).To(Equal(1))
+	}
+}
+
+// The events before one that is too large have been counted, and must not be lost.
+func TestEventsBeforeAnOversizedOneAreReturned(t *testing.T) {
+	g := NewWithT(t)
+	splitter := EventSplitter{}
+	events, err := splitter.Push(append([]byte("id: 1\ndata: a\n\n"), make([]byte, maxEventBytes+1)...))
+	g.Expect(err).To(MatchError(ErrEventTooLarge))
+	g.Expect(string(events)).To(Equal("id: 1\ndata: a\n\n"))
+}
+
 func FuzzEvents(f *testing.F) {
 	f.Add([]byte(stream), uint8(3))
 	f.Add([]byte("\n\n\r\n\r\n"), uint8(1))
