--- a/e2e/platform_config_test.go
+++ b/e2e/platform_config_test.go
@@ -1,11 +1,14 @@
 package e2e
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/briarcross/briarcross/eventlog"
 )
@@ -71,3 +74,51 @@
 		return expectStatus(http.StatusServiceUnavailable, http.StatusNotFound) == http.StatusNotFound
 	})
 }
+
+// checkFirstTables checks by the logs of the entries and storage daemons that the first
+// routing table after each start has all versions that were confirmed before the start, and
+// that no later table is older than the one before it.
+func (s *soakRun) checkFirstTables() {
+	starts := 0
+	for _, n := range append(slices.Clone(s.entries), s.stores...) {
+		raw, err := os.ReadFile(n.logPath)
+		if err != nil {
+			s.t.Error(err)
+			continue
+		}
+		atLeast, began := int64(0), time.Time{}
+		for line := range strings.Lines(string(raw)) {
+			var event struct {
+				Time    time.Time
+				Msg     string
+				Version any
+			}
+			if json.Unmarshal([]byte(line), &event) != nil {
+				continue
+			}
+			switch event.Msg {
+			case eventlog.Started:
+				atLeast, began = s.confirmedBefore(event.Time), event.Time
+				starts++
+			case eventlog.RoutingApplied:
+				version, isNumber := event.Version.(float64)
+				if !isNumber || int64(version) < atLeast {
+					s.t.Errorf("%s, started at %v, put version %v in force at %v, after %d", n.name, began, event.Version, event.Time, atLeast)
+				}
+				atLeast = int64(version)
+			}
+		}
+	}
+	s.t.Logf("%d starts of entries and storage daemons with a confirmed configuration", starts)
+}
+
+// confirmedBefore returns the last version whose acceptance was confirmed before a time.
+func (s *soakRun) confirmedBefore(at time.Time) int64 {
+	confirmed := int64(0)
+	for _, ack := range s.acks {
+		if ack.at.Before(at) {
+			confirmed = max(confirmed, ack.version)
+		}
+	}
+	return confirmed
+}
--- a/e2e/platform_faults_test.go
+++ b/e2e/platform_faults_test.go
@@ -71,6 +71,23 @@
 		}
 		sleepContext(ctx, recoveryTime)
 	}},
+	{"start entries beside a replica that missed changes", func(s *soakRun, ctx context.Context) {
+		behind := s.pickNode(s.controls)
+		behind.kill()
+		s.pauseRandom(ctx, 1500)
+		others := slices.DeleteFunc(slices.Clone(s.controls), func(n *platformNode) bool { return n == behind })
+		for _, n := range append(others, s.entries...) {
+			n.kill()
+		}
+		for _, n := range append([]*platformNode{behind}, s.entries...) {
+			s.startNode(n, false)
+		}
+		s.pauseRandom(ctx, 1000)
+		for _, n := range others {
+			s.startNode(n, false)
+		}
+		sleepContext(ctx, recoveryTime)
+	}},
 	{"stop an entry", func(s *soakRun, _ context.Context) {
 		n := s.pickNode(s.entries)
 		n.requestStop()
--- a/e2e/platform_soak_test.go
+++ b/e2e/platform_soak_test.go
@@ -37,7 +37,10 @@
 )
 
 // regressionSeeds are seeds that once failed, each with the cause.
-var regressionSeeds = []uint64{}
+var regressionSeeds = []uint64{
+	// Daemons that started put an older configuration in force than had been confirmed.
+	14,
+}
 
 func TestFaultSoak(t *testing.T) {
 	seeds := append([]uint64{1}, regressionSeeds...)
@@ -96,7 +99,9 @@
 	jobResults   map[string][]string
 	jobDeletedAt map[string]time.Time
 	ackedVersion int64
-	servedCount  int
+	// acks lists the accepted versions of the configuration in their order.
+	acks        []configAck
+	servedCount int
 	// takenUpCount counts the cut streams that callers took up, wentOnCount those that
 	// were then completed, and refusedTakeUps those that were refused.
 	takenUpCount   int
@@ -104,6 +109,12 @@
 	refusedTakeUps int
 }
 
+// configAck is a version of the configuration and when its acceptance was confirmed.
+type configAck struct {
+	version int64
+	at      time.Time
+}
+
 func runSoak(t *testing.T, seed uint64, entries int, duration time.Duration) {
 	s := &soakRun{
 		platformFleet: startPlatformFleet(t, entries, soakEngines, true),
@@ -326,6 +337,7 @@
 			_ = response.Body.Close()
 			if response.StatusCode == http.StatusOK {
 				s.ackedVersion = version
+				s.acks = append(s.acks, configAck{version, time.Now()})
 				break
 			}
 			if response.StatusCode/100 == 4 {
@@ -381,7 +393,8 @@
 }
 
 // checkFinalState checks the guarantees over the whole run: accepted jobs are
-// completed, deleted jobs stop running, the replicas serve the configuration,
+// completed, deleted jobs stop running, the replicas serve the configuration, daemons that
+// start put no older one in force,
 // refused requests have not run, others have run at most once where required, daemons sent
 // nothing new to engines that had told them that they leave, and no more than a stated rate limit allows.
 func (s *soakRun) checkFinalState() {
@@ -416,6 +429,7 @@
 	}
 	s.checkCustomers()
 	s.checkQuarantine()
+	s.checkFirstTables()
 	told, unknown, counted := 0, 0, 0
 	for _, e := range s.engines {
 		told += e.notices.toldRuns("")
