Do not let the error of the next engine enter a stream on the older path

Reported by other operators: a stream had begun and broke off, the next engine answered with an error, and clients found its text in the middle of their stream, or the stream ended as if it were complete.

Both happened at entryd: an attempt that resumes a stream relays its head and body whatever its status, so the caller got the error as an event, and [DONE] after it. A head with an error status after a response that has begun now ends the attempt as failed; the gate retries elsewhere or cuts the stream off with an error event.

TestErrorOfTheNextEngineDoesNotEnterTheStream in devd (whole system in one process) failed before, 3 of 3 runs, and passes now, 3 of 3.

--- a/entryd/attempt.go
+++ b/entryd/attempt.go
@@ -114,6 +114,10 @@
 func (a *attempt) handleFrame(frame *pb.OnlineFrame) *pb.AnswerEnd {
 	switch part := frame.GetPart().(type) {
 	case *pb.OnlineFrame_Head:
+		// An error cannot follow a response that has begun.
+		if part.Head.GetStatus() >= minFailureStatus && a.call.hasBegun() {
+			return outcomeUnknownEnd(pb.Reason_REASON_ENGINE_FAILED)
+		}
 		a.head = part.Head
 		return nil
 	case *pb.OnlineFrame_Data:
--- a/entryd/call.go
+++ b/entryd/call.go
@@ -116,6 +116,13 @@
 	_ = c.aggregator.Add(part.data)
 }
 
+// hasBegun reports whether the head of a response that is no failure has been relayed.
+func (c *call) hasBegun() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.status > 0 && c.status < minFailureStatus
+}
+
 // completeResponse returns the status and the body of the whole response.
 func (c *call) completeResponse() (int, []byte, error) {
 	c.mu.Lock()
