Close a connection to an engine after an error on the older path

Reported by other operators: a faulty engine wrote an earlier refusal once more on a kept connection, and callers were told that requests had not run that had.

Responses at package engine carry no request ID outside of event chunks, so a refusal that is written again passes for the response to the next request on the connection. A connection on which an error was answered is no longer kept. Cost: one new connection for each error; successes keep theirs.

--- a/engine/exchange.go
+++ b/engine/exchange.go
@@ -81,11 +81,12 @@
 
 // release releases the buffers and the connection. With reuse set, the body was
 // read to its end; the connection returns to the pool unless the context was
-// cancelled or the upstream closes it.
+// cancelled, the upstream closes it, or the response is an error: a faulty engine may
+// write it once more, and it would pass for the response to the next request.
 func (x *exchange) release(reuse bool) {
 	if x.conn != nil {
 		reuse = x.stopCancelWatch() && reuse
-		reuse = reuse && !x.response.ConnectionClose() && x.response.Header.ContentLength() >= -1
+		reuse = reuse && x.status() < firstErrorStatus && !x.response.ConnectionClose() && x.response.Header.ContentLength() >= -1
 		if !reuse {
 			_ = x.conn.Conn.Close()
 		}
@@ -98,6 +99,9 @@
 	fasthttp.ReleaseResponse(x.response)
 }
 
+// firstErrorStatus is the lowest status of a response that is an error.
+const firstErrorStatus = 400
+
 // drainTimeout bounds the wait for the end of a chunked body after the end mark
 // of its event stream.
 const drainTimeout = 100 * time.Millisecond
