--- a/explain/explain.go
+++ b/explain/explain.go
@@ -124,7 +124,7 @@
 
 // reasonTexts explains the reasons of refusals, aborted responses and item results.
 var reasonTexts = map[string]string{
-	"no_routing_table":        "the entry had just started and had not received a routing table from a control replica",
+	"no_routing_table":        "the entry had just started and had not received a confirmed routing table from a control replica",
 	"no_route":                "the routing table of this version has no route for the host and path",
 	"missing_key":             "the route is not public, and the request had no Authorization header",
 	"malformed_key":           "the request had several Authorization headers, or one that holds no bearer token that can be a key",
