Rename what confirms a table and what counts short election timeouts

Two functions were both named confirmRouting, a constant and a field both startElections. The confirmation runs in a goroutine of its subscription like the reader of the stream, not in the tasks that Stop waits for: a subscription that begins while the replica stops would add to them during the wait. No change of behaviour otherwise.

--- a/controlnode/subscribers.go
+++ b/controlnode/subscribers.go
@@ -152,7 +152,7 @@
 	return s.routingVersion > 0 || s.routingConfirmed
 }
 
-func (s *subscriber) confirmRouting() {
+func (s *subscriber) setRoutingConfirmed() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.routingConfirmed = true
@@ -171,7 +171,7 @@
 func (n *Node) confirmRouting(ctx context.Context, s *subscriber) {
 	for ctx.Err() == nil {
 		if n.replica.ReadBarrier(ctx) == nil {
-			s.confirmRouting()
+			s.setRoutingConfirmed()
 			s.requestUpdate()
 			return
 		}
@@ -190,7 +190,7 @@
 	subscribed, unsubscribe := context.WithCancel(n.ctx)
 	defer unsubscribe()
 	if !subscriber.mayHaveRouting() {
-		n.tasks.Go(func() { n.confirmRouting(subscribed, subscriber) })
+		go n.confirmRouting(subscribed, subscriber)
 	}
 	ended := make(chan struct{})
 	go func() {
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -41,8 +41,8 @@
 	leaderContactAt uint64
 	// electionAt is the tick at which the election timeout ends.
 	electionAt uint64
-	// startElections counts the short election timeouts that are left after a start.
-	startElections int
+	// shortTimeouts is the number of short election timeouts that are left after a start.
+	shortTimeouts int
 	// votes lists the IDs of the replicas that granted their (pre-)vote.
 	votes []string
 
@@ -79,10 +79,10 @@
 func New(options Options) *Core {
 	options.setDefaults()
 	c := &Core{
-		options:        options,
-		rand:           core.NewRand(options.Seed),
-		startElections: startElections,
-		log:            newEntryLog(options.Stored.Base, options.Stored.Entries),
+		options:       options,
+		rand:          core.NewRand(options.Seed),
+		shortTimeouts: shortTimeoutsAfterStart,
+		log:           newEntryLog(options.Stored.Base, options.Stored.Entries),
 	}
 	c.restoreHardState(options.Stored.HardState)
 	c.restoreApplied(options.Stored.Applied)
--- a/quorum/election.go
+++ b/quorum/election.go
@@ -16,9 +16,9 @@
 	return c.leaderID != "" && c.tick < c.leaderContactAt+c.options.ElectionTicks
 }
 
-// startElections is the number of election timeouts after a start that are short, so that a
-// group whose replicas all started has a leader soon.
-const startElections = 3
+// shortTimeoutsAfterStart is the number of election timeouts after a start that are short,
+// so that a group whose replicas all started has a leader soon.
+const shortTimeoutsAfterStart = 3
 
 // resetElectionTimer starts a new election timeout, drawn at random between one
 // and two times ElectionTicks. After a start it is shorter until a leader is known. If
@@ -26,8 +26,8 @@
 // hear them refuse a pre-vote.
 func (c *Core) resetElectionTimer() {
 	shortest, spread := c.options.ElectionTicks, c.options.ElectionTicks
-	if c.startElections > 0 {
-		c.startElections--
+	if c.shortTimeouts > 0 {
+		c.shortTimeouts--
 		shortest, spread = min(c.options.HeartbeatTicks+1, shortest), max(1, spread/2)
 	}
 	c.electionAt = c.tick + shortest + c.rand.Uint64N(spread)
@@ -43,7 +43,7 @@
 	}
 	c.leaderID = id
 	c.leaderContactAt = c.tick
-	c.startElections = 0
+	c.shortTimeouts = 0
 	c.resetElectionTimer()
 }
 
