Keep a digest of long request IDs in the origins of streams

A table of 32,768 origins with IDs of 16 KiB takes 512 MB, more than an entry or a storage daemon has, and records of long IDs do not fit into a datagram, so that their streams cannot be taken up elsewhere.

TestLongRequestIDsTakeLittleMemory failed before.

--- a/node/origin_search.go
+++ b/node/origin_search.go
@@ -27,6 +27,7 @@
 // touch with control know of no other; the view of this daemon may be outdated. After a loss
 // of everything, it waits until one of them is in touch again.
 func (o *StreamOrigins) Find(ctx context.Context, requestID string, services []string) (origins.Origin, bool) {
+	requestID = origins.Key(requestID)
 	origin, result := o.find(ctx, requestID, services)
 	for began := time.Now(); result == searchUninformed && ctx.Err() == nil && time.Since(began) < maxOriginWait; {
 		sleep(ctx, originQueryInterval)
--- a/node/stream_origins.go
+++ b/node/stream_origins.go
@@ -67,12 +67,12 @@
 // Record records the origin of a stream that may be run by some services. It must be
 // called before the caller gets the first event.
 func (o *StreamOrigins) Record(requestID string, origin origins.Origin, services []string) {
-	record := origins.Record{RequestID: requestID, Origin: origin}
+	record := origins.Record{RequestID: origins.Key(requestID), Origin: origin}
 	o.mu.Lock()
 	o.table.Add(time.Now(), record)
 	o.mu.Unlock()
 	if len(o.possibleOrigins(services)) != 1 {
-		o.sendRecords(o.homes(requestID), []origins.Record{record})
+		o.sendRecords(o.homes(record.RequestID), []origins.Record{record})
 	}
 }
 
--- a/origins/origins_test.go
+++ b/origins/origins_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -106,3 +107,27 @@
 		Homes("stream", addresses, EntryHomes)
 	}
 }
+
+// Callers choose the IDs of their requests. Records of long ones filled the memory of a
+// daemon, and did not fit into a datagram.
+func TestLongRequestIDsTakeLittleMemory(t *testing.T) {
+	expect := NewWithT(t)
+	now := time.UnixMilli(1_000_000)
+	table := NewTable()
+	prefix := strings.Repeat("x", 16<<10)
+	for _, version := range []string{"1", "2"} {
+		table.Add(now, Record{prefix + version, Origin{"s", version}})
+	}
+	for _, version := range []string{"1", "2"} {
+		origin, known := table.Find(now, prefix+version)
+		expect.Expect(known).To(BeTrue())
+		expect.Expect(origin.SoftwareVersion).To(Equal(version))
+	}
+	_, known := table.Find(now, prefix)
+	expect.Expect(known).To(BeFalse())
+	for _, r := range table.OfService(now, "s") {
+		expect.Expect(len(r.RequestID)).To(BeNumerically("<=", maxKeyBytes))
+		expect.Expect(Key(r.RequestID)).To(Equal(r.RequestID))
+	}
+	expect.Expect(Key("short")).To(Equal("short"))
+}
--- a/origins/table.go
+++ b/origins/table.go
@@ -1,6 +1,8 @@
 package origins
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"time"
 )
 
@@ -11,8 +13,21 @@
 	// maxRecords bounds the memory of a table to some megabytes. Beyond it, the oldest
 	// records are dropped.
 	maxRecords = 1 << 15
+	// maxKeyBytes is the length of the longest key.
+	maxKeyBytes = 2 * sha256.Size
 )
 
+// Key returns what stands for a request ID in records and messages: the ID itself, or a digest
+// of a long one. Callers choose the IDs, and 32,768 records of 16 KiB each exceed the memory
+// of a daemon. The key of a key is the key itself.
+func Key(requestID string) string {
+	if len(requestID) <= maxKeyBytes {
+		return requestID
+	}
+	digest := sha256.Sum256([]byte(requestID))
+	return hex.EncodeToString(digest[:])
+}
+
 // Origin is where a stream began.
 type Origin struct {
 	Service string
@@ -22,12 +37,12 @@
 
 // Record is the origin of one stream.
 type Record struct {
-	// RequestID is the ID of the caller's request that began the stream.
+	// RequestID is the ID of the caller's request that began the stream, or its Key.
 	RequestID string
 	Origin    Origin
 }
 
-// Table holds the origins of recent streams. It is not safe for concurrent use.
+// Table holds the origins of recent streams by the keys of their requests. It is not safe for concurrent use.
 type Table struct {
 	origins map[string]Origin
 	// recent lists the records by the time at which they expire.
@@ -35,7 +50,7 @@
 }
 
 type expiringRecord struct {
-	requestID string
+	key       string
 	expiresAt time.Time
 }
 
@@ -47,20 +62,21 @@
 // Add records an origin, unless one is known for the request.
 func (t *Table) Add(now time.Time, record Record) {
 	t.expire(now)
-	if _, known := t.origins[record.RequestID]; known || record.RequestID == "" {
+	key := Key(record.RequestID)
+	if _, known := t.origins[key]; known || key == "" {
 		return
 	}
 	if len(t.recent) >= maxRecords {
 		t.dropOldest()
 	}
-	t.origins[record.RequestID] = record.Origin
-	t.recent = append(t.recent, expiringRecord{record.RequestID, now.Add(Retention)})
+	t.origins[key] = record.Origin
+	t.recent = append(t.recent, expiringRecord{key, now.Add(Retention)})
 }
 
 // Find returns the origin of the stream that a request began.
 func (t *Table) Find(now time.Time, requestID string) (Origin, bool) {
 	t.expire(now)
-	origin, known := t.origins[requestID]
+	origin, known := t.origins[Key(requestID)]
 	return origin, known
 }
 
@@ -69,8 +85,8 @@
 	t.expire(now)
 	var found []Record
 	for _, r := range t.recent {
-		if origin := t.origins[r.requestID]; origin.Service == service {
-			found = append(found, Record{r.requestID, origin})
+		if origin := t.origins[r.key]; origin.Service == service {
+			found = append(found, Record{r.key, origin})
 		}
 	}
 	return found
@@ -83,6 +99,6 @@
 }
 
 func (t *Table) dropOldest() {
-	delete(t.origins, t.recent[0].requestID)
+	delete(t.origins, t.recent[0].key)
 	t.recent = t.recent[1:]
 }
