--- a/routing/table.go
+++ b/routing/table.go
@@ -169,7 +169,7 @@
 func (r *Route) validateSplits(serviceNames map[string]bool) error {
 	totalWeight := 0
 	for _, s := range r.Splits {
-		if !serviceNames[s.Service] {
+		if s.Service == "" || !serviceNames[s.Service] {
 			return eris.Errorf("route %s names the unknown service %q", r.Name, s.Service)
 		}
 		if s.Weight < 0 {
