--- a/review/harness/cases.go
+++ b/review/harness/cases.go
@@ -21,6 +21,11 @@
 	return fmt.Sprintf(`{"Name":%q,"Host":%q,"PathPrefix":%q,"Kind":"bulk","TimeoutMs":15000,"GoalMs":400,"Priority":2,%s,"Attempts":3,"Sticky":true,"Resumable":true,"GapTargetMs":300,"RunTargetMs":18000,"KeepS":60}`, name, host, prefix, target)
 }
 
+// resumable is a streaming route with the figures of field-note.
+func resumable(name, prefix, target string) string {
+	return fmt.Sprintf(`{"Name":%q,"Host":%q,"PathPrefix":%q,"Kind":"streaming","TimeoutMs":5000,"GoalMs":300,"Priority":0,%s,"Attempts":2,"Sticky":true,"Resumable":true,"GapTargetMs":300}`, name, host, prefix, target)
+}
+
 // streaming is a streaming route with the figures of night-log.
 func streaming(name, prefix, target string) string {
 	return fmt.Sprintf(`{"Name":%q,"Host":%q,"PathPrefix":%q,"Kind":"streaming","TimeoutMs":5000,"GoalMs":300,"Priority":0,%s,"Attempts":1,"Sticky":true,"Resumable":false,"GapTargetMs":300}`, name, host, prefix, target)
@@ -319,3 +324,76 @@
 	}
 	return v, nil
 }
+
+// spoiled: half of the engines spoil one in 33 of their answers: they write bytes that are
+// no answer after some events, and break off. The streams may be resumed at another engine.
+// None may reach its caller as a success with other bytes than those of its events.
+func spoiled(f *fleet, trouble bool) (verdict, error) {
+	var v verdict
+	const streams, events = 600, 36
+	for i := range 4 {
+		f.addEngine("sound", i)
+	}
+	spoiledCount := 0
+	for _, e := range f.engines[:2] {
+		e.pause = 20 * time.Millisecond
+		answers := 0
+		e.spoils = func(id string) bool {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			answers++
+			if !trouble || answers%33 != 0 {
+				return false
+			}
+			spoiledCount++
+			return true
+		}
+	}
+	if err := f.startAll(configuration(7, []string{service("sound", 146246)}, []string{resumable("note", "/novo13/", to("sound"))})); err != nil {
+		return v, err
+	}
+	type outcome struct {
+		id     string
+		status int
+		body   string
+	}
+	outcomes := make(chan outcome, streams)
+	for i := range streams {
+		id := fmt.Sprintf("note-%d", i)
+		edge := f.edges[i%len(f.edges)]
+		f.rec.add("client sends %s to %s", id, edge.name)
+		go func() {
+			status, body := f.call(http.MethodPost, "http://"+edge.front()+"/novo13/2f", host, map[string]string{
+				"Briarcross-Request-Id": id, "Briarcross-Deadline-Ms": "5000", "Briarcross-Model": "m", "Briarcross-Token-Count": fmt.Sprintf("450,%d", events),
+				"Briarcross-Prompt-Prefix": fmt.Sprintf("5c1e07a2:200,%x:250", 0xb0000+i),
+			}, "prompt "+id, 6*time.Second)
+			outcomes <- outcome{id, status, string(body)}
+		}()
+		time.Sleep(50 * time.Millisecond)
+	}
+	served, whole := 0, 0
+	for range streams {
+		o := <-outcomes
+		f.rec.add("client gets %d with %d bytes for %s", o.status, len(o.body), o.id)
+		if o.status != http.StatusOK {
+			continue
+		}
+		served++
+		var expected strings.Builder
+		for n := 1; n <= events; n++ {
+			expected.WriteString(eventText(o.id, n))
+		}
+		if o.body == expected.String() {
+			whole++
+			continue
+		}
+		f.rec.add("the body of %s: %q", o.id, o.body)
+		if strings.Contains(o.body, foreignBytes) {
+			v.add("MIXED: %s is a complete success whose body holds bytes that belong to no request", o.id)
+		} else {
+			v.add("MIXED: %s is a complete success whose body isn't the whole body", o.id)
+		}
+	}
+	f.rec.say("%d streams, %d complete successes, %d of these with the whole body and no other bytes; %d answers were spoiled", streams, served, whole, spoiledCount)
+	return v, nil
+}
--- a/review/harness/engine.go
+++ b/review/harness/engine.go
@@ -36,6 +36,9 @@
 	// trouble, unless nil, may answer a request that has got a slot instead of the engine.
 	// It returns true if it did.
 	trouble func(e *engine, w http.ResponseWriter, r *http.Request) bool
+	// spoils, unless nil, reports whether the engine spoils its answer to a request: it
+	// writes bytes that are no answer after some events, and breaks off.
+	spoils func(id string) bool
 
 	mu       sync.Mutex
 	born     int64
@@ -199,6 +202,9 @@
 	e.stream(w, r, id, after)
 }
 
+// foreignBytes are bytes that are no answer. They belong to no request.
+const foreignBytes = "error: worker 3 of 4 has left the group\n\n"
+
 // head sends the head of a stream.
 func (e *engine) head(w http.ResponseWriter, id string) {
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -210,10 +216,22 @@
 
 func eventData(id string, n int) string { return fmt.Sprintf("%s-%d", id, n) }
 
+// eventText is the text of one event of a stream.
+func eventText(id string, n int) string {
+	return fmt.Sprintf("id: %d\ndata: %s\n\n", n, eventData(id, n))
+}
+
 func (e *engine) stream(w http.ResponseWriter, r *http.Request, id string, after int) {
 	flush := http.NewResponseController(w)
 	total := e.events(r.Header)
+	spoiled := e.spoils != nil && e.spoils(id)
 	for n := after + 1; n <= total; n++ {
+		if spoiled && n == after+6 {
+			e.fleet.rec.add("engine %s spoils its answer to %s after event %d, and breaks off", e.id, id, n-1)
+			fmt.Fprint(w, foreignBytes)
+			_ = flush.Flush()
+			panic(http.ErrAbortHandler)
+		}
 		select {
 		case <-r.Context().Done():
 			e.fleet.rec.add("engine %s drops %s at event %d", e.id, id, n)
@@ -223,7 +241,7 @@
 		if n == after+1 {
 			e.head(w, id)
 		}
-		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, eventData(id, n))
+		fmt.Fprint(w, eventText(id, n))
 		if flush.Flush() != nil {
 			return
 		}
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -37,6 +37,7 @@
 	"endless":   endless,
 	"split":     split,
 	"deadly":    deadly,
+	"spoiled":   spoiled,
 }
 
 // The processes end with the thread that started them.
