--- a/review/harness/cases.go
+++ b/review/harness/cases.go
@@ -232,7 +232,7 @@
 			case !listed:
 				f.rec.say("item %s is not listed", id)
 			case r.State == "errored":
-				v.add("MIXED: item %s is errored %.1f s after its job was sent; no engine answered 422 or 500, and KeepS is 60 s", id, time.Since(j.sentAt).Seconds())
+				v.add("MIXED: item %s was read as errored %.1f s after its job was sent; no engine answered 422 or 500, and KeepS is 60 s", id, r.readAt.Sub(j.sentAt).Seconds())
 			case r.Text != j.expectedText(id):
 				v.add("MIXED: the text of item %s is not its whole output", id)
 			default:
--- a/review/harness/engine.go
+++ b/review/harness/engine.go
@@ -26,6 +26,7 @@
 	fleet   *fleet
 	id      string
 	service string
+	version string
 	zone    string
 	address string
 	slots   int
@@ -61,7 +62,7 @@
 
 func (f *fleet) addEngine(service string, number int) *engine {
 	e := &engine{
-		fleet: f, id: fmt.Sprintf("i-%s-%d", service, number), service: service, zone: zones[number%len(zones)],
+		fleet: f, id: fmt.Sprintf("i-%s-%d", service, number), service: service, version: "v1", zone: zones[number%len(zones)],
 		address: fmt.Sprintf("%s.%d:8367", f.network, 100+len(f.engines)), slots: 8, queue: 24, pause: 25 * time.Millisecond,
 		running: make(map[string]time.Time), finished: make(map[string]time.Time), failed: make(map[string]int),
 	}
@@ -112,8 +113,8 @@
 	for i := 0; ; i++ {
 		e.mu.Lock()
 		e.seq++
-		body := fmt.Sprintf(`{"Service":%q,"Addr":%q,"Zone":%q,"Version":"v1","Slots":%d,"State":"ready","ColdLeftMs":0,"Stage":"both","Models":[{"Name":"m","Version":1,"Adapters":[]}],"Seq":%d,"born":%d}`,
-			e.service, e.address, e.zone, e.slots, e.seq, born)
+		body := fmt.Sprintf(`{"Service":%q,"Addr":%q,"Zone":%q,"Version":%q,"Slots":%d,"State":"ready","ColdLeftMs":0,"Stage":"both","Models":[{"Name":"m","Version":1,"Adapters":[]}],"Seq":%d,"born":%d}`,
+			e.service, e.address, e.zone, e.version, e.slots, e.seq, born)
 		e.mu.Unlock()
 		for j := range e.fleet.cores {
 			if ctx.Err() != nil {
@@ -284,6 +285,8 @@
 	ID    string `json:"Id"`
 	State string
 	Text  string
+	// readAt is when the client read the result.
+	readAt time.Time
 }
 
 func newJob(id, prefix string, items, tokensIn, events int) *job {
@@ -350,6 +353,7 @@
 	for _, r := range page.Results {
 		f.rec.add("client reads result %d of job %s: %s %s, %d bytes", len(j.order), j.id, r.ID, r.State, len(r.Text))
 		j.order = append(j.order, r.ID)
+		r.readAt = time.Now()
 		j.results[r.ID] = r
 	}
 	return status
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -38,6 +38,9 @@
 	"split":     split,
 	"deadly":    deadly,
 	"spoiled":   spoiled,
+	"takeup":    takeup,
+	"reports":   reports,
+	"unread":    unread,
 }
 
 // The processes end with the thread that started them.
