--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of the cases: one program of the standard library alone.
 set -eu
 cd "$(dirname "$0")/harness"
-GOFLAGS="${GOFLAGS:-} -mod=mod" GOWORK=off go build -o ../.bin/harness .
+GOWORK=off go build -buildvcs=false -o ../.bin/harness .
