Review harness: play changes, leaving engines and disruptions, judge CONFIG, DRAIN and BUDGET

The new case of the harness starts 3 control, 3 store and 4 entry processes, one entry in a data centre without a control replica. The operator changes the configuration in series and single steps, repeats changes and sends invalid ones; engines leave in four ways; machines are killed, stopped, frozen, slowed and wiped in series that overlap.

--- a/review/harness/engine.go
+++ b/review/harness/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -41,7 +42,14 @@
 	// writes bytes that are no answer after some events, and breaks off.
 	spoils func(id string) bool
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// state is what the heartbeats say; empty stands for ready.
+	state string
+	// announced is set while all answers say that the engine leaves.
+	announced bool
+	// ackedAt is when a heartbeat with another state than ready, or a deregistration, was
+	// acknowledged first.
+	ackedAt  time.Time
 	born     int64
 	seq      uint64
 	up       bool
@@ -51,6 +59,8 @@
 	waiting  int
 	running  map[string]time.Time
 	arrivals []arrival
+	// arrived, unless nil, is called with each request that reaches the engine.
+	arrived func(e *engine, header http.Header)
 	// finished holds the requests that were answered completely, failed those that were
 	// answered 500 or 422.
 	finished map[string]time.Time
@@ -113,8 +123,9 @@
 	for i := 0; ; i++ {
 		e.mu.Lock()
 		e.seq++
-		body := fmt.Sprintf(`{"Service":%q,"Addr":%q,"Zone":%q,"Version":%q,"Slots":%d,"State":"ready","ColdLeftMs":0,"Stage":"both","Models":[{"Name":"m","Version":1,"Adapters":[]}],"Seq":%d,"born":%d}`,
-			e.service, e.address, e.zone, e.version, e.slots, e.seq, born)
+		body := fmt.Sprintf(`{"Service":%q,"Addr":%q,"Zone":%q,"Version":%q,"Slots":%d,"State":%q,"ColdLeftMs":0,"Stage":"both","Models":[{"Name":"m","Version":1,"Adapters":[]}],"Seq":%d,"born":%d}`,
+			e.service, e.address, e.zone, e.version, e.slots, cmp.Or(e.state, "ready"), e.seq, born)
+		draining := e.state != ""
 		e.mu.Unlock()
 		for j := range e.fleet.cores {
 			if ctx.Err() != nil {
@@ -122,6 +133,9 @@
 			}
 			core := e.fleet.cores[(i+j)%len(e.fleet.cores)]
 			if status, _ := e.fleet.call(http.MethodPost, "http://"+core.control()+"/Instances.Heartbeat/"+e.id, "", map[string]string{"Content-Type": "application/json"}, body, time.Second); status/100 == 2 {
+				if draining {
+					e.acknowledged()
+				}
 				break
 			}
 		}
@@ -133,7 +147,26 @@
 	}
 }
 
+// acknowledged records that the system knows that the engine leaves.
+func (e *engine) acknowledged() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.ackedAt.IsZero() {
+		e.ackedAt = time.Now()
+	}
+}
+
+// announce adds the header of an engine that leaves.
+func (e *engine) announce(w http.ResponseWriter) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.announced {
+		w.Header().Set("Server-Leaving", "1")
+	}
+}
+
 func (e *engine) refuse(w http.ResponseWriter, r *http.Request, status int) {
+	e.announce(w)
 	w.Header().Set("Briarcross-Request-Id", r.Header.Get("Briarcross-Request-Id"))
 	w.Header().Set("Briarcross-Not-Executed", "1")
 	w.WriteHeader(status)
@@ -173,6 +206,9 @@
 	tokens := e.tokens
 	e.mu.Unlock()
 	e.fleet.rec.add("engine %s gets %s after %d", e.id, id, after)
+	if e.arrived != nil {
+		e.arrived(e, r.Header)
+	}
 	if full {
 		e.refuse(w, r, http.StatusServiceUnavailable)
 		return
@@ -212,6 +248,7 @@
 	w.Header().Set("Briarcross-Request-Id", id)
 	w.Header().Set("Briarcross-Response-Stamp", e.id+"."+id)
 	w.Header().Set("Briarcross-Weight-Versions", "1")
+	e.announce(w)
 	w.WriteHeader(http.StatusOK)
 }
 
--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -41,6 +42,8 @@
 	folder  string
 	process *exec.Cmd
 	exited  chan struct{}
+	// hold is locked while something is done to the machine.
+	hold sync.Mutex
 }
 
 func (m *machine) front() string   { return fmt.Sprintf("%s:%d", m.ip, portFront) }
@@ -130,6 +133,7 @@
 hall-lulea = "norrbotten"
 hall-boden = "norrbotten"
 hall-kiruna = "norrbotten"
+hall-narvik = "norrbotten"
 [Listen]
 %s[Limits]
 CpuShare = 0.8
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -41,6 +41,7 @@
 	"takeup":    takeup,
 	"reports":   reports,
 	"unread":    unread,
+	"incident":  incident,
 }
 
 // The processes end with the thread that started them.
