--- a/entrynode/poison_test.go
+++ b/entrynode/poison_test.go
@@ -1,6 +1,7 @@
 package entrynode
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -12,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/briarcross/briarcross/dispatch"
+	"github.com/briarcross/briarcross/quarantine"
 )
 
 // promptPart is the header of testCodec that lists the shared parts of a prompt.
@@ -79,7 +81,7 @@
 	engines, crashes := startCrashing(t, 12)
 	url, n := startEntry(t, engines...)
 	for i := range 2 {
-		n.Quarantine.RecordCrash(dispatch.Grant{Upstream: string(rune('a' + i)), GrantedAt: time.Now()}, []string{"deadly"})
+		n.Quarantine.RecordCrash(dispatch.Grant{Upstream: string(rune('a' + i)), GrantedAt: time.Now()}, []string{"deadly"}, true)
 	}
 	got := sendPrompt(t, url, "deadly")
 	expect.Expect(got.status).To(Equal(http.StatusOK))
@@ -121,6 +123,12 @@
 // sendBody sends a request for a stream with a body. Its prompt has a part that all requests
 // share.
 func sendBody(t *testing.T, url, path, body string) callerResponse {
+	t.Helper()
+	return sendParts(t, url, path, body, "shared")
+}
+
+// sendParts sends a request for a stream with a body and the shared parts of its prompt.
+func sendParts(t *testing.T, url, path, body string, parts ...string) callerResponse {
 	t.Helper()
 	r, err := http.NewRequest(http.MethodPost, url+path, strings.NewReader(body))
 	if err != nil {
@@ -129,7 +137,7 @@
 	r.Host = "h"
 	r.Header.Set("Id", "r1")
 	r.Header.Set("Timeout-Ms", "2500")
-	r.Header[promptPart] = []string{"shared"}
+	r.Header[promptPart] = parts
 	return do(r)
 }
 
@@ -156,6 +164,7 @@
 func TestRepeatedRequestCrashesOneEngineAfterAnother(t *testing.T) {
 	for name, test := range map[string]struct{ route, end string }{
 		"stream": {"/resume/", crashHead}, "without a head": {"/repeat/", "<cut>"},
+		"stream without a head": {"/resume/", "<cut>"}, "stream that runs once, without a head": {"/stream/", "<cut>"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			expect := NewWithT(t)
@@ -180,14 +189,56 @@
 	}
 }
 
-// The connections of streams that have not begun break when their engine is lost.
-func TestStreamsThatHaveNotBegunAreSuspected(t *testing.T) {
+// Engines crash on a part before they send the head of a response. No two of the requests
+// are alike, so that only the part explains the crashes.
+func TestPromptPartCrashesEnginesBeforeTheHead(t *testing.T) {
+	expect := NewWithT(t)
+	crashes := &atomic.Int32{}
+	var engines []*engine
+	for range 16 {
+		engines = append(engines, startEngine(t, func(_ int, r *http.Request) string {
+			if slices.Contains(r.Header[promptPart], "deadly") {
+				crashes.Add(1)
+				return "<cut>"
+			}
+			return chunked("r1", events(1, 6))
+		}))
+	}
+	url, _ := startEntry(t, engines...)
+	expect.Expect(sendPrompt(t, url, "shared").status).To(Equal(http.StatusOK))
+	sent := 0
+	expect.Eventually(func() int {
+		sent++
+		return sendParts(t, url, fmt.Sprintf("/resume/%d", sent), "body", "shared", "deadly").status
+	}, 2*time.Second, pollInterval).Should(Equal(http.StatusServiceUnavailable))
+	received := crashes.Load()
+	expect.Expect(received).To(BeNumerically("<=", 6))
+	for i := range 5 {
+		expect.Expect(sendParts(t, url, fmt.Sprintf("/resume/again-%d", i), "body", "deadly").status).To(Equal(http.StatusServiceUnavailable))
+	}
+	expect.Expect(crashes.Load()).To(Equal(received))
+	expect.Expect(sendPrompt(t, url, "shared").body).To(Equal(events(1, 6)))
+}
+
+// Streams wait, without the head of a response, at engines that crash on another request.
+// They share a part that nobody was answered with lately, and none of them is refused when it
+// comes again.
+func TestStreamsThatWaitBesideADeadlyRequestAreNotRefused(t *testing.T) {
 	expect := NewWithT(t)
-	engines, _ := startCrashingOn(t, 8, "<cut>")
+	engines, crashes := startCrashingOn(t, 12, "<cut>")
 	url, n := startEntry(t, engines...)
-	for range 3 {
-		expect.Expect(sendBody(t, url, "/resume/x", "deadly").status).To(BeNumerically(">=", 500))
+	for i := range 4 {
+		lost := engines[i]
+		grant := dispatch.Grant{Upstream: lost.address, GrantedAt: time.Now()}
+		n.Quarantine.RecordCrash(grant, []string{"waiting", quarantine.RequestPart(fmt.Sprint("waiting-", i))}, false)
+		n.Quarantine.RecordCrash(grant, []string{"shared", quarantine.RequestPart("deadly")}, false)
+	}
+	_, refused := n.Quarantine.Check([]string{quarantine.RequestPart("deadly")})
+	expect.Expect(refused).To(BeTrue())
+	_, refused = n.Quarantine.Check([]string{"waiting", "shared"})
+	expect.Expect(refused).To(BeFalse())
+	for i := range 4 {
+		expect.Expect(sendParts(t, url, fmt.Sprintf("/resume/%d", i), "sound", "waiting").body).To(Equal(events(1, 6)))
 	}
-	evidence, _ := n.Quarantine.Since(0)
-	expect.Expect(evidence.GetCrashes()).To(BeEmpty())
+	expect.Expect(crashes.Load()).To(BeZero())
 }
--- a/entrynode/prompt.go
+++ b/entrynode/prompt.go
@@ -10,7 +10,6 @@
 	"github.com/briarcross/briarcross/dispatch"
 	"github.com/briarcross/briarcross/eventlog"
 	"github.com/briarcross/briarcross/quarantine"
-	"github.com/briarcross/briarcross/routing"
 )
 
 // Reasons of the refusal of requests that crash engines.
@@ -64,20 +63,15 @@
 }
 
 // recordInterruption logs that the connection to an upstream broke before the response
-// was complete. events is the number of events of this attempt. An engine that had just
-// begun to answer may have crashed on the prompt. A stream whose
-// response has no head had not begun, and is not suspected. Other requests send their head at
-// their end, so that the request itself is suspected without one.
+// was complete. events is the number of events of this attempt. An engine that had
+// answered hardly or not at all may have crashed on the request.
 func (x *exchange) recordInterruption(grant dispatch.Grant, reason string, answering bool, events int) {
 	if x.ctx.Err() != nil {
 		return
 	}
 	x.node.logger.Info(eventlog.AttemptInterrupted, "request", x.headers.ID, "upstream", grant.Upstream, "born", grant.StartUnixMs,
 		"reason", reason, "answering", answering, "events", events, "parts", x.promptParts, "content", x.requestPart)
-	switch {
-	case !answering && x.route.Kind != routing.Streaming:
-		x.node.Quarantine.RecordCrash(grant, []string{x.requestPart})
-	case answering && events < quarantine.MinServedEvents:
-		x.node.Quarantine.RecordCrash(grant, x.suspectParts())
+	if events < quarantine.MinServedEvents {
+		x.node.Quarantine.RecordCrash(grant, x.suspectParts(), answering)
 	}
 }
--- a/entrynode/race_test.go
+++ b/entrynode/race_test.go
@@ -433,7 +433,7 @@
 
 // suspectPart records one crash with a part of a prompt, too few for a quarantine.
 func suspectPart(n *Node) {
-	n.Quarantine.RecordCrash(dispatch.Grant{Upstream: "lost", StartUnixMs: 1, GrantedAt: time.Now()}, []string{"bad"})
+	n.Quarantine.RecordCrash(dispatch.Grant{Upstream: "lost", StartUnixMs: 1, GrantedAt: time.Now()}, []string{"bad"}, true)
 }
 
 // An engine that answers at once is not raced, and its connection is kept.
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -45,13 +45,14 @@
 	}
 }
 
-// RecordCrash records that the connection to an upstream broke when that had begun to
-// answer a prompt with some shared parts, after fewer than quarantine.MinServedEvents
-// events. The grant is that for which the prompt was sent.
-func (q *Quarantine) RecordCrash(grant dispatch.Grant, parts []string) {
+// RecordCrash records that the connection to an upstream broke when that had a prompt with
+// some shared parts, after fewer than quarantine.MinServedEvents events. The grant is that
+// for which the prompt was sent; answering is set if the upstream had begun to answer.
+func (q *Quarantine) RecordCrash(grant dispatch.Grant, parts []string, answering bool) {
 	if len(parts) > 0 {
 		q.update(func(now time.Time) {
-			q.table.RecordCrash(now, grant.Upstream, grant.StartUnixMs, parts, grant.GrantedAt)
+			prompt := quarantine.Prompt{Parts: parts, SentAt: grant.GrantedAt, Unanswered: !answering}
+			q.table.RecordCrash(now, grant.Upstream, grant.StartUnixMs, prompt)
 		})
 	}
 }
@@ -135,7 +136,7 @@
 		message := &pb.EngineCrash{Upstream: crash.Upstream, BornUnixMs: crash.StartUnixMs, AgeMs: milliseconds(now.Sub(crash.At))}
 		for _, suspect := range crash.Suspects {
 			message.Suspects = append(message.Suspects, &pb.SuspectPart{
-				Part: suspect.Part, Position: uint32(suspect.Position), Repeated: suspect.Repeated,
+				Part: suspect.Part, Position: uint32(suspect.Position), Repeated: suspect.Repeated, Unanswered: suspect.Unanswered,
 			})
 		}
 		encoded.Crashes = append(encoded.Crashes, message)
@@ -152,7 +153,7 @@
 		crash := quarantine.Crash{Upstream: message.GetUpstream(), StartUnixMs: message.GetBornUnixMs(), At: before(now, message.GetAgeMs())}
 		for _, suspect := range message.GetSuspects() {
 			crash.Suspects = append(crash.Suspects, quarantine.Suspect{
-				Part: suspect.GetPart(), Position: int(suspect.GetPosition()), Repeated: suspect.GetRepeated(),
+				Part: suspect.GetPart(), Position: int(suspect.GetPosition()), Repeated: suspect.GetRepeated(), Unanswered: suspect.GetUnanswered(),
 			})
 		}
 		decoded.Crashes = append(decoded.Crashes, crash)
--- a/node/quarantine_test.go
+++ b/node/quarantine_test.go
@@ -21,7 +21,7 @@
 // recordCrashes records crashes of three engines on a part of a prompt.
 func recordCrashes(q *Quarantine, part string) {
 	for _, id := range []string{"a", "b", "c"} {
-		q.RecordCrash(dispatch.Grant{Upstream: id, StartUnixMs: 1, GrantedAt: time.Now()}, []string{part})
+		q.RecordCrash(dispatch.Grant{Upstream: id, StartUnixMs: 1, GrantedAt: time.Now()}, []string{part}, true)
 	}
 }
 
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -16,6 +16,10 @@
 	// minCrashes is the number of crashes at which a part is quarantined, if one of them
 	// is repeated.
 	minCrashes = 3
+	// minUnansweredCrashes takes the place of minCrashes for shared parts if fewer than
+	// minCrashes engines had begun to answer. Requests that wait at an engine break off
+	// unanswered too, whatever it crashed on.
+	minUnansweredCrashes = 5
 	// evidenceAge is the age at which a crash no longer counts. It bounds the time of a
 	// quarantine after the last crash.
 	evidenceAge = 10 * time.Minute
@@ -35,6 +39,8 @@
 // digest of its content.
 func RequestPart(digest string) string { return requestPrefix + digest }
 
+func isRequest(part string) bool { return strings.HasPrefix(part, requestPrefix) }
+
 // Suspect is a part of a prompt that an engine had begun to answer when it was lost.
 type Suspect struct {
 	Part string
@@ -44,6 +50,9 @@
 	// earlier crash with the part. Engines that are lost together have a common cause
 	// outside of the requests; an engine that is lost later, on the same part, hardly has.
 	Repeated bool
+	// Unanswered is set if no engine is known to have begun its answer to a prompt with the
+	// part before this crash.
+	Unanswered bool
 }
 
 // Crash is the loss of one start of an engine.
@@ -123,22 +132,31 @@
 	}
 }
 
-// RecordCrash records that a start of an engine was lost when it had begun to answer a
-// prompt with some shared parts, in their order, that was sent to it at a time. Parts that
-// this daemon has seen served are no suspects.
-func (t *Table) RecordCrash(now time.Time, upstream string, startUnixMs uint64, parts []string, sentAt time.Time) {
+// Prompt is a prompt that an engine had when it was lost.
+type Prompt struct {
+	// Parts are its shared parts in their order.
+	Parts []string
+	// SentAt is when it was sent to the engine.
+	SentAt time.Time
+	// Unanswered is set if the engine had not begun to answer.
+	Unanswered bool
+}
+
+// RecordCrash records that a start of an engine was lost with a prompt. Parts that this
+// daemon has seen served are no suspects.
+func (t *Table) RecordCrash(now time.Time, upstream string, startUnixMs uint64, prompt Prompt) {
 	crash := Crash{Upstream: upstream, StartUnixMs: startUnixMs, At: now}
-	for position, part := range parts {
+	for position, part := range prompt.Parts {
 		if served, ok := t.recentOf(part).last(part); ok && clears(served, now) {
 			continue
 		}
-		crash.Suspects = append(crash.Suspects, Suspect{part, position, t.crashKnown(part, sentAt)})
+		crash.Suspects = append(crash.Suspects, Suspect{part, position, t.crashKnown(part, prompt.SentAt), prompt.Unanswered})
 	}
 	t.Merge(now, Evidence{Crashes: []Crash{crash}})
 }
 
 func (t *Table) recentOf(part string) *recentParts {
-	if strings.HasPrefix(part, requestPrefix) {
+	if isRequest(part) {
 		return &t.recentRequests
 	}
 	return &t.recent
@@ -194,6 +212,7 @@
 		case suspected:
 			suspect.Position = max(suspect.Position, known.Position)
 			suspect.Repeated = suspect.Repeated || known.Repeated
+			suspect.Unanswered = suspect.Unanswered && known.Unanswered
 			if suspect == known {
 				continue
 			}
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -20,7 +20,7 @@
 const sendTime = 50 * time.Millisecond
 
 func crash(table *Table, now time.Time, upstream string, startUnixMs uint64, parts []string) {
-	table.RecordCrash(now, upstream, startUnixMs, parts, now.Add(-sendTime))
+	table.RecordCrash(now, upstream, startUnixMs, Prompt{Parts: parts, SentAt: now.Add(-sendTime)})
 }
 
 func quarantined(t *Table, now time.Time) []string {
@@ -78,7 +78,7 @@
 	expect := NewWithT(t)
 	table := NewTable()
 	for i := range 3 {
-		table.RecordCrash(at(5*i), fmt.Sprint("e", i), 1, []string{"deadly"}, at(5*i-3))
+		table.RecordCrash(at(5*i), fmt.Sprint("e", i), 1, Prompt{Parts: []string{"deadly"}, SentAt: at(5*i - 3)})
 	}
 	expect.Expect(quarantined(table, at(20))).To(Equal([]string{"deadly"}))
 }
@@ -161,6 +161,25 @@
 	expect.Expect(quarantined(accuser, at(301))).To(BeEmpty())
 }
 
+// Requests that wait at engines break off without an answer. What they share accuses nobody
+// until more engines are lost than one deadly request of another prompt takes.
+func TestSharedPartOfUnansweredPromptsNeedsMoreCrashes(t *testing.T) {
+	expect := NewWithT(t)
+	table := NewTable()
+	lose := func(i int) {
+		parts := []string{"deadly", RequestPart(fmt.Sprint(i))}
+		table.RecordCrash(at(100*i), fmt.Sprint("e", i), 1, Prompt{Parts: parts, SentAt: at(100*i - 50), Unanswered: true})
+	}
+	for i := range minUnansweredCrashes - 1 {
+		lose(i)
+	}
+	expect.Expect(quarantined(table, at(1000))).To(BeEmpty())
+	lose(minUnansweredCrashes)
+	verdict, found := table.Check(at(1000), []string{"deadly"})
+	expect.Expect(found).To(BeTrue())
+	expect.Expect(verdict).To(Equal(Verdict{Part: "deadly", Crashes: minUnansweredCrashes, Until: at(0).Add(evidenceAge)}))
+}
+
 // Parts that many requests share are in use all the time. After a crash, each answer with
 // such a part was evidence that went to all daemons.
 func TestPartsInUseAreNoNews(t *testing.T) {
@@ -192,7 +211,7 @@
 	accuser, slow := NewTable(), NewTable()
 	for i := range 3 {
 		sent := accuser.LastChange()
-		accuser.RecordCrash(at(50*i), fmt.Sprint("e", i), 1, []string{"deadly"}, at(50*i-40))
+		accuser.RecordCrash(at(50*i), fmt.Sprint("e", i), 1, Prompt{Parts: []string{"deadly"}, SentAt: at(50*i - 40)})
 		evidence := accuser.Since(sent)
 		evidence.Crashes[0].At = at(100 + i)
 		slow.Merge(at(500+i), evidence)
@@ -230,7 +249,7 @@
 		crash := Crash{Upstream: rapid.SampledFrom([]string{"e1", "e2", "e3", "e4", "e5"}).Draw(t, "engine"), StartUnixMs: 1}
 		crash.At = at(1000 * int(crash.Upstream[1]))
 		for i, p := range rapid.SliceOfNDistinct(part, 1, 3, rapid.ID[string]).Draw(t, "parts") {
-			crash.Suspects = append(crash.Suspects, Suspect{p, i, rapid.Bool().Draw(t, "repeated")})
+			crash.Suspects = append(crash.Suspects, Suspect{p, i, rapid.Bool().Draw(t, "repeated"), rapid.Bool().Draw(t, "unanswered")})
 		}
 		return Evidence{Crashes: []Crash{crash}}
 	})
@@ -291,13 +310,15 @@
 // reaches the other entries some time later.
 type fleetModel struct {
 	random *rand.Rand
-	// deadly is the part that crashes engines.
-	deadly   string
-	entries  []*Table
-	engines  [][]modelRequest
-	starts   []uint64
-	sent     []uint64
-	messages []modelMessage
+	// deadly is the part that crashes engines, before the head of the response if beforeHead
+	// is set.
+	deadly     string
+	beforeHead bool
+	entries    []*Table
+	engines    [][]modelRequest
+	starts     []uint64
+	sent       []uint64
+	messages   []modelMessage
 }
 
 type modelRequest struct {
@@ -355,7 +376,8 @@
 		if slices.ContainsFunc(requests, func(r modelRequest) bool { return slices.Contains(r.parts, m.deadly) }) {
 			for _, r := range requests {
 				if r.events < MinServedEvents {
-					m.entries[r.entry].RecordCrash(now, fmt.Sprint("e", i), m.starts[i], r.parts, r.sentAt)
+					prompt := Prompt{Parts: r.parts, SentAt: r.sentAt, Unanswered: r.events == 0 && m.beforeHead}
+					m.entries[r.entry].RecordCrash(now, fmt.Sprint("e", i), m.starts[i], prompt)
 				}
 			}
 			m.engines[i] = nil
@@ -391,9 +413,10 @@
 // request that comes again with the parts of its session.
 func TestFleetQuarantinesTheDeadlyPartOnly(t *testing.T) {
 	for _, deadly := range []string{"deadly", RequestPart("deadly")} {
-		for seed := range uint64(10) {
+		for seed := range uint64(20) {
 			expect := NewWithT(t)
-			m := newFleetModel(seed, deadly)
+			m := newFleetModel(seed/2, deadly)
+			m.beforeHead = seed%2 == 1
 			lateCrashes, found := 0, time.Time{}
 			for tick := range 4000 {
 				now := at(tick * int(modelInterval.Milliseconds()))
--- a/quarantine/verdicts.go
+++ b/quarantine/verdicts.go
@@ -67,9 +67,21 @@
 	position int
 	// repeated is set if one of the crashes is repeated.
 	repeated bool
+	// answered is the number of crashes of engines that had begun to answer.
+	answered int
 }
 
-func (e *explanation) suffices() bool { return e.repeated && len(e.times) >= minCrashes }
+// required is the number of crashes that a part has to explain.
+func (e *explanation) required(part string) int {
+	if isRequest(part) || e.answered >= minCrashes {
+		return minCrashes
+	}
+	return minUnansweredCrashes
+}
+
+func (e *explanation) suffices(part string) bool {
+	return e.repeated && len(e.times) >= e.required(part)
+}
 
 // bestExplanation returns the part that explains most of some crashes, which must be
 // ordered by time, if it explains enough of them. Of parts that explain as many, it is
@@ -89,10 +101,13 @@
 			}
 			e.position = max(e.position, suspect.Position)
 			e.repeated = e.repeated || suspect.Repeated
+			if !suspect.Unanswered {
+				e.answered++
+			}
 			e.times = append(e.times, record.at)
 		}
 	}
-	maps.DeleteFunc(explanations, func(_ string, e *explanation) bool { return !e.suffices() })
+	maps.DeleteFunc(explanations, func(part string, e *explanation) bool { return !e.suffices(part) })
 	if len(explanations) == 0 {
 		return Verdict{}, false
 	}
@@ -100,6 +115,7 @@
 		x, y := explanations[a], explanations[b]
 		return cmp.Or(cmp.Compare(len(y.times), len(x.times)), cmp.Compare(y.position, x.position), cmp.Compare(a, b))
 	})
-	times := explanations[part].times
-	return Verdict{Part: part, Crashes: len(times), Until: times[len(times)-minCrashes].Add(evidenceAge)}, true
+	best := explanations[part]
+	first := best.times[len(best.times)-best.required(part)]
+	return Verdict{Part: part, Crashes: len(best.times), Until: first.Add(evidenceAge)}, true
 }
--- a/storenode/item.go
+++ b/storenode/item.go
@@ -144,7 +144,7 @@
 	x.runner.node.logger.Info(eventlog.AttemptInterrupted, "request", x.item.GetId(), "upstream", x.grant.Upstream, "born", x.grant.StartUnixMs,
 		"reason", end.reason, "answering", answering, "events", events, "parts", x.promptParts)
 	if answering && events < quarantine.MinServedEvents {
-		x.runner.node.Quarantine.RecordCrash(x.grant, x.promptParts)
+		x.runner.node.Quarantine.RecordCrash(x.grant, x.promptParts, answering)
 	}
 }
 
