--- a/review/harness/incident.go
+++ b/review/harness/incident.go
@@ -96,8 +96,9 @@
 }
 
 type sentRequest struct {
-	at   time.Time
-	edge *machine
+	at    time.Time
+	limit time.Duration
+	edge  *machine
 }
 
 // incident plays changes of the configuration, leaving engines and disruptions of all kinds
@@ -351,7 +352,7 @@
 
 func (r *incidentRun) send(m *machine, prefix, id, part string, events int, limit time.Duration) (int, []byte) {
 	r.mu.Lock()
-	r.sentBy[id] = sentRequest{time.Now(), m}
+	r.sentBy[id] = sentRequest{time.Now(), limit, m}
 	r.mu.Unlock()
 	return r.fleet.call(http.MethodPost, "http://"+m.front()+prefix+"2f", host, map[string]string{
 		"Briarcross-Request-Id": id, "Briarcross-Deadline-Ms": strconv.FormatInt(limit.Milliseconds(), 10), "Briarcross-Model": "m",
@@ -413,6 +414,10 @@
 	if !toldAt.IsZero() && sent.at.Sub(toldAt) > drainBound && inTouch {
 		r.broken("DRAIN: %s reaches %s from %s %v after that had passed on that it leaves", id, e.id, sent.edge.name, now.Sub(toldAt))
 	}
+	if ms, err := strconv.ParseInt(header.Get("Briarcross-Deadline-Ms"), 10, 64); inTouch &&
+		(err != nil || now.Add(time.Duration(ms)*time.Millisecond).After(sent.at.Add(sent.limit+500*time.Millisecond))) {
+		r.broken("BUDGET: %s reaches %s %v after it was sent, with a deadline of %d ms of %v", id, e.id, now.Sub(sent.at), ms, sent.limit)
+	}
 	if engines > 2 {
 		r.broken("BUDGET: %s has reached %d engines", id, engines)
 	}
@@ -504,6 +509,9 @@
 	r.quiet.mark(m, time.Now().Add(time.Minute))
 	_ = m.process.Process.Signal(syscall.SIGCONT)
 	_ = m.process.Process.Signal(signal)
+	if m.class == "edge" && signal == syscall.SIGTERM {
+		r.tasks.Go(func() { r.checkRotation(m, m.exited) })
+	}
 	select {
 	case <-m.exited:
 	case <-time.After(stopTimeout):
@@ -512,6 +520,20 @@
 	}
 }
 
+// checkRotation checks that an entry that was told to stop doesn't count as ready 4 s later.
+func (r *incidentRun) checkRotation(m *machine, exited chan struct{}) {
+	for at := time.Now().Add(4 * time.Second); time.Now().Before(at.Add(time.Second)); time.Sleep(200 * time.Millisecond) {
+		select {
+		case <-exited:
+			return
+		default:
+		}
+		if status, _ := r.fleet.call(http.MethodGet, fmt.Sprintf("http://%s:%d/readyz", m.ip, portReady), "", nil, "", time.Second); status == http.StatusOK && time.Now().After(at) {
+			r.broken("DRAIN: %s counts as ready 4 s after the signal to stop", m.name)
+		}
+	}
+}
+
 func (r *incidentRun) launch(m *machine) {
 	r.mu.Lock()
 	r.startedAt[m.name] = time.Now()
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -42,6 +42,7 @@
 	"reports":   reports,
 	"unread":    unread,
 	"incident":  incident,
+	"crashing":  crashing,
 }
 
 // The processes end with the thread that started them.
