Refuse requests that come late in a stop and may outlast the entry (LOST)

Reported by other operators, and happens here: a caller that keeps its connection sends its next request when a stream ends on it late in the grace period.

Cause: a stop ends connections between two requests, but a connection that is busy when the idle ones are ended reads one more request, and nothing compared its time with the end. Class: work is accepted without regard to the time that is left for it.

Change: once the load balancer has taken the entry out of rotation, a request is taken only if the time that its caller and route allow ends before the entry does. Others are refused as not run (503, stopping), without Retry-After: another entry serves them at once. Before that time requests are taken as before, since hardly any takes as long as it may.

--- a/entrynode/exchange.go
+++ b/entrynode/exchange.go
@@ -109,16 +109,20 @@
 	timeToFirstEvent time.Duration
 }
 
-func (n *Node) newExchange(w http.ResponseWriter, r *http.Request, headers RequestHeaders, route *routing.Route, table *routing.Table, customer *customers.Customer, body []byte) *exchange {
-	timeout := route.Timeout
+// requestTimeout is the total time that the caller and the route of a request allow.
+func requestTimeout(headers RequestHeaders, route *routing.Route) time.Duration {
 	if headers.TimeToDeadline > 0 {
-		timeout = min(timeout, headers.TimeToDeadline)
+		return min(route.Timeout, headers.TimeToDeadline)
 	}
+	return route.Timeout
+}
+
+func (n *Node) newExchange(w http.ResponseWriter, r *http.Request, headers RequestHeaders, route *routing.Route, table *routing.Table, customer *customers.Customer, body []byte) *exchange {
 	arrivedAt := time.Now()
 	return &exchange{
 		node: n, w: w, request: r, headers: headers, route: route, table: table, customer: customer, identityTable: table, body: body,
 		promptParts: n.codec.SharedPromptParts(r.Header), tokens: n.codec.TokenCount(r.Header), requestPart: quarantine.RequestPart(requestDigest(r, body)),
-		service: route.PickService(rand.Uint64()), arrivedAt: arrivedAt, interruptedAt: arrivedAt, timeout: timeout,
+		service: route.PickService(rand.Uint64()), arrivedAt: arrivedAt, interruptedAt: arrivedAt, timeout: requestTimeout(headers, route),
 		events: upstream.EventSplitter{LastID: headers.ResumeAfter},
 	}
 }
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -12,7 +12,6 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/briarcross/briarcross/daemon"
-	"github.com/briarcross/briarcross/eventlog"
 	"github.com/briarcross/briarcross/fleet"
 	"github.com/briarcross/briarcross/node"
 	"github.com/briarcross/briarcross/routing"
@@ -20,11 +19,6 @@
 )
 
 const (
-	// outOfRotationTime is the time within which the load balancer takes a daemon
-	// that is not ready out of rotation, with a margin of one health check.
-	outOfRotationTime = 3 * time.Second
-	// stopMargin is the part of the grace period left for the process to exit.
-	stopMargin = time.Second
 	// headerTimeout and idleTimeout close connections that send nothing.
 	// idleTimeout is above the idle timeouts that routing tables set for callers.
 	headerTimeout = 10 * time.Second
@@ -86,6 +80,8 @@
 	readyServer     *http.Server
 	metricsServer   *node.MetricsServer
 	stopping        atomic.Bool
+	// stopTimes is set while the entry stops.
+	stopTimes atomic.Pointer[stopTimes]
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -168,17 +164,6 @@
 	})
 }
 
-// closeWhileStopping ends a caller's connection with its next response while the entry
-// stops.
-func (n *Node) closeWhileStopping(handler http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if n.stopping.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		handler.ServeHTTP(w, r)
-	})
-}
-
 // Ready reports whether the load balancer may send new connections.
 func (n *Node) Ready() bool {
 	return !n.stopping.Load() && n.Table() != nil
@@ -189,26 +174,3 @@
 func (n *Node) upstreamGone(u fleet.Upstream) {
 	n.upstreamClient.ClosePool(u.Address)
 }
-
-// Stop waits until the load balancer has taken the entry out of rotation, then
-// shuts down once all requests are completed or the grace period ends.
-func (n *Node) Stop() error {
-	n.logger.Info(eventlog.Stopping)
-	deadline := time.Now().Add(n.settings.GracePeriod - stopMargin)
-	n.stopping.Store(true)
-	select {
-	case <-time.After(min(outOfRotationTime, n.settings.GracePeriod/2)):
-	case <-n.ctx.Done():
-	}
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
-	err := n.callersListener.Close()
-	n.callerConns.drain(ctx)
-	err = errors.Join(err, n.callersServer.Close())
-	_ = n.readyServer.Close()
-	n.metricsServer.Close()
-	n.cancel()
-	n.Close()
-	n.tasks.Wait()
-	return err
-}
--- a/entrynode/serve.go
+++ b/entrynode/serve.go
@@ -46,6 +46,10 @@
 		n.refuse(w, headers.ID, *failure)
 		return
 	}
+	if n.outlastsStop(requestTimeout(headers, route)) {
+		n.refuse(w, headers.ID, refusal{reason: reasonStopping, route: route.Name, routingVersion: table.Version, customer: nameOf(customer)})
+		return
+	}
 	if route.Kind == routing.Bulk && r.Method == http.MethodPost {
 		n.submit(w, r, headers, route, table, customer, body)
 		return
--- a/entrynode/stop_test.go
+++ b/entrynode/stop_test.go
@@ -162,3 +162,37 @@
 	}
 	expect.Expect(engine.requestCount.Load()).To(BeEquivalentTo(answered))
 }
+
+// A caller sends its next request on a connection that a stream kept open late into the
+// grace period. It was passed on to an engine, and cut without a response when that ended.
+func TestRequestThatComesLateInAStopIsCutOff(t *testing.T) {
+	expect := NewWithT(t)
+	engine := startEngine(t, func(int, *http.Request) string { return chunked("r1", events(1, 6)) })
+	url, n := startEntry(t, engine)
+	conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+	expect.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = conn.Close() }()
+	// The end is nearer than the 2.5 s that the request may take.
+	now := time.Now()
+	n.stopTimes.Store(&stopTimes{outOfRotation: now, end: now.Add(2 * time.Second)})
+	n.stopping.Store(true)
+	_, err = io.WriteString(conn, rawRequest)
+	expect.Expect(err).NotTo(HaveOccurred())
+	response, _ := readResponse(t, bufio.NewReader(conn))
+	expect.Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	expect.Expect(response.Close).To(BeTrue())
+	expect.Expect(engine.requestCount.Load()).To(BeZero())
+}
+
+// Within the time in which the load balancer sends connections, requests are taken whatever
+// time they may need; later only those that end before the entry does.
+func TestStopAdmitsWhatEndsInTime(t *testing.T) {
+	expect := NewWithT(t)
+	now := time.Now()
+	times := newStopTimes(now, 8*time.Second)
+	expect.Expect(times.admits(now.Add(2*time.Second), 15*time.Second)).To(BeTrue())
+	expect.Expect(times.admits(now.Add(3*time.Second), 4*time.Second)).To(BeTrue())
+	expect.Expect(times.admits(now.Add(3*time.Second), 5*time.Second)).To(BeFalse())
+	expect.Expect(times.admits(now.Add(6900*time.Millisecond), 200*time.Millisecond)).To(BeFalse())
+	expect.Expect(newStopTimes(now, 4*time.Second).outOfRotation).To(Equal(now.Add(2 * time.Second)))
+}
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -152,6 +152,7 @@
 	"event_cut":               "an upstream ended its response in the middle of an event",
 	"malformed":               "an upstream sent data that is not a valid event stream",
 	"not_genuine":             "the response did not come from the engine",
+	"stopping":                "the entry was about to end, and the request might have outlasted it; it had not been passed on",
 	"caller_left":             "the caller closed its connection",
 	"deadline":                "the deadline of the caller or the timeout of the route passed before a slot became free",
 	"storage_unavailable":     "no leader of the storage group could be reached",
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -43,6 +43,7 @@
 	"unread":    unread,
 	"incident":  incident,
 	"crashing":  crashing,
+	"stopping":  stopping,
 }
 
 // The processes end with the thread that started them.
