Begin resumable streams at a new software version only once it has settled (ORDER)

Reported by other operators, and can happen here: an entry is cut off as engines of a new software version join. Streams that others begin on these break, and are taken up at that entry. For up to 0.8 s it takes its view for current, and if no home of the stream answers, goes on at the version that it knows. A joined stream breaks ORDER on any machine.

Cause: a decision on the absence of knowledge (only one version is known) rests on a view whose age is bounded, while the new version is used at once elsewhere. Class: a lease whose holder is not waited for.

Change: a version that joins a service gets no stream that callers may take up for 1.5 s, longer than a view without updates counts as current. It serves other requests, batch and streams bound to it at once. If no engine of another version is ready it is used at once, since the service would refuse all streams. A daemon that starts takes what it hears of first as settled.

TestEntryThatIsOutOfStepDecidesTheOriginOfANewVersion fails with a settle time of zero, which is the behaviour before.

--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -60,6 +60,8 @@
 	// SoftwareVersion may go on with it.
 	Bound           bool
 	SoftwareVersion string
+	// AvoidVersions lists software versions whose upstreams must not run the request.
+	AvoidVersions []string
 	// Avoid lists the IDs of upstreams that have already failed the request.
 	Avoid []string
 	// NotBefore holds, by ID, upstreams that get the request again only from a time on.
@@ -145,7 +147,8 @@
 
 // fits reports whether an upstream may run the request.
 func (r *SlotRequest) fits(u *upstreamState) bool {
-	return u.Service == r.Service && u.accepts() && (!r.Bound || u.SoftwareVersion == r.SoftwareVersion)
+	return u.Service == r.Service && u.accepts() && (!r.Bound || u.SoftwareVersion == r.SoftwareVersion) &&
+		(len(r.AvoidVersions) == 0 || !slices.Contains(r.AvoidVersions, u.SoftwareVersion))
 }
 
 // competesWith reports whether the request may take the slot that another one waits
--- a/dispatch/pool_test.go
+++ b/dispatch/pool_test.go
@@ -452,3 +452,23 @@
 	p := newPool(readyUpstream("current", "near", 8), former)
 	expect.Expect(p.BatchCapacity("s")).To(Equal(7))
 }
+
+// A stream that must not begin at a software version waits for an upstream of another one.
+func TestRequestAvoidsSoftwareVersions(t *testing.T) {
+	expect := NewWithT(t)
+	older, newer := readyUpstream("older", "near", 1), readyUpstream("newer", "near", 1)
+	older.SoftwareVersion, newer.SoftwareVersion = "v1", "v2"
+	p := newPool(older, newer)
+	for range 2 {
+		request := onlineRequest(1, 0)
+		request.AvoidVersions = []string{"v2"}
+		grant, refused := requestSlot(p, start, request)
+		if refused != nil {
+			expect.Expect(refused.Reason).To(Equal(QueueFull))
+			continue
+		}
+		expect.Expect(grant.Upstream).To(Equal("older"))
+	}
+	grant, _ := requestSlot(p, start, onlineRequest(2, 0))
+	expect.Expect(grant.Upstream).To(Equal("newer"))
+}
--- a/entrynode/exchange.go
+++ b/entrynode/exchange.go
@@ -259,6 +259,9 @@
 			request.Priority = *x.customer.Priority
 		}
 	}
+	if x.origin == nil && x.route.Resumable {
+		request.AvoidVersions = x.node.View.UnsettledVersions(time.Now(), x.service)
+	}
 	if x.origin != nil {
 		request.Bound, request.SoftwareVersion = true, x.origin.SoftwareVersion
 		waited := time.Since(x.interruptedAt)
--- a/node/stream_origins_test.go
+++ b/node/stream_origins_test.go
@@ -539,3 +539,55 @@
 	expect.Expect(known).To(BeTrue())
 	expect.Expect(origin).To(Equal(began))
 }
+
+// An entry is cut off from the others, and does not hear that engines of a second version
+// join. Callers take streams up there that the others have begun on these engines.
+func TestEntryThatIsOutOfStepDecidesTheOriginOfANewVersion(t *testing.T) {
+	expect := NewWithT(t)
+	network := newOriginNetwork(sixEntries, "1")
+	outOfStep, other := network.entries["e2:1"], network.entries["e1:1"]
+	at := time.Now()
+	for _, age := range []time.Duration{2 * maxUpdateAge, maxUpdateAge, 0} {
+		outOfStep.view.Merge(at.Add(-age), "control", &pb.FleetUpdate{Current: true})
+	}
+	for _, address := range sixEntries {
+		if address != "e2:1" {
+			network.remove(address)
+		}
+	}
+	find := func() bool {
+		_, known := outOfStep.Find(context.Background(), "r", []string{"s"})
+		return known
+	}
+	expect.Expect(find()).To(BeTrue(), "the view is current")
+	other.view.Merge(time.Now(), "control", &pb.FleetUpdate{Upstreams: []*pb.UpstreamBeat{{
+		Id: "b", Sequence: 1, Service: "s", Address: "b:1", Slots: 1, Phase: pb.UpstreamPhase_UPSTREAM_READY, SoftwareVersion: "2",
+	}}})
+	for slices.Contains(other.view.UnsettledVersions(time.Now(), "s"), "2") {
+		time.Sleep(10 * time.Millisecond)
+	}
+	expect.Expect(find()).To(BeFalse(), "streams may have begun at version 2")
+}
+
+// A service whose engines all have a new version goes on, and a daemon that starts uses what
+// it hears of first.
+func TestVersionsThatBeginStreamsAtOnce(t *testing.T) {
+	expect := NewWithT(t)
+	view := NewView()
+	beat := func(id, version string, sequence uint64, phase pb.UpstreamPhase) *pb.UpstreamBeat {
+		return &pb.UpstreamBeat{
+			Id: id, Sequence: sequence, Service: "s", Address: id + ":1", Slots: 1, Phase: phase, SoftwareVersion: version,
+		}
+	}
+	hear := func(beats ...*pb.UpstreamBeat) { view.Merge(now, "control", &pb.FleetUpdate{Upstreams: beats}) }
+	hear(beat("a", "1", 1, pb.UpstreamPhase_UPSTREAM_READY), beat("b", "2", 1, pb.UpstreamPhase_UPSTREAM_READY))
+	expect.Expect(view.UnsettledVersions(now, "s")).To(BeEmpty())
+	hear(beat("c", "3", 1, pb.UpstreamPhase_UPSTREAM_READY))
+	expect.Expect(view.UnsettledVersions(now, "s")).To(Equal([]string{"3"}))
+	expect.Expect(view.UnsettledVersions(now, "other")).To(BeEmpty())
+	hear(beat("a", "1", 2, pb.UpstreamPhase_UPSTREAM_DRAINING), beat("b", "2", 2, pb.UpstreamPhase_UPSTREAM_GONE))
+	expect.Expect(view.UnsettledVersions(now, "s")).To(BeEmpty())
+	hear(beat("d", "1", 1, pb.UpstreamPhase_UPSTREAM_READY))
+	expect.Expect(view.UnsettledVersions(now, "s")).To(Equal([]string{"3"}))
+	expect.Expect(view.UnsettledVersions(now.Add(versionSettleTime), "s")).To(BeEmpty())
+}
--- a/node/view.go
+++ b/node/view.go
@@ -37,6 +37,8 @@
 	software         map[string]software
 	softwareCounts   map[software]int
 	softwareVersions map[string][]string
+	// joinedAt holds when a software version joined a service that had another one.
+	joinedAt map[software]time.Time
 	// lastPhases holds the last reported phase of each upstream by its ID.
 	lastPhases map[string]instancePhase
 	// daemons holds the daemons that each control replica reports by their address,
@@ -89,7 +91,7 @@
 	return &View{
 		upstreams: fleet.NewFollowerTable(), lastPhases: make(map[string]instancePhase), daemons: make(map[string]map[string]*pb.Daemon),
 		silent: make(map[string][]string), currentReplicas: make(map[string]currentReplica),
-		software: make(map[string]software), softwareCounts: make(map[software]int),
+		software: make(map[string]software), softwareCounts: make(map[software]int), joinedAt: make(map[software]time.Time),
 	}
 }
 
@@ -145,8 +147,8 @@
 	changes.Upstreams = v.upstreams.ChangedSince(before)
 	changes.Renewed = v.upstreams.RenewedSince(before)
 	changes.PhaseChanges = v.updatePhases(changes.Upstreams)
-	for _, u := range changes.Upstreams {
-		v.setSoftware(u.ID, software{u.Service, u.SoftwareVersion})
+	if len(changes.Upstreams) > 0 {
+		v.recordJoined(now, v.knownServices(), changes.Upstreams)
 	}
 	if len(u.GetStorage()) > 0 {
 		v.storage = u.GetStorage()
@@ -383,6 +385,7 @@
 	v.softwareCounts[s]--
 	if v.softwareCounts[s] == 0 {
 		delete(v.softwareCounts, s)
+		delete(v.joinedAt, s)
 		v.softwareVersions = nil
 	}
 }
