--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -109,7 +109,7 @@
 		Name: "briarcross_routing_lag_seconds", Help: "Time for which a control replica had a routing table that this daemon lacked, when it was applied.", Buckets: LatencyBuckets,
 	})
 	d.Quarantine = NewQuarantine(logger, func() { d.follower.EvidenceChanged() })
-	d.StreamOrigins = newStreamOrigins(settings.Address, d.View, d.sendDatagram)
+	d.StreamOrigins = newStreamOrigins(settings.Address, settings.DataCentre, d.View, d.sendDatagram)
 	d.Transport = transport.NewClient(d.Identity, nil)
 	d.Storage = client.NewReplicaClient(d.Transport, nil)
 	d.Slots = NewSlotPool(dispatch.Options{
--- a/node/stream_origins.go
+++ b/node/stream_origins.go
@@ -13,14 +13,20 @@
 	"github.com/briarcross/briarcross/routing"
 )
 
+// copyInterval is the interval at which the records of streams that can have only one origin
+// are copied.
+const copyInterval = 250 * time.Millisecond
+
 // maxOriginsPerDatagram keeps a datagram below the packet size of most networks.
 const maxOriginsPerDatagram = 16
 
 // StreamOrigins records where streams began, and finds it for callers that take a
-// stream up. Nothing is sent when a stream begins that can have only one origin; a
+// stream up. The homes of a stream that can have only one origin get its record when that
+// changes; until then a storage daemon has a copy, in case this daemon cannot send it. A
 // search asks the homes of the stream unless this daemon has the record.
 type StreamOrigins struct {
 	selfAddress string
+	dataCentre  string
 	view        *View
 	send        func(address string, e *pb.Envelope) error
 	// sent counts the datagrams by kind, found the searches by result.
@@ -41,17 +47,19 @@
 	storage          []string
 	addressesVersion uint64
 	// queries holds the searches in progress by the number of their query.
-	queries   map[uint64]originQuery
+	queries map[uint64]originQuery
+	// uncopied holds the records that are copied at the end of copyInterval.
+	uncopied  []origins.Record
 	lastQuery uint64
 	// sending counts the tasks that send records.
 	sending sync.WaitGroup
 }
 
-func newStreamOrigins(selfAddress string, view *View, send func(address string, e *pb.Envelope) error) *StreamOrigins {
+func newStreamOrigins(selfAddress, dataCentre string, view *View, send func(address string, e *pb.Envelope) error) *StreamOrigins {
 	return &StreamOrigins{
-		selfAddress: selfAddress, view: view, send: send,
+		selfAddress: selfAddress, dataCentre: dataCentre, view: view, send: send,
 		sent: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "briarcross_stream_origin_datagrams_total", Help: "Datagrams about the origins of streams, by kind: record, query, reply, failed.",
+			Name: "briarcross_stream_origin_datagrams_total", Help: "Datagrams about the origins of streams, by kind: record, copy, query, reply, failed.",
 		}, []string{"kind"}),
 		found: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "briarcross_stream_origin_searches_total", Help: "Streams that callers took up, by how their origin was found: own, home, only_origin, unknown.",
@@ -72,8 +80,49 @@
 	o.table.Add(time.Now(), record)
 	o.mu.Unlock()
 	if len(o.possibleOrigins(services)) != 1 {
-		o.sendRecords(o.homes(record.RequestID), []origins.Record{record})
+		o.sendRecords("record", o.homes(record.RequestID), []origins.Record{record})
+		return
+	}
+	o.copyLater(record)
+}
+
+// copyLater copies a record to a storage daemon at the end of copyInterval.
+func (o *StreamOrigins) copyLater(record origins.Record) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.uncopied = append(o.uncopied, record)
+	if len(o.uncopied) == 1 {
+		time.AfterFunc(copyInterval, o.sendCopies)
+	}
+}
+
+func (o *StreamOrigins) sendCopies() {
+	o.mu.Lock()
+	records := o.uncopied
+	o.uncopied = nil
+	o.mu.Unlock()
+	if keeper := o.copyKeeper(); keeper != "" {
+		o.sendRecords("copy", []string{keeper}, records)
+	}
+}
+
+// copyKeeper returns the address of the storage daemon that keeps the copies, in this data
+// centre if there is one, or nothing without storage daemons.
+func (o *StreamOrigins) copyKeeper() string {
+	var local, all []string
+	for _, d := range o.view.Daemons(RoleStore) {
+		all = append(all, d.GetAddress())
+		if d.GetDataCentre() == o.dataCentre {
+			local = append(local, d.GetAddress())
+		}
+	}
+	if len(local) > 0 {
+		all = local
+	}
+	for _, address := range origins.Homes(o.selfAddress, all, 1) {
+		return address
 	}
+	return ""
 }
 
 // possibleOrigins lists where a stream that some services may run can have begun, as
@@ -222,7 +271,7 @@
 		}
 	}
 	for home, records := range byHome {
-		o.sendRecords([]string{home}, records)
+		o.sendRecords("record", []string{home}, records)
 	}
 }
 
@@ -231,13 +280,13 @@
 	o.sending.Wait()
 }
 
-func (o *StreamOrigins) sendRecords(addresses []string, records []origins.Record) {
+func (o *StreamOrigins) sendRecords(kind string, addresses []string, records []origins.Record) {
 	for part := range slices.Chunk(records, maxOriginsPerDatagram) {
 		message := &pb.StreamOrigins{}
 		for _, r := range part {
 			message.Origins = append(message.Origins, encodeOrigin(r))
 		}
-		o.sendAll("record", addresses, &pb.Envelope{Body: &pb.Envelope_StreamOrigins{StreamOrigins: message}})
+		o.sendAll(kind, addresses, &pb.Envelope{Body: &pb.Envelope_StreamOrigins{StreamOrigins: message}})
 	}
 }
 
--- a/node/stream_origins_test.go
+++ b/node/stream_origins_test.go
@@ -49,7 +49,7 @@
 
 // start has a daemon without records at an address.
 func (n *originNetwork) start(address string, view *View) {
-	n.entries[address] = newStreamOrigins(address, view, func(to string, e *pb.Envelope) error {
+	n.entries[address] = newStreamOrigins(address, "", view, func(to string, e *pb.Envelope) error {
 		e.Header = &pb.Header{ReplyAddress: address}
 		n.deliver(to, e)
 		return nil
@@ -591,3 +591,30 @@
 	expect.Expect(view.UnsettledVersions(now, "s")).To(Equal([]string{"3"}))
 	expect.Expect(view.UnsettledVersions(now.Add(versionSettleTime), "s")).To(BeEmpty())
 }
+
+// The entry of a stream freezes, and a second version joins before the caller takes the stream
+// up elsewhere. Only the frozen entry could tell that it had begun at the first one.
+func TestStreamOfAFrozenEntryIsTakenUpAfterASecondVersionJoined(t *testing.T) {
+	expect := NewWithT(t)
+	addresses := slices.Concat(sixEntries, []string{"s1:1", "s2:1", "s3:1"})
+	network := newOriginNetwork(addresses, "1")
+	ids := []string{"a", "b", "c", "d"}
+	for _, id := range ids {
+		network.entries["e1:1"].Record(id, began, []string{"s"})
+	}
+	expect.Eventually(func() bool {
+		network.mu.Lock()
+		defer network.mu.Unlock()
+		return network.sent > 0
+	}, time.Second, 10*time.Millisecond).Should(BeTrue())
+	expect.Expect(network.sent).To(Equal(1), "datagrams")
+	network.remove("e1:1")
+	for _, address := range addresses[1:] {
+		network.setVersions(address, "1", "2")
+	}
+	for _, id := range ids {
+		origin, known := network.entries["e2:1"].Find(context.Background(), id, []string{"s"})
+		expect.Expect(known).To(BeTrue(), id)
+		expect.Expect(origin).To(Equal(began))
+	}
+}
