--- a/storenode/runner.go
+++ b/storenode/runner.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -222,7 +223,7 @@
 	handled startResult = iota
 	// versionBusy: no slot of the software version to which the item is bound is free.
 	versionBusy
-	// noSlot: no slot is free.
+	// noSlot: no slot of the service is free.
 	noSlot
 	// noMemory: no upstream with a free slot has memory for the item.
 	noMemory
@@ -237,8 +238,25 @@
 	unbound map[string]dispatch.SlotRequest
 	// tokens is the memory that the item to be started may need; zero if unknown.
 	tokens int
+	// table is the routing table for the item to be started; nil if unknown.
+	table *routing.Table
+	// full holds the services without a free slot, waitingJobs the jobs of which an item
+	// has only such services.
+	full        map[string]bool
+	waitingJobs map[string]bool
 }
 
+// recordFull records that a service of the route of an item has no free slot.
+func (r *startRound) recordFull(key jobpages.ItemKey, route *routing.Route, service string) {
+	r.full[service] = true
+	if !slices.ContainsFunc(route.Services(), func(other string) bool { return !r.full[other] }) {
+		r.waitingJobs[key.JobID] = true
+	}
+}
+
+// isOver reports whether no service has a free slot.
+func (r *startRound) isOver() bool { return r.table == nil || len(r.full) >= len(r.table.Services) }
+
 // startItems starts runnable items while slots are free, up to maxStartsPerTick.
 func (r *runner) startItems() {
 	open := r.node.state.OpenItems()
@@ -250,21 +268,24 @@
 }
 
 // startAll starts items in order until no slot is free or maxStartsPerTick are handled.
-// Items that wait for a slot of their software version do not hold up others.
+// Items that wait for a slot of their service or software version do not hold up others.
 func (r *runner) startAll(runnable []jobpages.ItemKey, start func(jobpages.ItemKey, *startRound) startResult) {
 	r.mu.Lock()
-	round := &startRound{StartRound: r.scheduler.NewStartRound(time.Now()), unbound: make(map[string]dispatch.SlotRequest)}
+	round := &startRound{
+		StartRound: r.scheduler.NewStartRound(time.Now()), unbound: make(map[string]dispatch.SlotRequest),
+		full: make(map[string]bool), waitingJobs: make(map[string]bool),
+	}
 	r.mu.Unlock()
 	handledCount := 0
 	for _, key := range runnable {
-		if r.mustWait(key, round) {
+		if round.waitingJobs[key.JobID] || r.mustWait(key, round) {
 			continue
 		}
 		result := start(key, round)
 		if result == handled {
 			handledCount++
 		}
-		if result == noSlot || handledCount == maxStartsPerTick {
+		if result == noSlot && round.isOver() || handledCount == maxStartsPerTick {
 			break
 		}
 	}
@@ -313,7 +334,7 @@
 		r.postpone(key, item)
 		return handled
 	}
-	round.tokens = r.codec.TokenCount(itemHeader(item))
+	round.tokens, round.table = r.codec.TokenCount(itemHeader(item)), table
 	grant, reason, result := r.acquireSlot(parent, key, job, route, openCount, round)
 	switch result {
 	case tooLarge:
@@ -362,11 +383,19 @@
 	if reason != jobpages.VersionBusy {
 		service = route.PickService(rand.Uint64())
 	}
+	if round.full[service] {
+		round.recordFull(key, route, service)
+		return dispatch.Grant{}, "", noSlot
+	}
 	request := r.slotRequest(key, job, service, openCount)
 	request.Tokens = round.tokens
 	grant, refused := r.node.Slots.Acquire(ctx, request)
 	if refused != nil {
-		return dispatch.Grant{}, "", refusedStart(refused.Reason)
+		result := refusedStart(refused.Reason)
+		if result == noSlot {
+			round.recordFull(key, route, service)
+		}
+		return dispatch.Grant{}, "", result
 	}
 	round.RecordStart(originOf(grant))
 	return grant, reason, handled
