--- a/e2e/platform_jobs_test.go
+++ b/e2e/platform_jobs_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"testing"
 )
 
 // jobPage is a page of the results of a job in the response to a caller.
@@ -108,3 +109,42 @@
 	}
 	return ""
 }
+
+// replaceCapacity replaces the configuration by one that states how many tokens an engine holds.
+func (f *platformFleet) replaceCapacity(tokens int) {
+	version := f.configVersion.Add(1)
+	document := strings.Replace(f.configuration(version), `"Slots":8`, fmt.Sprintf(`"Slots":8,"KvCapTokens":%d`, tokens), 1)
+	f.await("the configuration is accepted", func() bool {
+		response, err := f.client.Post("http://"+f.controls[0].operatorsAddress()+"/Config.Replace", "application/json", strings.NewReader(document))
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
+}
+
+// A job that no engine holds was accepted, and its items were given up. One that was accepted
+// before the engines were exchanged for smaller ones is acknowledged again.
+func TestJobThatNoEngineHoldsIsRefusedUnlessItWasAccepted(t *testing.T) {
+	t.Parallel()
+	f := startPlatformFleet(t, 1, 1, false)
+	entry := f.entries[0]
+	submit := func(job string) int {
+		item := newJobItem(job, 0, "record")
+		item.Headers["Briarcross-Token-Count"] = "500,100"
+		return f.submitItems(entry, job, []jobItem{item})
+	}
+	f.replaceCapacity(1000)
+	f.await("a job is accepted", func() bool { return submit("fits") == http.StatusAccepted })
+	f.replaceCapacity(500)
+	tries := 0
+	f.await("a job is refused", func() bool {
+		// The entry may not have the configuration yet, and accept a try.
+		tries++
+		return submit(fmt.Sprintf("too-large-%d", tries)) == http.StatusRequestEntityTooLarge
+	})
+	if status := submit("fits"); status != http.StatusAccepted {
+		t.Fatalf("the job that was accepted before got status %d", status)
+	}
+}
--- a/entrynode/exchange.go
+++ b/entrynode/exchange.go
@@ -119,10 +119,11 @@
 
 func (n *Node) newExchange(w http.ResponseWriter, r *http.Request, headers RequestHeaders, route *routing.Route, table *routing.Table, customer *customers.Customer, body []byte) *exchange {
 	arrivedAt := time.Now()
+	tokens := n.codec.TokenCount(r.Header)
 	return &exchange{
 		node: n, w: w, request: r, headers: headers, route: route, table: table, customer: customer, identityTable: table, body: body,
-		promptParts: n.codec.SharedPromptParts(r.Header), tokens: n.codec.TokenCount(r.Header), requestPart: quarantine.RequestPart(requestDigest(r, body)),
-		service: route.PickService(rand.Uint64()), arrivedAt: arrivedAt, interruptedAt: arrivedAt, timeout: requestTimeout(headers, route),
+		promptParts: n.codec.SharedPromptParts(r.Header), tokens: tokens, requestPart: quarantine.RequestPart(requestDigest(r, body)),
+		service: table.PickService(route, rand.Uint64(), tokens), arrivedAt: arrivedAt, interruptedAt: arrivedAt, timeout: requestTimeout(headers, route),
 		events: upstream.EventSplitter{LastID: headers.ResumeAfter},
 	}
 }
--- a/entrynode/jobs.go
+++ b/entrynode/jobs.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/briarcross/briarcross/customers"
@@ -77,8 +78,21 @@
 		})
 		return
 	}
+	storedID := jobpages.StoredJobID(nameOf(customer), headers.ID)
+	if slices.ContainsFunc(job.Items, func(item JobItem) bool { return !n.holdsItem(table, route, item) }) {
+		// A job that was accepted under another routing table is acknowledged again.
+		page, ok := n.ReadPage(w, JobAccess{id: headers.ID, customer: customer, storedIDs: []string{storedID}}, 0, 0)
+		if ok && !page.GetKnown() {
+			n.refuse(w, headers.ID, refusal{
+				reason: "item_too_large", status: http.StatusRequestEntityTooLarge, route: route.Name, customer: nameOf(customer), routingVersion: table.Version,
+			})
+		}
+		if !page.GetKnown() {
+			return
+		}
+	}
 	submit := &pb.PageSubmit{
-		JobId:    jobpages.StoredJobID(nameOf(customer), headers.ID),
+		JobId:    storedID,
 		Host:     route.Host,
 		Path:     r.URL.Path,
 		DueMs:    uint64(route.JobDueAfter.Milliseconds()),
@@ -104,6 +118,16 @@
 	w.WriteHeader(http.StatusAccepted)
 }
 
+// holdsItem reports whether engines of a route hold an item of a job, as far as their memory
+// is known.
+func (n *Node) holdsItem(table *routing.Table, route *routing.Route, item JobItem) bool {
+	header := make(http.Header)
+	for name, value := range item.Headers {
+		header.Set(name, value)
+	}
+	return table.Holds(route, n.codec.TokenCount(header))
+}
+
 // encodeItem encodes an item for storage. In a deployment with customers, storage keeps no
 // credentials and no name of a customer that the caller made up.
 func (n *Node) encodeItem(item JobItem, hasCustomers bool) *pb.PageItem {
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -137,6 +137,7 @@
 	"queue_full":              "more requests were waiting for a slot than could get one within the time that the route allows",
 	"no_memory":               "engines with free slots had no memory for the tokens that the request states, and none became free in time",
 	"too_large":               "the request states more tokens than an engine of its service holds",
+	"item_too_large":          "the job has an item that states more tokens than an engine of its route holds; nothing of the job was accepted",
 	"rate_limited":            "engines with free slots state a limit of requests a second that allowed no further one in time",
 	"unfair_share":            "the customer had more than its share of the slots, and its place or the last free slots went to others that had less",
 	"over_quota":              "the customer was over its quota, counted over all entries",
--- a/routing/table.go
+++ b/routing/table.go
@@ -86,12 +86,16 @@
 
 // PickService maps a random number to a service, in proportion to the weights.
 func (r *Route) PickService(random uint64) string {
+	return pickSplit(r.Splits, random)
+}
+
+func pickSplit(splits []Split, random uint64) string {
 	totalWeight := 0
-	for _, s := range r.Splits {
+	for _, s := range splits {
 		totalWeight += s.Weight
 	}
 	remaining := int(random % uint64(totalWeight))
-	for _, s := range r.Splits {
+	for _, s := range splits {
 		if remaining < s.Weight {
 			return s.Service
 		}
@@ -194,6 +198,27 @@
 	return longest, longest != nil
 }
 
+// PickService is Route.PickService among the services of a route whose upstreams hold a
+// request with a number of tokens, or among all if none does.
+func (t *Table) PickService(r *Route, random uint64, tokens int) string {
+	fitting := slices.DeleteFunc(slices.Clone(r.Splits), func(s Split) bool { return s.Weight == 0 || !t.holds(s.Service, tokens) })
+	if len(fitting) == 0 {
+		return r.PickService(random)
+	}
+	return pickSplit(fitting, random)
+}
+
+// Holds reports whether the upstreams of a service of a route hold a request with a number
+// of tokens, as far as their memory is known.
+func (t *Table) Holds(r *Route, tokens int) bool {
+	return slices.ContainsFunc(r.Services(), func(service string) bool { return t.holds(service, tokens) })
+}
+
+func (t *Table) holds(service string, tokens int) bool {
+	s, known := t.Service(service)
+	return !known || s.TokenCapacity == 0 || tokens <= s.TokenCapacity
+}
+
 // Service returns a service by its name.
 func (t *Table) Service(name string) (Service, bool) {
 	for _, s := range t.Services {
--- a/routing/table_test.go
+++ b/routing/table_test.go
@@ -62,6 +62,20 @@
 	NewWithT(t).Expect(counts).To(Equal(map[string]int{"a": 300, "c": 100}))
 }
 
+// Some services of a route have too little memory for a request.
+func TestPickServiceLeavesOutServicesThatDoNotHoldARequest(t *testing.T) {
+	g := NewWithT(t)
+	table := &Table{Services: []Service{{Name: "a", TokenCapacity: 100}, {Name: "b", TokenCapacity: 1000}, {Name: "c"}}}
+	r := newRoute("r", "h", "/p/", Split{"a", 8}, Split{"b", 1}, Split{"c", 0})
+	for i := range uint64(20) {
+		g.Expect(table.PickService(&r, i, 101)).To(Equal("b"))
+		g.Expect(table.PickService(&r, i, 100)).To(Equal(r.PickService(i)))
+		g.Expect(table.PickService(&r, i, 1001)).To(Equal(r.PickService(i)))
+	}
+	g.Expect(table.Holds(&r, 1000)).To(BeTrue())
+	g.Expect(table.Holds(&r, 1001)).To(BeFalse())
+}
+
 func TestOnlyIdempotentAndResumableRequestsAreRepeatable(t *testing.T) {
 	g := NewWithT(t)
 	g.Expect((&Route{Kind: Idempotent}).Repeatable()).To(BeTrue())
--- a/storenode/memory_test.go
+++ b/storenode/memory_test.go
@@ -11,8 +11,8 @@
 	"github.com/briarcross/briarcross/pb"
 )
 
-// An item for which no engine has memory must not keep smaller ones from free slots, and one
-// that no engine will ever hold must not wait.
+// An item for which no engine has memory must not keep smaller ones from free slots, nor one
+// that no engine of its route holds.
 func TestItemWithoutMemoryHoldsUpOthers(t *testing.T) {
 	expect := NewWithT(t)
 	l := startTestLeader(t, startVersionEngine(t, "e", "1", 8))
--- a/storenode/runner.go
+++ b/storenode/runner.go
@@ -227,7 +227,8 @@
 	noSlot
 	// noMemory: no upstream with a free slot has memory for the item.
 	noMemory
-	// tooLarge: no upstream will ever have memory for the item.
+	// tooLarge: no upstream of the route has memory for the item, however empty it is. A
+	// later routing table may lead to others.
 	tooLarge
 )
 
@@ -246,6 +247,14 @@
 	waitingJobs map[string]bool
 }
 
+// pickService picks a service of a route for the item to be started.
+func (r *startRound) pickService(route *routing.Route) string {
+	if r.table == nil {
+		return route.PickService(rand.Uint64())
+	}
+	return r.table.PickService(route, rand.Uint64(), r.tokens)
+}
+
 // recordFull records that a service of the route of an item has no free slot.
 func (r *startRound) recordFull(key jobpages.ItemKey, route *routing.Route, service string) {
 	r.full[service] = true
@@ -331,15 +340,14 @@
 	r.mu.Unlock()
 	_, quarantined := r.node.Quarantine.Check(r.promptParts(item))
 	if quarantined && !r.mayTry(time.Now()) {
-		r.postpone(key, item)
+		r.postpone(key, item, "prompt_quarantined", quarantineRecheck)
 		return handled
 	}
 	round.tokens, round.table = r.codec.TokenCount(itemHeader(item)), table
 	grant, reason, result := r.acquireSlot(parent, key, job, route, openCount, round)
 	switch result {
 	case tooLarge:
-		r.settle(key, &pb.PageResult{Failed: true, Reason: string(dispatch.TooLarge)})
-		return handled
+		r.postpone(key, item, string(dispatch.TooLarge), tooLargeRecheck)
 	case handled:
 		r.startRun(parent, key, job, item, grant, reason)
 		if quarantined {
@@ -358,6 +366,9 @@
 // acquireSlot acquires a slot for an item. An item with output gets one of the software
 // version that began it, unless there is a reason to restart the item.
 func (r *runner) acquireSlot(ctx context.Context, key jobpages.ItemKey, job *pb.PageJob, route *routing.Route, openCount int, round *startRound) (dispatch.Grant, jobpages.RestartReason, startResult) {
+	if round.table != nil && !round.table.Holds(route, round.tokens) {
+		return dispatch.Grant{}, "", tooLarge
+	}
 	r.mu.Lock()
 	origin, bound, reason := r.scheduler.BoundTo(time.Now(), key, route.Services())
 	r.mu.Unlock()
@@ -368,10 +379,7 @@
 		if refused == nil {
 			return grant, "", handled
 		}
-		if refused.Reason == dispatch.TooLarge {
-			return dispatch.Grant{}, "", tooLarge
-		}
-		if refused.Reason != dispatch.NoUpstream {
+		if refused.Reason != dispatch.NoUpstream && refused.Reason != dispatch.TooLarge {
 			round.RecordBusy(origin, key)
 			request.Bound = false
 			round.unbound[origin.Service] = request
@@ -381,7 +389,7 @@
 	}
 	service := origin.Service
 	if reason != jobpages.VersionBusy {
-		service = route.PickService(rand.Uint64())
+		service = round.pickService(route)
 	}
 	if round.full[service] {
 		round.recordFull(key, route, service)
--- a/storenode/services_test.go
+++ b/storenode/services_test.go
@@ -54,3 +54,20 @@
 		lost[0]: noSlot, alsoLost[0]: noSlot, sound[0]: handled, sound[1]: handled,
 	}), "of each job without a slot, one item is looked at")
 }
+
+// One of two services of a route has engines with less memory. Items that these do not hold
+// were given up.
+func TestItemOfASplitRouteRunsWhereItFits(t *testing.T) {
+	expect := NewWithT(t)
+	l := startTestLeader(t, startVersionEngine(t, "e", "1", 40))
+	l.node.Slots.SetTokenCapacity(testService, 1000)
+	l.node.Slots.SetTokenCapacity("other", 100)
+	table, _, _ := twoServices(t, 100)
+	split := &routing.Route{Splits: []routing.Split{{Service: testService, Weight: 1}, {Service: "other", Weight: 9}}}
+	keys := l.submit("j", 5)
+	for key, result := range l.start(keys, table, map[string]*routing.Route{"j": split}, 150) {
+		expect.Expect(result).To(Equal(handled), "item %d", key.Index)
+	}
+	results := l.start(keys[:1], table, map[string]*routing.Route{"j": split}, 1001)
+	expect.Expect(results).To(Equal(map[jobpages.ItemKey]startResult{keys[0]: tooLarge}))
+}
--- a/storenode/trials.go
+++ b/storenode/trials.go
@@ -14,6 +14,9 @@
 	quarantineRecheck = 500 * time.Millisecond
 	// trialInterval is the time between two starts of items with a part in quarantine.
 	trialInterval = 15 * time.Second
+	// tooLargeRecheck is the time after which an item that no engine of its route holds is
+	// looked at again: the routing table may have changed.
+	tooLargeRecheck = time.Second
 )
 
 // mayTry reports whether an item with a part in quarantine may start. Each item is owed its
@@ -31,12 +34,12 @@
 	r.triedAt = now
 }
 
-// postpone keeps back an item with a part in quarantine while another one is tried.
-func (r *runner) postpone(key jobpages.ItemKey, item *pb.PageItem) {
+// postpone keeps back an item for some time.
+func (r *runner) postpone(key jobpages.ItemKey, item *pb.PageItem, reason string, delay time.Duration) {
 	r.mu.Lock()
-	r.scheduler.Postpone(key, time.Now().Add(quarantineRecheck))
+	r.scheduler.Postpone(key, time.Now().Add(delay))
 	r.mu.Unlock()
-	r.recordPostponed(key, item, "prompt_quarantined", quarantineRecheck)
+	r.recordPostponed(key, item, reason, delay)
 }
 
 // recordPostponed records that an item waits longer for its next run.
