--- a/upstream/event_splitter.go
+++ b/upstream/event_splitter.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strconv"
 
 	"github.com/rotisserie/eris"
 )
@@ -12,8 +13,9 @@
 // ErrEventTooLarge means that an incomplete event exceeds maxEventBytes.
 var ErrEventTooLarge = eris.New("server-sent event exceeds 1 MiB")
 
-// ErrNoEvent means that a part of a stream that ends like an event is none.
-var ErrNoEvent = eris.New("line is no field of a server-sent event")
+// ErrNoEvent means that a part of a stream that ends like an event is none, or none of this
+// stream.
+var ErrNoEvent = eris.New("part of the stream is none of its server-sent events")
 
 // EventSplitter splits a stream of server-sent events into whole events, so that
 // no part of an event is forwarded if the engine fails in the middle of it.
@@ -40,11 +42,11 @@
 		if size == 0 {
 			break
 		}
-		event := s.buffer[end : end+size]
-		if !isEvent(event) {
+		next, ok := parseEvent(s.buffer[end : end+size])
+		if !ok || next.hasData && !s.follows(next) {
 			return s.buffer[:end:end], ErrNoEvent
 		}
-		s.record(event)
+		s.record(next)
 		end += size
 	}
 	events := s.buffer[:end:end]
@@ -55,25 +57,6 @@
 	return events, nil
 }
 
-// isEvent reports whether each line is a comment or a field with a proper name. The head
-// of a response, which a faulty engine may write into a stream, has a first line that is
-// neither.
-func isEvent(p []byte) bool {
-	for line := range bytes.SplitSeq(p, []byte("\n")) {
-		name, _, _ := bytes.Cut(bytes.TrimSuffix(line, []byte("\r")), []byte(":"))
-		for _, c := range name {
-			if !isFieldNameByte(c) {
-				return false
-			}
-		}
-	}
-	return true
-}
-
-func isFieldNameByte(c byte) bool {
-	return 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9' || c == '-' || c == '_' || c == '.'
-}
-
 // PendingBytes returns the size of the incomplete event.
 func (s *EventSplitter) PendingBytes() int { return len(s.buffer) }
 
@@ -94,30 +77,80 @@
 	return 0
 }
 
-// record updates LastID and Count from a whole event and calls OnData.
-func (s *EventSplitter) record(event []byte) {
-	var data []byte
-	hasData := false
-	for line := range bytes.SplitSeq(event, []byte("\n")) {
+// event is a part of a stream up to an empty line.
+type event struct {
+	id   []byte
+	data []byte
+	// numbered and hasData are set if there is a field id or data.
+	numbered bool
+	hasData  bool
+}
+
+// parseEvent parses the lines of an event. It returns false if one is neither a comment nor a
+// field with a proper name, like the first line of the head of a response, or if the event
+// has fields without data, like a text that a faulty engine writes into a stream.
+func parseEvent(p []byte) (event, bool) {
+	var e event
+	hasFields := false
+	for line := range bytes.SplitSeq(p, []byte("\n")) {
 		line = bytes.TrimSuffix(line, []byte("\r"))
 		name, value, _ := bytes.Cut(line, []byte(":"))
 		value = bytes.TrimPrefix(value, []byte(" "))
+		if !isFieldName(name) {
+			return event{}, false
+		}
+		hasFields = hasFields || len(name) > 0
 		switch string(name) {
 		case "id":
-			s.LastID = string(value)
+			e.id, e.numbered = value, true
 		case "data":
-			if hasData {
-				data = append(data, '\n')
+			if e.hasData {
+				e.data = append(e.data, '\n')
 			}
-			data = append(data, value...)
-			hasData = true
+			e.data = append(e.data, value...)
+			e.hasData = true
 		}
 	}
-	if !hasData {
+	return e, e.hasData || !hasFields
+}
+
+func isFieldName(name []byte) bool {
+	for _, c := range name {
+		if !isFieldNameByte(c) {
+			return false
+		}
+	}
+	return true
+}
+
+func isFieldNameByte(c byte) bool {
+	return 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9' || c == '-' || c == '_' || c == '.'
+}
+
+// follows reports whether an event with data may come next. In a stream whose events have IDs
+// each has one, and they increase.
+func (s *EventSplitter) follows(e event) bool {
+	if s.LastID == "" {
+		return s.Count == 0 || !e.numbered
+	}
+	if !e.numbered {
+		return false
+	}
+	last, lastErr := strconv.ParseUint(s.LastID, 10, 64)
+	next, nextErr := strconv.ParseUint(string(e.id), 10, 64)
+	return lastErr != nil && nextErr != nil || lastErr == nil && nextErr == nil && next > last
+}
+
+// record updates LastID and Count from an event and calls OnData.
+func (s *EventSplitter) record(e event) {
+	if !e.hasData {
 		return
 	}
+	if e.numbered {
+		s.LastID = string(e.id)
+	}
 	s.Count++
 	if s.OnData != nil {
-		s.OnData(data)
+		s.OnData(e.data)
 	}
 }
--- a/upstream/event_splitter_test.go
+++ b/upstream/event_splitter_test.go
@@ -54,6 +54,10 @@
 func TestTextThatIsNoEventEndsTheStream(t *testing.T) {
 	for _, text := range []string{
 		"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nfull", "out of memory\n\n", "{\"error\": 1}\n\n", "id: 2\n<html>\n\n",
+		// Each line could be a field.
+		"error: worker 3 of 4 has left the group\n\n", "killed\n\n", "id: 2\n\n", "event: fatal\nid: 2\n\n",
+		// An event of another stream, or one that the engine has written before.
+		"data: x\n\n", "id: 1\ndata: x\n\n", "id: 0\ndata: x\n\n", "id: x\ndata: x\n\n",
 	} {
 		g := NewWithT(t)
 		splitter := EventSplitter{}
@@ -74,6 +78,18 @@
 	g.Expect(string(events)).To(Equal("id: 1\ndata: a\n\n"))
 }
 
+// Streams need not have IDs, but a stream has them in all of its events or in none.
+func TestEventsWithAndWithoutIDsAreNotMixed(t *testing.T) {
+	for stream, whole := range map[string]bool{
+		"data: a\n\n: comment\n\ndata: b\n\n": true, "data: a\n\nid: 1\ndata: b\n\n": false,
+		"id: a\ndata: a\n\nid: b\ndata: b\n\n": true, "id: 9\ndata: a\n\nid: 10\ndata: b\n\n": true,
+	} {
+		splitter := EventSplitter{}
+		_, err := splitter.Push([]byte(stream))
+		NewWithT(t).Expect(err == nil).To(Equal(whole), stream)
+	}
+}
+
 func FuzzEvents(f *testing.F) {
 	f.Add([]byte(stream), uint8(3))
 	f.Add([]byte("\n\n\r\n\r\n"), uint8(1))
