--- a/jobpages/scheduler.go
+++ b/jobpages/scheduler.go
@@ -161,6 +161,9 @@
 	Interrupted
 	// Failed means that the engine ended the run with an error.
 	Failed
+	// Spoiled means that the output is that of no item. The run does not count as failed:
+	// the engine did not say so.
+	Spoiled
 )
 
 // RecordEnd marks an item as waiting after a run. It returns the item's number
@@ -171,7 +174,7 @@
 		return 0
 	}
 	progress.AvoidUpstream = ""
-	if progress.EventCount > progress.eventsAtStart {
+	if progress.EventCount > progress.eventsAtStart && outcome != Spoiled {
 		progress.FruitlessRuns = 0
 	}
 	switch outcome {
@@ -189,6 +192,11 @@
 		progress.AvoidUpstream = progress.Upstream
 		// The next run does not resume a failed one: it starts from the beginning.
 		progress.discardOutput()
+	case Spoiled:
+		progress.FruitlessRuns++
+		progress.NotBefore = now.Add(progress.interruptionDelay())
+		progress.AvoidUpstream = progress.Upstream
+		progress.discardOutput()
 	case NotRun:
 		progress.NotBefore = now.Add(restartDelay)
 	}
--- a/jobpages/scheduler_test.go
+++ b/jobpages/scheduler_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/briarcross/briarcross/origins"
 	"github.com/briarcross/briarcross/pb"
 )
 
@@ -120,3 +121,20 @@
 	expect.Expect(end(1, Interrupted)).To(Equal(restartDelay))
 	expect.Expect(end(0, Interrupted)).To(Equal(restartDelay))
 }
+
+// Output that belongs to no item is discarded, and the run does not count towards the attempts
+// after which an item is given up.
+func TestSpoiledOutputIsDiscarded(t *testing.T) {
+	g := NewWithT(t)
+	s := NewScheduler()
+	key := ItemKey{JobID: "j", Index: 0}
+	for range 5 {
+		progress := s.RecordStart(time.UnixMilli(0), key, "u", time.UnixMilli(1000))
+		progress.AddOutput(origins.Origin{}, []byte("x"), 1, "1")
+		g.Expect(s.RecordEnd(time.UnixMilli(10), key, Spoiled)).To(BeZero())
+		g.Expect(s.Progress(key).EventCount).To(BeZero())
+		g.Expect(s.Progress(key).LastEventID).To(BeEmpty())
+		g.Expect(s.Progress(key).AvoidUpstream).To(Equal("u"))
+	}
+	g.Expect(s.Progress(key).NotBefore).To(BeTemporally(">", time.UnixMilli(10+int64(restartDelay/time.Millisecond))))
+}
--- a/storenode/item.go
+++ b/storenode/item.go
@@ -76,7 +76,7 @@
 	}
 	n.logger.Info(event, withJob(x.key.JobID, "request", x.item.GetId(), "item", x.key.Index, "upstream", x.grant.Upstream,
 		"reason", reason, "status", status, "events", progress.EventCount, "last_event", progress.LastEventID)...)
-	if outcome == jobpages.Interrupted && progress.FruitlessRuns >= jobpages.FruitlessLimit {
+	if (outcome == jobpages.Interrupted || outcome == jobpages.Spoiled) && progress.FruitlessRuns >= jobpages.FruitlessLimit {
 		x.runner.recordPostponed(x.key, x.item, "fruitless_runs", time.Until(progress.NotBefore))
 	}
 	x.runner.wake()
@@ -123,7 +123,7 @@
 		x.recordInterruption(end)
 	}
 	x.runner.node.Slots.Release(x.grant, end.slotOutcome)
-	if x.preempted.Load() && !complete && end.outcome != jobpages.Failed {
+	if x.preempted.Load() && !complete && end.outcome != jobpages.Failed && end.outcome != jobpages.Spoiled {
 		return jobpages.Preempted, 0, "yielded"
 	}
 	return end.outcome, end.status, end.reason
--- a/storenode/upstream_run.go
+++ b/storenode/upstream_run.go
@@ -157,7 +157,7 @@
 	switch reason := readEvents(response, request.ResumeAfter, onProgress, output); reason {
 	case "":
 	case outputTooLong:
-		return runEnd{jobpages.Failed, dispatch.Failed, 0, reason}
+		return runEnd{jobpages.Spoiled, dispatch.Failed, 0, reason}
 	default:
 		return runEnd{jobpages.Interrupted, dispatch.Failed, 0, reason}
 	}
--- a/storenode/upstream_run_test.go
+++ b/storenode/upstream_run_test.go
@@ -3,11 +3,15 @@
 import (
 	"fmt"
 	"io"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/briarcross/briarcross/jobpages"
+	"github.com/briarcross/briarcross/pb"
 	"github.com/briarcross/briarcross/upstream"
 )
 
@@ -56,3 +60,29 @@
 	expect.Expect(reason).To(Equal(outputTooLong))
 	expect.Expect(size).To(BeNumerically("<=", maxRunBytes))
 }
+
+// Engines answer with bodies that do not end. Items were given up after three of them, as if
+// their engines had answered 500.
+func TestEndlessBodiesDoNotCountAsFailures(t *testing.T) {
+	for name, block := range map[string]func(n int) string{
+		"no events": func(int) string { return strings.Repeat("0123456789abcdef", 128) + "\n\n" },
+		"events":    func(n int) string { return fmt.Sprintf("id: %d\ndata: %s\n\n", n, strings.Repeat("x", 1<<14)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			expect := NewWithT(t)
+			l := startTestLeader(t)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("Id", r.Header.Get("Id"))
+				for n := 1; r.Context().Err() == nil; n++ {
+					if _, err := io.WriteString(w, block(n)); err != nil {
+						return
+					}
+				}
+			}))
+			t.Cleanup(server.Close)
+			request := itemRequest(&pb.PageItem{Id: "i", Path: "/p"}, "h", server.Listener.Addr().String(), "u", "")
+			end := runAtUpstream(t.Context(), l.engines, request, testTimeout, func(engineStatement) {}, func([]byte, int, string) {})
+			expect.Expect(end.outcome).To(BeElementOf(jobpages.Interrupted, jobpages.Spoiled))
+		})
+	}
+}
