--- a/controlnode/api.go
+++ b/controlnode/api.go
@@ -83,9 +83,21 @@
 	return table.GetVersion(), table.GetDocument(), table.GetVersion() > 0
 }
 
-// RecordHeartbeat applies a heartbeat of an upstream, unless a newer one is known.
+// RecordHeartbeat applies a heartbeat of an upstream, unless a newer one is known. That of a
+// service that the routing table does not name waits until it does.
 func (n *Node) RecordHeartbeat(heartbeat fleet.Upstream) {
 	heartbeat.LastHeartbeat = time.Now()
+	n.updateServices()
+	if n.services.hold(heartbeat) {
+		n.metrics.heartbeats.WithLabelValues("unnamed_service").Inc()
+		n.logger.Info(eventlog.HeartbeatRejected, "upstream", heartbeat.ID, "reason", "unnamed_service", "service", heartbeat.Service,
+			"address", heartbeat.Address, "born", heartbeat.StartUnixMs)
+		return
+	}
+	n.recordHeartbeat(heartbeat)
+}
+
+func (n *Node) recordHeartbeat(heartbeat fleet.Upstream) {
 	previous, changed, applied := n.applyHeartbeat(heartbeat, false)
 	if !applied {
 		n.metrics.heartbeats.WithLabelValues("late").Inc()
@@ -128,6 +140,7 @@
 
 // Deregister records that an upstream has left the deployment.
 func (n *Node) Deregister(id string) {
+	n.services.forget(id)
 	n.upstreamLock.Lock()
 	n.upstreams.Deregister(id, time.Now())
 	current, _ := n.upstreams.Get(id)
--- a/controlnode/maintenance.go
+++ b/controlnode/maintenance.go
@@ -33,6 +33,7 @@
 		case <-ticker.C:
 		}
 		members = node.LogMembers(n.logger, "control", n.replica.Status(), members)
+		n.updateServices()
 		n.expireUpstreams()
 		n.saveUpstreams()
 		_, _, leading := n.replica.Leader()
--- a/controlnode/node.go
+++ b/controlnode/node.go
@@ -57,6 +57,7 @@
 	// quarantine holds the evidence of all daemons about parts of prompts that crash
 	// engines.
 	quarantine *node.Quarantine
+	services   *serviceRegistry
 	metrics    *metrics
 	exporter   *node.MetricsServer
 
@@ -88,9 +89,10 @@
 	tasks  sync.WaitGroup
 }
 
-// Start starts a control replica. The settings must have passed Check. The
-// handler serves the HTTP calls of operators and upstreams.
-func Start(settings *node.Settings, logger *log.Logger, handler func(*Node) http.Handler) (*Node, error) {
+// Start starts a control replica. The settings must have passed Check. services returns the
+// names of the services in a routing document. The handler serves the HTTP calls of operators
+// and upstreams.
+func Start(settings *node.Settings, logger *log.Logger, services func(document []byte) ([]string, error), handler func(*Node) http.Handler) (*Node, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
 		FatalErrorReporter: daemon.NewFatalErrorReporter(),
@@ -105,6 +107,7 @@
 		ctx:                ctx,
 		cancel:             cancel,
 	}
+	n.services = newServiceRegistry(n.routing, services)
 	n.loadUpstreams()
 	n.transport = transport.NewClient(n.identity, nil)
 	n.leaderClient = client.NewReplicaClient(n.transport, nil)
--- /dev/null
+++ b/controlnode/services.go
@@ -0,0 +1,91 @@
+package controlnode
+
+import (
+	"sync"
+
+	"github.com/briarcross/briarcross/eventlog"
+	"github.com/briarcross/briarcross/fleet"
+	"github.com/briarcross/briarcross/pb"
+)
+
+// maxUnnamed bounds the upstreams of services that the routing table does not name.
+const maxUnnamed = 1024
+
+// serviceRegistry holds the services that the routing table names, and the latest heartbeats
+// of upstreams of other services. A heartbeat of another writer may be among these: it must
+// not take the address of an upstream that is there. It is safe for concurrent use.
+type serviceRegistry struct {
+	// routing returns the routing table in force.
+	routing func() *pb.RoutingAnswer
+	// decode returns the names of the services in a routing document.
+	decode func(document []byte) ([]string, error)
+
+	mu sync.Mutex
+	// version is that of the routing table of names. Without a table, all services are named.
+	version uint64
+	names   map[string]bool
+	unnamed map[string]fleet.Upstream
+}
+
+func newServiceRegistry(routing func() *pb.RoutingAnswer, decode func(document []byte) ([]string, error)) *serviceRegistry {
+	return &serviceRegistry{routing: routing, decode: decode, unnamed: make(map[string]fleet.Upstream)}
+}
+
+// update takes the services from the routing table in force. It returns the heartbeats that
+// have waited for a service that is named now.
+func (r *serviceRegistry) update() (named []fleet.Upstream, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	routing := r.routing()
+	if routing.GetVersion() == r.version {
+		return nil, nil
+	}
+	names, err := r.decode(routing.GetDocument())
+	if err != nil {
+		return nil, err
+	}
+	r.version, r.names = routing.GetVersion(), make(map[string]bool)
+	for _, name := range names {
+		r.names[name] = true
+	}
+	for id, u := range r.unnamed {
+		if r.names[u.Service] {
+			named = append(named, u)
+			delete(r.unnamed, id)
+		}
+	}
+	return named, nil
+}
+
+// hold reports whether the service of a heartbeat is not named, and keeps the heartbeat until
+// it is.
+func (r *serviceRegistry) hold(heartbeat fleet.Upstream) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.version == 0 || r.names[heartbeat.Service] {
+		return false
+	}
+	if _, known := r.unnamed[heartbeat.ID]; known || len(r.unnamed) < maxUnnamed {
+		r.unnamed[heartbeat.ID] = heartbeat
+	}
+	return true
+}
+
+// forget drops the heartbeat of an upstream that has left.
+func (r *serviceRegistry) forget(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.unnamed, id)
+}
+
+// updateServices applies the heartbeats that have waited for a service of the routing table.
+func (n *Node) updateServices() {
+	named, err := n.services.update()
+	if err != nil {
+		n.logger.Error(eventlog.RoutingRejected, "error", err)
+		return
+	}
+	for _, heartbeat := range named {
+		n.recordHeartbeat(heartbeat)
+	}
+}
--- a/controlnode/upstreams_test.go
+++ b/controlnode/upstreams_test.go
@@ -15,6 +15,7 @@
 	"github.com/briarcross/briarcross/eventlog"
 	"github.com/briarcross/briarcross/fleet"
 	"github.com/briarcross/briarcross/node"
+	"github.com/briarcross/briarcross/pb"
 )
 
 // newUnstartedNode returns a node that has only what the upstream table needs.
@@ -24,6 +25,7 @@
 		logger:      log.New(io.Discard),
 		upstreams:   fleet.NewTable(),
 		relayed:     make(map[string]bool),
+		services:    newServiceRegistry(func() *pb.RoutingAnswer { return nil }, nil),
 		subscribers: newSubscribers(),
 		quarantine:  node.NewQuarantine(log.New(io.Discard), func() {}),
 	}
