--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -196,6 +196,8 @@
 	health
 	// leaving is set once the upstream has said in an answer that it leaves.
 	leaving bool
+	// displaced is set while another upstream is known to have the address of this one.
+	displaced bool
 	// local is set if the upstream is in the pool's data centre, coarse if only a summary
 	// of the loads of its data centre is known.
 	local  bool
@@ -211,7 +213,9 @@
 }
 
 // accepts reports whether the upstream accepts new requests.
-func (u *upstreamState) accepts() bool { return u.Phase == fleet.Ready && !u.leaving }
+func (u *upstreamState) accepts() bool {
+	return u.Phase == fleet.Ready && !u.leaving && !u.displaced
+}
 
 func (u *upstreamState) online() int { return u.ownGrants[Online] + u.peerGrants[Online] }
 
@@ -227,6 +231,8 @@
 	upstreams map[string]*upstreamState
 	// sortedUpstreams lists the upstreams by ascending ID.
 	sortedUpstreams []*upstreamState
+	// atAddress holds the upstreams by their network address.
+	atAddress map[string][]*upstreamState
 	// peerReports is keyed by LoadReport.Peer.
 	peerReports map[string]peerReport
 	// peersChange is the number of the latest change of the keys of peerReports.
@@ -284,6 +290,7 @@
 		shares:            newCustomerShares(),
 		rand:              core.NewRand(options.Seed),
 		upstreams:         make(map[string]*upstreamState),
+		atAddress:         make(map[string][]*upstreamState),
 		peerReports:       make(map[string]peerReport),
 		summarized:        make(map[string]bool),
 		spareShare:        make(map[string]float64),
@@ -316,9 +323,16 @@
 		state.speed = nil
 		p.forgetTokens(state)
 	}
+	if known && state.Address != u.Address {
+		p.leaveAddress(state)
+	}
+	if !known || state.Address != u.Address {
+		p.atAddress[u.Address] = append(p.atAddress[u.Address], state)
+	}
 	state.Upstream = u
 	state.local, state.coarse = u.DataCentre == p.options.DataCentre, p.summarized[u.DataCentre]
 	state.leaving = p.IsLeaving(u.ID, u.StartUnixMs)
+	p.updateDisplaced(u.Address)
 	p.bindRateLimit(u.ID)
 	if !known {
 		p.applyPeerReports()
@@ -341,6 +355,28 @@
 	delete(p.upstreams, id)
 	index, _ := slices.BinarySearchFunc(p.sortedUpstreams, id, byID)
 	p.sortedUpstreams = slices.Delete(p.sortedUpstreams, index, index+1)
+	p.leaveAddress(u)
+}
+
+func (p *Pool) leaveAddress(u *upstreamState) {
+	others := slices.DeleteFunc(p.atAddress[u.Address], func(other *upstreamState) bool { return other == u })
+	p.atAddress[u.Address] = others
+	if len(others) == 0 {
+		delete(p.atAddress, u.Address)
+	}
+	p.updateDisplaced(u.Address)
+}
+
+// updateDisplaced determines which of the upstreams at an address another one has displaced.
+// One whose heartbeats are missing may still run elsewhere, but what is sent to a former
+// address reaches the upstream that is heard there.
+func (p *Pool) updateDisplaced(address string) {
+	heard := slices.ContainsFunc(p.atAddress[address], func(u *upstreamState) bool {
+		return (u.Phase == fleet.Ready || u.Phase == fleet.Draining) && !u.Silent
+	})
+	for _, u := range p.atAddress[address] {
+		u.displaced = heard && u.Silent
+	}
 }
 
 // Request grants, queues or refuses a slot request. Drain returns grants and
--- a/dispatch/pool_test.go
+++ b/dispatch/pool_test.go
@@ -472,3 +472,27 @@
 	grant, _ := requestSlot(p, start, onlineRequest(2, 0))
 	expect.Expect(grant.Upstream).To(Equal("newer"))
 }
+
+// An engine has crashed, and another one has its address. While all others were busy or at
+// their limits, requests for the former one reached the new one, which rejected them; they
+// counted against its rate limit.
+func TestUpstreamWhoseAddressAnotherOneHasGetsRequests(t *testing.T) {
+	expect := NewWithT(t)
+	former, current := readyUpstream("former", "near", 8), readyUpstream("current", "near", 1)
+	former.Address, former.Silent = current.Address, true
+	p := newPool(former, current)
+	grant, _ := requestSlot(p, start, onlineRequest(1, 0))
+	expect.Expect(grant.Upstream).To(Equal("current"))
+	_, refused := requestSlot(p, start, onlineRequest(2, 0))
+	expect.Expect(refused).NotTo(BeNil())
+	// Nobody is heard at the address: the last resort is used.
+	current.Silent = true
+	p.UpdateUpstream(current)
+	grant, _ = requestSlot(p, start, onlineRequest(3, 0))
+	expect.Expect(grant).NotTo(BeNil())
+	current.Silent = false
+	p.UpdateUpstream(current)
+	p.RemoveUpstream("current")
+	grant, _ = requestSlot(p, start, onlineRequest(4, 0))
+	expect.Expect(grant.Upstream).To(Equal("former"))
+}
