--- a/entrynode/jobs.go
+++ b/entrynode/jobs.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/briarcross/briarcross/customers"
@@ -79,17 +78,18 @@
 		return
 	}
 	storedID := jobpages.StoredJobID(nameOf(customer), headers.ID)
-	if slices.ContainsFunc(job.Items, func(item JobItem) bool { return !n.holdsItem(table, route, item) }) {
-		// A job that was accepted under another routing table is acknowledged again.
+	if !n.holdsItems(table, route, job.Items) {
 		page, ok := n.ReadPage(w, JobAccess{id: headers.ID, customer: customer, storedIDs: []string{storedID}}, 0, 0)
-		if ok && !page.GetKnown() {
+		switch {
+		case !ok:
+			return
+		case !page.GetKnown():
 			n.refuse(w, headers.ID, refusal{
 				reason: "item_too_large", status: http.StatusRequestEntityTooLarge, route: route.Name, customer: nameOf(customer), routingVersion: table.Version,
 			})
-		}
-		if !page.GetKnown() {
 			return
 		}
+		// The job was accepted under another routing table, and is acknowledged again.
 	}
 	submit := &pb.PageSubmit{
 		JobId:    storedID,
@@ -118,14 +118,19 @@
 	w.WriteHeader(http.StatusAccepted)
 }
 
-// holdsItem reports whether engines of a route hold an item of a job, as far as their memory
-// is known.
-func (n *Node) holdsItem(table *routing.Table, route *routing.Route, item JobItem) bool {
-	header := make(http.Header)
-	for name, value := range item.Headers {
-		header.Set(name, value)
+// holdsItems reports whether engines of a route hold each of the items of a job, as far as
+// their memory is known.
+func (n *Node) holdsItems(table *routing.Table, route *routing.Route, items []JobItem) bool {
+	for _, item := range items {
+		header := make(http.Header)
+		for name, value := range item.Headers {
+			header.Set(name, value)
+		}
+		if !table.Holds(route, n.codec.TokenCount(header)) {
+			return false
+		}
 	}
-	return table.Holds(route, n.codec.TokenCount(header))
+	return true
 }
 
 // encodeItem encodes an item for storage. In a deployment with customers, storage keeps no
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -376,6 +376,16 @@
 	return found
 }
 
+// Any reports whether a condition holds for one of the upstreams. It must not change them.
+func (t *Table) Any(condition func(*Upstream) bool) bool {
+	for _, u := range t.upstreams {
+		if condition(u) {
+			return true
+		}
+	}
+	return false
+}
+
 // All returns all upstreams, sorted by ID.
 func (t *Table) All() []Upstream {
 	all := make([]Upstream, 0, len(t.upstreams))
--- a/node/stream_origins.go
+++ b/node/stream_origins.go
@@ -119,8 +119,8 @@
 	if len(local) > 0 {
 		all = local
 	}
-	for _, address := range origins.Homes(o.selfAddress, all, 1) {
-		return address
+	if keepers := origins.Homes(o.selfAddress, all, 1); len(keepers) > 0 {
+		return keepers[0]
 	}
 	return ""
 }
--- a/node/version_settling.go
+++ b/node/version_settling.go
@@ -59,7 +59,7 @@
 // hasReadyVersion reports whether an engine of a service is ready that has none of some
 // software versions. The caller must hold mu.
 func (v *View) hasReadyVersion(service string, except []string) bool {
-	return slices.ContainsFunc(v.upstreams.All(), func(u fleet.Upstream) bool {
+	return v.upstreams.Any(func(u *fleet.Upstream) bool {
 		return u.Service == service && u.Phase == fleet.Ready && !slices.Contains(except, u.SoftwareVersion)
 	})
 }
