Look the routing table up for heartbeats of unnamed services only

Each heartbeat read the routing document to compare its version: some thousand a second at the size to design for. Named services are taken from the last regular update.

--- a/controlnode/api.go
+++ b/controlnode/api.go
@@ -87,7 +87,10 @@
 // service that the routing table does not name waits until it does.
 func (n *Node) RecordHeartbeat(heartbeat fleet.Upstream) {
 	heartbeat.LastHeartbeat = time.Now()
-	n.updateServices()
+	if !n.services.isNamed(heartbeat.Service) {
+		// The table may have changed since the last regular update.
+		n.updateServices()
+	}
 	if n.services.hold(heartbeat) {
 		n.metrics.heartbeats.WithLabelValues("unnamed_service").Inc()
 		n.logger.Info(eventlog.HeartbeatRejected, "upstream", heartbeat.ID, "reason", "unnamed_service", "service", heartbeat.Service,
--- a/controlnode/services.go
+++ b/controlnode/services.go
@@ -57,6 +57,13 @@
 	return named, nil
 }
 
+// isNamed reports whether the routing table named a service when it was last looked at.
+func (r *serviceRegistry) isNamed(service string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.version > 0 && r.names[service]
+}
+
 // hold reports whether the service of a heartbeat is not named, and keeps the heartbeat until
 // it is.
 func (r *serviceRegistry) hold(heartbeat fleet.Upstream) bool {
