Test of evidence on each subscription: record the crashes in one step

Cause: the follower runs while three crashes are recorded one after the other, and a subscription that opens between two of them sends the first ones only, which is right. It checks as much as before: each subscription sends all evidence that is known when it opens.

--- a/node/quarantine_test.go
+++ b/node/quarantine_test.go
@@ -92,8 +92,12 @@
 	q := newTestQuarantine(func() { f.EvidenceChanged() })
 	f = NewFollower(client, NewView(), q, settings.Self(identity), settings.Seeds, log.New(io.Discard), func(ViewChanges) {})
 	ctx := t.Context()
+	other := newTestQuarantine(func() {})
+	recordCrashes(other, "deadly")
+	crashes, _ := other.Since(0)
 	go f.Run(ctx)
-	recordCrashes(q, "deadly")
+	// In one step: a subscription that opens between two crashes sends the first ones only.
+	q.Merge(crashes)
 	for range 3 {
 		var evidence *pb.CrashEvidence
 		expect.Eventually(received, 10*time.Second).Should(Receive(&evidence))
