Log and count updates of control that cannot be encoded

An update that could not be encoded ended the subscription without a trace at the sender; subscribers logged only that the connection broke. Control now says so (update_not_sent, briarcross_updates_not_sent_total), which tells a record that cannot be encoded from a lost connection. Stream.Send encodes before it writes and returns ErrNotEncoded, also for envelopes above the receiver's limit: the stream stays usable.

--- a/controlnode/metrics.go
+++ b/controlnode/metrics.go
@@ -12,6 +12,8 @@
 	registry   *prometheus.Registry
 	calls      *prometheus.CounterVec
 	heartbeats *prometheus.CounterVec
+	// updatesNotSent counts updates to subscribers that could not be encoded.
+	updatesNotSent prometheus.Counter
 }
 
 func newMetrics(n *Node) *metrics {
@@ -23,8 +25,11 @@
 		heartbeats: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "briarcross_heartbeats_total", Help: "Heartbeats of upstreams by what became of them.",
 		}, []string{"outcome"}),
+		updatesNotSent: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "briarcross_updates_not_sent_total", Help: "Updates to subscribers that could not be encoded.",
+		}),
 	}
-	m.registry.MustRegister(m.calls, m.heartbeats, n.quarantine.Collector(),
+	m.registry.MustRegister(m.calls, m.heartbeats, m.updatesNotSent, n.quarantine.Collector(),
 		node.Gauge("briarcross_routing_version", "Version of the routing table that this replica has applied.", func() float64 {
 			return float64(n.routing().GetVersion())
 		}),
--- a/controlnode/subscribers.go
+++ b/controlnode/subscribers.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/briarcross/briarcross/eventlog"
 	"github.com/briarcross/briarcross/fleet"
 	"github.com/briarcross/briarcross/node"
 	"github.com/briarcross/briarcross/pb"
@@ -209,6 +211,7 @@
 	for {
 		update := n.nextUpdate(time.Now(), subscriber)
 		if err := stream.Send(&pb.Envelope{Body: &pb.Envelope_FleetUpdate{FleetUpdate: update}}); err != nil {
+			n.recordNotSent(subscriber, err)
 			return
 		}
 		time.Sleep(minUpdateInterval)
@@ -223,6 +226,16 @@
 	}
 }
 
+// recordNotSent counts and logs an update that could not be encoded. Other errors mean that the
+// connection broke, which the subscriber logs.
+func (n *Node) recordNotSent(s *subscriber, err error) {
+	if !errors.Is(err, transport.ErrNotEncoded) {
+		return
+	}
+	n.metrics.updatesNotSent.Inc()
+	n.logger.Error(eventlog.UpdateNotSent, "subscriber", s.self.GetAddress(), "subscriber_role", s.self.GetRole(), "error", err)
+}
+
 // nextUpdate returns the changes that have not been sent to a subscriber, and
 // records them as sent.
 func (n *Node) nextUpdate(now time.Time, s *subscriber) *pb.FleetUpdate {
--- a/eventlog/logger.go
+++ b/eventlog/logger.go
@@ -64,6 +64,7 @@
 	ItemRestarted         = "item_restarted"
 	ItemSettled           = "item_settled"
 	ReadRefused           = "read_refused"
+	UpdateNotSent         = "update_not_sent"
 	UpstreamsNotLoaded    = "upstreams_not_loaded"
 	UpstreamsNotSaved     = "upstreams_not_saved"
 	JobsNotExpired        = "jobs_not_expired"
--- a/transport/stream.go
+++ b/transport/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/binary"
 	"net"
 	"sync"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/hashicorp/yamux"
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/briarcross/briarcross/pb"
 )
@@ -18,6 +20,10 @@
 
 const streamBufferBytes = 4 << 10
 
+// ErrNotEncoded means that an envelope cannot be encoded, or exceeds MaxFrameBytes. Nothing of it
+// has been sent, and the stream can still be used.
+var ErrNotEncoded = eris.New("envelope cannot be encoded")
+
 // ErrOtherIncarnation means that an envelope was for another incarnation of this
 // process or another group.
 var ErrOtherIncarnation = eris.New("envelope for another incarnation")
@@ -52,16 +58,24 @@
 }
 
 // Send writes one envelope. If it has no header, Send adds one for any
-// incarnation of the receiver. It blocks while the receiver's window is full.
+// incarnation of the receiver. It blocks while the receiver's window is full. It returns
+// ErrNotEncoded if the envelope cannot be sent to any receiver.
 func (s *Stream) Send(e *pb.Envelope) error {
 	if e.Header == nil {
 		e.Header = s.identity.Header("", 0)
 	}
+	encoded, err := proto.Marshal(e)
+	if err != nil {
+		return eris.Wrap(ErrNotEncoded, err.Error())
+	}
+	if len(encoded) > MaxFrameBytes {
+		return eris.Wrapf(ErrNotEncoded, "%d bytes exceed the limit of %d", len(encoded), MaxFrameBytes)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, err := protodelim.MarshalTo(s.writer, e); err != nil {
-		return eris.Wrap(err, "send envelope")
-	}
+	_, _ = s.writer.Write(binary.AppendUvarint(nil, uint64(len(encoded))))
+	_, _ = s.writer.Write(encoded)
+	// Flush returns the error of an earlier write as well.
 	return eris.Wrap(s.writer.Flush(), "send envelope")
 }
 
