--- a/client/replica_client.go
+++ b/client/replica_client.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -164,6 +165,8 @@
 		redirect := false
 		response, sent, err := c.attempt(ctx, class, address, request)
 		switch {
+		case errors.Is(err, transport.ErrNotEncoded):
+			return nil, &pb.ControlError{Code: pb.ControlError_INVALID, Reason: err.Error()}
 		case err != nil:
 			outcomeUnknown = outcomeUnknown || sent
 			lastErr.Reason = err.Error()
--- a/controlnode/metrics.go
+++ b/controlnode/metrics.go
@@ -14,6 +14,8 @@
 	heartbeats *prometheus.CounterVec
 	// updatesNotSent counts updates to subscribers that could not be encoded.
 	updatesNotSent prometheus.Counter
+	// recordsNotSent counts the records that updates left out for that reason.
+	recordsNotSent prometheus.Counter
 }
 
 func newMetrics(n *Node) *metrics {
@@ -28,8 +30,11 @@
 		updatesNotSent: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "briarcross_updates_not_sent_total", Help: "Updates to subscribers that could not be encoded.",
 		}),
+		recordsNotSent: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "briarcross_records_not_sent_total", Help: "Records left out of updates to subscribers because they cannot be encoded.",
+		}),
 	}
-	m.registry.MustRegister(m.calls, m.heartbeats, m.updatesNotSent, n.quarantine.Collector(),
+	m.registry.MustRegister(m.calls, m.heartbeats, m.updatesNotSent, m.recordsNotSent, n.quarantine.Collector(),
 		node.Gauge("briarcross_routing_version", "Version of the routing table that this replica has applied.", func() float64 {
 			return float64(n.routing().GetVersion())
 		}),
--- a/controlnode/subscribers.go
+++ b/controlnode/subscribers.go
@@ -210,8 +210,9 @@
 	defer ticker.Stop()
 	for {
 		update := n.nextUpdate(time.Now(), subscriber)
-		if err := stream.Send(&pb.Envelope{Body: &pb.Envelope_FleetUpdate{FleetUpdate: update}}); err != nil {
-			n.recordNotSent(subscriber, err)
+		omitted, err := stream.SendEncodable(&pb.Envelope{Body: &pb.Envelope_FleetUpdate{FleetUpdate: update}})
+		n.reportNotSent(subscriber, omitted, err)
+		if err != nil {
 			return
 		}
 		time.Sleep(minUpdateInterval)
@@ -226,14 +227,18 @@
 	}
 }
 
-// recordNotSent counts and logs an update that could not be encoded. Other errors mean that the
+// reportNotSent counts and logs the records that an update to a subscriber left out because they
+// cannot be encoded, and an update that could not be encoded at all. Other errors mean that the
 // connection broke, which the subscriber logs.
-func (n *Node) recordNotSent(s *subscriber, err error) {
-	if !errors.Is(err, transport.ErrNotEncoded) {
-		return
+func (n *Node) reportNotSent(s *subscriber, omitted []string, err error) {
+	if len(omitted) > 0 {
+		n.metrics.recordsNotSent.Add(float64(len(omitted)))
+		n.logger.Error(eventlog.RecordNotSent, "to", s.self.GetAddress(), "records", len(omitted), "first", omitted[0])
+	}
+	if errors.Is(err, transport.ErrNotEncoded) {
+		n.metrics.updatesNotSent.Inc()
+		n.logger.Error(eventlog.UpdateNotSent, "to", s.self.GetAddress(), "error", err)
 	}
-	n.metrics.updatesNotSent.Inc()
-	n.logger.Error(eventlog.UpdateNotSent, "subscriber", s.self.GetAddress(), "subscriber_role", s.self.GetRole(), "error", err)
 }
 
 // nextUpdate returns the changes that have not been sent to a subscriber, and
--- a/controlnode/upstreams.go
+++ b/controlnode/upstreams.go
@@ -14,6 +14,7 @@
 
 	"github.com/briarcross/briarcross/eventlog"
 	"github.com/briarcross/briarcross/internal/durable"
+	"github.com/briarcross/briarcross/internal/identifier"
 	"github.com/briarcross/briarcross/node"
 	"github.com/briarcross/briarcross/pb"
 )
@@ -51,7 +52,12 @@
 		// With at least this age, an upstream is used only if no other is left,
 		// until its next heartbeat. The time since the table was saved is unknown.
 		heartbeat.AgeMs = max(heartbeat.GetAgeMs(), uint32((node.MaxMissedHeartbeats * n.settings.HeartbeatInterval).Milliseconds()))
-		n.upstreams.Apply(node.DecodeHeartbeat(now, heartbeat))
+		upstream := node.DecodeHeartbeat(now, heartbeat)
+		if err := upstream.Check(); err != nil {
+			n.logger.Warn(eventlog.HeartbeatRejected, "upstream", identifier.Loggable(upstream.ID), "reason", "invalid", "from", n.upstreamsPath(), "error", err)
+			continue
+		}
+		n.upstreams.Apply(upstream)
 	}
 	for _, u := range n.upstreams.All() {
 		n.logUpstream(u, sourceSaved)
@@ -72,6 +78,9 @@
 		saved.Upstreams = append(saved.Upstreams, node.EncodeHeartbeat(now, u))
 	}
 	n.upstreamLock.Unlock()
+	if omitted := pb.RemoveUnencodable(saved); len(omitted) > 0 {
+		n.logger.Error(eventlog.RecordNotSaved, "records", len(omitted), "first", omitted[0])
+	}
 	raw, err := encodeUpstreams(saved)
 	if err == nil {
 		err = durable.WriteFile(n.upstreamsPath(), raw)
--- a/eventlog/logger.go
+++ b/eventlog/logger.go
@@ -65,6 +65,8 @@
 	ItemSettled           = "item_settled"
 	ReadRefused           = "read_refused"
 	UpdateNotSent         = "update_not_sent"
+	RecordNotSent         = "record_not_sent"
+	RecordNotSaved        = "record_not_saved"
 	UpstreamsNotLoaded    = "upstreams_not_loaded"
 	UpstreamsNotSaved     = "upstreams_not_saved"
 	JobsNotExpired        = "jobs_not_expired"
--- a/node/follower.go
+++ b/node/follower.go
@@ -11,6 +11,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/briarcross/briarcross/eventlog"
+	"github.com/briarcross/briarcross/internal/identifier"
 	"github.com/briarcross/briarcross/pb"
 	"github.com/briarcross/briarcross/transport"
 )
@@ -70,6 +71,8 @@
 
 // subscription is the state of the subscription to one control replica.
 type subscription struct {
+	// address is that of the replica.
+	address  string
 	cancel   context.CancelFunc
 	openedAt time.Time
 	// connected is set while updates arrive. currentAt is when the replica was last in
@@ -191,7 +194,7 @@
 		f.lastContact[address] = now
 	}
 	subscribed, cancel := context.WithCancel(ctx)
-	s := &subscription{cancel: cancel, openedAt: now, evidenceChanged: make(chan struct{}, 1)}
+	s := &subscription{address: address, cancel: cancel, openedAt: now, evidenceChanged: make(chan struct{}, 1)}
 	f.subscriptions[address] = s
 	f.tasks.Go(func() { f.follow(subscribed, address, s) })
 }
@@ -252,6 +255,9 @@
 		}
 		f.evidence.Merge(update.GetEvidence())
 		changes := f.view.MergeAndApply(time.Now(), address, update, f.onChange)
+		for _, rejected := range changes.Rejected {
+			f.logger.Warn(eventlog.HeartbeatRejected, "upstream", identifier.Loggable(rejected.ID), "reason", "invalid", "from", address, "error", rejected.Err)
+		}
 		if changes.Routing != nil {
 			f.announceRouting(s, changes.Routing.Version)
 		}
@@ -291,7 +297,11 @@
 		evidence, last := f.evidence.Since(sent)
 		if evidence != nil {
 			watch := &pb.FleetWatch{Self: f.self, RoutingVersion: f.view.RoutingVersion(), Incremental: true, Evidence: evidence}
-			if stream.Send(&pb.Envelope{Body: &pb.Envelope_FleetWatch{FleetWatch: watch}}) != nil {
+			omitted, err := stream.SendEncodable(&pb.Envelope{Body: &pb.Envelope_FleetWatch{FleetWatch: watch}})
+			if len(omitted) > 0 {
+				f.logger.Warn(eventlog.RecordNotSent, "to", s.address, "records", len(omitted), "first", omitted[0])
+			}
+			if err != nil {
 				return
 			}
 			sent = last
--- a/node/view.go
+++ b/node/view.go
@@ -106,6 +106,14 @@
 	// PhaseChanges lists those of Upstreams that joined, began to drain or are
 	// gone.
 	PhaseChanges []fleet.Upstream
+	// Rejected lists the upstreams whose records must not be kept: see fleet.Upstream.Check.
+	Rejected []RejectedUpstream
+}
+
+// RejectedUpstream is a record of an upstream that has been left out of an update.
+type RejectedUpstream struct {
+	ID  string
+	Err error
 }
 
 // MergeAndApply merges an update and passes its changes to apply. Calls of
@@ -133,8 +141,13 @@
 	}
 	before := v.upstreams.LastChange()
 	var heartbeats []fleet.Upstream
-	for _, heartbeat := range u.GetUpstreams() {
-		heartbeats = append(heartbeats, DecodeHeartbeat(now, heartbeat))
+	for _, encoded := range u.GetUpstreams() {
+		heartbeat := DecodeHeartbeat(now, encoded)
+		if err := heartbeat.Check(); err != nil {
+			changes.Rejected = append(changes.Rejected, RejectedUpstream{heartbeat.ID, err})
+			continue
+		}
+		heartbeats = append(heartbeats, heartbeat)
 	}
 	v.applyHeartbeats(heartbeats, u.GetSilent() != nil)
 	if u.GetSilent() != nil {
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -103,7 +104,11 @@
 			return
 		case m := <-queue:
 			envelope := &pb.Envelope{Body: &pb.Envelope_Quorum{Quorum: m}}
-			if stream.Send(envelope) != nil {
+			switch err := stream.Send(envelope); {
+			case errors.Is(err, transport.ErrNotEncoded):
+				// The messages after it can be sent.
+				s.onDropped()
+			case err != nil:
 				s.onDropped()
 				return
 			}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -16,7 +16,9 @@
 )
 
 const (
-	maxCommandBytes = 16 << 20
+	// maxCommandBytes limits a command. A message that replicates one must stay below
+	// transport.MaxFrameBytes.
+	maxCommandBytes = 12 << 20
 	// maxQueuedMessages bounds the inputs queued for the core; messages that
 	// arrive beyond it are dropped.
 	maxQueuedMessages = 4096
--- a/transport/call.go
+++ b/transport/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/rotisserie/eris"
 
@@ -29,7 +30,7 @@
 	defer func() { go func() { _ = stream.Close() }() }()
 	select {
 	case r := <-result:
-		return r.response, true, r.err
+		return r.response, !errors.Is(r.err, ErrNotEncoded), r.err
 	case <-ctx.Done():
 		return nil, true, eris.Wrapf(ctx.Err(), "call %s", address)
 	}
--- a/transport/stream.go
+++ b/transport/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/binary"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -79,6 +80,17 @@
 	return eris.Wrap(s.writer.Flush(), "send envelope")
 }
 
+// SendEncodable writes one envelope without the records that cannot be encoded, and describes
+// these: see pb.RemoveUnencodable. It does not change the envelope.
+func (s *Stream) SendEncodable(e *pb.Envelope) (omitted []string, err error) {
+	if err := s.Send(e); !errors.Is(err, ErrNotEncoded) {
+		return nil, err
+	}
+	encodable := proto.CloneOf(e)
+	omitted = pb.RemoveUnencodable(encodable)
+	return omitted, s.Send(encodable)
+}
+
 // Receive reads the next envelope. It returns ErrOtherIncarnation for an envelope
 // that is for another incarnation of this process or another group.
 func (s *Stream) Receive() (*pb.Envelope, error) {
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -69,6 +70,41 @@
 	}
 }
 
+// One record that could not be encoded ended the stream, and with it all other records.
+func TestStreamSurvivesWhatCannotBeEncoded(t *testing.T) {
+	g := NewWithT(t)
+	received := make(chan *pb.Envelope, 2)
+	address := serve(t, &Identity{ID: "server"}, func(_ Class, stream *Stream) {
+		for {
+			e, err := stream.Receive()
+			if err != nil {
+				return
+			}
+			received <- e
+		}
+	})
+	client := NewClient(&Identity{ID: "client"}, nil)
+	defer client.Close()
+	stream, err := client.Open(context.Background(), Online, address)
+	g.Expect(err).NotTo(HaveOccurred())
+	update := &pb.FleetUpdate{Upstreams: []*pb.UpstreamBeat{{Id: "i-6d\xff\xfe"}, {Id: "sound"}}}
+	envelope := &pb.Envelope{Body: &pb.Envelope_FleetUpdate{FleetUpdate: update}}
+	g.Expect(stream.Send(envelope)).To(MatchError(ErrNotEncoded))
+	g.Expect(stream.Send(dataEnvelope(strings.Repeat("x", MaxFrameBytes)))).To(MatchError(ErrNotEncoded))
+	omitted, err := stream.SendEncodable(envelope)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(omitted).To(ConsistOf(ContainSubstring("i-6d")))
+	g.Expect((<-received).GetFleetUpdate().GetUpstreams()).To(ConsistOf(HaveField("Id", "sound")))
+	g.Expect(update.GetUpstreams()).To(HaveLen(2), "the sender's records are its own")
+	omitted, err = stream.SendEncodable(dataEnvelope("next"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(omitted).To(BeEmpty())
+	g.Expect(string((<-received).GetOnlineFrame().GetData())).To(Equal("next"))
+	_, sent, err := client.Call(context.Background(), Online, address, envelope)
+	g.Expect(err).To(MatchError(ErrNotEncoded))
+	g.Expect(sent).To(BeFalse())
+}
+
 func TestEnvelopeForAnotherIncarnationIsDropped(t *testing.T) {
 	tests := []struct {
 		name        string
