--- a/controlnode/api.go
+++ b/controlnode/api.go
@@ -7,6 +7,7 @@
 
 	"github.com/briarcross/briarcross/eventlog"
 	"github.com/briarcross/briarcross/fleet"
+	"github.com/briarcross/briarcross/internal/identifier"
 	"github.com/briarcross/briarcross/node"
 	"github.com/briarcross/briarcross/pb"
 )
@@ -58,7 +59,7 @@
 // RecordInvalidHeartbeat counts and logs a heartbeat that could not be decoded.
 func (n *Node) RecordInvalidHeartbeat(id string, err error) {
 	n.metrics.heartbeats.WithLabelValues("invalid").Inc()
-	n.logger.Warn(eventlog.HeartbeatRejected, "upstream", id, "reason", "invalid", "error", err)
+	n.logger.Warn(eventlog.HeartbeatRejected, "upstream", identifier.Loggable(id), "reason", "invalid", "error", err)
 }
 
 func outcomeOf(controlErr *pb.ControlError) Outcome {
@@ -101,34 +102,57 @@
 }
 
 func (n *Node) recordHeartbeat(heartbeat fleet.Upstream) {
-	previous, changed, applied := n.applyHeartbeat(heartbeat, false)
-	if !applied {
-		n.metrics.heartbeats.WithLabelValues("late").Inc()
-		n.logger.Info(eventlog.HeartbeatRejected, "upstream", heartbeat.ID, "born", heartbeat.StartUnixMs, "sequence", heartbeat.Sequence,
+	previous, changed, outcome := n.applyHeartbeat(heartbeat, false)
+	if outcome != heartbeatApplied {
+		n.metrics.heartbeats.WithLabelValues(string(outcome)).Inc()
+		n.logger.Info(eventlog.HeartbeatRejected, "upstream", heartbeat.ID, "reason", string(outcome), "address", heartbeat.Address, "born", heartbeat.StartUnixMs, "sequence", heartbeat.Sequence,
 			"held_born", previous.StartUnixMs, "held_sequence", previous.Sequence, "held_phase", int(previous.Phase), "replaced_by", previous.ReplacedBy)
 		return
 	}
-	n.metrics.heartbeats.WithLabelValues("applied").Inc()
+	n.metrics.heartbeats.WithLabelValues(string(outcome)).Inc()
 	n.announceUpstreams(changed, sourceHeartbeat)
 }
 
+// maxUpstreams limits the upstreams that a replica keeps, so that another writer cannot fill its
+// memory and updates stay below transport.MaxFrameBytes.
+const maxUpstreams = 16 << 10
+
+// heartbeatOutcome is what became of a heartbeat, as a label of a metric.
+type heartbeatOutcome string
+
+const (
+	heartbeatApplied heartbeatOutcome = "applied"
+	// heartbeatLate is that of a heartbeat that is older than the latest of its sender.
+	heartbeatLate heartbeatOutcome = "late"
+	// heartbeatContested is that of a heartbeat with the ID or the address of a sound upstream.
+	heartbeatContested heartbeatOutcome = "contested"
+	heartbeatOverLimit heartbeatOutcome = "too_many_upstreams"
+)
+
 // applyHeartbeat merges a heartbeat that this replica received itself, or relayed by
 // another one. It returns the previous record of its sender and all upstreams that
 // changed.
-func (n *Node) applyHeartbeat(heartbeat fleet.Upstream, relayed bool) (previous fleet.Upstream, changed []fleet.Upstream, applied bool) {
+func (n *Node) applyHeartbeat(heartbeat fleet.Upstream, relayed bool) (previous fleet.Upstream, changed []fleet.Upstream, outcome heartbeatOutcome) {
 	n.upstreamLock.Lock()
 	defer n.upstreamLock.Unlock()
 	before, significantBefore := n.upstreams.LastChange(), n.upstreams.LastSignificantChange()
-	previous, _ = n.upstreams.Get(heartbeat.ID)
-	applied = n.upstreams.Apply(heartbeat)
+	previous, known := n.upstreams.Get(heartbeat.ID)
+	switch {
+	case !known && n.upstreams.Len() >= maxUpstreams:
+		return previous, nil, heartbeatOverLimit
+	case n.upstreams.Contests(heartbeat):
+		return previous, nil, heartbeatContested
+	case !n.upstreams.Apply(heartbeat):
+		outcome = heartbeatLate
+	default:
+		outcome = heartbeatApplied
+		n.relayed[heartbeat.ID] = relayed
+	}
 	if n.upstreams.LastSignificantChange() != significantBefore {
 		changed = n.upstreams.ChangedSince(before)
 		n.upstreamsUnsaved = true
 	}
-	if applied {
-		n.relayed[heartbeat.ID] = relayed
-	}
-	return previous, changed, applied
+	return previous, changed, outcome
 }
 
 // applyRelayed applies the heartbeats that another replica has received.
@@ -145,6 +169,11 @@
 func (n *Node) Deregister(id string) {
 	n.services.forget(id)
 	n.upstreamLock.Lock()
+	if _, known := n.upstreams.Get(id); !known && n.upstreams.Len() >= maxUpstreams {
+		n.upstreamLock.Unlock()
+		n.metrics.heartbeats.WithLabelValues(string(heartbeatOverLimit)).Inc()
+		return
+	}
 	n.upstreams.Deregister(id, time.Now())
 	current, _ := n.upstreams.Get(id)
 	n.relayed[id] = false
--- a/controlnode/node.go
+++ b/controlnode/node.go
@@ -33,9 +33,14 @@
 	forwardTimeout = 700 * time.Millisecond
 	// stopTimeout limits the wait for HTTP calls in progress when the node stops.
 	stopTimeout = time.Second
+	// claimDelayIntervals is the claim delay of the table of upstreams in half intervals of
+	// heartbeats.
+	claimDelayIntervals = 3
 	// headerTimeout and idleTimeout close HTTP connections that send nothing.
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 30 * time.Second
+	// maxHeaderBytes limits the head of an HTTP call, with its path.
+	maxHeaderBytes = 16 << 10
 )
 
 // Node is a running control replica.
@@ -107,6 +112,7 @@
 		ctx:                ctx,
 		cancel:             cancel,
 	}
+	n.upstreams.SetClaimDelay(claimDelayIntervals * settings.HeartbeatInterval / 2)
 	n.services = newServiceRegistry(n.routing, services)
 	n.loadUpstreams()
 	n.transport = transport.NewClient(n.identity, nil)
@@ -180,7 +186,7 @@
 	if err != nil {
 		return errors.Join(err, listener.Close())
 	}
-	n.operatorServer = &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	n.operatorServer = &http.Server{Handler: handler, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	n.tasks.Go(func() {
 		if err := n.operatorServer.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			n.ReportFatal(err)
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -72,6 +72,12 @@
 		u.SoftwareVersion == previous.SoftwareVersion && u.DeregisteredUnixMs == previous.DeregisteredUnixMs
 }
 
+// sameStart reports whether two heartbeats can be of one start, which keeps its service and its
+// address.
+func (u *Upstream) sameStart(other *Upstream) bool {
+	return u.StartUnixMs == other.StartUnixMs && u.Service == other.Service && u.Address == other.Address && u.DataCentre == other.DataCentre
+}
+
 // includes reports whether the start of an upstream is among those that left with
 // this one.
 func (u *Upstream) includes(other *Upstream) bool {
@@ -100,6 +106,8 @@
 	upstreams map[string]*Upstream
 	// retention is the time after which upstreams expire.
 	retention time.Duration
+	// claimDelay is the time for which a heard upstream cannot be replaced: see SetClaimDelay.
+	claimDelay time.Duration
 	// atAddress holds the present upstreams of each address by their ID.
 	atAddress map[string]map[string]*Upstream
 	// changes is the number of changes and renewals so far, lastChange the number of
@@ -130,7 +138,7 @@
 // Apply merges a heartbeat and reports whether it was newer than the stored one.
 func (t *Table) Apply(heartbeat Upstream) bool {
 	held, known := t.upstreams[heartbeat.ID]
-	if !heartbeat.Phase.isKnown() || known && !t.supersedes(&heartbeat, held) {
+	if !heartbeat.Phase.isKnown() || known && !t.supersedes(&heartbeat, held) || t.Contests(heartbeat) {
 		return false
 	}
 	stored := heartbeat
@@ -152,6 +160,36 @@
 	return true
 }
 
+// SetClaimDelay sets the time for which a present upstream that was heard is not replaced by what
+// claims to be another start of it, or another upstream at its address. It must be shorter than
+// the time after which an address is used again, and longer than the interval of heartbeats. Only
+// a table that gets each heartbeat can have one.
+func (t *Table) SetClaimDelay(delay time.Duration) { t.claimDelay = delay }
+
+// Contests reports whether a heartbeat claims the ID or the address of a present upstream that was
+// heard within the claim delay before. Another writer may have sent it; a new start repeats it
+// when the upstream is not heard any more.
+func (t *Table) Contests(heartbeat Upstream) bool {
+	if t.claimDelay == 0 || !heartbeat.Phase.isPresent() {
+		return false
+	}
+	if held, known := t.upstreams[heartbeat.ID]; known && !held.sameStart(&heartbeat) && t.isHeld(held, &heartbeat) {
+		return true
+	}
+	for id, other := range t.atAddress[heartbeat.Address] {
+		if id != heartbeat.ID && t.isHeld(other, &heartbeat) {
+			return true
+		}
+	}
+	return false
+}
+
+// isHeld reports whether an upstream was heard so shortly before a heartbeat that this must not
+// replace it.
+func (t *Table) isHeld(u, heartbeat *Upstream) bool {
+	return u.Phase.isPresent() && heartbeat.LastHeartbeat.Sub(u.LastHeartbeat) < t.claimDelay
+}
+
 // ApplyCurrent merges the heartbeats of an update, except those of upstreams that are not
 // known and would expire at once.
 func (t *Table) ApplyCurrent(heartbeats []Upstream) {
@@ -330,6 +368,9 @@
 	return latest
 }
 
+// Len returns the number of upstreams.
+func (t *Table) Len() int { return len(t.upstreams) }
+
 // Get returns an upstream by its ID.
 func (t *Table) Get(id string) (Upstream, bool) {
 	u, ok := t.upstreams[id]
