--- a/controlnode/unencodable_test.go
+++ b/controlnode/unencodable_test.go
@@ -10,6 +10,8 @@
 	"github.com/briarcross/briarcross/fleet"
 	"github.com/briarcross/briarcross/node"
 	"github.com/briarcross/briarcross/pb"
+	"github.com/briarcross/briarcross/replica"
+	"github.com/briarcross/briarcross/transport"
 )
 
 // unencodable returns an upstream that a build without checks has accepted.
@@ -70,3 +72,9 @@
 	sound, _ := n.upstreams.Get("sound")
 	expect.Expect(sound.Phase).To(Equal(fleet.Draining))
 }
+
+// A command as large as a message could be accepted, but not be replicated, and nothing after it.
+func TestLargestCommandFitsAMessage(t *testing.T) {
+	// A message adds the entries before the command, up to 512 KiB, and headers.
+	NewWithT(t).Expect(replica.MaxCommandBytes).To(BeNumerically("<=", transport.MaxFrameBytes-1<<20))
+}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	// maxCommandBytes limits a command. A message that replicates one must stay below
+	// MaxCommandBytes limits a command. A message that replicates one must stay below
 	// transport.MaxFrameBytes.
-	maxCommandBytes = 12 << 20
+	MaxCommandBytes = 12 << 20
 	// maxQueuedMessages bounds the inputs queued for the core; messages that
 	// arrive beyond it are dropped.
 	maxQueuedMessages = 4096
@@ -152,7 +152,7 @@
 	if err != nil {
 		return nil, &pb.ControlError{Code: pb.ControlError_INVALID, Reason: err.Error()}
 	}
-	if len(data) > maxCommandBytes {
+	if len(data) > MaxCommandBytes {
 		return nil, &pb.ControlError{Code: pb.ControlError_INVALID, Reason: "command too large"}
 	}
 	id, outcome, accepted := r.waiters.addProposal()
