--- a/entrynode/exchange.go
+++ b/entrynode/exchange.go
@@ -43,6 +43,8 @@
 	maxBufferedBytes = 1 << 20
 	// malformed is the reason of attempts whose response is no event stream.
 	malformed = "malformed"
+	// outputTooLong is that of attempts whose stream exceeds the output that the request allows.
+	outputTooLong = "output_too_long"
 	// maxResumeWait is how long a stream that has begun may wait for a slot, with the
 	// attempts that upstreams have not run. Only engines of one software version can go
 	// on with it, and its caller has a part of it already.
@@ -126,10 +128,21 @@
 		node: n, w: w, request: r, headers: headers, route: route, table: table, customer: customer, identityTable: table, body: body,
 		promptParts: n.codec.SharedPromptParts(r.Header), tokens: tokens, requestPart: quarantine.RequestPart(requestDigest(r, body)),
 		service: table.PickService(route, rand.Uint64(), tokens, n.Slots.HasUpstream), arrivedAt: arrivedAt, interruptedAt: arrivedAt, timeout: requestTimeout(headers, route),
-		events: upstream.EventSplitter{LastID: headers.ResumeAfter, VersionField: n.codec.EventVersionField()},
+		events: upstream.EventSplitter{
+			LastID: headers.ResumeAfter, VersionField: n.codec.EventVersionField(), Limits: n.outputLimits(r.Header),
+		},
 	}
 }
 
+// outputLimits returns the limits of the stream that answers a request. Without a stated number of
+// tokens there are none: an entry keeps nothing of a stream, and its time is limited.
+func (n *Node) outputLimits(header http.Header) upstream.OutputLimits {
+	if tokens := n.codec.MaxOutputTokens(header); tokens > 0 {
+		return upstream.LimitOutput(tokens)
+	}
+	return upstream.OutputLimits{}
+}
+
 // attemptResult is the result of an attempt at an upstream.
 type attemptResult int
 
@@ -502,6 +515,10 @@
 				// The caller may have got an event of no stream. No engine can go on after it.
 				x.conflicting = true
 				return mayHaveRun, malformed
+			case errors.Is(failed, upstream.ErrOutputTooLong):
+				// The events before it are none of the answer either.
+				x.conflicting = true
+				return mayHaveRun, outputTooLong
 			case failed != nil:
 				return mayHaveRun, malformed
 			}
--- a/entrynode/node_test.go
+++ b/entrynode/node_test.go
@@ -46,6 +46,14 @@
 
 func (testCodec) EventVersionField() string { return "version" }
 
+func (testCodec) MaxOutputTokens(header http.Header) int {
+	tokens, err := strconv.Atoi(header.Get("Output-Tokens"))
+	if err != nil {
+		return 0
+	}
+	return tokens
+}
+
 func (testCodec) TokenCount(header http.Header) int {
 	tokens, _ := strconv.Atoi(header.Get("Test-Tokens"))
 	return tokens
--- a/entrynode/race.go
+++ b/entrynode/race.go
@@ -58,7 +58,7 @@
 	ctx, cancel := context.WithCancel(x.ctx)
 	o := &opening{grant: grant, startedAt: time.Now(), cancel: cancel, done: make(chan struct{})}
 	request := x.upstreamRequest(grant)
-	splitter := upstream.EventSplitter{LastID: x.events.LastID, VersionField: x.events.VersionField}
+	splitter := upstream.EventSplitter{LastID: x.events.LastID, VersionField: x.events.VersionField, Limits: x.events.Limits}
 	go func() {
 		if o.response, o.err = x.node.upstreamClient.Do(ctx, request); o.err == nil {
 			x.recordStatements(grant, o.response)
--- a/storenode/item.go
+++ b/storenode/item.go
@@ -112,6 +112,9 @@
 	if !ranOnWorker {
 		end = runAtUpstream(parent, x.runner.engines, x.request(), idleTimeout, func(s engineStatement) { x.recordStatement(s, dispatch.SourceAnswer) }, x.addOutput)
 	}
+	if x.outputTooLong() {
+		end = runEnd{jobpages.Spoiled, dispatch.Failed, 0, outputTooLong}
+	}
 	complete := end.reason == "" && end.status == http.StatusOK
 	switch {
 	case parent.Err() != nil:
@@ -129,6 +132,15 @@
 	return end.outcome, end.status, end.reason
 }
 
+// outputTooLong reports whether the output of all runs is longer than that of the item can be.
+func (x *itemRun) outputTooLong() bool {
+	limits := x.runner.engines.OutputLimits(itemHeader(x.item))
+	x.runner.mu.Lock()
+	defer x.runner.mu.Unlock()
+	// Line feeds separate the data of events.
+	return len(x.progress.Text) > limits.DataBytes+x.progress.EventCount
+}
+
 // recordStatement records what the upstream states.
 func (x *itemRun) recordStatement(statement engineStatement, source dispatch.NoticeSource) {
 	statement.record(x.runner.node.Slots, x.grant.Upstream, x.grant.StartUnixMs, x.item.GetId(), source)
--- a/storenode/upstream_run.go
+++ b/storenode/upstream_run.go
@@ -69,7 +69,7 @@
 )
 
 const (
-	// outputTooLong is the reason of runs that exceeded maxRunBytes.
+	// outputTooLong is the reason of runs that exceeded the limits of the output.
 	outputTooLong = "output_too_long"
 	// malformed is the reason of runs with bytes that are none of the stream's events,
 	// conflictingEvents that of runs whose output may hold such bytes.
@@ -158,7 +158,7 @@
 	case response.Status != http.StatusOK:
 		return runEnd{jobpages.Interrupted, dispatch.Failed, 0, "unexpected_status"}
 	}
-	events := upstream.EventSplitter{LastID: request.ResumeAfter, VersionField: engines.EventVersionField()}
+	events := upstream.EventSplitter{LastID: request.ResumeAfter, VersionField: engines.EventVersionField(), Limits: engines.OutputLimits(request.Header)}
 	switch reason := readEvents(response, events, onProgress, output); reason {
 	case "":
 	case outputTooLong, conflictingEvents:
@@ -185,6 +185,8 @@
 		switch _, pushErr := events.Push(buffer[:count]); {
 		case errors.Is(pushErr, upstream.ErrEventConflict):
 			return conflictingEvents
+		case errors.Is(pushErr, upstream.ErrOutputTooLong):
+			return outputTooLong
 		case pushErr != nil:
 			return malformed
 		}
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -111,6 +111,9 @@
 	SharedPromptParts(header http.Header) []string
 	// EventVersionField returns the VersionField of the streams of engines.
 	EventVersionField() string
+	// MaxOutputTokens returns the most tokens that the answer to a request may hold, zero if it
+	// states none.
+	MaxOutputTokens(header http.Header) int
 	// TokenCount returns the number of tokens of an engine's memory that a request may
 	// need, zero if it states none.
 	TokenCount(header http.Header) int
@@ -153,6 +156,11 @@
 // EventVersionField returns the VersionField of the streams that the client reads.
 func (c *Client) EventVersionField() string { return c.codec.EventVersionField() }
 
+// OutputLimits returns the limits of the stream that answers a request with some headers.
+func (c *Client) OutputLimits(header http.Header) OutputLimits {
+	return LimitOutput(c.codec.MaxOutputTokens(header))
+}
+
 // Client sends requests over persistent connections. It is safe for concurrent use.
 type Client struct {
 	codec  HeaderCodec
--- a/upstream/event_splitter.go
+++ b/upstream/event_splitter.go
@@ -24,6 +24,36 @@
 // been passed on, and either may be none of the stream.
 var ErrEventConflict = eris.New("two different server-sent events with one ID")
 
+// ErrOutputTooLong means that a stream exceeds its OutputLimits. Its engine generates something
+// else than the answer.
+var ErrOutputTooLong = eris.New("stream exceeds the output that its request allows")
+
+const (
+	// maxTokenBytes is far above the text of a token on average, minOutputBytes above
+	// that of a few long ones.
+	maxTokenBytes  = 128
+	minOutputBytes = 64 << 10
+	// maxOutputBytes limits the data of a stream, also if its request states no tokens.
+	maxOutputBytes = 2 << 20
+)
+
+// OutputLimits bounds a stream. Zero values mean no limit.
+type OutputLimits struct {
+	// Events is the highest ID of an event. An event holds one token at least.
+	Events uint64
+	// DataBytes is the size of the data of all events of one response.
+	DataBytes int
+}
+
+// LimitOutput returns the limits of a stream that has at most a number of tokens, zero if that is
+// not known.
+func LimitOutput(tokens int) OutputLimits {
+	if tokens <= 0 {
+		return OutputLimits{DataBytes: maxOutputBytes}
+	}
+	return OutputLimits{Events: uint64(tokens), DataBytes: min(max(minOutputBytes, tokens*maxTokenBytes), maxOutputBytes)}
+}
+
 // EventSplitter splits a stream of server-sent events into whole events, so that
 // no part of an event is forwarded if the engine fails in the middle of it.
 //
@@ -34,6 +64,10 @@
 	// VersionField is the name of a field with a number that may be the first one of an event;
 	// empty if there is none.
 	VersionField string
+	// Limits bounds the stream.
+	Limits OutputLimits
+	// dataBytes is the size of the data of this response.
+	dataBytes int
 	// buffer holds the bytes of the incomplete event.
 	buffer []byte
 	// LastID is the ID of the last whole event. Before the first event it is the ID after
@@ -69,6 +103,8 @@
 			return s.buffer[:end:end], ErrEventConflict
 		case !s.follows(next):
 			return s.buffer[:end:end], ErrNoEvent
+		case s.exceedsLimits(next):
+			return s.buffer[:end:end], ErrOutputTooLong
 		}
 		s.record(next, raw)
 		end += size
@@ -86,7 +122,7 @@
 
 // Reset discards the incomplete event. What is pushed next is another response, which resumes
 // the stream.
-func (s *EventSplitter) Reset() { s.buffer, s.hasDigest = nil, false }
+func (s *EventSplitter) Reset() { s.buffer, s.hasDigest, s.dataBytes = nil, false, 0 }
 
 // firstEventBytes returns the size of the first event including its closing empty
 // line, or zero if p holds no whole event.
@@ -164,11 +200,17 @@
 	return s.hasDigest && strconv.FormatUint(e.id, 10) == s.LastID && xxhash.Sum64(raw) != s.lastDigest
 }
 
+// exceedsLimits reports whether an event lies beyond the output that the request allows.
+func (s *EventSplitter) exceedsLimits(e event) bool {
+	return s.Limits.Events > 0 && e.id > s.Limits.Events || s.Limits.DataBytes > 0 && s.dataBytes+len(e.data) > s.Limits.DataBytes
+}
+
 // record updates the state from an event and calls OnData.
 func (s *EventSplitter) record(e event, raw []byte) {
 	s.LastID = strconv.FormatUint(e.id, 10)
 	s.lastDigest, s.hasDigest = xxhash.Sum64(raw), true
 	s.Count++
+	s.dataBytes += len(e.data)
 	if s.OnData != nil {
 		s.OnData(e.data)
 	}
--- a/upstream/event_splitter_test.go
+++ b/upstream/event_splitter_test.go
@@ -1,6 +1,8 @@
 package upstream
 
 import (
+	"fmt"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -123,6 +125,42 @@
 	}
 }
 
+// An engine wrote well-formed events, numbered on, until its peer closed the connection.
+func TestEventsBeyondTheStatedOutputEndTheStream(t *testing.T) {
+	for name, c := range map[string]struct {
+		limits OutputLimits
+		lastID string
+		data   string
+		events int
+	}{
+		"events":         {LimitOutput(3), "", "a", 3},
+		"resumed events": {LimitOutput(3), "2", "a", 1},
+		"data":           {LimitOutput(1000), "", strings.Repeat("a", 4000), 32},
+		"no tokens":      {LimitOutput(0), "", strings.Repeat("a", 1<<18), 8},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			splitter := EventSplitter{LastID: c.lastID, Limits: c.limits}
+			first, _ := strconv.Atoi(c.lastID)
+			var err error
+			for n := first + 1; err == nil; n++ {
+				_, err = splitter.Push(fmt.Appendf(nil, "id: %d\ndata: %s\n\n", n, c.data))
+			}
+			g.Expect(err).To(MatchError(ErrOutputTooLong))
+			g.Expect(splitter.Count).To(Equal(c.events))
+		})
+	}
+	g := NewWithT(t)
+	g.Expect(LimitOutput(1 << 30).DataBytes).To(Equal(maxOutputBytes))
+	splitter := EventSplitter{Limits: LimitOutput(1)}
+	_, err := splitter.Push([]byte("id: 1\ndata: a\n\n"))
+	g.Expect(err).NotTo(HaveOccurred())
+	splitter.LastID = ""
+	splitter.Reset()
+	_, err = splitter.Push([]byte("id: 1\ndata: a\n\n"))
+	g.Expect(err).NotTo(HaveOccurred(), "the data of another response does not count")
+}
+
 func FuzzEvents(f *testing.F) {
 	f.Add([]byte(stream), uint8(3))
 	f.Add([]byte("\n\n\r\n\r\n"), uint8(1))
