Refuse jobs, requests and configurations that cannot be kept or sent, at once and with the reason

A job ID or path that is no UTF-8 was answered 504 after 2.8 s for a submission or a cancellation and 503 for a reading, as if it could be served later. The path of an item was written into the request line of its engine as it came, so that a line feed in it began a second request.

- IDs, paths and headers of jobs and items, IDs of requests, and JSON text that is no UTF-8 (the decoder would have replaced it) are refused with 400, which says why.
A job larger than a command is refused with 413.
- upstream.Client sends no request whose head would be read otherwise, also for items that an older build accepted.
- Log lines quote and shorten IDs of callers.

--- a/e2e/platform_engine_test.go
+++ b/e2e/platform_engine_test.go
@@ -157,6 +157,9 @@
 	// foreign, if set, is written into each stream that is not resumed, after cutAfterEvents of
 	// its events.
 	foreign atomic.Pointer[foreignBytes]
+	// endless is set while the engine writes events, numbered on, into each stream until its
+	// peer closes the connection.
+	endless atomic.Bool
 	// crashes counts the requests on whose prompt the engine crashed. It is then a new
 	// start at once.
 	crashes atomic.Int32
@@ -330,6 +333,10 @@
 		}
 		panic(http.ErrAbortHandler)
 	}
+	if e.endless.Load() {
+		writeEndlessEvents(w, lastID)
+		return
+	}
 	crashes := e.crashes.Load()
 	ticker := time.NewTicker(eventInterval)
 	defer ticker.Stop()
@@ -357,3 +364,13 @@
 		}
 	}
 }
+
+// writeEndlessEvents writes well-formed events after an ID until the peer closes the connection.
+func writeEndlessEvents(w http.ResponseWriter, lastID int) {
+	data := strings.Repeat("x", 4<<10)
+	for n := lastID + 1; ; n++ {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, data); err != nil {
+			return
+		}
+	}
+}
--- a/entrynode/exchange.go
+++ b/entrynode/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/briarcross/briarcross/dispatch"
 	"github.com/briarcross/briarcross/eventlog"
 	"github.com/briarcross/briarcross/internal/fields"
+	"github.com/briarcross/briarcross/internal/identifier"
 	"github.com/briarcross/briarcross/node"
 	"github.com/briarcross/briarcross/origins"
 	"github.com/briarcross/briarcross/quarantine"
@@ -215,7 +216,7 @@
 // recordRetry records that an attempt at an upstream ended without a response.
 func (x *exchange) recordRetry(id string, result attemptResult, reason string) {
 	x.avoidUpstream(id, result)
-	x.node.logger.Info(eventlog.RequestRetried, "request", x.headers.ID, "upstream", id, "reason", reason,
+	x.node.logger.Info(eventlog.RequestRetried, "request", x.loggedID(), "upstream", id, "reason", reason,
 		"ran", x.mayHaveRunCount, "unrun", x.notRunCount, "events", x.events.Count, "last_event", x.events.LastID, "elapsed_ms", x.elapsed().Milliseconds())
 }
 
@@ -239,6 +240,9 @@
 	}
 }
 
+// loggedID returns the ID of the request for log lines.
+func (x *exchange) loggedID() string { return identifier.Loggable(x.headers.ID) }
+
 func (x *exchange) elapsed() time.Duration { return time.Since(x.arrivedAt) }
 
 // canAttempt reports whether the request may be sent to an upstream (again).
@@ -322,7 +326,7 @@
 // abandon ends a request whose caller has disconnected.
 func (x *exchange) abandon() {
 	x.node.metrics.requests.WithLabelValues("abandoned").Inc()
-	x.node.logger.Info(eventlog.RequestCut, "request", x.headers.ID, "reason", "caller_left", "upstream", x.upstream,
+	x.node.logger.Info(eventlog.RequestCut, "request", x.loggedID(), "reason", "caller_left", "upstream", x.upstream,
 		"events", x.events.Count, "elapsed_ms", x.elapsed().Milliseconds(), "left_ms", (x.timeout - x.elapsed()).Milliseconds())
 	panic(http.ErrAbortHandler)
 }
@@ -335,7 +339,7 @@
 	}
 	if x.headSent {
 		x.node.metrics.requests.WithLabelValues("cut").Inc()
-		x.node.logger.Warn(eventlog.RequestCut, "request", x.headers.ID, "reason", reason, "upstream", x.upstream,
+		x.node.logger.Warn(eventlog.RequestCut, "request", x.loggedID(), "reason", reason, "upstream", x.upstream,
 			"events", x.events.Count, "elapsed_ms", x.elapsed().Milliseconds(), "left_ms", (x.timeout - x.elapsed()).Milliseconds())
 		panic(http.ErrAbortHandler)
 	}
@@ -379,7 +383,7 @@
 // recordPlaced records that the request is sent to an upstream.
 func (x *exchange) recordPlaced(grant dispatch.Grant) {
 	x.upstream, x.upstreamVersion = grant.Upstream, grant.SoftwareVersion
-	x.node.logger.Info(eventlog.RequestPlaced, withCustomer(x.customerName(), "request", x.headers.ID, "route", x.route.Name, "routing", x.table.Version,
+	x.node.logger.Info(eventlog.RequestPlaced, withCustomer(x.customerName(), "request", x.loggedID(), "route", x.route.Name, "routing", x.table.Version,
 		"upstream", grant.Upstream, "address", grant.Address, "waited_ms", grant.Waited.Milliseconds(), "free", grant.FreeSlots, "ran", x.mayHaveRunCount,
 		"left_ms", (x.timeout-x.elapsed()).Milliseconds(), "returned", grant.Retrying,
 		"version", grant.SoftwareVersion, "resumes", x.headers.ResumedID)...)
@@ -501,7 +505,7 @@
 		x.sendHead(response, -1)
 		x.flush()
 	} else {
-		x.node.logger.Info(eventlog.RequestResumed, "request", x.headers.ID, "after", x.events.LastID, "events", x.events.Count,
+		x.node.logger.Info(eventlog.RequestResumed, "request", x.loggedID(), "after", x.events.LastID, "events", x.events.Count,
 			"elapsed_ms", x.elapsed().Milliseconds(), "upstream", x.upstream, "version", x.upstreamVersion)
 	}
 	buffer := make([]byte, relayBufferBytes)
@@ -591,6 +595,6 @@
 
 func (x *exchange) finish(status int) {
 	x.node.metrics.requests.WithLabelValues("answered").Inc()
-	x.node.logger.Info(eventlog.RequestFinished, "request", x.headers.ID, "status", status, "ran", x.mayHaveRunCount, "unrun", x.notRunCount,
+	x.node.logger.Info(eventlog.RequestFinished, "request", x.loggedID(), "status", status, "ran", x.mayHaveRunCount, "unrun", x.notRunCount,
 		"events", x.events.Count, "first_ms", x.timeToFirstEvent.Milliseconds(), "elapsed_ms", x.elapsed().Milliseconds())
 }
--- a/entrynode/jobs.go
+++ b/entrynode/jobs.go
@@ -5,10 +5,14 @@
 	"net/http"
 	"time"
 
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
 	"github.com/briarcross/briarcross/customers"
 	"github.com/briarcross/briarcross/eventlog"
 	"github.com/briarcross/briarcross/jobpages"
 	"github.com/briarcross/briarcross/pb"
+	"github.com/briarcross/briarcross/replica"
 	"github.com/briarcross/briarcross/routing"
 	"github.com/briarcross/briarcross/transport"
 )
@@ -22,6 +26,8 @@
 	// storageRetryAfter is the Retry-After time while the storage group has no
 	// leader, about the duration of an election.
 	storageRetryAfter = 700 * time.Millisecond
+	// maxJobBytes limits a job with its bodies. Storage replicates it as one command.
+	maxJobBytes = replica.MaxCommandBytes - 64<<10
 	// maxPageBytes limits the results in one response.
 	maxPageBytes = 1 << 20
 	// maxPageWait limits the wait for a result; it is below storageAttemptTimeout.
@@ -51,6 +57,10 @@
 		n.refuseUnread(w, r, id, *refused)
 		return JobAccess{}, false
 	}
+	if err := checkJobID(id); err != nil {
+		n.refuse(w, id, refusal{reason: invalidID, status: http.StatusBadRequest, customer: nameOf(customer), routingVersion: table.Version, cause: err})
+		return JobAccess{}, false
+	}
 	access := JobAccess{id: id, customer: customer}
 	if customer != nil {
 		access.storedIDs = append(access.storedIDs, jobpages.StoredJobID(customer.Name, id))
@@ -71,7 +81,10 @@
 		}
 	}
 	job, err := n.codec.ParseJob(body)
-	if err != nil || headers.ID == "" || len(job.Items) == 0 {
+	if err == nil {
+		err = job.check(headers.ID, r.URL.Path)
+	}
+	if err != nil {
 		n.refuse(w, headers.ID, refusal{
 			reason: "invalid_job", status: http.StatusBadRequest, route: route.Name, customer: nameOf(customer), routingVersion: table.Version, cause: err,
 		})
@@ -106,6 +119,13 @@
 	for _, item := range job.Items {
 		submit.Items = append(submit.Items, n.encodeItem(item, table.Customers != nil))
 	}
+	if size := proto.Size(submit); size > maxJobBytes {
+		n.refuse(w, headers.ID, refusal{
+			reason: "job_too_large", status: http.StatusRequestEntityTooLarge, route: route.Name, customer: nameOf(customer), routingVersion: table.Version,
+			cause: eris.Errorf("job has %d bytes, more than %d", size, maxJobBytes),
+		})
+		return
+	}
 	ctx, cancel := context.WithTimeout(n.ctx, min(storageTimeout, route.Timeout))
 	defer cancel()
 	_, controlErr := n.Storage.Propose(ctx, transport.Batch, &pb.Command{Op: &pb.Command_PageSubmit{PageSubmit: submit}})
@@ -201,6 +221,10 @@
 // ReadItemBody reads the body of an item. If it returns false, the response has
 // already been written.
 func (n *Node) ReadItemBody(w http.ResponseWriter, job JobAccess, item string) (body *pb.PageBodyAnswer, ok bool) {
+	if err := checkItemID(item); err != nil {
+		n.refuse(w, job.id, refusal{reason: invalidID, status: http.StatusBadRequest, customer: nameOf(job.customer), cause: err})
+		return nil, false
+	}
 	for _, id := range job.storedIDs {
 		query := &pb.PageBodyQuery{JobId: id, ItemId: item}
 		result, answered := n.queryStorage(w, job, "body", &pb.Query{Query: &pb.Query_PageBody{PageBody: query}})
--- a/entrynode/prompt.go
+++ b/entrynode/prompt.go
@@ -69,7 +69,7 @@
 	if x.ctx.Err() != nil {
 		return
 	}
-	x.node.logger.Info(eventlog.AttemptInterrupted, "request", x.headers.ID, "upstream", grant.Upstream, "born", grant.StartUnixMs,
+	x.node.logger.Info(eventlog.AttemptInterrupted, "request", x.loggedID(), "upstream", grant.Upstream, "born", grant.StartUnixMs,
 		"reason", reason, "answering", answering, "events", events, "parts", x.promptParts, "content", x.requestPart)
 	if events < quarantine.MinServedEvents {
 		x.node.Quarantine.RecordCrash(grant, x.suspectParts(), answering)
--- a/entrynode/race.go
+++ b/entrynode/race.go
@@ -295,7 +295,7 @@
 		return nil
 	}
 	x.hedged = true
-	x.node.logger.Info(eventlog.RequestHedged, "request", x.headers.ID, "upstream", grant.Upstream, "address", grant.Address,
+	x.node.logger.Info(eventlog.RequestHedged, "request", x.loggedID(), "upstream", grant.Upstream, "address", grant.Address,
 		"version", grant.SoftwareVersion, "free", grant.FreeSlots, "first_upstream", first.grant.Upstream, "reason", string(plan.Reason),
 		"delay_ms", plan.Delay.Milliseconds(), "elapsed_ms", x.elapsed().Milliseconds(), "left_ms", slotRequest.TimeToDeadline.Milliseconds(),
 		"samples", plan.Samples, "samples_age_ms", plan.SamplesAge.Milliseconds(), "engine_factor", plan.EngineFactor,
@@ -313,7 +313,7 @@
 		}
 	}
 	x.node.metrics.hedges.WithLabelValues(result).Inc()
-	x.node.logger.Info(eventlog.HedgeSettled, "request", x.headers.ID, "result", result, "upstream", winner,
+	x.node.logger.Info(eventlog.HedgeSettled, "request", x.loggedID(), "result", result, "upstream", winner,
 		"race_ms", time.Since(openings[1].startedAt).Milliseconds(), "elapsed_ms", x.elapsed().Milliseconds())
 }
 
--- a/entrynode/serve.go
+++ b/entrynode/serve.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/briarcross/briarcross/eventlog"
+	"github.com/briarcross/briarcross/internal/identifier"
 	"github.com/briarcross/briarcross/routing"
 )
 
@@ -18,6 +19,8 @@
 	firstTableRetryAfter = 800 * time.Millisecond
 	// defaultBodyBytes limits a request body if the routing table sets no limit.
 	defaultBodyBytes = 8 << 20
+	// invalidID is the reason of refusals of requests with an ID that cannot be kept or sent.
+	invalidID = "invalid_id"
 )
 
 // Serve handles one request of a caller.
@@ -34,6 +37,10 @@
 		n.refuse(w, headers.ID, refusal{reason: "no_route", status: http.StatusNotFound, routingVersion: table.Version})
 		return
 	}
+	if err := checkRequestID(headers.ID); err != nil {
+		n.refuseUnread(w, r, headers.ID, refusal{reason: invalidID, status: http.StatusBadRequest, route: route.Name, routingVersion: table.Version, cause: err})
+		return
+	}
 	customer, refused := n.authenticate(r, table, route.Public)
 	if refused != nil {
 		refused.route = route.Name
@@ -115,7 +122,7 @@
 	}
 	n.metrics.refusals.WithLabelValues(f.reason).Inc()
 	n.metrics.requests.WithLabelValues("refused").Inc()
-	n.logger.Info(eventlog.RequestRefused, withCustomer(f.customer, "request", id, "reason", f.reason, "status", f.status, "route", f.route,
+	n.logger.Info(eventlog.RequestRefused, withCustomer(f.customer, "request", identifier.Loggable(id), "reason", f.reason, "status", f.status, "route", f.route,
 		"retry_after_ms", f.retryAfter.Milliseconds(), "waited_ms", f.elapsed.Milliseconds(), "routing", f.routingVersion,
 		"left_ms", f.timeToDeadline.Milliseconds(), "returned", f.retrying, "error", f.cause)...)
 	if f.status == http.StatusUnauthorized {
@@ -125,6 +132,9 @@
 		w.Header().Set("Retry-After", strconv.FormatFloat(f.retryAfter.Seconds(), 'f', 2, 64))
 	}
 	body := f.reason + "\n"
+	if f.status == http.StatusBadRequest && f.cause != nil {
+		body = f.reason + ": " + f.cause.Error() + "\n"
+	}
 	// With its length, the response is complete before the handler returns.
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -69,6 +69,19 @@
 	Customer      string
 }
 
+// check returns an error if the head of the request would not be read as it is meant. Items that
+// an older build has accepted may have any path.
+func (r *Request) check() error {
+	if !isRequestToken(r.Method) || !isRequestToken(r.Target) || !isRequestToken(r.Host) {
+		return eris.Errorf("request has a space or control character in its method, target or host: %q %q %q", r.Method, r.Target, r.Host)
+	}
+	return nil
+}
+
+func isRequestToken(text string) bool {
+	return !strings.ContainsFunc(text, func(r rune) bool { return r <= ' ' || r == 0x7f })
+}
+
 // ResponseHead is the information decoded from the status and headers of a response.
 type ResponseHead struct {
 	// RequestID is the ID of the request that the response belongs to; empty if unknown.
@@ -230,6 +243,9 @@
 // response. When the context ends, the connection is closed, which makes the
 // engine stop its work. A returned error is an *Error.
 func (c *Client) Do(ctx context.Context, request *Request) (*Response, error) {
+	if err := request.check(); err != nil {
+		return nil, &Error{NotSent, err}
+	}
 	pool := c.pool(request.Address)
 	// A faulty engine may write an earlier refusal once more. A request that was refused on a
 	// connection is sent again on another one, where its refusal cannot be an earlier one.
