Older protocol: text of engines and of operators' requests is made or checked UTF-8

Texts of engines (reasons of refused orders, errors of runs) went into messages as they came. One that is no UTF-8 kept a worker's lease request with all its results, or the outcome of an order, from being encoded. Control refuses requests of operators whose path, query or headers are no UTF-8, as entries did before.

--- a/controld/http.go
+++ b/controld/http.go
@@ -45,6 +45,8 @@
 func (s *operatorServer) handle(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
 	switch {
+	case !daemon.ValidText(ctx):
+		ctx.Error("path, query and headers must be UTF-8\n", fasthttp.StatusBadRequest)
 	case path == operator.PathDocuments:
 		s.serveDocuments(ctx)
 	case path == operator.PathChanges && ctx.IsPost():
--- a/entryd/text_test.go
+++ b/daemon/text_test.go
@@ -1,4 +1,4 @@
-package entryd
+package daemon
 
 import (
 	"testing"
@@ -13,11 +13,11 @@
 		ctx := &fasthttp.RequestCtx{}
 		ctx.Request.SetRequestURI("/v1/completions")
 		modify(&ctx.Request)
-		return validText(ctx)
+		return ValidText(ctx)
 	}
-	g.Expect(isValid(func(r *fasthttp.Request) { r.Header.Set(headerIdempotencyKey, "nätt") })).To(BeTrue())
-	g.Expect(isValid(func(r *fasthttp.Request) { r.Header.Set(headerIdempotencyKey, "a\xff") })).To(BeFalse())
-	g.Expect(isValid(func(r *fasthttp.Request) { r.Header.Set(headerCaller, "\xc3") })).To(BeFalse())
+	g.Expect(isValid(func(r *fasthttp.Request) { r.Header.Set("Idempotency-Key", "nätt") })).To(BeTrue())
+	g.Expect(isValid(func(r *fasthttp.Request) { r.Header.Set("Idempotency-Key", "a\xff") })).To(BeFalse())
+	g.Expect(isValid(func(r *fasthttp.Request) { r.Header.Set("Briarcross-Caller", "\xc3") })).To(BeFalse())
 	g.Expect(isValid(func(r *fasthttp.Request) { r.Header.Set("X-Other", "\xc3") })).To(BeFalse())
 	g.Expect(isValid(func(r *fasthttp.Request) { r.SetRequestURI("/services/a/%ff") })).To(BeFalse())
 	g.Expect(isValid(func(r *fasthttp.Request) { r.SetRequestURI("/services/a/%c3%a4?b=%ff") })).To(BeTrue())
--- a/engine/calls.go
+++ b/engine/calls.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/briarcross/briarcross/internal/identifier"
 	"github.com/briarcross/briarcross/pb"
 )
 
@@ -94,11 +95,11 @@
 	case eris.As(err, &notSent):
 		return OrderResult{Outcome: OrderNotSent, Err: err}
 	case eris.As(err, &status) && status.status < 500:
-		return OrderResult{Outcome: OrderRefused, Reason: string(status.body), Err: err}
+		return OrderResult{Outcome: OrderRefused, Reason: identifier.Message(string(status.body)), Err: err}
 	case err != nil:
 		return OrderResult{Outcome: OrderOutcomeUnknown, Err: err}
 	case !response.Done:
-		return OrderResult{Outcome: OrderRefused, Reason: response.Reason}
+		return OrderResult{Outcome: OrderRefused, Reason: identifier.Message(response.Reason)}
 	}
 	return OrderResult{Outcome: OrderDone}
 }
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/valyala/fasthttp"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/briarcross/briarcross/engine"
 	labengine "github.com/briarcross/briarcross/lab/engine"
@@ -236,6 +238,22 @@
 	g.Eventually(func() int { return server.Ledger()[0].Cancelled }).Should(Equal(1))
 }
 
+// The reason of a refusal was sent to control as the engine wrote it. A message with it could not
+// be encoded, nor the reports beside it.
+func TestReasonOfARefusalCanBeEncoded(t *testing.T) {
+	g := NewWithT(t)
+	refuse := func(ctx *fasthttp.RequestCtx) {
+		ctx.Error(strings.Repeat("full\xff\xfe", 1000), fasthttp.StatusConflict)
+	}
+	address := serve(t, func(l net.Listener) error { return fasthttp.Serve(l, refuse) })
+	client := engine.NewModelClient("http://"+address, engine.Options{})
+	result := client.SendOrder(t.Context(), &pb.Order{FencingNumber: 5, Kind: pb.OrderKind_ORDER_LOAD_MODEL, Subject: "n"})
+	g.Expect(result.Outcome).To(Equal(engine.OrderRefused))
+	_, err := proto.Marshal(&pb.ControlError{Reason: result.Reason})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(len(result.Reason)).To(BeNumerically("<", 2000))
+}
+
 func TestControlCalls(t *testing.T) {
 	g := NewWithT(t)
 	options := labengine.Options{ID: "e1", Models: []string{"m"}, ChecksFencing: true}
--- a/entryd/callers.go
+++ b/entryd/callers.go
@@ -1,10 +1,6 @@
 package entryd
 
-import (
-	"unicode/utf8"
-
-	"github.com/valyala/fasthttp"
-)
+import "github.com/valyala/fasthttp"
 
 const (
 	headerCaller    = "Briarcross-Caller"
@@ -22,17 +18,3 @@
 	}
 	return anonymousCaller, true
 }
-
-// validText reports whether the path, the query and all headers of a request
-// are valid UTF-8. Strings in messages between daemons must be.
-func validText(ctx *fasthttp.RequestCtx) bool {
-	if !utf8.Valid(ctx.Path()) || !utf8.Valid(ctx.URI().QueryString()) {
-		return false
-	}
-	for name, value := range ctx.Request.Header.All() {
-		if !utf8.Valid(name) || !utf8.Valid(value) {
-			return false
-		}
-	}
-	return true
-}
--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -238,7 +238,7 @@
 
 // handle serves the HTTP requests of callers.
 func (d *Daemon) handle(ctx *fasthttp.RequestCtx) {
-	if !validText(ctx) {
+	if !daemon.ValidText(ctx) {
 		d.refuse(ctx, pb.Reason_REASON_BAD_REQUEST, "the path, query and headers must be valid UTF-8")
 		return
 	}
--- a/internal/identifier/identifier.go
+++ b/internal/identifier/identifier.go
@@ -50,6 +50,15 @@
 	return strconv.QuoteToASCII(text[:maxQuotedBytes]) + "..."
 }
 
+// maxMessageBytes limits a message of another process.
+const maxMessageBytes = 512
+
+// Message returns a message of another process, such as the text of an error, as UTF-8 of bounded
+// length.
+func Message(text string) string {
+	return strings.ToValidUTF8(text[:min(len(text), maxMessageBytes)], "\uFFFD")
+}
+
 // Loggable returns a text from outside unchanged if it passes Check, and as Quote does otherwise.
 func Loggable(text string) string {
 	if CheckOptional("", text, MaxBytes) == nil {
--- a/internal/identifier/identifier_test.go
+++ b/internal/identifier/identifier_test.go
@@ -27,5 +27,8 @@
 		if !utf8.ValidString(logged) || strings.ContainsFunc(logged, isControl) || len(logged) > 10*maxQuotedBytes {
 			t.Fatalf("%q is not loggable", logged)
 		}
+		if message := Message(text); !utf8.ValidString(message) || len(message) > 3*maxMessageBytes {
+			t.Fatalf("%q cannot be sent", message)
+		}
 	})
 }
--- a/sidecard/batch.go
+++ b/sidecard/batch.go
@@ -8,6 +8,7 @@
 
 	"github.com/briarcross/briarcross/batch"
 	"github.com/briarcross/briarcross/engine"
+	"github.com/briarcross/briarcross/internal/identifier"
 	"github.com/briarcross/briarcross/openai"
 	"github.com/briarcross/briarcross/pb"
 	"github.com/briarcross/briarcross/sidecar"
@@ -60,7 +61,7 @@
 	if r.succeeded() && end.GetOutcome() == pb.Outcome_OUTCOME_DONE {
 		aggregated, err := r.chunks.Body()
 		if err != nil {
-			end = &pb.AnswerEnd{Outcome: pb.Outcome_OUTCOME_UNKNOWN, Reason: pb.Reason_REASON_TRUNCATED, Detail: err.Error()}
+			end = &pb.AnswerEnd{Outcome: pb.Outcome_OUTCOME_UNKNOWN, Reason: pb.Reason_REASON_TRUNCATED, Detail: identifier.Message(err.Error())}
 		}
 		body = aggregated
 	}
--- a/sidecard/order_handler.go
+++ b/sidecard/order_handler.go
@@ -8,6 +8,7 @@
 	"github.com/briarcross/briarcross/batch"
 	"github.com/briarcross/briarcross/engine"
 	"github.com/briarcross/briarcross/fence"
+	"github.com/briarcross/briarcross/internal/identifier"
 	"github.com/briarcross/briarcross/loop"
 	"github.com/briarcross/briarcross/pb"
 	"github.com/briarcross/briarcross/sidecar"
@@ -182,7 +183,7 @@
 	switch {
 	case err != nil:
 		outcome.Outcome = fence.OutcomeUnknown
-		outcome.Reason = err.Error()
+		outcome.Reason = identifier.Message(err.Error())
 	case inEffect(order, identity):
 		outcome.Outcome = fence.Done
 	}
--- a/sidecard/runs.go
+++ b/sidecard/runs.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/briarcross/briarcross/batch"
 	"github.com/briarcross/briarcross/engine"
+	"github.com/briarcross/briarcross/internal/identifier"
 	"github.com/briarcross/briarcross/pb"
 	"github.com/briarcross/briarcross/sidecar"
 )
@@ -36,7 +37,7 @@
 	outcome, reason := outcomeOf(result, stopped)
 	end := &pb.AnswerEnd{Outcome: outcome, Reason: reason, Tokens: uint32(result.Tokens)}
 	if result.Err != nil {
-		end.Detail = result.Err.Error()
+		end.Detail = identifier.Message(result.Err.Error())
 	}
 	report := sidecar.RunEnded{ID: r.id, Outcome: outcome, Reason: reason, Paused: paused}
 	d.core.PostThen(report, func() {
