--- a/jobpages/scheduler.go
+++ b/jobpages/scheduler.go
@@ -104,28 +104,56 @@
 // an overload that lasts longer than the time until items are due, ordering by
 // due time alone would start each item only when it is already late.
 func (s *Scheduler) RunnableItems(now time.Time, open []OpenItem, estimator *RunTimeEstimator) []ItemKey {
-	var nearAbandon, onTime, tooLate []ItemKey
-	for _, item := range open {
-		key := ItemKey{item.JobID, item.Index}
-		progress, known := s.progress[key]
-		if known && (progress.Upstream != "" || now.Before(progress.NotBefore)) {
-			continue
-		}
-		eventsDone := 0
-		if known {
-			eventsDone = progress.EventCount
+	groups := make([]startGroup, len(open))
+	var counts [groupCount]int
+	for i, item := range open {
+		groups[i] = s.groupOf(now, item, estimator)
+		counts[groups[i]]++
+	}
+	// next holds the index of the next item of each group.
+	var next [groupCount]int
+	runnable := make([]ItemKey, 0, len(open)-counts[notRunnable])
+	for group := nearAbandon; group < groupCount; group++ {
+		next[group] = len(runnable)
+		runnable = runnable[:len(runnable)+counts[group]]
+	}
+	for i, item := range open {
+		if group := groups[i]; group != notRunnable {
+			runnable[next[group]] = ItemKey{item.JobID, item.Index}
+			next[group]++
 		}
-		expectedEnd := now.Add(estimator.RemainingElapsedTime(eventsDone))
-		switch {
-		case IsNearAbandon(expectedEnd, item.AbandonUnixMs):
-			nearAbandon = append(nearAbandon, key)
-		case !expectedEnd.After(time.UnixMilli(int64(item.DueUnixMs))):
-			onTime = append(onTime, key)
-		default:
-			tooLate = append(tooLate, key)
+	}
+	return runnable
+}
+
+// startGroup is a group of items that start one after the other: see RunnableItems.
+type startGroup uint8
+
+const (
+	// notRunnable items run or have to wait.
+	notRunnable startGroup = iota
+	nearAbandon
+	onTime
+	tooLate
+	groupCount
+)
+
+func (s *Scheduler) groupOf(now time.Time, item OpenItem, estimator *RunTimeEstimator) startGroup {
+	eventsDone := 0
+	if progress, known := s.progress[ItemKey{item.JobID, item.Index}]; known {
+		if progress.Upstream != "" || now.Before(progress.NotBefore) {
+			return notRunnable
 		}
+		eventsDone = progress.EventCount
+	}
+	expectedEnd := now.Add(estimator.RemainingElapsedTime(eventsDone))
+	switch {
+	case IsNearAbandon(expectedEnd, item.AbandonUnixMs):
+		return nearAbandon
+	case !expectedEnd.After(time.UnixMilli(int64(item.DueUnixMs))):
+		return onTime
 	}
-	return slices.Concat(nearAbandon, onTime, tooLate)
+	return tooLate
 }
 
 // IsNearAbandon reports whether an item that ends at expectedEnd if it starts now is close to
--- a/jobpages/state.go
+++ b/jobpages/state.go
@@ -1,6 +1,7 @@
 package jobpages
 
 import (
+	"cmp"
 	"encoding/binary"
 	"slices"
 	"sync"
@@ -227,11 +228,15 @@
 	}
 	slices.SortFunc(jobs, func(a, b *openJob) int {
 		if a.record.GetDueUnixMs() != b.record.GetDueUnixMs() {
-			return int(int64(a.record.GetDueUnixMs()) - int64(b.record.GetDueUnixMs()))
+			return cmp.Compare(a.record.GetDueUnixMs(), b.record.GetDueUnixMs())
 		}
-		return slices.Compare([]byte(a.record.GetJobId()), []byte(b.record.GetJobId()))
+		return cmp.Compare(a.record.GetJobId(), b.record.GetJobId())
 	})
-	var items []OpenItem
+	count := 0
+	for _, job := range jobs {
+		count += len(job.settled)
+	}
+	items := make([]OpenItem, 0, count)
 	for _, job := range jobs {
 		for i, settled := range job.settled {
 			if !settled {
--- a/storenode/runner.go
+++ b/storenode/runner.go
@@ -37,6 +37,8 @@
 	// the number of items that are read from the store.
 	maxStartsPerTick = 16
 	maxReadsPerTick  = 128
+	// searchPauseFactor is the pause after a search for items in durations of the search.
+	searchPauseFactor = 4
 	// dueMargin is how long before its due time an item should be completed. It
 	// leaves time for a change of leader and another run.
 	dueMargin = 6 * time.Second
@@ -149,6 +151,8 @@
 	defer timer.Stop()
 	expireAt := time.Now().Add(expireInterval)
 	saveAt := time.Now().Add(saveInterval)
+	// searchAt is the time of the next search for items that can start.
+	searchAt := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -163,9 +167,15 @@
 			timer.Reset(standbyInterval)
 			continue
 		}
-		timer.Reset(tickInterval)
 		r.preemptRuns()
+		if wait := time.Until(searchAt); wait > 0 {
+			timer.Reset(wait)
+			continue
+		}
+		timer.Reset(tickInterval)
+		searchedAt := time.Now()
 		r.startItems()
+		searchAt = time.Now().Add(searchPause(time.Since(searchedAt)))
 		if time.Now().After(saveAt) {
 			saveAt = time.Now().Add(saveInterval)
 			r.saveProgress()
@@ -177,6 +187,13 @@
 	}
 }
 
+// searchPause returns the pause after a search for items that took a time. Each run that ends asks
+// for a search, whose cost grows with the open items; together they must leave most of the
+// processor to the runs.
+func searchPause(took time.Duration) time.Duration {
+	return min(searchPauseFactor*took, tickInterval)
+}
+
 // mayRunItems reports whether this replica leads, the previous leader has
 // stopped its runs, and a routing table is known.
 func (r *runner) mayRunItems() bool {
