--- a/jobpages/scheduler.go
+++ b/jobpages/scheduler.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -100,8 +99,9 @@
 
 // RunnableItems returns the open items that may start now: first those that
 // would otherwise be abandoned, then those that can complete by their due time,
-// then the others. Each group keeps the order of open, earliest due first. Under
-// an overload that lasts longer than the time until items are due, ordering by
+// then the others. Of those that are on time, and of the others, the items with output come
+// first: its slots were used in vain if the item is late. Each group keeps the order of open,
+// earliest due first. Under an overload that lasts longer than the time until items are due, ordering by
 // due time alone would start each item only when it is already late.
 func (s *Scheduler) RunnableItems(now time.Time, open []OpenItem, estimator *RunTimeEstimator) []ItemKey {
 	groups := make([]startGroup, len(open))
@@ -133,7 +133,9 @@
 	// notRunnable items run or have to wait.
 	notRunnable startGroup = iota
 	nearAbandon
+	onTimeBegun
 	onTime
+	tooLateBegun
 	tooLate
 	groupCount
 )
@@ -150,8 +152,12 @@
 	switch {
 	case IsNearAbandon(expectedEnd, item.AbandonUnixMs):
 		return nearAbandon
+	case !expectedEnd.After(time.UnixMilli(int64(item.DueUnixMs))) && eventsDone > 0:
+		return onTimeBegun
 	case !expectedEnd.After(time.UnixMilli(int64(item.DueUnixMs))):
 		return onTime
+	case eventsDone > 0:
+		return tooLateBegun
 	}
 	return tooLate
 }
@@ -292,29 +298,24 @@
 	delete(s.progress, key)
 }
 
-// PreemptionVictims selects up to count runs to preempt at an upstream: first
-// those that will be late anyway, then those with the most slack before their
-// due time, then those with the fewest events, whose output is the shortest for
-// an engine to read again when the item resumes.
+// PreemptionVictims selects up to count runs to preempt at an upstream: first those that will be
+// late anyway, then those that can still be on time after a burst of online requests, then the
+// others. In each of these groups, those with the fewest events come first: the output is the
+// shortest for an engine to read again, and those that are nearly done free their slots soon.
 func (s *Scheduler) PreemptionVictims(now time.Time, upstream string, count int, estimator *RunTimeEstimator) []ItemKey {
 	type run struct {
 		key   ItemKey
-		slack time.Duration
+		group victimGroup
 	}
 	var running []run
 	for key, progress := range s.progress {
-		if progress.Upstream != upstream {
-			continue
-		}
-		slack := progress.DueAt.Sub(now) - estimator.RemainingTime(progress.EventCount)
-		if slack < 0 {
-			slack = math.MaxInt64
+		if progress.Upstream == upstream {
+			running = append(running, run{key, victimGroupOf(progress.DueAt.Sub(now) - estimator.RemainingTime(progress.EventCount))})
 		}
-		running = append(running, run{key, slack})
 	}
 	slices.SortFunc(running, func(a, b run) int {
 		return cmp.Or(
-			cmp.Compare(b.slack, a.slack),
+			cmp.Compare(a.group, b.group),
 			cmp.Compare(s.progress[a.key].EventCount, s.progress[b.key].EventCount),
 			cmp.Compare(a.key.JobID, b.key.JobID),
 			cmp.Compare(a.key.Index, b.key.Index),
@@ -327,6 +328,30 @@
 	return victims
 }
 
+// burstAllowance is the slack with which an item can be preempted for a burst of online requests
+// and still be on time.
+const burstAllowance = 3 * time.Second
+
+// victimGroup orders runs for preemption.
+type victimGroup uint8
+
+const (
+	lateAnyway victimGroup = iota
+	withSlack
+	withoutSlack
+)
+
+// victimGroupOf returns the group of a run that has a slack before its due time.
+func victimGroupOf(slack time.Duration) victimGroup {
+	switch {
+	case slack < 0:
+		return lateAnyway
+	case slack >= burstAllowance:
+		return withSlack
+	}
+	return withoutSlack
+}
+
 // IsUrgent reports whether the open items would be late if they ran only in
 // batchCapacity, the slots that stay free even in a burst of online requests.
 // While that capacity suffices, no run has to be preempted. When it does not,
--- a/jobpages/scheduler_test.go
+++ b/jobpages/scheduler_test.go
@@ -138,3 +138,37 @@
 	}
 	g.Expect(s.Progress(key).NotBefore).To(BeTemporally(">", time.UnixMilli(10+int64(restartDelay/time.Millisecond))))
 }
+
+// The engines hold fewer items than come: with the earliest due first, all ran a little, and most
+// were late or not done at all.
+func TestItemsWithOutputAreFinishedFirst(t *testing.T) {
+	expect := NewWithT(t)
+	now := time.UnixMilli(0)
+	due := func(job string, dueIn time.Duration) OpenItem {
+		return OpenItem{JobID: job, DueUnixMs: uint64(dueIn.Milliseconds()), AbandonUnixMs: uint64(time.Hour.Milliseconds())}
+	}
+	open := []OpenItem{due("late", time.Second), due("late-begun", time.Second), due("new", 15*time.Second), due("begun", 16*time.Second)}
+	scheduler := NewScheduler()
+	for _, job := range []string{"late-begun", "begun"} {
+		scheduler.RecordStart(now, ItemKey{job, 0}, "u", now).EventCount = 10
+		scheduler.RecordEnd(now, ItemKey{job, 0}, Preempted)
+	}
+	expect.Expect(scheduler.RunnableItems(now, open, NewRunTimeEstimator())).To(Equal([]ItemKey{{"begun", 0}, {"new", 0}, {"late-begun", 0}, {"late", 0}}))
+}
+
+// Of two runs with the same due time, the one that was nearly done has more slack. It was
+// preempted first.
+func TestRunThatIsNearlyDoneIsPreemptedLast(t *testing.T) {
+	expect := NewWithT(t)
+	now := time.UnixMilli(0)
+	scheduler := NewScheduler()
+	run := func(job string, dueIn time.Duration, events int) {
+		scheduler.RecordStart(now, ItemKey{job, 0}, "u", now.Add(dueIn)).EventCount = events
+	}
+	// An item of the average length takes 6 s.
+	run("nearly-done", 15*time.Second, 230)
+	run("begun", 15*time.Second, 20)
+	run("without-slack", 7*time.Second, 0)
+	run("late", time.Second, 100)
+	expect.Expect(scheduler.PreemptionVictims(now, "u", 9, NewRunTimeEstimator())).To(Equal([]ItemKey{{"late", 0}, {"begun", 0}, {"nearly-done", 0}, {"without-slack", 0}}))
+}
