--- a/transport/client.go
+++ b/transport/client.go
@@ -60,7 +60,7 @@
 		}
 		conn, openErr := openStream(ctx, session)
 		if openErr == nil {
-			return newStream(c.identity, conn, address, slot.currentRoles()), nil
+			return newSessionStream(c.identity, session, conn, address, slot.currentRoles()), nil
 		}
 		err = openErr
 		if ctx.Err() != nil {
--- a/transport/server.go
+++ b/transport/server.go
@@ -119,7 +119,7 @@
 			_ = conn.Close()
 			continue
 		}
-		stream := newStream(s.identity, conn, peerAddress, roles)
+		stream := newSessionStream(s.identity, session, conn, peerAddress, roles)
 		s.handlers.Go(func() {
 			defer func() { _ = stream.Close() }()
 			s.handler(class, stream)
--- a/transport/stream.go
+++ b/transport/stream.go
@@ -40,10 +40,21 @@
 
 	mu     sync.Mutex
 	writer *bufio.Writer
+
+	closeOnce sync.Once
+	closed    chan struct{}
+}
+
+// newSessionStream returns a stream over a stream of a session, which ends with the session.
+func newSessionStream(identity *Identity, session *yamux.Session, conn net.Conn, peerAddress string, roles peerRoles) *Stream {
+	s := newStream(identity, conn, peerAddress, roles)
+	go s.endWith(session)
+	return s
 }
 
 func newStream(identity *Identity, conn net.Conn, peerAddress string, roles peerRoles) *Stream {
 	return &Stream{
+		closed:      make(chan struct{}),
 		identity:    identity,
 		conn:        conn,
 		reader:      bufio.NewReaderSize(conn, streamBufferBytes),
@@ -53,6 +64,17 @@
 	}
 }
 
+// endWith ends reads and writes once the session has ended. While a session closes, and for good
+// if the stream was opened at that moment, yamux polls its state in a loop without a pause, which
+// only a deadline ends.
+func (s *Stream) endWith(session *yamux.Session) {
+	select {
+	case <-s.closed:
+	case <-session.CloseChan():
+		_ = s.conn.SetDeadline(time.Unix(1, 0))
+	}
+}
+
 // PeerAddress returns the address of the peer.
 func (s *Stream) PeerAddress() string {
 	return s.peerAddress
@@ -107,6 +129,7 @@
 
 // Close closes both directions of the stream.
 func (s *Stream) Close() error {
+	s.closeOnce.Do(func() { close(s.closed) })
 	return s.conn.Close()
 }
 
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -5,7 +5,9 @@
 	"net"
 	"strings"
 	"testing"
+	"time"
 
+	"github.com/hashicorp/yamux"
 	. "github.com/onsi/gomega"
 
 	"github.com/briarcross/briarcross/pb"
@@ -255,3 +257,45 @@
 		}
 	})
 }
+
+// slowCloseConn is a connection whose Close does not end its reads until it is released.
+type slowCloseConn struct {
+	net.Conn
+	released chan struct{}
+}
+
+func (c *slowCloseConn) Close() error {
+	<-c.released
+	return c.Conn.Close()
+}
+
+// A stream of a session that was closing polled it without a pause: a storage daemon used a whole
+// core for good and got no updates over that subscription any more.
+func TestReceiveEndsWhenTheSessionCloses(t *testing.T) {
+	g := NewWithT(t)
+	clientConn, serverConn := net.Pipe()
+	slow := &slowCloseConn{clientConn, make(chan struct{})}
+	session, err := yamux.Client(slow, sessionConfig())
+	g.Expect(err).NotTo(HaveOccurred())
+	server, err := yamux.Server(serverConn, sessionConfig())
+	g.Expect(err).NotTo(HaveOccurred())
+	conn, err := session.Open()
+	g.Expect(err).NotTo(HaveOccurred())
+	stream := newSessionStream(&Identity{ID: "client"}, session, conn, "server", peerRoles{})
+	received := make(chan error, 1)
+	go func() {
+		_, err := stream.Receive()
+		received <- err
+	}()
+	closed := make(chan struct{})
+	go func() {
+		_ = session.Close()
+		close(closed)
+	}()
+	g.Eventually(received, 10*time.Second).Should(Receive(HaveOccurred()))
+	g.Expect(closed).NotTo(BeClosed(), "the session was still closing")
+	close(slow.released)
+	<-closed
+	_ = stream.Close()
+	_ = server.Close()
+}
