--- a/jobpages/scheduler.go
+++ b/jobpages/scheduler.go
@@ -99,10 +99,11 @@
 
 // RunnableItems returns the open items that may start now: first those that
 // would otherwise be abandoned, then those that can complete by their due time,
-// then the others. Of those that are on time, and of the others, the items with output come
-// first: its slots were used in vain if the item is late. Each group keeps the order of open,
-// earliest due first. Under an overload that lasts longer than the time until items are due, ordering by
-// due time alone would start each item only when it is already late.
+// then the others. In the last two groups, items with output come first: the slots that
+// they have used are wasted if they are late. Otherwise the order of open is kept,
+// earliest due first. Under an overload that lasts longer than the time until items
+// are due, ordering by due time alone would start each item only when it is already
+// late.
 func (s *Scheduler) RunnableItems(now time.Time, open []OpenItem, estimator *RunTimeEstimator) []ItemKey {
 	groups := make([]startGroup, len(open))
 	var counts [groupCount]int
