Interrupt reads and writes before a session waits for its end

The connection under the session interrupts the reads and writes in progress when yamux closes it. That comes right after yamux has marked the session as closed, and before it waits for anything. No goroutine is needed.

TestReceiveEndsWhileTheSessionCloses also checks a read that begins while the session closes.

--- a/transport/client.go
+++ b/transport/client.go
@@ -33,7 +33,7 @@
 // sessionSlot holds the session of one address and class, and serializes dialling.
 type sessionSlot struct {
 	mu      sync.Mutex
-	session *yamux.Session
+	session *clientSession
 	roles   peerRoles
 }
 
@@ -58,9 +58,9 @@
 		if dialErr != nil {
 			return nil, dialErr
 		}
-		conn, openErr := openStream(ctx, session)
+		conn, openErr := openStream(ctx, session.Session)
 		if openErr == nil {
-			return newSessionStream(c.identity, session, conn, address, slot.currentRoles()), nil
+			return newStream(c.identity, session.streams, conn, address, slot.currentRoles()), nil
 		}
 		err = openErr
 		if ctx.Err() != nil {
@@ -71,6 +71,12 @@
 	return nil, eris.Wrapf(err, "open %s stream to %s", class, address)
 }
 
+// clientSession is a session with the reads and writes of its streams.
+type clientSession struct {
+	*yamux.Session
+	streams *activity
+}
+
 // openStream opens a stream of a session and returns early if the context ends.
 // Session.Open takes no context and blocks while the connection's write buffer is
 // full.
@@ -117,7 +123,7 @@
 	return slot, nil
 }
 
-func (c *Client) sessionOf(ctx context.Context, slot *sessionSlot, class Class, address string) (*yamux.Session, error) {
+func (c *Client) sessionOf(ctx context.Context, slot *sessionSlot, class Class, address string) (*clientSession, error) {
 	slot.mu.Lock()
 	defer slot.mu.Unlock()
 	if slot.session != nil && !slot.session.IsClosed() {
@@ -139,7 +145,7 @@
 
 // startSession checks that the server has the role of the class and starts a
 // session.
-func (c *Client) startSession(ctx context.Context, class Class, conn net.Conn) (*yamux.Session, peerRoles, error) {
+func (c *Client) startSession(ctx context.Context, class Class, conn net.Conn) (*clientSession, peerRoles, error) {
 	roles, err := certificateRoles(ctx, conn)
 	if err != nil {
 		return nil, roles, err
@@ -150,8 +156,9 @@
 	if err := writePreface(conn, class); err != nil {
 		return nil, roles, err
 	}
-	session, err := yamux.Client(newCoalescingConn(conn, c.identity.Traffic(class)), sessionConfig())
-	return session, roles, eris.Wrap(err, "start session")
+	streams := newActivity()
+	session, err := yamux.Client(newCoalescingConn(conn, c.identity.Traffic(class), streams), sessionConfig())
+	return &clientSession{session, streams}, roles, eris.Wrap(err, "start session")
 }
 
 func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
--- a/transport/coalesce.go
+++ b/transport/coalesce.go
@@ -15,6 +15,8 @@
 type coalescingConn struct {
 	net.Conn
 	traffic *Traffic
+	// streams is told when the session closes the connection.
+	streams *activity
 
 	mu           sync.Mutex
 	stateChanged *sync.Cond
@@ -23,8 +25,8 @@
 	err          error
 }
 
-func newCoalescingConn(inner net.Conn, traffic *Traffic) *coalescingConn {
-	c := &coalescingConn{Conn: inner, traffic: traffic}
+func newCoalescingConn(inner net.Conn, traffic *Traffic, streams *activity) *coalescingConn {
+	c := &coalescingConn{Conn: inner, traffic: traffic, streams: streams}
 	c.stateChanged = sync.NewCond(&c.mu)
 	go c.flush()
 	return c
@@ -95,6 +97,7 @@
 
 // Close implements net.Conn. Pending data is dropped.
 func (c *coalescingConn) Close() error {
+	c.streams.close()
 	c.fail(net.ErrClosed)
 	return c.Conn.Close()
 }
--- a/transport/server.go
+++ b/transport/server.go
@@ -101,14 +101,15 @@
 	if err := conn.SetReadDeadline(time.Time{}); err != nil {
 		return
 	}
-	session, err := yamux.Server(newCoalescingConn(conn, s.identity.Traffic(class)), sessionConfig())
+	streams := newActivity()
+	session, err := yamux.Server(newCoalescingConn(conn, s.identity.Traffic(class), streams), sessionConfig())
 	if err != nil {
 		return
 	}
-	s.serveSession(class, session, conn.RemoteAddr().String(), roles)
+	s.serveSession(class, session, streams, conn.RemoteAddr().String(), roles)
 }
 
-func (s *Server) serveSession(class Class, session *yamux.Session, peerAddress string, roles peerRoles) {
+func (s *Server) serveSession(class Class, session *yamux.Session, streams *activity, peerAddress string, roles peerRoles) {
 	defer func() { _ = session.Close() }()
 	for {
 		conn, err := session.Accept()
@@ -119,7 +120,7 @@
 			_ = conn.Close()
 			continue
 		}
-		stream := newSessionStream(s.identity, session, conn, peerAddress, roles)
+		stream := newStream(s.identity, streams, conn, peerAddress, roles)
 		s.handlers.Go(func() {
 			defer func() { _ = stream.Close() }()
 			s.handler(class, stream)
--- a/transport/stream.go
+++ b/transport/stream.go
@@ -38,24 +38,17 @@
 	peerAddress string
 	roles       peerRoles
 
+	// session records the reads and writes of the streams of the session.
+	session *activity
+
 	mu     sync.Mutex
 	writer *bufio.Writer
-
-	closeOnce sync.Once
-	closed    chan struct{}
-}
-
-// newSessionStream returns a stream over a stream of a session, which ends with the session.
-func newSessionStream(identity *Identity, session *yamux.Session, conn net.Conn, peerAddress string, roles peerRoles) *Stream {
-	s := newStream(identity, conn, peerAddress, roles)
-	go s.endWith(session)
-	return s
 }
 
-func newStream(identity *Identity, conn net.Conn, peerAddress string, roles peerRoles) *Stream {
+func newStream(identity *Identity, session *activity, conn net.Conn, peerAddress string, roles peerRoles) *Stream {
 	return &Stream{
-		closed:      make(chan struct{}),
 		identity:    identity,
+		session:     session,
 		conn:        conn,
 		reader:      bufio.NewReaderSize(conn, streamBufferBytes),
 		writer:      bufio.NewWriterSize(conn, streamBufferBytes),
@@ -64,16 +57,8 @@
 	}
 }
 
-// endWith ends reads and writes once the session has ended. While a session closes, and for good
-// if the stream was opened at that moment, yamux polls its state in a loop without a pause, which
-// only a deadline ends.
-func (s *Stream) endWith(session *yamux.Session) {
-	select {
-	case <-s.closed:
-	case <-session.CloseChan():
-		_ = s.conn.SetDeadline(time.Unix(1, 0))
-	}
-}
+// interrupt makes all reads and writes return.
+func (s *Stream) interrupt() { _ = s.conn.SetDeadline(time.Unix(1, 0)) }
 
 // PeerAddress returns the address of the peer.
 func (s *Stream) PeerAddress() string {
@@ -94,6 +79,8 @@
 	if len(encoded) > MaxFrameBytes {
 		return eris.Wrapf(ErrNotEncoded, "%d bytes exceed the limit of %d", len(encoded), MaxFrameBytes)
 	}
+	s.session.begin(s)
+	defer s.session.end(s)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	_, _ = s.writer.Write(binary.AppendUvarint(nil, uint64(len(encoded))))
@@ -116,6 +103,8 @@
 // Receive reads the next envelope. It returns ErrOtherIncarnation for an envelope
 // that is for another incarnation of this process or another group.
 func (s *Stream) Receive() (*pb.Envelope, error) {
+	s.session.begin(s)
+	defer s.session.end(s)
 	e := &pb.Envelope{}
 	options := protodelim.UnmarshalOptions{MaxSize: MaxFrameBytes}
 	if err := options.UnmarshalFrom(s.reader, e); err != nil {
@@ -129,7 +118,6 @@
 
 // Close closes both directions of the stream.
 func (s *Stream) Close() error {
-	s.closeOnce.Do(func() { close(s.closed) })
 	return s.conn.Close()
 }
 
--- a/transport/traffic_test.go
+++ b/transport/traffic_test.go
@@ -13,7 +13,7 @@
 	identity := &Identity{ID: "e1"}
 	near, far := net.Pipe()
 	defer func() { _ = far.Close() }()
-	conn := newCoalescingConn(near, identity.Traffic(Batch))
+	conn := newCoalescingConn(near, identity.Traffic(Batch), newActivity())
 	defer func() { _ = conn.Close() }()
 
 	_, err := conn.Write([]byte("five!"))
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -249,7 +249,7 @@
 			_, _ = far.Write(frame)
 			_ = far.Close()
 		}()
-		stream := newStream(&Identity{ID: "x"}, near, "peer", peerRoles{})
+		stream := newStream(&Identity{ID: "x"}, newActivity(), near, "peer", peerRoles{})
 		for {
 			if _, err := stream.Receive(); err != nil {
 				return
@@ -270,32 +270,35 @@
 }
 
 // A stream of a session that was closing polled it without a pause: a storage daemon used a whole
-// core for good and got no updates over that subscription any more.
-func TestReceiveEndsWhenTheSessionCloses(t *testing.T) {
+// core and did nothing else.
+func TestReceiveEndsWhileTheSessionCloses(t *testing.T) {
 	g := NewWithT(t)
 	clientConn, serverConn := net.Pipe()
 	slow := &slowCloseConn{clientConn, make(chan struct{})}
-	session, err := yamux.Client(slow, sessionConfig())
+	identity, streams := &Identity{ID: "client"}, newActivity()
+	session, err := yamux.Client(newCoalescingConn(slow, identity.Traffic(Online), streams), sessionConfig())
 	g.Expect(err).NotTo(HaveOccurred())
 	server, err := yamux.Server(serverConn, sessionConfig())
 	g.Expect(err).NotTo(HaveOccurred())
+	received := make(chan error, 2)
+	receive := func(s *Stream) {
+		_, err := s.Receive()
+		received <- err
+	}
 	conn, err := session.Open()
 	g.Expect(err).NotTo(HaveOccurred())
-	stream := newSessionStream(&Identity{ID: "client"}, session, conn, "server", peerRoles{})
-	received := make(chan error, 1)
-	go func() {
-		_, err := stream.Receive()
-		received <- err
-	}()
+	stream := newStream(identity, streams, conn, "server", peerRoles{})
+	go receive(stream)
 	closed := make(chan struct{})
 	go func() {
 		_ = session.Close()
 		close(closed)
 	}()
 	g.Eventually(received, 10*time.Second).Should(Receive(HaveOccurred()))
+	go receive(stream)
+	g.Eventually(received, 10*time.Second).Should(Receive(HaveOccurred()), "a read that begins while the session closes")
 	g.Expect(closed).NotTo(BeClosed(), "the session was still closing")
 	close(slow.released)
 	<-closed
-	_ = stream.Close()
 	_ = server.Close()
 }
