Answer 404 for job IDs that no job can have, also with control characters

Another customer's job must look like one that does not exist (TestPlatformServesCustomers failed in make e2e), and an older build may have accepted IDs that this one does not. Only IDs that are no UTF-8, which cannot be asked for, are refused.

--- a/entrynode/check.go
+++ b/entrynode/check.go
@@ -27,6 +27,15 @@
 
 func checkItemID(id string) error { return identifier.Check("item ID", id, maxIDBytes) }
 
+// checkReadable accepts each ID that can be asked for. An older build may have accepted others than
+// this one, and an ID that no job can have is unknown like any other.
+func checkReadable(what, id string) error {
+	if !utf8.ValidString(id) {
+		return eris.Errorf("%s is not UTF-8: %s", what, identifier.Quote(id))
+	}
+	return nil
+}
+
 // check returns an error if the item cannot be sent to an engine as its caller wrote it.
 func (i *JobItem) check() error {
 	if err := checkItemID(i.ID); err != nil {
--- a/entrynode/jobs.go
+++ b/entrynode/jobs.go
@@ -57,7 +57,7 @@
 		n.refuseUnread(w, r, id, *refused)
 		return JobAccess{}, false
 	}
-	if err := checkJobID(id); err != nil {
+	if err := checkReadable("job ID", id); err != nil {
 		n.refuse(w, id, refusal{reason: invalidID, status: http.StatusBadRequest, customer: nameOf(customer), routingVersion: table.Version, cause: err})
 		return JobAccess{}, false
 	}
@@ -221,7 +221,7 @@
 // ReadItemBody reads the body of an item. If it returns false, the response has
 // already been written.
 func (n *Node) ReadItemBody(w http.ResponseWriter, job JobAccess, item string) (body *pb.PageBodyAnswer, ok bool) {
-	if err := checkItemID(item); err != nil {
+	if err := checkReadable("item ID", item); err != nil {
 		n.refuse(w, job.id, refusal{reason: invalidID, status: http.StatusBadRequest, customer: nameOf(job.customer), cause: err})
 		return nil, false
 	}
