Log bytes, wait, decoding and application of a routing table at a daemon

The logs could not tell where the time of a late table goes: routing_applied had only how long control had it. It now has the bytes received, the time from arrival until decoding starts, the time of decoding, and that of putting the table in force. No behaviour changes.

--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -277,11 +277,13 @@
 	if previous >= r.Version {
 		return
 	}
+	startedAt := time.Now()
 	table, err := d.decodeTable(r.Document)
 	if err != nil {
 		d.Logger.Error(eventlog.RoutingRejected, "version", r.Version, "error", err)
 		return
 	}
+	decodedAt := time.Now()
 	if d.Quotas != nil {
 		var limits map[string]customers.Quota
 		if table.Customers != nil {
@@ -296,7 +298,8 @@
 	d.table.Store(table)
 	d.routingLag.Observe(r.Lag.Seconds())
 	d.Logger.Info(eventlog.RoutingApplied, "version", r.Version, "previous", previous, "routes", len(table.Routes), "services", len(table.Services),
-		"from", r.From, "current", r.Current, "lag_ms", r.Lag.Milliseconds())
+		"from", r.From, "current", r.Current, "lag_ms", r.Lag.Milliseconds(), "bytes", len(r.Document), "waited_ms", startedAt.Sub(r.ReceivedAt).Milliseconds(),
+		"decode_ms", decodedAt.Sub(startedAt).Milliseconds(), "apply_ms", time.Since(decodedAt).Milliseconds())
 }
 
 // refreshStorageAddresses keeps the addresses of the storage replicas up to date.
--- a/node/follower.go
+++ b/node/follower.go
@@ -246,6 +246,7 @@
 		if err != nil {
 			return connected, err
 		}
+		receivedAt := time.Now()
 		silenceTimer.Reset(updateTimeout)
 		update := envelope.GetFleetUpdate()
 		f.recordUpdate(address, s, stream, update)
@@ -254,7 +255,7 @@
 			f.logger.Info(eventlog.DependencyFound, "dependency", "control", "address", address)
 		}
 		f.evidence.Merge(update.GetEvidence())
-		changes := f.view.MergeAndApply(time.Now(), address, update, f.onChange)
+		changes := f.view.MergeAndApply(receivedAt, address, update, f.onChange)
 		for _, rejected := range changes.Rejected {
 			f.logger.Warn(eventlog.HeartbeatRejected, "upstream", identifier.Loggable(rejected.ID), "reason", "invalid", "from", address, "error", rejected.Err)
 		}
--- a/node/view.go
+++ b/node/view.go
@@ -20,6 +20,8 @@
 	Current bool
 	// Lag is the time for which the replica had a table that this daemon lacked.
 	Lag time.Duration
+	// ReceivedAt is when the whole table had arrived.
+	ReceivedAt time.Time
 }
 
 // View merges the updates of all control replicas. It is safe for concurrent use.
@@ -134,7 +136,7 @@
 	if u.GetRoutingVersion() > v.routing.Version && len(u.GetRoutingDocument()) > 0 {
 		v.routing = Routing{
 			Version: u.GetRoutingVersion(), Document: u.GetRoutingDocument(), From: from, Current: u.GetCurrent(),
-			Lag: time.Duration(u.GetRoutingLagMs()) * time.Millisecond,
+			Lag: time.Duration(u.GetRoutingLagMs()) * time.Millisecond, ReceivedAt: now,
 		}
 		copied := v.routing
 		changes.Routing = &copied
