--- a/e2e/platform_fleet_test.go
+++ b/e2e/platform_fleet_test.go
@@ -80,6 +80,8 @@
 	// otherService is the name of a second service with a route /other/ for items and
 	// /other-online/ for streams, empty without.
 	otherService string
+	// moreRoutes is the JSON of further routes, each followed by a comma.
+	moreRoutes string
 	// unauthorized counts the responses with status 401.
 	unauthorized atomic.Int32
 }
@@ -230,6 +232,7 @@
 	if f.tenants != "" {
 		document = strings.Replace(document, `,"Routes":`, `,"Tenants":`+f.tenants+`,"Routes":`, 1)
 	}
+	document = strings.Replace(document, `"Routes":[`, `"Routes":[`+f.moreRoutes, 1)
 	if f.otherService != "" {
 		route := fmt.Sprintf(`{"Name":"other","Host":%q,"PathPrefix":"/other/","Kind":"bulk","TimeoutMs":10000,"GoalMs":500,"Service":%q,"Attempts":3,"RunTargetMs":10000,"KeepS":90},
 {"Name":"other-online","Host":%q,"PathPrefix":"/other-online/","Kind":"streaming","TimeoutMs":4000,"GoalMs":500,"Service":%q,"Attempts":3,"Resumable":true},`, routeHost, f.otherService, routeHost, f.otherService)
