--- a/node/view_test.go
+++ b/node/view_test.go
@@ -19,7 +19,7 @@
 	expect := NewWithT(t)
 	v := NewView()
 	changes := v.Merge(now, "a", &pb.FleetUpdate{RoutingVersion: 7, RoutingDocument: []byte("seven"), RoutingLagMs: 30, Current: true})
-	expect.Expect(changes.Routing).To(Equal(&Routing{Version: 7, Document: []byte("seven"), From: "a", Current: true, Lag: 30 * time.Millisecond}))
+	expect.Expect(changes.Routing).To(Equal(&Routing{Version: 7, Document: []byte("seven"), From: "a", Current: true, Lag: 30 * time.Millisecond, ReceivedAt: now}))
 	for _, version := range []uint64{6, 7} {
 		changes = v.Merge(now, "b", &pb.FleetUpdate{RoutingVersion: version, RoutingDocument: []byte("other")})
 		expect.Expect(changes.Routing).To(BeNil())
