Describe a change of the routing table by the elements that differ

Each daemon decodes, builds and compares the whole table for each version. This adds what replaces that: RoutingChange (control) compares two accepted documents element by element, ApplyChange (daemons) derives the next table from the one in force. Tables and registries of customers share what has not changed. The sum of the digests of all elements tells whether a change led to the table that it was made for. Documents whose fields the decoder would merge, and changes of the default HedgeShare, have no change. Nothing uses it yet; the messages that carry it are defined.

--- a/customers/registry_test.go
+++ b/customers/registry_test.go
@@ -89,9 +89,12 @@
 	expect := NewWithT(t)
 	expect.Expect(err).NotTo(HaveOccurred())
 	expect.Expect(fmt.Sprintf("%+v", registry)).NotTo(ContainSubstring("secret"))
-	for d := range registry.byKey {
-		expect.Expect(string(d[:])).NotTo(ContainSubstring("secret"))
-	}
+	expect.Expect(registry.byKey.Len()).To(Equal(1))
+	registry.byKey.Root().Walk(func(d []byte, held *holder) bool {
+		expect.Expect(string(d)).NotTo(ContainSubstring("secret"))
+		expect.Expect(fmt.Sprintf("%+v", *held)).NotTo(ContainSubstring("secret"))
+		return false
+	})
 }
 
 // BenchmarkBuild builds the registry of a change with 10,000 customers of 3 keys each and
--- a/routing/table.go
+++ b/routing/table.go
@@ -68,6 +68,8 @@
 	// AbandonItemsAfter is the time from the submission of a batch job until its
 	// unfinished items may be abandoned.
 	AbandonItemsAfter time.Duration
+	// Digest identifies the text of the route in sums of digests.
+	Digest uint64
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -140,11 +142,17 @@
 	Limits   Limits
 	// Customers is nil in a deployment without customers.
 	Customers *customers.Registry
+	// HedgeShare is that of routes that set none.
+	HedgeShare float64
+	// SettingsDigest identifies all of the document but its routes and customers.
+	SettingsDigest uint64
 	// Routes lists the routes that Build adds, and is nil afterwards: see Match and EachRoute.
 	Routes []Route
 
 	// byPlace holds the routes by the key of their place.
 	byPlace *iradix.Tree[*Route]
+	// routesDigest is the sum of the digests of the routes.
+	routesDigest uint64
 }
 
 // Place is where a route applies: a host, and the prefix of a path. A table has at most one
@@ -178,6 +186,7 @@
 		if other, exists := txn.Insert(r.Place().key(), r); exists {
 			return eris.Errorf("routes %s and %s have the same host and prefix", other.Name, r.Name)
 		}
+		t.routesDigest += r.Digest
 	}
 	t.Routes, t.byPlace = nil, txn.Commit()
 	return nil
