--- a/cli/nodes.go
+++ b/cli/nodes.go
@@ -46,7 +46,7 @@
 				return entrynode.Start(s, platform.Codec{HedgeShare: s.HedgeShare}, l, platform.EntryHandlers)
 			}),
 			a.nodeRoleCommand(node.RoleControl, "Runs a control replica.", func(s *node.Settings, l *log.Logger) (runningNode, error) {
-				return controlnode.Start(s, l, platform.ServiceNames, platform.ControlHandler)
+				return controlnode.Start(s, l, controlnode.RoutingCodec{ServiceNames: platform.ServiceNames, Change: platform.RoutingChange}, platform.ControlHandler)
 			}),
 			a.nodeRoleCommand(node.RoleStore, "Runs a storage replica.", func(s *node.Settings, l *log.Logger) (runningNode, error) {
 				return storenode.Start(s, platform.Codec{}, l)
--- a/controlnode/api.go
+++ b/controlnode/api.go
@@ -80,8 +80,11 @@
 		n.logger.Warn(eventlog.ReadRefused, "what", "routing", "reason", controlErr.GetReason())
 		return 0, nil, false
 	}
-	table := n.routing()
-	return table.GetVersion(), table.GetDocument(), table.GetVersion() > 0
+	table, _ := n.routing.refresh()
+	if table == nil {
+		return 0, nil, false
+	}
+	return table.version, table.document, true
 }
 
 // RecordHeartbeat applies a heartbeat of an upstream, unless a newer one is known. That of a
--- a/controlnode/metrics.go
+++ b/controlnode/metrics.go
@@ -16,6 +16,8 @@
 	updatesNotSent prometheus.Counter
 	// recordsNotSent counts the records that updates left out for that reason.
 	recordsNotSent prometheus.Counter
+	// routingBytes counts the bytes of routing tables sent to subscribers, by kind.
+	routingBytes *prometheus.CounterVec
 }
 
 func newMetrics(n *Node) *metrics {
@@ -34,9 +36,12 @@
 			Name: "briarcross_records_not_sent_total", Help: "Records left out of updates to subscribers because they cannot be encoded.",
 		}),
 	}
-	m.registry.MustRegister(m.calls, m.heartbeats, m.updatesNotSent, m.recordsNotSent, n.quarantine.Collector(),
+	m.routingBytes = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "briarcross_routing_sent_bytes_total", Help: "Bytes of routing tables sent to subscribers, by how: document, change, part.",
+	}, []string{"kind"})
+	m.registry.MustRegister(m.calls, m.heartbeats, m.updatesNotSent, m.recordsNotSent, m.routingBytes, n.quarantine.Collector(),
 		node.Gauge("briarcross_routing_version", "Version of the routing table that this replica has applied.", func() float64 {
-			return float64(n.routing().GetVersion())
+			return float64(n.routing.current().number())
 		}),
 		node.Gauge("briarcross_routing_subscriber_lag_seconds", "Longest time for which a subscriber of this replica has lacked a routing table.", func() float64 {
 			return n.maxRoutingLag(time.Now()).Seconds()
--- a/controlnode/node.go
+++ b/controlnode/node.go
@@ -63,6 +63,7 @@
 	// engines.
 	quarantine *node.Quarantine
 	services   *serviceRegistry
+	routing    *routingSource
 	metrics    *metrics
 	exporter   *node.MetricsServer
 
@@ -94,10 +95,18 @@
 	tasks  sync.WaitGroup
 }
 
-// Start starts a control replica. The settings must have passed Check. services returns the
-// names of the services in a routing document. The handler serves the HTTP calls of operators
-// and upstreams.
-func Start(settings *node.Settings, logger *log.Logger, services func(document []byte) ([]string, error), handler func(*Node) http.Handler) (*Node, error) {
+// RoutingCodec reads routing documents.
+type RoutingCodec struct {
+	// ServiceNames returns the names of the services in a document.
+	ServiceNames func(document []byte) ([]string, error)
+	// Change returns the change from one accepted document to another, or nil if the whole
+	// document has to be sent.
+	Change func(baseVersion uint64, base []byte, version uint64, document []byte) *pb.RoutingChange
+}
+
+// Start starts a control replica. The settings must have passed Check. The handler serves the HTTP
+// calls of operators and upstreams.
+func Start(settings *node.Settings, logger *log.Logger, codec RoutingCodec, handler func(*Node) http.Handler) (*Node, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
 		FatalErrorReporter: daemon.NewFatalErrorReporter(),
@@ -113,7 +122,8 @@
 		cancel:             cancel,
 	}
 	n.upstreams.SetClaimDelay(claimDelayIntervals * settings.HeartbeatInterval / 2)
-	n.services = newServiceRegistry(n.routing, services)
+	n.routing = newRoutingSource(n.readRouting, codec.Change)
+	n.services = newServiceRegistry(n.routing.refreshed, codec.ServiceNames)
 	n.loadUpstreams()
 	n.transport = transport.NewClient(n.identity, nil)
 	n.leaderClient = client.NewReplicaClient(n.transport, nil)
@@ -163,7 +173,7 @@
 	}
 	n.listener = listener
 	n.server = transport.NewServer(n.identity, n.serveStream)
-	n.follower = node.NewFollower(n.transport, n.view, n.quarantine, n.settings.Self(n.identity), n.settings.Seeds, n.logger, n.applyRelayed)
+	n.follower = node.NewFollower(n.transport, n.view, n.quarantine, nil, n.settings.Self(n.identity), n.settings.Seeds, n.logger, n.applyRelayed)
 	n.tasks.Go(func() {
 		if err := n.server.Serve(listener); err != nil {
 			n.ReportFatal(err)
@@ -172,6 +182,7 @@
 	n.tasks.Go(func() { n.follower.Run(n.ctx) })
 	n.tasks.Go(n.runMaintenance)
 	n.tasks.Go(n.runDirectory)
+	n.tasks.Go(n.runRouting)
 	return nil
 }
 
@@ -225,6 +236,9 @@
 		inForce := result.GetRouting().GetVersion()
 		changed := n.routingHistory.record(inForce, time.Now())
 		n.logger.Info(eventlog.RoutingAccepted, "version", op.RoutingReplace.GetVersion(), "in_force", inForce, "changed", changed, "index", index)
+		// Subscribers are notified once the change has been compared with the version before.
+		n.routing.wakeUp()
+		return
 	case *pb.Command_StorageFound:
 		n.logger.Info(eventlog.StorageFounded, "members", len(op.StorageFound.GetMembers()), "index", index)
 	case *pb.Command_StorageRetire:
@@ -289,10 +303,14 @@
 	return members
 }
 
-func (n *Node) routing() *pb.RoutingAnswer {
-	var routing *pb.RoutingAnswer
-	n.replica.View(func(r kv.Reader) { routing = deployment.ReadRouting(r) })
-	return routing
+// readRouting reads the routing table, or only its version if that is the known one.
+func (n *Node) readRouting(known uint64) (version uint64, document []byte) {
+	n.replica.View(func(r kv.Reader) {
+		if version = deployment.ReadRoutingVersion(r); version != known {
+			document = deployment.ReadRouting(r).GetDocument()
+		}
+	})
+	return version, document
 }
 
 func (n *Node) placement() *pb.DeploymentRecord {
--- a/controlnode/routing_history.go
+++ b/controlnode/routing_history.go
@@ -56,5 +56,5 @@
 	if !missing {
 		return 0
 	}
-	return now.Sub(since)
+	return max(0, now.Sub(since))
 }
--- a/controlnode/services.go
+++ b/controlnode/services.go
@@ -5,7 +5,6 @@
 
 	"github.com/briarcross/briarcross/eventlog"
 	"github.com/briarcross/briarcross/fleet"
-	"github.com/briarcross/briarcross/pb"
 )
 
 // maxUnnamed bounds the upstreams of services that the routing table does not name.
@@ -15,8 +14,8 @@
 // of upstreams of other services. A heartbeat of another writer may be among these: it must
 // not take the address of an upstream that is there. It is safe for concurrent use.
 type serviceRegistry struct {
-	// routing returns the routing table in force.
-	routing func() *pb.RoutingAnswer
+	// routing returns the routing table in force, nil without one.
+	routing func() *acceptedRouting
 	// decode returns the names of the services in a routing document.
 	decode func(document []byte) ([]string, error)
 
@@ -27,24 +26,27 @@
 	unnamed map[string]fleet.Upstream
 }
 
-func newServiceRegistry(routing func() *pb.RoutingAnswer, decode func(document []byte) ([]string, error)) *serviceRegistry {
+func newServiceRegistry(routing func() *acceptedRouting, decode func(document []byte) ([]string, error)) *serviceRegistry {
 	return &serviceRegistry{routing: routing, decode: decode, unnamed: make(map[string]fleet.Upstream)}
 }
 
 // update takes the services from the routing table in force. It returns the heartbeats that
 // have waited for a service that is named now.
 func (r *serviceRegistry) update() (named []fleet.Upstream, err error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	routing := r.routing()
-	if routing.GetVersion() == r.version {
+	if routing == nil || routing.version <= r.tableVersion() {
 		return nil, nil
 	}
-	names, err := r.decode(routing.GetDocument())
+	names, err := r.decode(routing.document)
 	if err != nil {
 		return nil, err
 	}
-	r.version, r.names = routing.GetVersion(), make(map[string]bool)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if routing.version <= r.version {
+		return nil, nil
+	}
+	r.version, r.names = routing.version, make(map[string]bool)
 	for _, name := range names {
 		r.names[name] = true
 	}
@@ -57,6 +59,12 @@
 	return named, nil
 }
 
+func (r *serviceRegistry) tableVersion() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.version
+}
+
 // isNamed reports whether the routing table named a service when it was last looked at.
 func (r *serviceRegistry) isNamed(service string) bool {
 	r.mu.Lock()
--- a/controlnode/services_test.go
+++ b/controlnode/services_test.go
@@ -7,13 +7,12 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/briarcross/briarcross/fleet"
-	"github.com/briarcross/briarcross/pb"
 )
 
 // nameServices puts a routing table in force that names some services.
 func (r testReplica) nameServices(version uint64, names ...string) {
-	r.services.routing = func() *pb.RoutingAnswer {
-		return &pb.RoutingAnswer{Version: version, Document: []byte(strings.Join(names, ","))}
+	r.services.routing = func() *acceptedRouting {
+		return &acceptedRouting{version: version, document: []byte(strings.Join(names, ","))}
 	}
 	r.services.decode = func(document []byte) ([]string, error) { return strings.Split(string(document), ","), nil }
 }
--- a/controlnode/subscribers.go
+++ b/controlnode/subscribers.go
@@ -54,6 +54,15 @@
 	// routingConfirmed is set once this replica has every routing table that was accepted
 	// before the subscription.
 	routingConfirmed bool
+	// routingRequest is a request that has not been taken up.
+	routingRequest *pb.RoutingRequest
+
+	// routingChanges is set if the subscriber understands changes and parts of tables.
+	routingChanges bool
+	// transfer is the table that is being sent in parts, nil without one; nextPart is the
+	// index of its next part.
+	transfer *routingTransfer
+	nextPart int
 
 	// upstreamsChange is a change number of the table of upstreams, daemonsChange
 	// one of a directory.
@@ -73,7 +82,8 @@
 
 func (s *subscribers) add(watch *pb.FleetWatch) *subscriber {
 	added := &subscriber{
-		self: watch.GetSelf(), incremental: watch.GetIncremental(), wake: make(chan struct{}, 1), routingVersion: watch.GetRoutingVersion(),
+		self: watch.GetSelf(), incremental: watch.GetIncremental(), routingChanges: watch.GetRoutingChanges(), wake: make(chan struct{}, 1),
+		routingVersion: watch.GetRoutingVersion(),
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -173,6 +183,7 @@
 func (n *Node) confirmRouting(ctx context.Context, s *subscriber) {
 	for ctx.Err() == nil {
 		if n.replica.ReadBarrier(ctx) == nil {
+			n.routing.refresh()
 			s.setRoutingConfirmed()
 			s.requestUpdate()
 			return
@@ -203,6 +214,7 @@
 				return
 			}
 			subscriber.setRoutingVersion(envelope.GetFleetWatch().GetRoutingVersion())
+			subscriber.requestRouting(envelope.GetFleetWatch().GetRoutingRequest())
 			n.quarantine.Merge(envelope.GetFleetWatch().GetEvidence())
 		}
 	}()
@@ -252,26 +264,6 @@
 	return update
 }
 
-// addRouting adds the routing table unless the subscriber has it.
-func (n *Node) addRouting(now time.Time, s *subscriber, update *pb.FleetUpdate) {
-	if !s.mayHaveRouting() {
-		return
-	}
-	routing := n.routing()
-	if routing.GetVersion() <= s.knownRoutingVersion() {
-		return
-	}
-	if delay := n.routingDelay(now, s); delay > 0 {
-		time.AfterFunc(delay, s.requestUpdate)
-		return
-	}
-	update.RoutingVersion, update.RoutingDocument = routing.GetVersion(), routing.GetDocument()
-	if known := s.knownRoutingVersion(); known > 0 {
-		update.RoutingLagMs = uint32(n.routingHistory.lag(known, now).Milliseconds())
-	}
-	s.setRoutingVersion(routing.GetVersion())
-}
-
 // routingDelay returns the time for which the routing table is held back from a subscriber.
 // It counts from the first version that the subscriber lacks, so that a series of changes
 // cannot prolong it. A daemon without a table cannot serve, and gets it at once.
--- a/controlnode/upstreams_test.go
+++ b/controlnode/upstreams_test.go
@@ -15,7 +15,6 @@
 	"github.com/briarcross/briarcross/eventlog"
 	"github.com/briarcross/briarcross/fleet"
 	"github.com/briarcross/briarcross/node"
-	"github.com/briarcross/briarcross/pb"
 )
 
 // newUnstartedNode returns a node that has only what the upstream table needs.
@@ -25,7 +24,8 @@
 		logger:      log.New(io.Discard),
 		upstreams:   fleet.NewTable(),
 		relayed:     make(map[string]bool),
-		services:    newServiceRegistry(func() *pb.RoutingAnswer { return nil }, nil),
+		services:    newServiceRegistry(func() *acceptedRouting { return nil }, nil),
+		routing:     newRoutingSource(func(uint64) (uint64, []byte) { return 0, nil }, nil),
 		subscribers: newSubscribers(),
 		quarantine:  node.NewQuarantine(log.New(io.Discard), func() {}),
 	}
--- a/deployment/state.go
+++ b/deployment/state.go
@@ -89,6 +89,9 @@
 	return &pb.RoutingAnswer{Version: routingVersion.Get(r), Document: document}
 }
 
+// ReadRoutingVersion returns the version of the routing table in force, or zero.
+func ReadRoutingVersion(r kv.Reader) uint64 { return routingVersion.Get(r) }
+
 // ReadPlacement returns the placement of the storage group. A retired replica also
 // stays in Retiring, so that it never joins again.
 func ReadPlacement(r kv.Reader) *pb.DeploymentRecord {
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -14,7 +14,6 @@
 	"github.com/briarcross/briarcross/daemon"
 	"github.com/briarcross/briarcross/fleet"
 	"github.com/briarcross/briarcross/node"
-	"github.com/briarcross/briarcross/routing"
 	"github.com/briarcross/briarcross/upstream"
 )
 
@@ -56,7 +55,7 @@
 // Codec parses the headers, jobs and routing tables of the platform.
 type Codec interface {
 	upstream.HeaderCodec
-	ParseTable(document []byte) (*routing.Table, error)
+	node.RoutingCodec
 	ParseRequestHeaders(r *http.Request) RequestHeaders
 	ParseCredentials(header http.Header) Credentials
 	// IdentifiesCustomer reports whether a header holds credentials or names a customer.
@@ -110,7 +109,7 @@
 		cancel:             cancel,
 	}
 	n.upstreamClient = upstream.NewClient(codec, n.metrics.connections.Inc)
-	dispatcher, err := node.NewDispatcher(settings, logger, codec.ParseTable, n.upstreamGone, nil)
+	dispatcher, err := node.NewDispatcher(settings, logger, codec, n.upstreamGone, nil)
 	if err != nil {
 		cancel()
 		return nil, err
--- a/entrynode/node_test.go
+++ b/entrynode/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -83,6 +84,10 @@
 
 func (testCodec) IdentifiesCustomer(name string) bool { return name == "Key" }
 
+func (testCodec) ApplyChange(*routing.Table, *pb.RoutingChange) (*routing.Table, []routing.Place, error) {
+	return nil, nil, errors.New("no changes")
+}
+
 func (testCodec) ParseJob([]byte) (Job, error) { return Job{}, nil }
 
 func (testCodec) ParseTable(document []byte) (*routing.Table, error) {
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -62,11 +62,10 @@
 	follower     *Follower
 	loadReporter *LoadReporter
 	// datagrams is nil until the socket is open. Datagrams may arrive before.
-	datagrams   atomic.Pointer[transport.DatagramSocket]
-	decodeTable func([]byte) (*routing.Table, error)
-	table       atomic.Pointer[routing.Table]
-	tableLock   sync.Mutex
-	onNotReady  func(fleet.Upstream)
+	datagrams  atomic.Pointer[transport.DatagramSocket]
+	routing    *RoutingReceiver
+	table      atomic.Pointer[routing.Table]
+	onNotReady func(fleet.Upstream)
 	// onPreemption is called for each preemption request of another daemon; nil on
 	// daemons that run no batch items.
 	onPreemption func(dispatch.PreemptionRequest)
@@ -78,21 +77,23 @@
 	rateChanges *prometheus.CounterVec
 	// routingLag measures how long after control this daemon puts a routing table in force.
 	routingLag prometheus.Histogram
-	tasks      sync.WaitGroup
-	closeOnce  sync.Once
+	// routingDelay measures the time from the arrival of a routing table until it is in force,
+	// routingBytes the bytes received for tables and changes.
+	routingDelay prometheus.Histogram
+	routingBytes *prometheus.CounterVec
+	tasks        sync.WaitGroup
+	closeOnce    sync.Once
 }
 
-// NewDispatcher returns a dispatcher, which does nothing until Run. decodeTable
-// decodes a routing document; onNotReady is called for an upstream that is draining,
+// NewDispatcher returns a dispatcher, which does nothing until Run. onNotReady is called for an upstream that is draining,
 // leaving or gone and accepts no new requests, and must not block; onPreemption, which may be nil, for
 // each preemption request of another daemon.
-func NewDispatcher(settings *Settings, logger *log.Logger, decodeTable func([]byte) (*routing.Table, error), onNotReady func(fleet.Upstream), onPreemption func(dispatch.PreemptionRequest)) (*Dispatcher, error) {
+func NewDispatcher(settings *Settings, logger *log.Logger, codec RoutingCodec, onNotReady func(fleet.Upstream), onPreemption func(dispatch.PreemptionRequest)) (*Dispatcher, error) {
 	d := &Dispatcher{
 		Settings:     settings,
 		Logger:       logger,
 		Identity:     settings.Identity(),
 		View:         NewView(),
-		decodeTable:  decodeTable,
 		onNotReady:   onNotReady,
 		onPreemption: onPreemption,
 		suspicions: prometheus.NewCounter(prometheus.CounterOpts{
@@ -108,8 +109,15 @@
 	d.routingLag = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "briarcross_routing_lag_seconds", Help: "Time for which a control replica had a routing table that this daemon lacked, when it was applied.", Buckets: LatencyBuckets,
 	})
+	d.routingDelay = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "briarcross_routing_delay_seconds", Help: "Time from the arrival of a routing table, or of a change of it, until it was in force.", Buckets: LatencyBuckets,
+	})
+	d.routingBytes = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "briarcross_routing_received_bytes_total", Help: "Bytes of routing tables that came into force, by how they were sent: whole, change.",
+	}, []string{"kind"})
 	d.Quarantine = NewQuarantine(logger, func() { d.follower.EvidenceChanged() })
 	d.StreamOrigins = newStreamOrigins(settings.Address, settings.DataCentre, d.View, d.sendDatagram)
+	d.routing = NewRoutingReceiver(codec, logger, d.applyRouting)
 	d.Transport = transport.NewClient(d.Identity, nil)
 	d.Storage = client.NewReplicaClient(d.Transport, nil)
 	d.Slots = NewSlotPool(dispatch.Options{
@@ -137,7 +145,7 @@
 	}
 	d.datagrams.Store(datagrams)
 	d.loadReporter.SetSocket(datagrams)
-	d.follower = NewFollower(d.Transport, d.View, d.Quarantine, settings.Self(d.Identity), settings.Seeds, logger, d.applyViewChanges)
+	d.follower = NewFollower(d.Transport, d.View, d.Quarantine, d.routing, settings.Self(d.Identity), settings.Seeds, logger, d.applyViewChanges)
 	return d, nil
 }
 
@@ -159,6 +167,7 @@
 func (d *Dispatcher) Close() {
 	d.closeOnce.Do(func() {
 		d.tasks.Wait()
+		d.routing.Wait()
 		d.StreamOrigins.Wait()
 		if err := d.datagrams.Load().Close(); err != nil {
 			d.Logger.Warn(eventlog.Stopping, "error", err)
@@ -215,7 +224,7 @@
 	}
 	// A daemon with a routing table is ready, and refuses requests without upstreams.
 	if changes.Routing != nil {
-		d.applyRouting(changes.Routing)
+		d.routing.Receive(*changes.Routing)
 	}
 }
 
@@ -265,41 +274,45 @@
 	return strconv.FormatFloat(perSecond, 'g', -1, 64)
 }
 
-// applyRouting puts a routing table in force unless the current one has the same
-// or a higher version. A table that cannot be decoded is logged and ignored.
-func (d *Dispatcher) applyRouting(r *Routing) {
-	d.tableLock.Lock()
-	defer d.tableLock.Unlock()
+// applyRouting puts a routing table in force. One call follows the other.
+func (d *Dispatcher) applyRouting(applied AppliedRouting) {
+	decodedAt := time.Now()
+	table, former, last := applied.Table, d.table.Load(), applied.Last
 	previous := uint64(0)
-	if current := d.table.Load(); current != nil {
-		previous = current.Version
-	}
-	if previous >= r.Version {
-		return
+	if former != nil {
+		previous = former.Version
 	}
-	startedAt := time.Now()
-	table, err := d.decodeTable(r.Document)
-	if err != nil {
-		d.Logger.Error(eventlog.RoutingRejected, "version", r.Version, "error", err)
-		return
-	}
-	decodedAt := time.Now()
-	if d.Quotas != nil {
+	if d.Quotas != nil && (former == nil || table.Customers != former.Customers) {
 		var limits map[string]customers.Quota
 		if table.Customers != nil {
 			limits = table.Customers.Limits()
 		}
-		d.Quotas.SetLimits(limits, d.table.Load() != nil)
+		d.Quotas.SetLimits(limits, former != nil)
+	}
+	if applied.Whole {
+		d.StreamOrigins.RoutesChanged(former, table)
+	} else {
+		d.StreamOrigins.PlacesChanged(former, table, applied.Changed)
 	}
-	d.StreamOrigins.RoutesChanged(d.table.Load(), table)
 	for _, service := range table.Services {
 		d.Slots.SetTokenCapacity(service.Name, service.TokenCapacity)
 	}
 	d.table.Store(table)
-	d.routingLag.Observe(r.Lag.Seconds())
-	d.Logger.Info(eventlog.RoutingApplied, "version", r.Version, "previous", previous, "routes", table.RouteCount(), "services", len(table.Services),
-		"from", r.From, "current", r.Current, "lag_ms", r.Lag.Milliseconds(), "bytes", len(r.Document), "waited_ms", startedAt.Sub(r.ReceivedAt).Milliseconds(),
-		"decode_ms", decodedAt.Sub(startedAt).Milliseconds(), "apply_ms", time.Since(decodedAt).Milliseconds())
+	d.routingLag.Observe(last.Lag.Seconds())
+	d.routingBytes.WithLabelValues(transferKind(applied.Whole)).Add(float64(applied.Bytes))
+	d.routingDelay.Observe(time.Since(last.ReceivedAt).Seconds())
+	d.Logger.Info(eventlog.RoutingApplied, "version", table.Version, "previous", previous, "routes", table.RouteCount(), "services", len(table.Services),
+		"from", last.From, "current", last.Current, "whole", applied.Whole, "lag_ms", last.Lag.Milliseconds(), "bytes", applied.Bytes,
+		"waited_ms", applied.StartedAt.Sub(last.ReceivedAt).Milliseconds(), "decode_ms", decodedAt.Sub(applied.StartedAt).Milliseconds(),
+		"apply_ms", time.Since(decodedAt).Milliseconds())
+}
+
+// transferKind is the label of metrics that tells whole tables from changes.
+func transferKind(whole bool) string {
+	if whole {
+		return "whole"
+	}
+	return "change"
 }
 
 // refreshStorageAddresses keeps the addresses of the storage replicas up to date.
--- a/node/dispatcher_test.go
+++ b/node/dispatcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -20,6 +21,15 @@
 	"github.com/briarcross/briarcross/routing"
 )
 
+// parseOnly decodes whole tables. It applies no changes.
+type parseOnly func(document []byte) (*routing.Table, error)
+
+func (parse parseOnly) ParseTable(document []byte) (*routing.Table, error) { return parse(document) }
+
+func (parseOnly) ApplyChange(*routing.Table, *pb.RoutingChange) (*routing.Table, []routing.Place, error) {
+	return nil, nil, errors.New("no changes")
+}
+
 // The first update of a control replica has the routing table and the upstreams. An
 // entry that has the table takes requests.
 func TestUpstreamsAreUsableBeforeTheRoutingTable(t *testing.T) {
@@ -32,11 +42,12 @@
 		granted = refused == nil
 		return &routing.Table{Version: 1}, nil
 	}
-	d, err := NewDispatcher(settings, log.New(io.Discard), decodeTable, func(fleet.Upstream) {}, nil)
+	d, err := NewDispatcher(settings, log.New(io.Discard), parseOnly(decodeTable), func(fleet.Upstream) {}, nil)
 	expect.Expect(err).NotTo(HaveOccurred())
 	defer d.Close()
 	u := fleet.Upstream{ID: "u", Service: "s", Address: "u:1", Slots: 1, Phase: fleet.Ready}
 	d.applyViewChanges(ViewChanges{Routing: &Routing{Version: 1}, Upstreams: []fleet.Upstream{u}, PhaseChanges: []fleet.Upstream{u}})
+	d.routing.Wait()
 	expect.Expect(d.Table()).NotTo(BeNil())
 	expect.Expect(granted).To(BeTrue())
 }
@@ -69,7 +80,7 @@
 	})
 	settings := &Settings{ID: "e", Role: RoleEntry, DataCentre: "d", Address: address}
 	for range startCount {
-		d, err := NewDispatcher(settings, log.New(io.Discard), func([]byte) (*routing.Table, error) { return nil, nil }, nil, nil)
+		d, err := NewDispatcher(settings, log.New(io.Discard), parseOnly(nil), nil, nil)
 		expect.Expect(err).NotTo(HaveOccurred())
 		d.Close()
 	}
@@ -87,7 +98,7 @@
 		table.Version = uint64(2 - len(tables))
 		return table, nil
 	}
-	d, err := NewDispatcher(settings, log.New(io.Discard), decodeTable, func(fleet.Upstream) {}, nil)
+	d, err := NewDispatcher(settings, log.New(io.Discard), parseOnly(decodeTable), func(fleet.Upstream) {}, nil)
 	expect.Expect(err).NotTo(HaveOccurred())
 	defer d.Close()
 	sent := make(chan *pb.Envelope, 8)
@@ -95,7 +106,10 @@
 		sent <- e
 		return nil
 	}
-	merge := func(update *pb.FleetUpdate) { d.View.MergeAndApply(time.Now(), "control", update, d.applyViewChanges) }
+	merge := func(update *pb.FleetUpdate) {
+		d.View.MergeAndApply(time.Now(), "control", update, d.applyViewChanges)
+		d.routing.Wait()
+	}
 	merge(&pb.FleetUpdate{
 		Daemons:        []*pb.Daemon{{Role: RoleEntry, Address: "home:1", Incarnation: 1}},
 		Upstreams:      []*pb.UpstreamBeat{upstreamOfVersion(1, "1")},
--- a/node/follower.go
+++ b/node/follower.go
@@ -61,6 +61,9 @@
 	onChange  func(ViewChanges)
 	// evidence is exchanged with the replicas: each daemon sends them what it knows.
 	evidence *Quarantine
+	// routing receives the routing tables; nil at control replicas, which have them from
+	// their log.
+	routing *RoutingReceiver
 
 	mu            sync.Mutex
 	seeds         []string
@@ -89,11 +92,12 @@
 	return s.connected && now.Sub(s.currentAt) < outdatedGrace || now.Sub(s.openedAt) < connectGrace
 }
 
-// NewFollower returns a follower. onChange is called for each update, one call after
+// NewFollower returns a follower. routing may be nil. onChange is called for each update, one call after
 // the other in the order of the changes, and must not block.
-func NewFollower(t *transport.Client, view *View, evidence *Quarantine, self *pb.Daemon, seeds []string, logger *log.Logger, onChange func(ViewChanges)) *Follower {
+func NewFollower(t *transport.Client, view *View, evidence *Quarantine, routing *RoutingReceiver, self *pb.Daemon, seeds []string, logger *log.Logger, onChange func(ViewChanges)) *Follower {
 	return &Follower{
 		evidence:      evidence,
+		routing:       routing,
 		transport:     t,
 		view:          view,
 		self:          self,
@@ -235,9 +239,12 @@
 	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
 	defer stop()
 	defer func() { _ = stream.Close() }()
-	if err := f.watch(stream, f.view.RoutingVersion()); err != nil {
+	if err := f.watch(stream, nil); err != nil {
 		return false, err
 	}
+	if f.routing != nil {
+		defer f.routing.Lost(address)
+	}
 	subscribed, unsubscribe := context.WithCancel(ctx)
 	defer unsubscribe()
 	f.tasks.Go(func() { f.sendEvidence(subscribed, stream, s) })
@@ -255,25 +262,41 @@
 			f.logger.Info(eventlog.DependencyFound, "dependency", "control", "address", address)
 		}
 		f.evidence.Merge(update.GetEvidence())
+		before := f.routingVersion()
 		changes := f.view.MergeAndApply(receivedAt, address, update, f.onChange)
 		for _, rejected := range changes.Rejected {
 			f.logger.Warn(eventlog.HeartbeatRejected, "upstream", identifier.Loggable(rejected.ID), "reason", "invalid", "from", address, "error", rejected.Err)
 		}
-		if changes.Routing != nil {
-			f.announceRouting(s, changes.Routing.Version)
+		if f.routing == nil {
+			continue
+		}
+		if request := f.routing.ReceiveUpdate(receivedAt, address, update); request != nil {
+			// A failed send ends the subscription's Receive as well.
+			f.tasks.Go(func() { _ = f.watch(stream, request) })
+		}
+		if f.routingVersion() > before {
+			f.announceRouting(s, update.GetRoutingPart() != nil)
 		}
 	}
 }
 
+// routingVersion returns the latest version of the routing table that this daemon has received.
+func (f *Follower) routingVersion() uint64 {
+	if f.routing == nil {
+		return f.view.RoutingVersion()
+	}
+	return f.routing.Version()
+}
+
 // announceRouting tells the other replicas which routing table this daemon has, so
-// that they need not send it.
-func (f *Follower) announceRouting(from *subscription, version uint64) {
+// that they need not send it. A replica that sent it in parts does not know yet either.
+func (f *Follower) announceRouting(from *subscription, inParts bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, s := range f.subscriptions {
-		if stream := s.stream; s != from && stream != nil {
+		if stream := s.stream; (s != from || inParts) && stream != nil {
 			// A failed send ends the subscription's Receive as well.
-			f.tasks.Go(func() { _ = f.watch(stream, version) })
+			f.tasks.Go(func() { _ = f.watch(stream, nil) })
 		}
 	}
 }
@@ -297,7 +320,8 @@
 	for {
 		evidence, last := f.evidence.Since(sent)
 		if evidence != nil {
-			watch := &pb.FleetWatch{Self: f.self, RoutingVersion: f.view.RoutingVersion(), Incremental: true, Evidence: evidence}
+			watch := f.newWatch()
+			watch.Evidence = evidence
 			omitted, err := stream.SendEncodable(&pb.Envelope{Body: &pb.Envelope_FleetWatch{FleetWatch: watch}})
 			if len(omitted) > 0 {
 				f.logger.Warn(eventlog.RecordNotSent, "to", s.address, "records", len(omitted), "first", omitted[0])
@@ -316,11 +340,18 @@
 	}
 }
 
-func (f *Follower) watch(stream *transport.Stream, version uint64) error {
-	watch := &pb.FleetWatch{Self: f.self, RoutingVersion: version, Incremental: true}
+// watch subscribes to a replica, or tells it the routing table that this daemon has. The request
+// may be nil.
+func (f *Follower) watch(stream *transport.Stream, request *pb.RoutingRequest) error {
+	watch := f.newWatch()
+	watch.RoutingRequest = request
 	return stream.Send(&pb.Envelope{Body: &pb.Envelope_FleetWatch{FleetWatch: watch}})
 }
 
+func (f *Follower) newWatch() *pb.FleetWatch {
+	return &pb.FleetWatch{Self: f.self, RoutingVersion: f.routingVersion(), Incremental: true, RoutingChanges: true}
+}
+
 func (f *Follower) recordUpdate(address string, s *subscription, stream *transport.Stream, update *pb.FleetUpdate) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -68,7 +68,7 @@
 func (d *Dispatcher) Collectors() []prometheus.Collector {
 	return []prometheus.Collector{
 		Gauge("briarcross_routing_version", "Version of the routing table in force; 0 before the first.", func() float64 {
-			return float64(d.View.RoutingVersion())
+			return float64(d.routing.Version())
 		}),
 		Gauge("briarcross_upstreams_ready", "Upstreams that take new requests.", func() float64 {
 			return float64(len(d.readyUpstreams()))
@@ -84,6 +84,8 @@
 		d.leaving,
 		d.rateChanges,
 		d.routingLag,
+		d.routingDelay,
+		d.routingBytes,
 		d.Quarantine.Collector(),
 		d.loadReporter.sent,
 		d.StreamOrigins.sent,
--- a/node/stream_origins.go
+++ b/node/stream_origins.go
@@ -232,6 +232,16 @@
 	o.applyMoves(moves)
 }
 
+// PlacesChanged is RoutesChanged for a table that differs from the former one at some places
+// only.
+func (o *StreamOrigins) PlacesChanged(former, current *routing.Table, places []routing.Place) {
+	moves := make(map[string][]string)
+	for _, place := range places {
+		addMove(moves, servicesOf(former, place), servicesOf(current, place))
+	}
+	o.applyMoves(moves)
+}
+
 // addMove records, for each service of a route before and after a change, all of them. A route
 // that matched nothing before has no streams yet.
 func addMove(moves map[string][]string, before, after []string) {
--- a/node/view.go
+++ b/node/view.go
@@ -10,10 +10,15 @@
 	"github.com/briarcross/briarcross/pb"
 )
 
-// Routing is an encoded routing table as the control group accepted it.
+// Routing is an encoded routing table as the control group accepted it, or the change that leads
+// to it.
 type Routing struct {
 	Version  uint64
 	Document []byte
+	// Change is nil for a whole table.
+	Change *pb.RoutingChange
+	// Bytes is the number of bytes received.
+	Bytes int
 	// From is the address of the control replica that sent the table, and Current whether
 	// that replica was in contact with the majority of its group.
 	From    string
@@ -30,9 +35,10 @@
 	// applied in the order in which they were made. It is locked before mu.
 	applying sync.Mutex
 
-	mu        sync.Mutex
-	routing   Routing
-	upstreams *fleet.Table
+	mu sync.Mutex
+	// routingVersion is that of the latest whole routing table.
+	routingVersion uint64
+	upstreams      *fleet.Table
 	// software holds the service and version of each upstream by its ID, and
 	// softwareCounts their numbers. softwareVersions lists the versions of each service,
 	// nil if it is outdated; it is replaced, not changed.
@@ -99,7 +105,7 @@
 
 // ViewChanges lists the changes that an update made to a view.
 type ViewChanges struct {
-	// Routing is set if the update had a routing table with a higher version.
+	// Routing is set if the update had a whole routing table with a higher version.
 	Routing *Routing
 	// Upstreams lists the upstreams that changed, Renewed also those with a later
 	// heartbeat only.
@@ -133,13 +139,12 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	var changes ViewChanges
-	if u.GetRoutingVersion() > v.routing.Version && len(u.GetRoutingDocument()) > 0 {
-		v.routing = Routing{
-			Version: u.GetRoutingVersion(), Document: u.GetRoutingDocument(), From: from, Current: u.GetCurrent(),
+	if u.GetRoutingVersion() > v.routingVersion && len(u.GetRoutingDocument()) > 0 {
+		v.routingVersion = u.GetRoutingVersion()
+		changes.Routing = &Routing{
+			Version: u.GetRoutingVersion(), Document: u.GetRoutingDocument(), Bytes: len(u.GetRoutingDocument()), From: from, Current: u.GetCurrent(),
 			Lag: time.Duration(u.GetRoutingLagMs()) * time.Millisecond, ReceivedAt: now,
 		}
-		copied := v.routing
-		changes.Routing = &copied
 	}
 	before := v.upstreams.LastChange()
 	var heartbeats []fleet.Upstream
@@ -296,11 +301,11 @@
 	delete(v.currentReplicas, from)
 }
 
-// RoutingVersion returns the highest version of the routing table received.
+// RoutingVersion returns the highest version of the whole routing tables received.
 func (v *View) RoutingVersion() uint64 {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.routing.Version
+	return v.routingVersion
 }
 
 // Daemons returns the daemons with one of the roles that any control replica
--- a/node/view_test.go
+++ b/node/view_test.go
@@ -19,7 +19,7 @@
 	expect := NewWithT(t)
 	v := NewView()
 	changes := v.Merge(now, "a", &pb.FleetUpdate{RoutingVersion: 7, RoutingDocument: []byte("seven"), RoutingLagMs: 30, Current: true})
-	expect.Expect(changes.Routing).To(Equal(&Routing{Version: 7, Document: []byte("seven"), From: "a", Current: true, Lag: 30 * time.Millisecond, ReceivedAt: now}))
+	expect.Expect(changes.Routing).To(Equal(&Routing{Version: 7, Document: []byte("seven"), Bytes: 5, From: "a", Current: true, Lag: 30 * time.Millisecond, ReceivedAt: now}))
 	for _, version := range []uint64{6, 7} {
 		changes = v.Merge(now, "b", &pb.FleetUpdate{RoutingVersion: version, RoutingDocument: []byte("other")})
 		expect.Expect(changes.Routing).To(BeNil())
@@ -202,7 +202,7 @@
 
 func newTestFollower(role string) *Follower {
 	self := &pb.Daemon{Address: "self", Role: role, DataCentre: "dc0"}
-	return NewFollower(nil, NewView(), NewQuarantine(nil, func() {}), self, []string{"c1", "c2", "c3"}, nil, func(ViewChanges) {})
+	return NewFollower(nil, NewView(), NewQuarantine(nil, func() {}), nil, self, []string{"c1", "c2", "c3"}, nil, func(ViewChanges) {})
 }
 
 // Each daemon that subscribes to each replica costs both as much as there are
--- a/storenode/node.go
+++ b/storenode/node.go
@@ -21,7 +21,6 @@
 	"github.com/briarcross/briarcross/pb"
 	"github.com/briarcross/briarcross/peering"
 	"github.com/briarcross/briarcross/replica"
-	"github.com/briarcross/briarcross/routing"
 	"github.com/briarcross/briarcross/transport"
 	"github.com/briarcross/briarcross/upstream"
 )
@@ -38,7 +37,7 @@
 // routing documents of its operators.
 type Codec interface {
 	upstream.HeaderCodec
-	ParseTable(document []byte) (*routing.Table, error)
+	node.RoutingCodec
 }
 
 // Node is a running storage replica.
@@ -85,7 +84,7 @@
 	}
 	n.listener = listener
 	n.runner = newRunner(n, codec)
-	n.Dispatcher, err = node.NewDispatcher(settings, logger, codec.ParseTable, func(u fleet.Upstream) { n.runner.engines.ClosePool(u.Address) }, n.runner.requestPreemption)
+	n.Dispatcher, err = node.NewDispatcher(settings, logger, codec, func(u fleet.Upstream) { n.runner.engines.ClosePool(u.Address) }, n.runner.requestPreemption)
 	if err != nil {
 		cancel()
 		_ = listener.Close()
