Refuse bodies of errors that are longer than what an entry keeps

The body of an error is relayed only if it is whole within 1 MiB; else the attempt has failed, and the caller gets 502 or another attempt. The new test fails without the change (the caller reads on until the engine breaks off).

--- a/entrynode/exchange.go
+++ b/entrynode/exchange.go
@@ -473,7 +473,8 @@
 }
 
 // relayBuffered relays a response that is not a stream. It reads up to
-// maxBufferedBytes of it first, so that an interrupted response can be retried.
+// maxBufferedBytes of it first, so that an interrupted response can be retried. The body of an
+// error must not be longer.
 func (x *exchange) relayBuffered(response *upstream.Response) (attemptResult, string) {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes))
 	if err != nil {
@@ -487,6 +488,9 @@
 		x.finish(response.Status)
 		return completed, ""
 	}
+	if response.Status >= 400 {
+		return mayHaveRun, outputTooLong
+	}
 	x.sendHead(response, response.ContentLength)
 	if _, err := x.w.Write(body); err != nil {
 		x.abandon()
--- a/entrynode/node_test.go
+++ b/entrynode/node_test.go
@@ -513,6 +513,24 @@
 	expect.Expect(got.mark).To(Equal("m"))
 }
 
+// Bodies of errors without end were passed on until the deadlines of the callers: 75 callers read
+// 21 GB.
+func TestEndlessBodyOfAnErrorIsNotRelayed(t *testing.T) {
+	for name, body := range map[string]string{
+		"framed":   "Content-Length: 1073741824\r\n\r\n" + strings.Repeat("x", 2*maxBufferedBytes),
+		"unframed": "Connection: close\r\n\r\n" + strings.Repeat("x", 2*maxBufferedBytes) + "<cut>",
+	} {
+		t.Run(name, func(t *testing.T) {
+			expect := NewWithT(t)
+			script := func(int, *http.Request) string { return "HTTP/1.1 500 Internal Server Error\r\nMark: m\r\nId: r1\r\n" + body }
+			url, _ := startEntry(t, startEngine(t, script), startEngine(t, script))
+			got := send(t, url, "/once/x")
+			expect.Expect(got.status).To(Equal(http.StatusBadGateway))
+			expect.Expect(len(got.body)).To(BeNumerically("<", 1000))
+		})
+	}
+}
+
 func TestEngineGetsTimeToDeadline(t *testing.T) {
 	expect := NewWithT(t)
 	e := startEngine(t, func(int, *http.Request) string { return chunked("r1", events(1, 1)) })
