--- a/e2e/platform_soak_test.go
+++ b/e2e/platform_soak_test.go
@@ -42,8 +42,15 @@
 	14,
 }
 
+// Every fifth seed has a table of largeTableRoutes more routes, of one host.
+const (
+	largeTableSeeds  = 5
+	largeTableSeed   = 3
+	largeTableRoutes = 2_800
+)
+
 func TestFaultSoak(t *testing.T) {
-	seeds := append([]uint64{1}, regressionSeeds...)
+	seeds := append([]uint64{1, largeTableSeed}, regressionSeeds...)
 	if text := os.Getenv(faultSeedVariable); text != "" {
 		seed, err := strconv.ParseUint(text, 10, 64)
 		if err != nil {
@@ -122,6 +129,9 @@
 		jobResults:    make(map[string][]string),
 		jobDeletedAt:  make(map[string]time.Time),
 	}
+	if seed%largeTableSeeds == largeTableSeed {
+		s.moreRoutes = routesOfHost(routeHost, largeTableRoutes)
+	}
 	s.setCustomers(`[{"Name":"soak","ApiKeys":["soak-key","soak-other-key"]},{"Name":"other","ApiKeys":["other-key"]}]`, "soak-key")
 	s.ackedVersion = s.configVersion.Load()
 	ctx, cancel := context.WithTimeout(context.Background(), duration)
