--- a/controlnode/api.go
+++ b/controlnode/api.go
@@ -80,7 +80,7 @@
 		n.logger.Warn(eventlog.ReadRefused, "what", "routing", "reason", controlErr.GetReason())
 		return 0, nil, false
 	}
-	table, _ := n.routing.refresh()
+	table := n.routing.refresh()
 	if table == nil {
 		return 0, nil, false
 	}
--- a/controlnode/node.go
+++ b/controlnode/node.go
@@ -123,7 +123,7 @@
 	}
 	n.upstreams.SetClaimDelay(claimDelayIntervals * settings.HeartbeatInterval / 2)
 	n.routing = newRoutingSource(n.readRouting, codec.Change)
-	n.services = newServiceRegistry(n.routing.refreshed, codec.ServiceNames)
+	n.services = newServiceRegistry(n.routing.refresh, codec.ServiceNames)
 	n.loadUpstreams()
 	n.transport = transport.NewClient(n.identity, nil)
 	n.leaderClient = client.NewReplicaClient(n.transport, nil)
--- a/controlnode/routing_source.go
+++ b/controlnode/routing_source.go
@@ -1,6 +1,7 @@
 package controlnode
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -28,7 +29,7 @@
 )
 
 // acceptedRouting is a version of the routing table, and what leads to it from earlier ones. It
-// does not change.
+// does not change but for the transfers that are made when they are requested first.
 type acceptedRouting struct {
 	version  uint64
 	document []byte
@@ -73,7 +74,7 @@
 // document has to be sent.
 func (a *acceptedRouting) since(version uint64) (changes *pb.RoutingChanges, ok bool) {
 	i, found := slices.BinarySearchFunc(a.changes, version, func(c *pb.RoutingChange, version uint64) int {
-		return int(min(1, max(-1, int64(c.GetBaseVersion()-version))))
+		return cmp.Compare(c.GetBaseVersion(), version)
 	})
 	if !found {
 		return nil, false
@@ -161,23 +162,16 @@
 // current returns the latest table as of the last refresh, nil without one.
 func (s *routingSource) current() *acceptedRouting { return s.latest.Load() }
 
-// refresh takes the latest table from the store. It reports whether that is a later one.
-func (s *routingSource) refresh() (latest *acceptedRouting, changed bool) {
+// refresh takes the latest table from the store and returns it, nil without one. It compares the
+// table with the one before.
+func (s *routingSource) refresh() *acceptedRouting {
 	s.refreshing.Lock()
 	defer s.refreshing.Unlock()
-	latest = s.latest.Load()
-	version, document := s.read(latest.number())
-	if version <= latest.number() {
-		return latest, false
+	latest := s.latest.Load()
+	if version, document := s.read(latest.number()); version > latest.number() {
+		latest = latest.next(version, document, s.compare)
+		s.latest.Store(latest)
 	}
-	latest = latest.next(version, document, s.compare)
-	s.latest.Store(latest)
-	return latest, true
-}
-
-// refreshed returns the latest table in the store, nil without one.
-func (s *routingSource) refreshed() *acceptedRouting {
-	latest, _ := s.refresh()
 	return latest
 }
 
@@ -196,7 +190,7 @@
 	notified := uint64(0)
 	for {
 		// Others refresh as well, and do not notify.
-		if latest := n.routing.refreshed(); latest.number() != notified {
+		if latest := n.routing.refresh(); latest.number() != notified {
 			notified = latest.number()
 			n.subscribers.notify()
 		}
--- a/controlnode/subscriber_routing.go
+++ b/controlnode/subscriber_routing.go
@@ -53,12 +53,12 @@
 		return
 	}
 	update.RoutingLagMs = n.routingLagMs(now, s)
-	changes, comparable := latest.since(s.knownRoutingVersion())
+	changes, found := latest.since(s.knownRoutingVersion())
 	switch {
 	case !s.routingChanges:
 		update.RoutingVersion, update.RoutingDocument = latest.version, latest.document
 		n.metrics.routingBytes.WithLabelValues("document").Add(float64(len(latest.document)))
-	case comparable && proto.Size(changes) <= maxPushedBytes:
+	case found && proto.Size(changes) <= maxPushedBytes:
 		update.RoutingChanges = changes
 		n.metrics.routingBytes.WithLabelValues("change").Add(float64(proto.Size(changes)))
 	default:
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -85,9 +85,9 @@
 	closeOnce    sync.Once
 }
 
-// NewDispatcher returns a dispatcher, which does nothing until Run. onNotReady is called for an upstream that is draining,
-// leaving or gone and accepts no new requests, and must not block; onPreemption, which may be nil, for
-// each preemption request of another daemon.
+// NewDispatcher returns a dispatcher, which does nothing until Run. onNotReady is called for an
+// upstream that is draining, leaving or gone and accepts no new requests, and must not block;
+// onPreemption, which may be nil, for each preemption request of another daemon.
 func NewDispatcher(settings *Settings, logger *log.Logger, codec RoutingCodec, onNotReady func(fleet.Upstream), onPreemption func(dispatch.PreemptionRequest)) (*Dispatcher, error) {
 	d := &Dispatcher{
 		Settings:     settings,
@@ -274,7 +274,8 @@
 	return strconv.FormatFloat(perSecond, 'g', -1, 64)
 }
 
-// applyRouting puts a routing table in force. One call follows the other.
+// applyRouting puts a routing table in force. The RoutingReceiver makes one call after the other,
+// with increasing versions.
 func (d *Dispatcher) applyRouting(applied AppliedRouting) {
 	decodedAt := time.Now()
 	table, former, last := applied.Table, d.table.Load(), applied.Last
--- a/node/follower.go
+++ b/node/follower.go
@@ -92,8 +92,8 @@
 	return s.connected && now.Sub(s.currentAt) < outdatedGrace || now.Sub(s.openedAt) < connectGrace
 }
 
-// NewFollower returns a follower. routing may be nil. onChange is called for each update, one call after
-// the other in the order of the changes, and must not block.
+// NewFollower returns a follower. routing is nil at control replicas. onChange is called for each
+// update, one call after the other in the order of the changes, and must not block.
 func NewFollower(t *transport.Client, view *View, evidence *Quarantine, routing *RoutingReceiver, self *pb.Daemon, seeds []string, logger *log.Logger, onChange func(ViewChanges)) *Follower {
 	return &Follower{
 		evidence:      evidence,
