--- a/entrynode/node_test.go
+++ b/entrynode/node_test.go
@@ -522,7 +522,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			expect := NewWithT(t)
-			script := func(int, *http.Request) string { return "HTTP/1.1 500 Internal Server Error\r\nMark: m\r\nId: r1\r\n" + body }
+			script := func(int, *http.Request) string {
+				return "HTTP/1.1 500 Internal Server Error\r\nMark: m\r\nId: r1\r\n" + body
+			}
 			url, _ := startEntry(t, startEngine(t, script), startEngine(t, script))
 			got := send(t, url, "/once/x")
 			expect.Expect(got.status).To(Equal(http.StatusBadGateway))
