Pass on only the quotas of customers that a change names

A change names its customers, and the ledger takes these; whole tables are passed on as before. The new test compares both ways on a series of changes.

--- a/controlnode/routing_transfer_test.go
+++ b/controlnode/routing_transfer_test.go
@@ -35,9 +35,9 @@
 	return table, nil
 }
 
-func (lineCodec) ApplyChange(table *routing.Table, change *pb.RoutingChange) (*routing.Table, []routing.Place, error) {
+func (lineCodec) ApplyChange(table *routing.Table, change *pb.RoutingChange) (*routing.Table, routing.Difference, error) {
 	if change.GetBaseVersion() != table.Version || change.GetVersion() <= table.Version {
-		return nil, nil, fmt.Errorf("change %d to %d of version %d", change.GetBaseVersion(), change.GetVersion(), table.Version)
+		return nil, routing.Difference{}, fmt.Errorf("change %d to %d of version %d", change.GetBaseVersion(), change.GetVersion(), table.Version)
 	}
 	next := &routing.Table{Version: change.GetVersion()}
 	for _, s := range table.Services {
@@ -48,7 +48,7 @@
 	for _, line := range change.GetRoutes() {
 		next.Services = append(next.Services, routing.Service{Name: string(line)})
 	}
-	return next, nil, nil
+	return next, routing.Difference{}, nil
 }
 
 func changeOfLines(baseVersion uint64, base []byte, version uint64, document []byte) *pb.RoutingChange {
--- a/entrynode/node_test.go
+++ b/entrynode/node_test.go
@@ -84,8 +84,8 @@
 
 func (testCodec) IdentifiesCustomer(name string) bool { return name == "Key" }
 
-func (testCodec) ApplyChange(*routing.Table, *pb.RoutingChange) (*routing.Table, []routing.Place, error) {
-	return nil, nil, errors.New("no changes")
+func (testCodec) ApplyChange(*routing.Table, *pb.RoutingChange) (*routing.Table, routing.Difference, error) {
+	return nil, routing.Difference{}, errors.New("no changes")
 }
 
 func (testCodec) ParseJob([]byte) (Job, error) { return Job{}, nil }
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -283,17 +283,12 @@
 	if former != nil {
 		previous = former.Version
 	}
-	if d.Quotas != nil && (former == nil || table.Customers != former.Customers) {
-		var limits map[string]customers.Quota
-		if table.Customers != nil {
-			limits = table.Customers.Limits()
-		}
-		d.Quotas.SetLimits(limits, former != nil)
-	}
 	if applied.Whole {
+		d.setLimits(table.Customers, former != nil)
 		d.StreamOrigins.RoutesChanged(former, table)
 	} else {
-		d.StreamOrigins.PlacesChanged(former, table, applied.Changed)
+		d.changeLimits(table.Customers, applied.Difference.Customers)
+		d.StreamOrigins.PlacesChanged(former, table, applied.Difference.Places)
 	}
 	for _, service := range table.Services {
 		d.Slots.SetTokenCapacity(service.Name, service.TokenCapacity)
@@ -308,6 +303,37 @@
 		"apply_ms", time.Since(decodedAt).Milliseconds())
 }
 
+// setLimits puts the quotas of all customers, nil without any, in force. running is set if there
+// was a routing table before.
+func (d *Dispatcher) setLimits(registry *customers.Registry, running bool) {
+	if d.Quotas == nil {
+		return
+	}
+	var limits map[string]customers.Quota
+	if registry != nil {
+		limits = registry.Limits()
+	}
+	d.Quotas.SetLimits(limits, running)
+}
+
+// changeLimits puts the quotas of some customers in force, which may be gone.
+func (d *Dispatcher) changeLimits(registry *customers.Registry, names []string) {
+	if d.Quotas == nil || len(names) == 0 {
+		return
+	}
+	limits := make(map[string]customers.Quota, len(names))
+	for _, name := range names {
+		limits[name] = customers.Quota{}
+		if registry == nil {
+			continue
+		}
+		if customer, known := registry.ByName(name); known {
+			limits[name] = customer.Quota
+		}
+	}
+	d.Quotas.ChangeLimits(limits)
+}
+
 // transferKind is the label of metrics that tells whole tables from changes.
 func transferKind(whole bool) string {
 	if whole {
--- a/node/dispatcher_test.go
+++ b/node/dispatcher_test.go
@@ -26,8 +26,8 @@
 
 func (parse parseOnly) ParseTable(document []byte) (*routing.Table, error) { return parse(document) }
 
-func (parseOnly) ApplyChange(*routing.Table, *pb.RoutingChange) (*routing.Table, []routing.Place, error) {
-	return nil, nil, errors.New("no changes")
+func (parseOnly) ApplyChange(*routing.Table, *pb.RoutingChange) (*routing.Table, routing.Difference, error) {
+	return nil, routing.Difference{}, errors.New("no changes")
 }
 
 // The first update of a control replica has the routing table and the upstreams. An
--- a/node/quota_exchange.go
+++ b/node/quota_exchange.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -54,16 +56,36 @@
 	now := time.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if !q.enabled.Swap(true) {
-		q.updateMembers(now)
-		if running {
-			q.ledger.ConfirmControl(now)
-			q.ledger.AssumeHeard(now)
-		}
-	}
+	q.enable(now, running)
 	q.ledger.SetLimits(now, limits)
 }
 
+// ChangeLimits puts the quotas of some customers of a changed routing table in force. A quota
+// without a limit ends that of its customer.
+func (q *QuotaExchange) ChangeLimits(limits map[string]customers.Quota) {
+	limited := func(limit customers.Quota) bool { return limit.Limited() }
+	if !q.Enabled() && !slices.ContainsFunc(slices.Collect(maps.Values(limits)), limited) {
+		return
+	}
+	now := time.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.enable(now, true)
+	q.ledger.ChangeLimits(now, limits)
+}
+
+// enable starts the exchange of counts unless it has started. The caller must hold mu.
+func (q *QuotaExchange) enable(now time.Time, running bool) {
+	if q.enabled.Swap(true) {
+		return
+	}
+	q.updateMembers(now)
+	if running {
+		q.ledger.ConfirmControl(now)
+		q.ledger.AssumeHeard(now)
+	}
+}
+
 // Enabled reports whether a customer has had a quota.
 func (q *QuotaExchange) Enabled() bool { return q.enabled.Load() }
 
--- a/node/quota_exchange_test.go
+++ b/node/quota_exchange_test.go
@@ -112,3 +112,37 @@
 	admitted, _ = quotas["b1"].Admit("c", limit, "r")
 	expect.Expect(admitted).To(BeFalse())
 }
+
+// All quotas were passed on for each change of one customer. A change that takes up only some must
+// count as before, also for customers with a quota that others count already.
+func TestChangedQuotasAreEnforcedLikeThoseOfAWholeTable(t *testing.T) {
+	expect := NewWithT(t)
+	limit, lower := customers.Quota{PerSecond: 0.001, Burst: 3}, customers.Quota{PerSecond: 0.001, Burst: 1}
+	whole, changed := newTestQuotas([]string{"a"}, func(string) string { return "d" })["a"], newTestQuotas([]string{"a"}, func(string) string { return "d" })["a"]
+	admittedOf := func(q *QuotaExchange, customer string, limit customers.Quota) int {
+		admitted := 0
+		for range 6 {
+			if ok, _ := q.Admit(customer, limit, "r"); ok {
+				admitted++
+			}
+		}
+		return admitted
+	}
+	for _, step := range []struct {
+		all, some map[string]customers.Quota
+	}{
+		{map[string]customers.Quota{}, map[string]customers.Quota{"x": {}}},
+		{map[string]customers.Quota{"c": limit}, map[string]customers.Quota{"c": limit, "x": {}}},
+		{map[string]customers.Quota{"c": limit, "d": limit}, map[string]customers.Quota{"d": limit}},
+		{map[string]customers.Quota{"c": limit, "d": lower}, map[string]customers.Quota{"d": lower}},
+		{map[string]customers.Quota{"d": lower}, map[string]customers.Quota{"c": {}}},
+	} {
+		whole.SetLimits(step.all, true)
+		changed.ChangeLimits(step.some)
+		expect.Expect(changed.Enabled()).To(Equal(whole.Enabled()))
+		for customer, limit := range step.all {
+			expect.Expect(admittedOf(changed, customer, limit)).To(Equal(admittedOf(whole, customer, limit)), "%s of %v", customer, step)
+		}
+		expect.Expect(changed.counts(time.Now())).To(HaveLen(len(whole.counts(time.Now()))))
+	}
+}
--- a/node/routing_receiver.go
+++ b/node/routing_receiver.go
@@ -29,8 +29,8 @@
 // RoutingCodec decodes routing tables and their changes.
 type RoutingCodec interface {
 	ParseTable(document []byte) (*routing.Table, error)
-	// ApplyChange returns the table after a change, and the places of the routes that differ.
-	ApplyChange(table *routing.Table, change *pb.RoutingChange) (*routing.Table, []routing.Place, error)
+	// ApplyChange returns the table after a change, and what differs.
+	ApplyChange(table *routing.Table, change *pb.RoutingChange) (*routing.Table, routing.Difference, error)
 }
 
 // RoutingReceiver collects the routing tables, changes and parts that control replicas send. It
@@ -62,10 +62,10 @@
 // AppliedRouting is a routing table that comes into force.
 type AppliedRouting struct {
 	Table *routing.Table
-	// Whole is set unless the table was made from the former one by changes. Changed lists the
-	// places of the routes that these changed.
-	Whole   bool
-	Changed []routing.Place
+	// Whole is set unless the table was made from the former one by changes, which Difference
+	// lists.
+	Whole      bool
+	Difference routing.Difference
 	// Last is the last version received for it, Bytes the number of bytes received.
 	Last  Routing
 	Bytes int
@@ -253,20 +253,20 @@
 func (r *RoutingReceiver) decodeAll(table *routing.Table, queue []Routing) (applied AppliedRouting, failed *Routing) {
 	applied = AppliedRouting{Table: table, StartedAt: time.Now()}
 	for _, received := range queue {
-		next, changed, err := r.decodeOne(applied.Table, received)
+		next, difference, err := r.decodeOne(applied.Table, received)
 		if err != nil {
 			r.logger.Error(eventlog.RoutingRejected, "version", received.Version, "from", received.From, "whole", received.Change == nil, "error", err)
 			return applied, &received
 		}
 		applied.Table, applied.Last = next, received
 		applied.Whole = applied.Whole || received.Change == nil
-		applied.Changed = append(applied.Changed, changed...)
+		applied.Difference.Add(difference)
 		applied.Bytes += received.Bytes
 	}
 	return applied, nil
 }
 
-func (r *RoutingReceiver) decodeOne(table *routing.Table, received Routing) (*routing.Table, []routing.Place, error) {
+func (r *RoutingReceiver) decodeOne(table *routing.Table, received Routing) (*routing.Table, routing.Difference, error) {
 	if received.Change != nil {
 		if table == nil {
 			table = &routing.Table{}
@@ -274,7 +274,7 @@
 		return r.codec.ApplyChange(table, received.Change)
 	}
 	next, err := r.codec.ParseTable(received.Document)
-	return next, nil, err
+	return next, routing.Difference{}, err
 }
 
 // recoverFrom returns to the table in force after something could not be decoded or applied,
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -161,6 +161,24 @@
 	}
 }
 
+// ChangeLimits replaces the limits of some customers by their names. One without a limit is no
+// longer counted.
+func (l *Ledger) ChangeLimits(now time.Time, limits map[string]customers.Quota) {
+	l.advance(now)
+	for customer, limit := range limits {
+		hash := Hash(customer)
+		a, known := l.accounts[hash]
+		switch {
+		case limit.Limited():
+			a = l.account(hash)
+			a.customer = customer
+			l.setLimit(now, a, limit)
+		case known && a.admitted == 0:
+			l.forget(hash)
+		}
+	}
+}
+
 // forget removes an account. Its count must be 0: others take a lower one for requests
 // that were given back.
 func (l *Ledger) forget(hash uint64) {
--- a/routing/change.go
+++ b/routing/change.go
@@ -15,12 +15,26 @@
 	Routes  []Route
 	// Settings replaces the services and limits unless it is nil.
 	Settings *Settings
-	// Customers replaces those of the table.
-	Customers *customers.Registry
+	// Customers replaces those of the table. ChangedCustomers names those that differ.
+	Customers        *customers.Registry
+	ChangedCustomers []string
 	// Digest is that of the table after the change.
 	Digest uint64
 }
 
+// Difference is what differs between two versions of a table: the places of routes, and the names
+// of customers.
+type Difference struct {
+	Places    []Place
+	Customers []string
+}
+
+// Add adds another difference.
+func (d *Difference) Add(other Difference) {
+	d.Places = append(d.Places, other.Places...)
+	d.Customers = append(d.Customers, other.Customers...)
+}
+
 // Settings is what a change replaces as a whole.
 type Settings struct {
 	Services []Service
@@ -28,12 +42,13 @@
 	Digest   uint64
 }
 
-// Apply returns the table after a change, and the places of the routes that differ. Its cost
+// Apply returns the table after a change, and what differs. Its cost
 // grows with the change, not with the table. It returns an error if the change is that of
 // another version, or does not lead to the table that it was made for.
-func (t *Table) Apply(c Change) (*Table, []Place, error) {
+func (t *Table) Apply(c Change) (*Table, Difference, error) {
+	none := Difference{}
 	if c.BaseVersion != t.Version || c.Version <= t.Version {
-		return nil, nil, eris.Errorf("change from version %d to %d does not apply to version %d", c.BaseVersion, c.Version, t.Version)
+		return nil, none, eris.Errorf("change from version %d to %d does not apply to version %d", c.BaseVersion, c.Version, t.Version)
 	}
 	next := &Table{
 		Version: c.Version, Services: t.Services, Limits: t.Limits, SettingsDigest: t.SettingsDigest, HedgeShare: t.HedgeShare,
@@ -43,32 +58,32 @@
 		next.Services, next.Limits, next.SettingsDigest = c.Settings.Services, c.Settings.Limits, c.Settings.Digest
 	}
 	txn := t.byPlace.Txn()
-	var changed []Place
+	difference := Difference{Customers: c.ChangedCustomers}
 	for _, place := range c.Removed {
 		removed, known := txn.Delete(place.key())
 		if !known {
-			return nil, nil, eris.Errorf("no route at host %q and prefix %q to remove", place.Host, place.PathPrefix)
+			return nil, none, eris.Errorf("no route at host %q and prefix %q to remove", place.Host, place.PathPrefix)
 		}
 		next.routesDigest -= removed.Digest
-		changed = append(changed, place)
+		difference.Places = append(difference.Places, place)
 	}
 	serviceNames := next.serviceNames()
 	for i := range c.Routes {
 		added := &c.Routes[i]
 		if err := added.validate(serviceNames); err != nil {
-			return nil, nil, err
+			return nil, none, err
 		}
 		if other, exists := txn.Insert(added.Place().key(), added); exists {
-			return nil, nil, eris.Errorf("routes %s and %s have the same host and prefix", other.Name, added.Name)
+			return nil, none, eris.Errorf("routes %s and %s have the same host and prefix", other.Name, added.Name)
 		}
 		next.routesDigest += added.Digest
-		changed = append(changed, added.Place())
+		difference.Places = append(difference.Places, added.Place())
 	}
 	next.byPlace = txn.Commit()
 	if next.Digest() != c.Digest {
-		return nil, nil, eris.Errorf("the change from version %d to %d leads to another table than it was made for", c.BaseVersion, c.Version)
+		return nil, none, eris.Errorf("the change from version %d to %d leads to another table than it was made for", c.BaseVersion, c.Version)
 	}
-	return next, changed, nil
+	return next, difference, nil
 }
 
 // Digest returns the sum of the digests of all elements of the table. It does not depend on
