Say why the storage leader starts no items, and that a group has no leader

items_stalled, once in each stall of 3 s, has the reason that most items did not start, the refusals by reason, and the upstreams by what keeps items from them; two metrics count the same. A goroutine of its own looks for stalls, as the loop may be what stands still (no_search). leader_missing tells of a member that knows no leader for 3 s.

--- a/controlnode/maintenance.go
+++ b/controlnode/maintenance.go
@@ -26,6 +26,7 @@
 	defer ticker.Stop()
 	var firstStoreAt time.Time
 	members := ""
+	var leaders node.LeaderWatch
 	for {
 		select {
 		case <-n.ctx.Done():
@@ -36,7 +37,8 @@
 		n.updateServices()
 		n.expireUpstreams()
 		n.saveUpstreams()
-		_, _, leading := n.replica.Leader()
+		leader, _, leading := n.replica.Leader()
+		leaders.Observe(n.logger, "control", leader != "", time.Now())
 		if !leading {
 			firstStoreAt = time.Time{}
 			continue
--- a/jobpages/state.go
+++ b/jobpages/state.go
@@ -249,6 +249,17 @@
 	return items
 }
 
+// OpenCount returns the number of items without a result.
+func (s *State) OpenCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := 0
+	for _, job := range s.openJobs {
+		count += int(job.record.GetItems() - job.record.GetSettled())
+	}
+	return count
+}
+
 // IsItemOpen reports whether a job is open and the item has no result.
 func (s *State) IsItemOpen(jobID string, index uint32) bool {
 	s.mu.Lock()
--- a/node/slot_pool.go
+++ b/node/slot_pool.go
@@ -254,6 +254,13 @@
 	return s.pool.QueueLength()
 }
 
+// Counts counts the upstreams by what keeps batch items from them.
+func (s *SlotPool) Counts() dispatch.UpstreamCounts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool.Counts(time.Now())
+}
+
 // SuspectCount returns the number of suspect upstreams.
 func (s *SlotPool) SuspectCount() int {
 	s.mu.Lock()
--- a/storenode/acquire.go
+++ b/storenode/acquire.go
@@ -57,6 +57,7 @@
 	case refused.Reason == dispatch.NoUpstream || refused.Reason == dispatch.TooLarge:
 		return dispatch.Grant{}, versionGone
 	}
+	round.refuse(string(refused.Reason))
 	round.RecordBusy(origin, a.key)
 	request.Bound = false
 	round.unbound[origin.Service] = request
@@ -89,6 +90,7 @@
 // recordRefusal records in the round which items a refusal concerns, and returns the result
 // for the item that was refused. Smaller items may start while there is no memory for a large one.
 func (r *runner) recordRefusal(round *startRound, request dispatch.SlotRequest, reason dispatch.Reason) startResult {
+	round.refuse(string(reason))
 	switch reason {
 	case dispatch.NoMemory:
 		// Items that are more urgent or avoid nothing may find memory where this one did not.
--- a/storenode/metrics.go
+++ b/storenode/metrics.go
@@ -13,6 +13,10 @@
 	restarted *prometheus.CounterVec
 	postponed prometheus.Counter
 	runTime   prometheus.Histogram
+	// stalled is the time for which items have waited while none ran, stalls counts the reported
+	// stalls by reason.
+	stalled prometheus.Gauge
+	stalls  *prometheus.CounterVec
 }
 
 // runTimeBuckets spans the usual run times of items, in seconds.
@@ -37,7 +41,13 @@
 			Name: "briarcross_item_run_seconds", Help: "Time of the last run of an item.", Buckets: runTimeBuckets,
 		}),
 	}
-	m.registry.MustRegister(m.settled, m.stopped, m.restarted, m.postponed, m.runTime, n.runner.workers.results,
+	m.stalled = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "briarcross_items_stalled_seconds", Help: "Time for which open items have waited while this leader ran none.",
+	})
+	m.stalls = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "briarcross_item_stalls_total", Help: "Times that no item ran for seconds although some were open, by the reason that most of them did not start.",
+	}, []string{"reason"})
+	m.registry.MustRegister(m.stalled, m.stalls, m.settled, m.stopped, m.restarted, m.postponed, m.runTime, n.runner.workers.results,
 		node.Gauge("briarcross_open_items", "Items without a result.", func() float64 {
 			return float64(len(n.state.OpenItems()))
 		}),
--- a/storenode/node.go
+++ b/storenode/node.go
@@ -109,6 +109,7 @@
 	})
 	n.Run(ctx)
 	n.tasks.Go(n.maintainMembership)
+	n.tasks.Go(func() { n.runner.watchStalls(ctx) })
 	return n, nil
 }
 
@@ -135,6 +136,7 @@
 	ticker := time.NewTicker(membershipInterval)
 	defer ticker.Stop()
 	members := ""
+	var leaders node.LeaderWatch
 	for {
 		select {
 		case <-n.ctx.Done():
@@ -147,7 +149,8 @@
 			continue
 		}
 		members = node.LogMembers(n.logger, "storage", r.Status(), members)
-		_, _, leading := r.Leader()
+		leader, _, leading := r.Leader()
+		leaders.Observe(n.logger, "storage", leader != "" || !isMember(r.Status(), n.settings.Address), time.Now())
 		if leading {
 			n.maintainGroup(r)
 		}
--- a/storenode/runner.go
+++ b/storenode/runner.go
@@ -66,6 +66,8 @@
 	targets *itemTargets
 	// triedAt is the time of the last start of an item with a part in quarantine.
 	triedAt time.Time
+	// lastSearch is the result of the last search for items that can start.
+	lastSearch searchResult
 	// ctx is the parent of all runs; it is cancelled when leadership changes.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -258,6 +260,7 @@
 			break
 		}
 		if r.mustWait(key, round) {
+			round.refuse(waitsForSlot)
 			continue
 		}
 		readCount++
@@ -269,6 +272,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	round.End(func(service string) bool { return r.node.Slots.HasSlot(round.unbound[service]) })
+	r.lastSearch = searchResult{time.Now(), len(runnable), round.refused}
 }
 
 // mustWait reports whether an item certainly gets no slot in a round. Items that have not been
@@ -306,22 +310,23 @@
 	switch eligibility := jobpages.CheckEligibility(job, time.Now(), round.table.Version, target.route != nil); eligibility {
 	case jobpages.Eligible:
 	case jobpages.RoutingBehind:
-		r.postpone(key, item, string(eligibility), routingRecheck)
+		r.postpone(round, key, item, string(eligibility), routingRecheck)
 		return notEligible
 	default:
+		round.refuse(string(eligibility))
 		round.failed = append(round.failed, &pb.PageResult{JobId: key.JobID, Item: key.Index, Failed: true, Reason: string(eligibility)})
 		return notEligible
 	}
 	_, quarantined := r.node.Quarantine.Check(r.promptParts(item))
 	if quarantined && !r.mayTry(time.Now()) {
-		r.postpone(key, item, "prompt_quarantined", quarantineRecheck)
+		r.postpone(round, key, item, "prompt_quarantined", quarantineRecheck)
 		return notEligible
 	}
 	attempt := startAttempt{key: key, job: job, target: target, openCount: openCount}
 	grant, reason, result := r.acquireSlot(parent, attempt, round)
 	switch result {
 	case tooLarge:
-		r.postpone(key, item, string(dispatch.TooLarge), tooLargeRecheck)
+		r.postpone(round, key, item, string(dispatch.TooLarge), tooLargeRecheck)
 	case started:
 		r.startRun(parent, key, job, item, grant, reason)
 		if quarantined {
--- a/storenode/start_round.go
+++ b/storenode/start_round.go
@@ -48,18 +48,25 @@
 	onlyFreeAt map[serviceUpstream]bool
 	// failed holds the results of items that are not eligible any more.
 	failed []*pb.PageResult
+	// refused counts the refusals by reason.
+	refused map[string]int
 }
 
+// waitsForSlot is the reason of items that need not be looked at, because others were refused.
+const waitsForSlot = "waits_for_slot"
+
 type serviceUpstream struct{ service, upstream string }
 
 func newStartRound(round *jobpages.StartRound, table *routing.Table) *startRound {
 	return &startRound{
 		StartRound: round, table: table,
 		unbound: make(map[string]dispatch.SlotRequest), full: make(map[string]bool), noMemory: make(map[string]int),
-		onlyFreeAt: make(map[serviceUpstream]bool),
+		onlyFreeAt: make(map[serviceUpstream]bool), refused: make(map[string]int),
 	}
 }
 
+func (r *startRound) refuse(reason string) { r.refused[reason]++ }
+
 // isOver reports whether no service has a free slot.
 func (r *startRound) isOver() bool { return len(r.full) >= len(r.table.Services) }
 
--- a/storenode/trials.go
+++ b/storenode/trials.go
@@ -38,10 +38,11 @@
 }
 
 // postpone keeps back an item for some time.
-func (r *runner) postpone(key jobpages.ItemKey, item *pb.PageItem, reason string, delay time.Duration) {
+func (r *runner) postpone(round *startRound, key jobpages.ItemKey, item *pb.PageItem, reason string, delay time.Duration) {
 	r.mu.Lock()
 	r.scheduler.Postpone(key, time.Now().Add(delay))
 	r.mu.Unlock()
+	round.refuse(reason)
 	r.recordPostponed(key, item, reason, delay)
 }
 
