--- a/controlnode/api.go
+++ b/controlnode/api.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"time"
 
 	"github.com/briarcross/briarcross/eventlog"
 	"github.com/briarcross/briarcross/fleet"
@@ -90,7 +89,7 @@
 // RecordHeartbeat applies a heartbeat of an upstream, unless a newer one is known. That of a
 // service that the routing table does not name waits until it does.
 func (n *Node) RecordHeartbeat(heartbeat fleet.Upstream) {
-	heartbeat.LastHeartbeat = time.Now()
+	heartbeat.LastHeartbeat = n.now()
 	if !n.services.isNamed(heartbeat.Service) {
 		// The table may have changed since the last regular update.
 		n.updateServices()
@@ -177,7 +176,7 @@
 		n.metrics.heartbeats.WithLabelValues(string(heartbeatOverLimit)).Inc()
 		return
 	}
-	n.upstreams.Deregister(id, time.Now())
+	n.upstreams.Deregister(id, n.now())
 	current, _ := n.upstreams.Get(id)
 	n.relayed[id] = false
 	n.upstreamsUnsaved = true
--- a/controlnode/maintenance.go
+++ b/controlnode/maintenance.go
@@ -57,7 +57,7 @@
 // expireUpstreams removes the upstreams that left or fell silent long ago, and lists
 // those that have missed several heartbeats or lost their address.
 func (n *Node) expireUpstreams() {
-	now := time.Now()
+	now := n.now()
 	n.upstreamLock.Lock()
 	for _, id := range n.upstreams.Expire(now) {
 		delete(n.relayed, id)
--- a/controlnode/node.go
+++ b/controlnode/node.go
@@ -46,8 +46,10 @@
 // Node is a running control replica.
 type Node struct {
 	daemon.FatalErrorReporter
-	settings       *node.Settings
-	logger         *log.Logger
+	settings *node.Settings
+	logger   *log.Logger
+	// now returns the time.
+	now            func() time.Time
 	identity       *transport.Identity
 	transport      *transport.Client
 	server         *transport.Server
@@ -107,11 +109,25 @@
 // Start starts a control replica. The settings must have passed Check. The handler serves the HTTP
 // calls of operators and upstreams.
 func Start(settings *node.Settings, logger *log.Logger, codec RoutingCodec, handler func(*Node) http.Handler) (*Node, error) {
+	n := newNode(settings, logger, codec, time.Now)
+	if err := n.open(); err != nil {
+		n.cancel()
+		return nil, err
+	}
+	if err := n.serveOperators(handler(n)); err != nil {
+		return nil, errors.Join(err, n.Stop())
+	}
+	return n, nil
+}
+
+// newNode returns a control replica with the upstreams that it has saved. It does not run yet.
+func newNode(settings *node.Settings, logger *log.Logger, codec RoutingCodec, now func() time.Time) *Node {
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
 		FatalErrorReporter: daemon.NewFatalErrorReporter(),
 		settings:           settings,
 		logger:             logger,
+		now:                now,
 		identity:           settings.Identity(),
 		view:               node.NewView(),
 		upstreams:          fleet.NewTable(),
@@ -132,14 +148,7 @@
 	n.quarantine = node.NewQuarantine(logger, n.subscribers.notify)
 	n.metrics = newMetrics(n)
 	n.peers = peering.NewSender(ctx, n.transport, node.ReplicaAddress, func() {})
-	if err := n.open(); err != nil {
-		cancel()
-		return nil, err
-	}
-	if err := n.serveOperators(handler(n)); err != nil {
-		return nil, errors.Join(err, n.Stop())
-	}
-	return n, nil
+	return n
 }
 
 func (n *Node) open() error {
@@ -303,8 +312,12 @@
 	return members
 }
 
-// readRouting reads the routing table, or only its version if that is the known one.
+// readRouting reads the routing table, or only its version if that is the known one. A replica
+// that is not open has none.
 func (n *Node) readRouting(known uint64) (version uint64, document []byte) {
+	if n.replica == nil {
+		return 0, nil
+	}
 	n.replica.View(func(r kv.Reader) {
 		if version = deployment.ReadRoutingVersion(r); version != known {
 			document = deployment.ReadRouting(r).GetDocument()
--- a/controlnode/reused_address_test.go
+++ b/controlnode/reused_address_test.go
@@ -1,10 +1,11 @@
 package controlnode
 
 import (
+	"io"
 	"slices"
 	"testing"
-	"time"
 
+	"github.com/charmbracelet/log"
 	. "github.com/onsi/gomega"
 
 	"github.com/briarcross/briarcross/fleet"
@@ -12,29 +13,28 @@
 	"github.com/briarcross/briarcross/pb"
 )
 
-// testReplica is a control replica with the view that merges what the others send it.
+// testReplica is a control replica at a clock.
 type testReplica struct {
 	*Node
 	address string
+	clock   *testClock
 }
 
-func newTestReplica(t *testing.T, address string) testReplica {
-	n := newUnstartedNode(t.TempDir())
-	n.view = node.NewView()
-	return testReplica{n, address}
+func newTestReplica(t *testing.T, address string, clock *testClock) testReplica {
+	return testReplica{newUnstartedNodeAt(t.TempDir(), clock.now, log.New(io.Discard)), address, clock}
 }
 
 // update returns what the replica sends to a subscriber next.
 func (r testReplica) update(s *subscriber) *pb.FleetUpdate {
 	update := &pb.FleetUpdate{}
 	r.expireUpstreams()
-	r.addUpstreams(time.Now(), s, update)
+	r.addUpstreams(r.clock.now(), s, update)
 	return update
 }
 
 // send sends the next update to another replica.
 func (r testReplica) send(s *subscriber, to testReplica) {
-	to.applyRelayed(to.view.Merge(time.Now(), r.address, r.update(s)))
+	to.applyRelayed(to.view.Merge(to.clock.now(), r.address, r.update(s)))
 }
 
 func addressHeartbeat(id string, sequence uint64) fleet.Upstream {
@@ -63,21 +63,23 @@
 // a before a subscribes to b. The present engine sends on heartbeats to a.
 func TestADaemonHearsAgainOfAnEngineThatItsViewReplaced(t *testing.T) {
 	expect := NewWithT(t)
-	a, b := newTestReplica(t, "a"), newTestReplica(t, "b")
+	clock := newTestClock()
+	a, b := newTestReplica(t, "a", clock), newTestReplica(t, "b", clock)
 	b.RecordHeartbeat(addressHeartbeat("former", 9))
 	a.RecordHeartbeat(addressHeartbeat("current", 1))
 	daemon := node.NewView()
 	aToDaemon, bToDaemon := newSubscriberOf(node.RoleEntry), newSubscriberOf(node.RoleEntry)
 	aToB, bToA := newSubscriberOf(node.RoleControl), newSubscriberOf(node.RoleControl)
 	exchange := func() {
-		daemon.Merge(time.Now(), "a", a.update(aToDaemon))
-		daemon.Merge(time.Now(), "b", b.update(bToDaemon))
+		daemon.Merge(clock.now(), "a", a.update(aToDaemon))
+		daemon.Merge(clock.now(), "b", b.update(bToDaemon))
 		a.send(aToB, b)
 		b.send(bToA, a)
 	}
 	exchange()
 	for sequence := uint64(2); sequence < 20; sequence++ {
 		exchange()
+		clock.advance(1)
 		a.RecordHeartbeat(addressHeartbeat("current", sequence))
 	}
 	exchange()
@@ -92,18 +94,21 @@
 // that reaches both subscribes to b after a.
 func TestAReplicaThatIsCutOffDoesNotReplaceAnEngineAtADaemon(t *testing.T) {
 	expect := NewWithT(t)
-	a, b := newTestReplica(t, "a"), newTestReplica(t, "b")
+	clock := newTestClock()
+	a, b := newTestReplica(t, "a", clock), newTestReplica(t, "b", clock)
 	b.RecordHeartbeat(addressHeartbeat("former", 9))
 	a.RecordHeartbeat(addressHeartbeat("former", 8))
+	clock.advance(2)
 	a.RecordHeartbeat(addressHeartbeat("current", 1))
 	daemon := node.NewView()
 	aToDaemon, bToDaemon := newSubscriberOf(node.RoleEntry), newSubscriberOf(node.RoleEntry)
-	daemon.Merge(time.Now(), "a", a.update(aToDaemon))
-	daemon.Merge(time.Now(), "b", b.update(bToDaemon))
+	daemon.Merge(clock.now(), "a", a.update(aToDaemon))
+	daemon.Merge(clock.now(), "b", b.update(bToDaemon))
 	for sequence := uint64(2); sequence < 100; sequence++ {
+		clock.advance(1)
 		a.RecordHeartbeat(addressHeartbeat("current", sequence))
-		daemon.Merge(time.Now(), "a", a.update(aToDaemon))
-		daemon.Merge(time.Now(), "b", b.update(bToDaemon))
+		daemon.Merge(clock.now(), "a", a.update(aToDaemon))
+		daemon.Merge(clock.now(), "b", b.update(bToDaemon))
 	}
 	expect.Expect(isUsableIn(daemon, "current")).To(BeTrue())
 }
@@ -112,21 +117,23 @@
 // address.
 func TestADeregistrationAtAReplicaWithAnEmptyDiskLeavesTheNextEngine(t *testing.T) {
 	expect := NewWithT(t)
-	a, b := newTestReplica(t, "a"), newTestReplica(t, "b")
+	clock := newTestClock()
+	a, b := newTestReplica(t, "a", clock), newTestReplica(t, "b", clock)
 	daemon := node.NewView()
 	aToDaemon, bToDaemon := newSubscriberOf(node.RoleEntry), newSubscriberOf(node.RoleEntry)
 	aToB, bToA := newSubscriberOf(node.RoleControl), newSubscriberOf(node.RoleControl)
 	a.RecordHeartbeat(addressHeartbeat("former", 9))
-	daemon.Merge(time.Now(), "a", a.update(aToDaemon))
+	daemon.Merge(clock.now(), "a", a.update(aToDaemon))
 	b.Deregister("former")
 	exchange := func() {
 		a.send(aToB, b)
 		b.send(bToA, a)
-		daemon.Merge(time.Now(), "a", a.update(aToDaemon))
-		daemon.Merge(time.Now(), "b", b.update(bToDaemon))
+		daemon.Merge(clock.now(), "a", a.update(aToDaemon))
+		daemon.Merge(clock.now(), "b", b.update(bToDaemon))
 	}
 	exchange()
 	for sequence := uint64(1); sequence < 20; sequence++ {
+		clock.advance(1)
 		b.RecordHeartbeat(addressHeartbeat("current", sequence))
 		exchange()
 	}
@@ -140,7 +147,8 @@
 // must hear of that.
 func TestADeregistrationIsRelayedAlsoIfTheHeartbeatWasRelayed(t *testing.T) {
 	expect := NewWithT(t)
-	a, b := newTestReplica(t, "a"), newTestReplica(t, "b")
+	clock := newTestClock()
+	a, b := newTestReplica(t, "a", clock), newTestReplica(t, "b", clock)
 	aToB, bToA := newSubscriberOf(node.RoleControl), newSubscriberOf(node.RoleControl)
 	a.send(aToB, b)
 	b.send(bToA, a)
--- a/controlnode/services_test.go
+++ b/controlnode/services_test.go
@@ -27,7 +27,7 @@
 	for name, foreign := range map[string]fleet.Upstream{"its address": ready("x", "nobody", 9, 1), "its ID": ready("a", "nobody", 9, 1)} {
 		t.Run(name, func(t *testing.T) {
 			expect := NewWithT(t)
-			r := newTestReplica(t, "c1")
+			r := newTestReplica(t, "c1", newTestClock())
 			r.nameServices(1, "s")
 			r.RecordHeartbeat(ready("a", "s", 7, 1))
 			r.RecordHeartbeat(foreign)
@@ -43,7 +43,7 @@
 // Engines of a service begin to report before the configuration names it.
 func TestUpstreamIsUsedOnceItsServiceIsNamed(t *testing.T) {
 	expect := NewWithT(t)
-	r := newTestReplica(t, "c1")
+	r := newTestReplica(t, "c1", newTestClock())
 	r.nameServices(1, "s")
 	r.RecordHeartbeat(ready("b", "later", 7, 1))
 	r.RecordHeartbeat(ready("c", "later", 7, 1))
@@ -58,7 +58,7 @@
 
 func TestHeartbeatsOfUnnamedServicesAreBounded(t *testing.T) {
 	expect := NewWithT(t)
-	r := newTestReplica(t, "c1")
+	r := newTestReplica(t, "c1", newTestClock())
 	r.nameServices(1, "s")
 	for i := range 2 * maxUnnamed {
 		r.RecordHeartbeat(ready(strings.Repeat("x", i), "nobody", 7, 1))
--- a/controlnode/unencodable_test.go
+++ b/controlnode/unencodable_test.go
@@ -28,7 +28,6 @@
 	before.saveUpstreams()
 
 	after := newUnstartedNode(before.settings.DataDir)
-	after.loadUpstreams()
 	expect.Expect(after.upstreams.Len()).To(Equal(1))
 	_, known := after.upstreams.Get("a")
 	expect.Expect(known).To(BeTrue())
--- a/controlnode/upstreams.go
+++ b/controlnode/upstreams.go
@@ -6,7 +6,6 @@
 	"io/fs"
 	"os"
 	"path/filepath"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
@@ -47,7 +46,7 @@
 		n.logger.Warn(eventlog.UpstreamsNotLoaded, "error", err)
 		return
 	}
-	now := time.Now()
+	now := n.now()
 	for _, heartbeat := range saved.GetUpstreams() {
 		// With at least this age, an upstream is used only if no other is left,
 		// until its next heartbeat. The time since the table was saved is unknown.
@@ -73,7 +72,7 @@
 	}
 	n.upstreamsUnsaved = false
 	saved := &pb.FleetUpdate{}
-	now := time.Now()
+	now := n.now()
 	for _, u := range n.upstreams.All() {
 		saved.Upstreams = append(saved.Upstreams, node.EncodeHeartbeat(now, u))
 	}
--- a/controlnode/upstreams_test.go
+++ b/controlnode/upstreams_test.go
@@ -17,20 +17,29 @@
 	"github.com/briarcross/briarcross/node"
 )
 
-// newUnstartedNode returns a node that has only what the upstream table needs.
+// testHeartbeatInterval is the interval of heartbeats in the settings of unstarted nodes.
+const testHeartbeatInterval = time.Second
+
+// testClock is a clock that tests set. The zero value is not usable; call newTestClock.
+type testClock struct{ at time.Time }
+
+func newTestClock() *testClock { return &testClock{time.UnixMilli(1_000_000)} }
+
+func (c *testClock) now() time.Time { return c.at }
+
+// advance moves the clock by a number of heartbeat intervals.
+func (c *testClock) advance(intervals float64) {
+	c.at = c.at.Add(time.Duration(intervals * float64(testHeartbeatInterval)))
+}
+
+// newUnstartedNode returns a node that does not run, as Start makes it.
 func newUnstartedNode(folder string) *Node {
-	n := &Node{
-		settings:    &node.Settings{DataDir: folder, HeartbeatInterval: time.Second},
-		logger:      log.New(io.Discard),
-		upstreams:   fleet.NewTable(),
-		relayed:     make(map[string]bool),
-		services:    newServiceRegistry(func() *acceptedRouting { return nil }, nil),
-		routing:     newRoutingSource(func(uint64) (uint64, []byte) { return 0, nil }, nil),
-		subscribers: newSubscribers(),
-		quarantine:  node.NewQuarantine(log.New(io.Discard), func() {}),
-	}
-	n.metrics = newMetrics(n)
-	return n
+	return newUnstartedNodeAt(folder, time.Now, log.New(io.Discard))
+}
+
+func newUnstartedNodeAt(folder string, now func() time.Time, logger *log.Logger) *Node {
+	settings := &node.Settings{ID: "control-1", Role: node.RoleControl, DataDir: folder, HeartbeatInterval: testHeartbeatInterval}
+	return newNode(settings, logger, RoutingCodec{}, now)
 }
 
 // All daemons lose power at once while the upstreams keep running. A restarted
@@ -47,7 +56,6 @@
 	before.saveUpstreams()
 
 	after := newUnstartedNode(folder)
-	after.loadUpstreams()
 	for id, phase := range map[string]fleet.Phase{"a": fleet.Ready, "b": fleet.Draining, "c": fleet.Gone} {
 		u, known := after.upstreams.Get(id)
 		expect.Expect(known).To(BeTrue(), id)
@@ -63,31 +71,65 @@
 func TestRestartKeepsUpstreamsAtReusedAddresses(t *testing.T) {
 	expect := NewWithT(t)
 	folder := t.TempDir()
-	before := newUnstartedNode(folder)
+	clock := newTestClock()
+	newAt := func() *Node { return newUnstartedNodeAt(folder, clock.now, log.New(io.Discard)) }
+	before := newAt()
 	heartbeat := func(id string, sequence uint64) fleet.Upstream {
 		return fleet.Upstream{ID: id, Sequence: sequence, Service: "s", Address: "10.0.0.1:80", Slots: 8, Phase: fleet.Ready}
 	}
 	before.RecordHeartbeat(heartbeat("former-crashed", 9))
+	clock.advance(2)
 	before.RecordHeartbeat(heartbeat("former-left", 5))
 	before.Deregister("former-left")
 	before.RecordHeartbeat(heartbeat("current", 1))
 	before.saveUpstreams()
 
-	after := newUnstartedNode(folder)
-	after.loadUpstreams()
+	clock.advance(1)
+	after := newAt()
 	u, _ := after.upstreams.Get("current")
 	expect.Expect(u.Phase).To(Equal(fleet.Ready))
 	after.RecordHeartbeat(heartbeat("current", 2))
 	u, _ = after.upstreams.Get("current")
 	expect.Expect(u.Phase).To(Equal(fleet.Ready))
 	expect.Expect(u.Sequence).To(BeEquivalentTo(2))
-	replica := testReplica{after, "after"}
+	replica := testReplica{after, "after", clock}
 	expect.Expect(replica.isUsable("current")).To(BeTrue())
 	for _, id := range []string{"former-crashed", "former-left"} {
 		expect.Expect(replica.isUsable(id)).To(BeFalse(), id)
 	}
 }
 
+// Two engines were heard at one address shortly before a loss of power. The record of the running
+// one was dropped as contested if the ID of its predecessor sorts before its own, and daemons did
+// not know the engine until its next heartbeat.
+func TestRestartKeepsTheRunningUpstreamOfAnAddress(t *testing.T) {
+	for name, ids := range map[string][2]string{"in the order of IDs": {"i-1", "i-2"}, "in the other order": {"i-2", "i-1"}} {
+		t.Run(name, func(t *testing.T) {
+			expect := NewWithT(t)
+			folder, clock := t.TempDir(), newTestClock()
+			former, current := ids[0], ids[1]
+			before := newUnstartedNodeAt(folder, clock.now, log.New(io.Discard))
+			before.RecordHeartbeat(addressHeartbeat(former, 9))
+			clock.advance(2)
+			before.RecordHeartbeat(addressHeartbeat(current, 1))
+			before.saveUpstreams()
+
+			clock.advance(1)
+			after := testReplica{newUnstartedNodeAt(folder, clock.now, log.New(io.Discard)), "after", clock}
+			for _, id := range ids {
+				_, known := after.upstreams.Get(id)
+				expect.Expect(known).To(BeTrue(), id)
+			}
+			holder, _ := after.upstreams.Holder("10.0.0.1:80")
+			expect.Expect(holder.ID).To(Equal(current))
+			expect.Expect(after.isUsable(current)).To(BeFalse(), "not heard yet")
+			after.RecordHeartbeat(addressHeartbeat(current, 2))
+			expect.Expect(after.isUsable(current)).To(BeTrue())
+			expect.Expect(after.isUsable(former)).To(BeFalse())
+		})
+	}
+}
+
 // The saved table says how long each upstream has not been heard.
 func TestARestartMakesNoUpstreamYounger(t *testing.T) {
 	expect := NewWithT(t)
@@ -101,7 +143,6 @@
 	before.saveUpstreams()
 
 	after := newUnstartedNode(before.settings.DataDir)
-	after.loadUpstreams()
 	old, _ := after.upstreams.Get("old")
 	expect.Expect(time.Since(old.LastHeartbeat)).To(BeNumerically(">=", age))
 	young, _ := after.upstreams.Get("young")
@@ -113,15 +154,16 @@
 func TestTheLogSaysWhyAnUpstreamIsSilent(t *testing.T) {
 	expect := NewWithT(t)
 	var out bytes.Buffer
-	n := newUnstartedNode(t.TempDir())
-	n.logger = eventlog.New(&out, "control-1", "control")
+	clock := newTestClock()
+	n := newUnstartedNodeAt(t.TempDir(), clock.now, eventlog.New(&out, "control-1", "control"))
 	heartbeat := func(id, address string) fleet.Upstream {
 		return fleet.Upstream{ID: id, Sequence: 1, Address: address, Phase: fleet.Ready}
 	}
 	crashed := heartbeat("crashed", "10.0.0.2:80")
-	crashed.LastHeartbeat = time.Now().Add(-time.Minute)
+	crashed.LastHeartbeat = clock.now().Add(-time.Minute)
 	n.applyRelayed(node.ViewChanges{Renewed: []fleet.Upstream{crashed}})
 	n.RecordHeartbeat(heartbeat("former", "10.0.0.1:80"))
+	clock.advance(2)
 	n.RecordHeartbeat(heartbeat("current", "10.0.0.1:80"))
 	n.expireUpstreams()
 	n.expireUpstreams()
@@ -149,7 +191,6 @@
 	for _, damaged := range [][]byte{nil, raw[:5], append([]byte{raw[0] ^ 1}, raw[1:]...)} {
 		expect.Expect(os.WriteFile(n.upstreamsPath(), damaged, 0o600)).To(Succeed())
 		after := newUnstartedNode(n.settings.DataDir)
-		after.loadUpstreams()
 		expect.Expect(after.upstreams.All()).To(BeEmpty())
 	}
 }
