--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -120,14 +120,7 @@
 	d.routing = NewRoutingReceiver(codec, logger, d.applyRouting)
 	d.Transport = transport.NewClient(d.Identity, nil)
 	d.Storage = client.NewReplicaClient(d.Transport, nil)
-	d.Slots = NewSlotPool(dispatch.Options{
-		Daemon:         d.Identity.ID,
-		DataCentre:     settings.DataCentre,
-		Seed:           d.Identity.Incarnation,
-		BatchReserve:   batchReserve,
-		PeerTimeout:    PeerTimeout,
-		SummaryTimeout: SummaryTimeout,
-	}, SlotHooks{
+	d.Slots = NewSlotPool(PoolOptions(settings, d.Identity), SlotHooks{
 		LoadChanged:         func() { d.loadReporter.LoadsChanged() },
 		HealthChanged:       d.logHealthChange,
 		Leaving:             d.upstreamLeaving,
@@ -149,6 +142,18 @@
 	return d, nil
 }
 
+// PoolOptions returns the options of the pool of upstreams of a daemon.
+func PoolOptions(settings *Settings, identity *transport.Identity) dispatch.Options {
+	return dispatch.Options{
+		Daemon:         identity.ID,
+		DataCentre:     settings.DataCentre,
+		Seed:           identity.Incarnation,
+		BatchReserve:   batchReserve,
+		PeerTimeout:    PeerTimeout,
+		SummaryTimeout: SummaryTimeout,
+	}
+}
+
 // Run starts the background tasks and returns. They run until the context ends.
 func (d *Dispatcher) Run(ctx context.Context) {
 	d.tasks.Go(func() { d.follower.Run(ctx) })
