--- a/controlnode/upstreams.go
+++ b/controlnode/upstreams.go
@@ -47,16 +47,17 @@
 		return
 	}
 	now := n.now()
+	// With at least this age, an upstream is used only if no other is left, until its next
+	// heartbeat. The time since the table was saved is unknown. All age alike, so that the
+	// upstream of an address that was heard last is still known.
+	aged := now.Add(-node.MaxMissedHeartbeats * n.settings.HeartbeatInterval)
 	for _, heartbeat := range saved.GetUpstreams() {
-		// With at least this age, an upstream is used only if no other is left,
-		// until its next heartbeat. The time since the table was saved is unknown.
-		heartbeat.AgeMs = max(heartbeat.GetAgeMs(), uint32((node.MaxMissedHeartbeats * n.settings.HeartbeatInterval).Milliseconds()))
-		upstream := node.DecodeHeartbeat(now, heartbeat)
+		upstream := node.DecodeHeartbeat(aged, heartbeat)
 		if err := upstream.Check(); err != nil {
 			n.logger.Warn(eventlog.HeartbeatRejected, "upstream", identifier.Loggable(upstream.ID), "reason", "invalid", "from", n.upstreamsPath(), "error", err)
 			continue
 		}
-		n.upstreams.Apply(upstream)
+		n.upstreams.Restore(upstream)
 	}
 	for _, u := range n.upstreams.All() {
 		n.logUpstream(u, sourceSaved)
--- a/controlnode/upstreams_test.go
+++ b/controlnode/upstreams_test.go
@@ -122,6 +122,7 @@
 			}
 			holder, _ := after.upstreams.Holder("10.0.0.1:80")
 			expect.Expect(holder.ID).To(Equal(current))
+			clock.advance(0.1)
 			expect.Expect(after.isUsable(current)).To(BeFalse(), "not heard yet")
 			after.RecordHeartbeat(addressHeartbeat(current, 2))
 			expect.Expect(after.isUsable(current)).To(BeTrue())
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -160,6 +160,15 @@
 	return true
 }
 
+// Restore merges a record that was saved before a start. It is no claim: the upstream had its
+// address when it was saved.
+func (t *Table) Restore(saved Upstream) bool {
+	delay := t.claimDelay
+	t.claimDelay = 0
+	defer func() { t.claimDelay = delay }()
+	return t.Apply(saved)
+}
+
 // SetClaimDelay sets the time for which a present upstream that was heard is not replaced by what
 // claims to be another start of it, or another upstream at its address. It must be shorter than
 // the time after which an address is used again, and longer than the interval of heartbeats. Only
