--- a/node/view.go
+++ b/node/view.go
@@ -49,16 +49,15 @@
 	joinedAt map[software]time.Time
 	// lastPhases holds the last reported phase of each upstream by its ID.
 	lastPhases map[string]instancePhase
-	// daemons holds the daemons that each control replica reports by their address,
-	// and silent the upstreams whose heartbeats it misses. Both are keyed by the
-	// address of the replica.
+	// daemons holds the daemons that each control replica reports by their address, and reports
+	// what it reports of upstreams. Both are keyed by the address of the replica.
 	daemons map[string]map[string]*pb.Daemon
-	silent  map[string][]string
+	reports map[string]*upstreamReport
 	// uniqueDaemons is the union of daemons, nil if it is outdated. daemonsVersion
 	// counts the changes of daemons.
 	uniqueDaemons  []*pb.Daemon
 	daemonsVersion uint64
-	// silentOutdated is set when silent has changed since markSilent.
+	// silentOutdated is set when reports have changed since markSilent.
 	silentOutdated bool
 	// currentReplicas holds the control replicas that are in contact with the majority
 	// of their group, by their address.
@@ -98,7 +97,7 @@
 func NewView() *View {
 	return &View{
 		upstreams: fleet.NewFollowerTable(), lastPhases: make(map[string]instancePhase), daemons: make(map[string]map[string]*pb.Daemon),
-		silent: make(map[string][]string), currentReplicas: make(map[string]currentReplica),
+		reports: make(map[string]*upstreamReport), currentReplicas: make(map[string]currentReplica),
 		software: make(map[string]software), softwareCounts: make(map[software]int), joinedAt: make(map[software]time.Time),
 	}
 }
@@ -157,8 +156,7 @@
 		heartbeats = append(heartbeats, heartbeat)
 	}
 	v.applyHeartbeats(heartbeats, u.GetSilent() != nil)
-	if u.GetSilent() != nil {
-		v.silent[from] = u.GetSilent().GetIds()
+	if v.reportOf(from).merge(now, heartbeats, u.GetSilent()) {
 		v.silentOutdated = true
 	}
 	if v.silentOutdated || len(u.GetUpstreams()) > 0 {
@@ -257,21 +255,19 @@
 	v.daemonsVersion++
 }
 
-// markSilent marks the upstreams that all control replicas miss. One that a replica
-// hears is there: the others may be cut off from it.
+// markSilent marks the upstreams that control replicas miss and none hears: those that miss one
+// may be cut off from it. It leaves those as they are that no replica reports.
 func (v *View) markSilent() {
 	v.silentOutdated = false
-	if len(v.silent) == 0 {
-		return
-	}
-	missedBy := make(map[string]int)
-	for _, ids := range v.silent {
-		for _, id := range ids {
-			missedBy[id]++
-		}
-	}
 	for _, u := range v.upstreams.All() {
-		v.upstreams.SetSilent(u.ID, missedBy[u.ID] == len(v.silent))
+		heard, missed := false, false
+		for _, r := range v.reports {
+			heard = heard || r.hears(u.ID)
+			missed = missed || r.misses(u.ID)
+		}
+		if heard || missed {
+			v.upstreams.SetSilent(u.ID, !heard)
+		}
 	}
 }
 
@@ -296,7 +292,7 @@
 	defer v.mu.Unlock()
 	delete(v.daemons, from)
 	v.daemonsChanged()
-	delete(v.silent, from)
+	delete(v.reports, from)
 	v.silentOutdated = true
 	delete(v.currentReplicas, from)
 }
@@ -423,11 +419,14 @@
 func (v *View) ExpireUpstreams(now time.Time) []string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if len(v.silent) > 0 {
+	if v.isToldOfSilence() {
 		v.upstreams.ConfirmHeard(now)
 	}
 	expired := v.upstreams.Expire(now)
 	for _, id := range expired {
+		for _, r := range v.reports {
+			delete(r.present, id)
+		}
 		delete(v.lastPhases, id)
 		v.removeSoftware(id)
 	}
