An upstream that no control replica reports is silent after three intervals (LOST)

A daemon took an upstream for heard, and kept it for good, once the only replica that knew it had lost its disk: the others had refused its record as contested, or were cut off, and do not list what they do not know.

Nobody speaks for such an upstream. A running one finds another replica within an interval or two; after three it counts as silent, which is used last, and expires. While no replica lists silent upstreams, nothing changes.

--- a/controlnode/fleet_property_test.go
+++ b/controlnode/fleet_property_test.go
@@ -113,7 +113,7 @@
 
 func (f *testFleet) startDaemon(d *fleetDaemon) {
 	settings := &node.Settings{ID: "store-1", Role: node.RoleStore, DataCentre: "d"}
-	d.view = node.NewView()
+	d.view = node.NewView(testHeartbeatInterval)
 	d.pool = dispatch.New(node.PoolOptions(settings, &transport.Identity{ID: settings.ID, Incarnation: 1}))
 	for _, r := range f.replicas {
 		delete(r.ofDaemons, d)
@@ -204,7 +204,7 @@
 	d := f.daemons[rapid.IntRange(0, len(f.daemons)-1).Draw(f.t, "daemon")]
 	address := rapid.IntRange(0, len(f.engines)-1).Draw(f.t, "address")
 	e := f.engines[address]
-	steps := []string{"heartbeat", "heartbeat", "heartbeat", "beat all", "replace", "delay", "late", "restart", "power", "relay", "relay", "update", "update", "update", "expire", "cut", "request", "request", "deregister"}
+	steps := []string{"heartbeat", "heartbeat", "heartbeat", "beat all", "replace", "delay", "late", "restart", "power", "relay", "relay", "update", "update", "update", "expire", "cut", "request", "request", "deregister", "foreign"}
 	switch rapid.SampledFrom(steps).Draw(f.t, "step") {
 	case "heartbeat":
 		r.RecordHeartbeat(e.heartbeat())
@@ -218,6 +218,10 @@
 		// An engine that leaves says so to one replica; the next one starts at its address.
 		r.Deregister(e.id)
 		f.engines[address] = f.newEngine(e.address)
+	case "foreign":
+		// Another writer names an address that an engine has.
+		foreign := &testEngine{id: fmt.Sprintf("x-%d", rapid.IntRange(0, 2).Draw(f.t, "foreign")), address: e.address, sequence: uint64(f.started)}
+		r.RecordHeartbeat(foreign.heartbeat())
 	case "delay":
 		f.delayed = append(f.delayed, e.heartbeat())
 	case "late":
@@ -313,7 +317,7 @@
 }
 
 // Engines follow each other at addresses, under new IDs. Their heartbeats reach any control replica,
-// some late; replicas save what they know, lose power, and sometimes their disks, alone or all at
+// some late, and some of other writers; replicas save what they know, lose power, and sometimes their disks, alone or all at
 // once with the daemons; connections break. Once all parts are connected, the running engines must
 // be in use everywhere, and no others, within two heartbeat intervals and the claim delay.
 func TestRunningEnginesAreUsedEverywhereAfterLossesOfPower(t *testing.T) {
--- a/controlnode/node.go
+++ b/controlnode/node.go
@@ -129,7 +129,7 @@
 		logger:             logger,
 		now:                now,
 		identity:           settings.Identity(),
-		view:               node.NewView(),
+		view:               node.NewView(settings.HeartbeatInterval),
 		upstreams:          fleet.NewTable(),
 		relayed:            make(map[string]bool),
 		ownDaemons:         newDirectory(),
--- a/controlnode/unencodable_test.go
+++ b/controlnode/unencodable_test.go
@@ -44,7 +44,7 @@
 		})
 	}
 	n := newUnstartedNode(t.TempDir())
-	view := node.NewView()
+	view := node.NewView(testHeartbeatInterval)
 	changes := view.Merge(time.Now(), "c1", update)
 	n.applyRelayed(changes)
 	expect.Expect(n.upstreams.Len()).To(Equal(1))
--- a/node/dispatcher.go
+++ b/node/dispatcher.go
@@ -93,7 +93,7 @@
 		Settings:     settings,
 		Logger:       logger,
 		Identity:     settings.Identity(),
-		View:         NewView(),
+		View:         NewView(settings.HeartbeatInterval),
 		onNotReady:   onNotReady,
 		onPreemption: onPreemption,
 		suspicions: prometheus.NewCounter(prometheus.CounterOpts{
--- a/node/quarantine_test.go
+++ b/node/quarantine_test.go
@@ -90,7 +90,7 @@
 	defer client.Close()
 	var f *Follower
 	q := newTestQuarantine(func() { f.EvidenceChanged() })
-	f = NewFollower(client, NewView(), q, nil, settings.Self(identity), settings.Seeds, log.New(io.Discard), func(ViewChanges) {})
+	f = NewFollower(client, NewView(time.Second), q, nil, settings.Self(identity), settings.Seeds, log.New(io.Discard), func(ViewChanges) {})
 	ctx := t.Context()
 	other := newTestQuarantine(func() {})
 	recordCrashes(other, "deadly")
--- a/node/quota_exchange_test.go
+++ b/node/quota_exchange_test.go
@@ -21,7 +21,7 @@
 	}
 	quotas := make(map[string]*QuotaExchange)
 	for _, id := range ids {
-		view := NewView()
+		view := NewView(time.Second)
 		view.Merge(time.Now(), "control", &pb.FleetUpdate{Daemons: daemons})
 		quotas[id] = NewQuotaExchange(&transport.Identity{ID: id, Incarnation: 1}, &Settings{DataCentre: dataCentreOf(id)}, view, func(quota.Transition, string) {})
 	}
--- a/node/stream_origins_test.go
+++ b/node/stream_origins_test.go
@@ -26,7 +26,7 @@
 func newOriginNetwork(addresses []string, versions ...string) *originNetwork {
 	network := &originNetwork{entries: make(map[string]*StreamOrigins)}
 	for _, address := range addresses {
-		view := NewView()
+		view := NewView(time.Second)
 		update := &pb.FleetUpdate{}
 		for _, a := range addresses {
 			update.Daemons = append(update.Daemons, &pb.Daemon{Id: a, Role: roleAt(a), Address: a, Incarnation: 1})
@@ -172,7 +172,7 @@
 // viewOf replaces the view of an entry by one that knows only some versions, like that
 // of an entry cut off from control or just started from an incomplete update.
 func (n *originNetwork) viewOf(address string, versions ...string) {
-	view := NewView()
+	view := NewView(time.Second)
 	update := &pb.FleetUpdate{}
 	for a := range n.entries {
 		update.Daemons = append(update.Daemons, &pb.Daemon{Id: a, Role: roleAt(a), Address: a, Incarnation: 1})
@@ -285,7 +285,7 @@
 
 func TestAViewIsCurrentWhileAReplicaSaysSo(t *testing.T) {
 	expect := NewWithT(t)
-	view := NewView()
+	view := NewView(time.Second)
 	update := &pb.FleetUpdate{Current: true}
 	at := now
 	view.Merge(at, "a", update)
@@ -573,7 +573,7 @@
 // it hears of first.
 func TestVersionsThatBeginStreamsAtOnce(t *testing.T) {
 	expect := NewWithT(t)
-	view := NewView()
+	view := NewView(time.Second)
 	beat := func(id, version string, sequence uint64, phase pb.UpstreamPhase) *pb.UpstreamBeat {
 		return &pb.UpstreamBeat{
 			Id: id, Sequence: sequence, Service: "s", Address: id + ":1", Slots: 1, Phase: phase, SoftwareVersion: version,
--- a/node/view.go
+++ b/node/view.go
@@ -59,6 +59,10 @@
 	daemonsVersion uint64
 	// silentOutdated is set when reports have changed since markSilent.
 	silentOutdated bool
+	// unreportedSince holds by ID since when no replica has reported an upstream. One that is
+	// unreported for unreportedTimeout is silent.
+	unreportedSince   map[string]time.Time
+	unreportedTimeout time.Duration
 	// currentReplicas holds the control replicas that are in contact with the majority
 	// of their group, by their address.
 	currentReplicas map[string]currentReplica
@@ -93,9 +97,18 @@
 	service, version string
 }
 
-// NewView returns an empty view.
-func NewView() *View {
+const (
+	// unreportedIntervals is the unreportedTimeout of a view in intervals of heartbeats. A running
+	// upstream finds another control replica in that time.
+	unreportedIntervals = 3
+	// minHeartbeatInterval is the interval that a view assumes at least: it may not be known.
+	minHeartbeatInterval = time.Second
+)
+
+// NewView returns an empty view of upstreams that send heartbeats at an interval.
+func NewView(heartbeatInterval time.Duration) *View {
 	return &View{
+		unreportedSince: make(map[string]time.Time), unreportedTimeout: unreportedIntervals * max(heartbeatInterval, minHeartbeatInterval),
 		upstreams: fleet.NewFollowerTable(), lastPhases: make(map[string]instancePhase), daemons: make(map[string]map[string]*pb.Daemon),
 		reports: make(map[string]*upstreamReport), currentReplicas: make(map[string]currentReplica),
 		software: make(map[string]software), softwareCounts: make(map[software]int), joinedAt: make(map[software]time.Time),
@@ -159,8 +172,8 @@
 	if v.reportOf(from).merge(now, heartbeats, u.GetSilent()) {
 		v.silentOutdated = true
 	}
-	if v.silentOutdated || len(u.GetUpstreams()) > 0 {
-		v.markSilent()
+	if v.silentOutdated || len(u.GetUpstreams()) > 0 || len(v.unreportedSince) > 0 {
+		v.markSilent(now)
 	}
 	changes.Upstreams = v.upstreams.ChangedSince(before)
 	changes.Renewed = v.upstreams.RenewedSince(before)
@@ -256,9 +269,13 @@
 }
 
 // markSilent marks the upstreams that control replicas miss and none hears: those that miss one
-// may be cut off from it. It leaves those as they are that no replica reports.
-func (v *View) markSilent() {
+// may be cut off from it. Those that no replica reports stay as they are for unreportedTimeout.
+func (v *View) markSilent(now time.Time) {
 	v.silentOutdated = false
+	if !v.isToldOfSilence() {
+		clear(v.unreportedSince)
+		return
+	}
 	for _, u := range v.upstreams.All() {
 		heard, missed := false, false
 		for _, r := range v.reports {
@@ -266,7 +283,18 @@
 			missed = missed || r.misses(u.ID)
 		}
 		if heard || missed {
+			delete(v.unreportedSince, u.ID)
 			v.upstreams.SetSilent(u.ID, !heard)
+			continue
+		}
+		since, unreported := v.unreportedSince[u.ID]
+		switch {
+		case u.Phase == fleet.Gone || u.Silent:
+			delete(v.unreportedSince, u.ID)
+		case !unreported:
+			v.unreportedSince[u.ID] = now
+		case now.Sub(since) >= v.unreportedTimeout:
+			v.upstreams.SetSilent(u.ID, true)
 		}
 	}
 }
@@ -427,6 +455,7 @@
 		for _, r := range v.reports {
 			delete(r.present, id)
 		}
+		delete(v.unreportedSince, id)
 		delete(v.lastPhases, id)
 		v.removeSoftware(id)
 	}
--- a/node/view_order_test.go
+++ b/node/view_order_test.go
@@ -59,7 +59,7 @@
 // changes in the same order.
 func TestThePoolKeepsTheLatestChangeOfTheView(t *testing.T) {
 	expect := NewWithT(t)
-	v, pool := NewView(), newPoolOfView()
+	v, pool := NewView(time.Second), newPoolOfView()
 	applyInOrder(v, pool, oneBeat(1, pb.UpstreamPhase_UPSTREAM_DRAINING), oneBeat(2, pb.UpstreamPhase_UPSTREAM_READY))
 	expect.Expect(v.Upstreams()[0].Phase).To(Equal(fleet.Ready))
 	_, refusal := pool.Acquire(context.Background(), dispatch.SlotRequest{Service: "s", MaxWait: 0})
@@ -69,7 +69,7 @@
 // As above: the later change is that the upstream has left.
 func TestThePoolDoesNotUseAnUpstreamThatLeft(t *testing.T) {
 	expect := NewWithT(t)
-	v, pool := NewView(), newPoolOfView()
+	v, pool := NewView(time.Second), newPoolOfView()
 	applyInOrder(v, pool, oneBeat(1, pb.UpstreamPhase_UPSTREAM_READY), oneBeat(2, pb.UpstreamPhase_UPSTREAM_DRAINING))
 	_, refusal := pool.Acquire(context.Background(), dispatch.SlotRequest{Service: "s", MaxWait: 0})
 	expect.Expect(refusal).NotTo(BeNil())
@@ -78,7 +78,7 @@
 // An upstream that has expired is heard again before the pool has removed it.
 func TestThePoolKeepsAnUpstreamThatIsHeardAgain(t *testing.T) {
 	expect := NewWithT(t)
-	v, pool := NewView(), newPoolOfView()
+	v, pool := NewView(time.Second), newPoolOfView()
 	pool.UpdateUpstreams(v.Merge(now, "a", oneBeat(1, pb.UpstreamPhase_UPSTREAM_GONE)).Upstreams)
 	expired, done := make(chan struct{}), make(chan struct{})
 	go func() {
--- a/node/view_property_test.go
+++ b/node/view_property_test.go
@@ -52,7 +52,7 @@
 		}
 		views := make([]*View, daemons)
 		for i := range views {
-			views[i] = NewView()
+			views[i] = NewView(time.Second)
 		}
 		sequences := make([]uint64, upstreams)
 		heartbeat := func(upstream int) fleet.Upstream {
--- a/node/view_test.go
+++ b/node/view_test.go
@@ -17,7 +17,7 @@
 // A control replica still has an old routing table after a partition.
 func TestRoutingVersionNeverDecreases(t *testing.T) {
 	expect := NewWithT(t)
-	v := NewView()
+	v := NewView(time.Second)
 	changes := v.Merge(now, "a", &pb.FleetUpdate{RoutingVersion: 7, RoutingDocument: []byte("seven"), RoutingLagMs: 30, Current: true})
 	expect.Expect(changes.Routing).To(Equal(&Routing{Version: 7, Document: []byte("seven"), Bytes: 5, From: "a", Current: true, Lag: 30 * time.Millisecond, ReceivedAt: now}))
 	for _, version := range []uint64{6, 7} {
@@ -30,7 +30,7 @@
 // Two control replicas report one upstream, one of them an older heartbeat.
 func TestLatestHeartbeatOfAnyReplicaIsKept(t *testing.T) {
 	expect := NewWithT(t)
-	v := NewView()
+	v := NewView(time.Second)
 	update := func(sequence uint64, phase pb.UpstreamPhase) *pb.FleetUpdate {
 		return &pb.FleetUpdate{Upstreams: []*pb.UpstreamBeat{{
 			Id: "u", BornUnixMs: 1, Sequence: sequence, Address: "u:1", Slots: 8, Phase: phase, AgeMs: 300,
@@ -47,7 +47,7 @@
 // A draining upstream still sends heartbeats; each phase must be reported once.
 func TestPhaseChangeIsReportedOnce(t *testing.T) {
 	expect := NewWithT(t)
-	v := NewView()
+	v := NewView(time.Second)
 	merge := func(born, sequence uint64, phase pb.UpstreamPhase) int {
 		return len(v.Merge(now, "a", &pb.FleetUpdate{Upstreams: []*pb.UpstreamBeat{{
 			Id: "u", BornUnixMs: born, Sequence: sequence, Address: "u:1", Slots: 8, Phase: phase,
@@ -64,7 +64,7 @@
 
 func TestDaemonsAreMergedFromAllReplicas(t *testing.T) {
 	expect := NewWithT(t)
-	v := NewView()
+	v := NewView(time.Second)
 	daemon := func(address string, incarnation uint64) *pb.Daemon {
 		return &pb.Daemon{Id: address, Role: RoleStore, Address: address, Incarnation: incarnation}
 	}
@@ -142,7 +142,7 @@
 // gets them.
 func TestUpstreamIsSilentIfAllReplicasMissIt(t *testing.T) {
 	expect := NewWithT(t)
-	v := NewView()
+	v := NewView(time.Second)
 	beat := &pb.UpstreamBeat{Id: "u", BornUnixMs: 1, Sequence: 1, Address: "u:1", Slots: 8, Phase: pb.UpstreamPhase_UPSTREAM_READY}
 	v.Merge(now, "a", &pb.FleetUpdate{Upstreams: []*pb.UpstreamBeat{beat}, Silent: &pb.SilentUpstreams{}})
 	v.Merge(now, "b", &pb.FleetUpdate{Silent: &pb.SilentUpstreams{Ids: []string{"u"}}})
@@ -162,7 +162,7 @@
 // Renewed heartbeats are not sent to entries. An upstream must not expire for that.
 func TestUpstreamThatIsNotSilentDoesNotExpire(t *testing.T) {
 	expect := NewWithT(t)
-	v := NewView()
+	v := NewView(time.Second)
 	for _, id := range []string{"heard", "silent"} {
 		v.Merge(now, "a", &pb.FleetUpdate{Upstreams: []*pb.UpstreamBeat{{Id: id, BornUnixMs: 1, Sequence: 1, Address: id + ":1", Phase: pb.UpstreamPhase_UPSTREAM_READY}}})
 	}
@@ -173,7 +173,7 @@
 
 func TestDaemonChangesAreMerged(t *testing.T) {
 	expect := NewWithT(t)
-	v := NewView()
+	v := NewView(time.Second)
 	daemon := func(address string) *pb.Daemon {
 		return &pb.Daemon{Id: address, Role: RoleStore, Address: address, Incarnation: 1}
 	}
@@ -192,7 +192,7 @@
 // storage replica is being retired. No replica ever ends a retirement.
 func TestALaggingControlReplicaDoesNotEndARetirement(t *testing.T) {
 	expect := NewWithT(t)
-	v := NewView()
+	v := NewView(time.Second)
 	founders := []*pb.Replica{{Id: "s1:1", Address: "s1:1"}}
 	v.Merge(now, "a", &pb.FleetUpdate{Storage: founders, Retiring: []string{"s1:1"}})
 	v.Merge(now, "b", &pb.FleetUpdate{Storage: founders})
@@ -202,7 +202,7 @@
 
 func newTestFollower(role string) *Follower {
 	self := &pb.Daemon{Address: "self", Role: role, DataCentre: "dc0"}
-	return NewFollower(nil, NewView(), NewQuarantine(nil, func() {}), nil, self, []string{"c1", "c2", "c3"}, nil, func(ViewChanges) {})
+	return NewFollower(nil, NewView(time.Second), NewQuarantine(nil, func() {}), nil, self, []string{"c1", "c2", "c3"}, nil, func(ViewChanges) {})
 }
 
 // Each daemon that subscribes to each replica costs both as much as there are
@@ -232,7 +232,7 @@
 
 func TestSoftwareVersionsFollowTheUpstreams(t *testing.T) {
 	expect := NewWithT(t)
-	view := NewView()
+	view := NewView(time.Second)
 	merge := func(at time.Time, upstreams ...*pb.UpstreamBeat) {
 		view.Merge(at, "control", &pb.FleetUpdate{Upstreams: upstreams})
 	}
@@ -258,7 +258,7 @@
 
 // Upstreams change their phases all the time in a large fleet.
 func BenchmarkSoftwareVersionsAfterAChange(b *testing.B) {
-	view := NewView()
+	view := NewView(time.Second)
 	update := &pb.FleetUpdate{}
 	for i := range 10_000 {
 		update.Upstreams = append(update.Upstreams, upstreamOfVersion(i, "1"))
