An engine that another one answered for displaces none (LOST)

After a former engine of an address had been found out by an answer of the present one, the present one stayed displaced while its heartbeats were missing, and was not even the last resort. Who is displaced is now determined again at that answer. The test fails before: the second request gets no upstream.

--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -572,6 +572,7 @@
 	case OtherInstance:
 		if grant.Address == u.Address {
 			u.Phase = fleet.Gone
+			p.updateDisplaced(u.Address)
 		}
 	case Inconclusive, Rejected, Failed:
 	}
