A view keeps an upstream in use that is heard again after a minute of silence

The view took the end of a silence of more than a minute for a drop of the upstream by control, also if its record came with that end or shortly before. After three intervals the engine then counted as silent, for good.

--- a/node/upstream_report_test.go
+++ b/node/upstream_report_test.go
@@ -94,3 +94,31 @@
 	v.Merge(now.Add(2*silentForgottenAfter), "b", &pb.FleetUpdate{Silent: listOf("u")})
 	expect.Expect(silentIn(v, "u")).To(BeTrue())
 }
+
+// An engine that control has missed for longer than a minute is heard again, at once with a change
+// or before the next list.
+func TestUpstreamThatIsHeardAgainAfterALongSilenceIsInUse(t *testing.T) {
+	for name, separate := range map[string]bool{"record with the list": false, "record before the list": true} {
+		t.Run(name, func(t *testing.T) {
+			expect := NewWithT(t)
+			v := NewView(time.Second)
+			v.Merge(now, "a", &pb.FleetUpdate{Upstreams: []*pb.UpstreamBeat{beatAt("u", "10.0.0.1:80")}, Silent: listOf("u")})
+			at := now.Add(silentForgottenAfter + 30*time.Second)
+			again := beatAt("u", "10.0.0.1:80")
+			again.Sequence, again.SoftwareVersion = 2, "v2"
+			if separate {
+				v.Merge(at, "a", &pb.FleetUpdate{Upstreams: []*pb.UpstreamBeat{again}})
+				again = nil
+			}
+			update := &pb.FleetUpdate{Silent: listOf()}
+			if again != nil {
+				update.Upstreams = []*pb.UpstreamBeat{again}
+			}
+			for second := range 20 {
+				v.Merge(at.Add(time.Duration(second)*time.Second), "a", update)
+				update = &pb.FleetUpdate{}
+			}
+			expect.Expect(silentIn(v, "u")).To(BeFalse())
+		})
+	}
+}
--- a/node/view.go
+++ b/node/view.go
@@ -453,7 +453,7 @@
 	expired := v.upstreams.Expire(now)
 	for _, id := range expired {
 		for _, r := range v.reports {
-			delete(r.present, id)
+			delete(r.recordAt, id)
 		}
 		delete(v.unreportedSince, id)
 		delete(v.lastPhases, id)
--- a/node/view_expiry_test.go
+++ b/node/view_expiry_test.go
@@ -57,6 +57,7 @@
 		daemon.Merge(at(second), "a", control.update(at(second)))
 	}
 	expect.Expect(phaseIn(daemon, "u")).To(Equal(fleet.Ready))
+	expect.Expect(silentIn(daemon, "u")).To(BeFalse())
 }
 
 // An upstream is cut off from control for just under the time after which control drops
@@ -79,6 +80,7 @@
 		}
 	}
 	expect.Expect(phaseIn(daemon, "u")).To(Equal(fleet.Ready))
+	expect.Expect(silentIn(daemon, "u")).To(BeFalse())
 }
 
 // Control no longer lists an upstream as silent once it has dropped it. A daemon must have
