A view tells a drop of an upstream from the end of its silence by the record

A control replica that had been cut off for two minutes listed an upstream as silent to a daemon that had just subscribed, and dropped it with the next heartbeats. The view went by how long it had been listed, and took it for heard again, for good. Found by the property test once time may pass for long (8 checks).

Control sends the record of an upstream that it hears again with the list that leaves it out, or before it (MarkSilent); it sends none of one that it drops. The view goes by that.

--- a/node/upstream_report.go
+++ b/node/upstream_report.go
@@ -1,37 +1,24 @@
 package node
 
 import (
-	"time"
-
 	"github.com/briarcross/briarcross/fleet"
 	"github.com/briarcross/briarcross/pb"
 )
 
-const (
-	// silentForgottenAfter is the time for which a control replica must have listed an upstream
-	// as silent for the end of that to mean that it has dropped the upstream. Replicas drop it
-	// after two minutes; one that is heard again before they list no more either.
-	silentForgottenAfter = time.Minute
-	// heardAgainGrace is the time between the record of an upstream that is heard again and the
-	// next list of silent ones, at most.
-	heardAgainGrace = 5 * time.Second
-)
-
 // upstreamReport is what one control replica reports of upstreams. A replica says nothing of those
 // that it does not know, also because it refused their heartbeats.
 type upstreamReport struct {
-	// recordAt holds the times of the latest records of the upstreams that it knows and that have
-	// not left, by ID.
-	recordAt map[string]time.Time
-	// silentSince holds by ID since when it has listed an upstream as silent. It is nil before
-	// the first list. Control replicas get none.
-	silentSince map[string]time.Time
+	// known holds the IDs of the upstreams that it knows and that have not left.
+	known map[string]bool
+	// silent holds the IDs of the upstreams that it lists as silent, and whether their record has
+	// come since. It is nil before the first list. Control replicas get none.
+	silent map[string]bool
 }
 
 func (v *View) reportOf(replica string) *upstreamReport {
 	r, known := v.reports[replica]
 	if !known {
-		r = &upstreamReport{recordAt: make(map[string]time.Time)}
+		r = &upstreamReport{known: make(map[string]bool)}
 		v.reports[replica] = r
 	}
 	return r
@@ -40,7 +27,7 @@
 // isToldOfSilence reports whether a replica lists the silent upstreams.
 func (v *View) isToldOfSilence() bool {
 	for _, r := range v.reports {
-		if r.silentSince != nil {
+		if r.silent != nil {
 			return true
 		}
 	}
@@ -49,33 +36,33 @@
 
 // merge applies the upstreams and the list of silent ones of an update. The list is nil if it has
 // not changed. It reports whether anything may have changed.
-func (r *upstreamReport) merge(now time.Time, upstreams []fleet.Upstream, silent *pb.SilentUpstreams) bool {
+//
+// A replica sends the record of an upstream that it hears again with the list that leaves it out,
+// or before. Without a record, it has dropped the upstream.
+func (r *upstreamReport) merge(upstreams []fleet.Upstream, silent *pb.SilentUpstreams) bool {
 	for _, u := range upstreams {
 		if u.Phase == fleet.Ready || u.Phase == fleet.Draining {
-			r.recordAt[u.ID] = now
+			r.known[u.ID] = true
 		} else {
-			delete(r.recordAt, u.ID)
+			delete(r.known, u.ID)
+		}
+		if _, listed := r.silent[u.ID]; listed {
+			r.silent[u.ID] = true
 		}
 	}
 	if silent == nil {
 		return len(upstreams) > 0
 	}
-	before := r.silentSince
-	r.silentSince = make(map[string]time.Time, len(silent.GetIds()))
+	before := r.silent
+	r.silent = make(map[string]bool, len(silent.GetIds()))
 	for _, id := range silent.GetIds() {
-		since, listed := before[id]
-		if !listed {
-			since = now
-		}
-		r.silentSince[id] = since
-		if _, known := r.recordAt[id]; !known {
-			r.recordAt[id] = now
-		}
+		r.known[id] = true
+		r.silent[id] = before[id]
 		delete(before, id)
 	}
-	for id, since := range before {
-		if now.Sub(since) >= silentForgottenAfter && now.Sub(r.recordAt[id]) >= heardAgainGrace {
-			delete(r.recordAt, id)
+	for id, recorded := range before {
+		if !recorded {
+			delete(r.known, id)
 		}
 	}
 	return true
@@ -84,12 +71,11 @@
 // hears reports whether the replica gets heartbeats of an upstream, misses whether it knows the
 // upstream and gets none.
 func (r *upstreamReport) hears(id string) bool {
-	_, known := r.recordAt[id]
-	_, silent := r.silentSince[id]
-	return r.silentSince != nil && known && !silent
+	_, silent := r.silent[id]
+	return r.silent != nil && r.known[id] && !silent
 }
 
 func (r *upstreamReport) misses(id string) bool {
-	_, silent := r.silentSince[id]
+	_, silent := r.silent[id]
 	return silent
 }
--- a/node/view.go
+++ b/node/view.go
@@ -169,7 +169,7 @@
 		heartbeats = append(heartbeats, heartbeat)
 	}
 	v.applyHeartbeats(heartbeats, u.GetSilent() != nil)
-	if v.reportOf(from).merge(now, heartbeats, u.GetSilent()) {
+	if v.reportOf(from).merge(heartbeats, u.GetSilent()) {
 		v.silentOutdated = true
 	}
 	if v.silentOutdated || len(u.GetUpstreams()) > 0 || len(v.unreportedSince) > 0 {
@@ -453,7 +453,7 @@
 	expired := v.upstreams.Expire(now)
 	for _, id := range expired {
 		for _, r := range v.reports {
-			delete(r.recordAt, id)
+			delete(r.known, id)
 		}
 		delete(v.unreportedSince, id)
 		delete(v.lastPhases, id)
