Give each table of a control replica its claim delay in the constructor

Only controlnode set the delay, so the properties of merging in fleet and node went by tables that control does not use. NewTable takes the interval of heartbeats. Tests of single rules, which send in one moment what takes seconds, say that their table has no delay. The property in fleet runs with and without one, waits for it before the last heartbeats, and restarts replicas by Restore; that in node has the delay too.

--- a/controlnode/fleet_property_test.go
+++ b/controlnode/fleet_property_test.go
@@ -283,7 +283,7 @@
 // each engine sends its heartbeats.
 func (f *testFleet) settle() {
 	const tick = testHeartbeatInterval / 10
-	end := f.clock.now().Add(2*testHeartbeatInterval + claimDelayIntervals*testHeartbeatInterval/2)
+	end := f.clock.now().Add(2*testHeartbeatInterval + fleet.ClaimDelay(testHeartbeatInterval))
 	for i := 0; f.clock.now().Before(end); i++ {
 		for j, e := range f.engines {
 			if (i+j)%int(testHeartbeatInterval/tick) == 0 {
--- a/controlnode/node.go
+++ b/controlnode/node.go
@@ -33,9 +33,6 @@
 	forwardTimeout = 700 * time.Millisecond
 	// stopTimeout limits the wait for HTTP calls in progress when the node stops.
 	stopTimeout = time.Second
-	// claimDelayIntervals is the claim delay of the table of upstreams in half intervals of
-	// heartbeats.
-	claimDelayIntervals = 3
 	// headerTimeout and idleTimeout close HTTP connections that send nothing.
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 30 * time.Second
@@ -130,14 +127,13 @@
 		now:                now,
 		identity:           settings.Identity(),
 		view:               node.NewView(settings.HeartbeatInterval),
-		upstreams:          fleet.NewTable(),
+		upstreams:          fleet.NewTable(settings.HeartbeatInterval),
 		relayed:            make(map[string]bool),
 		ownDaemons:         newDirectory(),
 		allDaemons:         newDirectory(),
 		ctx:                ctx,
 		cancel:             cancel,
 	}
-	n.upstreams.SetClaimDelay(claimDelayIntervals * settings.HeartbeatInterval / 2)
 	n.routing = newRoutingSource(n.readRouting, codec.Change)
 	n.services = newServiceRegistry(n.routing.refresh, codec.ServiceNames)
 	n.loadUpstreams()
--- a/fleet/claims_test.go
+++ b/fleet/claims_test.go
@@ -7,12 +7,14 @@
 	. "github.com/onsi/gomega"
 )
 
-const testClaimDelay = 1800 * time.Millisecond
+const (
+	testHeartbeatInterval = 1200 * time.Millisecond
+	testClaimDelay        = 1800 * time.Millisecond
+)
 
 // newClaimTable returns a table with a claim delay and an upstream that was heard at start.
 func newClaimTable() (*Table, Upstream) {
-	table := NewTable()
-	table.SetClaimDelay(testClaimDelay)
+	table := NewTable(testHeartbeatInterval)
 	sound := newHeartbeat("sound", 5, 2, Ready)
 	table.Apply(sound)
 	return table, sound
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -106,7 +106,10 @@
 	upstreams map[string]*Upstream
 	// retention is the time after which upstreams expire.
 	retention time.Duration
-	// claimDelay is the time for which a heard upstream cannot be replaced: see SetClaimDelay.
+	// claimDelay is the time for which a present upstream that was heard is not replaced by what
+	// claims to be another start of it, or another upstream at its address. It is shorter than
+	// the time after which an address is used again, and longer than the interval of heartbeats.
+	// A table that does not get each heartbeat has none.
 	claimDelay time.Duration
 	// atAddress holds the present upstreams of each address by their ID.
 	atAddress map[string]map[string]*Upstream
@@ -116,9 +119,21 @@
 	lastChange uint64
 }
 
-// NewTable returns an empty table.
-func NewTable() *Table {
-	return newTable(upstreamRetention)
+// claimDelayIntervals is the claim delay in half intervals of heartbeats.
+const claimDelayIntervals = 3
+
+// NewTable returns the empty table of a control replica, which gets each heartbeat of upstreams
+// that send them at an interval.
+func NewTable(heartbeatInterval time.Duration) *Table {
+	t := newTable(upstreamRetention)
+	t.claimDelay = ClaimDelay(heartbeatInterval)
+	return t
+}
+
+// ClaimDelay returns the time for which the table of a control replica does not replace an upstream
+// that was heard.
+func ClaimDelay(heartbeatInterval time.Duration) time.Duration {
+	return claimDelayIntervals * heartbeatInterval / 2
 }
 
 // NewFollowerTable returns an empty table for a daemon that hears of the changes of
@@ -169,12 +184,6 @@
 	return t.Apply(saved)
 }
 
-// SetClaimDelay sets the time for which a present upstream that was heard is not replaced by what
-// claims to be another start of it, or another upstream at its address. It must be shorter than
-// the time after which an address is used again, and longer than the interval of heartbeats. Only
-// a table that gets each heartbeat can have one.
-func (t *Table) SetClaimDelay(delay time.Duration) { t.claimDelay = delay }
-
 // Contests reports whether a heartbeat claims the ID or the address of a present upstream that was
 // heard within the claim delay before. Another writer may have sent it; a new start repeats it
 // when the upstream is not heard any more.
--- a/fleet/table_test.go
+++ b/fleet/table_test.go
@@ -21,6 +21,10 @@
 	return heartbeat
 }
 
+// newTableWithoutClaims returns a table for rules of merging that hold without a claim delay, as in
+// the tables of daemons, and for heartbeats of one moment.
+func newTableWithoutClaims() *Table { return newTable(upstreamRetention) }
+
 // silentAfter is the age of the last heartbeat at which an upstream is silent.
 const silentAfter = 4 * time.Second
 
@@ -32,7 +36,7 @@
 
 func TestLateHeartbeatsChangeNothing(t *testing.T) {
 	expect := NewWithT(t)
-	table := NewTable()
+	table := newTableWithoutClaims()
 	expect.Expect(table.Apply(newHeartbeat("a", 5, 2, Draining))).To(BeTrue())
 	expect.Expect(table.Apply(newHeartbeat("a", 5, 1, Ready))).To(BeFalse())
 	expect.Expect(table.Apply(newHeartbeat("a", 4, 9, Ready))).To(BeFalse())
@@ -42,7 +46,7 @@
 
 func TestARestartUnderTheSameIDSupersedesTheEarlierStart(t *testing.T) {
 	expect := NewWithT(t)
-	table := NewTable()
+	table := newTableWithoutClaims()
 	table.Apply(newHeartbeat("a", 5, 40, Draining))
 	expect.Expect(table.Apply(newHeartbeat("a", 6, 1, Ready))).To(BeTrue())
 	held, _ := table.Get("a")
@@ -51,7 +55,7 @@
 
 func TestADeregisteredUpstreamStaysGoneUntilItStartsAgain(t *testing.T) {
 	expect := NewWithT(t)
-	table := NewTable()
+	table := newTableWithoutClaims()
 	table.Apply(newHeartbeat("a", 5, 2, Ready))
 	table.Deregister("a", start)
 	expect.Expect(table.Apply(newHeartbeat("a", 5, 3, Ready))).To(BeFalse())
@@ -62,7 +66,7 @@
 // any heartbeat of that upstream.
 func TestADelayedHeartbeatAfterAnUnknownDeregistrationIsIgnored(t *testing.T) {
 	expect := NewWithT(t)
-	table := NewTable()
+	table := newTableWithoutClaims()
 	table.Deregister("a", start)
 	expect.Expect(table.Apply(newHeartbeat("a", uint64(start.UnixMilli())-500, 7, Ready))).To(BeFalse())
 	expect.Expect(table.Apply(newHeartbeat("a", uint64(start.UnixMilli())+500, 1, Ready))).To(BeTrue())
@@ -70,7 +74,7 @@
 
 func TestTheLatestStartOwnsAnAddress(t *testing.T) {
 	expect := NewWithT(t)
-	table := NewTable()
+	table := newTableWithoutClaims()
 	table.Apply(newHeartbeat("old", 5, 2, Ready))
 	table.Apply(newHeartbeat("new", 9, 1, Ready))
 	old, _ := table.Get("old")
@@ -88,7 +92,7 @@
 func TestAGoneUpstreamDoesNotReplaceItsSuccessor(t *testing.T) {
 	for _, startUnixMs := range []uint64{0, 5} {
 		expect := NewWithT(t)
-		table := NewTable()
+		table := newTableWithoutClaims()
 		table.Apply(newHeartbeat("current", startUnixMs, 1, Ready))
 		table.Apply(newHeartbeat("former", startUnixMs, 9, Gone))
 		expect.Expect(table.Apply(newHeartbeat("current", startUnixMs, 2, Ready))).To(BeTrue())
@@ -101,7 +105,7 @@
 // address when a delayed heartbeat of it arrives.
 func TestADelayedHeartbeatReplacesASuccessorOnlyUntilItIsHeardAgain(t *testing.T) {
 	expect := NewWithT(t)
-	table := NewTable()
+	table := newTableWithoutClaims()
 	table.Apply(newHeartbeat("current", 0, 3, Ready))
 	delayedAt, heardAgainAt := start.Add(time.Second), start.Add(2*time.Second)
 	table.Apply(heardAt(delayedAt, newHeartbeat("former", 0, 9, Ready)))
@@ -117,11 +121,11 @@
 func TestADeregistrationAtAReplicaThatDidNotKnowTheUpstreamLeavesItsSuccessor(t *testing.T) {
 	for _, formerStart := range []uint64{0, 5} {
 		expect := NewWithT(t)
-		elsewhere := NewTable()
+		elsewhere := newTableWithoutClaims()
 		elsewhere.Deregister("former", start)
 		deregistered, _ := elsewhere.Get("former")
 
-		table := NewTable()
+		table := newTableWithoutClaims()
 		table.Apply(newHeartbeat("former", formerStart, 5, Ready))
 		expect.Expect(table.Apply(deregistered)).To(BeTrue())
 		former, _ := table.Get("former")
@@ -140,7 +144,7 @@
 // A start time that is unknown is not an early one.
 func TestAnUnknownStartTimeDoesNotEndAnUpstreamForGood(t *testing.T) {
 	expect := NewWithT(t)
-	table := NewTable()
+	table := newTableWithoutClaims()
 	table.Apply(newHeartbeat("current", 0, 3, Ready))
 	table.Apply(newHeartbeat("former", 5, 9, Ready))
 	now := start.Add(time.Second)
@@ -156,7 +160,7 @@
 func TestAnUpstreamThatMovedIsNotReplacedAtItsFormerAddress(t *testing.T) {
 	for _, next := range []uint64{0, 7} {
 		expect := NewWithT(t)
-		table := NewTable()
+		table := newTableWithoutClaims()
 		at := func(id string, startUnixMs, sequence uint64, address string) Upstream {
 			u := newHeartbeat(id, startUnixMs, sequence, Ready)
 			u.Address = address
@@ -176,7 +180,7 @@
 // A record that was saved or relayed says how long ago its heartbeat arrived.
 func TestAnOlderRecordDoesNotReplaceAnUpstreamHeardSince(t *testing.T) {
 	expect := NewWithT(t)
-	table := NewTable()
+	table := newTableWithoutClaims()
 	now := start.Add(time.Second)
 	table.Apply(heardAt(now, newHeartbeat("current", 0, 3, Ready)))
 	table.Apply(newHeartbeat("former", 0, 9, Ready))
@@ -191,7 +195,7 @@
 // The upstream that had an address leaves, or is not heard any more and expires.
 func TestAnAddressIsFreeOnceItsUpstreamHasLeft(t *testing.T) {
 	expect := NewWithT(t)
-	table := NewTable()
+	table := newTableWithoutClaims()
 	table.Apply(newHeartbeat("left", 0, 3, Ready))
 	now := start.Add(time.Second)
 	table.Apply(heardAt(now, newHeartbeat("crashed", 0, 3, Ready)))
@@ -206,7 +210,7 @@
 // A build before this one reports upstreams in a phase that is gone.
 func TestARecordInAnUnknownPhaseIsIgnored(t *testing.T) {
 	expect := NewWithT(t)
-	table := NewTable()
+	table := newTableWithoutClaims()
 	table.Apply(newHeartbeat("a", 0, 3, Ready))
 	expect.Expect(table.Apply(newHeartbeat("a", 0, 4, Gone+1))).To(BeFalse())
 	expect.Expect(table.Apply(newHeartbeat("b", 0, 4, Gone+1))).To(BeFalse())
@@ -215,7 +219,7 @@
 
 func TestChangedSinceReturnsTheChangedUpstreams(t *testing.T) {
 	expect := NewWithT(t)
-	table := NewTable()
+	table := newTableWithoutClaims()
 	table.Apply(newHeartbeat("a", 5, 1, Ready))
 	seen := table.LastChange()
 	expect.Expect(table.ChangedSince(seen)).To(BeEmpty())
@@ -229,7 +233,7 @@
 
 func TestUpstreamsThatDeregisteredLongAgoAreRemoved(t *testing.T) {
 	expect := NewWithT(t)
-	table := NewTable()
+	table := newTableWithoutClaims()
 	table.Apply(newHeartbeat("a", 5, 1, Ready))
 	table.Deregister("a", start)
 	expect.Expect(table.Expire(start.Add(upstreamRetention - time.Second))).To(BeEmpty())
@@ -240,7 +244,7 @@
 // While control is unavailable no heartbeat arrives, but the upstreams still run.
 func TestUpstreamsAreKeptWhileNoHeartbeatArrives(t *testing.T) {
 	expect := NewWithT(t)
-	table := NewTable()
+	table := newTableWithoutClaims()
 	table.Apply(newHeartbeat("a", 5, 1, Ready))
 	expect.Expect(table.Expire(start.Add(10 * upstreamRetention))).To(BeEmpty())
 	other := newHeartbeat("b", 5, 1, Ready)
@@ -256,7 +260,7 @@
 	gone := newHeartbeat("a", 0, 4, Gone)
 	heard := heardAt(start.Add(upstreamRetention), newHeartbeat("a", 0, 200, Ready))
 	for _, order := range [][]Upstream{{gone, heard}, {heard, gone}} {
-		for _, table := range []*Table{NewTable(), NewFollowerTable()} {
+		for _, table := range []*Table{newTableWithoutClaims(), NewFollowerTable()} {
 			for _, u := range order {
 				table.Apply(u)
 			}
@@ -269,7 +273,7 @@
 // A heartbeat that a partition delayed arrives seconds after the deregistration.
 func TestADelayedHeartbeatDoesNotEndADeregistration(t *testing.T) {
 	expect := NewWithT(t)
-	for _, table := range []*Table{NewTable(), NewFollowerTable()} {
+	for _, table := range []*Table{newTableWithoutClaims(), NewFollowerTable()} {
 		table.Apply(newHeartbeat("a", 0, 4, Ready))
 		table.Deregister("a", start.Add(time.Second))
 		expect.Expect(table.Apply(heardAt(start.Add(30*time.Second), newHeartbeat("a", 0, 5, Ready)))).To(BeFalse())
@@ -291,7 +295,7 @@
 			}
 		}
 		shuffled := rapid.Permutation(heartbeats).Draw(t, "order")
-		table := NewTable()
+		table := newTableWithoutClaims()
 		for _, heartbeat := range shuffled {
 			table.Apply(heartbeat)
 		}
@@ -304,7 +308,7 @@
 
 // Upstreams follow each other at one address. Their heartbeats and deregistrations reach
 // any replica, late and in any order, also one that does not know them; replicas send each
-// other their tables, and restart with them. After that, one heartbeat of the last upstream
+// other their tables, and restart with them. A claim delay later, one heartbeat of the last upstream
 // that reaches all replicas is enough for all to use it, and no other.
 func TestReplicasAgreeOnTheUpstreamAtAReusedAddress(t *testing.T) {
 	const upstreams, replicas = 4, 3
@@ -319,9 +323,11 @@
 			}
 			return heardAt(now, newHeartbeat(ids[upstream], startUnixMs, sequence, Ready))
 		}
+		// Tables of control replicas, and those without a claim delay.
+		interval := rapid.SampledFrom([]time.Duration{0, silentAfter / 4}).Draw(t, "interval")
 		tables := make([]*Table, replicas)
 		for i := range tables {
-			tables[i] = NewTable()
+			tables[i] = NewTable(interval)
 		}
 		copyRecords := func(to *Table, records []Upstream) {
 			for _, u := range rapid.Permutation(records).Draw(t, "records") {
@@ -346,16 +352,14 @@
 			case "restart":
 				// The time since the table was saved is unknown.
 				saved := tables[to].All()
-				for i, u := range saved {
-					if limit := now.Add(-silentAfter); u.LastHeartbeat.After(limit) {
-						saved[i].LastHeartbeat = limit
-					}
+				tables[to] = NewTable(interval)
+				for _, u := range rapid.Permutation(saved).Draw(t, "saved") {
+					u.LastHeartbeat = u.LastHeartbeat.Add(-silentAfter)
+					tables[to].Restore(u)
 				}
-				tables[to] = NewTable()
-				copyRecords(tables[to], saved)
 			}
 		}
-		now = now.Add(time.Millisecond)
+		now = now.Add(max(time.Millisecond, ClaimDelay(interval)))
 		sequences[upstreams-1]++
 		for i, table := range tables {
 			table.Apply(newOf(upstreams-1, sequences[upstreams-1]))
--- a/node/view_expiry_test.go
+++ b/node/view_expiry_test.go
@@ -43,7 +43,7 @@
 func TestADaemonHearsOfAnUpstreamThatControlDroppedFirst(t *testing.T) {
 	expect := NewWithT(t)
 	at := func(seconds int) time.Time { return now.Add(time.Duration(seconds) * time.Second) }
-	control, daemon := &testControl{Table: fleet.NewTable()}, NewView(time.Second)
+	control, daemon := &testControl{Table: fleet.NewTable(time.Second)}, NewView(time.Second)
 	gone := heardUpstream("u", 4, at(0))
 	gone.Phase = fleet.Gone
 	control.Apply(gone)
@@ -65,7 +65,7 @@
 func TestADaemonKeepsASilentUpstreamAsLongAsControl(t *testing.T) {
 	expect := NewWithT(t)
 	at := func(seconds int) time.Time { return now.Add(time.Duration(seconds) * time.Second) }
-	control, daemon := &testControl{Table: fleet.NewTable()}, NewView(time.Second)
+	control, daemon := &testControl{Table: fleet.NewTable(time.Second)}, NewView(time.Second)
 	sequence := uint64(0)
 	for second := range 150 {
 		sequence++
@@ -89,7 +89,7 @@
 	for _, subscribedAt := range []int{0, 30, 100, 119, 120} {
 		expect := NewWithT(t)
 		at := func(seconds int) time.Time { return now.Add(time.Duration(seconds) * time.Second) }
-		control, daemon := &testControl{Table: fleet.NewTable()}, NewView(time.Second)
+		control, daemon := &testControl{Table: fleet.NewTable(time.Second)}, NewView(time.Second)
 		for second := range 200 {
 			control.Apply(heardUpstream("other", uint64(second+1), at(second)))
 			if second <= 4 {
--- a/node/view_property_test.go
+++ b/node/view_property_test.go
@@ -48,7 +48,7 @@
 		at := now
 		group := make([]*replicaOfTest, replicas)
 		for i := range group {
-			group[i] = &replicaOfTest{table: fleet.NewTable(), sent: make(map[*View]uint64)}
+			group[i] = &replicaOfTest{table: fleet.NewTable(heartbeatInterval), sent: make(map[*View]uint64)}
 		}
 		views := make([]*View, daemons)
 		for i := range views {
@@ -93,11 +93,9 @@
 			case "relay":
 				relay(group[rapid.IntRange(0, replicas-1).Draw(t, "from")], group[replica])
 			case "restart":
-				restarted := &replicaOfTest{table: fleet.NewTable(), sent: make(map[*View]uint64)}
+				restarted := &replicaOfTest{table: fleet.NewTable(heartbeatInterval), sent: make(map[*View]uint64)}
 				for _, u := range rapid.Permutation(group[replica].table.All()).Draw(t, "saved") {
-					saved := EncodeHeartbeat(at, u)
-					saved.AgeMs = max(saved.GetAgeMs(), uint32(silentAfter.Milliseconds()))
-					restarted.table.Apply(DecodeHeartbeat(at, saved))
+					restarted.table.Restore(DecodeHeartbeat(at.Add(-silentAfter), EncodeHeartbeat(at, u)))
 				}
 				group[replica] = restarted
 				for _, v := range views {
@@ -109,7 +107,7 @@
 				view.ExpireUpstreams(at)
 			}
 		}
-		at = at.Add(heartbeatInterval)
+		at = at.Add(max(heartbeatInterval, fleet.ClaimDelay(heartbeatInterval)))
 		sequences[upstreams-1]++
 		for _, r := range group {
 			r.table.Apply(heartbeat(upstreams - 1))
