A relayed record of an upstream that would expire at once is not kept (LOST)

Daemons took a crashed engine for heard, for good, after a control replica had come back without its disk beside one that had saved a record almost two minutes old. Batch items went to it like to any other engine.

Cause: a saved record ages by four intervals when it is loaded, so that it may be older than the retention. The other replica took it as new, sent it to its daemons, and dropped it at the next maintenance, before it was ever listed as silent. A daemon that got the record from a replica that does not list it takes the upstream for heard there.

Relayed records of upstreams that are not known and would expire at once are now left out, as a view leaves them out of updates with a list (Table.Current). The new test fails before (the crashed engine is usable at the daemon) and passes now, as do the tests of controlnode that match 'Restart|Deregist|Reused|Replica|Silent|LossesOfPower'.

--- a/controlnode/api.go
+++ b/controlnode/api.go
@@ -157,10 +157,14 @@
 	return previous, changed, outcome
 }
 
-// applyRelayed applies the heartbeats that another replica has received.
+// applyRelayed applies the heartbeats that another replica has received. An upstream that expired
+// here before it was listed as silent would count as heard at daemons that got its record.
 func (n *Node) applyRelayed(changes node.ViewChanges) {
+	n.upstreamLock.Lock()
+	current := n.upstreams.Current(changes.Renewed)
+	n.upstreamLock.Unlock()
 	var changed []fleet.Upstream
-	for _, u := range changes.Renewed {
+	for _, u := range current {
 		_, changedByHeartbeat, _ := n.applyHeartbeat(u, true)
 		changed = append(changed, changedByHeartbeat...)
 	}
--- a/controlnode/reused_address_test.go
+++ b/controlnode/reused_address_test.go
@@ -160,3 +160,48 @@
 	u, _ := a.upstreams.Get("u")
 	expect.Expect(u.Phase).To(Equal(fleet.Gone))
 }
+
+// Replica b is back with a saved table that has an engine that was not heard for almost two
+// minutes; a has lost its disk. The record from b expired at a before a listed the engine as
+// silent, and daemons took the engine for heard at a, for good.
+func TestARelayedRecordThatExpiresAtOnceIsNotHeard(t *testing.T) {
+	expect := NewWithT(t)
+	clock := newTestClock()
+	folder := t.TempDir()
+	b := testReplica{newUnstartedNodeAt(folder, clock.now, log.New(io.Discard)), "b", clock}
+	running := func(sequence uint64) fleet.Upstream {
+		return fleet.Upstream{ID: "running", Sequence: sequence, Service: "s", Address: "10.0.0.2:80", Slots: 8, Phase: fleet.Ready}
+	}
+	b.RecordHeartbeat(addressHeartbeat("crashed", 9))
+	clock.advance(117)
+	b.RecordHeartbeat(running(1))
+	b.saveUpstreams()
+
+	a := newTestReplica(t, "a", clock)
+	b = testReplica{newUnstartedNodeAt(folder, clock.now, log.New(io.Discard)), "b", clock}
+	daemon := node.NewView(testHeartbeatInterval)
+	aToDaemon, bToDaemon := newSubscriberOf(node.RoleStore), newSubscriberOf(node.RoleStore)
+	aToB, bToA := newSubscriberOf(node.RoleControl), newSubscriberOf(node.RoleControl)
+	// toDaemon sends an update at once, as after a change.
+	toDaemon := func(r testReplica, s *subscriber) {
+		update := &pb.FleetUpdate{}
+		r.addUpstreams(clock.now(), s, update)
+		daemon.Merge(clock.now(), r.address, update)
+	}
+	toDaemon(a, aToDaemon)
+	a.RecordHeartbeat(running(2))
+	b.send(bToA, a)
+	toDaemon(a, aToDaemon)
+	for sequence := uint64(3); sequence < 150; sequence++ {
+		a.RecordHeartbeat(running(sequence))
+		a.send(aToB, b)
+		b.send(bToA, a)
+		a.expireUpstreams()
+		toDaemon(a, aToDaemon)
+		toDaemon(b, bToDaemon)
+		daemon.ExpireUpstreams(clock.now())
+		clock.advance(1)
+	}
+	expect.Expect(isUsableIn(daemon, "running")).To(BeTrue())
+	expect.Expect(isUsableIn(daemon, "crashed")).To(BeFalse())
+}
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -199,20 +199,29 @@
 	return u.Phase.isPresent() && heartbeat.LastHeartbeat.Sub(u.LastHeartbeat) < t.claimDelay
 }
 
-// ApplyCurrent merges the heartbeats of an update, except those of upstreams that are not
-// known and would expire at once.
+// ApplyCurrent merges the heartbeats of an update, except those that Current leaves out.
 func (t *Table) ApplyCurrent(heartbeats []Upstream) {
+	for _, heartbeat := range t.Current(heartbeats) {
+		t.Apply(heartbeat)
+	}
+}
+
+// Current returns the heartbeats of an update without those of upstreams that are not known and
+// would expire at once.
+func (t *Table) Current(heartbeats []Upstream) []Upstream {
 	latest := t.latestHeartbeat()
 	for _, heartbeat := range heartbeats {
 		if heartbeat.LastHeartbeat.After(latest) {
 			latest = heartbeat.LastHeartbeat
 		}
 	}
+	var current []Upstream
 	for _, heartbeat := range heartbeats {
 		if _, known := t.upstreams[heartbeat.ID]; known || latest.Sub(heartbeat.LastHeartbeat) < t.retention {
-			t.Apply(heartbeat)
+			current = append(current, heartbeat)
 		}
 	}
+	return current
 }
 
 func (t *Table) latestHeartbeat() time.Time {
