A held heartbeat of an upstream that would expire at once is not applied (LOST)

When the routing table named a service, daemons took an engine of it for heard, for good, that had crashed more than two minutes before.

Cause: heartbeats of unnamed services are held without a limit of age. The replica applied the old one, announced it, and could drop it at the next maintenance before it was listed as silent; a daemon that got the record takes the upstream for heard there. Held heartbeats now pass Table.Current like relayed ones. The new test fails before and passes now.

--- a/controlnode/reused_address_test.go
+++ b/controlnode/reused_address_test.go
@@ -205,3 +205,34 @@
 	expect.Expect(isUsableIn(daemon, "running")).To(BeTrue())
 	expect.Expect(isUsableIn(daemon, "crashed")).To(BeFalse())
 }
+
+// The heartbeat of an engine that crashed minutes ago was held until the routing table named its
+// service. It expired before it was listed as silent, and daemons took the engine for heard.
+func TestAHeldHeartbeatThatExpiresAtOnceIsNotHeard(t *testing.T) {
+	expect := NewWithT(t)
+	clock := newTestClock()
+	a := newTestReplica(t, "a", clock)
+	a.services.version = 1
+	a.RecordHeartbeat(addressHeartbeat("crashed", 9))
+	clock.advance(130)
+	a.services.routing = func() *acceptedRouting { return &acceptedRouting{version: 2} }
+	a.services.decode = func([]byte) ([]string, error) { return []string{"s"}, nil }
+	daemon, aToDaemon := node.NewView(testHeartbeatInterval), newSubscriberOf(node.RoleStore)
+	daemon.Merge(clock.now(), "a", a.update(aToDaemon))
+	running := func(sequence uint64) fleet.Upstream {
+		return fleet.Upstream{ID: "running", Sequence: sequence, Service: "s", Address: "10.0.0.2:80", Slots: 8, Phase: fleet.Ready}
+	}
+	a.recordHeartbeat(func() fleet.Upstream { u := running(1); u.LastHeartbeat = clock.now(); return u }())
+	a.updateServices()
+	for sequence := uint64(2); sequence < 150; sequence++ {
+		update := &pb.FleetUpdate{}
+		a.addUpstreams(clock.now(), aToDaemon, update)
+		daemon.Merge(clock.now(), "a", update)
+		daemon.ExpireUpstreams(clock.now())
+		clock.advance(1)
+		a.RecordHeartbeat(running(sequence))
+		a.expireUpstreams()
+	}
+	expect.Expect(isUsableIn(daemon, "running")).To(BeTrue())
+	expect.Expect(isUsableIn(daemon, "crashed")).To(BeFalse())
+}
--- a/controlnode/services.go
+++ b/controlnode/services.go
@@ -100,7 +100,10 @@
 		n.logger.Error(eventlog.RoutingRejected, "error", err)
 		return
 	}
-	for _, heartbeat := range named {
+	n.upstreamLock.Lock()
+	current := n.upstreams.Current(named)
+	n.upstreamLock.Unlock()
+	for _, heartbeat := range current {
 		n.recordHeartbeat(heartbeat)
 	}
 }
