Silence of an upstream ends with its record, and is known from the start of a replica

A changed record of a silent upstream let a view take the drop of that upstream for the end of its silence: the upstream counted as heard for good.

A table keeps Silent over a changed record, so that MarkSilent ends each silence with a record in the update whose list leaves it out; a view goes by that update only. A replica lists the saved upstreams as silent when it has loaded them. The view marks without sorting all upstreams.

--- a/controlnode/node.go
+++ b/controlnode/node.go
@@ -136,7 +136,6 @@
 	}
 	n.routing = newRoutingSource(n.readRouting, codec.Change)
 	n.services = newServiceRegistry(n.routing.refresh, codec.ServiceNames)
-	n.loadUpstreams()
 	n.transport = transport.NewClient(n.identity, nil)
 	n.leaderClient = client.NewReplicaClient(n.transport, nil)
 	n.leaderClient.SetAttemptTimeout(forwardTimeout)
@@ -144,6 +143,7 @@
 	n.quarantine = node.NewQuarantine(logger, n.subscribers.notify)
 	n.metrics = newMetrics(n)
 	n.peers = peering.NewSender(ctx, n.transport, node.ReplicaAddress, func() {})
+	n.loadUpstreams()
 	return n
 }
 
--- a/controlnode/reused_address_test.go
+++ b/controlnode/reused_address_test.go
@@ -236,3 +236,39 @@
 	expect.Expect(isUsableIn(daemon, "running")).To(BeTrue())
 	expect.Expect(isUsableIn(daemon, "crashed")).To(BeFalse())
 }
+
+// Views tell the end of a silence from a drop by the record that comes with the list, also if the
+// heartbeat that ends the silence differs from the one before.
+func TestRecordOfAnUpstreamThatIsHeardAgainComesWithTheList(t *testing.T) {
+	for _, version := range []string{"", "v2"} {
+		expect := NewWithT(t)
+		clock := newTestClock()
+		r := newTestReplica(t, "a", clock)
+		daemon := newSubscriberOf(node.RoleEntry)
+		r.RecordHeartbeat(addressHeartbeat("u", 1))
+		r.update(daemon)
+		clock.advance(10)
+		expect.Expect(r.update(daemon).GetSilent().GetIds()).To(Equal([]string{"u"}))
+		again := addressHeartbeat("u", 2)
+		again.SoftwareVersion = version
+		r.RecordHeartbeat(again)
+		// An update may be sent before the next maintenance.
+		r.addUpstreams(clock.now(), daemon, &pb.FleetUpdate{})
+		update := r.update(daemon)
+		expect.Expect(update.GetSilent().GetIds()).To(BeEmpty())
+		expect.Expect(update.GetUpstreams()).To(HaveLen(1), "version %q", version)
+	}
+}
+
+// A daemon subscribes to a replica that has just started, before the first maintenance.
+func TestSavedUpstreamsAreListedAsSilentFromTheStart(t *testing.T) {
+	expect := NewWithT(t)
+	clock, folder := newTestClock(), t.TempDir()
+	before := newUnstartedNodeAt(folder, clock.now, log.New(io.Discard))
+	before.RecordHeartbeat(addressHeartbeat("u", 1))
+	before.saveUpstreams()
+	after := newUnstartedNodeAt(folder, clock.now, log.New(io.Discard))
+	update := &pb.FleetUpdate{}
+	after.addUpstreams(clock.now(), newSubscriberOf(node.RoleEntry), update)
+	expect.Expect(update.GetSilent().GetIds()).To(Equal([]string{"u"}))
+}
--- a/controlnode/upstreams.go
+++ b/controlnode/upstreams.go
@@ -6,6 +6,7 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
@@ -47,10 +48,10 @@
 		return
 	}
 	now := n.now()
-	// With at least this age, an upstream is used only if no other is left, until its next
+	// With more than this age, an upstream is used only if no other is left, until its next
 	// heartbeat. The time since the table was saved is unknown. All age alike, so that the
 	// upstream of an address that was heard last is still known.
-	aged := now.Add(-node.MaxMissedHeartbeats * n.settings.HeartbeatInterval)
+	aged := now.Add(-node.MaxMissedHeartbeats*n.settings.HeartbeatInterval - time.Millisecond)
 	for _, heartbeat := range saved.GetUpstreams() {
 		upstream := node.DecodeHeartbeat(aged, heartbeat)
 		if err := upstream.Check(); err != nil {
@@ -62,6 +63,8 @@
 	for _, u := range n.upstreams.All() {
 		n.logUpstream(u, sourceSaved)
 	}
+	// A daemon that subscribes before the first maintenance must not take them for heard.
+	n.expireUpstreams()
 }
 
 // saveUpstreams writes the table to disk if it has unsaved changes.
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -171,6 +171,7 @@
 		stored.renewal = t.changes
 		return true
 	}
+	stored.Silent = known && held.Silent
 	t.recordChange(&stored)
 	return true
 }
--- a/node/upstream_report.go
+++ b/node/upstream_report.go
@@ -10,8 +10,8 @@
 type upstreamReport struct {
 	// known holds the IDs of the upstreams that it knows and that have not left.
 	known map[string]bool
-	// silent holds the IDs of the upstreams that it lists as silent, and whether their record has
-	// come since. It is nil before the first list. Control replicas get none.
+	// silent holds the IDs of the upstreams that it lists as silent. It is nil before the first
+	// list. Control replicas get none.
 	silent map[string]bool
 }
 
@@ -37,8 +37,8 @@
 // merge applies the upstreams and the list of silent ones of an update. The list is nil if it has
 // not changed. It reports whether anything may have changed.
 //
-// A replica sends the record of an upstream that it hears again with the list that leaves it out,
-// or before. Without a record, it has dropped the upstream.
+// A replica sends the record of an upstream that it hears again with the list that leaves it out.
+// Without a record, it has dropped the upstream.
 func (r *upstreamReport) merge(upstreams []fleet.Upstream, silent *pb.SilentUpstreams) bool {
 	for _, u := range upstreams {
 		if u.Phase == fleet.Ready || u.Phase == fleet.Draining {
@@ -46,24 +46,21 @@
 		} else {
 			delete(r.known, u.ID)
 		}
-		if _, listed := r.silent[u.ID]; listed {
-			r.silent[u.ID] = true
-		}
 	}
 	if silent == nil {
 		return len(upstreams) > 0
 	}
-	before := r.silent
+	dropped := r.silent
 	r.silent = make(map[string]bool, len(silent.GetIds()))
 	for _, id := range silent.GetIds() {
-		r.known[id] = true
-		r.silent[id] = before[id]
-		delete(before, id)
+		r.known[id], r.silent[id] = true, true
+		delete(dropped, id)
 	}
-	for id, recorded := range before {
-		if !recorded {
-			delete(r.known, id)
-		}
+	for _, u := range upstreams {
+		delete(dropped, u.ID)
+	}
+	for id := range dropped {
+		delete(r.known, id)
 	}
 	return true
 }
@@ -71,11 +68,9 @@
 // hears reports whether the replica gets heartbeats of an upstream, misses whether it knows the
 // upstream and gets none.
 func (r *upstreamReport) hears(id string) bool {
-	_, silent := r.silent[id]
-	return r.silent != nil && r.known[id] && !silent
+	return r.silent != nil && r.known[id] && !r.silent[id]
 }
 
 func (r *upstreamReport) misses(id string) bool {
-	_, silent := r.silent[id]
-	return silent
+	return r.silent[id]
 }
--- a/node/view.go
+++ b/node/view.go
@@ -276,27 +276,37 @@
 		clear(v.unreportedSince)
 		return
 	}
-	for _, u := range v.upstreams.All() {
-		heard, missed := false, false
-		for _, r := range v.reports {
-			heard = heard || r.hears(u.ID)
-			missed = missed || r.misses(u.ID)
-		}
-		if heard || missed {
-			delete(v.unreportedSince, u.ID)
-			v.upstreams.SetSilent(u.ID, !heard)
-			continue
-		}
-		since, unreported := v.unreportedSince[u.ID]
-		switch {
-		case u.Phase == fleet.Gone || u.Silent:
-			delete(v.unreportedSince, u.ID)
-		case !unreported:
-			v.unreportedSince[u.ID] = now
-		case now.Sub(since) >= v.unreportedTimeout:
-			v.upstreams.SetSilent(u.ID, true)
+	var changed []string
+	v.upstreams.Any(func(u *fleet.Upstream) bool {
+		if v.isSilent(now, u) != u.Silent {
+			changed = append(changed, u.ID)
 		}
+		return false
+	})
+	slices.Sort(changed)
+	for _, id := range changed {
+		u, _ := v.upstreams.Get(id)
+		v.upstreams.SetSilent(id, !u.Silent)
+	}
+}
+
+// isSilent reports whether an upstream is silent by the reports of the replicas.
+func (v *View) isSilent(now time.Time, u *fleet.Upstream) bool {
+	heard, missed := false, false
+	for _, r := range v.reports {
+		heard = heard || r.hears(u.ID)
+		missed = missed || r.misses(u.ID)
+	}
+	if heard || missed || u.Silent || u.Phase == fleet.Gone {
+		delete(v.unreportedSince, u.ID)
+		return !heard && (missed || u.Silent)
+	}
+	since, unreported := v.unreportedSince[u.ID]
+	if !unreported {
+		v.unreportedSince[u.ID] = now
+		return false
 	}
+	return now.Sub(since) >= v.unreportedTimeout
 }
 
 // updatePhases records the phases of the changed upstreams and returns those whose
