--- a/replica/sim_test.go
+++ b/replica/sim_test.go
@@ -64,11 +64,13 @@
 	// right after granting a vote and right after acknowledging a write.
 	voteCrashPercent int
 	ackCrashPercent  int
+	// repairTicks is the time without contact after which a voter is replaced.
+	repairTicks uint64
 }
 
 // newCluster starts three members in three data centres, and two spares.
 func newCluster(seed uint64) *cluster {
-	cl := &cluster{rand: core.NewRand(seed), cutLinks: make(map[simLink]bool), checker: newChecker(), maxDelay: 3, syncDelay: 4}
+	cl := &cluster{rand: core.NewRand(seed), cutLinks: make(map[simLink]bool), checker: newChecker(), maxDelay: 3, syncDelay: 4, repairTicks: simRepairTicks}
 	for i, id := range []string{"a", "b", "c", "d", "e"} {
 		cl.nodes = append(cl.nodes, newSimNode(cl, id, fmt.Sprintf("dc%d", i%3), i < 3))
 	}
@@ -238,7 +240,7 @@
 	n.loadEntryTerms(stored)
 	options := quorum.Options{
 		ID: n.id, Identity: n.identity, Group: 7,
-		Spares: simReplicaList("d", "e"), RepairTicks: simRepairTicks,
+		Spares: simReplicaList("d", "e"), RepairTicks: n.cluster.repairTicks,
 		RetainLogBytes: simRetainLogBytes, Seed: n.cluster.rand.Uint64(), Stored: stored,
 		Bootstrap: simReplicaList("a", "b", "c"), Join: !n.founder,
 	}
