Soak: engines crash and others start at their addresses; all daemons are killed

Two faults more: "engines change places" starts an engine with another ID at the address of one that crashed, often before the claim delay has passed, and "kill all daemons" restarts control, storage and entries together. The checks of leaving engines, rate limits and crashes cover the former engines, too.

--- a/e2e/platform_engine_test.go
+++ b/e2e/platform_engine_test.go
@@ -36,7 +36,10 @@
 	engineSlots          = 8
 	eventInterval        = 8 * time.Millisecond
 	heartbeatInterval    = 300 * time.Millisecond
-	serviceName          = "summaries"
+	// claimDelay is the time after the last heartbeat of an engine in which control lets no
+	// other engine take its address.
+	claimDelay  = 3 * heartbeatInterval / 2
+	serviceName = "summaries"
 )
 
 // cutAfterEvents is the number of events after which an engine breaks off a stream
@@ -126,6 +129,8 @@
 	version string
 	zone    string
 	slots   int
+	// hidesStart is set if its heartbeats state no start time.
+	hidesStart bool
 }
 
 // fakeEngine is a fake of an engine of the platform, in the test process.
@@ -163,6 +168,8 @@
 	// crashes counts the requests on whose prompt the engine crashed. It is then a new
 	// start at once.
 	crashes atomic.Int32
+	// misdirected counts the requests that were meant for another engine at its address.
+	misdirected atomic.Int32
 	// drainAckUnixMs is the time of the first acknowledged heartbeat that reported
 	// draining; zero before.
 	drainAckUnixMs atomic.Int64
@@ -183,7 +190,12 @@
 
 func startFakeEngine(t *testing.T, spec engineSpec, ip string, control []string, ledger *runLedger, daemons *daemonTable) *fakeEngine {
 	t.Helper()
-	listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	return startFakeEngineAt(t, spec, net.JoinHostPort(ip, "0"), control, ledger, daemons)
+}
+
+func startFakeEngineAt(t *testing.T, spec engineSpec, address string, control []string, ledger *runLedger, daemons *daemonTable) *fakeEngine {
+	t.Helper()
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -230,10 +242,14 @@
 	if e.draining.Load() {
 		state = "draining"
 	}
-	body, err := json.Marshal(map[string]any{
+	fields := map[string]any{
 		"Service": e.service, "Addr": e.address, "Zone": e.zone, "Version": e.version, "Slots": e.slots,
-		"State": state, "Seq": e.sequence.Add(1), "born": e.startUnixMs.Load(), "ColdLeftMs": 0,
-	})
+		"State": state, "Seq": e.sequence.Add(1), "ColdLeftMs": 0,
+	}
+	if !e.hidesStart {
+		fields["born"] = e.startUnixMs.Load()
+	}
+	body, err := json.Marshal(fields)
 	if err != nil {
 		panic(err)
 	}
@@ -267,6 +283,7 @@
 	id := r.Header.Get(headerID)
 	w.Header().Set(headerID, id)
 	if expected := r.Header.Get(headerExpectInstance); expected != "" && expected != e.id {
+		e.misdirected.Add(1)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
--- a/e2e/platform_faults_test.go
+++ b/e2e/platform_faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"os"
 	"slices"
 	"time"
@@ -100,6 +101,17 @@
 		n.waitExit()
 		s.startNode(n, false)
 	}},
+	{"kill all daemons", func(s *soakRun, ctx context.Context) {
+		for _, n := range s.nodes() {
+			n.kill()
+		}
+		s.pauseRandom(ctx, 1000)
+		for _, n := range s.nodes() {
+			s.startNode(n, false)
+		}
+		sleepContext(ctx, recoveryTime)
+	}},
+	{"engines change places", func(s *soakRun, ctx context.Context) { s.succeedEngine(ctx) }},
 	{"kill all entries", func(s *soakRun, ctx context.Context) {
 		for _, n := range s.entries {
 			n.kill()
@@ -125,12 +137,12 @@
 	if !s.leavingEngine.CompareAndSwap(false, true) {
 		return
 	}
-	e := slices.MaxFunc(s.engines, func(a, b *fakeEngine) int { return cmp.Compare(a.runCount.Load(), b.runCount.Load()) })
+	e := slices.MaxFunc(s.runningEngines(), func(a, b *fakeEngine) int { return cmp.Compare(a.runCount.Load(), b.runCount.Load()) })
 	e.leave(silent)
 	s.lasting.Go(func() {
 		sleepContext(ctx, drainTimeout+time.Second+pause)
 		e.startAgain()
-		for _, e := range s.engines {
+		for _, e := range s.runningEngines() {
 			e.runCount.Store(0)
 		}
 		s.leavingEngine.Store(false)
@@ -154,6 +166,29 @@
 	})
 }
 
+// succeedEngine lets an engine crash, and starts one with another ID at its address, often
+// before the claim delay has passed. The engine may be one that leaves or states a rate limit.
+// Its ID sorts before or after that of the former one.
+func (s *soakRun) succeedEngine(ctx context.Context) {
+	i := s.rand.IntN(len(s.engines))
+	prefix := [...]string{"a", "z"}[s.rand.IntN(2)]
+	former := s.engines[i]
+	former.stop()
+	s.pauseRandom(ctx, int((2 * claimDelay).Milliseconds()))
+	successor := s.startSuccessor(i, fmt.Sprintf("%s-%d", prefix, len(s.formerEngines)))
+	s.enginesMu.Lock()
+	defer s.enginesMu.Unlock()
+	s.engines[i] = successor
+	s.formerEngines = append(s.formerEngines, former)
+}
+
+// runningEngines returns the engines without the former ones.
+func (s *soakRun) runningEngines() []*fakeEngine {
+	s.enginesMu.Lock()
+	defer s.enginesMu.Unlock()
+	return slices.Clone(s.engines)
+}
+
 func (s *soakRun) pickNode(nodes []*platformNode) *platformNode {
 	return nodes[s.rand.IntN(len(nodes))]
 }
--- a/e2e/platform_fleet_test.go
+++ b/e2e/platform_fleet_test.go
@@ -61,14 +61,16 @@
 
 // platformFleet is a deployment of separate daemon processes with fake engines.
 type platformFleet struct {
-	t             *testing.T
-	dir           string
-	network       int
-	proxied       bool
-	controls      []*platformNode
-	stores        []*platformNode
-	entries       []*platformNode
-	engines       []*fakeEngine
+	t        *testing.T
+	dir      string
+	network  int
+	proxied  bool
+	controls []*platformNode
+	stores   []*platformNode
+	entries  []*platformNode
+	engines  []*fakeEngine
+	// formerEngines are those that others succeeded at their addresses.
+	formerEngines []*fakeEngine
 	ledger        runLedger
 	daemons       daemonTable
 	configVersion atomic.Int64
@@ -112,7 +114,7 @@
 		f.startNode(n, true)
 	}
 	for i := range engines {
-		f.startEngine(engineSpec{fmt.Sprintf("i-%d", i), serviceName, engineVersion(i, engines), zoneName(i), engineSlots})
+		f.startEngine(engineSpec{fmt.Sprintf("i-%d", i), serviceName, engineVersion(i, engines), zoneName(i), engineSlots, false})
 	}
 	f.replaceConfiguration()
 	f.await("every entry completes a request", func() bool {
@@ -133,6 +135,16 @@
 	f.engines = append(f.engines, startFakeEngine(f.t, spec, ip, f.operatorsAddresses(), &f.ledger, &f.daemons))
 }
 
+// startSuccessor starts an engine at the address of one that has stopped, in its place in the
+// list of engines.
+func (f *platformFleet) startSuccessor(i int, id string) *fakeEngine {
+	f.t.Helper()
+	former := f.engines[i]
+	spec := former.engineSpec
+	spec.id = id
+	return startFakeEngineAt(f.t, spec, former.address, f.operatorsAddresses(), &f.ledger, &f.daemons)
+}
+
 func zoneName(i int) string { return "zone-" + strconv.Itoa(i%zoneCount) }
 
 func (f *platformFleet) hostIP(host int) string { return fmt.Sprintf("127.78.%d.%d", f.network, host) }
--- a/e2e/platform_poison_test.go
+++ b/e2e/platform_poison_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -50,7 +51,7 @@
 // deadlyRuns returns the number of crashes of all engines.
 func (f *platformFleet) deadlyRuns() int {
 	count := 0
-	for _, e := range f.engines {
+	for _, e := range slices.Concat(f.engines, f.formerEngines) {
 		count += int(e.crashes.Load())
 	}
 	return count
--- a/e2e/platform_services_test.go
+++ b/e2e/platform_services_test.go
@@ -50,7 +50,7 @@
 	f.replaceConfiguration()
 	sound := f.submitAlternating("mixed", 20)
 	f.await("the items for the service with engines are done", func() bool { return f.completedItems("mixed") == sound })
-	f.startEngine(engineSpec{"i-other", "lost", "v1", zoneName(0), engineSlots})
+	f.startEngine(engineSpec{"i-other", "lost", "v1", zoneName(0), engineSlots, false})
 	f.await("all items are done", func() bool { return f.completedItems("mixed") == 20 })
 	g.Expect(f.engines[2].runCount.Load()).To(BeNumerically(">=", 10))
 }
@@ -64,7 +64,7 @@
 	f.otherService = "single"
 	f.replaceConfiguration()
 	for i := range 3 {
-		f.startEngine(engineSpec{fmt.Sprintf("i-single-%d", i), "single", "v1", zoneName(i), 1})
+		f.startEngine(engineSpec{fmt.Sprintf("i-single-%d", i), "single", "v1", zoneName(i), 1, false})
 	}
 	f.await("the entry knows the engines", func() bool { return f.sendRequest(f.entries[0], "/other-online/", "warm-single").complete })
 	const items = 24
--- a/e2e/platform_soak_test.go
+++ b/e2e/platform_soak_test.go
@@ -87,8 +87,10 @@
 type soakRun struct {
 	*platformFleet
 	rand *rand.Rand
-	// leavingEngine is set while an engine leaves, which lasts beyond the fault. The
-	// other engines stay meanwhile.
+	// enginesMu guards the lists of engines until all faults have ended.
+	enginesMu sync.Mutex
+	// leavingEngine is set while an engine leaves, which lasts beyond the fault. No other
+	// engine leaves meanwhile, but one may crash.
 	leavingEngine atomic.Bool
 	// limitedEngine is set while an engine states a rate limit.
 	limitedEngine atomic.Bool
@@ -440,8 +442,9 @@
 	s.checkCustomers()
 	s.checkQuarantine()
 	s.checkFirstTables()
-	told, unknown, counted := 0, 0, 0
-	for _, e := range s.engines {
+	told, unknown, counted, misdirected := 0, 0, 0, 0
+	for _, e := range slices.Concat(s.engines, s.formerEngines) {
+		misdirected += int(e.misdirected.Load())
 		told += e.notices.toldRuns("")
 		unknown += e.notices.unknownRequests()
 		for _, late := range e.notices.lateRequests() {
@@ -453,6 +456,7 @@
 		counted += e.limit.countedRequests()
 	}
 	s.t.Logf("%d daemons told by engines that they leave, %d requests of unknown daemons at these", told, unknown)
+	s.t.Logf("%d engines succeeded others at their addresses, %d requests meant for another engine at an address", len(s.formerEngines), misdirected)
 	s.t.Logf("%d requests counted at engines that stated a rate limit", counted)
 	s.t.Logf("%d cut streams taken up, %d completed, %d refused", s.takenUpCount, s.wentOnCount, s.refusedTakeUps)
 	s.t.Logf("%d requests served, %d refused as not run, %d jobs, version %d", s.servedCount, len(s.notRunIDs), len(s.jobResults), s.ackedVersion)
