--- a/e2e/platform_faults_test.go
+++ b/e2e/platform_faults_test.go
@@ -175,7 +175,7 @@
 	former := s.engines[i]
 	former.stop()
 	s.pauseRandom(ctx, int((2 * claimDelay).Milliseconds()))
-	successor := s.startSuccessor(i, fmt.Sprintf("%s-%d", prefix, len(s.formerEngines)))
+	successor := s.startSuccessor(former, fmt.Sprintf("%s-%d", prefix, len(s.formerEngines)), false)
 	s.enginesMu.Lock()
 	defer s.enginesMu.Unlock()
 	s.engines[i] = successor
--- a/e2e/platform_fleet_test.go
+++ b/e2e/platform_fleet_test.go
@@ -135,13 +135,11 @@
 	f.engines = append(f.engines, startFakeEngine(f.t, spec, ip, f.operatorsAddresses(), &f.ledger, &f.daemons))
 }
 
-// startSuccessor starts an engine at the address of one that has stopped, in its place in the
-// list of engines.
-func (f *platformFleet) startSuccessor(i int, id string) *fakeEngine {
+// startSuccessor starts an engine with another ID at the address of one that has stopped.
+func (f *platformFleet) startSuccessor(former *fakeEngine, id string, hidesStart bool) *fakeEngine {
 	f.t.Helper()
-	former := f.engines[i]
 	spec := former.engineSpec
-	spec.id = id
+	spec.id, spec.hidesStart = id, hidesStart
 	return startFakeEngineAt(f.t, spec, former.address, f.operatorsAddresses(), &f.ledger, &f.daemons)
 }
 
