--- a/e2e/platform_soak_test.go
+++ b/e2e/platform_soak_test.go
@@ -86,7 +86,8 @@
 // soakRun is the state of a run: the fleet and what its clients have observed.
 type soakRun struct {
 	*platformFleet
-	rand *rand.Rand
+	rand   *rand.Rand
+	faults []fault
 	// enginesMu guards the lists of engines until all faults have ended.
 	enginesMu sync.Mutex
 	// leavingEngine is set while an engine leaves, which lasts beyond the fault. No other
@@ -128,9 +129,13 @@
 	s := &soakRun{
 		platformFleet: startPlatformFleet(t, entries, soakEngines, true),
 		rand:          rand.New(rand.NewPCG(seed, seed)),
+		faults:        soakFaults,
 		jobResults:    make(map[string][]string),
 		jobDeletedAt:  make(map[string]time.Time),
 	}
+	if seed >= successionSeed {
+		s.faults = slices.Concat(soakFaults, successionFaults)
+	}
 	if seed%largeTableSeeds == largeTableSeed {
 		s.moreRoutes = routesOfHost(routeHost, largeTableRoutes)
 	}
