--- a/storenode/leadership_test.go
+++ b/storenode/leadership_test.go
@@ -15,9 +15,8 @@
 
 const leadershipSeeds = 5
 
-// No item was placed for 33 s after a loss of power. Neither the runs
-// nor the saved output of earlier terms, nor engines that were silent at first, may hold items up
-// once an engine is heard.
+// No item was placed for 33 s after a loss of power. Neither the runs nor the saved output of
+// earlier terms, nor engines that were silent at first, may hold items up once an engine is heard.
 func TestNewLeaderStartsItemsOnceAnEngineIsHeard(t *testing.T) {
 	for seed := uint64(1); seed <= leadershipSeeds; seed++ {
 		testItemsStartOnceAnEngineIsHeard(t, seed)
