Review: streams go on at an engine that came back with another version

Cause: a control replica acknowledges the first heartbeat of a new start of an engine, but ignores it for up to 1.8 s after the former start was last heard; until then entries take the new start for the former one and its version.

--- a/review/standins-2/engine.go
+++ b/review/standins-2/engine.go
@@ -22,11 +22,17 @@
 	events   int
 	// answer, unless nil, may take a request over. It returns false to leave it to the engine.
 	answer func(c *engineConn, r *http.Request, body []byte, run int) bool
+	zone   string
 	mu     sync.Mutex
 	seq    int
 	state  string
-	conns  map[net.Conn]bool
-	closed chan struct{}
+	// version is that of its software, born the Unix millisecond of its start. Without born, its
+	// heartbeats state none.
+	version string
+	born    int64
+	down    bool
+	conns   map[net.Conn]bool
+	closed  chan struct{}
 }
 
 // engineConn is one connection to an engine.
@@ -57,48 +63,87 @@
 func newEngine(d *deployment, i int) *engine {
 	e := &engine{
 		d: d, id: fmt.Sprintf("i-7f3a91c%d", i), address: fmt.Sprintf("%s:%d", d.ip(100+i), enginePort),
-		gap: 8 * time.Millisecond, events: 12, state: "ready", conns: make(map[net.Conn]bool), closed: make(chan struct{}),
+		gap: 8 * time.Millisecond, events: 12, zone: zone(i), state: "ready", version: "v1", born: time.Now().UnixMilli(),
+		conns: make(map[net.Conn]bool), closed: make(chan struct{}),
 	}
+	e.listen()
+	go e.beat()
+	return e
+}
+
+func (e *engine) listen() {
 	listener, err := net.Listen("tcp", e.address)
 	if err != nil {
 		fail("engine: %v", err)
 	}
-	e.listener = listener
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.listener, e.down = listener, false
 	go e.serve(listener)
-	go e.beat(zone(i))
-	return e
+}
+
+// crash ends the engine at once: its connections are reset.
+func (e *engine) crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.down = true
+	_ = e.listener.Close()
+	for c := range e.conns {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	}
+}
+
+// startAgain starts the engine under the ID that it had, with a version of its software. It
+// listens once its first heartbeat is acknowledged.
+func (e *engine) startAgain(version string) {
+	e.mu.Lock()
+	e.version, e.seq, e.born = version, 0, time.Now().UnixMilli()
+	e.mu.Unlock()
+	for i := 0; !e.sendBeat(i); i++ {
+		time.Sleep(20 * time.Millisecond)
+	}
+	e.d.record.line("engine %s is back with version %s; its heartbeat is acknowledged", e.id, version)
+	e.listen()
 }
 
 func (e *engine) stop() {
 	close(e.closed)
-	_ = e.listener.Close()
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	_ = e.listener.Close()
 	for c := range e.conns {
 		_ = c.Close()
 	}
 }
 
-// beat sends heartbeats to a control daemon, to the next one after a failure.
-func (e *engine) beat(zone string) {
-	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+var beatClient = &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+
+// sendBeat sends a heartbeat to a control daemon and reports whether it is acknowledged.
+func (e *engine) sendBeat(target int) bool {
 	seeds := e.d.seeds()
+	e.mu.Lock()
+	e.seq++
+	body := fmt.Sprintf(`{"Service":%q,"Addr":%q,"Zone":%q,"Version":%q,"Slots":8,"State":%q,"ColdLeftMs":0,"Stage":"both","Models":[{"Name":"m","Version":1,"Adapters":[]}],"Seq":%d,"born":%d}`,
+		serviceName, e.address, e.zone, e.version, e.state, e.seq, e.born)
+	e.mu.Unlock()
+	response, err := beatClient.Post("http://"+seeds[target%len(seeds)]+"/Instances.Heartbeat/"+e.id, "application/json", strings.NewReader(body))
+	if err != nil {
+		return false
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+	return response.StatusCode/100 == 2
+}
+
+// beat sends heartbeats to a control daemon, to the next one after a failure.
+func (e *engine) beat() {
 	target := 0
 	for {
 		e.mu.Lock()
-		e.seq++
-		body := fmt.Sprintf(`{"Service":%q,"Addr":%q,"Zone":%q,"Version":"v1","Slots":8,"State":%q,"ColdLeftMs":0,"Stage":"both","Models":[{"Name":"m","Version":1,"Adapters":[]}],"Seq":%d}`,
-			serviceName, e.address, zone, e.state, e.seq)
+		down := e.down
 		e.mu.Unlock()
-		for range seeds {
-			response, err := client.Post("http://"+seeds[target%len(seeds)]+"/Instances.Heartbeat/"+e.id, "application/json", strings.NewReader(body))
-			if err == nil {
-				_, _ = io.Copy(io.Discard, response.Body)
-				_ = response.Body.Close()
-				if response.StatusCode/100 == 2 {
-					break
-				}
-			}
+		for tries := 0; !down && tries < 3 && !e.sendBeat(target); tries++ {
 			target++
 		}
 		select {
@@ -167,6 +212,16 @@
 	return []byte(fmt.Sprintf("HTTP/1.1 %d %s\r\nBriarcross-Request-Id: %s\r\nBriarcross-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status), id))
 }
 
+// mark is what the version writes besides: nothing for the first one.
+func (e *engine) mark() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.version == "v1" {
+		return ""
+	}
+	return " " + e.version
+}
+
 func eventText(id string, n int) string { return fmt.Sprintf("%s/%d", id, n) }
 
 // output is the whole output of an item.
@@ -207,7 +262,7 @@
 	}
 	for n := first; n <= e.events; n++ {
 		time.Sleep(e.gap)
-		event := fmt.Sprintf("id: %d\ndata: %s\n\n", n, eventText(id, n))
+		event := fmt.Sprintf("id: %d\ndata: %s\n\n", n, eventText(id, n)+e.mark())
 		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil {
 			return false
 		}
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -21,6 +21,7 @@
 
 var cases = map[string]func(*deployment) (broken bool){
 	"late-500": late500,
+	"versions": versions,
 }
 
 func main() { os.Exit(run()) }
