Review: heartbeats of another writer take all engines away after a kill of the core

Cause: heartbeats without Seq and Version are accepted, and a control replica that has just started protects no address; the later born then makes the sound engine gone for two minutes.

--- a/review/standins-2/engine.go
+++ b/review/standins-2/engine.go
@@ -22,10 +22,12 @@
 	events   int
 	// answer, unless nil, may take a request over. It returns false to leave it to the engine.
 	answer func(c *engineConn, r *http.Request, body []byte, run int) bool
-	zone   string
-	mu     sync.Mutex
-	seq    int
-	state  string
+	// reached, unless nil, is called for each request that the engine gets.
+	reached func()
+	zone    string
+	mu      sync.Mutex
+	seq     int
+	state   string
 	// version is that of its software, born the Unix millisecond of its start. Without born, its
 	// heartbeats state none.
 	version string
@@ -244,6 +246,9 @@
 		_, err := c.Write(notRun(id, 421))
 		return err == nil
 	}
+	if e.reached != nil {
+		e.reached()
+	}
 	run := runs.next(id)
 	if e.answer != nil && e.answer(c, r, body, run) {
 		return true
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(*deployment) (broken bool){
 	"late-500": late500,
 	"versions": versions,
+	"foreign":  foreign,
 }
 
 func main() { os.Exit(run()) }
