Review: one item that expects another version of the weights stops all items

Cause: each answer of 421 is taken for that of another instance, and marks a sound engine as gone in the pool of the daemon until its record changes.

--- a/review/standins-2/jobs.go
+++ b/review/standins-2/jobs.go
@@ -4,6 +4,7 @@
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"time"
 )
 
@@ -23,6 +24,9 @@
 	Results   []result
 }
 
+// itemHeaders are further headers of the items that are handed in.
+var itemHeaders = map[string]string{}
+
 // jobBody returns the body of a batch job with some items.
 func jobBody(items []string, bodyBytes int) []byte {
 	var job struct{ Requests []jobItem }
@@ -31,10 +35,9 @@
 		content[i] = byte(i * 7)
 	}
 	for _, id := range items {
-		job.Requests = append(job.Requests, jobItem{
-			Id: id, Path: "/brief/3/" + id, Body: base64.StdEncoding.EncodeToString(content), Tokens: 610,
-			Headers: map[string]string{"Briarcross-Model": "m", "Briarcross-Token-Count": "350,260", "Briarcross-Prompt-Prefix": "9c2e41:100,5d" + fmt.Sprintf("%04x", i16(id)) + ":250"},
-		})
+		headers := map[string]string{"Briarcross-Model": "m", "Briarcross-Token-Count": "350,260", "Briarcross-Prompt-Prefix": "9c2e41:100,5d" + fmt.Sprintf("%04x", i16(id)) + ":250"}
+		maps.Copy(headers, itemHeaders)
+		job.Requests = append(job.Requests, jobItem{Id: id, Path: "/brief/3/" + id, Body: base64.StdEncoding.EncodeToString(content), Tokens: 610, Headers: headers})
 	}
 	body, _ := json.Marshal(job)
 	return body
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -20,9 +20,10 @@
 var trouble = os.Getenv("TROUBLE") != "0"
 
 var cases = map[string]func(*deployment) (broken bool){
-	"late-500": late500,
-	"versions": versions,
-	"foreign":  foreign,
+	"late-500":       late500,
+	"versions":       versions,
+	"expect-version": expectVersion,
+	"foreign":        foreign,
 }
 
 func main() { os.Exit(run()) }
