--- a/engine/calls.go
+++ b/engine/calls.go
@@ -33,7 +33,7 @@
 func (c *modelClient) callJSON(ctx context.Context, method, path string, body, result any) error {
 	ctx, stop := context.WithTimeout(ctx, c.options.CallTimeout)
 	defer stop()
-	x := newExchange(c.pool)
+	x := newExchange(c.pool, "call-"+strconv.FormatUint(c.lastCall.Add(1), 10))
 	x.request.Header.SetMethod(method)
 	x.request.SetRequestURI("http://" + c.pool.Address() + path)
 	if body != nil {
@@ -54,11 +54,11 @@
 		}
 		return err
 	}
-	responseBody, err := io.ReadAll(io.LimitReader(x.body(), int64(c.options.MaxResponseBytes)+1))
+	responseBody, err := io.ReadAll(io.LimitReader(x.response.Body, int64(c.options.MaxResponseBytes)+1))
 	if err == nil && len(responseBody) > c.options.MaxResponseBytes {
 		err = eris.New("engine: answer is too large")
 	}
-	status := x.status()
+	status := x.response.Status
 	x.release(err == nil)
 	if err != nil {
 		return firstError(ctx, err)
--- a/engine/doc.go
+++ b/engine/doc.go
@@ -12,6 +12,9 @@
 //   - Every chunk of a model engine's event stream that reaches the sink carries
 //     the response ID of the request. Other chunks are dropped and counted.
 //
+// Which response answers a request is defined in package answer. The connection
+// of an upstream that does not send HeaderRequestID back carries one request.
+//
 // Cancelling the context closes the connection; a model engine is also sent a
 // cancel request. A client never retries a request.
 package engine
--- a/engine/model.go
+++ b/engine/model.go
@@ -69,6 +69,8 @@
 	pool          *connpool.Pool
 	options       Options
 	droppedChunks atomic.Uint64
+	// lastCall numbers the requests of calls other than Run.
+	lastCall atomic.Uint64
 }
 
 // NewModelClient returns a client of a model engine. It always requests a
@@ -91,10 +93,9 @@
 		}
 		body = rewritten
 	}
-	x := newExchange(c.pool)
+	x := newExchange(c.pool, request.ID)
 	fillRequest(x, request, body)
 	x.request.Header.Del("Accept-Encoding") // Compression would delay the events of a stream.
-	x.request.Header.Set(HeaderRequestID, request.ID)
 	if request.ResumeFrom > 0 {
 		x.request.Header.Set(HeaderResumeFrom, strconv.Itoa(request.ResumeFrom))
 	}
@@ -124,10 +125,10 @@
 		x.release(false)
 		return result
 	}
-	result := Result{Sent: true, Status: x.status()}
-	contentType := string(x.response.Header.ContentType())
+	result := Result{Sent: true, Status: x.response.Status}
+	contentType := x.response.Header.Get("Content-Type")
 	isEventStream := strings.HasPrefix(contentType, "text/event-stream")
-	err := sink(ResponseHead{Status: result.Status, Headers: responseHeaders(x.response)})
+	err := sink(ResponseHead{Status: result.Status, Headers: responseHeaders(x.response.Header)})
 	switch {
 	case err != nil:
 	case isEventStream:
@@ -156,7 +157,7 @@
 // the sink and returns their number of tokens. It omits the end mark;
 // Result.Complete tells that it was received.
 func (c *modelClient) relayEvents(x *exchange, request Request, sink func(ResponsePart) error) (int, error) {
-	events := newEventReader(x.body())
+	events := newEventReader(x.response.Body)
 	chat := request.Path == openai.PathChatCompletions
 	responseID := openai.ResponseID(chat, request.ID)
 	if c.options.TargetIsEntry {
--- a/engine/plain.go
+++ b/engine/plain.go
@@ -25,16 +25,15 @@
 
 // Run implements Client.
 func (p *plainClient) Run(ctx context.Context, request Request, sink func(ResponsePart) error) Result {
-	x := newExchange(p.pool)
+	x := newExchange(p.pool, request.ID)
 	fillRequest(x, request, request.Body)
-	x.request.Header.Set(HeaderRequestID, request.ID)
 	if err := x.send(ctx); err != nil {
 		result := Result{Sent: x.sent, Err: firstError(ctx, err)}
 		x.release(false)
 		return result
 	}
-	result := Result{Sent: true, Status: x.status()}
-	err := sink(ResponseHead{Status: result.Status, Headers: responseHeaders(x.response)})
+	result := Result{Sent: true, Status: x.response.Status}
+	err := sink(ResponseHead{Status: result.Status, Headers: responseHeaders(x.response.Header)})
 	if err == nil {
 		err = relayBody(x, sink)
 	}
@@ -52,7 +51,7 @@
 
 // relayBody passes the response body to the sink in pieces.
 func relayBody(x *exchange, sink func(ResponsePart) error) error {
-	body := x.body()
+	body := x.response.Body
 	buffer := make([]byte, maxPieceBytes)
 	for {
 		n, err := body.Read(buffer)
--- a/entrynode/memory_test.go
+++ b/entrynode/memory_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/briarcross/briarcross/dispatch"
+	"github.com/briarcross/briarcross/internal/answer"
 	"github.com/briarcross/briarcross/node"
 	"github.com/briarcross/briarcross/upstream"
 )
@@ -75,7 +76,7 @@
 	ended := make(chan any)
 	go func() {
 		defer func() { ended <- recover() }()
-		x.relayEvents(&upstream.Response{Status: http.StatusOK, Body: body})
+		x.relayEvents(&upstream.Response{Answer: &answer.Answer{Status: http.StatusOK, Body: body}})
 	}()
 	expect.Eventually(caller.written.Load, testTimeout, pollInterval).Should(BeNumerically(">", 0))
 	expect.Consistently(body.read.Load, 200*time.Millisecond, pollInterval).Should(BeNumerically("<=", relayBufferBytes))
--- a/entrynode/node_test.go
+++ b/entrynode/node_test.go
@@ -60,11 +60,13 @@
 	return tokens
 }
 
+func (testCodec) ResponseID(header http.Header) string { return header.Get("Id") }
+
 func (testCodec) Decode(status int, header http.Header) upstream.ResponseHead {
 	rate, err := strconv.ParseFloat(header.Get("Limit"), 64)
 	return upstream.ResponseHead{
 		AcceptedRate: rate, RateStated: err == nil,
-		RequestID: header.Get("Id"), NotRun: header.Get("Not-Run") != "",
+		NotRun:        header.Get("Not-Run") != "",
 		OtherInstance: status == http.StatusMisdirectedRequest, Genuine: header.Get("Mark") != "", Leaving: header.Get("Leaving") != "",
 	}
 }
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -4,6 +4,7 @@
 import (
 	"bufio"
 	"context"
+	"hash/maphash"
 	"net"
 	"slices"
 	"sync"
@@ -26,9 +27,8 @@
 	// request.
 	IdleTime time.Duration
 
-	// Refused holds the IDs of the requests that the server refused on this connection.
-	Refused map[string]struct{}
-
+	// sentIDs holds the hashes of the IDs with which requests were sent.
+	sentIDs []uint64
 	// readLimit is the number of bytes that Read may still return if limited is set.
 	readLimit int
 	limited   bool
@@ -44,6 +44,9 @@
 	DefaultMaxIdleTime = 4 * time.Second
 	// maxIdleConns is the maximum number of idle connections in a pool.
 	maxIdleConns = 256
+	// MaxRequests is the number of requests after which a connection is closed, and with it
+	// the memory of their IDs.
+	MaxRequests = 512
 )
 
 // countingWriter counts the bytes that the kernel accepted in BytesWritten.
@@ -104,28 +107,37 @@
 // Address returns the address that the pool connects to.
 func (p *Pool) Address() string { return p.address }
 
-// Get returns a usable idle connection, or dials a new one.
-func (p *Pool) Get(ctx context.Context) (*Conn, error) {
-	return p.GetUnless(ctx, func(*Conn) bool { return false })
-}
-
-// GetUnless returns a usable idle connection that is not excluded, or dials a new one. The
-// excluded connections stay in the pool.
-func (p *Pool) GetUnless(ctx context.Context, excluded func(*Conn) bool) (*Conn, error) {
-	for {
-		c := p.popIdle(excluded)
+// GetFor returns a usable connection for a request with an ID, and dials one if there is none.
+// No request with that ID was sent on the connection before, so that no answer to an earlier one
+// can have that ID. For a request without an ID it always dials.
+func (p *Pool) GetFor(ctx context.Context, requestID string) (*Conn, error) {
+	id := hashID(requestID)
+	for requestID != "" {
+		c := p.popIdle(id)
 		if c == nil {
-			return p.dial(ctx)
+			break
 		}
 		if p.usable(c, p.now()) {
 			c.BytesWritten = 0
 			c.Reused = true
+			c.sentIDs = append(c.sentIDs, id)
 			return c, nil
 		}
 		_ = c.Conn.Close()
 	}
+	c, err := p.dial(ctx)
+	if err != nil {
+		return nil, err
+	}
+	c.sentIDs = append(c.sentIDs, id)
+	return c, nil
 }
 
+// idSeed is the seed of the hashes of IDs. Two IDs with one hash cost a connection.
+var idSeed = maphash.MakeSeed()
+
+func hashID(id string) uint64 { return maphash.String(idSeed, id) }
+
 func (p *Pool) usable(c *Conn, now time.Time) bool {
 	c.IdleTime = now.Sub(c.idleSince)
 	if p.idleLimit != nil && c.IdleTime > p.idleLimit.At(now) {
@@ -134,13 +146,13 @@
 	return now.Before(c.idleUntil) && c.Reader.Buffered() == 0 && isReusable(c.Conn)
 }
 
-// popIdle removes the connection that was put back last from the idle ones, without the
-// excluded ones. It returns nil if there is none.
-func (p *Pool) popIdle(excluded func(*Conn) bool) *Conn {
+// popIdle removes the connection that was put back last from the idle ones, without those on
+// which a request with an ID was sent. It returns nil if there is none.
+func (p *Pool) popIdle(id uint64) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for i, c := range slices.Backward(p.idle) {
-		if !excluded(c) {
+		if !slices.Contains(c.sentIDs, id) {
 			p.idle = slices.Delete(p.idle, i, i+1)
 			return c
 		}
@@ -167,7 +179,7 @@
 func (p *Pool) Put(c *Conn, maxIdleTime time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || len(p.idle) >= maxIdleConns || maxIdleTime <= 0 {
+	if p.closed || len(p.idle) >= maxIdleConns || maxIdleTime <= 0 || len(c.sentIDs) >= MaxRequests {
 		_ = c.Conn.Close()
 		return
 	}
--- a/lab/engine/handlers.go
+++ b/lab/engine/handlers.go
@@ -25,6 +25,7 @@
 		_ = ctx.Conn().Close()
 		return
 	}
+	ctx.Response.Header.SetBytesV(engine.HeaderRequestID, ctx.Request.Header.Peek(engine.HeaderRequestID))
 	switch string(ctx.Path()) {
 	case openai.PathCompletions, openai.PathChatCompletions:
 		s.handleCompletion(ctx)
--- a/storenode/upstream_run_test.go
+++ b/storenode/upstream_run_test.go
@@ -1,16 +1,21 @@
 package storenode
 
 import (
+	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	. "github.com/onsi/gomega"
 
 	"github.com/briarcross/briarcross/dispatch"
+	"github.com/briarcross/briarcross/internal/answer"
+	"github.com/briarcross/briarcross/internal/answertest"
 	"github.com/briarcross/briarcross/jobpages"
 	"github.com/briarcross/briarcross/pb"
 	"github.com/briarcross/briarcross/upstream"
@@ -27,7 +32,7 @@
 	expect := NewWithT(t)
 	progress := 0
 	body := io.MultiReader(strings.NewReader("id: 1\ndata: x\n\n"), repeat(": still here\n\n", 1<<20))
-	readEvents(&upstream.Response{Body: body}, upstream.EventSplitter{}, func() { progress++ }, func([]byte, int, string) {})
+	readEvents(&upstream.Response{Answer: &answer.Answer{Body: body}}, upstream.EventSplitter{}, func() { progress++ }, func([]byte, int, string) {})
 	expect.Expect(progress).To(Equal(1))
 }
 
@@ -38,11 +43,11 @@
 		return readEvents(response, upstream.EventSplitter{}, func() {}, func([]byte, int, string) {})
 	}
 	expect := NewWithT(t)
-	expect.Expect(run(&upstream.Response{Body: strings.NewReader("")})).To(Equal(noEvents))
-	expect.Expect(run(&upstream.Response{Body: strings.NewReader(""), EndMarked: true})).To(BeEmpty())
-	expect.Expect(run(&upstream.Response{Body: strings.NewReader("id: 1\ndata: x\n\n")})).To(BeEmpty())
-	expect.Expect(run(&upstream.Response{Body: strings.NewReader("id: 1\nda")})).To(Equal(noEvents))
-	expect.Expect(run(&upstream.Response{Body: strings.NewReader("id: 1\ndata: x\n\nid: 2")})).To(Equal(eventCut))
+	expect.Expect(run(&upstream.Response{Answer: &answer.Answer{Body: strings.NewReader("")}})).To(Equal(noEvents))
+	expect.Expect(run(&upstream.Response{Answer: &answer.Answer{Body: strings.NewReader(""), EndMarked: true}})).To(BeEmpty())
+	expect.Expect(run(&upstream.Response{Answer: &answer.Answer{Body: strings.NewReader("id: 1\ndata: x\n\n")}})).To(BeEmpty())
+	expect.Expect(run(&upstream.Response{Answer: &answer.Answer{Body: strings.NewReader("id: 1\nda")}})).To(Equal(noEvents))
+	expect.Expect(run(&upstream.Response{Answer: &answer.Answer{Body: strings.NewReader("id: 1\ndata: x\n\nid: 2")}})).To(Equal(eventCut))
 }
 
 // endlessEvents is a stream of events with increasing IDs that does not end.
@@ -57,7 +62,7 @@
 func TestEndlessOutputOfAnItemIsCutOff(t *testing.T) {
 	expect := NewWithT(t)
 	size := 0
-	reason := readEvents(&upstream.Response{Body: &endlessEvents{}}, upstream.EventSplitter{}, func() {}, func(data []byte, _ int, _ string) { size += len(data) })
+	reason := readEvents(&upstream.Response{Answer: &answer.Answer{Body: &endlessEvents{}}}, upstream.EventSplitter{}, func() {}, func(data []byte, _ int, _ string) { size += len(data) })
 	expect.Expect(reason).To(Equal(outputTooLong))
 	expect.Expect(size).To(BeNumerically("<=", maxRunBytes))
 }
@@ -97,7 +102,7 @@
 		expect := NewWithT(t)
 		var output []string
 		body := strings.NewReader("id: 1\ndata: one\n\n" + text)
-		reason := readEvents(&upstream.Response{Body: body}, upstream.EventSplitter{VersionField: "version"}, func() {}, func(data []byte, _ int, _ string) { output = append(output, string(data)) })
+		reason := readEvents(&upstream.Response{Answer: &answer.Answer{Body: body}}, upstream.EventSplitter{VersionField: "version"}, func() {}, func(data []byte, _ int, _ string) { output = append(output, string(data)) })
 		expect.Expect(reason).To(Equal(want), text)
 		if want == malformed {
 			expect.Expect(output).To(Equal([]string{"one"}), text)
@@ -118,3 +123,39 @@
 	end := runAtUpstream(t.Context(), l.engines, request, testTimeout, func(engineStatement) {}, func([]byte, int, string) {})
 	expect.Expect(end).To(Equal(runEnd{jobpages.Spoiled, dispatch.Failed, 0, conflictingEvents}))
 }
+
+// A faulty engine writes its failure of a run once more, in front of the answer to the next run of
+// the item. The copy counted as the failure of that run, so that the item was given up too early.
+func TestCopyOfAFailureDoesNotFailTheNextRun(t *testing.T) {
+	expect := NewWithT(t)
+	l := startTestLeader(t)
+	const failure = "HTTP/1.1 500 Internal Server Error\r\nId: i\r\nContent-Length: 6\r\n\r\nfailed"
+	const output = "HTTP/1.1 200 OK\r\nId: i\r\nContent-Length: 15\r\n\r\nid: 1\ndata: x\n\n"
+	var runs atomic.Int32
+	address, stop := answertest.Serve(t, func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		reader := bufio.NewReader(conn)
+		for first := true; ; first = false {
+			if _, err := http.ReadRequest(reader); err != nil {
+				return
+			}
+			switch run := runs.Add(1); {
+			case run < 3:
+				_, _ = io.WriteString(conn, failure)
+			case first:
+				_, _ = io.WriteString(conn, output)
+			default:
+				_, _ = io.WriteString(conn, failure+output)
+			}
+		}
+	})
+	t.Cleanup(stop)
+	run := func() runEnd {
+		request := itemRequest(&pb.PageItem{Id: "i", Path: "/p"}, "h", address, "u", "")
+		return runAtUpstream(t.Context(), l.engines, request, testTimeout, func(engineStatement) {}, func([]byte, int, string) {})
+	}
+	expect.Expect(run().status).To(Equal(http.StatusInternalServerError))
+	expect.Expect(run().status).To(Equal(http.StatusInternalServerError))
+	expect.Expect(run()).To(Equal(runEnd{status: http.StatusOK, slotOutcome: dispatch.Served}))
+	expect.Expect(runs.Load()).To(BeEquivalentTo(3))
+}
--- a/storenode/workers_test.go
+++ b/storenode/workers_test.go
@@ -54,9 +54,11 @@
 	return tokens
 }
 
+func (testCodec) ResponseID(header http.Header) string { return header.Get("Id") }
+
 func (testCodec) Decode(_ int, header http.Header) upstream.ResponseHead {
 	rate, err := strconv.ParseFloat(header.Get("Limit"), 64)
-	return upstream.ResponseHead{RequestID: header.Get("Id"), Genuine: true, Leaving: header.Get("Leaving") != "", AcceptedRate: rate, RateStated: err == nil}
+	return upstream.ResponseHead{Genuine: true, Leaving: header.Get("Leaving") != "", AcceptedRate: rate, RateStated: err == nil}
 }
 
 // testEngine streams events until gate closes, then ends the stream.
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/briarcross/briarcross/internal/answer"
 	"github.com/briarcross/briarcross/internal/connpool"
 	"github.com/briarcross/briarcross/internal/fields"
 )
@@ -27,21 +28,10 @@
 	// connection is attributed to the preceding idle time. It covers a round trip
 	// between regions.
 	idleLossTime = 100 * time.Millisecond
-	// maxStaleResponses limits the responses to earlier requests that one exchange
-	// discards.
-	maxStaleResponses = 2
-	// maxStaleBodyBytes limits how much of the body of a discarded response is read.
-	maxStaleBodyBytes = 256 << 10
-	// maxHeadBytes limits the head of a response, with the informational responses
-	// before it.
-	maxHeadBytes = 64 << 10
 	// maxDiscardBytes and discardTimeout limit how much of a body is read, and for how
 	// long, only to reuse the connection.
 	maxDiscardBytes = 8 << 10
 	discardTimeout  = 100 * time.Millisecond
-	// maxConnRefusals limits the requests that are refused on one connection before it is
-	// closed, and with them the IDs that are kept.
-	maxConnRefusals = 64
 )
 
 // Request is one request to an engine.
@@ -84,8 +74,6 @@
 
 // ResponseHead is the information decoded from the status and headers of a response.
 type ResponseHead struct {
-	// RequestID is the ID of the request that the response belongs to; empty if unknown.
-	RequestID string
 	// NotRun is set when the engine states that it has not run the request.
 	NotRun bool
 	// OtherInstance is set when an engine other than the expected one responded.
@@ -117,6 +105,9 @@
 type HeaderCodec interface {
 	// Encode sets the headers of a request.
 	Encode(header http.Header, request *Request)
+	// ResponseID returns the ID of the request that a response belongs to, empty if its header
+	// has none. IDs that contradict each other match no request.
+	ResponseID(header http.Header) string
 	// Decode interprets the status and headers of a response.
 	Decode(status int, header http.Header) ResponseHead
 	// SharedPromptParts returns the IDs of the parts of a request's prompt that other
@@ -148,7 +139,9 @@
 // Error reports a failed exchange.
 type Error struct {
 	State ExecutionState
-	Err   error
+	// Reason is why there is no answer to a request that may have run.
+	Reason answer.Reason
+	Err    error
 }
 
 // Error implements error.
@@ -166,6 +159,15 @@
 	return MayHaveRun
 }
 
+// ReasonOf returns the reason of an error of Do.
+func ReasonOf(err error) answer.Reason {
+	var failed *Error
+	if errors.As(err, &failed) {
+		return failed.Reason
+	}
+	return answer.None
+}
+
 // EventVersionField returns the VersionField of the streams that the client reads.
 func (c *Client) EventVersionField() string { return c.codec.EventVersionField() }
 
@@ -219,24 +221,14 @@
 
 // Response is the response of an engine, with the body still to be read.
 type Response struct {
+	*answer.Answer
 	ResponseHead
-	Status int
-	Header http.Header
-	// ContentLength is the length of the body in bytes, or negative if it is not
-	// announced.
-	ContentLength int64
-	// EndMarked is set if a length or chunks mark the end of the body. Otherwise it ends
-	// with its connection, also when the engine crashes.
-	EndMarked bool
-	Body      io.Reader
-
-	httpResponse *http.Response
-	conn         *connpool.Conn
-	pool         *connpool.Pool
+
+	conn *connpool.Conn
+	pool *connpool.Pool
 	// stopCancel stops the closing of conn when the context of the request ends. It
 	// returns false if that has happened already.
-	stopCancel   func() bool
-	bodyComplete bool
+	stopCancel func() bool
 }
 
 // Do sends a request and reads the head of its response. The caller must close the
@@ -244,17 +236,12 @@
 // engine stop its work. A returned error is an *Error.
 func (c *Client) Do(ctx context.Context, request *Request) (*Response, error) {
 	if err := request.check(); err != nil {
-		return nil, &Error{NotSent, err}
+		return nil, &Error{State: NotSent, Err: err}
 	}
 	pool := c.pool(request.Address)
-	// A faulty engine may write an earlier refusal once more. A request that was refused on a
-	// connection is sent again on another one, where its refusal cannot be an earlier one.
-	conn, err := pool.GetUnless(ctx, func(c *connpool.Conn) bool {
-		_, refused := c.Refused[request.ID]
-		return refused
-	})
+	conn, err := pool.GetFor(ctx, request.ID)
 	if err != nil {
-		return nil, &Error{NotSent, err}
+		return nil, &Error{State: NotSent, Err: err}
 	}
 	stopCancel := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	startedAt := c.now()
@@ -262,6 +249,7 @@
 	if err != nil {
 		stopCancel()
 		_ = conn.Close()
+		reason := answer.ReasonOf(err)
 		if now := c.now(); ctx.Err() != nil {
 			err = ctx.Err()
 		} else if conn.Reused && now.Sub(startedAt) < idleLossTime {
@@ -271,99 +259,25 @@
 		if conn.BytesWritten == 0 {
 			state = NotSent
 		}
-		return nil, &Error{state, err}
+		return nil, &Error{state, reason, err}
 	}
 	response.conn, response.pool, response.stopCancel = conn, pool, stopCancel
-	if response.NotRun || response.OtherInstance {
-		recordRefusal(conn, request.ID)
-	}
 	return response, nil
 }
 
-func recordRefusal(conn *connpool.Conn, requestID string) {
-	if conn.Refused == nil {
-		conn.Refused = make(map[string]struct{})
-	}
-	conn.Refused[requestID] = struct{}{}
-}
-
+// exchange sends a request and reads the head of its answer. It does not read after a failed
+// write; see package answer.
 func (c *Client) exchange(conn *connpool.Conn, request *Request) (*Response, error) {
 	if err := c.writeRequest(conn, request); err != nil {
 		return nil, eris.Wrap(err, "send request")
 	}
-	for range maxStaleResponses + 1 {
-		response, err := c.readHead(conn, request)
-		if err != nil {
-			return nil, err
-		}
-		if response.RequestID == request.ID || response.RequestID == "" && !conn.Reused {
-			return response, nil
-		}
-		if response.RequestID == "" {
-			return nil, eris.New("response without an ID may belong to an earlier request")
-		}
-		if err := discardStale(response); err != nil {
-			return nil, eris.Wrap(err, "discard response to another request")
-		}
-	}
-	return nil, eris.New("received only responses to other requests")
-}
-
-func (c *Client) readHead(conn *connpool.Conn, request *Request) (*Response, error) {
-	conn.LimitReads(maxHeadBytes)
-	defer conn.UnlimitReads()
-	httpResponse, err := http.ReadResponse(conn.Reader, &http.Request{Method: request.Method})
-	for err == nil && httpResponse.StatusCode/100 == 1 {
-		httpResponse, err = http.ReadResponse(conn.Reader, &http.Request{Method: request.Method})
-	}
+	head, err := answer.Read(conn, answer.Request{ID: request.ID, Method: request.Method, IDOf: c.codec.ResponseID})
 	if err != nil {
-		return nil, eris.Wrap(err, "read response head")
-	}
-	response := &Response{
-		ResponseHead:  c.codec.Decode(httpResponse.StatusCode, httpResponse.Header),
-		Status:        httpResponse.StatusCode,
-		Header:        httpResponse.Header,
-		ContentLength: httpResponse.ContentLength,
-		EndMarked:     httpResponse.ContentLength >= 0 || len(httpResponse.TransferEncoding) > 0,
-		httpResponse:  httpResponse,
-	}
-	response.Body = eofRecorder{httpResponse.Body, &response.bodyComplete}
-	return response, nil
-}
-
-// discardStale reads the body of a response to another request, so that the next
-// response on the connection can be read.
-func discardStale(response *Response) error {
-	if response.httpResponse.Close {
-		return eris.New("connection ends with that response")
+		return nil, err
 	}
-	switch _, err := io.CopyN(io.Discard, response.Body, maxStaleBodyBytes); {
-	case err == nil:
-		// The next response cannot be found without reading the rest.
-		return eris.Errorf("its body has %d bytes or more", maxStaleBodyBytes)
-	case !errors.Is(err, io.EOF):
-		return eris.Wrap(err, "read body")
-	}
-	return nil
-}
-
-// eofRecorder sets complete when body has been read to its end.
-type eofRecorder struct {
-	body     io.Reader
-	complete *bool
+	return &Response{Answer: head, ResponseHead: c.codec.Decode(head.Status, head.Header)}, nil
 }
 
-func (r eofRecorder) Read(p []byte) (int, error) {
-	n, err := r.body.Read(p)
-	if err == io.EOF {
-		*r.complete = true
-	}
-	return n, err
-}
-
-// Complete reports whether the body has been read to its announced end.
-func (r *Response) Complete() bool { return r.bodyComplete }
-
 // Discard reads the rest of a body that is of no use, so that Close can keep the
 // connection. A body that is long or slow is given up, and with it the connection.
 func (r *Response) Discard() {
@@ -373,12 +287,11 @@
 	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxDiscardBytes))
 }
 
-// Close ends the exchange. The connection is kept for reuse if the body has been
-// read to its end and few requests were refused on it; otherwise it is closed, which
-// makes the engine stop its work.
+// Close ends the exchange. The connection is kept for reuse if the answer allows it; otherwise
+// it is closed, which makes the engine stop its work.
 func (r *Response) Close() {
 	stopped := r.stopCancel()
-	if !stopped || !r.bodyComplete || r.httpResponse.Close || len(r.conn.Refused) >= maxConnRefusals {
+	if !stopped || !r.KeepsConn() {
 		_ = r.conn.Close()
 		return
 	}
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/briarcross/briarcross/internal/answer"
 )
 
 // testCodec is a HeaderCodec for the headers of these tests.
@@ -41,9 +43,11 @@
 	return tokens
 }
 
+func (testCodec) ResponseID(header http.Header) string { return header.Get("Id") }
+
 func (testCodec) Decode(status int, header http.Header) ResponseHead {
 	return ResponseHead{
-		RequestID: header.Get("Id"), NotRun: header.Get("Not-Run") != "",
+		NotRun:        header.Get("Not-Run") != "",
 		OtherInstance: status == http.StatusMisdirectedRequest, Genuine: header.Get("Mark") != "",
 	}
 }
@@ -150,7 +154,7 @@
 func TestLongStaleResponseIsNotReadAsNextResponse(t *testing.T) {
 	expect := NewWithT(t)
 	forged := "HTTP/1.1 200 OK\r\nMark: m\r\nId: 1\r\nContent-Length: 6\r\n\r\nforged"
-	for _, skipped := range []int{maxStaleBodyBytes - 1, maxStaleBodyBytes, maxStaleBodyBytes + 1} {
+	for _, skipped := range []int{answer.MaxStaleBodyBytes - 1, answer.MaxStaleBodyBytes, answer.MaxStaleBodyBytes + 1} {
 		body := strings.Repeat("x", skipped) + forged
 		stale := fmt.Sprintf("HTTP/1.1 200 OK\r\nMark: m\r\nId: 0\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 		address, _ := scriptedEngine(t, stale+"<close>")
@@ -294,13 +298,13 @@
 // engine or another.
 func TestIdleLimitIsLearnedFromLostConnections(t *testing.T) {
 	g := NewWithT(t)
-	const ok, idlePeriod = "HTTP/1.1 200 OK\r\nMark: m\r\nContent-Length: 2\r\n\r\nok", 300 * time.Millisecond
+	const idlePeriod = 300 * time.Millisecond
 	dials := 0
 	client := NewClient(testCodec{}, func() { dials++ })
 	now := time.UnixMilli(1_000_000)
 	client.now = func() time.Time { return now }
-	do := func(address string) error {
-		response, err := client.Do(context.Background(), newRequest(address, "1"))
+	do := func(address, id string) error {
+		response, err := client.Do(context.Background(), newRequest(address, id))
 		if err != nil {
 			return err
 		}
@@ -308,15 +312,15 @@
 		_, err = io.ReadAll(response.Body)
 		return err
 	}
-	dropping, _ := scriptedEngine(t, ok, "", ok, ok)
-	other, _ := scriptedEngine(t, ok, ok)
-	g.Expect(do(dropping)).To(Succeed())
-	g.Expect(do(other)).To(Succeed())
+	dropping, _ := scriptedEngine(t, answerTo("1"), "", answerTo("3"), answerTo("4"))
+	other, _ := scriptedEngine(t, answerTo("1"), answerTo("2"))
+	g.Expect(do(dropping, "1")).To(Succeed())
+	g.Expect(do(other, "1")).To(Succeed())
 	now = now.Add(idlePeriod)
-	g.Expect(do(dropping)).NotTo(Succeed())
-	g.Expect(do(other)).To(Succeed())
-	g.Expect(do(dropping)).To(Succeed())
+	g.Expect(do(dropping, "2")).NotTo(Succeed())
+	g.Expect(do(other, "2")).To(Succeed())
+	g.Expect(do(dropping, "3")).To(Succeed())
 	now = now.Add(idlePeriod)
-	g.Expect(do(dropping)).To(Succeed())
+	g.Expect(do(dropping, "4")).To(Succeed())
 	g.Expect(dials).To(Equal(5))
 }
--- a/upstream/doc.go
+++ b/upstream/doc.go
@@ -2,8 +2,7 @@
 // streams their responses.
 //
 // For the decision to retry, a client distinguishes a request that was not sent,
-// one that the engine states it has not run, and one that may have run. It
-// matches responses to requests by request ID and discards a late response to an
-// earlier request on the same connection. A HeaderCodec maps the request ID and
-// the engine's statements to the headers of the platform.
+// one that the engine states it has not run, and one that may have run. Which
+// response answers a request is defined in package answer. A HeaderCodec maps the
+// request ID and the engine's statements to the headers of the platform.
 package upstream
--- /dev/null
+++ b/upstream/main_test.go
@@ -0,0 +1,9 @@
+package upstream
+
+import (
+	"testing"
+
+	"github.com/briarcross/briarcross/internal/proptest"
+)
+
+func TestMain(m *testing.M) { proptest.Main(m, "") }
--- a/upstream/repeated_refusal_test.go
+++ b/upstream/repeated_refusal_test.go
@@ -11,6 +11,8 @@
 	"testing"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/briarcross/briarcross/internal/connpool"
 )
 
 const emptyRefusal = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n"
@@ -105,7 +107,8 @@
 	g.Expect(do(t, client, address, "2").NotRun).To(BeFalse())
 }
 
-func TestConnectionWithManyRefusalsIsClosed(t *testing.T) {
+// The IDs of the requests on a connection are kept as long as it is. Their number is limited.
+func TestConnectionWithManyRequestsIsClosed(t *testing.T) {
 	g := NewWithT(t)
 	dials := 0
 	client := NewClient(testCodec{}, func() { dials++ })
@@ -118,7 +121,7 @@
 	})}
 	t.Cleanup(func() { _ = server.Close() })
 	go func() { _ = server.Serve(listener) }()
-	for i := range 3 * maxConnRefusals {
+	for i := range 3 * connpool.MaxRequests {
 		g.Expect(do(t, client, listener.Addr().String(), strconv.Itoa(i)).NotRun).To(BeTrue())
 	}
 	g.Expect(dials).To(Equal(3))
