Take only HTTP/1 responses with a status of 200 to 599 for answers

What callers saw: an engine in trouble answers with the status 000. The sidecar's client returned it as a complete 200 (fasthttp gives 200 for 0), 042 and 600 as such. At an entry, a status below 100 reached WriteHeader, which panics: the connection was closed without a response, nothing was logged, and requests that may be repeated were not; 600 to 999 and HTTP/2.0 reached callers.

Cause: neither client said what an answer is; each took what its parser lets through.

Change: package answer defines it for both: HTTP/1, a status of 200 to 599, valid header fields; 100 to 199 without 101 are interim responses. All else fails the attempt, with the reason invalid_answer, foreign_answer (only answers to other requests) or only_interim in logs and in briarcross_retries_total; before, all were no_answer. Such bytes are no longer evidence of a crash for the quarantine. RFC 9110, 15: status codes outside 100 to 599 are invalid. It advises to treat them as 5xx; an entry must not change an engine's status, so there is none to relay.

--- a/engine/answer_test.go
+++ b/engine/answer_test.go
@@ -71,3 +71,8 @@
 func TestCopyOfAnAnswerIsNotTakenForThatOfTheNextRun(t *testing.T) {
 	eachClient(t, answertest.CheckCopiesOfStatus)
 }
+
+// An answer with the status 000 reached the caller as a success.
+func TestOtherBytesThanAnswersAreNone(t *testing.T) {
+	eachClient(t, answertest.CheckHeads)
+}
--- a/entrynode/exchange.go
+++ b/entrynode/exchange.go
@@ -403,8 +403,11 @@
 			return notRun, "unreachable", outcome
 		}
 		x.mayHaveRunCount++
-		x.recordInterruption(grant, "no_answer", false, 0)
-		return mayHaveRun, "no_answer", outcome
+		reason := upstream.ReasonOf(err)
+		if reason.ConnFailed() {
+			x.recordInterruption(grant, string(reason), false, 0)
+		}
+		return mayHaveRun, string(reason), outcome
 	}
 	if response.NotRun || response.OtherInstance {
 		response.Discard()
--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -5,8 +5,11 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"strconv"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/net/http/httpguts"
 
 	"github.com/briarcross/briarcross/internal/connpool"
 )
@@ -36,6 +39,10 @@
 	Foreign Reason = "foreign_answer"
 )
 
+// ConnFailed reports whether the connection or the exchange ended before an answer, and not for
+// what the upstream sent.
+func (r Reason) ConnFailed() bool { return r == None || r == OnlyInterim }
+
 // Error reports an exchange without an answer.
 type Error struct {
 	Reason Reason
@@ -124,12 +131,32 @@
 		if err != nil {
 			return nil, &Error{reasonOfHead(err, interim), eris.Wrap(err, "read head")}
 		}
-		if response.StatusCode/100 != 1 {
+		switch status := response.StatusCode; {
+		case response.ProtoMajor != 1:
+			return nil, &Error{Invalid, eris.Errorf("answer in protocol %s", strconv.Quote(response.Proto))}
+		case status == http.StatusSwitchingProtocols || status < 100 || status > 599:
+			return nil, &Error{Invalid, eris.Errorf("status %s", strconv.Quote(response.Status))}
+		case !hasValidFields(response.Header):
+			return nil, &Error{Invalid, eris.New("header has a field that is none")}
+		case status >= 200:
 			return newAnswer(response), nil
 		}
 	}
 }
 
+func hasValidFields(header http.Header) bool {
+	for name, values := range header {
+		if !httpguts.ValidHeaderFieldName(name) || !allOf(values, httpguts.ValidHeaderFieldValue) {
+			return false
+		}
+	}
+	return true
+}
+
+func allOf(values []string, valid func(string) bool) bool {
+	return !slices.ContainsFunc(values, func(value string) bool { return !valid(value) })
+}
+
 // reasonOfHead returns the reason for which the head of a response could not be read.
 func reasonOfHead(err error, afterInterim bool) Reason {
 	var failed net.Error
--- a/storenode/item.go
+++ b/storenode/item.go
@@ -152,7 +152,7 @@
 	x.runner.mu.Lock()
 	events := x.eventCount
 	x.runner.mu.Unlock()
-	answering := end.reason != noAnswer
+	answering := end.answering()
 	x.runner.node.logger.Info(eventlog.AttemptInterrupted, "request", x.item.GetId(), "upstream", x.grant.Upstream, "born", x.grant.StartUnixMs,
 		"reason", end.reason, "answering", answering, "events", events, "parts", x.promptParts)
 	if answering && events < quarantine.MinServedEvents {
--- a/storenode/upstream_run.go
+++ b/storenode/upstream_run.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/briarcross/briarcross/dispatch"
+	"github.com/briarcross/briarcross/internal/answer"
 	"github.com/briarcross/briarcross/jobpages"
 	"github.com/briarcross/briarcross/node"
 	"github.com/briarcross/briarcross/pb"
@@ -62,7 +63,6 @@
 
 // Reasons of runs that ended because the connection to the upstream broke.
 const (
-	noAnswer = "no_answer"
 	brokeOff = "broke_off"
 	eventCut = "event_cut"
 	noEvents = "no_events"
@@ -81,9 +81,12 @@
 
 // interrupted reports whether the connection to the upstream broke during the run.
 func (e runEnd) interrupted() bool {
-	return e.reason == noAnswer || e.reason == brokeOff || e.reason == eventCut || e.reason == noEvents
+	return !e.answering() || e.reason == brokeOff || e.reason == eventCut || e.reason == noEvents
 }
 
+// answering reports whether the upstream had begun to answer when the run ended.
+func (e runEnd) answering() bool { return !answer.Reason(e.reason).ConnFailed() }
+
 func itemHeader(item *pb.PageItem) http.Header {
 	header := make(http.Header)
 	for _, field := range item.GetHeaders() {
@@ -137,7 +140,7 @@
 		if upstream.ExecutionStateOf(err) == upstream.NotSent {
 			return runEnd{jobpages.NotRun, dispatch.Failed, 0, "unreachable"}
 		}
-		return runEnd{jobpages.Interrupted, dispatch.Failed, 0, noAnswer}
+		return runEnd{jobpages.Interrupted, dispatch.Failed, 0, string(upstream.ReasonOf(err))}
 	}
 	defer response.Close()
 	onStatement(statementOf(response))
--- a/upstream/answer_test.go
+++ b/upstream/answer_test.go
@@ -54,3 +54,9 @@
 func TestCopyOfAnAnswerIsNotTakenForThatOfTheNextRun(t *testing.T) {
 	answertest.CheckCopiesOfStatus(t, clientKind)
 }
+
+// Answers with a status such as 000 or 042 were taken for answers. They reached a call that
+// panics, so that the request ended without an answer, or callers as such.
+func TestOtherBytesThanAnswersAreNone(t *testing.T) {
+	answertest.CheckHeads(t, clientKind)
+}
