Do not take an early end of a connection for the end of an answer

What callers saw (reported of another system, true of this one): an engine answers a long upload at once with a 200 without a length, sends a part of the body, ends its side of the connection and resets it while the upload is still under way. The part reached callers as a complete answer.

Cause: the end of the connection was the end of such a body, whatever else was known. Reads after an end return io.EOF also if a reset follows, so neither client ever saw it.

Change: at the end of a body without length or chunks, connpool.Conn.CheckEnd looks at the state of the connection (TCP_INFO): an upstream that has read the request has acknowledged it with the end of its side at the latest. With bytes that are not acknowledged or not sent, or after a reset, the body is not whole. Package answer says so, that nothing may be read after a failed write, and what cannot be told: a request short enough for the upstream's kernel to acknowledge it unread, and a reset that comes after the end was read.

Why it works: the acknowledgement is a fact of the peer's kernel that precedes the end or comes with it; no time-out is involved.

Tests: TestAnswersThatEndEarlyAreNotWhole, for both clients over statuses, framings, ends and the point of the upload.

--- a/engine/answer_test.go
+++ b/engine/answer_test.go
@@ -76,3 +76,9 @@
 func TestOtherBytesThanAnswersAreNone(t *testing.T) {
 	eachClient(t, answertest.CheckHeads)
 }
+
+// An engine answered a long upload at once with a 200 without a length, sent a part of the body,
+// ended its side of the connection and reset it. The part was taken for the whole answer.
+func TestAnswersThatEndEarlyAreNotWhole(t *testing.T) {
+	eachClient(t, answertest.CheckEnds)
+}
--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -139,7 +139,7 @@
 		case !hasValidFields(response.Header):
 			return nil, &Error{Invalid, eris.New("header has a field that is none")}
 		case status >= 200:
-			return newAnswer(response), nil
+			return newAnswer(conn, response), nil
 		}
 	}
 }
@@ -169,7 +169,7 @@
 	return None
 }
 
-func newAnswer(response *http.Response) *Answer {
+func newAnswer(conn *connpool.Conn, response *http.Response) *Answer {
 	answer := &Answer{
 		Status:        response.StatusCode,
 		Header:        response.Header,
@@ -177,13 +177,14 @@
 		EndMarked:     response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Body == http.NoBody,
 		closes:        response.Close,
 	}
-	answer.Body = &body{answer, response.Body}
+	answer.Body = &body{answer, conn, response.Body}
 	return answer
 }
 
 // body is the body of an answer.
 type body struct {
 	answer *Answer
+	conn   *connpool.Conn
 	source io.Reader
 }
 
@@ -193,6 +194,11 @@
 	if err != io.EOF {
 		return n, err
 	}
+	if !b.answer.EndMarked && !b.answer.complete {
+		if endErr := b.conn.CheckEnd(); endErr != nil {
+			return n, endErr
+		}
+	}
 	b.answer.complete = true
 	return n, io.EOF
 }
--- a/internal/answer/doc.go
+++ b/internal/answer/doc.go
@@ -1,6 +1,6 @@
 // Package answer reads the responses to requests on the connections of package
-// connpool. It defines what an answer is and to which exchange it belongs, for all
-// clients of upstreams.
+// connpool. It defines what an answer is, to which exchange it belongs and when it
+// is whole, for all clients of upstreams.
 //
 // What an answer is. The status line names HTTP/1 and a status of 200 to 599. A
 // status of 100 to 199 is an interim response, which an answer follows, except
@@ -18,4 +18,20 @@
 //   - An answer with another ID is discarded.
 //   - An answer without an ID belongs to the exchange only if no earlier request
 //     was sent on the connection. The connection is not used again after it.
+//
+// When it is whole. A body with a length or in chunks is whole when its last byte
+// has been read, also if the connection is reset later. A body that ends with its
+// connection is whole only if the upstream ended its side of the connection in
+// order, after it acknowledged the whole request; see connpool.Conn.CheckEnd.
+//
+// The status makes no difference: a refusal counts by its head alone, but the
+// body of an early error that is not known to be whole is not relayed either.
+//
+// A request is written whole before its answer is read. After a failed write
+// nothing may be read: the write takes the error of the socket with it, so that
+// a connection that was reset would seem to end in order.
+//
+// Limit: an upstream's kernel acknowledges a short request that the upstream
+// itself never reads. If the upstream ends its side and resets the connection
+// only after that end was read, the body passes for a whole one.
 package answer
--- a/upstream/answer_test.go
+++ b/upstream/answer_test.go
@@ -60,3 +60,9 @@
 func TestOtherBytesThanAnswersAreNone(t *testing.T) {
 	answertest.CheckHeads(t, clientKind)
 }
+
+// An engine answered a long upload at once with a 200 without a length, sent a part of the body,
+// ended its side of the connection and reset it. The part was taken for the whole answer.
+func TestAnswersThatEndEarlyAreNotWhole(t *testing.T) {
+	answertest.CheckEnds(t, clientKind)
+}
