Log and count panics of requests, and count them as failed attempts

What callers saw: a connection that closed without a response. net/http recovers a panic of a handler and its message went to a logger that drops all; the outcome of the attempt stayed inconclusive, so that the engine went on to get requests.

Change: a panic while a response is relayed is a failed attempt with the reason panicked, which is tried again where the route allows it, unless a part of the response was sent. It and all other panics of the handler write request_panicked with the request's ID and the stack, and count in briarcross_request_panics_total.

--- a/entrynode/exchange.go
+++ b/entrynode/exchange.go
@@ -392,8 +392,13 @@
 // conclude relays the response of an attempt, or returns the reason for which the request
 // is not completed. The attempt was sent at sentAt; err is the error of the exchange with
 // the upstream.
-func (x *exchange) conclude(grant dispatch.Grant, sentAt time.Time, response *upstream.Response, err error) (attemptResult, string, dispatch.Outcome) {
-	outcome := dispatch.Inconclusive
+func (x *exchange) conclude(grant dispatch.Grant, sentAt time.Time, response *upstream.Response, err error) (result attemptResult, reason string, outcome dispatch.Outcome) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			result, reason, outcome = x.concludePanic(cause)
+		}
+	}()
+	outcome = dispatch.Inconclusive
 	if err != nil {
 		if x.ctx.Err() == nil {
 			outcome = dispatch.Failed
@@ -424,7 +429,7 @@
 	}
 	eventsBefore := x.events.Count
 	x.progress = node.MeasureOnline(x.node.Slots, grant, sentAt)
-	result, reason := x.relay(response)
+	result, reason = x.relay(response)
 	if result == mayHaveRun && response.Status/100 == 2 && reason != malformed {
 		x.recordInterruption(grant, reason, true, x.events.Count-eventsBefore)
 	}
--- a/entrynode/metrics.go
+++ b/entrynode/metrics.go
@@ -12,6 +12,7 @@
 	requests    *prometheus.CounterVec
 	refusals    *prometheus.CounterVec
 	retries     *prometheus.CounterVec
+	panics      prometheus.Counter
 	// quotaRefusals counts refusals for the quotas of customers.
 	quotaRefusals *quotaRefusals
 	slotWait      prometheus.Histogram
@@ -38,6 +39,9 @@
 		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "briarcross_retries_total", Help: "Further attempts at upstreams by reason.",
 		}, []string{"reason"}),
+		panics: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "briarcross_request_panics_total", Help: "Panics in the handling of requests of callers.",
+		}),
 		slotWait: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "briarcross_slot_wait_seconds", Help: "Wait for a slot.", Buckets: node.LatencyBuckets,
 		}),
@@ -51,6 +55,6 @@
 			Name: "briarcross_hedges_denied_total", Help: "Attempts on routes with hedged requests that could not be hedged, by reason.",
 		}, []string{"reason"}),
 	}
-	m.registry.MustRegister(m.connections, m.requests, m.refusals, m.retries, m.slotWait, m.firstByte, m.quotaRefusals.counters, m.hedges, m.hedgesDenied)
+	m.registry.MustRegister(m.connections, m.requests, m.refusals, m.retries, m.panics, m.slotWait, m.firstByte, m.quotaRefusals.counters, m.hedges, m.hedgesDenied)
 	return m
 }
--- a/entrynode/no_answer_test.go
+++ b/entrynode/no_answer_test.go
@@ -69,17 +69,27 @@
 
 // retriesOf returns the attempts that did not complete by reason.
 func retriesOf(t *testing.T, registry *prometheus.Registry) map[string]float64 {
+	t.Helper()
+	return valuesOf(t, registry, "briarcross_retries_total")
+}
+
+// valuesOf returns the values of a counter by its only label, if it has one.
+func valuesOf(t *testing.T, registry *prometheus.Registry, name string) map[string]float64 {
 	t.Helper()
 	families, err := registry.Gather()
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
-	retries := make(map[string]float64)
+	values := make(map[string]float64)
 	for _, family := range families {
-		if family.GetName() != "briarcross_retries_total" {
+		if family.GetName() != name {
 			continue
 		}
 		for _, metric := range family.GetMetric() {
-			retries[metric.GetLabel()[0].GetValue()] = metric.GetCounter().GetValue()
+			label := ""
+			if len(metric.GetLabel()) > 0 {
+				label = metric.GetLabel()[0].GetValue()
+			}
+			values[label] = metric.GetCounter().GetValue()
 		}
 	}
-	return retries
+	return values
 }
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -137,7 +137,7 @@
 	}
 	n.callersListener = callersListener
 	n.callersServer = &http.Server{
-		Handler:           n.closeWhileStopping(handlers.Callers),
+		Handler:           n.endAborted(n.closeWhileStopping(handlers.Callers)),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/eventlog/logger.go
+++ b/eventlog/logger.go
@@ -36,6 +36,7 @@
 	HedgeSettled          = "hedge_settled"
 	RequestFinished       = "request_finished"
 	RequestCut            = "request_cut"
+	RequestPanicked       = "request_panicked"
 	UpstreamChanged       = "upstream_changed"
 	UpstreamSilent        = "upstream_silent"
 	UpstreamJudged        = "upstream_judged"
