Reset the connection of an HTTP/1.0 caller whose response is cut

What callers saw: a stream that was cut looked complete to a caller who speaks HTTP/1.0, which has no chunks: the aborted response ended with an orderly end of the connection.

Change: an aborted response ends the connection of such a caller with a reset, so that it gets an error. Buffering streams to state a length would delay each event; a refusal would take service away from callers whom nothing fails. Requests with a length behave as before.

--- a/entrynode/abort_test.go
+++ b/entrynode/abort_test.go
@@ -2,10 +2,16 @@
 
 import (
 	"bytes"
+	"errors"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
+	"syscall"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 )
@@ -67,3 +73,33 @@
 	defer b.mu.Unlock()
 	return b.buffer.String()
 }
+
+// A stream that was cut looked complete to a caller who speaks HTTP/1.0, which has no chunks.
+func TestCutStreamIsNotWholeForAnyCaller(t *testing.T) {
+	for _, protocol := range []string{"HTTP/1.0", "HTTP/1.1"} {
+		for _, path := range []string{"/stream/x", "/once/x"} {
+			t.Run(protocol+path, func(t *testing.T) {
+				expect := NewWithT(t)
+				url, _ := startEntry(t, startEngine(t, func(int, *http.Request) string { return chunked("r1", events(1, 3)+"<cut>") }))
+				conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+				expect.Expect(err).NotTo(HaveOccurred())
+				defer func() { _ = conn.Close() }()
+				expect.Expect(conn.SetDeadline(time.Now().Add(testTimeout))).To(Succeed())
+				_, err = io.WriteString(conn, "POST "+path+" "+protocol+"\r\nHost: h\r\nConnection: close\r\nId: r1\r\nContent-Length: 0\r\n\r\n")
+				expect.Expect(err).NotTo(HaveOccurred())
+				response, err := io.ReadAll(conn)
+				whole := err == nil
+				if strings.Contains(string(response), "Transfer-Encoding: chunked") {
+					whole = strings.HasSuffix(string(response), "0\r\n\r\n")
+				} else if err != nil {
+					expect.Expect(errors.Is(err, syscall.ECONNRESET)).To(BeTrue(), "%v", err)
+				}
+				if strings.Contains(string(response), " 200 OK") {
+					expect.Expect(whole).To(BeFalse(), "%q", response)
+				} else {
+					expect.Expect(string(response)).To(Or(BeEmpty(), ContainSubstring(" 502 ")))
+				}
+			})
+		}
+	}
+}
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -143,6 +143,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          discardLog,
 		ConnState:         n.callerConns.track,
+		ConnContext:       withCallerConn,
 	}
 	n.readyServer = &http.Server{Handler: handlers.Ready, ReadHeaderTimeout: headerTimeout, ErrorLog: discardLog}
 	n.metrics.registry.MustRegister(n.Collectors()...)
