--- a/entrynode/exchange.go
+++ b/entrynode/exchange.go
@@ -46,6 +46,9 @@
 	malformed = "malformed"
 	// outputTooLong is that of attempts whose stream exceeds the output that the request allows.
 	outputTooLong = "output_too_long"
+	// conditionUnmet is the reason of attempts at engines that do not meet a condition that the
+	// caller states.
+	conditionUnmet = "condition_unmet"
 	// maxResumeWait is how long a stream that has begun may wait for a slot, with the
 	// attempts that upstreams have not run. Only engines of one software version can go
 	// on with it, and its caller has a part of it already.
@@ -418,8 +421,11 @@
 		response.Discard()
 		x.notRunCount++
 		reason := "refused_" + strconv.Itoa(response.Status)
-		if response.OtherInstance {
+		switch {
+		case response.OtherInstance:
 			return notRun, reason, dispatch.OtherInstance
+		case response.Unmet:
+			return notRun, conditionUnmet, dispatch.Inconclusive
 		}
 		return rejected, reason, dispatch.Rejected
 	}
--- a/entrynode/node_test.go
+++ b/entrynode/node_test.go
@@ -62,12 +62,12 @@
 
 func (testCodec) ResponseID(header http.Header) string { return header.Get("Id") }
 
-func (testCodec) Decode(status int, header http.Header) upstream.ResponseHead {
+func (testCodec) Decode(_ *upstream.Request, status int, header http.Header) upstream.ResponseHead {
 	rate, err := strconv.ParseFloat(header.Get("Limit"), 64)
 	return upstream.ResponseHead{
 		AcceptedRate: rate, RateStated: err == nil,
 		NotRun:        header.Get("Not-Run") != "",
-		OtherInstance: status == http.StatusMisdirectedRequest, Genuine: header.Get("Mark") != "", Leaving: header.Get("Leaving") != "",
+		OtherInstance: status == http.StatusMisdirectedRequest && header.Get("Unmet") == "", Unmet: header.Get("Unmet") != "", Genuine: header.Get("Mark") != "", Leaving: header.Get("Leaving") != "",
 	}
 }
 
--- a/entrynode/race.go
+++ b/entrynode/race.go
@@ -156,7 +156,7 @@
 		switch {
 		case o.response.OtherInstance:
 			outcome = dispatch.OtherInstance
-		case o.response.NotRun:
+		case o.response.NotRun && !o.response.Unmet:
 			outcome = dispatch.Rejected
 		}
 	}
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -145,6 +145,7 @@
 	"unreachable":             "none of the upstreams tried could be reached",
 	"no_answer":               "the connection to an upstream failed before it responded; the request may have run",
 	"only_interim":            "an upstream sent interim responses (status 100 to 199) but no answer; the request may have run",
+	"condition_unmet":         "the engines tried do not meet a condition of the request, such as a version of the weights; they have not run it",
 	"panicked":                "a fault of the daemon ended the attempt; request_panicked has the place",
 	"invalid_answer":          "an upstream sent bytes that are no answer, such as a status below 200 or above 599; the request may have run",
 	"foreign_answer":          "an upstream sent only answers that belong, or may belong, to other requests; the request may have run",
--- a/storenode/poison_test.go
+++ b/storenode/poison_test.go
@@ -110,3 +110,46 @@
 	expect.Expect(r.mayTry(now.Add(trialInterval - time.Millisecond))).To(BeFalse())
 	expect.Expect(r.mayTry(now.Add(trialInterval))).To(BeTrue())
 }
+
+// One item for a version of the weights that no engine has took all engines away from the leader, so
+// that no item was started any more. It went to the next engine every 50 ms.
+func TestItemWithAnUnmetConditionTakesNoEngineAway(t *testing.T) {
+	expect := NewWithT(t)
+	l := startTestLeader(t)
+	var upstreams []fleet.Upstream
+	for i := range 6 {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Id", r.Header.Get("Id"))
+			if r.Header.Get("Condition") != "" {
+				w.WriteHeader(http.StatusMisdirectedRequest)
+				return
+			}
+			_, _ = io.WriteString(w, "id: 1\ndata: one\n\n")
+		}))
+		t.Cleanup(server.Close)
+		upstreams = append(upstreams, fleet.Upstream{
+			ID: strconv.Itoa(i), Service: testService, Address: server.Listener.Addr().String(), DataCentre: "d", Slots: 4,
+			Phase: fleet.Ready, LastHeartbeat: time.Now(),
+		})
+	}
+	l.node.Slots.UpdateUpstreams(upstreams)
+	submit := func(job string, headers ...*pb.HeaderField) {
+		l.propose(&pb.Command{Op: &pb.Command_PageSubmit{PageSubmit: &pb.PageSubmit{
+			JobId: job, Host: "h", DueMs: 600_000, KeepMs: 600_000, RetainMs: 600_000, Attempts: 3,
+			Items: []*pb.PageItem{{Id: job, Path: "/p", Headers: headers}},
+		}}})
+	}
+	submit("unmet", &pb.HeaderField{Name: "Condition", Value: "2"})
+	key := jobpages.ItemKey{JobID: "unmet"}
+	expect.Eventually(func() int {
+		l.tick()
+		progress := l.progress(key)
+		return progress.FruitlessRuns
+	}, testTimeout, 5*time.Millisecond).Should(Equal(jobpages.FruitlessLimit + 1))
+	submit("sound")
+	expect.Eventually(func() bool {
+		l.tick()
+		return l.node.state.IsItemOpen("sound", 0)
+	}, testTimeout, 5*time.Millisecond).Should(BeFalse())
+	expect.Expect(l.node.state.IsItemOpen("unmet", 0)).To(BeTrue())
+}
--- a/storenode/upstream_run.go
+++ b/storenode/upstream_run.go
@@ -147,6 +147,9 @@
 	switch {
 	case response.OtherInstance:
 		return runEnd{jobpages.NotRun, dispatch.OtherInstance, response.Status, "other_instance"}
+	case response.Unmet:
+		// The engines may all answer alike for long: the delay of the next run grows.
+		return runEnd{jobpages.Interrupted, dispatch.Inconclusive, response.Status, "condition_unmet"}
 	case response.NotRun:
 		return runEnd{jobpages.NotRun, dispatch.Rejected, response.Status, "refused"}
 	case !response.Genuine:
--- a/storenode/workers_test.go
+++ b/storenode/workers_test.go
@@ -56,9 +56,9 @@
 
 func (testCodec) ResponseID(header http.Header) string { return header.Get("Id") }
 
-func (testCodec) Decode(_ int, header http.Header) upstream.ResponseHead {
+func (testCodec) Decode(_ *upstream.Request, status int, header http.Header) upstream.ResponseHead {
 	rate, err := strconv.ParseFloat(header.Get("Limit"), 64)
-	return upstream.ResponseHead{Genuine: true, Leaving: header.Get("Leaving") != "", AcceptedRate: rate, RateStated: err == nil}
+	return upstream.ResponseHead{NotRun: status == http.StatusMisdirectedRequest, Unmet: status == http.StatusMisdirectedRequest, Genuine: true, Leaving: header.Get("Leaving") != "", AcceptedRate: rate, RateStated: err == nil}
 }
 
 // testEngine streams events until gate closes, then ends the stream.
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -78,6 +78,9 @@
 	NotRun bool
 	// OtherInstance is set when an engine other than the expected one responded.
 	OtherInstance bool
+	// Unmet is set, with NotRun, when the expected engine does not meet a condition that the request
+	// itself states. It says nothing about other requests.
+	Unmet bool
 	// Genuine is set when the response carries the header that only engines set.
 	Genuine bool
 	// Leaving is set when the response states that its sender leaves; see
@@ -108,8 +111,8 @@
 	// ResponseID returns the ID of the request that a response belongs to, empty if its header
 	// has none. IDs that contradict each other match no request.
 	ResponseID(header http.Header) string
-	// Decode interprets the status and headers of a response.
-	Decode(status int, header http.Header) ResponseHead
+	// Decode interprets the status and headers of a response to a request.
+	Decode(request *Request, status int, header http.Header) ResponseHead
 	// SharedPromptParts returns the IDs of the parts of a request's prompt that other
 	// requests may share.
 	SharedPromptParts(header http.Header) []string
@@ -275,7 +278,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Response{Answer: head, ResponseHead: c.codec.Decode(head.Status, head.Header)}, nil
+	return &Response{Answer: head, ResponseHead: c.codec.Decode(request, head.Status, head.Header)}, nil
 }
 
 // Discard reads the rest of a body that is of no use, so that Close can keep the
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -45,7 +45,7 @@
 
 func (testCodec) ResponseID(header http.Header) string { return header.Get("Id") }
 
-func (testCodec) Decode(status int, header http.Header) ResponseHead {
+func (testCodec) Decode(_ *Request, status int, header http.Header) ResponseHead {
 	return ResponseHead{
 		NotRun:        header.Get("Not-Run") != "",
 		OtherInstance: status == http.StatusMisdirectedRequest, Genuine: header.Get("Mark") != "",
