Clients of jobs and operators: a status that is none is no success

A cut response to an operator without a decoded body counted by its status alone.

Change: both clients use net/http and answer.IsStatus; such a response, or one that ends early, leaves the outcome unknown. Redirects are not followed, as before.

Tests: TestOnlyStatus200IsASuccess and TestStatusThatIsNoneIsNoSuccess fail before (status 000).

--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -85,6 +85,12 @@
 // Complete reports whether the whole body has been read.
 func (a *Answer) Complete() bool { return a.complete }
 
+// IsStatus reports whether a status is one of an answer.
+func IsStatus(status int) bool { return status >= 200 && status <= 599 }
+
+// RefuseRedirect is the CheckRedirect hook of clients to which a redirect is an answer as any other.
+func RefuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // KeepsConn reports whether another request may be sent on the connection: the body has been read
 // whole, the upstream keeps the connection open, and it sends the IDs by which later answers can be told apart.
 func (a *Answer) KeepsConn() bool { return a.complete && !a.closes && a.hasID }
@@ -134,11 +140,11 @@
 		switch status := response.StatusCode; {
 		case response.ProtoMajor != 1:
 			return nil, &Error{Invalid, eris.Errorf("answer in protocol %s", strconv.Quote(response.Proto))}
-		case status == http.StatusSwitchingProtocols || status < 100 || status > 599:
+		case status == http.StatusSwitchingProtocols || status/100 != 1 && !IsStatus(status):
 			return nil, &Error{Invalid, eris.Errorf("status %s", strconv.Quote(response.Status))}
 		case !hasValidFields(response.Header):
 			return nil, &Error{Invalid, eris.New("header has a field that is none")}
-		case status >= 200:
+		case IsStatus(status):
 			return newAnswer(conn, response), nil
 		}
 	}
--- a/jobs/client.go
+++ b/jobs/client.go
@@ -10,14 +10,16 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
+	"net/http"
 	"net/url"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/valyala/fasthttp"
 
+	"github.com/briarcross/briarcross/internal/answer"
 	"github.com/briarcross/briarcross/openai"
 )
 
@@ -118,16 +120,14 @@
 // Client sends requests to an entry.
 type Client struct {
 	options    Options
-	httpClient fasthttp.Client
+	httpClient http.Client
 }
 
 // NewClient returns a client of the entry at o.EntryURL.
 func NewClient(o Options) *Client {
 	o.EntryURL = strings.TrimSuffix(o.EntryURL, "/")
-	c := &Client{options: o}
-	c.httpClient.TLSConfig = o.TLS
-	c.httpClient.StreamResponseBody = true
-	return c
+	transport := &http.Transport{TLSClientConfig: o.TLS, DisableCompression: true}
+	return &Client{options: o, httpClient: http.Client{Transport: transport, CheckRedirect: answer.RefuseRedirect}}
 }
 
 // ContentIdempotencyKey returns the idempotency key that Submit uses for a body
@@ -157,11 +157,8 @@
 
 func (c *Client) submitOnce(body []byte, key string) (*Job, error) {
 	job := &Job{}
-	return job, c.call(fasthttp.MethodPost, pathBatches, job, func(request *fasthttp.Request) {
-		request.Header.SetContentType(contentTypeJSONL)
-		request.Header.Set(headerIdempotencyKey, key)
-		request.SetBodyRaw(body)
-	})
+	header := http.Header{"Content-Type": {contentTypeJSONL}, headerIdempotencyKey: {key}}
+	return job, c.call(http.MethodPost, pathBatches, job, header, body)
 }
 
 // retryDelay returns the delay before a retry after err, or false if the request
@@ -191,13 +188,13 @@
 // Get returns the job with an ID.
 func (c *Client) Get(id string) (*Job, error) {
 	job := &Job{}
-	return job, c.call(fasthttp.MethodGet, pathBatches+"/"+url.PathEscape(id), job, nil)
+	return job, c.call(http.MethodGet, pathBatches+"/"+url.PathEscape(id), job, nil, nil)
 }
 
 // Cancel cancels a job and returns it. A job that has ended is returned unchanged.
 func (c *Client) Cancel(id string) (*Job, error) {
 	job := &Job{}
-	return job, c.call(fasthttp.MethodPost, pathBatches+"/"+url.PathEscape(id)+"/cancel", job, nil)
+	return job, c.call(http.MethodPost, pathBatches+"/"+url.PathEscape(id)+"/cancel", job, nil, nil)
 }
 
 // List returns a page of at most limit jobs of the caller, starting after the job
@@ -207,23 +204,23 @@
 	query.Set("after", after)
 	query.Set("limit", strconv.Itoa(limit))
 	list := &JobPage{}
-	return list, c.call(fasthttp.MethodGet, pathBatches+"?"+query.Encode(), list, nil)
+	return list, c.call(http.MethodGet, pathBatches+"?"+query.Encode(), list, nil, nil)
 }
 
 // Results writes the results of a job to out, as JSON lines in the order of its
 // items, and returns their number. An error means that results are missing.
 func (c *Client) Results(id string, out io.Writer) (int, error) {
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	request.SetRequestURI(c.options.EntryURL + pathBatches + "/" + url.PathEscape(id) + "/results")
-	if err := c.send(request, response, resultsTimeout); err != nil {
+	ctx, cancel := context.WithTimeout(context.Background(), resultsTimeout)
+	defer cancel()
+	response, err := c.send(ctx, http.MethodGet, pathBatches+"/"+url.PathEscape(id)+"/results", nil, nil)
+	if err != nil {
 		return 0, err
 	}
-	if response.StatusCode() != fasthttp.StatusOK {
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
 		return 0, newFailure(response, readBody(response))
 	}
-	return copyResults(out, bodyReader(response))
+	return copyResults(out, response.Body)
 }
 
 func copyResults(out io.Writer, body io.Reader) (int, error) {
@@ -245,62 +242,62 @@
 	return written, eris.Wrapf(lines.Err(), "results incomplete after %d items", written)
 }
 
-func (c *Client) call(method, path string, result any, prepare func(*fasthttp.Request)) error {
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	request.Header.SetMethod(method)
-	request.SetRequestURI(c.options.EntryURL + path)
-	if prepare != nil {
-		prepare(request)
-	}
-	if err := c.send(request, response, requestTimeout); err != nil {
+func (c *Client) call(method, path string, result any, header http.Header, body []byte) error {
+	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
+	defer cancel()
+	response, err := c.send(ctx, method, path, header, body)
+	if err != nil {
 		return err
 	}
-	body := readBody(response)
-	if response.StatusCode() != fasthttp.StatusOK {
-		return newFailure(response, body)
+	defer func() { _ = response.Body.Close() }()
+	received := readBody(response)
+	if response.StatusCode != http.StatusOK {
+		return newFailure(response, received)
 	}
-	if err := json.Unmarshal(body, result); err != nil {
+	if err := json.Unmarshal(received, result); err != nil {
 		return &Failure{Reason: "decode the response of the entry: " + err.Error(), OutcomeUnknown: true}
 	}
 	return nil
 }
 
-func (c *Client) send(request *fasthttp.Request, response *fasthttp.Response, timeout time.Duration) error {
+func (c *Client) send(ctx context.Context, method, path string, header http.Header, body []byte) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, method, c.options.EntryURL+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, eris.Wrap(err, "request to entry")
+	}
+	maps.Copy(request.Header, header)
 	if c.options.Token != "" {
-		request.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+c.options.Token)
+		request.Header.Set("Authorization", "Bearer "+c.options.Token)
 	}
 	if c.options.Caller != "" {
 		request.Header.Set(headerCaller, c.options.Caller)
 	}
-	if err := c.httpClient.DoTimeout(request, response, timeout); err != nil {
-		return &Failure{Reason: fmt.Sprintf("no response from %s: %v", c.options.EntryURL, err), OutcomeUnknown: true}
+	response, err := c.httpClient.Do(request)
+	if err != nil {
+		return nil, &Failure{Reason: fmt.Sprintf("no response from %s: %v", c.options.EntryURL, err), OutcomeUnknown: true}
 	}
-	return nil
-}
-
-func bodyReader(response *fasthttp.Response) io.Reader {
-	if stream := response.BodyStream(); stream != nil {
-		return stream
+	if !answer.IsStatus(response.StatusCode) {
+		_ = response.Body.Close()
+		return nil, &Failure{Reason: fmt.Sprintf("%s responded with status %s, which is none", c.options.EntryURL, response.Status), OutcomeUnknown: true}
 	}
-	return bytes.NewReader(response.Body())
+	return response, nil
 }
 
-func readBody(response *fasthttp.Response) []byte {
-	body, _ := io.ReadAll(bodyReader(response))
+// readBody reads what has come of a body. One that is cut cannot be decoded.
+func readBody(response *http.Response) []byte {
+	body, _ := io.ReadAll(response.Body)
 	return body
 }
 
 // newFailure returns the Failure for a response with an error status.
-func newFailure(response *fasthttp.Response, body []byte) error {
-	status := response.StatusCode()
+func newFailure(response *http.Response, body []byte) error {
+	status := response.StatusCode
 	failure := &Failure{StatusCode: status, Reason: fmt.Sprintf("entry responded with HTTP status %d", status)}
 	if detail, ok := openai.ParseError(body); ok {
 		failure.Reason = detail.Message
 	}
-	failure.OutcomeUnknown = string(response.Header.Peek(headerOutcome)) == outcomeLabelUnknown
-	seconds, err := strconv.Atoi(string(response.Header.Peek(fasthttp.HeaderRetryAfter)))
+	failure.OutcomeUnknown = response.Header.Get(headerOutcome) == outcomeLabelUnknown
+	seconds, err := strconv.Atoi(response.Header.Get("Retry-After"))
 	if err == nil {
 		failure.RetryAfter = time.Duration(seconds) * time.Second
 	}
--- a/operator/client.go
+++ b/operator/client.go
@@ -3,20 +3,23 @@
 package operator
 
 import (
+	"bytes"
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"net/url"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/valyala/fasthttp"
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/briarcross/briarcross/internal/answer"
 	"github.com/briarcross/briarcross/pb"
 )
 
@@ -53,7 +56,7 @@
 type Client struct {
 	baseURL    string
 	token      string
-	httpClient fasthttp.Client
+	httpClient http.Client
 }
 
 // NewClient returns a client without credentials of the replica at a base URL.
@@ -63,9 +66,11 @@
 
 // NewClientWithCredentials returns a client that authenticates with credentials.
 func NewClientWithCredentials(baseURL string, credentials Credentials) *Client {
-	c := &Client{baseURL: strings.TrimSuffix(baseURL, "/"), token: credentials.Token}
-	c.httpClient.TLSConfig = credentials.TLS
-	return c
+	transport := &http.Transport{TLSClientConfig: credentials.TLS, DisableCompression: true}
+	return &Client{
+		baseURL: strings.TrimSuffix(baseURL, "/"), token: credentials.Token,
+		httpClient: http.Client{Transport: transport, Timeout: requestTimeout, CheckRedirect: answer.RefuseRedirect},
+	}
 }
 
 // FailureKind tells whether the request of a failed call was carried out.
@@ -109,7 +114,7 @@
 
 // get decodes the response to a GET request into result.
 func (c *Client) get(path string, result proto.Message) error {
-	return c.do(fasthttp.MethodGet, path, nil, result)
+	return c.do(http.MethodGet, path, nil, result)
 }
 
 // post sends a message in a POST request and decodes the response into result.
@@ -118,36 +123,44 @@
 	if err != nil {
 		return eris.Wrap(err, "encode request to control replica")
 	}
-	return c.do(fasthttp.MethodPost, path, data, result)
+	return c.do(http.MethodPost, path, data, result)
 }
 
 func (c *Client) do(method, path string, body []byte, result proto.Message) error {
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	request.Header.SetMethod(method)
-	request.SetRequestURI(c.baseURL + path)
-	request.SetBody(body)
-	if err := c.send(request, response); err != nil {
+	status, received, err := c.send(method, path, body)
+	if err != nil {
 		return err
 	}
-	return c.decode(response, result)
+	return c.decode(status, received, result)
 }
 
-func (c *Client) send(request *fasthttp.Request, response *fasthttp.Response) error {
+// send sends a request and returns the status and the whole body of its response.
+func (c *Client) send(method, path string, body []byte) (status int, received []byte, err error) {
+	request, err := http.NewRequest(method, c.baseURL+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, eris.Wrap(err, "request to control replica")
+	}
 	if c.token != "" {
-		request.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+c.token)
+		request.Header.Set("Authorization", "Bearer "+c.token)
 	}
-	err := c.httpClient.DoTimeout(request, response, requestTimeout)
+	response, err := c.httpClient.Do(request)
 	switch {
-	case errors.Is(err, fasthttp.ErrDialTimeout), isDialError(err):
-		return newFailure(NotDone, "cannot reach %s: %v", c.baseURL, err)
+	case isDialError(err):
+		return 0, nil, newFailure(NotDone, "cannot reach %s: %v", c.baseURL, err)
 	case err != nil:
-		return newFailure(OutcomeUnknown, "no response from %s: %v", c.baseURL, err)
-	case response.StatusCode() == fasthttp.StatusUnauthorized:
-		return newFailure(Invalid, "%s does not accept this operator: set -token, or -tls-cert and -tls-key", c.baseURL)
+		return 0, nil, newFailure(OutcomeUnknown, "no response from %s: %v", c.baseURL, err)
 	}
-	return nil
+	defer func() { _ = response.Body.Close() }()
+	received, err = io.ReadAll(response.Body)
+	switch {
+	case !answer.IsStatus(response.StatusCode):
+		return 0, nil, newFailure(OutcomeUnknown, "%s responded with status %s, which is none", c.baseURL, response.Status)
+	case err != nil:
+		return 0, nil, newFailure(OutcomeUnknown, "response from %s ended early: %v", c.baseURL, err)
+	case response.StatusCode == http.StatusUnauthorized:
+		return 0, nil, newFailure(Invalid, "%s does not accept this operator: set -token, or -tls-cert and -tls-key", c.baseURL)
+	}
+	return response.StatusCode, received, nil
 }
 
 // isDialError reports whether connecting failed, so that no request was sent.
@@ -158,17 +171,16 @@
 
 // decode decodes a response into result, or returns the error that it reports.
 // Unknown fields, which a newer server may send, are ignored.
-func (c *Client) decode(response *fasthttp.Response, result proto.Message) error {
+func (c *Client) decode(status int, body []byte, result proto.Message) error {
 	options := protojson.UnmarshalOptions{DiscardUnknown: true}
-	status := response.StatusCode()
-	if status == fasthttp.StatusOK || status == fasthttp.StatusConflict {
-		return eris.Wrap(options.Unmarshal(response.Body(), result), "decode response of control replica")
+	if status == http.StatusOK || status == http.StatusConflict {
+		return eris.Wrap(options.Unmarshal(body, result), "decode response of control replica")
 	}
 	controlErr := &pb.ControlError{}
-	if options.Unmarshal(response.Body(), controlErr) == nil && controlErr.GetCode() != pb.ControlError_UNSPECIFIED {
+	if options.Unmarshal(body, controlErr) == nil && controlErr.GetCode() != pb.ControlError_UNSPECIFIED {
 		return failureOf(controlErr)
 	}
-	if options.Unmarshal(response.Body(), result) == nil {
+	if options.Unmarshal(body, result) == nil {
 		return nil
 	}
 	return newFailure(NotDone, "%s responded with status %d", c.baseURL, status)
@@ -245,16 +257,12 @@
 
 // PostToSidecar sends a POST request without a body to a path of the sidecar API.
 func (c *Client) PostToSidecar(path string) error {
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	request.Header.SetMethod(fasthttp.MethodPost)
-	request.SetRequestURI(c.baseURL + path)
-	if err := c.send(request, response); err != nil {
+	status, _, err := c.send(http.MethodPost, path, nil)
+	if err != nil {
 		return err
 	}
-	if response.StatusCode() != fasthttp.StatusOK {
-		return newFailure(NotDone, "%s responded with status %d", c.baseURL, response.StatusCode())
+	if status != http.StatusOK {
+		return newFailure(NotDone, "%s responded with status %d", c.baseURL, status)
 	}
 	return nil
 }
