--- a/controlnode/api.go
+++ b/controlnode/api.go
@@ -87,8 +87,9 @@
 }
 
 // RecordHeartbeat applies a heartbeat of an upstream, unless a newer one is known. That of a
-// service that the routing table does not name waits until it does.
-func (n *Node) RecordHeartbeat(heartbeat fleet.Upstream) {
+// service that the routing table does not name waits until it does. It returns false for a
+// heartbeat that has no effect although its sender may be sound: the sender must repeat it.
+func (n *Node) RecordHeartbeat(heartbeat fleet.Upstream) bool {
 	heartbeat.LastHeartbeat = n.now()
 	if !n.services.isNamed(heartbeat.Service) {
 		// The table may have changed since the last regular update.
@@ -98,21 +99,23 @@
 		n.metrics.heartbeats.WithLabelValues("unnamed_service").Inc()
 		n.logger.Info(eventlog.HeartbeatRejected, "upstream", heartbeat.ID, "reason", "unnamed_service", "service", heartbeat.Service,
 			"address", heartbeat.Address, "born", heartbeat.StartUnixMs)
-		return
+		return true
 	}
-	n.recordHeartbeat(heartbeat)
+	outcome := n.recordHeartbeat(heartbeat)
+	return outcome != heartbeatContested && outcome != heartbeatOverLimit
 }
 
-func (n *Node) recordHeartbeat(heartbeat fleet.Upstream) {
+func (n *Node) recordHeartbeat(heartbeat fleet.Upstream) heartbeatOutcome {
 	previous, changed, outcome := n.applyHeartbeat(heartbeat, false)
 	if outcome != heartbeatApplied {
 		n.metrics.heartbeats.WithLabelValues(string(outcome)).Inc()
 		n.logger.Info(eventlog.HeartbeatRejected, "upstream", heartbeat.ID, "reason", string(outcome), "address", heartbeat.Address, "born", heartbeat.StartUnixMs, "sequence", heartbeat.Sequence,
 			"held_born", previous.StartUnixMs, "held_sequence", previous.Sequence, "held_phase", int(previous.Phase), "replaced_by", previous.ReplacedBy)
-		return
+		return outcome
 	}
 	n.metrics.heartbeats.WithLabelValues(string(outcome)).Inc()
 	n.announceUpstreams(changed, sourceHeartbeat)
+	return outcome
 }
 
 // maxUpstreams limits the upstreams that a replica keeps, so that another writer cannot fill its
