The end mark of another stream ends none

What callers saw: an engine that writes the end of another stream into this one made a part of the answer look whole at the sidecar: chunks of other requests are dropped, but [DONE] names none.

Change: once a stream holds chunks of another request, its end mark counts only after a chunk of this request that states a finish_reason. Streams without foreign chunks are as before.

--- a/engine/foreign_bytes_test.go
+++ b/engine/foreign_bytes_test.go
@@ -35,3 +35,32 @@
 		g.Expect(result.Tokens).To(Equal(1), "%q", foreign)
 	}
 }
+
+// A faulty engine writes the end of another stream into this one. Its end mark, which names no
+// request, made a part of the answer look whole.
+func TestEndMarkOfAnotherStreamEndsNone(t *testing.T) {
+	chunk := func(id, finish string) string {
+		return "data: {\"id\":\"cmpl-" + id + "\",\"choices\":[{\"text\":\"x\",\"finish_reason\":" + finish + "}]}\n\n"
+	}
+	own, last, foreign := chunk("a", "null"), chunk("a", "\"length\""), chunk("b", "\"length\"")
+	const done = "data: [DONE]\n\n"
+	for body, complete := range map[string]bool{
+		own + last + done: true, own + foreign + last + done: true, own + last + foreign + done: true, own + done: true,
+		foreign + done: false, own + foreign + done: false, foreign + own + done: false, own + foreign + done + own + last + done: false,
+	} {
+		g := NewWithT(t)
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = io.WriteString(w, body)
+		}))
+		client := engine.NewModelClient(server.URL, engine.Options{})
+		var r recordingSink
+		result := client.Run(t.Context(), completion("a", "crest"), r.sink)
+		g.Expect(result.Complete).To(Equal(complete), "%q", body)
+		if !complete {
+			g.Expect(result.Err).To(MatchError(engine.ErrForeignDone), "%q", body)
+		}
+		client.Close()
+		server.Close()
+	}
+}
--- a/engine/model.go
+++ b/engine/model.go
@@ -83,6 +83,10 @@
 // ErrNoDone means that an event stream ended without the end mark openai.Done.
 var ErrNoDone = eris.New("engine: stream ended without " + openai.Done)
 
+// ErrForeignDone means that an end mark may be that of another request, of which the stream
+// holds chunks.
+var ErrForeignDone = eris.New("engine: end mark may belong to another request")
+
 // Run implements Client.
 func (c *modelClient) Run(ctx context.Context, request Request, sink func(ResponsePart) error) Result {
 	body := request.Body
@@ -165,6 +169,9 @@
 	}
 	idBytes := idField(responseID)
 	tokens := 0
+	// finished is set once a chunk of the request says so, foreign once there was one of another
+	// request. The end mark itself names none.
+	finished, foreign := false, false
 	for {
 		payload, err := events.next()
 		if err == io.EOF {
@@ -174,6 +181,9 @@
 			return tokens, eris.Wrap(err, "engine: read stream")
 		}
 		if string(payload) == openai.Done {
+			if foreign && !finished {
+				return tokens, ErrForeignDone
+			}
 			return tokens, nil
 		}
 		if !json.Valid(payload) {
@@ -188,8 +198,10 @@
 				return tokens, eris.Errorf("engine: %s: %s", detail.Code, detail.Message)
 			}
 			c.droppedChunks.Add(1)
+			foreign = true
 			continue
 		}
+		finished = finished || openai.PayloadFinishes(payload)
 		data := ResponseData{Payload: bytes.Clone(payload), Tokens: openai.PayloadTokens(payload)}
 		if err := sink(data); err != nil {
 			return tokens, err
--- a/openai/chunk.go
+++ b/openai/chunk.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"slices"
 	"strings"
 
 	"github.com/rotisserie/eris"
@@ -65,8 +66,9 @@
 }
 
 var (
-	textKey    = []byte(`"text":"`)
-	contentKey = []byte(`"content":"`)
+	textKey         = []byte(`"text":"`)
+	contentKey      = []byte(`"content":"`)
+	finishReasonKey = []byte(`"finish_reason"`)
 )
 
 // PayloadTokens returns the number of tokens in an event's payload: one if the
@@ -88,6 +90,18 @@
 	return len(rest) > 0 && rest[0] != '"'
 }
 
+// PayloadFinishes reports whether an event's payload states why one of its choices has finished.
+func PayloadFinishes(payload []byte) bool {
+	if !bytes.Contains(payload, finishReasonKey) {
+		return false
+	}
+	var chunk Chunk
+	if json.Unmarshal(payload, &chunk) != nil {
+		return false
+	}
+	return slices.ContainsFunc(chunk.Choices, func(c Choice) bool { return c.FinishReason != nil })
+}
+
 // Aggregator joins the chunks of one stream into the response to a request
 // without streaming. The zero value is ready to use.
 type Aggregator struct {
