Answers: say in one place whether IDs tell an answer from others

Cause: the conditions under which an answer is taken were listed case by case. Change: no behaviour; names of local variables that hid results. Result: tests of internal, upstream, engine and entrynode pass; make check passes.

--- a/entrynode/exchange.go
+++ b/entrynode/exchange.go
@@ -411,23 +411,23 @@
 			return notRun, "unreachable", outcome
 		}
 		x.mayHaveRunCount++
-		reason := upstream.ReasonOf(err)
-		if reason.ConnFailed() {
-			x.recordInterruption(grant, string(reason), false, 0)
+		noAnswer := upstream.ReasonOf(err)
+		if noAnswer.ConnFailed() {
+			x.recordInterruption(grant, string(noAnswer), false, 0)
 		}
-		return mayHaveRun, string(reason), outcome
+		return mayHaveRun, string(noAnswer), outcome
 	}
 	if response.NotRun || response.OtherInstance {
 		response.Discard()
 		x.notRunCount++
-		reason := "refused_" + strconv.Itoa(response.Status)
+		refused := "refused_" + strconv.Itoa(response.Status)
 		switch {
 		case response.OtherInstance:
-			return notRun, reason, dispatch.OtherInstance
+			return notRun, refused, dispatch.OtherInstance
 		case response.Unmet:
 			return notRun, conditionUnmet, dispatch.Inconclusive
 		}
-		return rejected, reason, dispatch.Rejected
+		return rejected, refused, dispatch.Rejected
 	}
 	x.mayHaveRunCount++
 	if !response.Genuine {
--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -77,7 +77,9 @@
 	// Body returns io.EOF only after a whole body.
 	Body io.Reader
 
-	hasID    bool
+	// hasID is set if IDs tell the answer from those to other requests.
+	hasID bool
+	// closes is set if the connection ends with the answer.
 	closes   bool
 	complete bool
 }
@@ -92,7 +94,7 @@
 func RefuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
 // KeepsConn reports whether another request may be sent on the connection: the body has been read
-// whole, the upstream keeps the connection open, and it sends the IDs by which later answers can be told apart.
+// whole, and the upstream keeps the connection open and sends IDs back.
 func (a *Answer) KeepsConn() bool { return a.complete && !a.closes && a.hasID }
 
 // Request is what an answer depends on.
@@ -116,9 +118,9 @@
 		id := request.IDOf(answer.Header)
 		answer.hasID = id != "" && request.ID != ""
 		switch {
-		case request.ID == "" && !conn.Reused, id == "" && !conn.Reused, id == request.ID && id != "":
+		case answer.hasID && id == request.ID, !answer.hasID && !conn.Reused:
 			return answer, nil
-		case id == "" || request.ID == "":
+		case !answer.hasID:
 			return nil, &Error{Foreign, eris.New("answer without an ID may belong to an earlier request")}
 		}
 		if err := discard(answer); err != nil {
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -29,6 +29,7 @@
 
 	// sentIDs holds the hashes of the IDs with which requests were sent.
 	sentIDs []uint64
+
 	// readLimit is the number of bytes that Read may still return if limited is set.
 	readLimit int
 	limited   bool
