--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -59,6 +59,8 @@
 	spareCount   int
 	sidecarCount int
 	cost         labengine.CostModel
+	// entryEnv is added to the environment variables of the entries.
+	entryEnv []string
 }
 
 // startFleet starts control replicas, spares, sidecars and entries, applies
@@ -74,7 +76,7 @@
 		f.sidecars = append(f.sidecars, startDaemon(t, f.dir, fmt.Sprintf("s%d", i+1), f.sidecarArgs(i)...))
 	}
 	for i := range entryCount {
-		f.entries = append(f.entries, startDaemon(t, f.dir, fmt.Sprintf("e%d", i+1), f.entryArgs(i)...))
+		f.entries = append(f.entries, startDaemonWithEnv(t, f.dir, fmt.Sprintf("e%d", i+1), o.entryEnv, f.entryArgs(i)...))
 	}
 	f.apply(testConfiguration)
 	f.awaitServing()
--- a/e2e/platform_fleet_test.go
+++ b/e2e/platform_fleet_test.go
@@ -57,6 +57,13 @@
 	zone    string
 	dataDir string
 	proxy   *proxy
+	limits  nodeLimits
+}
+
+// nodeLimits are the limits in the settings of a node; zero means none.
+type nodeLimits struct {
+	memoryMb    int
+	descriptors int
 }
 
 // platformFleet is a deployment of separate daemon processes with fake engines.
@@ -98,6 +105,12 @@
 }
 
 func startPlatformFleet(t *testing.T, entries, engines int, proxied bool) *platformFleet {
+	t.Helper()
+	return startPlatformFleetWithLimits(t, entries, engines, proxied, nil)
+}
+
+// startPlatformFleetWithLimits starts a fleet whose nodes have limits by role.
+func startPlatformFleetWithLimits(t *testing.T, entries, engines int, proxied bool, limits map[string]nodeLimits) *platformFleet {
 	t.Helper()
 	f := &platformFleet{
 		t: t, dir: t.TempDir(), network: reserveNetwork(t), proxied: proxied,
@@ -111,6 +124,7 @@
 		f.entries = append(f.entries, f.newNode("entry", 30+i, i))
 	}
 	for _, n := range f.nodes() {
+		n.limits = limits[n.role]
 		f.startNode(n, true)
 	}
 	for i := range engines {
@@ -216,6 +230,9 @@
 CatchUpS = 4.5
 `, n.name, n.ip, n.zone, internalPort, internalPort+15, `"`+strings.Join(f.operatorsAddresses(), `","`)+`"`, firstStart, n.dataDir,
 		heartbeatInterval.Milliseconds(), n.callersAddress(), net.JoinHostPort(n.ip, strconv.Itoa(readyPort)), n.operatorsAddress())
+	if n.limits != (nodeLimits{}) {
+		settings += fmt.Sprintf("[Limits]\nMemoryMb = %d\nMaxFds = %d\n", n.limits.memoryMb, n.limits.descriptors)
+	}
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
