Clients of a daemon: connections and requests within limits

daemon.Clients applies clientlimit to a server: it counts connections as they are accepted, closes the longest idle or unfinished one for a new one, grants the memory of a body while it is read, and interrupts the read of a body that is given up or too slow. The limits follow from the memory and the descriptors of the process (a quarter of the memory for requests, of it a quarter for requests up to 64 KiB; three tenths for connections; 45% of the descriptors that the daemon does not need for itself). Flags of node entry and node store: -client-memory-bytes, -client-connections, -min-body-rate (1 KiB/s), -max-body-lag (30 s). The readiness and the metrics servers take 64 connections.

An idle connection is closed rather than given a read deadline: net/http overwrites that when it begins to read a request.

--- a/cli/nodes.go
+++ b/cli/nodes.go
@@ -63,6 +63,9 @@
 	flagSettings := &node.Settings{}
 	fs.StringVar(&flagSettings.MetricsAddress, "metrics", "", "address of the metrics server; empty disables it")
 	fs.StringVar(&flagSettings.BindAddress, "listen", "", "address to listen on for other daemons, if address translation makes it differ from the advertised one")
+	if role != node.RoleControl {
+		flagSettings.Clients.Register(fs)
+	}
 	if role == node.RoleEntry {
 		fs.Float64Var(&flagSettings.HedgeShare, "hedge-share", 0, "share of requests, from 0 to 1, that may have a second attempt where the configuration states none")
 	}
@@ -86,12 +89,11 @@
 		return err
 	}
 	settings.MetricsAddress, settings.BindAddress, settings.HedgeShare = flagSettings.MetricsAddress, flagSettings.BindAddress, flagSettings.HedgeShare
+	settings.Clients = flagSettings.Clients
 	if err := settings.Check(role); err != nil {
 		return err
 	}
-	if settings.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(settings.MemoryBytes)))
-	}
+	limitHeap(settings.MemoryBytes)
 	writer := eventlog.NewWriter(os.Stdout)
 	defer writer.Close()
 	logger := eventlog.New(writer, settings.ID, role)
@@ -111,6 +113,14 @@
 	return err
 }
 
+// limitHeap sets the heap at which the garbage collector starts to run more often, in a process
+// with a limit of its memory; zero means unknown.
+func limitHeap(memoryBytes int64) {
+	if memoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(memoryBytes)))
+	}
+}
+
 // superviseNode reloads the settings file when it changes or on SIGHUP, and
 // passes the seeds to the daemon, until the daemon stops.
 func superviseNode(daemon runningNode, settings *node.Settings, logger *log.Logger, path string, stop, reload <-chan os.Signal) error {
--- a/eventlog/logger.go
+++ b/eventlog/logger.go
@@ -71,6 +71,7 @@
 	RecordNotSent         = "record_not_sent"
 	RecordNotSaved        = "record_not_saved"
 	UpstreamsNotLoaded    = "upstreams_not_loaded"
+	ClientsLimited        = "clients_limited"
 	UpstreamsNotSaved     = "upstreams_not_saved"
 	JobsNotExpired        = "jobs_not_expired"
 	ProgressNotSaved      = "progress_not_saved"
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -15,6 +15,7 @@
 const (
 	metricsPath          = "/metrics"
 	metricsHeaderTimeout = 5 * time.Second
+	metricsWriteTimeout  = 30 * time.Second
 )
 
 // MetricsServer serves the metrics of a registry over HTTP.
@@ -37,10 +38,11 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle(metricsPath, promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
-	m.server = &http.Server{Handler: mux, ReadHeaderTimeout: metricsHeaderTimeout}
+	clients := daemon.NewProbeClients()
+	m.server = &http.Server{Handler: mux, ReadHeaderTimeout: metricsHeaderTimeout, WriteTimeout: metricsWriteTimeout, ConnState: clients.Track}
 	go func() {
 		defer close(m.done)
-		if err := m.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := m.server.Serve(clients.Listen(listener)); !errors.Is(err, http.ErrServerClosed) {
 			onError(err)
 		}
 	}()
--- a/node/settings.go
+++ b/node/settings.go
@@ -5,6 +5,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/briarcross/briarcross/clientlimit"
 	"github.com/briarcross/briarcross/daemon"
 	"github.com/briarcross/briarcross/pb"
 	"github.com/briarcross/briarcross/transport"
@@ -62,6 +63,10 @@
 	HedgeShare float64
 	// MemoryBytes is the memory limit of the process; zero means unknown.
 	MemoryBytes int64
+	// Descriptors is the limit of the open descriptors of the process; zero means unknown.
+	Descriptors int64
+	// Clients limits what callers may hold at an entry or a storage replica.
+	Clients daemon.ClientSettings
 	// Quota is how strictly the quotas of customers are kept.
 	Quota QuotaTolerance
 }
@@ -85,6 +90,11 @@
 	defaultQuotaWindow = 5 * time.Second
 )
 
+// ClientLimits returns the limits of what callers may hold.
+func (s *Settings) ClientLimits() (clientlimit.Limits, error) {
+	return s.Clients.Limits(s.MemoryBytes, s.Descriptors)
+}
+
 // RepairAfter returns the time without contact after which a spare replaces a
 // voter.
 func (s *Settings) RepairAfter() time.Duration {
@@ -106,6 +116,9 @@
 	if err := daemon.CheckAddresses("seeds", s.Seeds); err != nil {
 		return err
 	}
+	if err := s.Clients.Check(); err != nil {
+		return err
+	}
 	switch role {
 	case RoleEntry:
 		if err := daemon.CheckAddress("callers", s.CallersAddress); err != nil {
