Storage: receive what entries send only as far as there is memory

Cause: a replica read each frame that entries sent, whatever all of them held together, in five forms (frame, command, log entry, batch, messages to replicas). 60 jobs of 4 MB at once took 522 MB at a leader with a limit of 200 MB. Change: frames of the class that carries jobs are received only if clientlimit grants their size times eight, else discarded and refused with the new code FULL, which is certain and not repeated.

--- a/client/replica_client.go
+++ b/client/replica_client.go
@@ -175,8 +175,11 @@
 			return response, nil
 		default:
 			lastErr = response.GetError()
-			if !retryable(lastErr.GetCode()) {
+			switch lastErr.GetCode() {
+			case pb.ControlError_INVALID:
 				return nil, lastErr
+			case pb.ControlError_FULL:
+				return nil, finalError(lastErr, outcomeUnknown)
 			}
 			outcomeUnknown = outcomeUnknown || lastErr.GetCode() == pb.ControlError_UNKNOWN
 			leader := lastErr.GetLeaderAddress()
@@ -199,10 +202,6 @@
 	}
 }
 
-func retryable(code pb.ControlError_Code) bool {
-	return code != pb.ControlError_INVALID
-}
-
 func finalError(lastErr *pb.ControlError, outcomeUnknown bool) *pb.ControlError {
 	if outcomeUnknown {
 		return &pb.ControlError{Code: pb.ControlError_UNKNOWN, Reason: lastErr.GetReason()}
--- a/client/replica_client_test.go
+++ b/client/replica_client_test.go
@@ -139,3 +139,38 @@
 		expect.Expect(controlErr.GetCode()).To(Equal(pb.ControlError_NOT_LEADER))
 	})
 }
+
+// fullReplica answers the first attempt with an error code, and each further one with FULL.
+func fullReplica(first pb.ControlError_Code, attempts *int) func(context.Context, transport.Class, string, *pb.Envelope) (*pb.Envelope, bool, error) {
+	return func(context.Context, transport.Class, string, *pb.Envelope) (*pb.Envelope, bool, error) {
+		*attempts++
+		code := pb.ControlError_FULL
+		if *attempts == 1 {
+			code = first
+		}
+		response := &pb.ControlResponse{Response: &pb.ControlResponse_Error{Error: &pb.ControlError{Code: code, LeaderAddress: "a"}}}
+		return &pb.Envelope{Body: &pb.Envelope_ControlResponse{ControlResponse: response}}, true, nil
+	}
+}
+
+// A command that a replica has no memory for is not sent again and again, which would cost the
+// replica most just then.
+func TestCommandIsNotRepeatedAtAFullReplica(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for first, want := range map[pb.ControlError_Code]pb.ControlError_Code{
+			pb.ControlError_FULL: pb.ControlError_FULL, pb.ControlError_NOT_LEADER: pb.ControlError_FULL,
+			// What the first attempt did remains unknown.
+			pb.ControlError_UNKNOWN: pb.ControlError_UNKNOWN,
+		} {
+			expect := NewWithT(t)
+			c := NewReplicaClient(nil, []string{"a"})
+			attempts := 0
+			c.call = fullReplica(first, &attempts)
+			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+			_, controlErr := c.Propose(ctx, transport.Batch, &pb.Command{})
+			cancel()
+			expect.Expect(controlErr.GetCode()).To(Equal(want))
+			expect.Expect(attempts).To(BeNumerically("<=", 2))
+		}
+	})
+}
--- a/storenode/metrics.go
+++ b/storenode/metrics.go
@@ -71,5 +71,6 @@
 		}),
 	)
 	m.registry.MustRegister(n.Collectors()...)
+	m.registry.MustRegister(n.clients.MemoryCollectors()...)
 	return m
 }
--- a/storenode/node.go
+++ b/storenode/node.go
@@ -56,6 +56,8 @@
 	worker   *workerService
 	notifier *jobNotifier
 	metrics  *metrics
+	// clients limits what entries send for callers.
+	clients  *daemon.Clients
 	exporter *node.MetricsServer
 
 	ctx    context.Context
@@ -83,6 +85,15 @@
 		return nil, err
 	}
 	n.listener = listener
+	limits, err := settings.ClientLimits()
+	if err != nil {
+		cancel()
+		_ = listener.Close()
+		return nil, err
+	}
+	n.clients = daemon.NewClients(limits, func(r daemon.ClientReport) {
+		n.logger.Warn(eventlog.ClientsLimited, "refused", r.Refused, "held_bytes", r.HeldBytes)
+	})
 	n.runner = newRunner(n, codec)
 	n.Dispatcher, err = node.NewDispatcher(settings, logger, codec, func(u fleet.Upstream) { n.runner.engines.ClosePool(u.Address) }, n.runner.requestPreemption)
 	if err != nil {
@@ -109,6 +120,7 @@
 	})
 	n.Run(ctx)
 	n.tasks.Go(n.maintainMembership)
+	n.tasks.Go(func() { n.clients.Run(ctx) })
 	n.tasks.Go(func() { n.runner.watchStalls(ctx) })
 	return n, nil
 }
--- a/storenode/streams.go
+++ b/storenode/streams.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/briarcross/briarcross/jobpages"
 	"github.com/briarcross/briarcross/kv"
 	"github.com/briarcross/briarcross/pb"
@@ -17,30 +20,69 @@
 // the wait that a page query specifies.
 const requestTimeout = time.Second
 
+// requestCost is the memory for a byte of a request: as received, as a command, in the log, in
+// the store, and in the messages to other replicas.
+const requestCost = 8
+
+// responseCost is the memory for a byte of a response: as a message and encoded.
+const responseCost = 2
+
 // serveStream serves one stream from another daemon.
-func (n *Node) serveStream(_ transport.Class, stream *transport.Stream) {
-	for {
-		envelope, err := stream.Receive()
-		if err != nil {
-			return
+func (n *Node) serveStream(class transport.Class, stream *transport.Stream) {
+	for n.serveNext(class, stream) {
+	}
+}
+
+// serveNext serves the next message of a stream, and reports whether another may follow. What
+// entries send for callers is admitted only as far as there is memory for it. The messages of the
+// group are not limited here: its leader sends what it has admitted.
+func (n *Node) serveNext(class transport.Class, stream *transport.Stream) bool {
+	held := n.clients.Begin()
+	defer held.End()
+	envelope, err := stream.ReceiveAdmitted(func(bytes int) bool {
+		return class != transport.Batch || held.Grow(requestCost*int64(bytes)) == nil
+	})
+	if errors.Is(err, transport.ErrNotAdmitted) {
+		return sendResponse(stream, n.refuseFull())
+	}
+	if err != nil {
+		return false
+	}
+	switch body := envelope.GetBody().(type) {
+	case *pb.Envelope_Quorum:
+		if r := n.replica.Load(); r != nil {
+			r.Receive(body.Quorum)
+		}
+		return true
+	case *pb.Envelope_ControlRequest:
+		response := n.handleRequest(body.ControlRequest)
+		// A read can be refused even now. It was not known before how much there is to read.
+		if response.GetQuery() != nil && held.Grow(responseCost*int64(proto.Size(response))) != nil {
+			response = errorResponse(&pb.ControlError{Code: pb.ControlError_OVERLOADED, Reason: "no memory for the response"})
 		}
-		switch body := envelope.GetBody().(type) {
-		case *pb.Envelope_Quorum:
-			if r := n.replica.Load(); r != nil {
-				r.Receive(body.Quorum)
-			}
-		case *pb.Envelope_ControlRequest:
-			response := n.handleRequest(body.ControlRequest)
-			if stream.Send(&pb.Envelope{Body: &pb.Envelope_ControlResponse{ControlResponse: response}}) != nil {
-				return
-			}
-		case *pb.Envelope_ItemRun:
-			n.worker.serve(stream, body.ItemRun)
-			return
-		default:
-			return
+		return sendResponse(stream, response)
+	case *pb.Envelope_ItemRun:
+		// Runs are limited by the slots of engines.
+		held.Release()
+		n.worker.serve(stream, body.ItemRun)
+	}
+	return false
+}
+
+func sendResponse(stream *transport.Stream, response *pb.ControlResponse) bool {
+	return stream.Send(&pb.Envelope{Body: &pb.Envelope_ControlResponse{ControlResponse: response}}) == nil
+}
+
+// refuseFull refuses a request for which there is no memory. Another replica may lead and have some.
+func (n *Node) refuseFull() *pb.ControlResponse {
+	if r := n.replica.Load(); r != nil {
+		_, leaderAddress, leading := r.Leader()
+		if leading {
+			return errorResponse(&pb.ControlError{Code: pb.ControlError_FULL, Reason: "no memory for the request"})
 		}
+		return errorResponse(&pb.ControlError{Code: pb.ControlError_NOT_LEADER, LeaderAddress: leaderAddress, Reason: "no memory for the request, and not the leader"})
 	}
+	return errorResponse(&pb.ControlError{Code: pb.ControlError_NOT_LEADER, Reason: "the replica is not open yet"})
 }
 
 func (n *Node) handleRequest(request *pb.ControlRequest) *pb.ControlResponse {
--- a/transport/stream.go
+++ b/transport/stream.go
@@ -4,13 +4,13 @@
 	"bufio"
 	"encoding/binary"
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/yamux"
 	"github.com/rotisserie/eris"
-	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/briarcross/briarcross/pb"
@@ -29,6 +29,9 @@
 // process or another group.
 var ErrOtherIncarnation = eris.New("envelope for another incarnation")
 
+// ErrNotAdmitted means that a received envelope was discarded. The stream can still be used.
+var ErrNotAdmitted = eris.New("received envelope is not admitted")
+
 // Stream is a bidirectional, ordered and flow-controlled stream of envelopes.
 // Send is safe for concurrent use; only one goroutine may call Receive.
 type Stream struct {
@@ -103,11 +106,30 @@
 // Receive reads the next envelope. It returns ErrOtherIncarnation for an envelope
 // that is for another incarnation of this process or another group.
 func (s *Stream) Receive() (*pb.Envelope, error) {
+	return s.ReceiveAdmitted(func(int) bool { return true })
+}
+
+// ReceiveAdmitted is Receive for senders that may send more at a time than there is memory for. It
+// asks admit before it reads an envelope of a size. It discards an envelope that is not admitted,
+// and returns ErrNotAdmitted.
+func (s *Stream) ReceiveAdmitted(admit func(bytes int) bool) (*pb.Envelope, error) {
 	s.session.begin(s)
 	defer s.session.end(s)
+	size, err := binary.ReadUvarint(s.reader)
+	if err != nil {
+		return nil, eris.Wrap(err, "receive envelope")
+	}
+	if size > MaxFrameBytes {
+		return nil, eris.Errorf("receive envelope: %d bytes exceed the limit of %d", size, MaxFrameBytes)
+	}
+	if !admit(int(size)) {
+		if _, err := s.reader.Discard(int(size)); err != nil {
+			return nil, eris.Wrap(err, "discard envelope")
+		}
+		return nil, ErrNotAdmitted
+	}
 	e := &pb.Envelope{}
-	options := protodelim.UnmarshalOptions{MaxSize: MaxFrameBytes}
-	if err := options.UnmarshalFrom(s.reader, e); err != nil {
+	if err := s.decode(int(size), e); err != nil {
 		return nil, eris.Wrap(err, "receive envelope")
 	}
 	if !s.identity.accepts(e.GetHeader()) {
@@ -116,6 +138,26 @@
 	return e, nil
 }
 
+// decode reads and decodes an envelope of a size.
+func (s *Stream) decode(size int, e *pb.Envelope) error {
+	if size > s.reader.Size() {
+		encoded := make([]byte, size)
+		if _, err := io.ReadFull(s.reader, encoded); err != nil {
+			return err
+		}
+		return proto.Unmarshal(encoded, e)
+	}
+	encoded, err := s.reader.Peek(size)
+	if err != nil {
+		return err
+	}
+	if err := proto.Unmarshal(encoded, e); err != nil {
+		return err
+	}
+	_, err = s.reader.Discard(size)
+	return err
+}
+
 // Close closes both directions of the stream.
 func (s *Stream) Close() error {
 	return s.conn.Close()
