--- a/e2e/platform_crowd_test.go
+++ b/e2e/platform_crowd_test.go
@@ -249,3 +249,40 @@
 	})
 	probe.check(t, jobEntryMemoryMb, entryDescriptors)
 }
+
+// A daemon without memory for a job must acknowledge one that was accepted before: a refusal would
+// state that nothing of it runs.
+func TestAcceptedJobIsAcknowledgedAgainWithoutMemory(t *testing.T) {
+	t.Parallel()
+	f := startPlatformFleet(t, 2, 1, false)
+	const tooLittle = "BRIARCROSS_CLIENT_MEMORY_BYTES=262144"
+	submit := func(n *platformNode, job string) (int, string) {
+		status, body := f.sendJobRequest(http.MethodPost, n, "/jobs/submit", job, jobOf(job, 4*smallJobBytes))
+		return status, strings.TrimSpace(string(body))
+	}
+	f.await("a job is accepted", func() bool {
+		status, _ := submit(f.entries[0], "accepted")
+		return status == http.StatusAccepted
+	})
+	check := func(entry *platformNode, name, reason string) {
+		if status, _ := submit(entry, "accepted"); status != http.StatusAccepted {
+			t.Errorf("the accepted job got status %d at %s without memory", status, name)
+		}
+		if status, body := submit(entry, "new-"+name); status != http.StatusServiceUnavailable || body != reason {
+			t.Errorf("a new job got status %d, %q at %s without memory", status, body, name)
+		}
+	}
+	f.entries[1].env = []string{tooLittle}
+	f.restart(f.entries[1])
+	check(f.entries[1], "entry", "memory_full")
+	for _, n := range f.stores {
+		n.kill()
+		n.env = []string{tooLittle}
+		f.startNode(n, false)
+	}
+	f.await("storage serves again", func() bool {
+		status, _ := f.readJobPage(f.entries[0], "accepted", 0)
+		return status == http.StatusOK
+	})
+	check(f.entries[0], "storage", "storage_full")
+}
--- a/e2e/platform_fleet_test.go
+++ b/e2e/platform_fleet_test.go
@@ -58,6 +58,8 @@
 	dataDir string
 	proxy   *proxy
 	limits  nodeLimits
+	// env is added to the environment variables of the daemon.
+	env []string
 }
 
 // nodeLimits are the limits in the settings of a node; zero means none.
@@ -184,7 +186,7 @@
 	if n.proxy != nil {
 		args = append(args, "-listen", n.proxy.target)
 	}
-	n.process = startDaemonWithEnv(f.t, f.dir, n.name, []string{"BRIARCROSS_NODE_FILE=" + settingsPath}, args...)
+	n.process = startDaemonWithEnv(f.t, f.dir, n.name, append([]string{"BRIARCROSS_NODE_FILE=" + settingsPath}, n.env...), args...)
 	f.daemons.add(n.process)
 }
 
--- a/entrynode/exchange.go
+++ b/entrynode/exchange.go
@@ -494,6 +494,7 @@
 	if err != nil {
 		return mayHaveRun, "broke_off"
 	}
+	x.holdResponse(len(body))
 	if response.Complete() || len(body) < maxBufferedBytes {
 		x.sendHead(response, int64(len(body)))
 		if _, err := x.w.Write(body); err != nil {
@@ -516,6 +517,14 @@
 	return completed, ""
 }
 
+// holdResponse counts a response that is in memory. It is too late to refuse the request: without
+// room, the caller has to read soon.
+func (x *exchange) holdResponse(bytes int) {
+	if clientRequest(x.request).Grow(int64(bytes)) != nil {
+		_ = http.NewResponseController(x.w).SetWriteDeadline(time.Now().Add(pressedWriteTimeout))
+	}
+}
+
 // relayEvents relays the complete events of a stream as they arrive.
 func (x *exchange) relayEvents(response *upstream.Response) (attemptResult, string) {
 	x.events.Reset()
--- a/entrynode/jobs.go
+++ b/entrynode/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"time"
 
@@ -9,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/briarcross/briarcross/customers"
+	"github.com/briarcross/briarcross/daemon"
 	"github.com/briarcross/briarcross/eventlog"
 	"github.com/briarcross/briarcross/jobpages"
 	"github.com/briarcross/briarcross/pb"
@@ -26,18 +28,36 @@
 	// storageRetryAfter is the Retry-After time while the storage group has no
 	// leader, about the duration of an election.
 	storageRetryAfter = 700 * time.Millisecond
+	// storageFullRetryAfter is the time after which jobs that are being accepted have been.
+	storageFullRetryAfter = time.Second
 	// maxJobBytes limits a job with its bodies. Storage replicates it as one command.
 	maxJobBytes = replica.MaxCommandBytes - 64<<10
-	// maxPageBytes limits the results in one response.
-	maxPageBytes = 1 << 20
+	// maxPageBytes limits the results in one response. The results of firstPageBytes are read
+	// first, and more only if there are more.
+	maxPageBytes   = 1 << 20
+	firstPageBytes = 128 << 10
+	// pageCost is the memory for a byte of the results in a response: as stored, as text, and in
+	// JSON. itemCost is that for a byte of the body of an item.
+	pageCost = 4
+	itemCost = 2
+	// maxItemReads limits the bodies of items that are being received from storage.
+	maxItemReads = 8
 	// maxPageWait limits the wait for a result; it is below storageAttemptTimeout.
 	maxPageWait = time.Second
 )
 
+// Reasons of refusals of jobs.
+const (
+	reasonStorageFull    = "storage_full"
+	reasonOutcomeUnknown = "storage_outcome_unknown"
+)
+
 // JobAccess is the access of a request to a job that it names.
 type JobAccess struct {
 	id       string
 	customer *customers.Customer
+	// held is what the request holds.
+	held *daemon.ClientRequest
 	// storedIDs are the IDs under which storage may keep the job. Each that is not known
 	// is followed by the next, for all requests alike.
 	storedIDs []string
@@ -61,7 +81,7 @@
 		n.refuse(w, id, refusal{reason: invalidID, status: http.StatusBadRequest, customer: nameOf(customer), routingVersion: table.Version, cause: err})
 		return JobAccess{}, false
 	}
-	access := JobAccess{id: id, customer: customer}
+	access := JobAccess{id: id, customer: customer, held: clientRequest(r)}
 	if customer != nil {
 		access.storedIDs = append(access.storedIDs, jobpages.StoredJobID(customer.Name, id))
 	}
@@ -92,7 +112,7 @@
 	}
 	storedID := jobpages.StoredJobID(nameOf(customer), headers.ID)
 	if !n.holdsItems(table, route, job.Items) {
-		page, ok := n.ReadPage(w, JobAccess{id: headers.ID, customer: customer, storedIDs: []string{storedID}}, 0, 0)
+		page, ok := n.ReadPage(w, JobAccess{id: headers.ID, customer: customer, held: clientRequest(r), storedIDs: []string{storedID}}, 0, 0)
 		switch {
 		case !ok:
 			return
@@ -130,7 +150,13 @@
 	defer cancel()
 	_, controlErr := n.Storage.Propose(ctx, transport.Batch, &pb.Command{Op: &pb.Command_PageSubmit{PageSubmit: submit}})
 	if controlErr != nil {
-		n.refuseJob(w, headers.ID, nameOf(customer), "submit", controlErr)
+		full := &refusal{reason: reasonStorageFull, retryAfter: storageFullRetryAfter, customer: nameOf(customer), route: route.Name, routingVersion: table.Version}
+		switch {
+		case controlErr.GetCode() != pb.ControlError_FULL:
+			n.refuseJob(w, headers.ID, nameOf(customer), "submit", controlErr)
+		case !n.acceptAgain(w, headers.ID, customer, full):
+			n.refuse(w, headers.ID, *full)
+		}
 		return
 	}
 	n.logger.Info(eventlog.JobAccepted, withCustomer(nameOf(customer), "job", headers.ID, "items", len(job.Items), "route", route.Name, "routing", table.Version,
@@ -172,7 +198,7 @@
 	n.logger.Warn(eventlog.JobRefused, withCustomer(customer, "job", id, "call", operation, "code", controlErr.GetCode().String(), "reason", controlErr.GetReason())...)
 	f := refusal{reason: "storage_unavailable", retryAfter: storageRetryAfter, customer: customer}
 	if controlErr.GetCode() == pb.ControlError_UNKNOWN {
-		f = refusal{reason: "storage_outcome_unknown", status: http.StatusGatewayTimeout, customer: customer}
+		f = refusal{reason: reasonOutcomeUnknown, status: http.StatusGatewayTimeout, customer: customer}
 	}
 	n.refuse(w, id, f)
 }
@@ -202,20 +228,89 @@
 	return result.GetPage().GetKnown(), true
 }
 
+// acceptAgain acknowledges a job that was accepted before and cannot be read now. It returns false
+// if the job is unknown, and if it is not certain that it is: the refusal promises nothing then.
+func (n *Node) acceptAgain(w http.ResponseWriter, id string, customer *customers.Customer, f *refusal) bool {
+	ctx, cancel := context.WithTimeout(n.ctx, storageAttemptTimeout)
+	defer cancel()
+	query := &pb.PageQuery{JobId: jobpages.StoredJobID(nameOf(customer), id), From: math.MaxUint32}
+	result, controlErr := n.Storage.Query(ctx, &pb.Query{Query: &pb.Query_Page{Page: query}})
+	switch {
+	case controlErr != nil:
+		f.reason, f.status, f.retryAfter = reasonOutcomeUnknown, http.StatusGatewayTimeout, 0
+		return false
+	case !result.GetPage().GetKnown():
+		return false
+	}
+	n.logger.Info(eventlog.JobAccepted, withCustomer(nameOf(customer), "job", id, "reason", f.reason)...)
+	w.Header().Set("Connection", "close")
+	w.WriteHeader(http.StatusAccepted)
+	return true
+}
+
 // ReadPage reads the results of a job from a position on, and waits for the next
 // result if there is none. If it returns false, the response has already been
 // written.
 func (n *Node) ReadPage(w http.ResponseWriter, job JobAccess, from uint32, wait time.Duration) (page *pb.PageAnswer, ok bool) {
+	if !n.holdForRead(w, job, firstPageBytes) {
+		return nil, false
+	}
 	for _, id := range job.storedIDs {
 		query := &pb.PageQuery{
-			JobId: id, From: from, MaxBytes: maxPageBytes, WaitMs: uint32(min(wait, maxPageWait).Milliseconds()),
+			JobId: id, From: from, MaxBytes: firstPageBytes, WaitMs: uint32(min(wait, maxPageWait).Milliseconds()),
 		}
 		result, answered := n.queryStorage(w, job, "page", &pb.Query{Query: &pb.Query_Page{Page: query}})
-		if page, ok = result.GetPage(), answered; page.GetKnown() || !ok {
+		if !answered {
+			return nil, false
+		}
+		if page = result.GetPage(); page.GetKnown() {
+			return n.completePage(w, job, id, page)
+		}
+	}
+	return page, true
+}
+
+// completePage adds further results to a page that is full, as far as there is memory for them.
+func (n *Node) completePage(w http.ResponseWriter, job JobAccess, storedID string, page *pb.PageAnswer) (*pb.PageAnswer, bool) {
+	size := resultBytes(page)
+	if !n.holdForRead(w, job, max(0, pageCost*size-firstPageBytes)) {
+		return nil, false
+	}
+	left := maxPageBytes - size
+	if size < firstPageBytes/2 || left <= 0 || page.GetNext() >= page.GetItems() || job.held.Grow(int64(pageCost*left)) != nil {
+		return page, true
+	}
+	query := &pb.PageQuery{JobId: storedID, From: page.GetNext(), MaxBytes: uint32(left)}
+	result, answered := n.queryStorage(w, job, "page", &pb.Query{Query: &pb.Query_Page{Page: query}})
+	if !answered {
+		return nil, false
+	}
+	for _, entry := range result.GetPage().GetEntries() {
+		if left -= proto.Size(entry); left < 0 {
 			break
 		}
+		page.Entries = append(page.Entries, entry)
+		page.Next++
+	}
+	return page, true
+}
+
+func resultBytes(page *pb.PageAnswer) int {
+	size := 0
+	for _, entry := range page.GetEntries() {
+		size += proto.Size(entry)
+	}
+	return size
+}
+
+// holdForRead asks for the memory of a response. If it returns false, the response has already
+// been written.
+func (n *Node) holdForRead(w http.ResponseWriter, job JobAccess, bytes int) bool {
+	if job.held.Grow(int64(bytes)) == nil {
+		return true
 	}
-	return page, ok
+	n.refuse(w, job.id, refusal{reason: reasonMemoryFull, retryAfter: memoryRetryAfter, customer: nameOf(job.customer)})
+	return false
 }
 
 // ReadItemBody reads the body of an item. If it returns false, the response has
@@ -225,6 +320,13 @@
 		n.refuse(w, job.id, refusal{reason: invalidID, status: http.StatusBadRequest, customer: nameOf(job.customer), cause: err})
 		return nil, false
 	}
+	ctx, cancel := context.WithTimeout(n.ctx, storageTimeout)
+	defer cancel()
+	if n.itemReads.Acquire(ctx, 1) != nil {
+		n.refuse(w, job.id, refusal{reason: reasonMemoryFull, retryAfter: memoryRetryAfter, customer: nameOf(job.customer)})
+		return nil, false
+	}
+	defer n.itemReads.Release(1)
 	for _, id := range job.storedIDs {
 		query := &pb.PageBodyQuery{JobId: id, ItemId: item}
 		result, answered := n.queryStorage(w, job, "body", &pb.Query{Query: &pb.Query_PageBody{PageBody: query}})
@@ -232,7 +334,7 @@
 			break
 		}
 	}
-	return body, ok
+	return body, ok && n.holdForRead(w, job, itemCost*len(body.GetBody()))
 }
 
 func (n *Node) queryStorage(w http.ResponseWriter, job JobAccess, operation string, query *pb.Query) (*pb.QueryResult, bool) {
--- a/entrynode/node.go
+++ b/entrynode/node.go
@@ -10,8 +10,10 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/briarcross/briarcross/daemon"
+	"github.com/briarcross/briarcross/eventlog"
 	"github.com/briarcross/briarcross/fleet"
 	"github.com/briarcross/briarcross/node"
 	"github.com/briarcross/briarcross/upstream"
@@ -76,9 +78,13 @@
 	callersListener net.Listener
 	callersServer   *http.Server
 	callerConns     *callerConns
-	readyServer     *http.Server
-	metricsServer   *node.MetricsServer
-	stopping        atomic.Bool
+	clients         *daemon.Clients
+	// lingering is the number of refused requests whose rest is read.
+	lingering     atomic.Int32
+	itemReads     *semaphore.Weighted
+	readyServer   *http.Server
+	metricsServer *node.MetricsServer
+	stopping      atomic.Bool
 	// stopTimes is set while the entry stops.
 	stopTimes atomic.Pointer[stopTimes]
 
@@ -105,9 +111,16 @@
 		codec:              codec,
 		metrics:            newMetrics(),
 		callerConns:        newCallerConns(),
+		itemReads:          semaphore.NewWeighted(maxItemReads),
 		ctx:                ctx,
 		cancel:             cancel,
 	}
+	limits, err := settings.ClientLimits()
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	n.clients = daemon.NewClients(limits, n.reportClients)
 	n.upstreamClient = upstream.NewClient(codec, n.metrics.connections.Inc)
 	dispatcher, err := node.NewDispatcher(settings, logger, codec, n.upstreamGone, nil)
 	if err != nil {
@@ -122,11 +135,18 @@
 		return nil, err
 	}
 	n.Run(ctx)
+	n.tasks.Go(func() { n.clients.Run(ctx) })
 	return n, nil
 }
 
+// reportClients logs what callers were denied.
+func (n *Node) reportClients(r daemon.ClientReport) {
+	n.logger.Warn(eventlog.ClientsLimited, "refused", r.Refused, "slow", r.Slow, "evicted", r.Evicted, "closed", r.Closed, "rejected", r.Rejected,
+		"held_bytes", r.HeldBytes, "connections", r.Connections)
+}
+
 func (n *Node) listen(handlers Handlers) error {
-	callersListener, err := daemon.ListenTCP("callers", n.settings.CallersAddress)
+	callersListener, err := daemon.ListenClients("callers", n.settings.CallersAddress)
 	if err != nil {
 		return err
 	}
@@ -135,24 +155,26 @@
 		_ = callersListener.Close()
 		return err
 	}
-	n.callersListener = callersListener
+	n.callersListener = n.clients.Listen(callersListener)
 	n.callersServer = &http.Server{
-		Handler:           n.endAborted(n.closeWhileStopping(handlers.Callers)),
+		Handler:           n.endAborted(n.limitClients(n.closeWhileStopping(handlers.Callers))),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          discardLog,
-		ConnState:         n.callerConns.track,
+		ConnState:         n.trackConn,
 		ConnContext:       withCallerConn,
 	}
-	n.readyServer = &http.Server{Handler: handlers.Ready, ReadHeaderTimeout: headerTimeout, ErrorLog: discardLog}
+	readyClients := daemon.NewProbeClients()
+	n.readyServer = &http.Server{Handler: handlers.Ready, ReadHeaderTimeout: headerTimeout, WriteTimeout: responseWriteTimeout, ErrorLog: discardLog, ConnState: readyClients.Track}
 	n.metrics.registry.MustRegister(n.Collectors()...)
+	n.metrics.registry.MustRegister(n.clients.Collectors()...)
 	n.metricsServer, err = node.ServeMetrics(n.settings.MetricsAddress, n.metrics.registry, n.ReportFatal)
 	if err != nil {
 		return errors.Join(err, callersListener.Close(), readyListener.Close())
 	}
-	n.serve(n.callersServer, callersListener)
-	n.serve(n.readyServer, readyListener)
+	n.serve(n.callersServer, n.callersListener)
+	n.serve(n.readyServer, readyClients.Listen(readyListener))
 	return nil
 }
 
--- a/entrynode/serve.go
+++ b/entrynode/serve.go
@@ -1,7 +1,6 @@
 package entrynode
 
 import (
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -47,46 +46,38 @@
 		n.refuseUnread(w, r, headers.ID, *refused)
 		return
 	}
-	body, failure := readBody(w, r, table.Limits)
+	if limit := table.Limits.MaxHeaderBytes; limit > 0 && headerBytes(r) > limit {
+		n.refuse(w, headers.ID, refusal{
+			reason: "header_too_large", status: http.StatusRequestHeaderFieldsTooLarge, routingVersion: table.Version, customer: nameOf(customer),
+		})
+		return
+	}
+	isJob := route.Kind == routing.Bulk && r.Method == http.MethodPost
+	cost := int64(bodyCost)
+	if isJob {
+		cost = jobBodyCost
+	}
+	body, failure := readBody(w, r, table.Limits, cost)
 	if failure != nil {
-		failure.routingVersion, failure.customer = table.Version, nameOf(customer)
-		n.refuse(w, headers.ID, *failure)
+		failure.routingVersion, failure.customer, failure.route = table.Version, nameOf(customer), route.Name
+		if isJob && failure.promisesNotRun() && n.acceptAgain(w, headers.ID, customer, failure) {
+			return
+		}
+		n.refuseUnfinished(w, r, headers.ID, *failure)
 		return
 	}
+	extendWriteDeadline(w, requestTimeout(headers, route))
 	if n.outlastsStop(requestTimeout(headers, route)) {
 		n.refuse(w, headers.ID, refusal{reason: reasonStopping, route: route.Name, routingVersion: table.Version, customer: nameOf(customer)})
 		return
 	}
-	if route.Kind == routing.Bulk && r.Method == http.MethodPost {
+	if isJob {
 		n.submit(w, r, headers, route, table, customer, body)
 		return
 	}
 	n.newExchange(w, r, headers, route, table, customer, body).run()
 }
 
-// readBody reads a request's body within the limits of the routing table.
-func readBody(w http.ResponseWriter, r *http.Request, limits routing.Limits) ([]byte, *refusal) {
-	if limits.MaxHeaderBytes > 0 && headerBytes(r) > limits.MaxHeaderBytes {
-		return nil, &refusal{reason: "header_too_large", status: http.StatusRequestHeaderFieldsTooLarge}
-	}
-	maxBytes := int64(defaultBodyBytes)
-	if limits.MaxBodyBytes > 0 {
-		maxBytes = int64(limits.MaxBodyBytes)
-	}
-	if r.ContentLength > maxBytes {
-		return nil, &refusal{reason: "body_too_large", status: http.StatusRequestEntityTooLarge}
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, &refusal{reason: "body_too_large", status: http.StatusRequestEntityTooLarge}
-	case err != nil:
-		return nil, &refusal{reason: "body_broken", status: http.StatusBadRequest, cause: err}
-	}
-	return body, nil
-}
-
 func headerBytes(r *http.Request) int {
 	size := len(r.Method) + len(r.RequestURI)
 	for name, values := range r.Header {
@@ -115,6 +106,11 @@
 	cause    error
 }
 
+// promisesNotRun reports whether the status states that the request has not run and never will.
+func (f *refusal) promisesNotRun() bool {
+	return f.status == 0 || f.status == http.StatusServiceUnavailable || f.status == http.StatusRequestTimeout
+}
+
 // refuse responds to a request with a refusal, and logs and counts it.
 func (n *Node) refuse(w http.ResponseWriter, id string, f refusal) {
 	if f.status == 0 {
--- a/entrynode/stop.go
+++ b/entrynode/stop.go
@@ -15,6 +15,9 @@
 	outOfRotationTime = 3 * time.Second
 	// stopMargin is the part of the grace period left for the process to exit.
 	stopMargin = time.Second
+	// endStalledInterval is the interval at which a stop looks for requests that have stopped
+	// arriving.
+	endStalledInterval = 200 * time.Millisecond
 	// reasonStopping is the reason of the refusal of requests that may outlast the entry.
 	reasonStopping = "stopping"
 )
@@ -72,7 +75,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), times.end)
 	defer cancel()
 	err := n.callersListener.Close()
-	n.callerConns.drain(ctx)
+	n.drainCallers(ctx)
 	err = errors.Join(err, n.callersServer.Close())
 	_ = n.readyServer.Close()
 	n.metricsServer.Close()
@@ -81,3 +84,23 @@
 	n.tasks.Wait()
 	return err
 }
+
+// drainCallers waits until all connections have ended, or until the context ends. It ends the
+// requests with a body that has stopped arriving.
+func (n *Node) drainCallers(ctx context.Context) {
+	drained := make(chan struct{})
+	go func() {
+		defer close(drained)
+		n.callerConns.drain(ctx)
+	}()
+	ticker := time.NewTicker(endStalledInterval)
+	defer ticker.Stop()
+	for {
+		n.clients.EndStalled()
+		select {
+		case <-drained:
+			return
+		case <-ticker.C:
+		}
+	}
+}
