--- a/cli/daemons.go
+++ b/cli/daemons.go
@@ -40,6 +40,7 @@
 			return sidecard.Start(sidecar)
 		}),
 		a.daemonCommand("entry", "Runs an entry, which serves callers.", entry, func() (runningDaemon, error) {
+			limitHeap(entry.MemoryBytes)
 			return entryd.Start(entry)
 		}),
 		a.daemonCommand("dev", "Runs all daemons and fake engines in one process.", dev, func() (runningDaemon, error) {
--- a/entryd/batches.go
+++ b/entryd/batches.go
@@ -92,14 +92,30 @@
 		d.startStagedJob(ctx, caller)
 		return
 	}
-	job, err := d.submitLines(ctx, caller, bodyReader(ctx))
+	body, err := d.holdUpload(ctx)
 	if err != nil {
-		d.writeSubmitError(ctx, err)
+		d.refuseBody(ctx, err)
+		return
+	}
+	job, err := d.submitLines(ctx, caller, body)
+	if err != nil {
+		d.endUpload(ctx, err)
 		return
 	}
 	writeJob(ctx, job)
 }
 
+// endUpload responds to an upload that was not accepted, and ends its connection if the rest of it
+// is not read.
+func (d *Daemon) endUpload(ctx *fasthttp.RequestCtx, err error) {
+	if isDenied(err) {
+		d.refuseBody(ctx, err)
+		return
+	}
+	d.writeSubmitError(ctx, err)
+	d.endConnection(ctx)
+}
+
 func bodyReader(ctx *fasthttp.RequestCtx) io.Reader {
 	if stream := ctx.RequestBodyStream(); stream != nil {
 		return stream
@@ -120,6 +136,9 @@
 	var first firstLine
 	peeked, err := reader.Peek(maxFirstLineBytes)
 	line, _, found := bytes.Cut(peeked, []byte("\n"))
+	if isDenied(err) {
+		return first, err
+	}
 	if !found && err == nil {
 		return first, &batch.LineError{Line: 1, Reason: "the line is too long"}
 	}
--- a/entryd/entryd.go
+++ b/entryd/entryd.go
@@ -45,6 +45,7 @@
 	// callerTokens is nil when callers are identified by their header.
 	callerTokens *daemon.Tokens
 	calls        callTable
+	clients      *daemon.Clients
 	// memberTable is used on the member loop only.
 	memberTable *member.Table
 	// memberCount is the length of memberTable, for use outside the member loop.
@@ -62,7 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
-	listener, err := daemon.ListenTCP("http", settings.HTTP)
+	listener, err := daemon.ListenClients("http", settings.HTTP)
 	if err != nil {
 		return nil, err
 	}
@@ -80,9 +81,11 @@
 		Configure: func(server *fasthttp.Server) {
 			server.StreamRequestBody = true
 			server.MaxRequestBodySize = settings.MaxBodyBytes
+			server.ConnState = d.trackConn
 		},
 	})
-	d.httpServer.Start(watchedListener{settings.HTTPListener(listener)}, d.ReportFatal)
+	d.httpServer.Start(d.clients.Listen(watchedListener{settings.HTTPListener(listener)}), d.ReportFatal)
+	d.background.Go(func() { d.clients.Run(d.ctx) })
 	settings.WarnUnencrypted(d.logger)
 	d.logger.Info("entry started", "id", settings.ID, "http", settings.HTTP)
 	return d, nil
@@ -93,6 +96,10 @@
 	if err != nil {
 		return nil, err
 	}
+	limits, err := settings.clientLimits()
+	if err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Daemon{
 		settings:           settings,
@@ -104,7 +111,8 @@
 		cancel:             cancel,
 		FatalErrorReporter: daemon.NewFatalErrorReporter(),
 	}
-	d.metrics = newMetrics(d.identity, d.MemberCount, d.calls.count)
+	d.clients = daemon.NewClients(limits, d.reportClients)
+	d.metrics = newMetrics(d.identity, d.clients, d.MemberCount, d.calls.count)
 	d.transport = transport.NewClient(d.identity, settings.TLS.ClientConfigSource())
 	d.controlClient = client.NewReplicaClient(d.transport, settings.Control)
 	if err := d.startCores(); err != nil {
@@ -238,6 +246,11 @@
 
 // handle serves the HTTP requests of callers.
 func (d *Daemon) handle(ctx *fasthttp.RequestCtx) {
+	if d.clients.Serve(ctx.Conn()) == nil {
+		d.refuse(ctx, pb.Reason_REASON_OVERLOADED, "there are too many connections")
+		ctx.SetConnectionClose()
+		return
+	}
 	if !daemon.ValidText(ctx) {
 		d.refuse(ctx, pb.Reason_REASON_BAD_REQUEST, "the path, query and headers must be valid UTF-8")
 		return
--- a/entryd/files.go
+++ b/entryd/files.go
@@ -57,14 +57,23 @@
 	if d.refuseUnconfigured(ctx) {
 		return
 	}
-	file, err := openUpload(ctx)
+	body, err := d.holdUpload(ctx)
+	if err != nil {
+		d.refuseBody(ctx, err)
+		return
+	}
+	file, err := openUpload(ctx, body)
+	if isDenied(err) {
+		d.refuseBody(ctx, err)
+		return
+	}
 	if err != nil {
 		d.refuse(ctx, pb.Reason_REASON_BAD_REQUEST, err.Error())
 		return
 	}
 	staged, err := d.stageJob(ctx, caller, file)
 	if err != nil {
-		d.writeSubmitError(ctx, err)
+		d.endUpload(ctx, err)
 		return
 	}
 	now := time.Now()
@@ -82,14 +91,17 @@
 
 // openUpload returns the file part of a multipart form. The purpose
 // field must come before it to be checked.
-func openUpload(ctx *fasthttp.RequestCtx) (*multipart.Part, error) {
+func openUpload(ctx *fasthttp.RequestCtx, body io.Reader) (*multipart.Part, error) {
 	_, parameters, err := mime.ParseMediaType(string(ctx.Request.Header.ContentType()))
 	if err != nil || parameters["boundary"] == "" {
 		return nil, eris.New("the body must be a multipart form")
 	}
-	form := multipart.NewReader(bodyReader(ctx), parameters["boundary"])
+	form := multipart.NewReader(body, parameters["boundary"])
 	for {
 		part, err := form.NextPart()
+		if isDenied(err) {
+			return nil, err
+		}
 		if err != nil {
 			return nil, eris.New("the form has no file")
 		}
@@ -115,9 +127,13 @@
 // startStagedJob starts the items of an uploaded file as a job. A repeated
 // request returns the same job.
 func (d *Daemon) startStagedJob(ctx *fasthttp.RequestCtx, caller string) {
-	body, ok := readBody(ctx, maxMetadataBytes)
+	body, err := d.readBody(ctx, maxMetadataBytes)
+	if isDenied(err) {
+		d.refuseBody(ctx, err)
+		return
+	}
 	var request batchRequest
-	if !ok || json.Unmarshal(body, &request) != nil {
+	if err != nil || json.Unmarshal(body, &request) != nil {
 		d.refuse(ctx, pb.Reason_REASON_BAD_REQUEST, "the body must name an input_file_id, or be JSON lines of type "+contentTypeJSONL)
 		return
 	}
--- a/entryd/metrics.go
+++ b/entryd/metrics.go
@@ -17,7 +17,7 @@
 	droppedReports prometheus.Counter
 }
 
-func newMetrics(identity *transport.Identity, memberCount, callCount func() int) *metrics {
+func newMetrics(identity *transport.Identity, clients *daemon.Clients, memberCount, callCount func() int) *metrics {
 	m := &metrics{
 		registry: daemon.NewRegistry(identity),
 		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -42,6 +42,7 @@
 		newGauge("briarcross_entry_members", "Upstreams that the entry knows.", memberCount),
 		newGauge("briarcross_entry_running_requests", "Online requests that the entry handles.", callCount),
 	)
+	m.registry.MustRegister(clients.Collectors()...)
 	return m
 }
 
@@ -66,5 +67,5 @@
 // documentation of the time series.
 func MetricsRegistry() *prometheus.Registry {
 	zero := func() int { return 0 }
-	return newMetrics(&transport.Identity{}, zero, zero).registry
+	return newMetrics(&transport.Identity{}, daemon.NewProbeClients(), zero, zero).registry
 }
--- a/entryd/online.go
+++ b/entryd/online.go
@@ -1,11 +1,9 @@
 package entryd
 
 import (
-	"bytes"
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"io"
 	"strconv"
 	"strings"
 	"time"
@@ -31,22 +29,11 @@
 	return "req-" + hex.EncodeToString(id[:])
 }
 
-// readBody returns a copy of the request body. It returns false when the body is
-// larger than limit bytes or cannot be read.
-func readBody(ctx *fasthttp.RequestCtx, limit int) ([]byte, bool) {
-	if stream := ctx.RequestBodyStream(); stream != nil {
-		body, err := io.ReadAll(io.LimitReader(stream, int64(limit)+1))
-		return body, err == nil && len(body) <= limit
-	}
-	body := bytes.Clone(ctx.PostBody())
-	return body, len(body) <= limit
-}
-
 // serveCompletion serves a completion request to a model service.
 func (d *Daemon) serveCompletion(ctx *fasthttp.RequestCtx, caller string) {
-	body, ok := readBody(ctx, d.settings.MaxBodyBytes)
-	if !ok {
-		d.refuse(ctx, pb.Reason_REASON_TOO_LARGE, "the body is too large")
+	body, err := d.readBody(ctx, d.settings.MaxBodyBytes)
+	if err != nil {
+		d.refuseBody(ctx, err)
 		return
 	}
 	path := string(ctx.Path())
@@ -66,9 +53,9 @@
 
 // servePlain serves a request to a plain service.
 func (d *Daemon) servePlain(ctx *fasthttp.RequestCtx, caller string) {
-	body, ok := readBody(ctx, d.settings.MaxBodyBytes)
-	if !ok {
-		d.refuse(ctx, pb.Reason_REASON_TOO_LARGE, "the body is too large")
+	body, err := d.readBody(ctx, d.settings.MaxBodyBytes)
+	if err != nil {
+		d.refuseBody(ctx, err)
 		return
 	}
 	// The target is relayed as the caller sent it, without decoding and encoding.
