Bound the items of jobs that are not completed; end writes nobody reads

Cause: what storage had accepted had no bound. The index of open items and the search for those that can start grow with them, and their bodies fill the disk, which ends a replica. Change: a leader refuses a new job with FULL beyond an eighth of its memory (512 bytes an item) or a quarter of its disk; jobs that are known, and a job beside none, are accepted. Entries refuse jobs of more than 1,000 items with 413. The product entry ends a connection whose caller reads nothing for 30 s.

--- a/cli/nodes.go
+++ b/cli/nodes.go
@@ -66,7 +66,12 @@
 	if role != node.RoleControl {
 		flagSettings.Clients.Register(fs)
 	}
+	if role == node.RoleStore {
+		fs.IntVar(&flagSettings.MaxOpenItems, "max-open-items", 0, "items of the jobs that are not completed; 0 means what the memory allows")
+		fs.Int64Var(&flagSettings.MaxOpenBytes, "max-open-bytes", 0, "size of the items of the jobs that are not completed; 0 means a quarter of the disk")
+	}
 	if role == node.RoleEntry {
+		fs.IntVar(&flagSettings.MaxJobItems, "max-job-items", 0, "items of a job; 0 means 1000")
 		fs.Float64Var(&flagSettings.HedgeShare, "hedge-share", 0, "share of requests, from 0 to 1, that may have a second attempt where the configuration states none")
 	}
 	return a.withDefaults(&ffcli.Command{
@@ -89,7 +94,8 @@
 		return err
 	}
 	settings.MetricsAddress, settings.BindAddress, settings.HedgeShare = flagSettings.MetricsAddress, flagSettings.BindAddress, flagSettings.HedgeShare
-	settings.Clients = flagSettings.Clients
+	settings.Clients, settings.MaxJobItems = flagSettings.Clients, flagSettings.MaxJobItems
+	settings.MaxOpenItems, settings.MaxOpenBytes = flagSettings.MaxOpenItems, flagSettings.MaxOpenBytes
 	if err := settings.Check(role); err != nil {
 		return err
 	}
--- a/e2e/platform_crowd_test.go
+++ b/e2e/platform_crowd_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -28,6 +29,10 @@
 	// jobBytes is the size of a job in JSON, with the bodies of its items in base64.
 	jobBytes      = 4<<20 - 64<<10
 	smallJobBytes = 100 << 10
+	// backlogCrowd members submit backlogJobs of backlogItems each.
+	backlogCrowd = 40
+	backlogJobs  = 10
+	backlogItems = 1000
 )
 
 // startLimitedFleet starts a fleet in which entries and storage have little memory.
@@ -286,3 +291,88 @@
 	})
 	check(f.entries[0], "storage", "storage_full")
 }
+
+// tinyJob returns a job of items that no engine serves.
+func tinyJob(name string, items int) string {
+	var b strings.Builder
+	b.WriteString(`{"Requests":[`)
+	for i := range items {
+		if i > 0 {
+			b.WriteString(",")
+		}
+		fmt.Fprintf(&b, `{"Id":%q,"Path":"/other/1/x","Headers":{},"Body":"eA=="}`, itemID(name, i))
+	}
+	b.WriteString("]}")
+	return b.String()
+}
+
+// What had been accepted and was not completed had no bound.
+func TestCrowdOfOpenItemsFillsTheMemoryOfStorage(t *testing.T) {
+	f := startLimitedFleet(t, 2, jobEntryMemoryMb, storageMemoryMb)
+	f.otherService = "unserved"
+	f.replaceConfiguration()
+	submit := func(n *platformNode, job string) int {
+		status, _ := f.sendJobRequest(http.MethodPost, n, "/other/submit", job, tinyJob(job, backlogItems))
+		return status
+	}
+	f.await("a job is accepted", func() bool { return submit(f.entries[0], "first") == http.StatusAccepted })
+	var probes []*probe
+	for _, n := range f.stores {
+		probes = append(probes, startProbe(n.process, n.ip))
+	}
+	var members sync.WaitGroup
+	for member := range backlogCrowd {
+		members.Go(func() {
+			for i := range backlogJobs {
+				submit(f.entries[member%2], fmt.Sprintf("open-%d-%d", member, i))
+			}
+		})
+	}
+	members.Wait()
+	time.Sleep(holdTime)
+	if status := submit(f.entries[1], "first"); status != http.StatusAccepted {
+		t.Errorf("a job that was accepted got status %d when it came again", status)
+	}
+	f.awaitOrdinaryRequest(f.entries[0], "beside the open items")
+	for _, p := range probes {
+		p.check(t, storageMemoryMb, entryDescriptors)
+	}
+}
+
+func TestJobIsRefusedWhileTooMuchIsOpen(t *testing.T) {
+	t.Parallel()
+	f := startPlatformFleet(t, 1, 1, false)
+	f.otherService = "unserved"
+	f.replaceConfiguration()
+	entry := f.entries[0]
+	for _, n := range f.stores {
+		n.kill()
+		n.env = []string{"BRIARCROSS_MAX_OPEN_ITEMS=15"}
+		f.startNode(n, false)
+	}
+	submit := func(job string, items int) (int, string) {
+		status, body := f.sendJobRequest(http.MethodPost, entry, "/other/submit", job, tinyJob(job, items))
+		return status, strings.TrimSpace(string(body))
+	}
+	// The backlog is empty, so that a job of any size is accepted.
+	f.await("a job is accepted", func() bool {
+		status, _ := submit("open", 20)
+		return status == http.StatusAccepted
+	})
+	if status, body := submit("new", 1); status != http.StatusServiceUnavailable || body != "storage_full" {
+		t.Errorf("a new job got status %d, %q", status, body)
+	}
+	if status, _ := submit("open", 20); status != http.StatusAccepted {
+		t.Errorf("the open job got status %d when it came again", status)
+	}
+	if status, body := submit("many", 1001); status != http.StatusRequestEntityTooLarge {
+		t.Errorf("a job of too many items got status %d, %q", status, body)
+	}
+	if status, _ := f.sendJobRequest(http.MethodDelete, entry, "/lots/open", "open", ""); status != http.StatusOK {
+		t.Errorf("the end of the open job got status %d", status)
+	}
+	f.await("a job is accepted when the backlog is empty", func() bool {
+		status, _ := submit("new", 1)
+		return status == http.StatusAccepted
+	})
+}
--- a/entryd/listener.go
+++ b/entryd/listener.go
@@ -8,6 +8,9 @@
 	"time"
 )
 
+// writeTimeout bounds the time for which a part of a response waits for a caller that does not read.
+const writeTimeout = 30 * time.Second
+
 // watchedListener accepts connections as watchedConn.
 type watchedListener struct {
 	net.Listener
@@ -51,6 +54,14 @@
 	return c.Conn.Read(p)
 }
 
+// Write implements net.Conn. It ends the connection of a caller that does not read.
+func (c *watchedConn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
 // watch calls onClose when the caller closes the connection. The returned
 // function ends the watch and must be called before the next Read.
 func (c *watchedConn) watch(onClose func()) (stop func()) {
--- a/entrynode/jobs.go
+++ b/entrynode/jobs.go
@@ -50,6 +50,7 @@
 const (
 	reasonStorageFull    = "storage_full"
 	reasonOutcomeUnknown = "storage_outcome_unknown"
+	reasonJobTooLarge    = "job_too_large"
 )
 
 // JobAccess is the access of a request to a job that it names.
@@ -110,6 +111,13 @@
 		})
 		return
 	}
+	if limit := n.settings.JobItemLimit(); len(job.Items) > limit {
+		n.refuse(w, headers.ID, refusal{
+			reason: reasonJobTooLarge, status: http.StatusRequestEntityTooLarge, route: route.Name, customer: nameOf(customer), routingVersion: table.Version,
+			cause: eris.Errorf("job has %d items, more than %d", len(job.Items), limit),
+		})
+		return
+	}
 	storedID := jobpages.StoredJobID(nameOf(customer), headers.ID)
 	if !n.holdsItems(table, route, job.Items) {
 		page, ok := n.ReadPage(w, JobAccess{id: headers.ID, customer: customer, held: clientRequest(r), storedIDs: []string{storedID}}, 0, 0)
@@ -141,7 +149,7 @@
 	}
 	if size := proto.Size(submit); size > maxJobBytes {
 		n.refuse(w, headers.ID, refusal{
-			reason: "job_too_large", status: http.StatusRequestEntityTooLarge, route: route.Name, customer: nameOf(customer), routingVersion: table.Version,
+			reason: reasonJobTooLarge, status: http.StatusRequestEntityTooLarge, route: route.Name, customer: nameOf(customer), routingVersion: table.Version,
 			cause: eris.Errorf("job has %d bytes, more than %d", size, maxJobBytes),
 		})
 		return
@@ -150,7 +158,10 @@
 	defer cancel()
 	_, controlErr := n.Storage.Propose(ctx, transport.Batch, &pb.Command{Op: &pb.Command_PageSubmit{PageSubmit: submit}})
 	if controlErr != nil {
-		full := &refusal{reason: reasonStorageFull, retryAfter: storageFullRetryAfter, customer: nameOf(customer), route: route.Name, routingVersion: table.Version}
+		full := &refusal{
+			reason: reasonStorageFull, retryAfter: storageFullRetryAfter, route: route.Name, customer: nameOf(customer), routingVersion: table.Version,
+			cause: eris.New(controlErr.GetReason()),
+		}
 		switch {
 		case controlErr.GetCode() != pb.ControlError_FULL:
 			n.refuseJob(w, headers.ID, nameOf(customer), "submit", controlErr)
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -162,7 +162,7 @@
 	"caller_left":             "the caller closed its connection",
 	"deadline":                "the deadline of the caller or the timeout of the route passed before a slot became free",
 	"storage_unavailable":     "no leader of the storage group could be reached",
-	"storage_full":            "the leader of the storage group had no memory for the job; nothing of it was accepted",
+	"storage_full":            "the leader of the storage group had no memory for the job, or too many items were open; nothing of it was accepted",
 	"memory_full":             "the requests of callers held all the memory that they may at this daemon; clients_limited has the sums",
 	"body_too_slow":           "the body of the request arrived more slowly than the minimum rate allows, or had stopped",
 	"connections_full":        "the connection was being closed for another one when the request came on it; the daemon had as many as it may",
--- a/jobpages/query.go
+++ b/jobpages/query.go
@@ -32,6 +32,12 @@
 	return response
 }
 
+// IsKnown reports whether a job has been accepted and is still kept.
+func IsKnown(r kv.Reader, jobID string) bool {
+	_, known := readJob(r, jobID)
+	return known
+}
+
 // IsFinished reports whether a job can get no further result: it has ended, has
 // all its results, or is unknown.
 func IsFinished(r kv.Reader, jobID string) bool {
--- a/jobpages/state.go
+++ b/jobpages/state.go
@@ -79,10 +79,12 @@
 		RoutingVersion: submit.GetRoutingVersion(),
 		Customer:       submit.GetCustomer(),
 	}
-	writeJob(batch, job)
 	for i, item := range submit.GetItems() {
-		batch.Set(recordKey(kindItem, job.GetJobId(), uint32(i)), record.Encode(item))
+		encoded := record.Encode(item)
+		job.ItemBytes += uint64(len(encoded))
+		batch.Set(recordKey(kindItem, job.GetJobId(), uint32(i)), encoded)
 	}
+	writeJob(batch, job)
 	s.openJobs[job.GetJobId()] = &openJob{record: job, settled: make([]bool, job.GetItems())}
 	return true
 }
@@ -207,6 +209,18 @@
 	}
 }
 
+// OpenSize returns the number of items of the open jobs, and their size as stored. It includes
+// items that have their result.
+func (s *State) OpenSize() (items int, bytes int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, job := range s.openJobs {
+		items += len(job.settled)
+		bytes += int64(job.record.GetItemBytes())
+	}
+	return items, bytes
+}
+
 // OpenItem is an item without a result. Its times are those of its job.
 type OpenItem struct {
 	JobID     string
--- a/jobpages/state_test.go
+++ b/jobpages/state_test.go
@@ -211,3 +211,28 @@
 	expect.Expect(replica.readPage("closed", 0).GetKnown()).To(BeFalse())
 	expect.Expect(replica.readPage("open", 0).GetKnown()).To(BeTrue())
 }
+
+func TestOpenSizeIsThatOfJobsWithoutAllResults(t *testing.T) {
+	expect := NewWithT(t)
+	replica := newTestReplica(t)
+	openItems := func() int {
+		items, bytes := replica.state.OpenSize()
+		expect.Expect(bytes > 0).To(Equal(items > 0))
+		restored := NewState()
+		restored.Restore(replica.store)
+		restoredItems, restoredBytes := restored.OpenSize()
+		expect.Expect([]int64{int64(restoredItems), restoredBytes}).To(Equal([]int64{int64(items), bytes}), "a restart changes the size")
+		return items
+	}
+	expect.Expect(openItems()).To(BeZero())
+	replica.submitJob("a", 2)
+	replica.submitJob("b", 3)
+	replica.submitJob("a", 2)
+	expect.Expect(openItems()).To(Equal(5))
+	replica.settleItem("a", 0, "x")
+	expect.Expect(openItems()).To(Equal(5))
+	replica.settleItem("a", 1, "x")
+	expect.Expect(openItems()).To(Equal(3))
+	replica.endJob("b")
+	expect.Expect(openItems()).To(BeZero())
+}
--- a/node/settings.go
+++ b/node/settings.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -67,6 +68,14 @@
 	Descriptors int64
 	// Clients limits what callers may hold at an entry or a storage replica.
 	Clients daemon.ClientSettings
+	// DiskBytes is the size of the disk of DataDir; zero means unknown.
+	DiskBytes int64
+	// MaxJobItems limits the items of a job at an entry; zero means defaultMaxJobItems.
+	MaxJobItems int
+	// MaxOpenItems and MaxOpenBytes limit the items of the open jobs at a storage replica, and their
+	// size; zero means what MemoryBytes and DiskBytes allow.
+	MaxOpenItems int
+	MaxOpenBytes int64
 	// Quota is how strictly the quotas of customers are kept.
 	Quota QuotaTolerance
 }
@@ -86,6 +95,17 @@
 	repairDelayShare = 0.45
 	// defaultCatchUp is the CatchUpTimeout if none is set.
 	defaultCatchUp = 4500 * time.Millisecond
+	// defaultMaxJobItems is MaxJobItems if none is set.
+	defaultMaxJobItems = 1000
+	// openItemBytes is the memory of an open item at a leader: its place in the index, in the search
+	// for items that can start, and in the scheduler. openMemoryShare is the part of the memory for
+	// open items, openDiskShare the part of the disk.
+	openItemBytes   = 512
+	openMemoryShare = 0.125
+	openDiskShare   = 0.25
+	// defaultMemoryBytes and defaultDiskBytes hold where the limits are unknown.
+	defaultMemoryBytes = 1 << 30
+	defaultDiskBytes   = 4 << 30
 	// defaultQuotaWindow is QuotaTolerance.Window if none is set.
 	defaultQuotaWindow = 5 * time.Second
 )
@@ -95,6 +115,26 @@
 	return s.Clients.Limits(s.MemoryBytes, s.Descriptors)
 }
 
+// JobItemLimit returns the limit of the items of a job.
+func (s *Settings) JobItemLimit() int {
+	if s.MaxJobItems > 0 {
+		return s.MaxJobItems
+	}
+	return defaultMaxJobItems
+}
+
+// BacklogLimit returns the limit of the open jobs at a storage replica.
+func (s *Settings) BacklogLimit() clientlimit.Backlog {
+	limit := clientlimit.Backlog{Items: s.MaxOpenItems, Bytes: s.MaxOpenBytes}
+	if limit.Items == 0 {
+		limit.Items = int(openMemoryShare * float64(cmp.Or(s.MemoryBytes, defaultMemoryBytes)) / openItemBytes)
+	}
+	if limit.Bytes == 0 {
+		limit.Bytes = int64(openDiskShare * float64(cmp.Or(s.DiskBytes, defaultDiskBytes)))
+	}
+	return limit
+}
+
 // RepairAfter returns the time without contact after which a spare replaces a
 // voter.
 func (s *Settings) RepairAfter() time.Duration {
@@ -119,6 +159,9 @@
 	if err := s.Clients.Check(); err != nil {
 		return err
 	}
+	if err := s.checkJobLimits(); err != nil {
+		return err
+	}
 	switch role {
 	case RoleEntry:
 		if err := daemon.CheckAddress("callers", s.CallersAddress); err != nil {
@@ -143,6 +186,18 @@
 	return eris.Errorf("no such role: %s", role)
 }
 
+func (s *Settings) checkJobLimits() error {
+	switch {
+	case s.MaxJobItems < 0:
+		return daemon.NewSettingError("max-job-items", "must not be negative")
+	case s.MaxOpenItems < 0:
+		return daemon.NewSettingError("max-open-items", "must not be negative")
+	case s.MaxOpenBytes < 0:
+		return daemon.NewSettingError("max-open-bytes", "must not be negative")
+	}
+	return nil
+}
+
 func (s *Settings) checkFolder() error {
 	if s.DataDir == "" {
 		return daemon.NewSettingError("folder", "is missing")
--- a/storenode/metrics.go
+++ b/storenode/metrics.go
@@ -17,6 +17,8 @@
 	// stalls by reason.
 	stalled prometheus.Gauge
 	stalls  *prometheus.CounterVec
+	// backlogRefusals counts the jobs that were refused since too much is open.
+	backlogRefusals prometheus.Counter
 }
 
 // runTimeBuckets spans the usual run times of items, in seconds.
@@ -47,10 +49,21 @@
 	m.stalls = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "briarcross_item_stalls_total", Help: "Times that no item ran for seconds although some were open, by the reason that most of them did not start.",
 	}, []string{"reason"})
-	m.registry.MustRegister(m.stalled, m.stalls, m.settled, m.stopped, m.restarted, m.postponed, m.runTime, n.runner.workers.results,
+	m.backlogRefusals = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "briarcross_backlog_refusals_total", Help: "Jobs that were refused because the open jobs are as many, or as large, as they may be.",
+	})
+	m.registry.MustRegister(m.backlogRefusals, m.stalled, m.stalls, m.settled, m.stopped, m.restarted, m.postponed, m.runTime, n.runner.workers.results,
 		node.Gauge("briarcross_open_items", "Items without a result.", func() float64 {
 			return float64(len(n.state.OpenItems()))
 		}),
+		node.Gauge("briarcross_backlog_items", "Items of the open jobs, with those that have a result.", func() float64 {
+			items, _ := n.state.OpenSize()
+			return float64(items)
+		}),
+		node.Gauge("briarcross_backlog_bytes", "Size of the items of the open jobs.", func() float64 {
+			_, bytes := n.state.OpenSize()
+			return float64(bytes)
+		}),
 		node.Gauge("briarcross_group_leading", "1 while this replica leads the storage group.", func() float64 {
 			r := n.replica.Load()
 			if r == nil {
--- a/storenode/streams.go
+++ b/storenode/streams.go
@@ -9,6 +9,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/briarcross/briarcross/clientlimit"
 	"github.com/briarcross/briarcross/jobpages"
 	"github.com/briarcross/briarcross/kv"
 	"github.com/briarcross/briarcross/pb"
@@ -97,6 +98,9 @@
 	defer cancel()
 	switch body := request.GetRequest().(type) {
 	case *pb.ControlRequest_Propose:
+		if controlErr := n.refuseBacklog(r, body.Propose.GetPageSubmit()); controlErr != nil {
+			return errorResponse(controlErr)
+		}
 		result, controlErr := r.Propose(ctx, body.Propose)
 		if controlErr != nil {
 			return errorResponse(controlErr)
@@ -111,6 +115,30 @@
 	return errorResponse(&pb.ControlError{Code: pb.ControlError_INVALID, Reason: "request without a body"})
 }
 
+// refuseBacklog returns an error for a new job if too much is open for it. It returns nil for a nil
+// job, and at a replica that does not lead.
+func (n *Node) refuseBacklog(r *replica.Replica, submit *pb.PageSubmit) *pb.ControlError {
+	if _, _, leading := r.Leader(); submit == nil || !leading {
+		return nil
+	}
+	var open, job clientlimit.Backlog
+	open.Items, open.Bytes = n.state.OpenSize()
+	for _, item := range submit.GetItems() {
+		job.Items++
+		job.Bytes += int64(proto.Size(item))
+	}
+	if n.settings.BacklogLimit().Admits(open, job) {
+		return nil
+	}
+	known := false
+	r.View(func(reader kv.Reader) { known = jobpages.IsKnown(reader, submit.GetJobId()) })
+	if known {
+		return nil
+	}
+	n.metrics.backlogRefusals.Inc()
+	return &pb.ControlError{Code: pb.ControlError_FULL, Reason: "too many items are open"}
+}
+
 // isMember reports whether the group has a replica at an address. A spare must not
 // wait for a leader that it may never hear of.
 func isMember(status *pb.StatusAnswer, address string) bool {
