--- a/entrynode/clients.go
+++ b/entrynode/clients.go
@@ -108,6 +108,8 @@
 // refuseUnfinished refuses a request whose body has not arrived, and ends its connection. For a
 // while it reads the rest, so that a caller who is still sending gets the refusal.
 func (n *Node) refuseUnfinished(w http.ResponseWriter, r *http.Request, id string, f refusal) {
+	// The body may have taken most of the time for the response.
+	extendWriteDeadline(w, 0)
 	w.Header().Set("Connection", "close")
 	clientRequest(r).Release()
 	controller := http.NewResponseController(w)
--- a/entrynode/jobs.go
+++ b/entrynode/jobs.go
@@ -291,11 +291,11 @@
 	if size < firstPageBytes/2 || left <= 0 || page.GetNext() >= page.GetItems() || job.held.Grow(int64(pageCost*left)) != nil {
 		return page, true
 	}
+	ctx, cancel := context.WithTimeout(n.ctx, storageAttemptTimeout)
+	defer cancel()
 	query := &pb.PageQuery{JobId: storedID, From: page.GetNext(), MaxBytes: uint32(left)}
-	result, answered := n.queryStorage(w, job, "page", &pb.Query{Query: &pb.Query_Page{Page: query}})
-	if !answered {
-		return nil, false
-	}
+	// Without an answer, the caller gets what has been read, and asks for the rest.
+	result, _ := n.Storage.Query(ctx, &pb.Query{Query: &pb.Query_Page{Page: query}})
 	for _, entry := range result.GetPage().GetEntries() {
 		if left -= proto.Size(entry); left < 0 {
 			break
--- a/storenode/streams.go
+++ b/storenode/streams.go
@@ -44,7 +44,9 @@
 		return class != transport.Batch || held.Grow(requestCost*int64(bytes)) == nil
 	})
 	if errors.Is(err, transport.ErrNotAdmitted) {
-		return sendResponse(stream, n.refuseFull())
+		// The stream ends too: if the message was a run for this worker, its leader takes it for lost.
+		sendResponse(stream, n.refuseFull())
+		return false
 	}
 	if err != nil {
 		return false
