Entry: a request outside the server holds nothing

TestPanicIsALoggedFailureOfTheAttempt failed: its request has not come through limitClients, and the lookup of what it holds panicked before the panic that the test expects.

--- a/entrynode/clients.go
+++ b/entrynode/clients.go
@@ -66,9 +66,11 @@
 // clientRequestKey is the key of the daemon.ClientRequest in the context of a request.
 type clientRequestKey struct{}
 
-// clientRequest returns what a request holds as one of the clients.
+// clientRequest returns what a request holds as one of the clients, nil if it has not come through
+// limitClients.
 func clientRequest(r *http.Request) *daemon.ClientRequest {
-	return r.Context().Value(clientRequestKey{}).(*daemon.ClientRequest)
+	held, _ := r.Context().Value(clientRequestKey{}).(*daemon.ClientRequest)
+	return held
 }
 
 // extendWriteDeadline sets the time for which the response may wait for the caller, after the time
--- a/entrynode/exchange.go
+++ b/entrynode/exchange.go
@@ -520,7 +520,7 @@
 // holdResponse counts a response that is in memory. It is too late to refuse the request: without
 // room, the caller has to read soon.
 func (x *exchange) holdResponse(bytes int) {
-	if clientRequest(x.request).Grow(int64(bytes)) != nil {
+	if held := clientRequest(x.request); held != nil && held.Grow(int64(bytes)) != nil {
 		_ = http.NewResponseController(x.w).SetWriteDeadline(time.Now().Add(pressedWriteTimeout))
 	}
 }
