Soak: complete the deletions of jobs whose response was lost

The daemons' logs show the deletion (job_ended, known) at all replicas. Now a deletion that was begun is repeated after the faults until it is acknowledged, and the job counts as deleted from then on. That is as strict: every other job must be completed, and each deletion must succeed in the end.

--- a/e2e/platform_soak_test.go
+++ b/e2e/platform_soak_test.go
@@ -108,6 +108,9 @@
 	// job.
 	jobResults   map[string][]string
 	jobDeletedAt map[string]time.Time
+	// jobsBeingDeleted holds the jobs whose deletion was begun. Until a response arrives, it may or
+	// may not have been carried out.
+	jobsBeingDeleted map[string]bool
 	ackedVersion int64
 	// acks lists the accepted versions of the configuration in their order.
 	acks        []configAck
@@ -132,6 +135,8 @@
 		faults:        soakFaults,
 		jobResults:    make(map[string][]string),
 		jobDeletedAt:  make(map[string]time.Time),
+
+		jobsBeingDeleted: make(map[string]bool),
 	}
 	if seed >= successionSeed {
 		s.faults = slices.Concat(soakFaults, successionFaults)
@@ -296,16 +301,38 @@
 }
 
 func (s *soakRun) deleteJob(ctx context.Context, job string) {
+	s.mu.Lock()
+	s.jobsBeingDeleted[job] = true
+	s.mu.Unlock()
 	for try := 0; ctx.Err() == nil; try++ {
-		if status, _ := s.sendJobRequest(http.MethodDelete, s.entries[try%len(s.entries)], "/lots/"+job, job, ""); status == http.StatusOK {
-			s.mu.Lock()
-			s.jobDeletedAt[job] = time.Now()
-			s.mu.Unlock()
+		if s.tryDeleteJob(s.entries[try%len(s.entries)], job) {
 			return
 		}
 	}
 }
 
+// tryDeleteJob reports whether the deletion of a job was acknowledged.
+func (s *soakRun) tryDeleteJob(n *platformNode, job string) bool {
+	if status, _ := s.sendJobRequest(http.MethodDelete, n, "/lots/"+job, job, ""); status != http.StatusOK {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.jobDeletedAt[job] = time.Now()
+	return true
+}
+
+// completeDeletions repeats the deletions that got no response until they are acknowledged.
+func (s *soakRun) completeDeletions() {
+	for job := range s.jobsBeingDeleted {
+		if _, deleted := s.jobDeletedAt[job]; !deleted {
+			s.await("the deletion of "+job+" is acknowledged", func() bool {
+				return slices.ContainsFunc(s.entries, func(n *platformNode) bool { return s.tryDeleteJob(n, job) })
+			})
+		}
+	}
+}
+
 // checkJobResults reads the results of a job, checks them, compares them with
 // those read before and returns their number.
 func (s *soakRun) checkJobResults(n *platformNode, job string) int {
@@ -415,6 +442,7 @@
 // refused requests have not run, others have run at most once where required, daemons sent
 // nothing new to engines that had told them that they leave, and no more than a stated rate limit allows.
 func (s *soakRun) checkFinalState() {
+	s.completeDeletions()
 	for job := range s.resultCounts() {
 		if _, ended := s.jobDeletedAt[job]; !ended {
 			s.await(job+" is done", func() bool {
