--- a/e2e/platform_soak_test.go
+++ b/e2e/platform_soak_test.go
@@ -111,7 +111,7 @@
 	// jobsBeingDeleted holds the jobs whose deletion was begun. Until a response arrives, it may or
 	// may not have been carried out.
 	jobsBeingDeleted map[string]bool
-	ackedVersion int64
+	ackedVersion     int64
 	// acks lists the accepted versions of the configuration in their order.
 	acks        []configAck
 	servedCount int
