--- a/entrynode/jobs.go
+++ b/entrynode/jobs.go
@@ -248,6 +248,7 @@
 	result, controlErr := n.Storage.Query(ctx, &pb.Query{Query: &pb.Query_Page{Page: query}})
 	switch {
 	case controlErr != nil:
+		f.cause = eris.Errorf("%s, and storage does not say whether it knows the job: %s", f.reason, controlErr.GetReason())
 		f.reason, f.status, f.retryAfter = reasonOutcomeUnknown, http.StatusGatewayTimeout, 0
 		return false
 	case !result.GetPage().GetKnown():
