--- a/e2e/crowd_entry_test.go
+++ b/e2e/crowd_entry_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"testing"
-	"time"
 
 	"github.com/briarcross/briarcross/openai"
 )
@@ -64,7 +63,7 @@
 				}
 				return form.body(conn)
 			})
-			time.Sleep(holdTime)
+			f.awaitHold(probe)
 			f.awaitCompletion("beside the crowd")
 			members.close()
 			f.awaitCompletion("after the crowd")
@@ -73,6 +72,13 @@
 	}
 }
 
+// awaitHold waits until the process of a probe has been watched for holdSamples more samples.
+func (f *fleet) awaitHold(p *probe) {
+	f.t.Helper()
+	since := p.samples.Load()
+	f.await("the crowd has held what it has", func() bool { return p.holdsStill(since) })
+}
+
 func (f *fleet) awaitCompletion(when string) {
 	f.t.Helper()
 	f.await("an ordinary request is answered "+when, func() bool {
--- a/e2e/crowd_test.go
+++ b/e2e/crowd_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -20,7 +21,8 @@
 	// crowdWriteTimeout ends a member whose server neither reads nor closes.
 	crowdWriteTimeout = 30 * time.Second
 	probeInterval     = 20 * time.Millisecond
-	holdTime          = time.Second
+	// holdSamples is the number of samples for which a crowd holds what it has.
+	holdSamples = 50
 )
 
 // crowd is a number of clients that each open a connection, send a request and keep the
@@ -152,6 +154,7 @@
 	// peakBytes and peakDescriptors are the most that was seen.
 	peakBytes       int64
 	peakDescriptors int
+	samples         atomic.Int32
 }
 
 func startProbe(p *process, ip string) *probe {
@@ -178,8 +181,13 @@
 	if descriptors, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.pid())); err == nil {
 		p.peakDescriptors = max(p.peakDescriptors, len(descriptors))
 	}
+	p.samples.Add(1)
 }
 
+// holdsStill reports whether the process has been watched for holdSamples samples since a number
+// of them.
+func (p *probe) holdsStill(since int32) bool { return p.samples.Load() >= since+holdSamples }
+
 // check ends the watch. It reports the process as failed if it has ended, or has exceeded a limit.
 func (p *probe) check(t *testing.T, memoryMb, descriptors int) {
 	t.Helper()
--- a/e2e/platform_crowd_test.go
+++ b/e2e/platform_crowd_test.go
@@ -124,7 +124,7 @@
 				send = andRead(send)
 			}
 			members := startCrowd(form.members, []string{entry.callersAddress()}, send)
-			time.Sleep(holdTime)
+			(&fleet{t: t}).awaitHold(probe)
 			f.awaitOrdinaryRequest(entry, "beside the crowd")
 			members.close()
 			f.awaitOrdinaryRequest(entry, "after the crowd")
@@ -222,7 +222,7 @@
 				probes = append(probes, startProbe(n.process, n.ip))
 			}
 			members := startCrowd(form.members, addresses, sendJobs(strings.ReplaceAll(form.name, " ", "-"), form.size, form.short))
-			time.Sleep(holdTime)
+			(&fleet{t: t}).awaitHold(probes[0])
 			for _, n := range f.entries {
 				f.awaitOrdinaryRequest(n, "beside the crowd")
 			}
@@ -262,7 +262,7 @@
 		_, err := io.WriteString(conn, head)
 		return err
 	})
-	time.Sleep(holdTime)
+	(&fleet{t: t}).awaitHold(probe)
 	f.awaitOrdinaryRequest(entry, "beside the crowd")
 	members.close()
 	f.await("an item is read after the crowd", func() bool {
@@ -346,7 +346,7 @@
 		})
 	}
 	members.Wait()
-	time.Sleep(holdTime)
+	(&fleet{t: t}).awaitHold(probes[0])
 	if status := submit(f.entries[1], "first"); status != http.StatusAccepted {
 		t.Errorf("a job that was accepted got status %d when it came again", status)
 	}
