--- a/storenode/item.go
+++ b/storenode/item.go
@@ -49,7 +49,7 @@
 func (x *itemRun) run(ctx context.Context) {
 	n := x.runner.node
 	n.logger.Info(eventlog.ItemPlaced, withJob(x.key.JobID, "request", x.item.GetId(), "item", x.key.Index,
-		"upstream", x.grant.Upstream, "after", x.progress.LastEventID, "version", x.grant.SoftwareVersion)...)
+		"upstream", x.grant.Upstream, "after", x.progress.LastEventID, "version", x.grant.SoftwareVersion, "failures", x.progress.Failures)...)
 	startedAt, eventsBefore := time.Now(), x.progress.EventCount
 	outcome, status, reason := x.execute(ctx)
 	switch {
@@ -75,7 +75,7 @@
 		event = eventlog.ItemYielded
 	}
 	n.logger.Info(event, withJob(x.key.JobID, "request", x.item.GetId(), "item", x.key.Index, "upstream", x.grant.Upstream,
-		"reason", reason, "status", status, "events", progress.EventCount, "last_event", progress.LastEventID)...)
+		"reason", reason, "status", status, "events", progress.EventCount, "last_event", progress.LastEventID, "failures", progress.Failures)...)
 	if (outcome == jobpages.Interrupted || outcome == jobpages.Spoiled) && progress.FruitlessRuns >= jobpages.FruitlessLimit {
 		x.runner.recordPostponed(x.key, x.item, "fruitless_runs", time.Until(progress.NotBefore))
 	}
--- a/storenode/metrics.go
+++ b/storenode/metrics.go
@@ -12,6 +12,8 @@
 	stopped   *prometheus.CounterVec
 	restarted *prometheus.CounterVec
 	postponed prometheus.Counter
+	// notRecorded counts the proposals of results that are not known to be committed.
+	notRecorded *prometheus.CounterVec
 	runTime   prometheus.Histogram
 	// stalled is the time for which items have waited while none ran, stalls counts the reported
 	// stalls by reason.
@@ -52,7 +54,10 @@
 	m.backlogRefusals = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "briarcross_backlog_refusals_total", Help: "Jobs that were refused because the open jobs are as many, or as large, as they may be.",
 	})
-	m.registry.MustRegister(m.backlogRefusals, m.stalled, m.stalls, m.settled, m.stopped, m.restarted, m.postponed, m.runTime, n.runner.workers.results,
+	m.notRecorded = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "briarcross_item_results_not_recorded_total", Help: "Proposals of results of items that are not known to be committed, by outcome and error.",
+	}, []string{"outcome", "error"})
+	m.registry.MustRegister(m.notRecorded, m.backlogRefusals, m.stalled, m.stalls, m.settled, m.stopped, m.restarted, m.postponed, m.runTime, n.runner.workers.results,
 		node.Gauge("briarcross_open_items", "Items without a result.", func() float64 {
 			return float64(len(n.state.OpenItems()))
 		}),
--- a/storenode/runner.go
+++ b/storenode/runner.go
@@ -442,7 +442,11 @@
 		if result.GetFailed() {
 			outcome = result.GetReason()
 		}
-		r.node.metrics.settled.WithLabelValues(outcome).Inc()
+		if controlErr == nil {
+			r.node.metrics.settled.WithLabelValues(outcome).Inc()
+		} else {
+			r.node.metrics.notRecorded.WithLabelValues(outcome, controlErr.GetReason()).Inc()
+		}
 		r.node.logger.Info(eventlog.ItemSettled, withJob(result.GetJobId(), "item", result.GetItem(), "failed", result.GetFailed(),
 			"reason", result.GetReason(), "status", result.GetStatus(), "base", result.GetBase(), "bytes", len(result.GetText()), "error", controlErr.GetReason())...)
 	}
--- a/storenode/versions_test.go
+++ b/storenode/versions_test.go
@@ -106,7 +106,8 @@
 		return prometheus.NewCounterVec(prometheus.CounterOpts{Name: "test"}, []string{label})
 	}
 	n.metrics = &metrics{settled: counter("outcome"), stopped: counter("reason"), restarted: counter("reason"), postponed: prometheus.NewCounter(prometheus.CounterOpts{Name: "test"}), runTime: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "test"}),
-		stalled: prometheus.NewGauge(prometheus.GaugeOpts{Name: "test"}), stalls: counter("reason")}
+		stalled: prometheus.NewGauge(prometheus.GaugeOpts{Name: "test"}), stalls: counter("reason"),
+		notRecorded: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "test"}, []string{"outcome", "error"})}
 	n.runner = newRunner(n, testCodec{})
 	n.runner.workers = startLeader(t, 1)
 	self := &pb.Replica{Id: "r", Address: "r"}
