--- a/storenode/item.go
+++ b/storenode/item.go
@@ -108,10 +108,7 @@
 // and the status 200 mean that the output is complete.
 func (x *itemRun) execute(parent context.Context) (outcome jobpages.RunOutcome, status int, reason string) {
 	x.meter = node.MeasureBatch(x.runner.node.Slots, x.grant)
-	end, ranOnWorker := x.runner.workers.run(parent, x)
-	if !ranOnWorker {
-		end = runAtUpstream(parent, x.runner.engines, x.request(), idleTimeout, func(s engineStatement) { x.recordStatement(s, dispatch.SourceAnswer) }, x.addOutput)
-	}
+	end := x.runner.runAtEngine(parent, x)
 	if x.outputTooLong() {
 		end = runEnd{jobpages.Spoiled, dispatch.Failed, 0, outputTooLong}
 	}
@@ -132,6 +129,15 @@
 	return end.outcome, end.status, end.reason
 }
 
+// runOnAnyDaemon runs the item on a worker, or on this daemon if no worker takes it.
+func (x *itemRun) runOnAnyDaemon(ctx context.Context) runEnd {
+	if end, ran := x.runner.workers.run(ctx, x); ran {
+		return end
+	}
+	onStatement := func(s engineStatement) { x.recordStatement(s, dispatch.SourceAnswer) }
+	return runAtUpstream(ctx, x.runner.engines, x.request(), idleTimeout, onStatement, x.addOutput)
+}
+
 // outputTooLong reports whether the output of all runs is longer than that of the item can be.
 func (x *itemRun) outputTooLong() bool {
 	limits := x.runner.engines.OutputLimits(itemHeader(x.item))
--- a/storenode/metrics.go
+++ b/storenode/metrics.go
@@ -14,7 +14,7 @@
 	postponed prometheus.Counter
 	// notRecorded counts the proposals of results that are not known to be committed.
 	notRecorded *prometheus.CounterVec
-	runTime   prometheus.Histogram
+	runTime     prometheus.Histogram
 	// stalled is the time for which items have waited while none ran, stalls counts the reported
 	// stalls by reason.
 	stalled prometheus.Gauge
--- a/storenode/node.go
+++ b/storenode/node.go
@@ -279,13 +279,19 @@
 
 func (n *Node) onLeadershipChange(term uint64, leading bool) {
 	n.logger.Info(eventlog.LeaderChanged, "group", "storage", "term", term, "leading", leading)
+	n.setLeading(term, leading)
+}
+
+// setLeading makes this replica run the items of the open jobs, or stop running them.
+func (n *Node) setLeading(term uint64, leading bool) {
+	n.SetRunsBatch(leading)
 	n.runner.setLeading(term, leading)
 }
 
 // Stop stops the replica. A leader first transfers its leadership.
 func (n *Node) Stop() error {
 	n.logger.Info(eventlog.Stopping)
-	n.runner.setLeading(0, false)
+	n.setLeading(0, false)
 	var err error
 	if r := n.replica.Load(); r != nil {
 		err = r.Close()
--- a/storenode/runner.go
+++ b/storenode/runner.go
@@ -50,6 +50,10 @@
 	engines *upstream.Client
 	codec   upstream.HeaderCodec
 	workers *workers
+	// propose replicates a command in the storage group.
+	propose func(context.Context, *pb.Command) (*pb.CommandResult, *pb.ControlError)
+	// runAtEngine runs an item at the upstream of its grant.
+	runAtEngine func(context.Context, *itemRun) runEnd
 	// wakeup requests a tick before the next regular one.
 	wakeup chan struct{}
 	// preemptions queues the preemption requests of other daemons.
@@ -92,6 +96,10 @@
 		runs:        make(map[jobpages.ItemKey]runHandle),
 		estimator:   jobpages.NewRunTimeEstimator(),
 		targets:     newItemTargets(),
+		propose: func(ctx context.Context, command *pb.Command) (*pb.CommandResult, *pb.ControlError) {
+			return n.replica.Load().Propose(ctx, command)
+		},
+		runAtEngine: func(ctx context.Context, x *itemRun) runEnd { return x.runOnAnyDaemon(ctx) },
 	}
 	r.ctx, r.cancel = context.WithCancel(n.ctx)
 	return r
@@ -113,7 +121,6 @@
 	defer r.mu.Unlock()
 	r.leading = leading
 	r.leadershipChangedAt = time.Now()
-	r.node.SetRunsBatch(leading)
 	r.cancel()
 	r.ctx, r.cancel = context.WithCancel(r.node.ctx)
 	r.scheduler = jobpages.NewScheduler()
@@ -402,7 +409,7 @@
 	r.tasks.Go(func() {
 		ctx, cancel := context.WithTimeout(r.node.ctx, proposeTimeout)
 		defer cancel()
-		if _, controlErr := r.node.replica.Load().Propose(ctx, command); controlErr != nil {
+		if _, controlErr := r.propose(ctx, command); controlErr != nil {
 			r.node.logger.Warn(eventlog.ProgressNotSaved, "items", len(unsaved), "reason", controlErr.GetReason())
 		}
 	})
@@ -436,7 +443,7 @@
 	command := &pb.Command{Op: &pb.Command_PageSettle{PageSettle: &pb.PageSettle{Results: results}}}
 	ctx, cancel := context.WithTimeout(r.node.ctx, proposeTimeout)
 	defer cancel()
-	commandResult, controlErr := r.node.replica.Load().Propose(ctx, command)
+	commandResult, controlErr := r.propose(ctx, command)
 	for _, result := range results {
 		outcome := "completed"
 		if result.GetFailed() {
@@ -465,7 +472,7 @@
 	ctx, cancel := context.WithTimeout(r.node.ctx, proposeTimeout)
 	defer cancel()
 	command := &pb.Command{Op: &pb.Command_PageExpire{PageExpire: &pb.PageExpire{JobIds: expired}}}
-	if _, controlErr := replica.Propose(ctx, command); controlErr != nil {
+	if _, controlErr := r.propose(ctx, command); controlErr != nil {
 		r.node.logger.Warn(eventlog.JobsNotExpired, "jobs", len(expired), "reason", controlErr.GetReason())
 	}
 }
