--- a/storenode/workers_test.go
+++ b/storenode/workers_test.go
@@ -176,7 +176,10 @@
 }
 
 func newTestRun(e *testEngine, resumeAfter string) *testRun {
-	r := &runner{node: &Node{Dispatcher: &node.Dispatcher{Quarantine: node.NewQuarantine(log.New(io.Discard), func() {})}}}
+	r := &runner{
+		node:        &Node{Dispatcher: &node.Dispatcher{Quarantine: node.NewQuarantine(log.New(io.Discard), func() {})}},
+		runAtEngine: func(ctx context.Context, x *itemRun) runEnd { return x.runOnAnyDaemon(ctx) },
+	}
 	return &testRun{item: &itemRun{
 		runner: r, job: &pb.PageJob{Host: "h"}, item: &pb.PageItem{Id: "i", Path: "/p"},
 		grant: dispatch.Grant{Address: e.address, Upstream: "u", DataCentre: "d"}, progress: &jobpages.ItemProgress{LastEventID: resumeAfter},
