--- a/jobpages/scheduler.go
+++ b/jobpages/scheduler.go
@@ -48,6 +48,8 @@
 	NotBefore time.Time
 	// Upstream is the ID of the upstream that runs the item; empty while it waits.
 	Upstream string
+	// recording is set while the item's result is being recorded. It does not run meanwhile.
+	recording bool
 	// AvoidUpstream is the upstream of the last run if that was interrupted or
 	// failed, otherwise empty.
 	AvoidUpstream string
@@ -144,7 +146,7 @@
 func (s *Scheduler) groupOf(now time.Time, item OpenItem, estimator *RunTimeEstimator) startGroup {
 	eventsDone := 0
 	if progress, known := s.progress[ItemKey{item.JobID, item.Index}]; known {
-		if progress.Upstream != "" || now.Before(progress.NotBefore) {
+		if progress.Upstream != "" || progress.recording || now.Before(progress.NotBefore) {
 			return notRunnable
 		}
 		eventsDone = progress.EventCount
@@ -253,6 +255,14 @@
 	return progress.Failures
 }
 
+// BeginRecording marks an item as neither running nor waiting: its last run has ended, and its
+// result is being recorded.
+func (s *Scheduler) BeginRecording(key ItemKey) {
+	if progress, known := s.progress[key]; known {
+		progress.Upstream, progress.recording = "", true
+	}
+}
+
 // interruptionDelay returns the delay of the next run after an interrupted one.
 func (p *ItemProgress) interruptionDelay() time.Duration {
 	if p.FruitlessRuns < FruitlessLimit {
--- a/storenode/item.go
+++ b/storenode/item.go
@@ -32,6 +32,8 @@
 	// scheduler is that of the runner when the run started; the runner replaces
 	// its scheduler when leadership changes.
 	scheduler *jobpages.Scheduler
+	// term ends when the leadership under which the run started ends.
+	term      context.Context
 	key       jobpages.ItemKey
 	job       *pb.PageJob
 	item      *pb.PageItem
@@ -55,18 +57,15 @@
 	switch {
 	case reason == "" && status == http.StatusOK:
 		x.runner.observeRun(x.progress, x.progress.EventCount-eventsBefore, time.Since(startedAt))
-		x.runner.settleOutput(x.key, x.progress)
-		x.removeItem()
+		x.finishItem(func() bool { return x.runner.settleOutput(x.key, x.progress) })
 		return
 	case status == http.StatusUnprocessableEntity:
-		x.runner.settle(x.key, &pb.PageResult{Failed: true, Reason: "cannot_be_done", Status: uint32(status)})
-		x.removeItem()
+		x.finishFailed("cannot_be_done", status)
 		return
 	}
 	progress := x.recordEnd(outcome)
 	if outcome == jobpages.Failed && progress.Failures >= int(x.job.GetAttempts()) {
-		x.runner.settle(x.key, &pb.PageResult{Failed: true, Reason: "attempts_exhausted", Status: uint32(status)})
-		x.removeItem()
+		x.finishFailed("attempts_exhausted", status)
 		return
 	}
 	n.metrics.stopped.WithLabelValues(reason).Inc()
@@ -82,14 +81,33 @@
 	x.runner.wake()
 }
 
-// removeItem removes an item that has its result from the scheduler.
-func (x *itemRun) removeItem() {
+// finishFailed records that the item has failed for good.
+func (x *itemRun) finishFailed(reason string, status int) {
+	x.finishItem(func() bool {
+		return x.runner.settle(x.key, &pb.PageResult{Failed: true, Reason: reason, Status: uint32(status)})
+	})
+}
+
+// finishItem proposes the result of the item until it is recorded, and removes the item from the
+// scheduler then. Until then the item does not run.
+func (x *itemRun) finishItem(propose func() bool) {
+	x.beginRecording()
+	if !x.runner.proposeUntilRecorded(x.term, x.key, propose) {
+		return
+	}
 	x.runner.mu.Lock()
 	defer x.runner.mu.Unlock()
 	x.scheduler.Remove(x.key)
+}
+
+// beginRecording keeps the item from running, and from being preempted, while its result is recorded.
+func (x *itemRun) beginRecording() {
+	x.runner.mu.Lock()
+	defer x.runner.mu.Unlock()
 	if x.runner.scheduler == x.scheduler {
 		delete(x.runner.runs, x.key)
 	}
+	x.scheduler.BeginRecording(x.key)
 }
 
 // recordEnd marks the item as waiting for another run, which may start at once. It
--- a/storenode/runner.go
+++ b/storenode/runner.go
@@ -31,6 +31,10 @@
 	// saveInterval is the interval at which the output of running items is
 	// saved; a new leader repeats at most that much of it.
 	saveInterval = time.Second
+	// minRecordPause is the pause after a first proposal about an item that is not known to be
+	// recorded; it doubles with each further one up to maxRecordPause.
+	minRecordPause = 50 * time.Millisecond
+	maxRecordPause = 2 * time.Second
 	// maxQueuedPreemptions bounds the preemption requests that wait to be handled.
 	maxQueuedPreemptions = 1024
 	// maxStartsPerTick bounds the number of items that start in one tick, maxReadsPerTick
@@ -377,7 +381,7 @@
 	r.runs[key] = runHandle{cancel, preempted}
 	scheduler := r.scheduler
 	r.mu.Unlock()
-	run := &itemRun{runner: r, scheduler: scheduler, key: key, job: job, item: item, grant: grant, progress: progress, preempted: preempted, promptParts: r.promptParts(item)}
+	run := &itemRun{runner: r, scheduler: scheduler, term: parent, key: key, job: job, item: item, grant: grant, progress: progress, preempted: preempted, promptParts: r.promptParts(item)}
 	r.tasks.Go(func() {
 		defer cancel()
 		run.run(ctx)
@@ -416,16 +420,32 @@
 }
 
 // settleOutput records the output of a completed item: the part that is not saved
-// yet, or the whole output if the saved part is missing.
-func (r *runner) settleOutput(key jobpages.ItemKey, progress *jobpages.ItemProgress) {
+// yet, or the whole output if the saved part is missing. It reports whether the output is
+// known to have been recorded.
+func (r *runner) settleOutput(key jobpages.ItemKey, progress *jobpages.ItemProgress) bool {
 	r.mu.Lock()
 	base, text := progress.UnsavedPart()
 	r.mu.Unlock()
 	unsavedPart := &pb.PageResult{Base: uint32(base), Text: text, Status: http.StatusOK, Service: progress.Service, SoftwareVersion: progress.SoftwareVersion}
 	if r.settle(key, unsavedPart) || !r.node.state.IsItemOpen(key.JobID, key.Index) {
-		return
+		return true
+	}
+	return r.settle(key, &pb.PageResult{Text: progress.Text, Status: http.StatusOK})
+}
+
+// proposeUntilRecorded calls propose, with a growing pause, until it reports that what it proposes
+// is recorded or the item is not open any more. It returns false if the leadership ends before.
+func (r *runner) proposeUntilRecorded(term context.Context, key jobpages.ItemKey, propose func() bool) bool {
+	pause := minRecordPause
+	for !propose() && r.node.state.IsItemOpen(key.JobID, key.Index) {
+		select {
+		case <-term.Done():
+			return false
+		case <-time.After(pause):
+		}
+		pause = min(2*pause, maxRecordPause)
 	}
-	r.settle(key, &pb.PageResult{Text: progress.Text, Status: http.StatusOK})
+	return true
 }
 
 // settle records the result of an item; only the first result of an item takes
