--- a/storenode/runner.go
+++ b/storenode/runner.go
@@ -310,7 +310,8 @@
 		job, item, found = jobpages.FindItem(reader, key.JobID, key.Index)
 		saved = jobpages.SavedProgress(reader, key.JobID, key.Index)
 	})
-	if !found {
+	// The item may have got its result since the open items were listed.
+	if !found || !r.node.state.IsItemOpen(key.JobID, key.Index) {
 		return notEligible
 	}
 	target := r.targets.add(key, job, item, r.codec.TokenCount(itemHeader(item)), round.table)
