--- a/eventlog/logger.go
+++ b/eventlog/logger.go
@@ -75,4 +75,5 @@
 	UpstreamsNotSaved     = "upstreams_not_saved"
 	JobsNotExpired        = "jobs_not_expired"
 	ProgressNotSaved      = "progress_not_saved"
+	AttemptsNotRecorded   = "attempts_not_recorded"
 )
--- a/jobpages/binding_test.go
+++ b/jobpages/binding_test.go
@@ -194,7 +194,7 @@
 		replica.saveOutput(scheduler.TakeUnsaved())
 	}
 	next := NewScheduler()
-	next.RestoreProgress(item, SavedProgress(replica.store, item.JobID, item.Index))
+	next.RestoreProgress(time.Time{}, item, SavedProgress(replica.store, item.JobID, item.Index), nil)
 	restored := next.Progress(item)
 	expect.Expect(restored.Origin).To(Equal(v1))
 	expect.Expect(string(restored.Text)).To(Equal("one\ntwo"))
@@ -215,7 +215,7 @@
 	saved := SavedProgress(replica.store, item.JobID, item.Index)
 	expect.Expect(string(saved.GetText())).To(Equal("one\ntwo"))
 	scheduler := NewScheduler()
-	scheduler.RestoreProgress(item, saved)
+	scheduler.RestoreProgress(time.Time{}, item, saved, nil)
 	expect.Expect(bindingOf(scheduler, time.UnixMilli(0))).To(Equal(string(VersionUnknown)))
 	expect.Expect(scheduler.DiscardOtherOutput(item, origins.Origin{Service: "s"})).To(BeZero())
 	expect.Expect(scheduler.DiscardOtherOutput(item, v1)).To(Equal(3))
--- a/jobpages/keys.go
+++ b/jobpages/keys.go
@@ -20,6 +20,8 @@
 	// The progress of an item is stored in parts, each under the byte offset of
 	// its text.
 	kindProgress = 'g'
+	// What is recorded about the runs of an item.
+	kindAttempts = 'a'
 )
 
 func jobKey(jobID string) []byte {
--- a/jobpages/query.go
+++ b/jobpages/query.go
@@ -92,3 +92,12 @@
 	})
 	return saved
 }
+
+// RecordedAttempts returns what is recorded about the runs of an item.
+func RecordedAttempts(r kv.Reader, jobID string, index uint32) *pb.PageAttempts {
+	attempts := &pb.PageAttempts{}
+	if stored, ok := r.Get(recordKey(kindAttempts, jobID, index)); ok {
+		record.Decode(stored, attempts)
+	}
+	return attempts
+}
--- a/jobpages/scheduler.go
+++ b/jobpages/scheduler.go
@@ -48,8 +48,11 @@
 	NotBefore time.Time
 	// Upstream is the ID of the upstream that runs the item; empty while it waits.
 	Upstream string
-	// recording is set while the item's result is being recorded. It does not run meanwhile.
+	// recording is set while the item's result, or what its last run adds to the record of its
+	// attempts, is being recorded. The item does not run meanwhile.
 	recording bool
+	// recordedFruitless is the number of fruitless runs that the record has at least.
+	recordedFruitless int
 	// AvoidUpstream is the upstream of the last run if that was interrupted or
 	// failed, otherwise empty.
 	AvoidUpstream string
@@ -143,10 +146,20 @@
 	groupCount
 )
 
+// IsRunnable reports whether an item without a result neither runs nor has to wait.
+func (s *Scheduler) IsRunnable(now time.Time, key ItemKey) bool {
+	progress, known := s.progress[key]
+	return !known || progress.mayRun(now)
+}
+
+func (p *ItemProgress) mayRun(now time.Time) bool {
+	return p.Upstream == "" && !p.recording && !now.Before(p.NotBefore)
+}
+
 func (s *Scheduler) groupOf(now time.Time, item OpenItem, estimator *RunTimeEstimator) startGroup {
 	eventsDone := 0
 	if progress, known := s.progress[ItemKey{item.JobID, item.Index}]; known {
-		if progress.Upstream != "" || progress.recording || now.Before(progress.NotBefore) {
+		if !progress.mayRun(now) {
 			return notRunnable
 		}
 		eventsDone = progress.EventCount
@@ -255,14 +268,55 @@
 	return progress.Failures
 }
 
-// BeginRecording marks an item as neither running nor waiting: its last run has ended, and its
-// result is being recorded.
+// BeginRecording marks an item as neither running nor waiting: its last run has ended, and what is
+// known of the item is being recorded.
 func (s *Scheduler) BeginRecording(key ItemKey) {
 	if progress, known := s.progress[key]; known {
 		progress.Upstream, progress.recording = "", true
 	}
 }
 
+// EndRecording lets an item run again.
+func (s *Scheduler) EndRecording(key ItemKey) {
+	if progress, known := s.progress[key]; known {
+		progress.recording = false
+	}
+}
+
+// MustRecordEnd reports whether what a run that RecordEnd has marked as ended adds to the attempts
+// of its item must be recorded before the item runs again.
+func (p *ItemProgress) MustRecordEnd(outcome RunOutcome) bool {
+	switch outcome {
+	case Failed, Spoiled:
+		return true
+	case Interrupted:
+		return p.FruitlessRuns > p.recordedFruitless
+	}
+	return false
+}
+
+// MustRecordStart reports whether a run must be recorded before it starts, so that it is counted if
+// no leader learns how it ends. That holds for items which an earlier leader may have run, and for
+// those that have a record. Runs of items with output do not count.
+func (p *ItemProgress) MustRecordStart(ofEarlierLeader bool) bool {
+	return p.EventCount == 0 && p.FruitlessRuns >= p.recordedFruitless && (ofEarlierLeader || p.Failures > 0 || p.FruitlessRuns > 0)
+}
+
+// Attempts returns the record of an item's attempts, with a number of fruitless runs.
+func (p *ItemProgress) Attempts(key ItemKey, fruitlessRuns int) *pb.PageAttempts {
+	return &pb.PageAttempts{
+		JobId: key.JobID, Item: key.Index, Failures: uint32(p.Failures), FruitlessRuns: uint32(fruitlessRuns),
+		DiscardOutput: p.Restarted && p.EventCount == 0,
+	}
+}
+
+// SetRecorded tells an item's progress the number of fruitless runs that is recorded.
+func (s *Scheduler) SetRecorded(key ItemKey, fruitlessRuns int) {
+	if progress, known := s.progress[key]; known {
+		progress.recordedFruitless = fruitlessRuns
+	}
+}
+
 // interruptionDelay returns the delay of the next run after an interrupted one.
 func (p *ItemProgress) interruptionDelay() time.Duration {
 	if p.FruitlessRuns < FruitlessLimit {
@@ -271,16 +325,24 @@
 	return min(fruitlessBackoff<<min(p.FruitlessRuns-FruitlessLimit, 8), maxFruitlessBackoff)
 }
 
-// RestoreProgress sets the progress of an item to the saved one, unless the
-// scheduler has the item already or nothing is saved.
-func (s *Scheduler) RestoreProgress(key ItemKey, saved *pb.PageProgress) {
-	if _, known := s.progress[key]; known || len(saved.GetText()) == 0 {
+// RestoreProgress sets the progress of an item to what is saved of its output and recorded about its
+// attempts, unless the scheduler has the item already or there is neither. An item with too many
+// fruitless runs waits as after the last of them.
+func (s *Scheduler) RestoreProgress(now time.Time, key ItemKey, saved *pb.PageProgress, recorded *pb.PageAttempts) {
+	_, known := s.progress[key]
+	recordedAny := recorded.GetFailures() > 0 || recorded.GetFruitlessRuns() > 0
+	if known || len(saved.GetText()) == 0 && !recordedAny {
 		return
 	}
-	s.progress[key] = &ItemProgress{
+	progress := &ItemProgress{
 		Text: saved.GetText(), EventCount: int(saved.GetEvents()), LastEventID: saved.GetLastEvent(), SavedBytes: len(saved.GetText()),
-		Origin: origins.Origin{Service: saved.GetService(), SoftwareVersion: saved.GetSoftwareVersion()},
+		Origin:   origins.Origin{Service: saved.GetService(), SoftwareVersion: saved.GetSoftwareVersion()},
+		Failures: int(recorded.GetFailures()), FruitlessRuns: int(recorded.GetFruitlessRuns()), recordedFruitless: int(recorded.GetFruitlessRuns()),
+	}
+	if progress.FruitlessRuns >= FruitlessLimit {
+		progress.NotBefore = now.Add(progress.interruptionDelay())
 	}
+	s.progress[key] = progress
 }
 
 // TakeUnsaved returns the output that items have generated since the last call,
@@ -297,6 +359,7 @@
 			Service: progress.Service, SoftwareVersion: progress.SoftwareVersion,
 		})
 		progress.SavedBytes = len(progress.Text)
+		progress.recordedFruitless = 0
 	}
 	slices.SortFunc(unsaved, func(a, b *pb.PageProgress) int {
 		return cmp.Or(cmp.Compare(a.GetJobId(), b.GetJobId()), cmp.Compare(a.GetItem(), b.GetItem()))
--- a/jobpages/state.go
+++ b/jobpages/state.go
@@ -49,6 +49,10 @@
 		for _, progress := range op.PageSave.GetProgress() {
 			s.saveProgress(batch, progress)
 		}
+	case *pb.Command_PageRecordAttempts:
+		for _, attempts := range op.PageRecordAttempts.GetAttempts() {
+			s.recordAttempts(batch, attempts)
+		}
 	case *pb.Command_PageExpire:
 		for _, id := range op.PageExpire.GetJobIds() {
 			s.expireJob(batch, command.GetUnixMs(), id)
@@ -101,6 +105,7 @@
 		writeJob(batch, job)
 		delete(s.openJobs, jobID)
 		deleteRecords(batch, kindItem, jobID)
+		deleteRecords(batch, kindAttempts, jobID)
 		for i := range job.GetItems() {
 			deleteRecords(batch, kindProgress, progressOwnerID(jobID, i))
 		}
@@ -130,6 +135,7 @@
 		text = append(saved.GetText()[:result.GetBase():result.GetBase()], text...)
 	}
 	deleteRecords(batch, kindProgress, progressOwnerID(result.GetJobId(), result.GetItem()))
+	batch.Delete(recordKey(kindAttempts, result.GetJobId(), result.GetItem()))
 	entry := &pb.PageEntry{ItemId: item.GetId(), Failed: result.GetFailed(), Text: text}
 	batch.Set(recordKey(kindResult, result.GetJobId(), job.record.GetSettled()), record.Encode(entry))
 	batch.Set(recordKey(kindSettled, result.GetJobId(), result.GetItem()), nil)
@@ -147,8 +153,7 @@
 // the saved part at the same software version is added to it, output of a run from the
 // beginning replaces it, and any other belongs to a different run and is ignored.
 func (s *State) saveProgress(batch kv.Batch, progress *pb.PageProgress) {
-	job, ok := s.openJobs[progress.GetJobId()]
-	if !ok || int(progress.GetItem()) >= len(job.settled) || job.settled[progress.GetItem()] {
+	if !s.isOpen(progress.GetJobId(), progress.GetItem()) {
 		return
 	}
 	ownerID := progressOwnerID(progress.GetJobId(), progress.GetItem())
@@ -158,6 +163,25 @@
 		return
 	}
 	record.Set(batch, recordKey(kindProgress, ownerID, progress.GetBase()), progress)
+	if recorded := RecordedAttempts(batch, progress.GetJobId(), progress.GetItem()); recorded.GetFruitlessRuns() > 0 {
+		recorded.FruitlessRuns = 0
+		record.Set(batch, recordKey(kindAttempts, progress.GetJobId(), progress.GetItem()), recorded)
+	}
+}
+
+// recordAttempts stores what is known of the runs of an open item. A record that is applied late
+// or twice does not lower the number of failures.
+func (s *State) recordAttempts(batch kv.Batch, attempts *pb.PageAttempts) {
+	if !s.isOpen(attempts.GetJobId(), attempts.GetItem()) {
+		return
+	}
+	recorded := RecordedAttempts(batch, attempts.GetJobId(), attempts.GetItem())
+	record.Set(batch, recordKey(kindAttempts, attempts.GetJobId(), attempts.GetItem()), &pb.PageAttempts{
+		Failures: max(recorded.GetFailures(), attempts.GetFailures()), FruitlessRuns: attempts.GetFruitlessRuns(),
+	})
+	if attempts.GetDiscardOutput() {
+		deleteRecords(batch, kindProgress, progressOwnerID(attempts.GetJobId(), attempts.GetItem()))
+	}
 }
 
 // output is a part of the output of an item.
@@ -278,10 +302,26 @@
 func (s *State) IsItemOpen(jobID string, index uint32) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.isOpen(jobID, index)
+}
+
+// isOpen is IsItemOpen for callers that hold mu.
+func (s *State) isOpen(jobID string, index uint32) bool {
 	job, ok := s.openJobs[jobID]
 	return ok && int(index) < len(job.settled) && !job.settled[index]
 }
 
+// OpenJobs returns the IDs of the open jobs.
+func (s *State) OpenJobs() map[string]bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	open := make(map[string]bool, len(s.openJobs))
+	for id := range s.openJobs {
+		open[id] = true
+	}
+	return open
+}
+
 // ExpiredJobs lists up to maxJobs closed jobs (ended, or with all their results)
 // whose retention has ended at the log time nowMs.
 func (s *State) ExpiredJobs(r kv.Reader, nowMs uint64, maxJobs int) []string {
--- a/jobpages/state_test.go
+++ b/jobpages/state_test.go
@@ -156,7 +156,7 @@
 	expect.Expect(string(saved.GetText())).To(Equal("onetwo"))
 	expect.Expect(saved.GetLastEvent()).To(Equal("6"))
 	scheduler := NewScheduler()
-	scheduler.RestoreProgress(ItemKey{"j", 1}, saved)
+	scheduler.RestoreProgress(time.Time{}, ItemKey{"j", 1}, saved, nil)
 	expect.Expect(scheduler.Progress(ItemKey{"j", 1}).LastEventID).To(Equal("6"))
 	expect.Expect(scheduler.TakeUnsaved()).To(BeEmpty())
 	settle := func(base uint32, text string) uint32 {
--- a/storenode/item.go
+++ b/storenode/item.go
@@ -40,6 +40,8 @@
 	grant     dispatch.Grant
 	progress  *jobpages.ItemProgress
 	preempted *atomic.Bool
+	// mustRecordStart is set if the run must be recorded before it starts.
+	mustRecordStart bool
 	// promptParts are the IDs of the parts of the prompt that other requests may share.
 	promptParts []string
 	// eventCount is the number of events of this run. The runner's mu guards it.
@@ -78,6 +80,9 @@
 	if (outcome == jobpages.Interrupted || outcome == jobpages.Spoiled) && progress.FruitlessRuns >= jobpages.FruitlessLimit {
 		x.runner.recordPostponed(x.key, x.item, "fruitless_runs", time.Until(progress.NotBefore))
 	}
+	if progress.MustRecordEnd(outcome) {
+		x.recordAttempts()
+	}
 	x.runner.wake()
 }
 
@@ -119,12 +124,58 @@
 		delete(x.runner.runs, x.key)
 	}
 	x.scheduler.RecordEnd(time.Now(), x.key, outcome)
-	return *x.progress
+	progress := *x.progress
+	if progress.MustRecordEnd(outcome) {
+		x.scheduler.BeginRecording(x.key)
+	}
+	return progress
+}
+
+// recordAttempts records the attempts of an item whose run has ended, and lets it run again then.
+func (x *itemRun) recordAttempts() {
+	x.runner.mu.Lock()
+	fruitlessRuns := x.progress.FruitlessRuns
+	attempts := x.progress.Attempts(x.key, fruitlessRuns)
+	x.runner.mu.Unlock()
+	recorded := x.runner.proposeUntilRecorded(x.term, x.key, func() bool { return x.runner.proposeAttempts(x.runner.node.ctx, attempts) })
+	open := x.runner.node.state.IsItemOpen(x.key.JobID, x.key.Index)
+	x.runner.mu.Lock()
+	defer x.runner.mu.Unlock()
+	switch {
+	case !open:
+		x.scheduler.Remove(x.key)
+	case recorded:
+		x.scheduler.SetRecorded(x.key, fruitlessRuns)
+		x.scheduler.EndRecording(x.key)
+	}
+}
+
+// recordStart records that the run begins, as one whose end is not known. It reports whether that
+// is known to be recorded.
+func (x *itemRun) recordStart(ctx context.Context) bool {
+	x.runner.mu.Lock()
+	fruitlessRuns := x.progress.FruitlessRuns + 1
+	attempts := x.progress.Attempts(x.key, fruitlessRuns)
+	x.runner.mu.Unlock()
+	if !x.runner.proposeAttempts(ctx, attempts) {
+		return false
+	}
+	x.runner.mu.Lock()
+	defer x.runner.mu.Unlock()
+	x.scheduler.SetRecorded(x.key, fruitlessRuns)
+	return true
 }
 
 // execute runs the item at the upstream, on this daemon or a worker. An empty reason
 // and the status 200 mean that the output is complete.
 func (x *itemRun) execute(parent context.Context) (outcome jobpages.RunOutcome, status int, reason string) {
+	if x.mustRecordStart && !x.recordStart(parent) {
+		x.runner.node.Slots.Release(x.grant, dispatch.Inconclusive)
+		if x.preempted.Load() {
+			return jobpages.Preempted, 0, "yielded"
+		}
+		return jobpages.NotRun, 0, "start_not_recorded"
+	}
 	x.meter = node.MeasureBatch(x.runner.node.Slots, x.grant)
 	end := x.runner.runAtEngine(parent, x)
 	if x.outputTooLong() {
--- a/storenode/repeats_test.go
+++ b/storenode/repeats_test.go
@@ -64,24 +64,36 @@
 	return r
 }
 
-// draw returns a random number below 1.
-func (r *repeatsTest) draw() float64 {
+// draw returns a random number below 1, and the faults in force.
+func (r *repeatsTest) draw() (float64, repeatFaults) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.random.Float64()
+	return r.random.Float64(), r.faults
+}
+
+// share returns a random number below a maximum.
+func (r *repeatsTest) share(maximum float64) float64 {
+	drawn, _ := r.draw()
+	return drawn * maximum
+}
+
+func (r *repeatsTest) setFaults(faults repeatFaults) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults = faults
 }
 
 func (r *repeatsTest) proposeWithFaults(ctx context.Context, command *pb.Command, propose func(context.Context, *pb.Command) (*pb.CommandResult, *pb.ControlError)) (*pb.CommandResult, *pb.ControlError) {
-	drawn := r.draw()
-	if drawn -= r.faults.refused; drawn < 0 {
+	drawn, faults := r.draw()
+	if drawn -= faults.refused; drawn < 0 {
 		return nil, &pb.ControlError{Code: pb.ControlError_NOT_LEADER, Reason: "refused by the test"}
 	}
-	if drawn -= r.faults.unanswered; drawn < 0 {
+	if drawn -= faults.unanswered; drawn < 0 {
 		<-ctx.Done()
 		return nil, &pb.ControlError{Code: pb.ControlError_UNKNOWN, Reason: "no answer in time"}
 	}
 	result, controlErr := propose(ctx, command)
-	if drawn -= r.faults.unknown; drawn < 0 {
+	if drawn -= faults.unknown; drawn < 0 {
 		return nil, &pb.ControlError{Code: pb.ControlError_UNKNOWN, Reason: "answer lost by the test"}
 	}
 	return result, controlErr
@@ -91,7 +103,8 @@
 // answers all the same.
 func (r *repeatsTest) answer(ctx context.Context, x *itemRun) runEnd {
 	time.Sleep(testRunTime)
-	lost := ctx.Err() != nil || r.draw() < r.faults.lostAnswers
+	drawn, faults := r.draw()
+	lost := ctx.Err() != nil || drawn < faults.lostAnswers
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.answers[x.key]++
@@ -149,10 +162,10 @@
 			synctest.Test(t, func(t *testing.T) {
 				r := newRepeatsTest(t, 1, status)
 				keys := r.submit("j", 4)
-				r.faults = repeatFaults{refused: 1}
+				r.setFaults(repeatFaults{refused: 1})
 				r.runFor(10 * time.Second)
 				r.checkAnswers(keys, answersOf(status), 0, "no proposal succeeds")
-				r.faults = repeatFaults{}
+				r.setFaults(repeatFaults{})
 				r.runFor(10 * time.Second)
 				NewWithT(t).Expect(r.node.state.OpenCount()).To(BeZero())
 				r.checkAnswers(keys, answersOf(status), 0, "proposals succeed again")
@@ -184,7 +197,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := newRepeatsTest(t, 1, http.StatusInternalServerError)
 		keys := r.submit("j", 1)
-		r.faults = repeatFaults{lostAnswers: 1}
+		r.setFaults(repeatFaults{lostAnswers: 1})
 		const leaders = 10
 		for range leaders {
 			r.runFor(5 * time.Second)
@@ -215,17 +228,15 @@
 func testAnswersAreBounded(t *testing.T, seed uint64, status int) {
 	r := newRepeatsTest(t, seed, status)
 	keys := r.submit("j", 6)
-	r.faults = repeatFaults{
-		lostAnswers: 0.3 * r.draw(), refused: 0.5 * r.draw(), unanswered: 0.2 * r.draw(), unknown: 0.2 * r.draw(),
-	}
-	leaderChanges := int(4 * r.draw())
+	r.setFaults(repeatFaults{lostAnswers: r.share(0.3), refused: r.share(0.5), unanswered: r.share(0.2), unknown: r.share(0.2)})
+	leaderChanges := int(r.share(4))
 	for range leaderChanges {
-		r.runFor(time.Duration(r.draw() * float64(3*time.Second)))
+		r.runFor(time.Duration(r.share(float64(3 * time.Second))))
 		r.changeLeader()
 	}
 	r.runFor(5 * time.Second)
 	r.checkAnswers(keys, answersOf(status), leaderChanges, "with faults")
-	r.faults = repeatFaults{}
+	r.setFaults(repeatFaults{})
 	r.runFor(30 * time.Second)
 	r.checkAnswers(keys, answersOf(status), leaderChanges, "after the faults")
 	expect := NewWithT(t)
--- a/storenode/runner.go
+++ b/storenode/runner.go
@@ -66,7 +66,10 @@
 	mu                  sync.Mutex
 	leading             bool
 	leadershipChangedAt time.Time
-	scheduler           *jobpages.Scheduler
+	// inheritedJobs are the jobs that were open when this replica became leader. Earlier leaders
+	// may have run their items.
+	inheritedJobs map[string]bool
+	scheduler     *jobpages.Scheduler
 	// runs holds the runs in progress.
 	runs      map[jobpages.ItemKey]runHandle
 	estimator *jobpages.RunTimeEstimator
@@ -129,6 +132,10 @@
 	r.ctx, r.cancel = context.WithCancel(r.node.ctx)
 	r.scheduler = jobpages.NewScheduler()
 	r.runs = make(map[jobpages.ItemKey]runHandle)
+	r.inheritedJobs = nil
+	if leading {
+		r.inheritedJobs = r.node.state.OpenJobs()
+	}
 }
 
 // wake makes the runner look for runnable items without waiting for the next
@@ -305,10 +312,12 @@
 	var job *pb.PageJob
 	var item *pb.PageItem
 	var saved *pb.PageProgress
+	var recorded *pb.PageAttempts
 	found := false
 	replica.View(func(reader kv.Reader) {
 		job, item, found = jobpages.FindItem(reader, key.JobID, key.Index)
 		saved = jobpages.SavedProgress(reader, key.JobID, key.Index)
+		recorded = jobpages.RecordedAttempts(reader, key.JobID, key.Index)
 	})
 	// The item may have got its result since the open items were listed.
 	if !found || !r.node.state.IsItemOpen(key.JobID, key.Index) {
@@ -316,17 +325,25 @@
 	}
 	target := r.targets.add(key, job, item, r.codec.TokenCount(itemHeader(item)), round.table)
 	r.mu.Lock()
-	r.scheduler.RestoreProgress(key, saved)
+	r.scheduler.RestoreProgress(time.Now(), key, saved, recorded)
+	runnable := r.scheduler.IsRunnable(time.Now(), key)
 	parent := r.ctx
 	r.mu.Unlock()
+	switch {
+	case !runnable:
+		round.refuse("fruitless_runs")
+		return notEligible
+	case recorded.GetFailures() > 0 && recorded.GetFailures() >= job.GetAttempts():
+		round.fail(key, "attempts_exhausted")
+		return notEligible
+	}
 	switch eligibility := jobpages.CheckEligibility(job, time.Now(), round.table.Version, target.route != nil); eligibility {
 	case jobpages.Eligible:
 	case jobpages.RoutingBehind:
 		r.postpone(round, key, item, string(eligibility), routingRecheck)
 		return notEligible
 	default:
-		round.refuse(string(eligibility))
-		round.failed = append(round.failed, &pb.PageResult{JobId: key.JobID, Item: key.Index, Failed: true, Reason: string(eligibility)})
+		round.fail(key, string(eligibility))
 		return notEligible
 	}
 	_, quarantined := r.node.Quarantine.Check(r.promptParts(item))
@@ -381,8 +398,12 @@
 	progress := r.scheduler.RecordStart(time.Now(), key, grant.Upstream, time.UnixMilli(int64(job.GetDueUnixMs())))
 	r.runs[key] = runHandle{cancel, preempted}
 	scheduler := r.scheduler
+	mustRecordStart := progress.MustRecordStart(r.inheritedJobs[key.JobID])
 	r.mu.Unlock()
-	run := &itemRun{runner: r, scheduler: scheduler, term: parent, key: key, job: job, item: item, grant: grant, progress: progress, preempted: preempted, promptParts: r.promptParts(item)}
+	run := &itemRun{
+		runner: r, scheduler: scheduler, term: parent, key: key, job: job, item: item, grant: grant, progress: progress, preempted: preempted,
+		mustRecordStart: mustRecordStart, promptParts: r.promptParts(item),
+	}
 	r.tasks.Go(func() {
 		defer cancel()
 		run.run(ctx)
@@ -481,6 +502,20 @@
 	return int(commandResult.GetPage().GetSettled())
 }
 
+// proposeAttempts records the attempts of an item. It reports whether they are known to be recorded.
+func (r *runner) proposeAttempts(parent context.Context, attempts *pb.PageAttempts) bool {
+	ctx, cancel := context.WithTimeout(parent, proposeTimeout)
+	defer cancel()
+	command := &pb.Command{Op: &pb.Command_PageRecordAttempts{PageRecordAttempts: &pb.PageRecordAttempts{Attempts: []*pb.PageAttempts{attempts}}}}
+	_, controlErr := r.propose(ctx, command)
+	if controlErr != nil {
+		r.node.metrics.notRecorded.WithLabelValues("attempts", controlErr.GetReason()).Inc()
+		r.node.logger.Warn(eventlog.AttemptsNotRecorded, withJob(attempts.GetJobId(), "item", attempts.GetItem(),
+			"failures", attempts.GetFailures(), "fruitless", attempts.GetFruitlessRuns(), "reason", controlErr.GetReason())...)
+	}
+	return controlErr == nil
+}
+
 func (r *runner) expireJobs() {
 	replica := r.node.replica.Load()
 	var expired []string
--- a/storenode/start_round.go
+++ b/storenode/start_round.go
@@ -67,6 +67,12 @@
 
 func (r *startRound) refuse(reason string) { r.refused[reason]++ }
 
+// fail records that an item is not eligible any more.
+func (r *startRound) fail(key jobpages.ItemKey, reason string) {
+	r.refuse(reason)
+	r.failed = append(r.failed, &pb.PageResult{JobId: key.JobID, Item: key.Index, Failed: true, Reason: reason})
+}
+
 // isOver reports whether no service has a free slot.
 func (r *startRound) isOver() bool { return len(r.full) >= len(r.table.Services) }
 
