--- a/batch/sim_sidecar_test.go
+++ b/batch/sim_sidecar_test.go
@@ -126,7 +126,7 @@
 
 func (c *simSidecar) resultOf(item *pb.LeasedItem) *pb.ItemResult {
 	switch {
-	case c.failing:
+	case c.failing, bytes.Contains(item.GetBody(), []byte(`"max_tokens":-2`)):
 		return &pb.ItemResult{Outcome: pb.ItemOutcome_ITEM_RETRY, Status: 503, Error: "engine failed"}
 	case bytes.Contains(item.GetBody(), []byte(`"max_tokens":-1`)):
 		return &pb.ItemResult{Outcome: pb.ItemOutcome_ITEM_FAILED, Status: 400, Error: "max_tokens"}
--- a/batch/sim_test.go
+++ b/batch/sim_test.go
@@ -292,6 +292,8 @@
 	due        time.Duration
 	// poison holds the indexes of items that every engine rejects.
 	poison map[int]bool
+	// failing makes each run of an item fail in a way that may be retried.
+	failing bool
 	// padding is the number of bytes added to each body.
 	padding int
 }
@@ -299,6 +301,9 @@
 const simEndpoint = "/v1/completions"
 
 func (j simJob) itemBody(index int) string {
+	if j.failing {
+		return fmt.Sprintf(`{"prompt":"%s %d","max_tokens":-2}`, j.caller+j.key, index)
+	}
 	if j.poison[index] {
 		return fmt.Sprintf(`{"prompt":"%s %d","max_tokens":-1}`, j.caller+j.key, index)
 	}
