--- a/batch/commits.go
+++ b/batch/commits.go
@@ -156,13 +156,13 @@
 	}
 	for _, queued := range results {
 		delete(s.commits.byItem, leaseRefOfResult(queued.result).itemKey())
-		s.notifyReporters(queued)
+		s.notifyReporters(queued.reporters)
 	}
 	s.recordNewWork()
 }
 
-func (s *Scheduler) notifyReporters(queued *queuedResult) {
-	for _, r := range queued.reporters {
+func (s *Scheduler) notifyReporters(reporters []reporter) {
+	for _, r := range reporters {
 		w, ok := s.workers.byID[r.workerID]
 		if ok && w.incarnation == r.incarnation {
 			w.queueSettled(r.ref)
--- a/batch/doc.go
+++ b/batch/doc.go
@@ -20,6 +20,21 @@
 // job, so that the log decides whether a cancellation or the completion came
 // first.
 //
+// # Repeats
+//
+// What bounds the runs of an idempotent item is recorded in State, so that it outlives the leader:
+// its failed runs, those that were refunded, and those whose worker was lost. The item is not leased
+// again before the record is committed, and a worker keeps a failure until then, so that it reports
+// it to a new leader otherwise. An item that fails at each run therefore runs at most MaxAttempts
+// times, and as often again
+//
+//   - for failures that are refunded, at most MaxAttempts times,
+//   - for runs whose worker is lost, at most MaxAttempts + extraLosses times, and
+//   - once for each loss of a worker, or lease that it is told to give up, that falls together with a
+//     change of leader, so that no leader counts the run.
+//
+// # Leases
+//
 // Leases are not replicated. A new leader gives the workers half a lease time to
 // report the leases that they hold and adopts those; an idempotent item whose
 // lease was not reported may run again. A non-idempotent item is claimed by an
--- a/batch/grants.go
+++ b/batch/grants.go
@@ -156,7 +156,7 @@
 		switch {
 		case !job.isUnassigned(index):
 			delete(job.requeuedSet, index)
-		case len(taken) == limit || s.isExcluded(now, w, job, index) || s.commits.contains(itemKey{job.record.GetJobId(), index}):
+		case len(taken) == limit || s.isExcluded(now, w, job, index) || s.isBeingRecorded(job, index):
 			kept = append(kept, index)
 		default:
 			delete(job.requeuedSet, index)
@@ -180,13 +180,22 @@
 // takeNeverLeased returns an item that this leader has not leased yet. During the
 // grace period it skips items that workers may hold from an earlier leader.
 func (s *Scheduler) takeNeverLeased(job *scheduledJob) (uint32, bool) {
-	if !s.inGracePeriod || job.acceptedWhileLeading || !job.record.GetIdempotent() {
-		return job.nextNeverLeased(false)
-	}
-	if job.tail <= job.firstGraceIndex {
-		return 0, false
+	fromTail := s.inGracePeriod && !job.acceptedWhileLeading && job.record.GetIdempotent()
+	for !fromTail || job.tail > job.firstGraceIndex {
+		index, ok := job.nextNeverLeased(fromTail)
+		// An item that is skipped becomes available again once it is recorded.
+		if !ok || !s.isBeingRecorded(job, index) {
+			return index, ok
+		}
 	}
-	return job.nextNeverLeased(true)
+	return 0, false
+}
+
+// isBeingRecorded reports whether a result of an item, or what is known of its attempts, waits for
+// its commit.
+func (s *Scheduler) isBeingRecorded(job *scheduledJob, index uint32) bool {
+	key := itemKey{job.record.GetJobId(), index}
+	return s.commits.contains(key) || s.attempts.contains(key)
 }
 
 // leaseItems leases items to a worker and returns how many were leased.
@@ -373,7 +382,7 @@
 	var oldest *lease
 	for index, leases := range job.leasesByIndex {
 		l := leases[0]
-		if len(leases) > 1 || l.reported || l.worker == w || s.commits.contains(itemKey{job.record.GetJobId(), index}) {
+		if len(leases) > 1 || l.reported || l.worker == w || s.isBeingRecorded(job, index) {
 			continue
 		}
 		if typical == 0 || now.Sub(l.grantedAt) < minRunTimeFactor*typical {
--- a/batch/jobs.go
+++ b/batch/jobs.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -41,6 +42,25 @@
 	refundedBy   string
 	lastError    *pb.ItemResult
 	lastFailedAt time.Time
+	// countedRuns holds the fencing numbers of the failed runs.
+	countedRuns []uint64
+	// availableAt is when the item may run again, once its attempts are recorded.
+	availableAt time.Time
+}
+
+// toProto returns the record of the attempts.
+func (r *retryState) toProto() *pb.ItemAttempts {
+	return &pb.ItemAttempts{
+		Failures: r.failures, Refunds: r.refunds, Losses: r.losses,
+		FailedBy: slices.Clone(r.failedBy), FencingNumbers: slices.Clone(r.countedRuns),
+	}
+}
+
+func retryStateFromProto(recorded *pb.ItemAttempts) *retryState {
+	return &retryState{
+		failures: recorded.GetFailures(), refunds: recorded.GetRefunds(), losses: recorded.GetLosses(),
+		failedBy: recorded.GetFailedBy(), countedRuns: recorded.GetFencingNumbers(),
+	}
 }
 
 // scheduledJob is a running job. Items from head up to tail were never leased by
--- a/batch/keys.go
+++ b/batch/keys.go
@@ -18,6 +18,7 @@
 	kindResult         = 'r'
 	kindClaim          = 's'
 	kindSettledPage    = 'p'
+	kindAttempts       = 'a'
 	kindCallerJob      = 'c'
 	kindRetention      = 'x'
 )
--- a/batch/lead.go
+++ b/batch/lead.go
@@ -31,6 +31,7 @@
 		s.term = in.Term
 		s.fenceCounter = 0
 	}
+	s.firstFencingNumber = s.term<<fencingTermShift | s.fenceCounter
 	s.loadJobs(now)
 	if !in.Leading {
 		return
@@ -58,7 +59,9 @@
 	for _, id := range s.state.liveJobIDs() {
 		l := s.state.live[id]
 		if l.job.GetState() == pb.JobState_JOB_RUNNING {
-			s.jobs.add(l).estimateFirstGraceIndex()
+			job := s.jobs.add(l)
+			job.estimateFirstGraceIndex()
+			s.restoreAttempts(job)
 			continue
 		}
 		s.submissionDeadlines.Set(id, now.Add(receiveTimeout(l.job)))
@@ -130,9 +133,12 @@
 		if !ok {
 			continue
 		}
-		if result.GetOutcome() == pb.ItemOutcome_ITEM_NOT_RUN {
+		switch result.GetOutcome() {
+		case pb.ItemOutcome_ITEM_NOT_RUN:
 			s.claimReleased(job, leaseRefOfResult(result))
 			continue
+		case pb.ItemOutcome_ITEM_RETRY:
+			continue
 		}
 		s.jobs.rate(job.record.GetService()).addCompletion()
 		s.endItemLeases(job, leaseRefOfResult(result))
@@ -198,13 +204,19 @@
 	}
 }
 
-// stepProposalResult handles the outcome of a commit of results or of a claim.
+// stepProposalResult handles the outcome of a commit of results, of a record of attempts or of a
+// claim.
 func (s *Scheduler) stepProposalResult(now time.Time, in ProposalResult) {
 	if results, ok := s.commits.inFlight[in.Token]; ok {
 		delete(s.commits.inFlight, in.Token)
 		s.commitDone(now, results, in)
 		return
 	}
+	if items, ok := s.attempts.inFlight[in.Token]; ok {
+		delete(s.attempts.inFlight, in.Token)
+		s.attemptsProposed(now, items, in)
+		return
+	}
 	if claim, ok := s.pendingClaims[in.Token]; ok {
 		delete(s.pendingClaims, in.Token)
 		s.claimDone(now, claim, in)
--- a/batch/repeats_test.go
+++ b/batch/repeats_test.go
@@ -9,7 +9,7 @@
 )
 
 // repeatsSeeds is the number of seeds of the property test of repeated runs.
-const repeatsSeeds = 60
+const repeatsSeeds = 100
 
 func newFailingJob(id string, items int) simJob {
 	j := newSimJob(id, items)
--- a/batch/requests.go
+++ b/batch/requests.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/briarcross/briarcross/pb"
@@ -118,10 +119,13 @@
 }
 
 // adoptLease takes over a lease that an earlier leader granted, if the item has no
-// other lease and no queued result and, for a non-idempotent item, if the
-// committed claim is this lease's.
+// other lease and nothing of it waits for its commit, if the run is not counted as failed
+// and, for a non-idempotent item, if the committed claim is this lease's.
 func (s *Scheduler) adoptLease(now time.Time, w *workerState, job *scheduledJob, ref LeaseRef) bool {
-	if len(job.leasesByIndex[ref.Index]) > 0 || s.commits.contains(ref.itemKey()) {
+	if len(job.leasesByIndex[ref.Index]) > 0 || s.isBeingRecorded(job, ref.Index) {
+		return false
+	}
+	if retry, ok := job.retries[ref.Index]; ok && slices.Contains(retry.countedRuns, ref.FencingNumber) {
 		return false
 	}
 	if !job.record.GetIdempotent() && !s.claimMatches(ref) {
@@ -222,11 +226,11 @@
 	retry := job.retryStateOf(l.ref.Index)
 	retry.losses++
 	if retry.losses >= job.record.GetMaxAttempts()+extraLosses {
-		s.recordFinalFailure(now, job, l.ref, retry)
+		s.recordFinalFailure(now, job, l.ref, retry, nil)
 		return
 	}
 	s.stats.ItemsRequeued++
-	s.makeAvailable(job, l.ref.Index)
+	s.recordAttempts(retry, l.ref, nil, now)
 }
 
 // extraLosses is added to the job's MaxAttempts: an item counts as failed once it
--- a/batch/results.go
+++ b/batch/results.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/briarcross/briarcross/pb"
@@ -44,11 +45,28 @@
 	case pb.ItemOutcome_ITEM_NOT_RUN, pb.ItemOutcome_ITEM_YIELDED:
 		s.requeueNotRun(now, w, job, l, ref)
 	default:
+		s.handleReportedFailure(now, w, job, l, result)
+	}
+}
+
+// handleReportedFailure handles a failed run of an idempotent item that a worker reports. The worker
+// keeps the failure until it is recorded. One of a lease that has ended counts if an earlier leader
+// granted the lease and did not count it.
+func (s *Scheduler) handleReportedFailure(now time.Time, w *workerState, job *scheduledJob, l *lease, result *pb.ItemResult) {
+	ref := leaseRefOfResult(result)
+	counted := slices.Contains(job.retryStateOf(ref.Index).countedRuns, ref.FencingNumber)
+	if counted && s.attempts.contains(ref.itemKey()) {
+		s.attempts.add(ref.itemKey(), reporter{w.id, w.incarnation, ref})
+		return
+	}
+	if counted || l == nil && !s.isFromEarlierLeadership(ref) {
 		w.queueSettled(ref)
-		if leased {
-			s.handleFailure(now, w, l, result)
-		}
+		return
+	}
+	if l != nil {
+		s.dropLease(l)
 	}
+	s.handleFailure(now, w, job, ref, result, w)
 }
 
 // markReported records that a lease's final result is queued for commit.
@@ -122,30 +140,27 @@
 	w.cooldownUntil = now.Add(notRunRetryDelay)
 }
 
-// handleFailure handles a failed run of an idempotent item.
-func (s *Scheduler) handleFailure(now time.Time, w *workerState, l *lease, result *pb.ItemResult) {
-	job := l.job
-	s.dropLease(l)
-	retry := job.retryStateOf(l.ref.Index)
+// handleFailure handles a failed run of an idempotent item at a worker. reportedBy is the worker to
+// be told once the failure is recorded, nil if it did not report the failure.
+func (s *Scheduler) handleFailure(now time.Time, w *workerState, job *scheduledJob, ref LeaseRef, result *pb.ItemResult, reportedBy *workerState) {
+	retry := job.retryStateOf(ref.Index)
 	retry.failures++
+	retry.countedRuns = append(retry.countedRuns, ref.FencingNumber)
 	retry.addFailedBy(w.id)
 	retry.lastFailedAt = now
 	retry.lastError = result
 	w.observeOutcome(false)
-	s.attributeFailure(now, w, job, l.ref, retry)
-	if len(job.leasesByIndex[l.ref.Index]) > 0 {
-		return
-	}
-	if s.isFinalFailure(job, retry) {
-		s.recordFinalFailure(now, job, l.ref, retry)
+	s.attributeFailure(now, w, job, ref, retry)
+	if len(job.leasesByIndex[ref.Index]) == 0 && s.isFinalFailure(job, retry) {
+		s.recordFinalFailure(now, job, ref, retry, reportedBy)
 		return
 	}
 	s.stats.ItemsRetried++
-	if result.GetOutcome() == pb.ItemOutcome_ITEM_FAILED {
-		s.makeAvailable(job, l.ref.Index)
-		return
+	availableAt := now
+	if result.GetOutcome() != pb.ItemOutcome_ITEM_FAILED {
+		availableAt = now.Add(s.backoff(retry.failures))
 	}
-	s.retryDeadlines.Set(l.ref.itemKey(), now.Add(s.backoff(retry.failures)))
+	s.recordAttempts(retry, ref, reportedBy, availableAt)
 }
 
 // isFinalFailure reports whether an item is not run again: it has reached the
@@ -172,8 +187,9 @@
 	return delay/2 + time.Duration(s.rand.Int64N(int64(delay/2)+1))
 }
 
-// recordFinalFailure queues the final failure of an item for commit.
-func (s *Scheduler) recordFinalFailure(now time.Time, job *scheduledJob, ref LeaseRef, retry *retryState) {
+// recordFinalFailure queues the final failure of an item for commit. reportedBy is the worker that
+// reported it, nil if none did.
+func (s *Scheduler) recordFinalFailure(now time.Time, job *scheduledJob, ref LeaseRef, retry *retryState, reportedBy *workerState) {
 	s.stats.ItemsOutOfAttempts++
 	result := &pb.ItemResult{
 		JobId:         ref.JobID,
@@ -189,7 +205,7 @@
 		result.Body = retry.lastError.GetBody()
 		result.Error = retry.lastError.GetError()
 	}
-	s.queueResult(now, result, nil)
+	s.queueResult(now, result, reportedBy)
 }
 
 // ErrorWorkerLost is the recorded error of an item whose worker was lost in each
@@ -230,10 +246,9 @@
 			s.handleLostLease(now, l)
 			continue
 		}
-		s.handleFailure(now, l.worker, l, &pb.ItemResult{
-			Outcome: pb.ItemOutcome_ITEM_RETRY,
-			Error:   ErrorRunTimeout,
-		})
+		s.dropLease(l)
+		timedOut := &pb.ItemResult{Outcome: pb.ItemOutcome_ITEM_RETRY, Error: ErrorRunTimeout}
+		s.handleFailure(now, l.worker, job, ref, timedOut, nil)
 	}
 }
 
--- a/batch/scheduler.go
+++ b/batch/scheduler.go
@@ -161,6 +161,9 @@
 	term    uint64
 	// fenceCounter is the low half of the last fencing number of the term.
 	fenceCounter uint64
+	// firstFencingNumber is below all fencing numbers of this leadership, and not below any of
+	// an earlier one.
+	firstFencingNumber uint64
 	// lastToken is the token of the last proposal.
 	lastToken uint64
 
@@ -175,6 +178,7 @@
 	submissionDeadlines core.Deadlines[string]
 
 	commits       commitQueue
+	attempts      attemptsQueue
 	pendingClaims map[uint64]*pendingClaim
 
 	// inGracePeriod is set from the start of leadership until gracePeriodEnd,
@@ -223,6 +227,7 @@
 	s.runDeadlines = core.Deadlines[LeaseRef]{}
 	s.submissionDeadlines = core.Deadlines[string]{}
 	s.commits = newCommitQueue()
+	s.attempts = newAttemptsQueue()
 	s.pendingClaims = make(map[uint64]*pendingClaim)
 	s.inGracePeriod = false
 	s.sweepScheduled = false
@@ -263,6 +268,7 @@
 	s.abortStalledSubmissions(now)
 	s.expireFinishedJobs(now)
 	s.flushCommits(now)
+	s.proposeAttempts()
 	s.servePending(now)
 	s.expireLongPolls(now)
 }
--- a/batch/state_jobs.go
+++ b/batch/state_jobs.go
@@ -259,13 +259,14 @@
 	s.deleteRunningData(b, job.GetJobId())
 }
 
-// deleteRunningData deletes a job's items, claims, bitmaps and estimate.
+// deleteRunningData deletes a job's items, claims, attempts, bitmaps and estimate.
 func (s *State) deleteRunningData(b kv.Batch, jobID string) {
 	delete(s.live, jobID)
 	s.removeEstimate(jobID)
 	deleteJobRecords(b, kindItem, jobID)
 	deleteJobRecords(b, kindClaim, jobID)
 	deleteJobRecords(b, kindSettledPage, jobID)
+	deleteJobRecords(b, kindAttempts, jobID)
 }
 
 // removeJob deletes all data of a job except its retention key.
--- a/batch/state_results.go
+++ b/batch/state_results.go
@@ -60,6 +60,8 @@
 	outcomeRefused
 	// outcomeReleased means that the item did not run and can be leased again.
 	outcomeReleased
+	// outcomeCounted means that the attempts of the item were recorded.
+	outcomeCounted
 )
 
 // changedJob lists the pages of the settled bitmap that a command changes in a
@@ -83,7 +85,7 @@
 			counts.Duplicates++
 		case outcomeRefused:
 			counts.Refused++
-		case outcomeReleased:
+		case outcomeReleased, outcomeCounted:
 		}
 	}
 	for _, job := range changed {
@@ -114,9 +116,16 @@
 	case pb.ItemOutcome_ITEM_NOT_RUN:
 		live.releaseClaim(b, result)
 		return outcomeReleased
+	case pb.ItemOutcome_ITEM_RETRY:
+		if !live.job.GetIdempotent() || result.GetSoFar() == nil {
+			return outcomeRefused
+		}
+		b.Set(jobRecordKey(kindAttempts, result.GetJobId(), result.GetIndex()), encode(result.GetSoFar()))
+		return outcomeCounted
 	default:
 		return outcomeRefused
 	}
+	b.Delete(jobRecordKey(kindAttempts, result.GetJobId(), result.GetIndex()))
 	storeResult(b, result)
 	live.settled.set(result.GetIndex())
 	return outcomeCommitted
@@ -131,6 +140,17 @@
 	live.claimed.clear(result.GetIndex())
 }
 
+// recordedAttempts calls visit for each item of a job with recorded attempts.
+func recordedAttempts(r kv.Reader, jobID string, visit func(index uint32, attempts *pb.ItemAttempts)) {
+	prefix := jobRecordPrefix(kindAttempts, jobID)
+	r.Scan(prefix, kv.PrefixEnd(prefix), func(key, value []byte) bool {
+		attempts := &pb.ItemAttempts{}
+		decode(value, attempts)
+		visit(recordIndex(key), attempts)
+		return true
+	})
+}
+
 // storeResult writes a result without its job ID and index, which its key holds.
 func storeResult(b kv.Batch, result *pb.ItemResult) {
 	stored := &pb.ItemResult{
--- a/batch/state_test.go
+++ b/batch/state_test.go
@@ -189,9 +189,12 @@
 			FencingNumber: rapid.Uint64Range(1, 3).Draw(t, "fence"),
 			Body:          []byte(fmt.Sprintf("%d", m.logIndex)),
 			Outcome: rapid.SampledFrom([]pb.ItemOutcome{
-				pb.ItemOutcome_ITEM_DONE, pb.ItemOutcome_ITEM_FAILED, pb.ItemOutcome_ITEM_NOT_RUN,
+				pb.ItemOutcome_ITEM_DONE, pb.ItemOutcome_ITEM_FAILED, pb.ItemOutcome_ITEM_NOT_RUN, pb.ItemOutcome_ITEM_RETRY,
 			}).Draw(t, "outcome"),
 		}
+		if result.GetOutcome() == pb.ItemOutcome_ITEM_RETRY {
+			result.SoFar = &pb.ItemAttempts{Failures: 1}
+		}
 		c.Results = append(c.Results, result)
 		job.expectResult(result, wantCounts)
 	}
@@ -224,6 +227,12 @@
 		delete(j.claims, result.GetIndex())
 		return
 	}
+	if result.GetOutcome() == pb.ItemOutcome_ITEM_RETRY {
+		if !j.idempotent {
+			wantCounts.Refused++
+		}
+		return
+	}
 	wantCounts.Committed++
 	j.results[result.GetIndex()] = string(result.GetBody())
 }
