--- a/storenode/item.go
+++ b/storenode/item.go
@@ -53,7 +53,8 @@
 func (x *itemRun) run(ctx context.Context) {
 	n := x.runner.node
 	n.logger.Info(eventlog.ItemPlaced, withJob(x.key.JobID, "request", x.item.GetId(), "item", x.key.Index,
-		"upstream", x.grant.Upstream, "after", x.progress.LastEventID, "version", x.grant.SoftwareVersion, "failures", x.progress.Failures)...)
+		"upstream", x.grant.Upstream, "after", x.progress.LastEventID, "version", x.grant.SoftwareVersion, "failures", x.progress.Failures,
+		"max_output", x.runner.codec.MaxOutputTokens(itemHeader(x.item)))...)
 	startedAt, eventsBefore := time.Now(), x.progress.EventCount
 	outcome, status, reason := x.execute(ctx)
 	switch {
