--- a/jobpages/run_time_estimator.go
+++ b/jobpages/run_time_estimator.go
@@ -1,6 +1,9 @@
 package jobpages
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// averagedItems sets the weight of a completed item in the moving averages:
@@ -16,8 +19,7 @@
 	// maxInterruptedShare bounds the observed share of time in which an item was
 	// preempted, so that an overload of seconds does not make all items seem late.
 	maxInterruptedShare = 0.6
-	// elapsedTimeMargin allows for items that are longer or preempted more often than the
-	// average.
+	// elapsedTimeMargin allows for items that are preempted more often than the average.
 	elapsedTimeMargin = 1.15
 )
 
@@ -25,6 +27,7 @@
 // It keeps exponentially weighted moving averages.
 type RunTimeEstimator struct {
 	meanEvents    float64       // events per item
+	eventsSpread  float64       // mean absolute deviation of the events per item
 	meanEventTime time.Duration // run time per event
 	// interruptedShare is the share of the time between the first start of an item and
 	// its completion in which the item was preempted.
@@ -39,6 +42,7 @@
 // Observe adds a completed item to the averages: its number of events in all
 // runs, the number in its last run, and the duration of that run.
 func (e *RunTimeEstimator) Observe(itemEvents, runEvents int, runTime time.Duration) {
+	e.eventsSpread += (math.Abs(float64(itemEvents)-e.meanEvents) - e.eventsSpread) / averagedItems
 	e.meanEvents += (float64(itemEvents) - e.meanEvents) / averagedItems
 	if runEvents > 0 {
 		e.meanEventTime += (runTime/time.Duration(runEvents) - e.meanEventTime) / averagedItems
@@ -47,14 +51,18 @@
 
 // RemainingEvents estimates the number of events that an item still has after eventsDone.
 func (e *RunTimeEstimator) RemainingEvents(eventsDone int) int {
-	return int(max(e.meanEvents-float64(eventsDone), minRemainingShare*e.meanEvents))
+	return int(e.eventsLeft(e.meanEvents, eventsDone))
+}
+
+// eventsLeft returns the number of events that an item of a size still has after eventsDone.
+func (e *RunTimeEstimator) eventsLeft(size float64, eventsDone int) float64 {
+	return max(size-float64(eventsDone), minRemainingShare*e.meanEvents)
 }
 
 // RemainingTime estimates the run time that an item still needs after eventsDone
 // events.
 func (e *RunTimeEstimator) RemainingTime(eventsDone int) time.Duration {
-	eventsLeft := max(e.meanEvents-float64(eventsDone), minRemainingShare*e.meanEvents)
-	return time.Duration(eventsLeft * float64(e.meanEventTime))
+	return time.Duration(e.eventsLeft(e.meanEvents, eventsDone) * float64(e.meanEventTime))
 }
 
 // ObserveCompletion adds the time between the first start of a completed item and
@@ -68,8 +76,11 @@
 	e.interruptedShare += (min(share, maxInterruptedShare) - e.interruptedShare) / averagedItems
 }
 
-// RemainingElapsedTime estimates the time until an item completes after eventsDone
-// events if it starts now, including the time in which it will be preempted.
+// RemainingElapsedTime estimates the time until an item completes after eventsDone events if it
+// starts now, including the time in which it will be preempted. Its size is not known: an item that
+// starts just in time for the average one is late if it is larger, and late items wait for others.
+// The estimate is therefore that of an item that is larger than the average by the usual deviation.
 func (e *RunTimeEstimator) RemainingElapsedTime(eventsDone int) time.Duration {
-	return time.Duration(elapsedTimeMargin * float64(e.RemainingTime(eventsDone)) / (1 - e.interruptedShare))
+	runTime := e.eventsLeft(e.meanEvents+e.eventsSpread, eventsDone) * float64(e.meanEventTime)
+	return time.Duration(elapsedTimeMargin * runTime / (1 - e.interruptedShare))
 }
