--- a/jobpages/scheduler.go
+++ b/jobpages/scheduler.go
@@ -102,13 +102,13 @@
 	return &Scheduler{progress: make(map[ItemKey]*ItemProgress)}
 }
 
-// RunnableItems returns the open items that may start now: first those that
-// would otherwise be abandoned, then those that can complete by their due time,
-// then the others. In the last two groups, items with output come first: the slots that
-// they have used are wasted if they are late. Otherwise the order of open is kept,
-// earliest due first. Under an overload that lasts longer than the time until items
-// are due, ordering by due time alone would start each item only when it is already
-// late.
+// RunnableItems returns the open items that may start now: first those that would otherwise be
+// abandoned, then those with output, then those that can complete by their due time, then the
+// others. Items with output come before new ones even if they are late: they are about as many as
+// there are slots, and what they have generated is worth nothing until they complete. Those that
+// can complete by their due time are the first of them. Otherwise the order of open is kept,
+// earliest due first. Under an overload that lasts longer than the time until items are due,
+// ordering by due time alone would start each item only when it is already late.
 func (s *Scheduler) RunnableItems(now time.Time, open []OpenItem, estimator *RunTimeEstimator) []ItemKey {
 	groups := make([]startGroup, len(open))
 	var counts [groupCount]int
@@ -140,8 +140,8 @@
 	notRunnable startGroup = iota
 	nearAbandon
 	onTimeBegun
-	onTime
 	tooLateBegun
+	onTime
 	tooLate
 	groupCount
 )
