--- a/e2e/platform_engine_test.go
+++ b/e2e/platform_engine_test.go
@@ -53,6 +53,9 @@
 // each second time before it has sent the head of its response.
 const deadlyBody = "deadly body"
 
+// failingBody is the body of an item that each engine answers with 500.
+const failingBody = "failing body"
+
 // eventCount returns the number of events in the complete response to a request,
 // derived from its ID.
 func eventCount(id string) int {
@@ -322,6 +325,11 @@
 		w.WriteHeader(http.StatusUnprocessableEntity)
 		return
 	}
+	if string(body) == failingBody {
+		w.Header().Set(headerStamp, e.id)
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	// Items of jobs never crash an engine.
 	crash := !strings.HasPrefix(r.URL.Path, pathJobs) && (strings.Contains(r.Header.Get(headerPromptParts), deadlyPart) || string(body) == deadlyBody)
 	e.stream(w, r, id, crash, string(body) == deadlyBody)
