Batch: record the attempts of many items in several commands

When a worker with many items was lost, the attempts of all of them went into one command, which the replica refuses above its size limit, so that it was proposed again for ever and the items were not leased. Found on reading again; TestRecordOfManyLostItemsIsTooLarge fails without the change (1,537 items in a command, bound 512).

--- a/batch/attempts.go
+++ b/batch/attempts.go
@@ -51,19 +51,24 @@
 	s.attempts.add(ref.itemKey(), reporter{w.id, w.incarnation, ref})
 }
 
-// proposeAttempts proposes the attempts that have changed since the last call.
+// proposeAttempts proposes the attempts that have changed, as many as one command may hold.
 func (s *Scheduler) proposeAttempts() {
 	if len(s.attempts.changed) == 0 || len(s.attempts.inFlight) >= maxCommitsInFlight {
 		return
 	}
-	changed := s.attempts.changed
-	s.attempts.changed = make(map[itemKey][]reporter)
+	proposed := make(map[itemKey][]reporter)
 	commit := &pb.ResultsCommit{}
-	for _, key := range sortedItemKeys(changed) {
+	for _, key := range sortedItemKeys(s.attempts.changed) {
+		if len(commit.Results) == maxCommitResults {
+			break
+		}
+		reporters := s.attempts.changed[key]
+		delete(s.attempts.changed, key)
 		job, ok := s.jobs.byID[key.jobID]
 		if !ok {
 			continue
 		}
+		proposed[key] = reporters
 		commit.Results = append(commit.Results, &pb.ItemResult{
 			JobId: key.jobID, Index: key.index, Outcome: pb.ItemOutcome_ITEM_RETRY, SoFar: job.retryStateOf(key.index).toProto(),
 		})
@@ -72,7 +77,7 @@
 		return
 	}
 	token := s.propose(&pb.Command{Op: &pb.Command_ResultsCommit{ResultsCommit: commit}})
-	s.attempts.inFlight[token] = changed
+	s.attempts.inFlight[token] = proposed
 }
 
 // attemptsProposed makes items whose attempts have been recorded available again and notifies their
--- a/batch/repeats_test.go
+++ b/batch/repeats_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/briarcross/briarcross/pb"
 )
 
 // repeatsSeeds is the number of seeds of the property test of repeated runs.
@@ -58,6 +60,24 @@
 	g.Expect(s.mostRuns()).To(BeNumerically("<=", DefaultMaxAttempts+extraLosses))
 }
 
+// The attempts of all items that were lost at once did not fit into one command.
+func TestRecordOfManyLostItemsIsTooLarge(t *testing.T) {
+	g := NewWithT(t)
+	const items = 3*maxCommitResults + 1
+	s := newSim(33, 1)
+	s.setRunTime(time.Hour, items, 0)
+	s.submitAccepted(g, newSimJob("job-1", items))
+	g.Expect(s.advanceUntil(time.Minute, func() bool { return len(s.sidecars[0].running) == items })).To(BeTrue())
+	s.sidecars[0].crash()
+	largest := 0
+	s.onCommand = func(c *pb.Command) { largest = max(largest, len(c.GetResultsCommit().GetResults())) }
+	s.sidecars[0].startIncarnation()
+	s.setRunTime(time.Second, items, 0)
+	g.Expect(s.advanceUntil(5*time.Minute, s.allCompleted("job-1"))).To(BeTrue())
+	g.Expect(largest).To(BeNumerically("<=", maxCommitResults))
+	g.Expect(s.job("job-1").GetDone()).To(BeEquivalentTo(items))
+}
+
 // An item that fails at each run gets its attempts, those that were refunded, and those whose
 // worker was lost, and one more for each loss of a worker and each change of leader, whatever
 // happens to messages and proposals.
--- a/batch/sim_test.go
+++ b/batch/sim_test.go
@@ -79,9 +79,11 @@
 	// command may be committed nevertheless.
 	proposalFaultRate float64
 
-	ledger   *simLedger
-	commands int
-	logBytes int
+	ledger *simLedger
+	// onCommand, if set, is called with each command that is committed.
+	onCommand func(*pb.Command)
+	commands  int
+	logBytes  int
 	// commandHash is the hash of all committed commands in order.
 	commandHash *xxhash.Digest
 	// leaseBytes is the size of all messages between workers and leaders.
@@ -226,6 +228,9 @@
 		panic(err)
 	}
 	s.ledger.recordCommand(s.now, c, result)
+	if s.onCommand != nil {
+		s.onCommand(c)
+	}
 	if l.alive && l.current {
 		l.scheduler.Step(s.now, CommandApplied{c, result})
 	}
