--- a/jobpages/run_time_estimator.go
+++ b/jobpages/run_time_estimator.go
@@ -76,11 +76,19 @@
 	e.interruptedShare += (min(share, maxInterruptedShare) - e.interruptedShare) / averagedItems
 }
 
-// RemainingElapsedTime estimates the time until an item completes after eventsDone events if it
-// starts now, including the time in which it will be preempted. Its size is not known: an item that
-// starts just in time for the average one is late if it is larger, and late items wait for others.
-// The estimate is therefore that of an item that is larger than the average by the usual deviation.
+// RemainingElapsedTime estimates the time until an item of the average size completes after
+// eventsDone events if it starts now, including the time in which it will be preempted.
 func (e *RunTimeEstimator) RemainingElapsedTime(eventsDone int) time.Duration {
-	runTime := e.eventsLeft(e.meanEvents+e.eventsSpread, eventsDone) * float64(e.meanEventTime)
+	return e.elapsedTime(e.meanEvents, eventsDone)
+}
+
+// RemainingElapsedTimeIfLarge is RemainingElapsedTime for an item that is larger than the average by
+// the mean deviation.
+func (e *RunTimeEstimator) RemainingElapsedTimeIfLarge(eventsDone int) time.Duration {
+	return e.elapsedTime(e.meanEvents+e.eventsSpread, eventsDone)
+}
+
+func (e *RunTimeEstimator) elapsedTime(size float64, eventsDone int) time.Duration {
+	runTime := e.eventsLeft(size, eventsDone) * float64(e.meanEventTime)
 	return time.Duration(elapsedTimeMargin * runTime / (1 - e.interruptedShare))
 }
--- a/jobpages/scheduler.go
+++ b/jobpages/scheduler.go
@@ -104,7 +104,9 @@
 
 // RunnableItems returns the open items that may start now: first those that would otherwise be
 // abandoned, then those with output, then those that can complete by their due time, then the
-// others. Items with output come before new ones even if they are late: they are about as many as
+// others. The size of an item is not known: one that starts just in time for the average size is
+// late if it is larger. New items that are on time even if they are large therefore precede those
+// that are only if they are not. Items with output come before new ones even if they are late: they are about as many as
 // there are slots, and what they have generated is worth nothing until they complete. Those that
 // can complete by their due time are the first of them. Otherwise the order of open is kept,
 // earliest due first. Under an overload that lasts longer than the time until items are due,
@@ -141,7 +143,10 @@
 	nearAbandon
 	onTimeBegun
 	tooLateBegun
+	// onTime items can complete by their due time even if they are large, onTimeIfAverage
+	// items only if they are not.
 	onTime
+	onTimeIfAverage
 	tooLate
 	groupCount
 )
@@ -165,15 +170,18 @@
 		eventsDone = progress.EventCount
 	}
 	expectedEnd := now.Add(estimator.RemainingElapsedTime(eventsDone))
+	dueAt := time.UnixMilli(int64(item.DueUnixMs))
 	switch {
 	case IsNearAbandon(expectedEnd, item.AbandonUnixMs):
 		return nearAbandon
-	case !expectedEnd.After(time.UnixMilli(int64(item.DueUnixMs))) && eventsDone > 0:
+	case eventsDone > 0 && !expectedEnd.After(dueAt):
 		return onTimeBegun
-	case !expectedEnd.After(time.UnixMilli(int64(item.DueUnixMs))):
-		return onTime
 	case eventsDone > 0:
 		return tooLateBegun
+	case !now.Add(estimator.RemainingElapsedTimeIfLarge(0)).After(dueAt):
+		return onTime
+	case !expectedEnd.After(dueAt):
+		return onTimeIfAverage
 	}
 	return tooLate
 }
--- a/jobpages/scheduler_test.go
+++ b/jobpages/scheduler_test.go
@@ -157,6 +157,26 @@
 	expect.Expect(scheduler.RunnableItems(now, open, NewRunTimeEstimator())).To(Equal([]ItemKey{{"begun", 0}, {"late-begun", 0}, {"new", 0}, {"late", 0}}))
 }
 
+// While items are interrupted for long, no new item could be on time if it is large. All new items
+// then counted as late, and each started only when it was.
+func TestItemsThatAreOnTimeUnlessLargeWaitForLateOnes(t *testing.T) {
+	estimator := NewRunTimeEstimator()
+	for i := range 100 {
+		events := 50 + 100*(i%2)
+		estimator.Observe(events, events, time.Duration(events)*50*time.Millisecond)
+		estimator.ObserveCompletion(time.UnixMilli(0).Add(time.Hour), &ItemProgress{FirstStartedAt: time.UnixMilli(0), EventCount: events})
+	}
+	average, large := estimator.RemainingElapsedTime(0), estimator.RemainingElapsedTimeIfLarge(0)
+	expect := NewWithT(t)
+	expect.Expect(large).To(BeNumerically(">", average))
+	now := time.UnixMilli(0)
+	due := func(job string, dueIn time.Duration) OpenItem {
+		return OpenItem{JobID: job, DueUnixMs: uint64(dueIn.Milliseconds()), AbandonUnixMs: uint64(time.Hour.Milliseconds())}
+	}
+	open := []OpenItem{due("late", average/2), due("unless-large", (average+large)/2), due("sure", 2*large)}
+	expect.Expect(NewScheduler().RunnableItems(now, open, estimator)).To(Equal([]ItemKey{{"sure", 0}, {"unless-large", 0}, {"late", 0}}))
+}
+
 // Of two runs with the same due time, the one that was nearly done has more slack. It was
 // preempted first.
 func TestRunThatIsNearlyDoneIsPreemptedLast(t *testing.T) {
