--- a/jobpages/scheduler.go
+++ b/jobpages/scheduler.go
@@ -106,11 +106,12 @@
 // abandoned, then those with output, then those that can complete by their due time, then the
 // others. The size of an item is not known: one that starts just in time for the average size is
 // late if it is larger. New items that are on time even if they are large therefore precede those
-// that are only if they are not. Items with output come before new ones even if they are late: they are about as many as
-// there are slots, and what they have generated is worth nothing until they complete. Those that
-// can complete by their due time are the first of them. Otherwise the order of open is kept,
-// earliest due first. Under an overload that lasts longer than the time until items are due,
-// ordering by due time alone would start each item only when it is already late.
+// that are only if they are not. Items with output come before new ones even if they are late:
+// they are about as many as there are slots, and what they have generated is worth nothing until
+// they complete. Those that can complete by their due time are the first of them. Otherwise the
+// order of open is kept, earliest due first. Under an overload that lasts longer than the time
+// until items are due, ordering by due time alone would start each item only when it is already
+// late.
 func (s *Scheduler) RunnableItems(now time.Time, open []OpenItem, estimator *RunTimeEstimator) []ItemKey {
 	groups := make([]startGroup, len(open))
 	var counts [groupCount]int
--- a/storenode/item.go
+++ b/storenode/item.go
@@ -32,14 +32,14 @@
 	// scheduler is that of the runner when the run started; the runner replaces
 	// its scheduler when leadership changes.
 	scheduler *jobpages.Scheduler
-	// term ends when the leadership under which the run started ends.
-	term      context.Context
-	key       jobpages.ItemKey
-	job       *pb.PageJob
-	item      *pb.PageItem
-	grant     dispatch.Grant
-	progress  *jobpages.ItemProgress
-	preempted *atomic.Bool
+	// leadership ends with the leadership under which the run started.
+	leadership context.Context
+	key        jobpages.ItemKey
+	job        *pb.PageJob
+	item       *pb.PageItem
+	grant      dispatch.Grant
+	progress   *jobpages.ItemProgress
+	preempted  *atomic.Bool
 	// mustRecordStart is set if the run must be recorded before it starts.
 	mustRecordStart bool
 	// promptParts are the IDs of the parts of the prompt that other requests may share.
@@ -98,7 +98,7 @@
 // scheduler then. Until then the item does not run.
 func (x *itemRun) finishItem(propose func() bool) {
 	x.beginRecording()
-	if !x.runner.proposeUntilRecorded(x.term, x.key, propose) {
+	if !x.runner.proposeUntilRecorded(x.leadership, x.key, propose) {
 		return
 	}
 	x.runner.mu.Lock()
@@ -138,7 +138,7 @@
 	fruitlessRuns := x.progress.FruitlessRuns
 	attempts := x.progress.Attempts(x.key, fruitlessRuns)
 	x.runner.mu.Unlock()
-	recorded := x.runner.proposeUntilRecorded(x.term, x.key, func() bool { return x.runner.proposeAttempts(x.runner.node.ctx, attempts) })
+	recorded := x.runner.proposeUntilRecorded(x.leadership, x.key, func() bool { return x.runner.proposeAttempts(x.runner.node.ctx, attempts) })
 	open := x.runner.node.state.IsItemOpen(x.key.JobID, x.key.Index)
 	x.runner.mu.Lock()
 	defer x.runner.mu.Unlock()
--- a/storenode/recording.go
+++ b/storenode/recording.go
@@ -53,11 +53,11 @@
 
 // proposeUntilRecorded calls propose, with a growing pause, until it reports that what it proposes
 // is recorded or the item is not open any more. It returns false if the leadership ends before.
-func (r *runner) proposeUntilRecorded(term context.Context, key jobpages.ItemKey, propose func() bool) bool {
+func (r *runner) proposeUntilRecorded(leadership context.Context, key jobpages.ItemKey, propose func() bool) bool {
 	pause := minRecordPause
 	for !propose() && r.node.state.IsItemOpen(key.JobID, key.Index) {
 		select {
-		case <-term.Done():
+		case <-leadership.Done():
 			return false
 		case <-time.After(pause):
 		}
--- a/storenode/runner.go
+++ b/storenode/runner.go
@@ -396,7 +396,7 @@
 	mustRecordStart := progress.MustRecordStart(r.inheritedJobs[key.JobID])
 	r.mu.Unlock()
 	run := &itemRun{
-		runner: r, scheduler: scheduler, term: parent, key: key, job: job, item: item, grant: grant, progress: progress, preempted: preempted,
+		runner: r, scheduler: scheduler, leadership: parent, key: key, job: job, item: item, grant: grant, progress: progress, preempted: preempted,
 		mustRecordStart: mustRecordStart, promptParts: r.promptParts(item),
 	}
 	r.tasks.Go(func() {
